--- /dev/null
+++ b/src/cell.rs
@@ -0,0 +1,278 @@
+//! What the owner of a cell decides: which worker runs a request or a task,
+//! who waits, who yields and who is refused.
+//!
+//! One [`Cell`] counts the room of its workers in one place. It is plain
+//! state: events and the time go in, actions come out.
+
+mod harm;
+mod requests;
+mod room;
+mod runs;
+mod state;
+mod tasks;
+
+#[cfg(test)]
+mod tests;
+
+pub use harm::{Harm, Sample};
+pub use requests::{Ask, Class, Sent};
+pub use room::Worker;
+pub use runs::{Called, Report, Run, RunId, RunPhase, RunState};
+pub use state::{Asked, Cell, Exchange, Place, Quota, SyncResult, Times};
+pub use tasks::{Live, Lot};
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::job;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Declared size of one task or request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Size {
+    /// Thousandths of a core.
+    pub cores: u32,
+    /// Mebibytes.
+    pub memory: u32,
+    /// Whole accelerators.
+    pub accelerators: u32,
+}
+
+impl std::fmt::Display for Size {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let cores = f64::from(self.cores) / 1_000.0;
+        let Self {
+            memory,
+            accelerators,
+            ..
+        } = self;
+        write!(
+            f,
+            "{cores} cores, {memory} MiB, {accelerators} accelerators"
+        )
+    }
+}
+
+/// What a worker has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shape {
+    /// Requests at once.
+    pub slots: u32,
+    /// Connections at once, from all boxes.
+    pub connections: u32,
+    /// Thousandths of a core.
+    pub cores: u32,
+    /// Mebibytes.
+    pub memory: u32,
+    /// Whole accelerators.
+    pub accelerators: u32,
+}
+
+impl Shape {
+    /// Returns true when an empty worker of this shape could run it.
+    pub fn holds(&self, size: Size) -> bool {
+        size.cores <= self.cores
+            && size.memory <= self.memory
+            && size.accelerators <= self.accelerators
+    }
+}
+
+/// How a worker is chosen among those with room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// By learned interference, latency and load: the policy.
+    Learned,
+    /// The first that fits: a baseline.
+    First,
+    /// The one with the least in progress: a baseline.
+    Least,
+    /// Any, by a seeded generator: a baseline.
+    Random,
+    /// Each in turn: a baseline.
+    Turn,
+}
+
+/// Settings of the decisions.
+#[derive(Clone, Debug)]
+pub struct Policy {
+    /// Weight of the services' tail against batch throughput, from 0 to 1.
+    pub tail: f64,
+    /// Requests that may wait in a cell.
+    pub queue: usize,
+    /// Further sends that one request may make over all hops.
+    pub retries: u32,
+    /// Deadline in milliseconds of a request that gives none.
+    pub deadline: Millis,
+    /// Share of a worker's cores that batch tasks leave free.
+    pub reserve: f64,
+    /// Choice of the worker for a request.
+    pub route: Pick,
+    /// Choice of the worker for a task.
+    pub place: Pick,
+    /// True when tasks that hurt are throttled, and evicted only after that.
+    pub throttle: bool,
+    /// Failed runs after which a task is given up.
+    pub failures: u32,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            tail: 0.5,
+            queue: 256,
+            retries: 2,
+            deadline: 10_000,
+            reserve: 0.1,
+            route: Pick::Learned,
+            place: Pick::Learned,
+            throttle: true,
+            failures: 3,
+        }
+    }
+}
+
+/// Why a request was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Reason {
+    /// No worker has room and the queue is too long.
+    NoRoom,
+    /// The deadline has passed or can't be met.
+    Deadline,
+    /// Batch gave way to latency-critical requests.
+    Shed,
+    /// The box does not own the cell, or not any more.
+    NotOwner,
+    /// The lease lapsed before the request was sent.
+    Lapsed,
+    /// No endpoint could be reached.
+    Unreachable,
+    /// The endpoint refused it before running it.
+    Refused,
+    /// The box is stopping or moving the cell.
+    Stopping,
+    /// The box has no configuration or no view of the cells yet.
+    NotReady,
+    /// The service is not in the configuration.
+    NoService,
+    /// The request itself is malformed.
+    Invalid,
+}
+
+impl Reason {
+    /// Returns the word for headers, logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::NoRoom => "no-room",
+            Self::Deadline => "deadline",
+            Self::Shed => "shed",
+            Self::NotOwner => "not-owner",
+            Self::Lapsed => "lapsed",
+            Self::Unreachable => "unreachable",
+            Self::Refused => "refused",
+            Self::Stopping => "stopping",
+            Self::NotReady => "not-ready",
+            Self::NoService => "no-service",
+            Self::Invalid => "invalid",
+        }
+    }
+
+    /// Returns the reason for a word, or [`Reason::Refused`].
+    pub fn of(word: &str) -> Self {
+        let all = [
+            Self::NoRoom,
+            Self::Deadline,
+            Self::Shed,
+            Self::NotOwner,
+            Self::Lapsed,
+            Self::Unreachable,
+            Self::Refused,
+            Self::Stopping,
+            Self::NotReady,
+            Self::NoService,
+            Self::Invalid,
+        ];
+        all.into_iter()
+            .find(|r| r.word() == word)
+            .unwrap_or(Self::Refused)
+    }
+}
+
+/// What a cell asks to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a request to a worker.
+    Send {
+        /// The request.
+        ticket: u64,
+        /// Name of the worker.
+        worker: Name,
+        /// Address of its endpoint.
+        http: SocketAddr,
+    },
+    /// Answer a request as not run.
+    Refuse {
+        /// The request.
+        ticket: u64,
+        /// Why.
+        reason: Reason,
+        /// Milliseconds after which to come back.
+        after: Millis,
+    },
+    /// Exchange state with a worker and renew the leases of its runs.
+    Sync {
+        /// Name of the worker.
+        worker: Name,
+        /// Address of its control RPC.
+        rpc: SocketAddr,
+        /// Runs whose end is recorded.
+        acks: Vec<RunId>,
+        /// True to renew the leases of its runs.
+        renew: bool,
+        /// Counts exchanges; starts of an earlier round are void after it.
+        round: u64,
+    },
+    /// Start a run.
+    Start {
+        /// Name of the worker.
+        worker: Name,
+        /// Address of its control RPC.
+        rpc: SocketAddr,
+        /// The run.
+        run: Run,
+        /// Milliseconds of work to do in all.
+        work: Millis,
+    },
+    /// Stop a run.
+    Stop {
+        /// Name of the worker.
+        worker: Name,
+        /// Address of its control RPC.
+        rpc: SocketAddr,
+        /// The run.
+        run: RunId,
+        /// True to keep its work.
+        checkpoint: bool,
+    },
+    /// Set the share of its cores that a run may use.
+    Throttle {
+        /// Name of the worker.
+        worker: Name,
+        /// Address of its control RPC.
+        rpc: SocketAddr,
+        /// The run.
+        run: RunId,
+        /// Thousandths.
+        share: u32,
+    },
+    /// Write a lot's row.
+    Write {
+        /// Key of the row.
+        key: Name,
+        /// Version the row must have.
+        expect: u64,
+        /// New contents.
+        row: job::LotRow,
+    },
+}
--- /dev/null
+++ b/src/cell/requests.rs
@@ -0,0 +1,349 @@
+//! Requests: which worker runs one, which wait and which are refused.
+
+use std::collections::BTreeMap;
+
+use super::room::{Active, Worker};
+use super::state::Cell;
+use super::{Action, Pick, Reason, Size};
+use crate::constants::WHOLE;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Weight of a new measurement in a moving average.
+const SMOOTH: f64 = 0.05;
+/// Microseconds assumed of a service that was never measured.
+const GUESS: f64 = 5_000.0;
+/// Shortest and longest time after which a refused caller is told to come back.
+const COME_BACK: (Millis, Millis) = (20, 5_000);
+
+/// How urgent a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Class {
+    /// Somebody waits for it.
+    Critical,
+    /// It gives way.
+    Batch,
+}
+
+/// A request as the owner of a cell sees it.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Number of the request on this box.
+    pub ticket: u64,
+    /// Service that is asked for.
+    pub service: Name,
+    /// How urgent it is.
+    pub class: Class,
+    /// Size that it needs.
+    pub size: Size,
+    /// When its answer is worthless, on the own clock.
+    pub deadline: Millis,
+}
+
+/// Order of waiting requests: class, deadline, ticket.
+type Rank = (Class, Millis, u64);
+
+/// Waiting requests, the most urgent first.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    waiting: BTreeMap<Rank, Ask>,
+}
+
+impl Queue {
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    fn push(&mut self, ask: Ask) {
+        let rank = (ask.class, ask.deadline, ask.ticket);
+        self.waiting.insert(rank, ask);
+    }
+
+    fn pop(&mut self) -> Option<Ask> {
+        self.waiting.pop_first().map(|(_, ask)| ask)
+    }
+
+    /// Takes the last batch request out, to make place for a critical one.
+    fn shed(&mut self) -> Option<Ask> {
+        let entry = self.waiting.last_entry()?;
+        (entry.key().0 == Class::Batch).then(|| entry.remove())
+    }
+
+    fn ahead(&self, class: Class) -> usize {
+        let end = (class, Millis::MAX, u64::MAX);
+        self.waiting.range(..=end).count()
+    }
+
+    /// Takes all requests out.
+    pub fn drain(&mut self) -> Vec<Ask> {
+        std::mem::take(&mut self.waiting).into_values().collect()
+    }
+
+    fn expire(&mut self, late: impl Fn(&Ask) -> bool) -> Vec<Ask> {
+        let ranks: Vec<Rank> = self
+            .waiting
+            .iter()
+            .filter(|(_, ask)| late(ask))
+            .map(|(rank, _)| *rank)
+            .collect();
+        ranks
+            .iter()
+            .filter_map(|rank| self.waiting.remove(rank))
+            .collect()
+    }
+}
+
+/// How a send to a worker ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sent {
+    /// The whole answer came.
+    Answered,
+    /// No byte left, or the worker refused it before running it.
+    NotRun,
+    /// No byte left, as the lease had lapsed.
+    Unsent,
+    /// It may have run; the worker would not start it after `until`.
+    Unknown {
+        /// On the own clock.
+        until: Millis,
+    },
+}
+
+impl Cell {
+    /// Takes in a request; it is sent, queued or refused.
+    pub fn admit(&mut self, now: Millis, micros: u64, ask: Ask) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.leaving {
+            let after = COME_BACK.0;
+            actions.push(refuse(&ask, Reason::Stopping, after));
+            return actions;
+        }
+        let expected = self.expected(&ask.service);
+        if now + expected > ask.deadline {
+            actions.push(refuse(
+                &ask,
+                Reason::Deadline,
+                self.wait(ask.class, &ask.service),
+            ));
+            return actions;
+        }
+        let behind = self.queue.ahead(ask.class) > 0;
+        if !behind && let Some(action) = self.dispatch(now, micros, &ask) {
+            actions.push(action);
+            return actions;
+        }
+        self.enqueue(now, ask, &mut actions);
+        actions
+    }
+
+    fn enqueue(&mut self, now: Millis, ask: Ask, actions: &mut Vec<Action>) {
+        let wait = self.wait(ask.class, &ask.service);
+        let expected = self.expected(&ask.service);
+        let open = self.workers.values().any(Worker::open);
+        if !open || now + wait + expected > ask.deadline {
+            let reason = if open {
+                Reason::Deadline
+            } else {
+                Reason::NoRoom
+            };
+            actions.push(refuse(&ask, reason, wait));
+            return;
+        }
+        if self.queue.len() >= self.policy.queue {
+            let shed = match ask.class {
+                Class::Critical => self.queue.shed(),
+                Class::Batch => None,
+            };
+            match shed {
+                Some(victim) => actions.push(refuse(&victim, Reason::Shed, wait)),
+                None => return actions.push(refuse(&ask, Reason::NoRoom, wait)),
+            }
+        }
+        let class = ask.class;
+        let size = ask.size;
+        self.queue.push(ask);
+        if class == Class::Critical {
+            actions.extend(self.make_room(now, size));
+        }
+    }
+
+    /// Sends a request to the best worker with room, if there is one.
+    fn dispatch(&mut self, now: Millis, micros: u64, ask: &Ask) -> Option<Action> {
+        let name = self.pick(now, ask)?;
+        let worker = self.workers.get_mut(&name)?;
+        let active = Active {
+            service: ask.service.clone(),
+            size: ask.size,
+            sent: micros,
+            ghost: None,
+        };
+        worker.add(ask.ticket, active);
+        self.tickets.insert(ask.ticket, name.clone());
+        Some(Action::Send {
+            ticket: ask.ticket,
+            worker: name,
+            http: worker.http,
+        })
+    }
+
+    fn pick(&mut self, now: Millis, ask: &Ask) -> Option<Name> {
+        let open = self.workers.values().filter(|w| w.open());
+        let (total, sound) = open.fold((0, 0), |(total, sound), worker| {
+            (total + 1, sound + usize::from(worker.ejected <= now))
+        });
+        // With half of the workers ejected, the fault is likely not theirs.
+        let strict = sound * 2 > total;
+        let candidates: Vec<&Worker> = self
+            .workers
+            .values()
+            .filter(|w| w.open() && w.slots() > 0 && w.fits(ask.size))
+            .filter(|w| !strict || w.ejected <= now)
+            .collect();
+        let count = candidates.len() as u64;
+        let chosen = match self.policy.route {
+            Pick::First => candidates.first().copied(),
+            Pick::Least => candidates.into_iter().min_by_key(|w| w.busy()),
+            Pick::Random => {
+                let index = self.random.below(count) as usize;
+                candidates.get(index).copied()
+            }
+            Pick::Turn => {
+                self.turn += 1;
+                let index = self.turn.checked_rem(count).unwrap_or(0) as usize;
+                candidates.get(index).copied()
+            }
+            Pick::Learned => {
+                let cost = |w: &&Worker| self.cost(w, &ask.service);
+                candidates
+                    .into_iter()
+                    .min_by(|a, b| cost(a).total_cmp(&cost(b)))
+            }
+        };
+        chosen.map(|w| w.name.clone())
+    }
+
+    /// Returns the expected answer time on a worker over that on an idle one.
+    fn cost(&self, worker: &Worker, service: &str) -> f64 {
+        let busy = worker.crowded();
+        let hurt: f64 = worker
+            .running()
+            .map(|r| self.harm.of(service, &r.kind, busy) * f64::from(r.share) / f64::from(WHOLE))
+            .sum();
+        let mean = self.means.get(service).copied().unwrap_or(GUESS);
+        let measured = (worker.latency / mean - 1.0).clamp(0.0, 4.0);
+        let load = f64::from(worker.busy()) / f64::from(worker.shape.slots.max(1));
+        1.0 + hurt.max(measured * 0.5) + load
+    }
+
+    /// Takes in how a send ended, and gives its slot to who waits.
+    pub fn ended(&mut self, now: Millis, micros: u64, ticket: u64, sent: Sent) -> Vec<Action> {
+        let Some(name) = self.tickets.remove(&ticket) else {
+            return Vec::new();
+        };
+        let Some(worker) = self.workers.get_mut(&name) else {
+            return Vec::new();
+        };
+        match sent {
+            Sent::Answered => {
+                if let Some(active) = worker.remove(ticket) {
+                    let took = micros.saturating_sub(active.sent);
+                    worker.answered(took);
+                    let mean = self.means.entry(active.service).or_insert(took as f64);
+                    *mean += SMOOTH * (took as f64 - *mean);
+                }
+            }
+            Sent::NotRun => {
+                worker.remove(ticket);
+                strike(worker, now);
+            }
+            Sent::Unsent => {
+                worker.remove(ticket);
+                return Vec::new();
+            }
+            Sent::Unknown { until } => {
+                // It may still hold its slot there: the next exchange tells.
+                if let Some(active) = worker.active.get_mut(&ticket) {
+                    active.ghost = Some(until + self.margin);
+                }
+                strike(worker, now);
+            }
+        }
+        self.pump(now, micros)
+    }
+
+    /// Sends what waits while there is room.
+    pub fn pump(&mut self, now: Millis, micros: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some(ask) = self.queue.pop() {
+            if now >= ask.deadline {
+                actions.push(refuse(&ask, Reason::Deadline, COME_BACK.0));
+                continue;
+            }
+            match self.dispatch(now, micros, &ask) {
+                Some(action) => actions.push(action),
+                None => {
+                    self.queue.push(ask);
+                    break;
+                }
+            }
+        }
+        actions
+    }
+
+    /// Refuses at once what can't be answered in time any more.
+    pub fn expire(&mut self, now: Millis) -> Vec<Action> {
+        let means = &self.means;
+        let late = |ask: &Ask| {
+            let mean = means.get(&ask.service).copied().unwrap_or(0.0);
+            now + (mean / 1_000.0) as Millis > ask.deadline
+        };
+        let expired = self.queue.expire(late);
+        let told = |ask: &Ask| refuse(ask, Reason::Deadline, self.wait(ask.class, &ask.service));
+        expired.iter().map(told).collect()
+    }
+
+    /// Refuses all that waits, as the cell is given up.
+    pub fn refuse_all(&mut self, reason: Reason) -> Vec<Action> {
+        let waiting = self.queue.drain();
+        waiting
+            .iter()
+            .map(|ask| refuse(ask, reason, COME_BACK.0))
+            .collect()
+    }
+
+    /// Returns the mean answer time of a service in whole milliseconds.
+    pub fn expected(&self, service: &str) -> Millis {
+        let mean = self.means.get(service).copied().unwrap_or(0.0);
+        (mean / 1_000.0) as Millis
+    }
+
+    /// Returns the expected wait of a new request in milliseconds.
+    pub fn wait(&self, class: Class, service: &str) -> Millis {
+        let slots: u32 = self
+            .workers
+            .values()
+            .filter(|w| w.open())
+            .map(|w| w.shape.slots)
+            .sum();
+        let mean = self.means.get(service).copied().unwrap_or(GUESS);
+        let ahead = self.queue.ahead(class) as f64 + 1.0;
+        let wait = ahead * mean / f64::from(slots.max(1)) / 1_000.0;
+        (wait as Millis).clamp(COME_BACK.0, COME_BACK.1)
+    }
+}
+
+fn strike(worker: &mut Worker, now: Millis) {
+    if worker.failed(now) {
+        let until = worker.ejected - now;
+        log::warn!(target: "cell", "{} ejected for {until} ms", worker.name);
+    }
+}
+
+fn refuse(ask: &Ask, reason: Reason, after: Millis) -> Action {
+    Action::Refuse {
+        ticket: ask.ticket,
+        reason,
+        after: after.clamp(COME_BACK.0, COME_BACK.1),
+    }
+}
--- /dev/null
+++ b/src/cell/state.rs
@@ -0,0 +1,369 @@
+//! The state of one owned cell.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+use super::harm::{Harm, Sample};
+use super::requests::Queue;
+use super::room::Worker;
+use super::runs::{Report, RunId, RunPhase};
+use super::tasks::Lot;
+use super::{Action, Policy, Shape};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+use crate::utils::random::Random;
+
+/// Weight of a new measurement in a moving average.
+const SMOOTH: f64 = 0.2;
+/// Exchanges without an answer after which a worker gets nothing new.
+const SILENT: u64 = 3;
+
+/// A worker in the list of live and leaving ones.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Name of the worker.
+    pub name: Name,
+    /// Cell to which it belongs: `HALL/RACK`.
+    pub cell: Name,
+    /// Address of its endpoint.
+    pub http: SocketAddr,
+    /// Address of its control RPC.
+    pub rpc: SocketAddr,
+    /// True when it takes nothing new.
+    pub leaving: bool,
+}
+
+/// A worker's answer to an exchange.
+#[derive(Clone, Debug, Default)]
+pub struct SyncResult {
+    /// True when the worker knows a higher epoch.
+    pub refused: bool,
+    /// What it has.
+    pub shape: Shape,
+    /// Requests of this epoch in progress.
+    pub tickets: Vec<u64>,
+    /// Requests of earlier epochs in progress.
+    pub foreign: u32,
+    /// Runs that go on, and ended ones that are not acknowledged.
+    pub runs: Vec<Report>,
+    /// Late measurements.
+    pub samples: Vec<Sample>,
+    /// True when it takes nothing new.
+    pub leaving: bool,
+}
+
+/// An exchange with a worker as it was sent.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// When it was sent.
+    pub sent: Millis,
+    /// Its round.
+    pub round: u64,
+    /// Ends that it acknowledged.
+    pub acks: Vec<RunId>,
+}
+
+/// How an exchange with a worker ended.
+#[derive(Clone, Debug)]
+pub enum Exchange {
+    /// The worker answered.
+    Reply(SyncResult),
+    /// No byte of it left.
+    NotSent,
+    /// The worker may have got it.
+    Lost,
+}
+
+/// What a team may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quota {
+    /// Thousandths of cores in the whole deployment.
+    pub cores: u64,
+    /// Weight against other teams.
+    pub weight: u32,
+}
+
+/// Times that a cell needs, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// Lease of runs on workers.
+    pub task: Millis,
+    /// Margin for slow sends and clock drift.
+    pub margin: Millis,
+    /// Between two exchanges with the same worker.
+    pub sync: Millis,
+}
+
+/// State of one owned cell.
+#[derive(Clone, Debug)]
+pub struct Cell {
+    /// Name of the cell.
+    pub name: Name,
+    /// Epoch of the ownership.
+    pub epoch: u64,
+    /// True while it takes nothing new, before its release.
+    pub leaving: bool,
+    /// Settings of the decisions.
+    pub policy: Policy,
+    /// What teams may use.
+    pub quotas: BTreeMap<Name, Quota>,
+    /// The cell's part of the deployment's cores, from 0 to 1.
+    pub part: f64,
+    /// Workers by name.
+    pub workers: BTreeMap<Name, Worker>,
+    /// Lots by key.
+    pub lots: BTreeMap<Name, Lot>,
+    /// Tasks evicted under this epoch.
+    pub evictions: u64,
+    /// Tasks finished under this epoch.
+    pub finished: u64,
+    /// Learned interference.
+    pub harm: Harm,
+    /// Mean answer time of each service in microseconds.
+    pub means: HashMap<Name, f64>,
+    pub(super) slowdowns: HashMap<Name, f64>,
+    pub(super) usage: HashMap<Name, f64>,
+    pub(super) teams: BTreeMap<Name, u64>,
+    pub(super) queue: Queue,
+    pub(super) tickets: BTreeMap<u64, Name>,
+    pub(super) random: Random,
+    pub(super) turn: u64,
+    pub(super) counter: u64,
+    pub(super) round: u64,
+    pub(super) hold: Millis,
+    pub(super) loaded: bool,
+    pub(super) margin: Millis,
+    times: Times,
+}
+
+impl Cell {
+    /// Returns a cell that was just won; its workers are yet to be asked.
+    pub fn new(name: Name, epoch: u64, now: Millis, policy: Policy, times: Times) -> Self {
+        let random = Random::new(crate::utils::hash::stable(&[&name]) ^ epoch);
+        Self {
+            name,
+            epoch,
+            leaving: false,
+            policy,
+            quotas: BTreeMap::new(),
+            part: 1.0,
+            workers: BTreeMap::new(),
+            lots: BTreeMap::new(),
+            evictions: 0,
+            finished: 0,
+            harm: Harm::default(),
+            means: HashMap::new(),
+            slowdowns: HashMap::new(),
+            usage: HashMap::new(),
+            teams: BTreeMap::new(),
+            queue: Queue::default(),
+            tickets: BTreeMap::new(),
+            random,
+            turn: 0,
+            counter: 0,
+            round: 0,
+            hold: now + times.task + times.margin,
+            loaded: false,
+            margin: times.margin,
+            times,
+        }
+    }
+
+    /// Sets the list of the cell's workers and those drained by operators.
+    pub fn places(&mut self, places: &[Place], drained: &BTreeSet<Name>) {
+        for worker in self.workers.values_mut() {
+            worker.listed = false;
+        }
+        for place in places.iter().filter(|p| p.cell == self.name) {
+            let worker = self
+                .workers
+                .entry(place.name.clone())
+                .or_insert_with(|| Worker::new(place.name.clone(), place.http, place.rpc));
+            let moved = worker.rpc != place.rpc || worker.http != place.http;
+            if moved && worker.runs.is_empty() && worker.active.is_empty() {
+                *worker = Worker::new(place.name.clone(), place.http, place.rpc);
+            }
+            worker.listed = true;
+            worker.leaving = place.leaving || drained.contains(&place.name);
+        }
+        self.workers
+            .retain(|_, w| w.listed || !w.runs.is_empty() || !w.active.is_empty());
+    }
+
+    /// Returns the free slots of all workers.
+    pub fn free(&self) -> u32 {
+        let open = self.workers.values().filter(|w| w.open());
+        open.map(Worker::slots).sum()
+    }
+
+    /// Returns the free cores of all workers in thousandths.
+    pub fn cores(&self) -> u64 {
+        let open = self.workers.values().filter(|w| w.open());
+        open.map(|w| u64::from(w.cores())).sum()
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns true when no request waits or is in progress.
+    pub fn idle(&self) -> bool {
+        let sent = self.workers.values().any(|w| !w.active.is_empty());
+        let calling = |w: &Worker| {
+            let phases = w.runs.values().map(|r| r.phase);
+            phases
+                .into_iter()
+                .any(|p| p == RunPhase::Starting || p == RunPhase::Stopping)
+        };
+        let journal = self.lots.values().all(Lot::quiet);
+        self.queue.len() == 0 && !sent && journal && !self.workers.values().any(calling)
+    }
+
+    /// Returns what is due at `now`.
+    pub fn tick(&mut self, now: Millis, micros: u64) -> Vec<Action> {
+        let mut actions = self.sync(now);
+        self.lapse(now);
+        self.unhold(now);
+        actions.extend(self.expire(now));
+        actions.extend(self.pump(now, micros));
+        actions.extend(self.relieve(now));
+        actions.extend(self.start(now));
+        actions
+    }
+
+    fn sync(&mut self, now: Millis) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.round += 1;
+        for worker in self.workers.values_mut() {
+            let due = worker.asked.is_none_or(|at| now >= at + self.times.sync);
+            if worker.syncing || !due {
+                continue;
+            }
+            let silent = worker
+                .asked
+                .is_some_and(|_| now > worker.heard() + self.times.sync * SILENT);
+            if silent {
+                worker.known = false;
+            }
+            worker.syncing = true;
+            worker.asked = Some(now);
+            // A silent worker's runs are left to lapse: it is asked, not renewed.
+            let renew = worker.known;
+            if renew {
+                worker.renewing = now;
+            }
+            actions.push(Action::Sync {
+                worker: worker.name.clone(),
+                rpc: worker.rpc,
+                acks: std::mem::take(&mut worker.acks),
+                renew,
+                round: self.round,
+            });
+        }
+        actions
+    }
+
+    /// Takes in how an exchange ended. Returns true when a higher epoch rules the worker.
+    pub fn synced(
+        &mut self,
+        now: Millis,
+        micros: u64,
+        name: &Name,
+        asked: Asked,
+        exchange: Exchange,
+    ) -> (bool, Vec<Action>) {
+        let Asked { sent, round, acks } = asked;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return (false, Vec::new());
+        };
+        worker.syncing = false;
+        let renewing = std::mem::take(&mut worker.renewing);
+        if !matches!(exchange, Exchange::NotSent) {
+            worker.renewed = worker.renewed.max(renewing);
+        }
+        let Exchange::Reply(reply) = exchange else {
+            worker.acks.extend(acks);
+            return (false, Vec::new());
+        };
+        if reply.refused {
+            worker.known = false;
+            return (true, Vec::new());
+        }
+        worker.hear(now);
+        worker.known = true;
+        worker.shape = reply.shape;
+        worker.retiring = reply.leaving;
+        worker.foreign = reply.foreign;
+        let gone: Vec<u64> = worker
+            .active
+            .iter()
+            .filter(|(ticket, a)| {
+                a.ghost.is_some_and(|g| sent > g) && !reply.tickets.contains(ticket)
+            })
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in gone {
+            worker.remove(ticket);
+        }
+        let missing = absent(worker, sent, round, &reply.runs);
+        let mut actions = Vec::new();
+        for id in missing {
+            self.vanish(now, name, id);
+        }
+        for report in &reply.runs {
+            actions.extend(self.settle(now, name, report));
+        }
+        self.measure(name, &reply);
+        actions.extend(self.pump(now, micros));
+        (false, actions)
+    }
+
+    fn measure(&mut self, name: &Name, reply: &SyncResult) {
+        for sample in &reply.samples {
+            self.harm.learn(sample);
+            let slow = self.slowdowns.entry(name.clone()).or_insert(1.0);
+            *slow += SMOOTH * (sample.slowdown - *slow);
+        }
+        if reply.runs.is_empty() {
+            self.slowdowns.remove(name);
+        }
+        for report in &reply.runs {
+            if report.usage == 0 || report.size.cores == 0 {
+                continue;
+            }
+            let ratio = f64::from(report.usage) / f64::from(report.size.cores);
+            let factor = self.usage.entry(report.kind.clone()).or_insert(1.0);
+            *factor += SMOOTH * (ratio - *factor);
+        }
+    }
+
+    /// Ends the runs of workers that can't have renewed them.
+    fn lapse(&mut self, now: Millis) {
+        let span = self.times.task + self.times.margin;
+        let lapsed: Vec<(Name, RunId)> = self
+            .workers
+            .values()
+            .filter(|w| !w.known && now > w.renewed.max(w.renewing) + span)
+            .flat_map(|w| w.runs.keys().map(|id| (w.name.clone(), *id)))
+            .collect();
+        for (name, id) in lapsed {
+            self.vanish(now, &name, id);
+        }
+    }
+}
+
+/// Returns runs that should be on the worker and are not.
+fn absent(worker: &Worker, sent: Millis, round: u64, reports: &[Report]) -> Vec<RunId> {
+    let reported: BTreeSet<RunId> = reports.iter().map(|r| r.id).collect();
+    let gone = worker.runs.values().filter(|run| {
+        let confirmed = match run.phase {
+            RunPhase::Running | RunPhase::Stopping => run.since < sent,
+            // The worker refuses a start of an earlier round from now on.
+            RunPhase::Doubt => run.round < round,
+            RunPhase::Starting => false,
+        };
+        confirmed && !reported.contains(&run.id)
+    });
+    gone.map(|run| run.id).collect()
+}
--- /dev/null
+++ b/src/cell/tasks.rs
@@ -0,0 +1,1016 @@
+//! Batch tasks: which starts where, which yields, and what is recorded.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::room::Worker;
+use super::runs::{Called, Report, Run, RunId, RunPhase, RunState};
+use super::state::Cell;
+use super::{Action, Pick, Size};
+use crate::constants::WHOLE;
+use crate::invariant::{self, Rule};
+use crate::job::{LotRow, Phase, Versioned};
+use crate::lease::Written;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Starts of one tick, so that a tick stays short.
+const STARTS: usize = 64;
+/// Lowest share to which a run is throttled, in thousandths.
+const LOWEST: u32 = 250;
+/// Milliseconds between two steps of throttling on one worker.
+const STEP: Millis = 1_000;
+/// Milliseconds at the lowest share before a run is evicted.
+const PERSIST: Millis = 3_000;
+/// Milliseconds between two evictions on one worker, unless for urgent work.
+const COOL: Millis = 5_000;
+/// Failures in a row, of two jobs or more, that put a worker in quarantine.
+const FAILURES: usize = 3;
+/// Milliseconds of a first quarantine; each further one doubles it.
+const QUARANTINE: Millis = 30_000;
+
+/// Where a task is, beyond what its row tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Live {
+    /// It may be started.
+    Waiting,
+    /// An earlier owner may have started it where nobody answers.
+    Held,
+    /// It may be running.
+    Running(RunId),
+    /// Its last run has ended and that is not recorded yet.
+    Recording,
+    /// It needs no further run.
+    Ended,
+}
+
+impl Live {
+    /// Returns the word for operators.
+    pub fn word(&self, phase: Phase) -> &'static str {
+        match (self, phase) {
+            (Self::Waiting, _) => "waiting",
+            (Self::Held, _) => "held",
+            (Self::Running(_), _) => "running",
+            (Self::Recording, _) => "recording",
+            (Self::Ended, Phase::Done) => "done",
+            (Self::Ended, Phase::Failed) => "failed",
+            (Self::Ended, _) => "cancelled",
+        }
+    }
+}
+
+/// What one write of a lot's row settles.
+#[derive(Clone, Debug)]
+struct Writing {
+    seq: u64,
+    recorded: Vec<usize>,
+    acks: Vec<(Name, RunId)>,
+}
+
+/// A lot of the cell.
+#[derive(Clone, Debug)]
+pub struct Lot {
+    /// Version of its row.
+    pub version: u64,
+    /// Its row as it is to be.
+    pub row: LotRow,
+    /// Where each task is.
+    pub live: Vec<Live>,
+    /// True once its job was cancelled.
+    pub cancelled: bool,
+    dirty: bool,
+    writing: Option<Writing>,
+    reread: bool,
+    acks: Vec<(Name, RunId)>,
+    /// Worker of the last failed run of each task.
+    shunned: BTreeMap<usize, Name>,
+}
+
+impl Lot {
+    fn new(versioned: Versioned, fresh: bool) -> Self {
+        let start = |phase| match phase {
+            Phase::Open if fresh => Live::Waiting,
+            Phase::Open => Live::Held,
+            _ => Live::Ended,
+        };
+        let live = versioned.row.tasks.iter().map(|t| start(t.phase)).collect();
+        Self {
+            version: versioned.version,
+            row: versioned.row,
+            live,
+            cancelled: false,
+            dirty: false,
+            writing: None,
+            reread: false,
+            acks: Vec::new(),
+            shunned: BTreeMap::new(),
+        }
+    }
+
+    /// Returns true when every task has ended and that is recorded.
+    pub fn ended(&self) -> bool {
+        let done = self.live.iter().all(|l| *l == Live::Ended);
+        done && !self.dirty && self.writing.is_none()
+    }
+
+    /// Returns true when its row must be read, as a write is in doubt.
+    pub fn reread(&self) -> bool {
+        self.reread
+    }
+
+    /// Returns true when nothing of it is to be written or read.
+    pub fn quiet(&self) -> bool {
+        !self.dirty && self.writing.is_none() && !self.reread
+    }
+
+    fn index(&self, task: u32) -> Option<usize> {
+        self.row.tasks.iter().position(|t| t.index == task)
+    }
+}
+
+impl Cell {
+    /// Takes in the lots of the cell as read after it was won.
+    pub fn load(&mut self, lots: Vec<Versioned>) {
+        // Nothing of an earlier owner can be running where there was none.
+        let fresh = self.epoch == 1;
+        for versioned in lots {
+            self.add(versioned, fresh);
+        }
+        self.loaded = true;
+    }
+
+    /// Takes in a lot that was read later: new, or known already.
+    pub fn offer(&mut self, versioned: Versioned) {
+        if self.lots.contains_key(&versioned.key) || !self.loaded {
+            return;
+        }
+        // Another owner's mark means that it may have been started before.
+        let fresh = versioned.row.epoch == 0;
+        self.add(versioned, fresh);
+    }
+
+    fn add(&mut self, versioned: Versioned, fresh: bool) {
+        let key = versioned.key.clone();
+        let lot = Lot::new(versioned, fresh);
+        if !lot.ended() {
+            self.lots.entry(key).or_insert(lot);
+        }
+    }
+
+    /// Returns the run of a task and its worker.
+    pub fn run(&self, live: &Live) -> Option<(&Worker, &Run)> {
+        let Live::Running(id) = live else {
+            return None;
+        };
+        let holds = |w: &'_ &Worker| w.runs.contains_key(id);
+        let worker = self.workers.values().find(holds)?;
+        Some((worker, worker.runs.get(id)?))
+    }
+
+    /// Cancels the tasks of some jobs; what runs is stopped.
+    pub fn cancel(&mut self, jobs: &[Name]) -> Vec<Action> {
+        for lot in self.lots.values_mut() {
+            if !jobs.contains(&lot.row.spec.id) || lot.cancelled {
+                continue;
+            }
+            lot.cancelled = true;
+            for (index, live) in lot.live.iter_mut().enumerate() {
+                if matches!(live, Live::Waiting | Live::Held) {
+                    *live = Live::Ended;
+                    lot.row.tasks[index].phase = Phase::Cancelled;
+                    lot.dirty = true;
+                }
+            }
+        }
+        let mut stops = Vec::new();
+        for worker in self.workers.values() {
+            let runs = worker.running().filter(|r| jobs.contains(&r.job));
+            stops.extend(runs.map(|r| (worker.name.clone(), r.id)));
+        }
+        stops
+            .into_iter()
+            .filter_map(|(worker, run)| self.stop(&worker, run, false))
+            .collect()
+    }
+
+    /// Lets tasks start that an earlier owner can no longer have running.
+    pub fn unhold(&mut self, now: Millis) {
+        if now < self.hold || !self.loaded {
+            return;
+        }
+        for lot in self.lots.values_mut() {
+            for live in &mut lot.live {
+                if *live == Live::Held {
+                    *live = Live::Waiting;
+                }
+            }
+        }
+    }
+
+    /// Starts waiting tasks where there is room.
+    pub fn start(&mut self, now: Millis) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.leaving || !self.loaded {
+            return actions;
+        }
+        let mut passed = BTreeSet::new();
+        while actions.len() < STARTS {
+            let Some(key) = self.next(&passed) else {
+                break;
+            };
+            match self.start_one(now, &key) {
+                Some(action) => actions.push(action),
+                None => {
+                    actions.extend(self.start_urgent(now, &key));
+                    passed.insert(key);
+                }
+            }
+        }
+        actions
+    }
+
+    /// Returns the lot whose task is to start next: urgent ones first, then
+    /// the team with the least of its quota in use, then the oldest.
+    fn next(&self, passed: &BTreeSet<Name>) -> Option<Name> {
+        let ready = self
+            .lots
+            .iter()
+            .filter(|(key, lot)| !passed.contains(*key) && lot.live.contains(&Live::Waiting))
+            .filter(|(_, lot)| self.within_quota(lot));
+        let rank = |(key, lot): &(&Name, &Lot)| {
+            let team = &lot.row.spec.team;
+            let used = self.teams.get(team).copied().unwrap_or(0);
+            let weight = self.weight(team);
+            let share = (used as f64 / weight * 1_000.0) as u64;
+            (
+                !lot.row.spec.urgent,
+                share,
+                lot.row.submitted,
+                (*key).clone(),
+            )
+        };
+        ready.min_by_key(rank).map(|(key, _)| key.clone())
+    }
+
+    fn within_quota(&self, lot: &Lot) -> bool {
+        let spec = &lot.row.spec;
+        let Some(quota) = self.quotas.get(&spec.team) else {
+            return true;
+        };
+        let used = self.teams.get(&spec.team).copied().unwrap_or(0);
+        // The quota of the deployment, by this cell's share of its cores; one
+        // task always may run, or a small cell could never serve a team.
+        let part = (quota.cores as f64 * self.part) as u64;
+        used == 0 || used + u64::from(spec.size.cores) <= part
+    }
+
+    fn weight(&self, team: &str) -> f64 {
+        let quota = self.quotas.get(team);
+        quota.map_or(1.0, |q| f64::from(q.weight.max(1)))
+    }
+
+    fn start_one(&mut self, now: Millis, key: &Name) -> Option<Action> {
+        let lot = self.lots.get(key)?;
+        let index = lot.live.iter().position(|l| *l == Live::Waiting)?;
+        let spec = lot.row.spec.clone();
+        let size = self.corrected(&spec.kind, spec.size);
+        let shunned = lot.shunned.get(&index).cloned();
+        let saved = lot.row.tasks[index].saved;
+        let task = lot.row.tasks[index].index;
+        let name = self.place(now, &spec.kind, size, spec.urgent, shunned)?;
+        self.counter += 1;
+        let id = (self.epoch << 32) | self.counter;
+        let worker = self.workers.get_mut(&name)?;
+        let run = Run {
+            id,
+            job: spec.id.clone(),
+            task,
+            kind: spec.kind.clone(),
+            size,
+            share: WHOLE,
+            phase: RunPhase::Starting,
+            saved,
+            progress: saved,
+            since: now,
+            round: self.round,
+            urgent: spec.urgent,
+        };
+        worker.hold(run.clone());
+        worker.renewed = worker.renewed.max(now);
+        invariant::check(worker.within(), Rule::Room, || format!("start on {name}"));
+        let rpc = worker.rpc;
+        *self.teams.entry(spec.team.clone()).or_default() += u64::from(size.cores);
+        if let Some(lot) = self.lots.get_mut(key) {
+            let before = std::mem::replace(&mut lot.live[index], Live::Running(id));
+            invariant::check(before == Live::Waiting, Rule::Resume, || {
+                format!("{key} {task}")
+            });
+        }
+        Some(Action::Start {
+            worker: name,
+            rpc,
+            run,
+            work: spec.work,
+        })
+    }
+
+    /// Makes room for urgent work: the run whose stop loses least yields.
+    fn start_urgent(&mut self, now: Millis, key: &Name) -> Option<Action> {
+        let spec = &self.lots.get(key)?.row.spec;
+        if !spec.urgent {
+            return None;
+        }
+        let size = self.corrected(&spec.kind, spec.size);
+        let yielding = self
+            .workers
+            .values()
+            .any(|w| w.runs.values().any(|r| r.phase == RunPhase::Stopping));
+        if yielding {
+            return None;
+        }
+        let victims = self.workers.values().filter(|w| w.open());
+        let victims = victims.flat_map(|w| w.running().map(move |r| (w, r)));
+        let enough = |(w, r): &(&Worker, &Run)| !r.urgent && fits_without(w, r, size);
+        let loss = |(_, r): &(&Worker, &Run)| (r.progress.saturating_sub(r.saved), r.id);
+        let (worker, run) = victims.filter(enough).min_by_key(loss)?;
+        let (worker, run) = (worker.name.clone(), run.id);
+        self.evict(now, &worker, run)
+    }
+
+    fn place(
+        &mut self,
+        now: Millis,
+        kind: &str,
+        size: Size,
+        urgent: bool,
+        shunned: Option<Name>,
+    ) -> Option<Name> {
+        let reserve = if urgent { 0.0 } else { self.policy.reserve };
+        let kept = |w: &Worker| (f64::from(w.shape.cores) * reserve) as u32;
+        let candidates: Vec<&Worker> = self
+            .workers
+            .values()
+            .filter(|w| w.open() && w.quarantine <= now && Some(&w.name) != shunned.as_ref())
+            .filter(|w| w.fits(size) && w.cores() >= size.cores + kept(w))
+            .collect();
+        let count = candidates.len() as u64;
+        let chosen = match self.policy.place {
+            Pick::First => candidates.first().copied(),
+            Pick::Least => candidates
+                .into_iter()
+                .max_by_key(|w| (w.cores(), w.name.clone())),
+            Pick::Random => {
+                let index = self.random.below(count) as usize;
+                candidates.get(index).copied()
+            }
+            Pick::Turn => {
+                self.turn += 1;
+                let index = self.turn.checked_rem(count).unwrap_or(0) as usize;
+                candidates.get(index).copied()
+            }
+            Pick::Learned => self.least_harm(candidates, kind, urgent),
+        };
+        chosen.map(|w| w.name.clone())
+    }
+
+    /// Returns the worker on which a kind would hurt least, if that is little enough.
+    fn least_harm<'w>(
+        &self,
+        workers: Vec<&'w Worker>,
+        kind: &str,
+        urgent: bool,
+    ) -> Option<&'w Worker> {
+        let scored = workers.into_iter().map(|w| (self.hurt(w, kind), w));
+        let (hurt, worker) = scored.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let bearable = self.bearable() - 1.0;
+        (urgent || hurt <= bearable).then_some(worker)
+    }
+
+    /// Returns the slowdown above 1 that services on a worker would see with
+    /// one more run of a kind.
+    fn hurt(&self, worker: &Worker, kind: &str) -> f64 {
+        let busy = worker.crowded();
+        let mut worst: f64 = 0.0;
+        for service in self.means.keys() {
+            let present: f64 = worker
+                .runs
+                .values()
+                .map(|r| {
+                    self.harm.of(service, &r.kind, busy) * f64::from(r.share) / f64::from(WHOLE)
+                })
+                .sum();
+            worst = worst.max(present + self.harm.of(service, kind, busy));
+        }
+        worst
+    }
+
+    /// Returns the slowdown of services at which batch has to yield.
+    pub fn bearable(&self) -> f64 {
+        2.5 - 1.5 * self.policy.tail
+    }
+
+    /// Raises a declared size to what runs of the kind were seen to use.
+    fn corrected(&self, kind: &str, size: Size) -> Size {
+        let factor = self.usage.get(kind).copied().unwrap_or(1.0).clamp(1.0, 4.0);
+        let cores = (f64::from(size.cores) * factor) as u32;
+        let most = self.workers.values().map(|w| w.shape.cores).max();
+        Size {
+            cores: cores.min(most.unwrap_or(size.cores)).max(size.cores),
+            ..size
+        }
+    }
+
+    /// Throttles or evicts where services are hurt, and lets go where not.
+    pub fn relieve(&mut self, now: Millis) -> Vec<Action> {
+        if !self.policy.throttle {
+            return Vec::new();
+        }
+        let bearable = self.bearable();
+        let mut steps = Vec::new();
+        for worker in self.workers.values() {
+            if !worker.known || now < worker.throttled + STEP {
+                continue;
+            }
+            let slow = self.slowdowns.get(&worker.name).copied().unwrap_or(1.0);
+            if slow > bearable {
+                steps.extend(self.slow_down(now, worker));
+            } else if slow < 1.0 + (bearable - 1.0) * 0.6 {
+                steps.extend(speed_up(worker));
+            }
+        }
+        let mut actions = Vec::new();
+        for (name, run, share) in steps {
+            let action = match share {
+                Some(share) => self.throttle(now, &name, run, share),
+                None => self.evict(now, &name, run),
+            };
+            actions.extend(action);
+        }
+        actions
+    }
+
+    /// Returns the next step against the run that hurts most: half its share,
+    /// or its eviction when that did not help for a while.
+    fn slow_down(&self, now: Millis, worker: &Worker) -> Option<(Name, RunId, Option<u32>)> {
+        let busy = worker.crowded();
+        let services: Vec<&Name> = worker.active.values().map(|a| &a.service).collect();
+        let harm = |r: &Run| -> f64 {
+            let known = services.iter().map(|s| self.harm.of(s, &r.kind, busy));
+            known.fold(0.0, f64::max) * f64::from(r.share)
+        };
+        let worst = worker
+            .running()
+            .max_by(|a, b| harm(a).total_cmp(&harm(b)))?;
+        if worst.share > LOWEST {
+            let share = (worst.share / 2).max(LOWEST);
+            return Some((worker.name.clone(), worst.id, Some(share)));
+        }
+        let waited = now >= worst.since + PERSIST && now >= worker.evicted + COOL;
+        waited.then(|| (worker.name.clone(), worst.id, None))
+    }
+
+    /// Makes room for a waiting critical request that no worker can hold.
+    pub fn make_room(&mut self, now: Millis, size: Size) -> Vec<Action> {
+        let stuck = |w: &&Worker| w.open() && w.slots() > 0 && !w.fits(size);
+        let fits = self
+            .workers
+            .values()
+            .any(|w| w.open() && w.slots() > 0 && w.fits(size));
+        if fits {
+            return Vec::new();
+        }
+        let chosen = self
+            .workers
+            .values()
+            .filter(stuck)
+            .filter(|w| now >= w.throttled + STEP)
+            .max_by_key(|w| (w.cores(), w.slots()));
+        let Some(worker) = chosen else {
+            return Vec::new();
+        };
+        let largest = worker.running().max_by_key(|r| (r.held().cores, r.id));
+        let Some(run) = largest else {
+            return Vec::new();
+        };
+        let (name, id, share) = (worker.name.clone(), run.id, run.share);
+        let action = match share > LOWEST && self.policy.throttle {
+            true => self.throttle(now, &name, id, (share / 2).max(LOWEST)),
+            false => self.evict(now, &name, id),
+        };
+        action.into_iter().collect()
+    }
+
+    fn throttle(&mut self, now: Millis, name: &Name, id: RunId, share: u32) -> Option<Action> {
+        let worker = self.workers.get_mut(name)?;
+        let rpc = worker.rpc;
+        let old = worker.runs.get(&id)?.share;
+        let run = worker.runs.get(&id)?;
+        let more = u64::from(run.size.cores) * u64::from(share) / u64::from(WHOLE);
+        if share > old && more as u32 > worker.cores() + run.held().cores {
+            return None;
+        }
+        worker.throttled = now;
+        // More is counted at once, less only when the worker has confirmed it.
+        if share > old {
+            worker.change(id, |r| r.share = share);
+        }
+        Some(Action::Throttle {
+            worker: name.clone(),
+            rpc,
+            run: id,
+            share,
+        })
+    }
+
+    /// Takes in how a throttle ended.
+    pub fn throttled(
+        &mut self,
+        now: Millis,
+        micros: u64,
+        name: &Name,
+        id: RunId,
+        share: u32,
+        called: Called,
+    ) -> Vec<Action> {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return Vec::new();
+        };
+        if let Called::Done(_) = called {
+            worker.change(id, |r| {
+                r.share = share;
+                r.since = now;
+            });
+        }
+        self.pump(now, micros)
+    }
+
+    fn evict(&mut self, now: Millis, name: &Name, id: RunId) -> Option<Action> {
+        let action = self.stop(name, id, true)?;
+        let worker = self.workers.get_mut(name)?;
+        worker.evicted = now;
+        worker.throttled = now;
+        self.evictions += 1;
+        Some(action)
+    }
+
+    fn stop(&mut self, name: &Name, id: RunId, checkpoint: bool) -> Option<Action> {
+        let worker = self.workers.get_mut(name)?;
+        let rpc = worker.rpc;
+        worker.change(id, |r| r.phase = RunPhase::Stopping)?;
+        Some(Action::Stop {
+            worker: name.clone(),
+            rpc,
+            run: id,
+            checkpoint,
+        })
+    }
+
+    /// Takes in how a start ended.
+    pub fn started(&mut self, now: Millis, name: &Name, id: RunId, called: Called) -> Vec<Action> {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return Vec::new();
+        };
+        match called {
+            Called::Done(_) => {
+                worker.change(id, |r| {
+                    if r.phase == RunPhase::Starting {
+                        r.phase = RunPhase::Running;
+                        r.since = now;
+                    }
+                });
+            }
+            Called::Lost => {
+                worker.change(id, |r| {
+                    if r.phase == RunPhase::Starting {
+                        r.phase = RunPhase::Doubt;
+                    }
+                });
+            }
+            Called::Refused => {
+                if let Some(run) = worker.free(id) {
+                    self.unstarted(&run);
+                }
+            }
+        }
+        self.stop_cancelled(name, id)
+    }
+
+    /// Stops a run whose job was cancelled while it started.
+    fn stop_cancelled(&mut self, name: &Name, id: RunId) -> Vec<Action> {
+        let run = self.workers.get(name).and_then(|w| w.runs.get(&id));
+        let Some(job) = run
+            .filter(|r| r.phase == RunPhase::Running)
+            .map(|r| r.job.clone())
+        else {
+            return Vec::new();
+        };
+        let cancelled = self
+            .lots
+            .values()
+            .any(|l| l.cancelled && l.row.spec.id == job);
+        match cancelled {
+            true => self.stop(name, id, false).into_iter().collect(),
+            false => Vec::new(),
+        }
+    }
+
+    /// Puts a task back whose run never started.
+    fn unstarted(&mut self, run: &Run) {
+        let ended = self.uncount(run);
+        let Some((lot, index)) = ended else {
+            return;
+        };
+        lot.live[index] = Live::Waiting;
+        if lot.cancelled {
+            lot.live[index] = Live::Ended;
+            lot.row.tasks[index].phase = Phase::Cancelled;
+            lot.dirty = true;
+        }
+    }
+
+    /// Takes a run out of its team's count; returns the task if it is its run.
+    fn uncount(&mut self, run: &Run) -> Option<(&mut Lot, usize)> {
+        let lot = self
+            .lots
+            .values_mut()
+            .find(|l| l.row.spec.id == run.job && l.index(run.task).is_some())?;
+        let index = lot.index(run.task)?;
+        if let Some(used) = self.teams.get_mut(&lot.row.spec.team) {
+            *used = used.saturating_sub(u64::from(run.size.cores));
+        }
+        (lot.live[index] == Live::Running(run.id)).then_some((lot, index))
+    }
+
+    /// Takes in how a stop ended.
+    pub fn stopped(
+        &mut self,
+        now: Millis,
+        micros: u64,
+        name: &Name,
+        id: RunId,
+        called: Called,
+    ) -> Vec<Action> {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return Vec::new();
+        };
+        // A lost or refused stop is settled by the next exchange.
+        if let Called::Done(kept) = called
+            && let Some(run) = worker.free(id)
+        {
+            self.end(now, name, &run, RunState::Stopped, kept);
+        }
+        self.pump(now, micros)
+    }
+
+    /// Takes in that a run has ended; its task's row is changed and written.
+    pub fn end(&mut self, now: Millis, name: &Name, run: &Run, state: RunState, kept: Millis) {
+        let failures = self.policy.failures;
+        let Some((lot, index)) = self.uncount(run) else {
+            return;
+        };
+        let task = &mut lot.row.tasks[index];
+        let cancelled = lot.cancelled;
+        match state {
+            RunState::Finished => task.phase = Phase::Done,
+            _ if cancelled => task.phase = Phase::Cancelled,
+            RunState::Failed => {
+                task.failures += 1;
+                lot.shunned.insert(index, name.clone());
+                if task.failures >= failures {
+                    task.phase = Phase::Failed;
+                }
+            }
+            RunState::Stopped | RunState::Running => {
+                task.evictions += 1;
+                task.saved = task.saved.max(kept);
+            }
+        }
+        lot.live[index] = match task.phase {
+            Phase::Open => Live::Recording,
+            _ => Live::Ended,
+        };
+        lot.dirty = true;
+        lot.acks.push((name.clone(), run.id));
+        let job = run.job.clone();
+        match state {
+            RunState::Finished => self.succeeded(name),
+            RunState::Failed => self.strike(now, name, job),
+            RunState::Stopped | RunState::Running => {}
+        }
+    }
+
+    fn succeeded(&mut self, name: &Name) {
+        self.finished += 1;
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.failing.clear();
+            worker.quarantines = 0;
+        }
+    }
+
+    /// Counts a failed run; a worker that fails the tasks of several jobs is
+    /// put in quarantine, and those failures no longer count for the tasks.
+    fn strike(&mut self, now: Millis, name: &Name, job: Name) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        worker.failing.push(job);
+        let jobs: BTreeSet<&Name> = worker.failing.iter().collect();
+        let again = worker.quarantines > 0;
+        if !again && (worker.failing.len() < FAILURES || jobs.len() < 2) {
+            return;
+        }
+        let span = QUARANTINE << worker.quarantines.min(6);
+        worker.quarantine = now + span;
+        worker.quarantines += 1;
+        let blamed = std::mem::take(&mut worker.failing);
+        log::warn!(target: "cell", "{name} fails every task; in quarantine for {span} ms");
+        for lot in self.lots.values_mut() {
+            if blamed.contains(&lot.row.spec.id) {
+                forgive(lot, name);
+            }
+        }
+    }
+
+    /// Takes in a worker's word on a run.
+    pub fn settle(&mut self, now: Millis, name: &Name, report: &Report) -> Option<Action> {
+        let worker = self.workers.get_mut(name)?;
+        if report.state != RunState::Running {
+            let held = worker.free(report.id);
+            let run = held.unwrap_or_else(|| adopted(report, now));
+            if self.known(&run) {
+                self.end(now, name, &run, report.state, report.progress);
+                return None;
+            }
+            let recorded = self.loaded && !self.awaits(report.id);
+            let worker = self.workers.get_mut(name)?;
+            if recorded && !worker.acks.contains(&report.id) {
+                worker.acks.push(report.id);
+            }
+            return None;
+        }
+        match worker.runs.contains_key(&report.id) {
+            true => {
+                worker.change(report.id, |r| {
+                    r.progress = report.progress;
+                    r.share = report.share;
+                    if matches!(r.phase, RunPhase::Starting | RunPhase::Doubt) {
+                        r.phase = RunPhase::Running;
+                        r.since = now;
+                    }
+                });
+                if !self.loaded {
+                    return None;
+                }
+                self.adopt(name, report, now)
+            }
+            false => {
+                worker.hold(adopted(report, now));
+                if !self.loaded {
+                    return None;
+                }
+                self.adopt(name, report, now)
+            }
+        }
+    }
+
+    /// Ties a running run to its task, or stops it when it has none.
+    fn adopt(&mut self, name: &Name, report: &Report, now: Millis) -> Option<Action> {
+        let lot = self
+            .lots
+            .values_mut()
+            .find(|l| l.row.spec.id == report.job && l.index(report.task).is_some());
+        let Some(lot) = lot else {
+            return self.stop_once(name, report.id);
+        };
+        let index = lot.index(report.task)?;
+        match lot.live[index] {
+            Live::Running(id) if id == report.id => None,
+            Live::Held => {
+                lot.live[index] = Live::Running(report.id);
+                let team = lot.row.spec.team.clone();
+                let urgent = lot.row.spec.urgent;
+                let saved = lot.row.tasks[index].saved;
+                *self.teams.entry(team).or_default() += u64::from(report.size.cores);
+                let worker = self.workers.get_mut(name)?;
+                worker.change(report.id, |r| {
+                    r.urgent = urgent;
+                    r.saved = saved;
+                    r.since = now;
+                });
+                None
+            }
+            other => {
+                let twice = matches!(other, Live::Running(_) | Live::Waiting | Live::Recording);
+                invariant::check(!twice, Rule::Place, || {
+                    format!(
+                        "{} {} runs on {name} beside {other:?}",
+                        report.job, report.task
+                    )
+                });
+                self.stop_once(name, report.id)
+            }
+        }
+    }
+
+    fn stop_once(&mut self, name: &Name, id: RunId) -> Option<Action> {
+        let run = self.workers.get(name)?.runs.get(&id)?;
+        match run.phase {
+            RunPhase::Stopping => None,
+            _ => self.stop(name, id, false),
+        }
+    }
+
+    /// Returns true when a run is its task's present one, or the task is held.
+    fn known(&mut self, run: &Run) -> bool {
+        let lot = self
+            .lots
+            .values_mut()
+            .find(|l| l.row.spec.id == run.job && l.index(run.task).is_some());
+        let Some(lot) = lot else {
+            return false;
+        };
+        let Some(index) = lot.index(run.task) else {
+            return false;
+        };
+        if lot.live[index] == Live::Held {
+            lot.live[index] = Live::Running(run.id);
+        }
+        lot.live[index] == Live::Running(run.id)
+    }
+
+    fn awaits(&self, id: RunId) -> bool {
+        let pending = |w: &Writing| w.acks.iter().any(|(_, r)| *r == id);
+        self.lots.values().any(|l| {
+            l.acks.iter().any(|(_, r)| *r == id) || l.writing.as_ref().is_some_and(pending)
+        })
+    }
+
+    /// Takes in that a run is not on its worker any more and left no word.
+    pub fn vanish(&mut self, now: Millis, name: &Name, id: RunId) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let Some(run) = worker.free(id) else {
+            return;
+        };
+        match run.phase {
+            RunPhase::Doubt | RunPhase::Starting => self.unstarted(&run),
+            _ => self.end(now, name, &run, RunState::Stopped, run.saved),
+        }
+    }
+
+    /// Writes the rows of changed lots.
+    pub fn flush(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if !self.loaded {
+            return actions;
+        }
+        for (key, lot) in &mut self.lots {
+            if !lot.dirty || lot.writing.is_some() || lot.reread {
+                continue;
+            }
+            lot.dirty = false;
+            lot.row.epoch = self.epoch;
+            lot.row.seq += 1;
+            let recorded = lot.live.iter().enumerate();
+            let recorded = recorded.filter(|(_, l)| **l == Live::Recording);
+            lot.writing = Some(Writing {
+                seq: lot.row.seq,
+                recorded: recorded.map(|(i, _)| i).collect(),
+                acks: std::mem::take(&mut lot.acks),
+            });
+            actions.push(Action::Write {
+                key: key.clone(),
+                expect: lot.version,
+                row: lot.row.clone(),
+            });
+        }
+        actions
+    }
+
+    /// Takes in how the write of a lot's row ended.
+    pub fn written(&mut self, key: &Name, written: Written) {
+        let Some(lot) = self.lots.get_mut(key) else {
+            return;
+        };
+        match written {
+            Written::Committed => {
+                lot.version += 1;
+                self.recorded(key);
+            }
+            Written::NotSent => self.unwritten(key),
+            Written::Conflict | Written::Unknown => lot.reread = true,
+        }
+    }
+
+    /// Takes in a lot's row as read after a write in doubt.
+    pub fn reread(&mut self, key: &Name, row: Option<&Versioned>) {
+        let Some(lot) = self.lots.get_mut(key) else {
+            return;
+        };
+        let Some(versioned) = row else {
+            return;
+        };
+        lot.reread = false;
+        let seq = lot.writing.as_ref().map_or(0, |w| w.seq);
+        let ours = versioned.row.epoch == self.epoch && versioned.row.seq == seq;
+        lot.version = versioned.version;
+        match ours {
+            true => self.recorded(key),
+            false => self.unwritten(key),
+        }
+    }
+
+    fn recorded(&mut self, key: &Name) {
+        let Some(lot) = self.lots.get_mut(key) else {
+            return;
+        };
+        let Some(writing) = lot.writing.take() else {
+            return;
+        };
+        for index in writing.recorded {
+            if lot.live[index] == Live::Recording {
+                lot.live[index] = Live::Waiting;
+            }
+        }
+        if lot.cancelled {
+            end_waiting(lot);
+        }
+        let ended = lot.ended();
+        for (name, id) in writing.acks {
+            if let Some(worker) = self.workers.get_mut(&name) {
+                worker.acks.push(id);
+            }
+        }
+        if ended {
+            self.lots.remove(key);
+        }
+    }
+
+    fn unwritten(&mut self, key: &Name) {
+        let Some(lot) = self.lots.get_mut(key) else {
+            return;
+        };
+        if let Some(writing) = lot.writing.take() {
+            lot.acks.extend(writing.acks);
+            lot.dirty = true;
+        }
+    }
+}
+
+fn end_waiting(lot: &mut Lot) {
+    for (index, live) in lot.live.iter_mut().enumerate() {
+        if *live == Live::Waiting {
+            *live = Live::Ended;
+            lot.row.tasks[index].phase = Phase::Cancelled;
+            lot.dirty = true;
+        }
+    }
+}
+
+/// Takes back what a worker's own fault was counted for.
+fn forgive(lot: &mut Lot, name: &Name) {
+    let blamed: Vec<usize> = lot
+        .shunned
+        .iter()
+        .filter(|(_, worker)| *worker == name)
+        .map(|(index, _)| *index)
+        .collect();
+    for index in blamed {
+        let task = &mut lot.row.tasks[index];
+        task.failures = task.failures.saturating_sub(1);
+        if task.phase == Phase::Failed {
+            continue;
+        }
+        lot.dirty = true;
+    }
+}
+
+fn adopted(report: &Report, now: Millis) -> Run {
+    Run {
+        id: report.id,
+        job: report.job.clone(),
+        task: report.task,
+        kind: report.kind.clone(),
+        size: report.size,
+        share: report.share,
+        phase: RunPhase::Running,
+        saved: 0,
+        progress: report.progress,
+        since: now,
+        round: 0,
+        urgent: false,
+    }
+}
+
+/// Returns the next step towards a run's full share on a calm worker.
+fn speed_up(worker: &Worker) -> Option<(Name, RunId, Option<u32>)> {
+    let run = worker.running().find(|r| r.share < WHOLE)?;
+    let share = (run.share * 2).min(WHOLE);
+    Some((worker.name.clone(), run.id, Some(share)))
+}
+
+fn fits_without(worker: &Worker, run: &Run, size: Size) -> bool {
+    let mut rest = worker.clone();
+    rest.free(run.id);
+    rest.fits(size)
+}
--- /dev/null
+++ b/src/claim/state.rs
@@ -0,0 +1,333 @@
+//! The state machine of one box's claims.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::plan::{Host, plan};
+use super::{Action, CellRow, Versioned};
+use crate::lease::Written;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Claims in progress at once, so that a takeover does not flood the table.
+const PENDING: usize = 8;
+/// Milliseconds that a free cell is left to the box it should belong to.
+const PATIENCE: Millis = 2_000;
+/// Milliseconds that the hosts must be unchanged before a cell is given away.
+const SETTLED: Millis = 3_000;
+
+/// A cell that is owned.
+#[derive(Clone, Debug)]
+pub struct Mine {
+    /// Epoch of the ownership.
+    pub epoch: u64,
+    /// True while it takes nothing new, before its release.
+    pub leaving: bool,
+}
+
+#[derive(Clone, Debug)]
+struct View {
+    version: u64,
+    row: CellRow,
+}
+
+/// The cells, their owners as last read, and the own ones.
+#[derive(Clone, Debug)]
+pub struct Claims {
+    me: Name,
+    cells: BTreeSet<Name>,
+    views: BTreeMap<Name, View>,
+    mine: BTreeMap<Name, Mine>,
+    pending: BTreeMap<Name, u64>,
+    releasing: BTreeSet<Name>,
+    free: BTreeMap<Name, Millis>,
+    hosts: Vec<Host>,
+    changed: Millis,
+    targets: BTreeMap<Name, Name>,
+    read: Option<Millis>,
+    reading: bool,
+    read_sent: Millis,
+    complete: bool,
+    stopping: bool,
+}
+
+impl Claims {
+    /// Returns the claims of an incarnation that owns nothing yet.
+    pub fn new(me: Name) -> Self {
+        Self {
+            me,
+            cells: BTreeSet::new(),
+            views: BTreeMap::new(),
+            mine: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            releasing: BTreeSet::new(),
+            free: BTreeMap::new(),
+            hosts: Vec::new(),
+            changed: 0,
+            targets: BTreeMap::new(),
+            read: None,
+            reading: false,
+            read_sent: 0,
+            complete: false,
+            stopping: false,
+        }
+    }
+
+    /// Returns the owned cells with their epochs.
+    pub fn mine(&self) -> &BTreeMap<Name, Mine> {
+        &self.mine
+    }
+
+    /// Returns the names of all cells.
+    pub fn cells(&self) -> &BTreeSet<Name> {
+        &self.cells
+    }
+
+    /// Returns the owner of a cell and the epoch, as last read.
+    pub fn owner(&self, cell: &str) -> Option<(&Name, u64)> {
+        let view = self.views.get(cell)?;
+        Some((view.row.owner.as_ref()?, view.row.epoch))
+    }
+
+    /// Returns the version of an owned cell's row.
+    pub fn version(&self, cell: &str) -> Option<u64> {
+        let owned = self.mine.contains_key(cell);
+        let view = self.views.get(cell).filter(|_| owned)?;
+        Some(view.version)
+    }
+
+    /// Returns true when all cells were read at least once.
+    pub fn complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Sets the names of all cells and the live boxes, the own included.
+    pub fn observe(&mut self, now: Millis, cells: BTreeSet<Name>, mut hosts: Vec<Host>) {
+        hosts.sort_by(|a, b| a.id.cmp(&b.id));
+        let same_hosts = self
+            .hosts
+            .iter()
+            .map(|h| &h.id)
+            .eq(hosts.iter().map(|h| &h.id));
+        if same_hosts && self.cells == cells {
+            return;
+        }
+        self.changed = now;
+        self.cells = cells;
+        self.hosts = hosts;
+        let cells: Vec<Name> = self.cells.iter().cloned().collect();
+        self.targets = plan(&cells, &self.hosts);
+    }
+
+    /// Stops claiming and gives away what is owned.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Returns what is due at `now`; `gone` tells whether a box's row is gone.
+    pub fn tick(
+        &mut self,
+        now: Millis,
+        interval: Millis,
+        gone: impl Fn(&Name) -> bool,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if !self.reading && self.read.is_none_or(|at| now >= at + interval) {
+            self.reading = true;
+            self.read = Some(now);
+            actions.push(Action::Read);
+        }
+        if self.complete && !self.stopping {
+            actions.extend(self.claim(now, gone));
+        }
+        self.leave(now);
+        actions
+    }
+
+    fn claim(&mut self, now: Millis, gone: impl Fn(&Name) -> bool) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let cells: Vec<Name> = self.cells.iter().cloned().collect();
+        for cell in cells {
+            let view = self.views.get(&cell);
+            let old = view.and_then(|v| v.row.owner.clone());
+            let free = old.as_ref().is_none_or(&gone);
+            if !free || self.mine.contains_key(&cell) || self.pending.contains_key(&cell) {
+                self.free.remove(&cell);
+                continue;
+            }
+            let since = *self.free.entry(cell.clone()).or_insert(now);
+            let wanted = self.targets.get(&cell) == Some(&self.me);
+            if self.pending.len() >= PENDING || (!wanted && now < since + PATIENCE) {
+                continue;
+            }
+            let row = CellRow {
+                owner: Some(self.me.clone()),
+                epoch: view.map_or(0, |v| v.row.epoch) + 1,
+            };
+            let expect = view.map_or(0, |v| v.version);
+            self.pending.insert(cell.clone(), row.epoch);
+            actions.push(Action::Claim {
+                cell,
+                expect,
+                old,
+                row,
+            });
+        }
+        actions
+    }
+
+    /// Marks one owned cell that should belong to another box as leaving.
+    fn leave(&mut self, now: Millis) {
+        if self.stopping {
+            for mine in self.mine.values_mut() {
+                mine.leaving = true;
+            }
+            return;
+        }
+        let busy = self.mine.values().any(|m| m.leaving);
+        if busy || now < self.changed + SETTLED {
+            return;
+        }
+        let me = &self.me;
+        let targets = &self.targets;
+        let stray = self
+            .mine
+            .iter_mut()
+            .find(|(cell, _)| targets.get(*cell).is_some_and(|t| t != me));
+        if let Some((_, mine)) = stray {
+            mine.leaving = true;
+        }
+    }
+
+    /// Releases a leaving cell in which nothing is in progress.
+    pub fn release(&mut self, cell: &Name) -> Option<Action> {
+        let mine = self.mine.get(cell)?;
+        let view = self.views.get(cell)?;
+        if !mine.leaving || self.releasing.contains(cell) {
+            return None;
+        }
+        self.releasing.insert(cell.clone());
+        let row = CellRow {
+            owner: None,
+            epoch: mine.epoch,
+        };
+        Some(Action::Release {
+            cell: cell.clone(),
+            expect: view.version,
+            row,
+        })
+    }
+
+    /// Takes in the rows of all cells, read by a call sent at `sent`; `None`
+    /// when the read failed.
+    pub fn read(&mut self, sent: Millis, rows: Option<Vec<Versioned>>) -> Vec<Action> {
+        self.reading = false;
+        let Some(rows) = rows else {
+            return Vec::new();
+        };
+        if sent < self.read_sent {
+            return Vec::new();
+        }
+        self.read_sent = sent;
+        self.complete = true;
+        rows.into_iter().filter_map(|v| self.saw(v)).collect()
+    }
+
+    fn saw(&mut self, versioned: Versioned) -> Option<Action> {
+        let Versioned { cell, version, row } = versioned;
+        let known = self.views.get(&cell).map_or(0, |v| v.version);
+        if version < known {
+            return None;
+        }
+        let ours = row.owner.as_ref() == Some(&self.me);
+        let epoch = row.epoch;
+        self.views.insert(cell.clone(), View { version, row });
+        if ours && !self.mine.contains_key(&cell) && !self.releasing.contains(&cell) {
+            return Some(self.win(cell, epoch));
+        }
+        if !ours && self.mine.contains_key(&cell) {
+            return Some(self.lose(&cell));
+        }
+        if version > known {
+            self.pending.remove(&cell);
+        }
+        None
+    }
+
+    fn win(&mut self, cell: Name, epoch: u64) -> Action {
+        self.pending.remove(&cell);
+        let mine = Mine {
+            epoch,
+            leaving: self.stopping,
+        };
+        self.mine.insert(cell.clone(), mine);
+        Action::Won { cell, epoch }
+    }
+
+    fn lose(&mut self, cell: &Name) -> Action {
+        self.mine.remove(cell);
+        self.releasing.remove(cell);
+        Action::Lost { cell: cell.clone() }
+    }
+
+    /// Takes in how a claim ended.
+    pub fn claimed(
+        &mut self,
+        cell: &Name,
+        expect: u64,
+        row: CellRow,
+        written: Written,
+    ) -> Option<Action> {
+        match written {
+            Written::Committed => {
+                let version = expect + 1;
+                let known = self.views.get(cell).map_or(0, |v| v.version);
+                if known > version {
+                    return None;
+                }
+                self.saw(Versioned {
+                    cell: cell.clone(),
+                    version,
+                    row,
+                })
+            }
+            Written::Conflict | Written::NotSent => {
+                self.pending.remove(cell);
+                self.read = None;
+                None
+            }
+            // The next read tells; until then the claim stays pending, and a
+            // second try expects the same version, so only one can win.
+            Written::Unknown => {
+                self.pending.remove(cell);
+                self.read = None;
+                None
+            }
+        }
+    }
+
+    /// Takes in how a release ended.
+    pub fn released(
+        &mut self,
+        cell: &Name,
+        expect: u64,
+        row: CellRow,
+        written: Written,
+    ) -> Option<Action> {
+        match written {
+            Written::Committed => {
+                let versioned = Versioned {
+                    cell: cell.clone(),
+                    version: expect + 1,
+                    row,
+                };
+                self.saw(versioned)
+            }
+            Written::Conflict | Written::NotSent | Written::Unknown => {
+                // Still owned by the row, as far as known; the next tick tries again.
+                self.releasing.remove(cell);
+                self.read = None;
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/config/tests.rs
@@ -0,0 +1,121 @@
+//! Tests of changes by operators that race and lose answers.
+
+use super::*;
+use crate::lease::Written;
+use crate::standin::table::Table;
+use crate::table::{Call, Outcome};
+
+fn row(id: &str, expect: Option<u64>, value: &str) -> ChangeRow {
+    let edit = Edit {
+        key: "service/stock".into(),
+        value: Some(value.into()),
+        expect,
+    };
+    ChangeRow {
+        version: 0,
+        id: id.into(),
+        author: "a".into(),
+        when: 1,
+        edits: vec![edit],
+    }
+}
+
+const VALUE: &str = r#"{"team":"t","cores":100}"#;
+
+fn drive(table: &mut Table, editor: &mut Editor, mut step: Step) -> Step {
+    while let Step::Call(call) = step {
+        step = editor.next(table.call(&call));
+    }
+    step
+}
+
+#[test]
+fn of_two_racing_changes_one_wins_and_the_other_is_told() {
+    let mut table = Table::default();
+    let (mut a, step_a) = Editor::new(row("a", Some(0), VALUE));
+    let (mut b, step_b) = Editor::new(row("b", Some(0), VALUE));
+    // Both read before either writes.
+    let Step::Call(read) = step_a else { panic!() };
+    let commit_a = a.next(table.call(&read));
+    let Step::Call(read) = step_b else { panic!() };
+    let commit_b = b.next(table.call(&read));
+    assert_eq!(drive(&mut table, &mut a, commit_a), Step::Accepted(1));
+    let Step::Refused(Refusal::Conflict { version, .. }) = drive(&mut table, &mut b, commit_b)
+    else {
+        panic!("the second must be told");
+    };
+    assert_eq!(version, 1);
+}
+
+#[test]
+fn changes_of_other_entries_do_not_conflict() {
+    let mut table = Table::default();
+    let (mut a, step_a) = Editor::new(row("a", Some(0), VALUE));
+    let mut other = row("b", Some(0), VALUE);
+    other.edits[0].key = "service/orders".into();
+    let (mut b, step_b) = Editor::new(other);
+    let Step::Call(read) = step_b else { panic!() };
+    let commit_b = b.next(table.call(&read));
+    assert_eq!(drive(&mut table, &mut a, step_a), Step::Accepted(1));
+    assert_eq!(drive(&mut table, &mut b, commit_b), Step::Accepted(2));
+}
+
+#[test]
+fn a_lost_answer_is_settled_by_the_id() {
+    let mut table = Table::default();
+    let (mut a, step) = Editor::new(row("a", Some(0), VALUE));
+    let Step::Call(read) = step else { panic!() };
+    let Step::Call(commit) = a.next(table.call(&read)) else {
+        panic!()
+    };
+    table.call(&commit);
+    let step = a.next(Outcome::Written(Written::Unknown));
+    assert_eq!(drive(&mut table, &mut a, step), Step::Accepted(1));
+    // A resend by the client with the same id is applied once.
+    let (mut again, step) = Editor::new(row("a", Some(0), VALUE));
+    assert_eq!(drive(&mut table, &mut again, step), Step::Accepted(1));
+}
+
+#[test]
+fn an_outage_after_the_commit_is_unknown_and_before_it_not_reached() {
+    let (mut a, _) = Editor::new(row("a", None, VALUE));
+    assert_eq!(a.next(Outcome::Failed), Step::Refused(Refusal::NotReached));
+    let mut table = Table::default();
+    let (mut b, step) = Editor::new(row("b", None, VALUE));
+    let Step::Call(read) = step else { panic!() };
+    let Step::Call(Call::Commit(_)) = b.next(table.call(&read)) else {
+        panic!()
+    };
+    b.next(Outcome::Written(Written::Unknown));
+    assert_eq!(b.next(Outcome::Failed), Step::Refused(Refusal::Unknown));
+}
+
+#[test]
+fn findings_come_together() {
+    let mut bad = row("x y", None, r#"{"team":"t","coers":1}"#);
+    bad.edits.push(Edit {
+        key: "colour/blue".into(),
+        value: Some("1".into()),
+        expect: None,
+    });
+    let (_, step) = Editor::new(bad);
+    let Step::Refused(Refusal::Invalid(findings)) = step else {
+        panic!()
+    };
+    assert_eq!(findings.len(), 3, "{findings:?}");
+}
+
+#[test]
+fn a_configuration_never_goes_back() {
+    let mut config = Config::default();
+    assert!(config.replace(5, Default::default()));
+    assert!(!config.replace(4, Default::default()));
+    assert!(!config.replace(5, Default::default()));
+    let mut change = row("a", None, VALUE);
+    change.version = 7;
+    assert!(!config.apply(&change), "a gap is not jumped");
+    change.version = 6;
+    assert!(config.apply(&change));
+    assert!(!config.apply(&change), "applied once");
+    assert!(config.service("stock").is_some());
+}
--- /dev/null
+++ b/src/constants.rs
@@ -0,0 +1,41 @@
+//! Names and sizes that several parts share.
+
+/// Header of an answer: `answer`, `not-run` or `unknown`.
+pub const VERDICT: &str = "willowpoint-verdict";
+/// Header of an answer that is not the endpoint's: why.
+pub const REASON: &str = "willowpoint-reason";
+/// Header of a request: `latency-critical` (the default) or `batch`.
+pub const CLASS: &str = "willowpoint-class";
+/// Header of a request: the service that is to run it.
+pub const SERVICE: &str = "willowpoint-service";
+/// Header of a request: milliseconds until its answer is worthless.
+pub const DEADLINE: &str = "willowpoint-deadline-ms";
+/// Header of a request: `yes` or `no`.
+pub const REPEATABLE: &str = "willowpoint-repeatable";
+/// Header of a request: its id, the same in each resend.
+pub const ID: &str = "willowpoint-id";
+/// Header of a request: milliseconds since the Unix epoch of its first issue.
+pub const ISSUED: &str = "willowpoint-issued-ms";
+/// Header of a request: the team it is counted for.
+pub const TEAM: &str = "willowpoint-team";
+/// Header of a request to an endpoint: the cell of the endpoint.
+pub const CELL: &str = "willowpoint-cell";
+/// Header of a request to an endpoint: the epoch under which it is sent.
+pub const EPOCH: &str = "willowpoint-epoch";
+/// Header of a request to an endpoint: its number at the sending box.
+pub const TICKET: &str = "willowpoint-ticket";
+/// Header of a request to a stand-in worker: microseconds of work.
+pub const WORK: &str = "willowpoint-work-us";
+/// Header of a request to an endpoint: milliseconds since the Unix epoch after which it must not be run.
+pub const NOT_AFTER: &str = "willowpoint-not-after-ms";
+/// Header of an answer that is not run: milliseconds after which to come back.
+pub const RETRY_AFTER: &str = "willowpoint-retry-after-ms";
+/// Standard trace context (W3C Trace Context, level 1).
+pub const TRACEPARENT: &str = "traceparent";
+
+/// Number of guard shards over which non-repeatable requests are spread.
+pub const GUARDS: u64 = 32;
+/// Longest accepted name or id, in bytes.
+pub const NAME_LIMIT: usize = 128;
+/// Thousandths in a whole.
+pub const WHOLE: u32 = 1_000;
--- /dev/null
+++ b/src/engine/flights.rs
@@ -0,0 +1,412 @@
+//! Requests on their way through this box.
+
+use super::state::{Engine, guard_name};
+use super::{Action, Handed, Now, Verdict};
+use crate::cell::{Ask, Reason, Sent};
+use crate::constants::GUARDS;
+use crate::guard::Admission;
+use crate::invariant::{self, Rule};
+use crate::request::Meta;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+use crate::utils::hash::stable;
+
+/// Retries that this box saves up at most.
+pub(super) const BUDGET: f64 = 100.0;
+/// Part of a retry that each request adds.
+const EARNED: f64 = 0.1;
+/// Milliseconds after which to come back when nothing better is known.
+const COME_BACK: Millis = 200;
+/// Milliseconds by which that time varies, so that callers do not come together.
+const JITTER: u64 = 200;
+
+/// Who asked this box.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// A caller.
+    Caller,
+    /// A box that wants this one to be the guard of the id.
+    ForGuard,
+    /// A box that has chosen a cell of this one.
+    ForCell,
+}
+
+/// Where a request is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Not yet anywhere.
+    New,
+    /// At the box that owns the guard shard.
+    Guard,
+    /// In an own cell.
+    Local(Name),
+    /// At the owner of another cell.
+    Remote(Name),
+}
+
+/// A request on its way.
+#[derive(Clone, Debug)]
+pub(super) struct Flight {
+    meta: Meta,
+    deadline: Millis,
+    origin: Origin,
+    stage: Stage,
+    tried: Vec<Name>,
+    /// The guard shard that let it through, and the epoch.
+    guard: Option<(Name, u64)>,
+    retries: u32,
+    /// True once a send of it may have run.
+    doubtful: bool,
+}
+
+impl Flight {
+    /// Returns the milliseconds until its deadline.
+    pub(super) fn left(&self, now: Millis) -> Millis {
+        self.deadline.saturating_sub(now)
+    }
+
+    /// Returns true when an own guard shard let it through.
+    pub(super) fn guarded_by(&self, shard: &str) -> bool {
+        self.guard
+            .as_ref()
+            .is_some_and(|(name, _)| &**name == shard)
+    }
+}
+
+impl Engine {
+    pub(super) fn request(&mut self, now: Now, ticket: u64, meta: Meta, out: &mut Vec<Action>) {
+        self.budget = (self.budget + EARNED).min(BUDGET);
+        self.begin(now, ticket, meta, Origin::Caller);
+        if self.stopping.is_some() {
+            return self.not_run(now, ticket, Reason::Stopping, COME_BACK, out);
+        }
+        if !self.ready() {
+            return self.not_run(now, ticket, Reason::NotReady, COME_BACK, out);
+        }
+        let Some(flight) = self.flights.get(&ticket) else {
+            return;
+        };
+        if self.config.size(&flight.meta.service).is_none() {
+            return self.not_run(now, ticket, Reason::NoService, COME_BACK, out);
+        }
+        match flight.meta.repeatable {
+            true => self.route(now, ticket, out),
+            false => self.guard(now, ticket, out),
+        }
+    }
+
+    fn begin(&mut self, now: Now, ticket: u64, meta: Meta, origin: Origin) {
+        let flight = Flight {
+            deadline: now.millis + meta.left,
+            origin,
+            stage: Stage::New,
+            tried: Vec::new(),
+            guard: None,
+            retries: meta.retries,
+            doubtful: false,
+            meta,
+        };
+        self.flights.insert(ticket, flight);
+    }
+
+    #[allow(clippy::too_many_arguments)] // One for each field of the event.
+    pub(super) fn forwarded(
+        &mut self,
+        now: Now,
+        ticket: u64,
+        meta: Meta,
+        cell: Option<Name>,
+        guard: Option<Name>,
+        epoch: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(cell) = cell else {
+            self.begin(now, ticket, meta, Origin::ForGuard);
+            return self.guard(now, ticket, out);
+        };
+        self.begin(now, ticket, meta, Origin::ForCell);
+        // A guard that lost its shard while it was frozen must not let anything through.
+        let known = guard.and_then(|g| self.claims.owner(&g).map(|(_, epoch)| epoch));
+        if known.is_some_and(|known| known > epoch) {
+            return self.not_run(now, ticket, Reason::NotOwner, COME_BACK, out);
+        }
+        self.enter(now, ticket, cell, out);
+    }
+
+    /// Asks the guard shard of a request that must run at most once.
+    fn guard(&mut self, now: Now, ticket: u64, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.get_mut(&ticket) else {
+            return;
+        };
+        let id = flight.meta.id.clone();
+        let shard = guard_name(stable(&[&id]) % GUARDS);
+        let acts = self.lease.acts(now.millis);
+        if let Some(guard) = self.guards.get_mut(&shard).filter(|_| acts) {
+            let leaving = self.claims.mine().get(&shard).is_none_or(|m| m.leaving);
+            if leaving {
+                return self.not_run(now, ticket, Reason::Stopping, COME_BACK, out);
+            }
+            let admission = guard.admit(now.wall, &id, flight.meta.issued);
+            flight.guard = Some((shard, guard.epoch));
+            return self.admitted(now, ticket, admission, out);
+        }
+        let asked_me = flight.origin == Origin::ForGuard;
+        let owner = self.claims.owner(&shard).map(|(owner, _)| owner.clone());
+        let peer = owner
+            .and_then(|o| self.lease.other(&o))
+            .map(|b| b.rpc.parse());
+        match peer {
+            Some(Ok(rpc)) if !asked_me => {
+                flight.stage = Stage::Guard;
+                let mut meta = flight.meta.clone();
+                meta.left = flight.left(now.millis);
+                meta.retries = flight.retries;
+                out.push(Action::Forward {
+                    ticket,
+                    to: rpc,
+                    meta,
+                    cell: None,
+                    guard: Some(shard),
+                    epoch: 0,
+                });
+            }
+            _ => self.not_run(now, ticket, Reason::NotOwner, COME_BACK, out),
+        }
+    }
+
+    fn admitted(&mut self, now: Now, ticket: u64, admission: Admission, out: &mut Vec<Action>) {
+        if admission == Admission::Fresh {
+            return self.route(now, ticket, out);
+        }
+        // The id was not let through by this request, so it is not to be forgotten with it.
+        if let Some(flight) = self.flights.get_mut(&ticket) {
+            flight.guard = None;
+        }
+        let reason = match admission {
+            Admission::Fresh => return,
+            Admission::Running => "already-running",
+            Admission::Ran => "already-run",
+            Admission::Predates => "guard-changed",
+            Admission::TooOld => "too-old",
+            Admission::Future => {
+                return self.not_run(now, ticket, Reason::Invalid, COME_BACK, out);
+            }
+        };
+        self.finish(ticket, Verdict::Unknown { reason }, out);
+    }
+
+    /// Chooses a cell for a request and hands it there.
+    fn route(&mut self, now: Now, ticket: u64, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.get_mut(&ticket) else {
+            return;
+        };
+        let Some(cell) = self.router.choose(&flight.tried) else {
+            let reason = if flight.tried.is_empty() {
+                Reason::NotReady
+            } else {
+                Reason::NoRoom
+            };
+            return self.not_run(now, ticket, reason, COME_BACK, out);
+        };
+        flight.tried.push(cell.clone());
+        let view = self.router.view(&cell);
+        let Some(rpc) = view.and_then(|v| v.rpc) else {
+            return self.enter(now, ticket, cell, out);
+        };
+        flight.stage = Stage::Remote(cell.clone());
+        let mut meta = flight.meta.clone();
+        meta.left = flight.left(now.millis);
+        meta.retries = flight.retries;
+        let (guard, epoch) = flight.guard.clone().unzip();
+        out.push(Action::Forward {
+            ticket,
+            to: rpc,
+            meta,
+            cell: Some(cell),
+            guard,
+            epoch: epoch.unwrap_or(0),
+        });
+    }
+
+    /// Takes a request into an own cell.
+    fn enter(&mut self, now: Now, ticket: u64, name: Name, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.get_mut(&ticket) else {
+            return;
+        };
+        flight.stage = Stage::Local(name.clone());
+        if !self.lease.acts(now.millis) {
+            return self.refused(now, ticket, Reason::Lapsed, COME_BACK, out);
+        }
+        let Some(size) = self.config.size(&flight.meta.service) else {
+            return self.refused(now, ticket, Reason::NoService, COME_BACK, out);
+        };
+        let ask = Ask {
+            ticket,
+            service: flight.meta.service.clone(),
+            class: flight.meta.class,
+            size,
+            deadline: flight.deadline,
+        };
+        let Some(cell) = self.cells.get_mut(&name) else {
+            return self.refused(now, ticket, Reason::NotOwner, COME_BACK, out);
+        };
+        let epoch = cell.epoch;
+        for action in cell.admit(now.millis, now.micros, ask) {
+            self.cell_action(now, &name, epoch, action, out);
+        }
+    }
+
+    /// Takes in that an own cell refused a request; another one may be tried.
+    pub(super) fn refused(
+        &mut self,
+        now: Now,
+        ticket: u64,
+        reason: Reason,
+        after: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        self.left_cell(ticket);
+        if self.may_retry(now, ticket) {
+            return self.route(now, ticket, out);
+        }
+        self.not_run(now, ticket, reason, after, out);
+    }
+
+    /// Takes in that a request could not be sent, as the lease has lapsed.
+    pub(super) fn unsent(&mut self, now: Now, cell: &Name, ticket: u64, out: &mut Vec<Action>) {
+        if let Some(cell) = self.cells.get_mut(cell) {
+            // What the freed room would let through can't be sent either.
+            let actions = cell.ended(now.millis, now.micros, ticket, Sent::Unsent);
+            debug_assert!(actions.is_empty());
+        }
+        self.refused(now, ticket, Reason::Lapsed, COME_BACK, out);
+    }
+
+    fn left_cell(&mut self, ticket: u64) {
+        let flight = self.flights.get_mut(&ticket);
+        let stage = flight.map(|f| std::mem::replace(&mut f.stage, Stage::New));
+        if let Some(Stage::Local(cell) | Stage::Remote(cell)) = stage {
+            self.router.done(&cell);
+        }
+    }
+
+    /// Returns true, and pays for it, when a request may be sent once more.
+    fn may_retry(&mut self, now: Now, ticket: u64) -> bool {
+        let Some(flight) = self.flights.get_mut(&ticket) else {
+            return false;
+        };
+        let allowed = flight.origin != Origin::ForCell
+            && flight.retries > 0
+            && flight.left(now.millis) > 0
+            && self.budget >= 1.0;
+        if allowed {
+            flight.retries -= 1;
+            self.budget -= 1.0;
+        }
+        allowed
+    }
+
+    pub(super) fn sent(&mut self, now: Now, ticket: u64, sent: Sent, out: &mut Vec<Action>) {
+        let stage = self.flights.get(&ticket).map(|f| f.stage.clone());
+        if let Some(Stage::Local(name)) = stage
+            && let Some(cell) = self.cells.get_mut(&name)
+        {
+            let epoch = cell.epoch;
+            for action in cell.ended(now.millis, now.micros, ticket, sent) {
+                self.cell_action(now, &name, epoch, action, out);
+            }
+        }
+        match sent {
+            Sent::Answered => {
+                self.left_cell(ticket);
+                self.finish(ticket, Verdict::Answer, out);
+            }
+            Sent::NotRun => self.refused(now, ticket, Reason::Refused, COME_BACK, out),
+            Sent::Unsent => self.refused(now, ticket, Reason::Lapsed, COME_BACK, out),
+            Sent::Unknown { .. } => self.doubted(now, ticket, "endpoint", out),
+        }
+    }
+
+    pub(super) fn handed(&mut self, now: Now, ticket: u64, handed: Handed, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.get_mut(&ticket) else {
+            return;
+        };
+        let at_guard = flight.stage == Stage::Guard;
+        match handed {
+            Handed::Answered => {
+                self.left_cell(ticket);
+                self.finish(ticket, Verdict::Answer, out);
+            }
+            Handed::NotRun {
+                reason,
+                after,
+                retries,
+            } => {
+                flight.retries = flight.retries.min(retries);
+                if !at_guard {
+                    return self.refused(now, ticket, reason, after, out);
+                }
+                // Only the guard itself may try cells; another guard may be found.
+                let moved = matches!(reason, Reason::NotOwner | Reason::Unreachable);
+                match moved && self.may_retry(now, ticket) {
+                    true => self.guard(now, ticket, out),
+                    false => self.not_run(now, ticket, reason, after, out),
+                }
+            }
+            Handed::Unknown => self.doubted(now, ticket, "peer", out),
+        }
+    }
+
+    /// Goes on with a request that may have run: only a repeatable one is
+    /// sent again.
+    fn doubted(&mut self, now: Now, ticket: u64, reason: &'static str, out: &mut Vec<Action>) {
+        self.left_cell(ticket);
+        let Some(flight) = self.flights.get_mut(&ticket) else {
+            return;
+        };
+        flight.doubtful = true;
+        if flight.meta.repeatable && self.may_retry(now, ticket) {
+            return self.route(now, ticket, out);
+        }
+        self.finish(ticket, Verdict::Unknown { reason }, out);
+    }
+
+    pub(super) fn not_run(
+        &mut self,
+        now: Now,
+        ticket: u64,
+        reason: Reason,
+        after: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        let jitter = crate::utils::hash::mix(ticket ^ now.micros) % JITTER;
+        let after = after + after * jitter / JITTER;
+        // An earlier send that may have run forbids to say that it did not.
+        let doubtful = self.flights.get(&ticket).is_some_and(|f| f.doubtful);
+        let verdict = match doubtful {
+            true => Verdict::Unknown { reason: "retried" },
+            false => Verdict::NotRun { reason, after },
+        };
+        self.finish(ticket, verdict, out);
+    }
+
+    fn finish(&mut self, ticket: u64, verdict: Verdict, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.remove(&ticket) else {
+            invariant::check(false, Rule::Answer, || format!("{ticket} answered twice"));
+            return;
+        };
+        if let Some((shard, epoch)) = &flight.guard
+            && let Some(guard) = self.guards.get_mut(shard).filter(|g| g.epoch == *epoch)
+        {
+            match verdict {
+                Verdict::NotRun { .. } => guard.not_run(&flight.meta.id),
+                _ => guard.ran(&flight.meta.id),
+            }
+        }
+        out.push(Action::Finish {
+            ticket,
+            verdict,
+            retries: flight.retries,
+        });
+    }
+}
--- /dev/null
+++ b/src/engine/journal.rs
@@ -0,0 +1,203 @@
+//! Lots: how they are read, written in groups and cancelled.
+
+use super::state::{Engine, Purpose, cell_key, rows};
+use super::{Action, Now};
+use crate::cell::Action as CellAction;
+use crate::job::{self, JobRow, Versioned};
+use crate::lease::Written;
+use crate::table::{Call, Expect, Op, Outcome, decode};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Rows of lots in one commit.
+const GROUP: usize = 64;
+/// Milliseconds between two reads of the jobs that have open lots here.
+const JOBS: Millis = 30_000;
+
+impl Engine {
+    /// Commits changed lots of all cells in one group.
+    pub(super) fn journal(&mut self, now: Now, out: &mut Vec<Action>) {
+        if now.millis < self.flushed + self.setup.pace.journal {
+            return;
+        }
+        self.flushed = now.millis;
+        self.reread(out);
+        let mut ops = Vec::new();
+        let mut lots = Vec::new();
+        let names: Vec<Name> = self.cells.keys().cloned().collect();
+        let first = self.next_op as usize % names.len().max(1);
+        for name in names[first..].iter().chain(&names[..first]) {
+            if lots.len() >= GROUP {
+                break;
+            }
+            self.gather(name, &mut ops, &mut lots);
+        }
+        if !lots.is_empty() {
+            self.store(Purpose::Journal(lots), Call::Commit(ops), out);
+        }
+    }
+
+    fn gather(&mut self, name: &Name, ops: &mut Vec<Op>, lots: &mut Vec<(Name, u64, Name)>) {
+        let Some(version) = self.claims.version(name) else {
+            return;
+        };
+        let Some(cell) = self.cells.get_mut(name) else {
+            return;
+        };
+        let epoch = cell.epoch;
+        let before = lots.len();
+        for action in cell.flush() {
+            let CellAction::Write { key, expect, row } = action else {
+                continue;
+            };
+            ops.push(Op::put(key.clone(), Expect::Version(expect), &row));
+            lots.push((name.clone(), epoch, key));
+        }
+        if lots.len() > before {
+            // An owner that was replaced writes nothing any more.
+            ops.push(Op::keep(cell_key(name), Expect::Version(version)));
+        }
+    }
+
+    fn reread(&mut self, out: &mut Vec<Action>) {
+        let pending = self.ops.values().any(|p| matches!(p, Purpose::Reread(_)));
+        if pending {
+            return;
+        }
+        let mut lots = Vec::new();
+        for (name, cell) in &self.cells {
+            let doubted = cell.lots.iter().filter(|(_, l)| l.reread());
+            lots.extend(doubted.map(|(key, _)| (name.clone(), cell.epoch, key.clone())));
+        }
+        if !lots.is_empty() {
+            let keys = lots.iter().map(|(_, _, key)| key.clone()).collect();
+            self.store(Purpose::Reread(lots), Call::Read(keys), out);
+        }
+    }
+
+    pub(super) fn rereads(&mut self, lots: &[(Name, u64, Name)], outcome: &Outcome) {
+        let Some(rows) = rows(outcome) else {
+            return;
+        };
+        for (name, epoch, key) in lots {
+            let row = rows.iter().find(|r| r.key == *key);
+            let versioned = row.and_then(|row| {
+                decode(row).map(|lot| Versioned {
+                    key: key.clone(),
+                    version: row.version,
+                    row: lot,
+                })
+            });
+            if let Some(cell) = self.cells.get_mut(name).filter(|c| c.epoch == *epoch) {
+                cell.reread(key, versioned.as_ref());
+            }
+        }
+    }
+
+    pub(super) fn journaled(&mut self, lots: &[(Name, u64, Name)], written: Written) {
+        for (name, epoch, key) in lots {
+            if let Some(cell) = self.cells.get_mut(name).filter(|c| c.epoch == *epoch) {
+                cell.written(key, written);
+            }
+        }
+    }
+
+    /// Reads the lots of a cell.
+    pub(super) fn scan_lots(&mut self, cell: &Name, out: &mut Vec<Action>) {
+        let Some(epoch) = self.cells.get(cell).map(|c| c.epoch) else {
+            return;
+        };
+        let prefix = job::lot_prefix(cell).into();
+        self.store(Purpose::Lots(cell.clone(), epoch), Call::Scan(prefix), out);
+    }
+
+    pub(super) fn lots(
+        &mut self,
+        now: Now,
+        name: &Name,
+        epoch: u64,
+        outcome: &Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(cell) = self.cells.get_mut(name).filter(|c| c.epoch == epoch) else {
+            return;
+        };
+        let Some(rows) = rows(outcome) else {
+            // Without its lots a cell starts no task, so that is tried again.
+            return self.scan_lots(name, out);
+        };
+        let versioned = rows.iter().filter_map(|row| {
+            decode(row).map(|lot| Versioned {
+                key: row.key.clone(),
+                version: row.version,
+                row: lot,
+            })
+        });
+        match self.scanned.contains_key(name) {
+            true => versioned.for_each(|v| cell.offer(v)),
+            false => cell.load(versioned.collect()),
+        }
+        let first = self.scanned.insert(name.clone(), now.millis).is_none();
+        if first {
+            self.checked = 0;
+        }
+    }
+
+    /// Reads whether the jobs of open lots were cancelled.
+    pub(super) fn check_jobs(&mut self, now: Now, out: &mut Vec<Action>) {
+        if now.millis < self.checked + JOBS {
+            return;
+        }
+        self.checked = now.millis;
+        let lots = self.cells.values().flat_map(|c| c.lots.values());
+        let open = lots.filter(|l| !l.cancelled);
+        let mut keys: Vec<Name> = open.map(|l| job::key(&l.row.spec.id).into()).collect();
+        keys.sort();
+        keys.dedup();
+        if !keys.is_empty() {
+            self.store(Purpose::Jobs, Call::Read(keys), out);
+        }
+    }
+
+    pub(super) fn jobs(&mut self, now: Now, outcome: &Outcome, out: &mut Vec<Action>) {
+        let Some(rows) = rows(outcome) else {
+            return;
+        };
+        let jobs = rows.iter().filter_map(decode::<JobRow>);
+        let cancelled: Vec<Name> = jobs.filter(|j| j.cancelled).map(|j| j.spec.id).collect();
+        self.cancel(now, &cancelled, out);
+    }
+
+    fn cancel(&mut self, now: Now, jobs: &[Name], out: &mut Vec<Action>) {
+        if jobs.is_empty() {
+            return;
+        }
+        let names: Vec<Name> = self.cells.keys().cloned().collect();
+        for name in names {
+            let Some(cell) = self.cells.get_mut(&name) else {
+                continue;
+            };
+            let epoch = cell.epoch;
+            let actions = cell.cancel(jobs);
+            for action in actions {
+                self.cell_action(now, &name, epoch, action, out);
+            }
+        }
+    }
+
+    /// Takes in that lots were added to cells or jobs were cancelled.
+    pub(super) fn hint(
+        &mut self,
+        now: Now,
+        cells: Vec<Name>,
+        cancelled: Vec<Name>,
+        out: &mut Vec<Action>,
+    ) {
+        for cell in cells {
+            if self.scanned.contains_key(&cell) {
+                self.scan_lots(&cell, out);
+            }
+        }
+        self.cancel(now, &cancelled, out);
+    }
+}
--- /dev/null
+++ b/src/engine/peers.rs
@@ -0,0 +1,120 @@
+//! What boxes tell each other.
+
+use super::state::Engine;
+use super::{Action, Greeting, Now, largest};
+use crate::route::Load;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+impl Engine {
+    /// Greets the other boxes when that is due.
+    pub(super) fn greet(&mut self, now: Now, out: &mut Vec<Action>) {
+        let interval = self.setup.pace.heartbeat;
+        let others: Vec<(Name, _)> = self
+            .lease
+            .others()
+            .filter_map(|b| b.rpc.parse().ok().map(|rpc| (b.id.clone(), rpc)))
+            .collect();
+        self.greeted
+            .retain(|id, _| others.iter().any(|(o, _)| o == id));
+        for (id, rpc) in others {
+            let last = self.greeted.get(&id).copied();
+            if last.is_some_and(|at| now.millis < at + interval) {
+                continue;
+            }
+            self.greeted.insert(id.clone(), now.millis);
+            let mut greeting = self.greeting_now(now.millis);
+            let listed = self.lease.successors().contains(&id);
+            greeting.ask = listed.then(|| id.clone());
+            out.push(Action::Greet {
+                to: id,
+                rpc,
+                greeting,
+            });
+        }
+    }
+
+    fn greeting_now(&self, now: Millis) -> Greeting {
+        Greeting {
+            from: self.id().clone(),
+            rpc: self.setup.rpc,
+            hall: self.setup.hall.clone(),
+            config: self.config.version(),
+            stopping: self.stopping.is_some(),
+            ask: None,
+            sent: now,
+            loads: self.loads(now),
+        }
+    }
+
+    /// Returns the load of the own cells that take requests.
+    fn loads(&self, now: Millis) -> Vec<Load> {
+        if !self.lease.acts(now) {
+            return Vec::new();
+        }
+        let open = self.cells.values().filter(|c| !c.leaving);
+        open.map(|cell| Load {
+            cell: cell.name.clone(),
+            epoch: cell.epoch,
+            free: cell.free(),
+            queued: cell.queued() as u32,
+            cores: cell.cores(),
+            largest: largest(cell.workers.values().map(|w| w.shape)),
+        })
+        .collect()
+    }
+
+    /// Tells the own router the load of the own cells.
+    pub(super) fn report_own(&mut self, now: Millis) {
+        let loads = self.loads(now);
+        let me = self.id().clone();
+        self.router.report(now, &me, None, loads);
+    }
+
+    pub(super) fn greeting(
+        &mut self,
+        now: Now,
+        ticket: u64,
+        greeting: Greeting,
+        out: &mut Vec<Action>,
+    ) {
+        let asked = greeting.ask.as_ref() == Some(self.id());
+        let promised = asked && self.lease.asked(now.millis, &greeting.from);
+        self.learn(now, &greeting, out);
+        out.push(Action::Regreet {
+            ticket,
+            greeting: self.greeting_now(now.millis),
+            promised,
+        });
+    }
+
+    pub(super) fn greeted(
+        &mut self,
+        now: Now,
+        to: &Name,
+        sent: Millis,
+        reply: Option<(Greeting, bool)>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some((greeting, promised)) = reply else {
+            return;
+        };
+        // A restarted box at the same address is another incarnation, and its
+        // word does not count for the one that was asked.
+        if promised && greeting.from == *to {
+            self.lease.promised_by(to, sent);
+        }
+        self.learn(now, &greeting, out);
+    }
+
+    fn learn(&mut self, now: Now, greeting: &Greeting, out: &mut Vec<Action>) {
+        if greeting.stopping {
+            self.router.drop_owner(&greeting.from);
+        } else {
+            let rpc = Some(greeting.rpc);
+            let loads = greeting.loads.clone();
+            self.router.report(now.millis, &greeting.from, rpc, loads);
+        }
+        self.heard(now, greeting.config, greeting.rpc, out);
+    }
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,93 @@
+//! The daemon of an entry box: sockets and tasks around the decisions.
+
+mod admin;
+mod bridge;
+mod callers;
+mod convert;
+mod operators;
+mod peers;
+mod shell;
+mod store;
+mod workers;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use futures::channel::mpsc;
+
+use crate::engine::{Engine, Event, Setup};
+use crate::guard::Memory;
+use crate::options::Settings;
+use crate::standin::listen;
+use crate::utils::clock;
+use shell::{Context, Message, Shell};
+
+/// Milliseconds between two ticks of the decisions.
+const TICK: u64 = 25;
+
+static TERMINATED: AtomicBool = AtomicBool::new(false);
+
+extern "C" fn terminate(_: libc::c_int) {
+    TERMINATED.store(true, Ordering::Relaxed);
+}
+
+/// Begins a planned stop of this process' daemon when TERM or INT comes.
+pub fn catch_signals() {
+    let handler = terminate as extern "C" fn(libc::c_int);
+    // SAFETY: the handler only stores into an atomic, which is safe in a signal.
+    unsafe {
+        libc::signal(libc::SIGTERM, handler as libc::sighandler_t);
+        libc::signal(libc::SIGINT, handler as libc::sighandler_t);
+    }
+}
+
+/// A switch that begins a planned stop from within the process.
+pub type Switch = Rc<Cell<bool>>;
+
+/// Runs an entry box until its planned stop is complete.
+pub async fn run(settings: Settings, switch: Switch) -> eyre::Result<()> {
+    let web = listen(settings.web)?;
+    let rpc = listen(settings.rpc)?;
+    let admin = listen(settings.admin)?;
+    let engine = Engine::new(Setup {
+        name: settings.name.clone(),
+        boot: clock::wall(),
+        rpc: settings.rpc,
+        hall: settings.hall.clone(),
+        terms: settings.terms,
+        pace: settings.pace,
+        policy: settings.policy.clone(),
+        memory: Memory::default(),
+    });
+    log::info!(target: "entry", "{} starts, callers at {}", engine.id(), settings.web);
+    let (sender, receiver) = mpsc::unbounded();
+    let context = Rc::new(Context::new(settings, sender));
+    let limits = context.settings.limits;
+    let callers = context.clone();
+    let serve = crate::web::server::serve(web, limits, move |request| {
+        callers::handle(callers.clone(), request)
+    });
+    monoio::spawn(serve);
+    let bridge = bridge::Bridge::start(context.clone());
+    monoio::spawn(peers::serve(rpc, bridge, limits.body));
+    monoio::spawn(admin::serve(admin, context.clone()));
+    monoio::spawn(ticks(context.clone(), switch));
+    Shell::new(engine, context).run(receiver).await;
+    Ok(())
+}
+
+async fn ticks(context: Rc<Context>, switch: Switch) {
+    let mut interval = monoio::time::interval(Duration::from_millis(TICK));
+    loop {
+        interval.tick().await;
+        let stop = TERMINATED.load(Ordering::Relaxed) || switch.get();
+        if stop {
+            context.send(Message::Event(Event::Stop));
+        }
+        if !context.send(Message::Event(Event::Tick)) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/admin.rs
@@ -0,0 +1,37 @@
+//! Health, readiness and metrics over HTTP.
+
+use std::rc::Rc;
+
+use http::StatusCode;
+use monoio::net::TcpListener;
+
+use super::shell::Context;
+use crate::engine::{Query, View};
+use crate::metrics;
+use crate::web::{self, Reply};
+
+/// Serves `/health`, `/ready` and `/metrics` for ever.
+pub async fn serve(listener: TcpListener, context: Rc<Context>) {
+    let limits = context.settings.limits;
+    web::server::serve(listener, limits, move |request| {
+        handle(context.clone(), request)
+    })
+    .await;
+}
+
+async fn handle(context: Rc<Context>, request: web::Request) -> Reply {
+    match request.uri.path() {
+        "/health" => Reply::text(StatusCode::OK, "ok\n"),
+        "/ready" => ready(&context).await,
+        "/metrics" => Reply::text(StatusCode::OK, metrics::get().text()),
+        _ => Reply::text(StatusCode::NOT_FOUND, "try /health, /ready or /metrics\n"),
+    }
+}
+
+async fn ready(context: &Context) -> Reply {
+    let view = context.query(Query::Status).await;
+    match view {
+        Some(View::Status(status)) if status.ready => Reply::text(StatusCode::OK, "ready\n"),
+        _ => Reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    }
+}
--- /dev/null
+++ b/src/entry/convert.rs
@@ -0,0 +1,111 @@
+//! Between messages on the wire and the types of the decisions.
+
+use std::net::SocketAddr;
+
+use tonic::Status;
+
+use super::workers::shape;
+use crate::cell::Class;
+use crate::engine::Greeting;
+use crate::proto;
+use crate::request::Meta;
+use crate::route::Load;
+use crate::utils::Name;
+
+/// Returns a greeting from its message.
+pub fn greeting(message: proto::Greeting) -> Result<Greeting, Status> {
+    let rpc: Result<SocketAddr, _> = message.address.parse();
+    let Ok(rpc) = rpc else {
+        return Err(Status::invalid_argument("greeting without an address"));
+    };
+    Ok(Greeting {
+        from: message.from.into(),
+        rpc,
+        hall: message.hall.into(),
+        config: message.config,
+        stopping: message.stopping,
+        ask: optional(message.ask),
+        sent: message.sent,
+        loads: message.cells.into_iter().map(load).collect(),
+    })
+}
+
+/// Returns the message of a greeting.
+pub fn to_greeting(greeting: Greeting) -> proto::Greeting {
+    proto::Greeting {
+        from: greeting.from.to_string(),
+        address: greeting.rpc.to_string(),
+        hall: greeting.hall.to_string(),
+        config: greeting.config,
+        stopping: greeting.stopping,
+        ask: greeting.ask.map(|a| a.to_string()).unwrap_or_default(),
+        sent: greeting.sent,
+        cells: greeting.loads.into_iter().map(to_load).collect(),
+    }
+}
+
+fn load(load: proto::CellLoad) -> Load {
+    Load {
+        cell: load.cell.into(),
+        epoch: load.epoch,
+        free: load.free,
+        queued: load.queued,
+        cores: load.cores,
+        largest: shape(load.largest.unwrap_or_default()),
+    }
+}
+
+fn to_load(load: Load) -> proto::CellLoad {
+    proto::CellLoad {
+        cell: load.cell.to_string(),
+        epoch: load.epoch,
+        free: load.free,
+        queued: load.queued,
+        cores: load.cores,
+        largest: Some(proto::Shape {
+            slots: load.largest.slots,
+            connections: load.largest.connections,
+            cores: load.largest.cores,
+            memory: load.largest.memory,
+            accelerators: load.largest.accelerators,
+        }),
+    }
+}
+
+/// Returns what a request says of itself from its message.
+pub fn meta(message: &proto::Meta) -> Meta {
+    let class = match message.batch {
+        true => Class::Batch,
+        false => Class::Critical,
+    };
+    Meta {
+        id: message.id.as_str().into(),
+        service: message.service.as_str().into(),
+        team: message.team.as_str().into(),
+        class,
+        repeatable: message.repeatable,
+        left: message.left,
+        issued: message.issued,
+        retries: message.retries,
+    }
+}
+
+/// Returns the message of what a request says of itself.
+pub fn to_meta(meta: &Meta, trace: String) -> proto::Meta {
+    proto::Meta {
+        id: meta.id.to_string(),
+        service: meta.service.to_string(),
+        team: meta.team.to_string(),
+        batch: meta.class == Class::Batch,
+        repeatable: meta.repeatable,
+        left: meta.left,
+        issued: meta.issued,
+        retries: meta.retries,
+        trace,
+    }
+}
+
+/// Returns a name, or `None` for an empty text.
+pub fn optional(text: String) -> Option<Name> {
+    (!text.is_empty()).then(|| text.into())
+}
--- /dev/null
+++ b/src/entry/peers.rs
@@ -0,0 +1,334 @@
+//! Calls between boxes, in both directions.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use futures::channel::oneshot;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use monoio::net::TcpListener;
+use tonic::{Request, Response, Status};
+
+use super::bridge::Bridge;
+use super::shell::{Context, Load, Message, Outcome, pairs};
+use super::{convert, operators};
+use crate::cell::Reason;
+use crate::config::Config;
+use crate::engine::{Event, Greeting, Handed, Query, Verdict, View};
+use crate::proto::{self, operator_server, peer_client::PeerClient, peer_server};
+use crate::request::Meta;
+use crate::rpc;
+use crate::rpc::client::CallError;
+use crate::trace;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+use crate::web::{self, Reply};
+
+/// Bound of one call that is not a request, in milliseconds.
+const PATIENCE: Millis = 2_000;
+/// Milliseconds beyond its deadline that a request's answer is waited for.
+const GRACE: Millis = 50;
+/// Bytes of a message beyond its body.
+const HEADROOM: usize = 1 << 20;
+
+/// Where a request is handed to.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Cell that is to run it.
+    pub cell: Option<Name>,
+    /// Guard shard of its id.
+    pub guard: Option<Name>,
+    /// Epoch of the guard, or 0.
+    pub epoch: u64,
+}
+
+/// Returns the outcome of a request that a lapsed guard keeps back.
+pub fn lapsed(meta: &Meta) -> Handed {
+    Handed::NotRun {
+        reason: Reason::Lapsed,
+        after: PATIENCE,
+        retries: meta.retries,
+    }
+}
+
+/// Hands a request to another box.
+pub async fn forward(
+    context: &Context,
+    to: SocketAddr,
+    request: &web::Request,
+    hop: &trace::Context,
+    meta: &Meta,
+    target: Target,
+) -> (Handed, Option<Reply>) {
+    let message = proto::ForwardRequest {
+        meta: Some(convert::to_meta(meta, hop.header())),
+        cell: target.cell.map(|c| c.to_string()).unwrap_or_default(),
+        guard: target.guard.map(|g| g.to_string()).unwrap_or_default(),
+        epoch: target.epoch,
+        method: request.method.to_string(),
+        path: request.uri.to_string(),
+        headers: pairs(&request.headers),
+        body: request.body.clone(),
+    };
+    let most = context.settings.limits.body + HEADROOM;
+    let call = |c| async move {
+        let mut client = PeerClient::new(c).max_decoding_message_size(most);
+        client.forward(message).await
+    };
+    let limit = meta.left + GRACE;
+    match context.channel(to).call(limit, call).await {
+        Ok(reply) => handed(reply),
+        Err(CallError::NotSent(e)) => {
+            log::debug!(target: "peers", "{to} not reached: {e}");
+            let handed = Handed::NotRun {
+                reason: Reason::Unreachable,
+                after: PATIENCE,
+                retries: meta.retries,
+            };
+            (handed, None)
+        }
+        Err(e) => {
+            log::debug!(target: "peers", "{to}: {e}");
+            (Handed::Unknown, None)
+        }
+    }
+}
+
+fn handed(reply: proto::ForwardReply) -> (Handed, Option<Reply>) {
+    match reply.verdict() {
+        proto::Verdict::Unknown => (Handed::Unknown, None),
+        proto::Verdict::NotRun => {
+            let handed = Handed::NotRun {
+                reason: Reason::of(&reply.reason),
+                after: reply.after,
+                retries: reply.retries,
+            };
+            (handed, None)
+        }
+        proto::Verdict::Answer => match answer(reply) {
+            Some(reply) => (Handed::Answered, Some(reply)),
+            None => (Handed::Unknown, None),
+        },
+    }
+}
+
+fn answer(reply: proto::ForwardReply) -> Option<Reply> {
+    let status = StatusCode::from_u16(u16::try_from(reply.status).ok()?).ok()?;
+    Some(Reply {
+        status,
+        headers: headers(&reply.headers)?,
+        body: reply.body,
+    })
+}
+
+fn headers(pairs: &[proto::Header]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(pairs.len());
+    for pair in pairs {
+        let name = HeaderName::from_bytes(pair.name.as_bytes()).ok()?;
+        let value = HeaderValue::from_bytes(&pair.value).ok()?;
+        headers.append(name, value);
+    }
+    Some(headers)
+}
+
+/// Greets another box; returns its answer and whether it promised.
+pub async fn greet(
+    context: &Context,
+    rpc: SocketAddr,
+    greeting: Greeting,
+) -> Option<(Greeting, bool)> {
+    let message = convert::to_greeting(greeting);
+    let call = |c| async move { PeerClient::new(c).greet(message).await };
+    let limit = context.settings.pace.heartbeat.max(100);
+    let reply = context.channel(rpc).call(limit, call).await.ok()?;
+    let greeting = convert::greeting(reply.greeting?).ok()?;
+    Some((greeting, reply.promised))
+}
+
+/// Asks another box for its configuration.
+pub async fn snapshot(context: &Context, rpc: SocketAddr) -> Option<Config> {
+    let call = |c| async move { PeerClient::new(c).snapshot(proto::SnapshotRequest {}).await };
+    let reply = context.channel(rpc).call(PATIENCE, call).await.ok()?;
+    serde_json::from_slice(&reply.config).ok()
+}
+
+/// Tells another box of new lots and cancelled jobs; without an answer it
+/// finds them by itself later.
+pub async fn hint(context: &Context, rpc: SocketAddr, cells: Vec<Name>, cancelled: Vec<Name>) {
+    let message = proto::HintRequest {
+        cells: cells.iter().map(|c| c.to_string()).collect(),
+        cancelled: cancelled.iter().map(|c| c.to_string()).collect(),
+    };
+    let call = |c| async move { PeerClient::new(c).hint(message).await };
+    if let Err(e) = context.channel(rpc).call(PATIENCE, call).await {
+        log::debug!(target: "peers", "hint to {rpc}: {e}");
+    }
+}
+
+struct Service {
+    bridge: Bridge,
+}
+
+#[tonic::async_trait]
+impl peer_server::Peer for Service {
+    async fn forward(
+        &self,
+        request: Request<proto::ForwardRequest>,
+    ) -> Result<Response<proto::ForwardReply>, Status> {
+        let request = request.into_inner();
+        self.bridge
+            .run(move |context| accept(context, request))
+            .await
+    }
+
+    async fn greet(
+        &self,
+        request: Request<proto::Greeting>,
+    ) -> Result<Response<proto::GreetReply>, Status> {
+        let message = request.into_inner();
+        self.bridge
+            .run(move |context| greeted(context, message))
+            .await
+    }
+
+    async fn hint(
+        &self,
+        request: Request<proto::HintRequest>,
+    ) -> Result<Response<proto::HintReply>, Status> {
+        let message = request.into_inner();
+        let work = move |context: Rc<Context>| async move {
+            let names = |texts: Vec<String>| texts.into_iter().map(Name::from).collect();
+            context.send(Message::Event(Event::Hint {
+                cells: names(message.cells),
+                cancelled: names(message.cancelled),
+            }));
+            Ok(proto::HintReply {})
+        };
+        self.bridge.run(work).await
+    }
+
+    async fn snapshot(
+        &self,
+        _: Request<proto::SnapshotRequest>,
+    ) -> Result<Response<proto::SnapshotReply>, Status> {
+        let work = |context: Rc<Context>| async move {
+            let Some(View::Config(config)) = context.query(Query::Config).await else {
+                return Err(Status::unavailable("stopping"));
+            };
+            Ok(proto::SnapshotReply {
+                version: config.version(),
+                config: crate::table::encode(&config),
+            })
+        };
+        self.bridge.run(work).await
+    }
+}
+
+async fn greeted(
+    context: Rc<Context>,
+    message: proto::Greeting,
+) -> Result<proto::GreetReply, Status> {
+    let sent = message.sent;
+    let greeting = convert::greeting(message)?;
+    let (reply, result) = oneshot::channel();
+    context.send(Message::Greeting { greeting, reply });
+    let Ok((greeting, promised)) = result.await else {
+        return Err(Status::unavailable("stopping"));
+    };
+    Ok(proto::GreetReply {
+        greeting: Some(convert::to_greeting(greeting)),
+        promised,
+        sent,
+    })
+}
+
+async fn accept(
+    context: Rc<Context>,
+    message: proto::ForwardRequest,
+) -> Result<proto::ForwardReply, Status> {
+    let malformed = || Status::invalid_argument("malformed request");
+    let request = web::Request {
+        method: message.method.parse().map_err(|_| malformed())?,
+        uri: message.path.parse().map_err(|_| malformed())?,
+        headers: headers(&message.headers).ok_or_else(malformed)?,
+        body: message.body,
+    };
+    let said = message.meta.ok_or_else(malformed)?;
+    let hop = trace::Context::parse(&said.trace).unwrap_or_else(|| trace::Context::new(false));
+    let start = crate::utils::clock::micros();
+    let (reply, result) = oneshot::channel();
+    context.send(Message::Forwarded {
+        meta: convert::meta(&said),
+        cell: convert::optional(message.cell),
+        guard: convert::optional(message.guard),
+        epoch: message.epoch,
+        load: Load {
+            request,
+            trace: hop,
+        },
+        reply,
+    });
+    let Ok(outcome) = result.await else {
+        return Err(Status::unavailable("stopping"));
+    };
+    let reply = forward_reply(outcome);
+    let verdict = match reply.verdict() {
+        proto::Verdict::Answer => "answer",
+        proto::Verdict::NotRun => "not-run",
+        proto::Verdict::Unknown => "unknown",
+    };
+    hop.end("owner", crate::utils::clock::micros() - start, verdict);
+    Ok(reply)
+}
+
+fn forward_reply(outcome: Outcome) -> proto::ForwardReply {
+    let mut message = proto::ForwardReply {
+        retries: outcome.retries,
+        ..Default::default()
+    };
+    match (outcome.verdict, outcome.reply) {
+        (Verdict::Answer, Some(reply)) => {
+            message.set_verdict(proto::Verdict::Answer);
+            message.status = u32::from(reply.status.as_u16());
+            message.headers = pairs(&reply.headers);
+            message.body = reply.body;
+        }
+        (Verdict::NotRun { reason, after }, _) => {
+            message.set_verdict(proto::Verdict::NotRun);
+            message.reason = reason.word().into();
+            message.after = after;
+        }
+        (Verdict::Unknown { reason }, _) => message.reason = reason.into(),
+        (Verdict::Answer, None) => message.reason = "answer-lost".into(),
+    }
+    message
+}
+
+/// Serves other boxes and operators for ever.
+pub async fn serve(listener: TcpListener, bridge: Bridge, body: usize) {
+    let service = Service {
+        bridge: bridge.clone(),
+    };
+    let peers = peer_server::PeerServer::new(service).max_decoding_message_size(body + HEADROOM);
+    let operators = operators::Service::new(bridge);
+    let operators = operator_server::OperatorServer::new(operators);
+    rpc::server::serve(listener, move |request| {
+        let (mut peers, mut operators) = (peers.clone(), operators.clone());
+        async move {
+            use tower_service::Service;
+            let service = request
+                .uri()
+                .path()
+                .split('/')
+                .nth(1)
+                .unwrap_or("")
+                .to_string();
+            let reply = match service.as_str() {
+                "willowpoint.v1.Peer" => peers.call(request).await,
+                "willowpoint.v1.Operator" => operators.call(request).await,
+                _ => return rpc::server::unimplemented(),
+            };
+            reply.unwrap_or_else(|never| match never {})
+        }
+    })
+    .await;
+}
--- /dev/null
+++ b/src/entry/shell.rs
@@ -0,0 +1,510 @@
+//! The task that owns the decisions and carries out what they ask for.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::channel::{mpsc, oneshot};
+use http::{HeaderMap, HeaderValue};
+
+use super::{peers, store, workers};
+use crate::constants;
+use crate::engine::{Action, Engine, Event, Greeting, Handed, Now, Query, Verdict, View};
+use crate::options::Settings;
+use crate::request::Meta;
+use crate::rpc::client::Channel;
+use crate::trace;
+use crate::utils::Name;
+use crate::utils::clock::{self, Millis};
+use crate::web::client::Pool;
+use crate::web::{self, Reply, WebError};
+
+/// What a request came to.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// What the caller is told.
+    pub verdict: Verdict,
+    /// The endpoint's answer, with [`Verdict::Answer`].
+    pub reply: Option<Reply>,
+    /// Sends that are left to it.
+    pub retries: u32,
+}
+
+/// A request with what the tasks need of it.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// The whole request.
+    pub request: web::Request,
+    /// This box' hop of its trace.
+    pub trace: trace::Context,
+}
+
+/// A message to the task of the decisions.
+pub enum Message {
+    /// An event without further parts.
+    Event(Event),
+    /// A caller's request.
+    Request {
+        /// What it says of itself.
+        meta: Meta,
+        /// The request.
+        load: Load,
+        /// Where its outcome goes.
+        reply: oneshot::Sender<Outcome>,
+    },
+    /// A request handed over by another box.
+    Forwarded {
+        /// What it says of itself.
+        meta: Meta,
+        /// Cell that is to run it.
+        cell: Option<Name>,
+        /// Guard shard of its id.
+        guard: Option<Name>,
+        /// Epoch of the guard, or 0.
+        epoch: u64,
+        /// The request.
+        load: Load,
+        /// Where its outcome goes.
+        reply: oneshot::Sender<Outcome>,
+    },
+    /// The answer to a request, before the event that tells of it.
+    Answered {
+        /// The request.
+        ticket: u64,
+        /// The endpoint's answer.
+        reply: Reply,
+        /// The event that tells of it.
+        event: Event,
+    },
+    /// Another box' greeting.
+    Greeting {
+        /// What it says.
+        greeting: Greeting,
+        /// Where the answer goes.
+        reply: oneshot::Sender<(Greeting, bool)>,
+    },
+    /// A question about the state.
+    Query {
+        /// What is asked.
+        query: Query,
+        /// Where the view goes.
+        reply: oneshot::Sender<View>,
+    },
+}
+
+/// What all tasks of a box share: no state of the decisions but the fence.
+pub struct Context {
+    /// Settings of the box.
+    pub settings: Settings,
+    /// Connections to endpoints.
+    pub pool: Pool,
+    /// The table.
+    pub store: store::Store,
+    /// Connections to boxes and workers.
+    channels: std::cell::RefCell<HashMap<SocketAddr, Channel>>,
+    /// Until when sends to workers may leave.
+    fence: Cell<Millis>,
+    sender: mpsc::UnboundedSender<Message>,
+}
+
+impl Context {
+    /// Returns the context of a box.
+    pub fn new(settings: Settings, sender: mpsc::UnboundedSender<Message>) -> Self {
+        let limit = settings.limits.body + settings.limits.head;
+        Self {
+            pool: Pool::new(limit),
+            store: store::Store::new(settings.platform, settings.patience),
+            channels: Default::default(),
+            fence: Cell::new(0),
+            settings,
+            sender,
+        }
+    }
+
+    /// Sends a message to the decisions; false when they have ended.
+    pub fn send(&self, message: Message) -> bool {
+        self.sender.unbounded_send(message).is_ok()
+    }
+
+    /// Returns true while sends to workers may leave.
+    pub fn acts(&self) -> bool {
+        clock::now() < self.fence.get()
+    }
+
+    /// Returns the milliseconds until sends to workers must end.
+    pub fn left(&self) -> Millis {
+        self.fence.get().saturating_sub(clock::now())
+    }
+
+    /// Returns the connection to a box or a worker.
+    pub fn channel(&self, address: SocketAddr) -> Channel {
+        let mut channels = self.channels.borrow_mut();
+        let channel = channels.entry(address);
+        channel.or_insert_with(|| Channel::new(address)).clone()
+    }
+
+    /// Asks the decisions for a view of their state.
+    pub async fn query(&self, query: Query) -> Option<View> {
+        let (reply, view) = oneshot::channel();
+        self.send(Message::Query { query, reply });
+        view.await.ok()
+    }
+}
+
+/// A request that waits for its outcome.
+struct Parked {
+    load: Rc<Load>,
+    answer: Option<Reply>,
+    reply: oneshot::Sender<Outcome>,
+}
+
+/// The task that owns the decisions.
+pub struct Shell {
+    engine: Engine,
+    context: Rc<Context>,
+    parked: HashMap<u64, Parked>,
+    greetings: HashMap<u64, oneshot::Sender<(Greeting, bool)>>,
+    queries: HashMap<u64, oneshot::Sender<View>>,
+    next: u64,
+    done: bool,
+}
+
+impl Shell {
+    /// Returns the task around an engine.
+    pub fn new(engine: Engine, context: Rc<Context>) -> Self {
+        Self {
+            engine,
+            context,
+            parked: HashMap::new(),
+            greetings: HashMap::new(),
+            queries: HashMap::new(),
+            next: 0,
+            done: false,
+        }
+    }
+
+    /// Takes in messages until a planned stop is complete.
+    pub async fn run(mut self, mut receiver: mpsc::UnboundedReceiver<Message>) {
+        while let Some(message) = receiver.next().await {
+            let event = self.accept(message);
+            let now = Now::read();
+            let actions = self.engine.step(now, event);
+            self.context.fence.set(self.engine.until());
+            for action in actions {
+                self.carry_out(action);
+            }
+            if self.done {
+                log::info!(target: "entry", "stopped");
+                return;
+            }
+        }
+    }
+
+    fn ticket(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    fn park(&mut self, load: Load, reply: oneshot::Sender<Outcome>) -> u64 {
+        let ticket = self.ticket();
+        let parked = Parked {
+            load: Rc::new(load),
+            answer: None,
+            reply,
+        };
+        self.parked.insert(ticket, parked);
+        ticket
+    }
+
+    fn accept(&mut self, message: Message) -> Event {
+        match message {
+            Message::Event(event) => event,
+            Message::Request { meta, load, reply } => {
+                let ticket = self.park(load, reply);
+                Event::Request { ticket, meta }
+            }
+            Message::Forwarded {
+                meta,
+                cell,
+                guard,
+                epoch,
+                load,
+                reply,
+            } => Event::Forwarded {
+                ticket: self.park(load, reply),
+                meta,
+                cell,
+                guard,
+                epoch,
+            },
+            Message::Answered {
+                ticket,
+                reply,
+                event,
+            } => {
+                if let Some(parked) = self.parked.get_mut(&ticket) {
+                    parked.answer = Some(reply);
+                }
+                event
+            }
+            Message::Greeting { greeting, reply } => {
+                let ticket = self.ticket();
+                self.greetings.insert(ticket, reply);
+                Event::Greeting { ticket, greeting }
+            }
+            Message::Query { query, reply } => {
+                let ticket = self.ticket();
+                self.queries.insert(ticket, reply);
+                Event::Query { ticket, query }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        let context = self.context.clone();
+        match action {
+            Action::Send {
+                ticket,
+                cell,
+                epoch,
+                http,
+                left,
+            } => {
+                if let Some(parked) = self.parked.get(&ticket) {
+                    let load = parked.load.clone();
+                    let send = Send {
+                        ticket,
+                        cell,
+                        epoch,
+                        http,
+                        left,
+                    };
+                    monoio::spawn(send_to_worker(context, load, send));
+                }
+            }
+            Action::Forward {
+                ticket,
+                to,
+                meta,
+                cell,
+                guard,
+                epoch,
+            } => {
+                if let Some(parked) = self.parked.get(&ticket) {
+                    let load = parked.load.clone();
+                    crate::metrics::get().forwards.inc();
+                    let target = peers::Target { cell, guard, epoch };
+                    monoio::spawn(forward(context, load, ticket, to, meta, target));
+                }
+            }
+            Action::Finish {
+                ticket,
+                verdict,
+                retries,
+            } => self.finish(ticket, verdict, retries),
+            Action::Store { op, call } => {
+                monoio::spawn(async move {
+                    let sent = clock::now();
+                    let outcome = context.store.call(call).await;
+                    context.send(Message::Event(Event::Stored { op, sent, outcome }));
+                });
+            }
+            Action::List => {
+                monoio::spawn(async move {
+                    let places = context.store.places().await;
+                    context.send(Message::Event(Event::Listed(places)));
+                });
+            }
+            Action::Worker {
+                cell,
+                epoch,
+                action,
+            } => {
+                monoio::spawn(workers::call(context, cell, epoch, action));
+            }
+            Action::Greet { to, rpc, greeting } => {
+                monoio::spawn(async move {
+                    let sent = greeting.sent;
+                    let reply = peers::greet(&context, rpc, greeting).await;
+                    context.send(Message::Event(Event::Greeted { to, sent, reply }));
+                });
+            }
+            Action::Regreet {
+                ticket,
+                greeting,
+                promised,
+            } => {
+                if let Some(reply) = self.greetings.remove(&ticket) {
+                    let _ = reply.send((greeting, promised));
+                }
+            }
+            Action::Snapshot(rpc) => {
+                monoio::spawn(async move {
+                    let config = peers::snapshot(&context, rpc).await;
+                    context.send(Message::Event(Event::Snapshot(config)));
+                });
+            }
+            Action::Hint {
+                rpc,
+                cells,
+                cancelled,
+            } => {
+                monoio::spawn(async move { peers::hint(&context, rpc, cells, cancelled).await });
+            }
+            Action::Answer { ticket, view } => {
+                if let Some(reply) = self.queries.remove(&ticket) {
+                    let _ = reply.send(view);
+                }
+            }
+            Action::Disconnect(endpoints) => {
+                for endpoint in endpoints {
+                    context.pool.clear(Some(endpoint));
+                }
+            }
+            Action::Exit => self.done = true,
+        }
+    }
+
+    fn finish(&mut self, ticket: u64, verdict: Verdict, retries: u32) {
+        let Some(parked) = self.parked.remove(&ticket) else {
+            return;
+        };
+        let outcome = Outcome {
+            verdict,
+            reply: parked.answer,
+            retries,
+        };
+        // A caller that has gone away needs no answer.
+        let _ = parked.reply.send(outcome);
+    }
+}
+
+struct Send {
+    ticket: u64,
+    cell: Name,
+    epoch: u64,
+    http: SocketAddr,
+    left: Millis,
+}
+
+/// Sends a request to an endpoint and tells how that ended.
+async fn send_to_worker(context: Rc<Context>, load: Rc<Load>, send: Send) {
+    use crate::cell::Sent;
+    let ticket = send.ticket;
+    let hop = load.trace.next();
+    let start = clock::micros();
+    let request = for_worker(&context, &load, &hop, &send);
+    let check = || context.acts();
+    let result = context
+        .pool
+        .call(send.http, request, send.left, check)
+        .await;
+    let until = clock::now() + send.left;
+    let (sent, reply) = match result {
+        Ok(reply) if refused(&reply) => (Sent::NotRun, None),
+        Ok(reply) => (Sent::Answered, Some(reply)),
+        Err(WebError::Held) => (Sent::Unsent, None),
+        Err(WebError::NotSent(e)) => {
+            log::debug!(target: "entry", "{} not reached: {e}", send.http);
+            (Sent::NotRun, None)
+        }
+        Err(e) => {
+            log::debug!(target: "entry", "{}: {e}", send.http);
+            (Sent::Unknown { until }, None)
+        }
+    };
+    let verdict = match sent {
+        Sent::Answered => "answer",
+        Sent::NotRun | Sent::Unsent => "not-run",
+        Sent::Unknown { .. } => "unknown",
+    };
+    hop.end("endpoint", clock::micros() - start, verdict);
+    let event = Event::Sent { ticket, sent };
+    match reply {
+        Some(reply) => context.send(Message::Answered {
+            ticket,
+            reply,
+            event,
+        }),
+        None => context.send(Message::Event(event)),
+    };
+}
+
+fn refused(reply: &Reply) -> bool {
+    let verdict = reply.headers.get(constants::VERDICT);
+    verdict.is_some_and(|v| v == "not-run")
+}
+
+fn for_worker(context: &Context, load: &Load, hop: &trace::Context, send: &Send) -> web::Request {
+    let mut request = load.request.clone();
+    let wait = send.left.min(context.left());
+    let not_after = clock::wall() + wait;
+    let headers = &mut request.headers;
+    set(headers, constants::CELL, &send.cell);
+    set_number(headers, constants::EPOCH, send.epoch);
+    set_number(headers, constants::TICKET, send.ticket);
+    set_number(headers, constants::NOT_AFTER, not_after);
+    set_number(headers, constants::DEADLINE, send.left);
+    set(headers, constants::TRACEPARENT, &hop.header());
+    request
+}
+
+/// Sets a header to a text that is known to be valid in one.
+pub fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+fn set_number(headers: &mut HeaderMap, name: &'static str, value: u64) {
+    headers.insert(name, HeaderValue::from(value));
+}
+
+/// Hands a request to another box and tells how that ended.
+async fn forward(
+    context: Rc<Context>,
+    load: Rc<Load>,
+    ticket: u64,
+    to: SocketAddr,
+    meta: Meta,
+    target: peers::Target,
+) {
+    let hop = load.trace.next();
+    let start = clock::micros();
+    let guarded = target.guard.is_some();
+    // A guard whose lease has lapsed must not let a request through.
+    let own = guarded && target.cell.is_some();
+    let (handed, reply) = match own && !context.acts() {
+        true => (peers::lapsed(&meta), None),
+        false => peers::forward(&context, to, &load.request, &hop, &meta, target).await,
+    };
+    let verdict = match handed {
+        Handed::Answered => "answer",
+        Handed::NotRun { .. } => "not-run",
+        Handed::Unknown => "unknown",
+    };
+    hop.end("forward", clock::micros() - start, verdict);
+    let event = Event::Handed { ticket, handed };
+    match reply {
+        Some(reply) => context.send(Message::Answered {
+            ticket,
+            reply,
+            event,
+        }),
+        None => context.send(Message::Event(event)),
+    };
+}
+
+/// Returns the headers of an answer as pairs for another box.
+pub fn pairs(headers: &HeaderMap) -> Vec<crate::proto::Header> {
+    headers
+        .iter()
+        .map(|(name, value)| crate::proto::Header {
+            name: name.to_string(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/entry/store.rs
@@ -0,0 +1,165 @@
+//! The platform: its table and its list of workers.
+
+use std::net::SocketAddr;
+
+use crate::cell::Place;
+use crate::lease::Written;
+use crate::proto::{self, directory_client::DirectoryClient, table_client::TableClient};
+use crate::rpc::client::{CallError, Channel};
+use crate::table::{Call, Change, Expect, Op, Outcome, Row};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Rows of one page of a scan.
+const PAGE: u32 = 500;
+
+/// A connection to the platform.
+#[derive(Clone)]
+pub struct Store {
+    channel: Channel,
+    patience: Millis,
+}
+
+impl Store {
+    /// Returns the connection to a platform, whose calls may take `patience` milliseconds.
+    pub fn new(address: SocketAddr, patience: Millis) -> Self {
+        Self {
+            channel: Channel::new(address),
+            patience,
+        }
+    }
+
+    /// Calls the table.
+    pub async fn call(&self, call: Call) -> Outcome {
+        crate::metrics::get().calls.inc();
+        match call {
+            Call::Read(keys) => self.read(keys).await,
+            Call::Scan(prefix) => self.scan(prefix).await,
+            Call::Commit(ops) => Outcome::Written(self.commit(ops).await),
+        }
+    }
+
+    async fn read(&self, keys: Vec<Name>) -> Outcome {
+        let keys = keys.iter().map(|k| k.to_string()).collect();
+        let request = proto::ReadRequest { keys };
+        let call = self.channel.call(self.patience, |c| async move {
+            TableClient::new(c).read(request).await
+        });
+        match call.await {
+            Ok(reply) => Outcome::Rows(reply.rows.into_iter().map(row).collect()),
+            Err(e) => failed("read", &e),
+        }
+    }
+
+    async fn scan(&self, prefix: Name) -> Outcome {
+        let mut rows: Vec<Row> = Vec::new();
+        loop {
+            let request = proto::ScanRequest {
+                prefix: prefix.to_string(),
+                after: rows.last().map(|r| r.key.to_string()).unwrap_or_default(),
+                limit: PAGE,
+            };
+            let call = self.channel.call(self.patience, |c| async move {
+                TableClient::new(c).scan(request).await
+            });
+            match call.await {
+                Ok(reply) => {
+                    rows.extend(reply.rows.into_iter().map(row));
+                    if !reply.more {
+                        return Outcome::Rows(rows);
+                    }
+                }
+                Err(e) => return failed("scan", &e),
+            }
+        }
+    }
+
+    async fn commit(&self, ops: Vec<Op>) -> Written {
+        let ops = ops.into_iter().map(op).collect();
+        let request = proto::CommitRequest { ops };
+        let call = self.channel.call(self.patience, |c| async move {
+            TableClient::new(c).commit(request).await
+        });
+        match call.await {
+            Ok(reply) if reply.committed => Written::Committed,
+            Ok(reply) => {
+                log::debug!(target: "store", "conflict at {}", reply.conflict);
+                Written::Conflict
+            }
+            Err(CallError::NotSent(e)) => {
+                log::debug!(target: "store", "commit not sent: {e}");
+                Written::NotSent
+            }
+            // Even an error status does not prove that nothing was written.
+            Err(e) => {
+                log::debug!(target: "store", "commit in doubt: {e}");
+                Written::Unknown
+            }
+        }
+    }
+
+    /// Reads the list of workers, or `None` when it does not answer.
+    pub async fn places(&self) -> Option<Vec<Place>> {
+        let call = self.channel.call(self.patience, |c| async move {
+            DirectoryClient::new(c)
+                .list(proto::DirectoryRequest {})
+                .await
+        });
+        match call.await {
+            Ok(reply) => Some(reply.entries.into_iter().filter_map(place).collect()),
+            Err(e) => {
+                log::debug!(target: "store", "list failed: {e}");
+                None
+            }
+        }
+    }
+}
+
+fn failed(what: &str, e: &CallError) -> Outcome {
+    log::debug!(target: "store", "{what} failed: {e}");
+    Outcome::Failed
+}
+
+fn row(row: proto::Row) -> Row {
+    Row {
+        key: row.key.into(),
+        version: row.version,
+        value: row.value,
+    }
+}
+
+fn op(op: Op) -> proto::Op {
+    let (expect, version) = match op.expect {
+        Expect::Any => (proto::Expect::Any, 0),
+        Expect::Absent | Expect::Version(0) => (proto::Expect::Absent, 0),
+        Expect::Present => (proto::Expect::Present, 0),
+        Expect::Version(version) => (proto::Expect::Version, version),
+    };
+    let (write, value) = match op.change {
+        Change::Keep => (proto::Write::Keep, Default::default()),
+        Change::Put(value) => (proto::Write::Put, value),
+        Change::Delete => (proto::Write::Delete, Default::default()),
+    };
+    proto::Op {
+        key: op.key.to_string(),
+        expect: expect.into(),
+        version,
+        write: write.into(),
+        value,
+    }
+}
+
+fn place(entry: proto::DirectoryEntry) -> Option<Place> {
+    let addresses = entry.http.parse().ok().zip(entry.rpc.parse().ok());
+    let Some((http, rpc)) = addresses else {
+        log::error!(target: "store", "{} is listed without addresses", entry.name);
+        return None;
+    };
+    Some(Place {
+        name: entry.name.into(),
+        cell: format!("{}/{}", entry.hall, entry.rack).into(),
+        http,
+        rpc,
+        leaving: entry.leaving,
+    })
+}
--- /dev/null
+++ b/src/entry/workers.rs
@@ -0,0 +1,258 @@
+//! Calls to workers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use super::shell::{Context, Message};
+use crate::cell::{
+    Action, Called, Exchange, Report, Run, RunId, RunState, Sample, Shape, Size, SyncResult,
+};
+use crate::constants::WHOLE;
+use crate::engine::{Event, Reported};
+use crate::proto::{self, worker_client::WorkerClient};
+use crate::rpc::client::CallError;
+use crate::utils::Name;
+use crate::utils::clock::{self, Millis};
+
+/// Bound of one call in milliseconds.
+const PATIENCE: Millis = 2_000;
+
+/// A call's place: the cell, its epoch and the connection's end.
+struct Place {
+    context: Rc<Context>,
+    cell: Name,
+    epoch: u64,
+    rpc: SocketAddr,
+}
+
+/// Makes the call that a cell asks for and tells how it ended.
+pub async fn call(context: Rc<Context>, cell: Name, epoch: u64, action: Action) {
+    let place = |rpc| Place {
+        context: context.clone(),
+        cell: cell.clone(),
+        epoch,
+        rpc,
+    };
+    let (worker, reported) = match action {
+        Action::Sync {
+            worker,
+            rpc,
+            acks,
+            renew,
+            round,
+        } => (worker, sync(place(rpc), acks, renew, round).await),
+        Action::Start {
+            worker,
+            rpc,
+            run,
+            work,
+        } => {
+            let id = run.id;
+            let called = start(place(rpc), run, work).await;
+            (worker, Reported::Started(id, called))
+        }
+        Action::Stop {
+            worker,
+            rpc,
+            run,
+            checkpoint,
+        } => {
+            let called = stop(place(rpc), run, checkpoint).await;
+            (worker, Reported::Stopped(run, called))
+        }
+        Action::Throttle {
+            worker,
+            rpc,
+            run,
+            share,
+        } => {
+            let called = throttle(place(rpc), run, share).await;
+            (worker, Reported::Throttled(run, share, called))
+        }
+        Action::Send { .. } | Action::Refuse { .. } | Action::Write { .. } => return,
+    };
+    let event = Event::Worker {
+        cell,
+        epoch,
+        worker,
+        reported,
+    };
+    context.send(Message::Event(event));
+}
+
+impl Place {
+    /// Returns the milliseconds since the epoch beyond which a call is void.
+    fn not_after(&self) -> Millis {
+        clock::wall() + self.context.left()
+    }
+
+    /// Connects, and then looks at the lease right before the call leaves.
+    async fn ready(&self) -> Result<crate::rpc::client::Channel, CallError> {
+        let channel = self.context.channel(self.rpc);
+        channel.connect(PATIENCE).await?;
+        match self.context.acts() {
+            true => Ok(channel),
+            false => Err(CallError::NotSent("lease lapsed".into())),
+        }
+    }
+}
+
+async fn sync(place: Place, acks: Vec<RunId>, renew: bool, round: u64) -> Reported {
+    let task = place.context.settings.pace.task;
+    let sent = clock::now();
+    let request = proto::SyncRequest {
+        cell: place.cell.to_string(),
+        epoch: place.epoch,
+        lease: if renew { task } else { 0 },
+        acks: acks.clone(),
+        round,
+        not_after: place.not_after() + task,
+    };
+    let result = match place.ready().await {
+        Ok(channel) => {
+            let call = |c| async move { WorkerClient::new(c).sync(request).await };
+            channel.call(PATIENCE, call).await
+        }
+        Err(e) => Err(e),
+    };
+    let exchange = match result {
+        Ok(reply) => Exchange::Reply(sync_result(reply)),
+        Err(CallError::NotSent(_)) => Exchange::NotSent,
+        Err(_) => Exchange::Lost,
+    };
+    Reported::Synced {
+        sent,
+        round,
+        acks,
+        exchange,
+    }
+}
+
+async fn start(place: Place, run: Run, work: Millis) -> Called {
+    let request = proto::StartRequest {
+        cell: place.cell.to_string(),
+        epoch: place.epoch,
+        lease: place.context.settings.pace.task,
+        run: run.id,
+        job: run.job.to_string(),
+        task: run.task,
+        size: Some(proto::Size {
+            cores: run.size.cores,
+            memory: run.size.memory,
+            accelerators: run.size.accelerators,
+        }),
+        kind: run.kind.to_string(),
+        work,
+        done: run.saved,
+        round: run.round,
+        not_after: place.not_after(),
+    };
+    let result = match place.ready().await {
+        Ok(channel) => {
+            let call = |c| async move { WorkerClient::new(c).start(request).await };
+            channel.call(PATIENCE, call).await
+        }
+        Err(e) => Err(e),
+    };
+    called(result)
+}
+
+async fn stop(place: Place, run: RunId, checkpoint: bool) -> Called {
+    let request = proto::StopRequest {
+        cell: place.cell.to_string(),
+        epoch: place.epoch,
+        run,
+        checkpoint,
+    };
+    let result = match place.ready().await {
+        Ok(channel) => {
+            let call = |c| async move { WorkerClient::new(c).stop(request).await };
+            channel.call(PATIENCE, call).await
+        }
+        Err(e) => Err(e),
+    };
+    called(result)
+}
+
+async fn throttle(place: Place, run: RunId, share: u32) -> Called {
+    let request = proto::ThrottleRequest {
+        cell: place.cell.to_string(),
+        epoch: place.epoch,
+        run,
+        share,
+    };
+    let result = match place.ready().await {
+        Ok(channel) => {
+            let call = |c| async move { WorkerClient::new(c).throttle(request).await };
+            channel.call(PATIENCE, call).await
+        }
+        Err(e) => Err(e),
+    };
+    called(result)
+}
+
+fn called(result: Result<proto::RunReply, CallError>) -> Called {
+    match result {
+        Ok(reply) if reply.done => Called::Done(reply.progress),
+        Ok(_) | Err(CallError::NotSent(_)) => Called::Refused,
+        Err(_) => Called::Lost,
+    }
+}
+
+fn sync_result(reply: proto::SyncReply) -> SyncResult {
+    SyncResult {
+        refused: reply.refused,
+        shape: shape(reply.shape.unwrap_or_default()),
+        tickets: reply.tickets,
+        foreign: reply.foreign,
+        runs: reply.runs.into_iter().filter_map(report).collect(),
+        samples: reply.samples.into_iter().map(sample).collect(),
+        leaving: reply.leaving,
+    }
+}
+
+/// Returns a shape from its message.
+pub fn shape(shape: proto::Shape) -> Shape {
+    Shape {
+        slots: shape.slots,
+        connections: shape.connections,
+        cores: shape.cores,
+        memory: shape.memory,
+        accelerators: shape.accelerators,
+    }
+}
+
+fn report(run: proto::Run) -> Option<Report> {
+    let state = match run.state() {
+        proto::RunState::Running => RunState::Running,
+        proto::RunState::Finished => RunState::Finished,
+        proto::RunState::Failed => RunState::Failed,
+        proto::RunState::Stopped => RunState::Stopped,
+        proto::RunState::Unknown => return None,
+    };
+    let size = run.size.unwrap_or_default();
+    Some(Report {
+        id: run.run,
+        job: run.job.into(),
+        task: run.task,
+        kind: run.kind.into(),
+        size: Size {
+            cores: size.cores,
+            memory: size.memory,
+            accelerators: size.accelerators,
+        },
+        state,
+        progress: run.progress,
+        share: run.throttle,
+        usage: run.usage,
+    })
+}
+
+fn sample(sample: proto::Sample) -> Sample {
+    Sample {
+        kind: sample.kind.into(),
+        others: sample.others.into_iter().map(Name::from).collect(),
+        slowdown: f64::from(sample.slowdown) / f64::from(WHOLE),
+        busy: sample.busy,
+    }
+}
--- /dev/null
+++ b/src/job.rs
@@ -0,0 +1,135 @@
+//! Jobs, and the lots of tasks in which they are kept.
+//!
+//! A job has one row. Its tasks lie in lots, one row each; a lot belongs to
+//! one cell, and only the cell's owner writes it. What runs is never written:
+//! the workers know it.
+
+mod plan;
+
+#[cfg(test)]
+mod tests;
+
+pub use plan::{Refusal, Site, Summary, spread, summarize, validate};
+
+use serde::{Deserialize, Serialize};
+
+use crate::cell::Size;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Prefix of the rows of jobs in the table.
+pub const PREFIX: &str = "job/";
+/// Prefix of the rows of lots; the cell and the lot's name follow.
+pub const LOT: &str = "lot/";
+/// Most tasks of one job.
+pub const TASK_LIMIT: u32 = 10_000;
+/// Most tasks of one lot, so that its row stays small.
+pub const LOT_LIMIT: u32 = 256;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spec {
+    /// Id, chosen by the operator.
+    pub id: Name,
+    /// Team it is counted for.
+    pub team: Name,
+    /// Kind of work; tasks of one kind hurt others alike.
+    pub kind: Name,
+    /// Number of tasks.
+    pub tasks: u32,
+    /// Declared size of one task.
+    pub size: Size,
+    /// Declared milliseconds of work of one task.
+    pub work: Millis,
+    /// True when it must start within seconds.
+    pub urgent: bool,
+}
+
+/// The row of a job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRow {
+    /// What was asked for.
+    pub spec: Spec,
+    /// Keys of its lots.
+    pub lots: Vec<Name>,
+    /// True once an operator cancelled it.
+    pub cancelled: bool,
+    /// Milliseconds since the Unix epoch of its submission.
+    pub submitted: Millis,
+}
+
+/// How far a task is, as recorded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// Not ended; it may be running.
+    Open,
+    /// Finished.
+    Done,
+    /// Given up after failures.
+    Failed,
+    /// Cancelled before it ended.
+    Cancelled,
+}
+
+/// One task in a lot's row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskRow {
+    /// Number within the job.
+    pub index: u32,
+    /// How far it is.
+    pub phase: Phase,
+    /// Milliseconds of work kept by a checkpoint.
+    pub saved: Millis,
+    /// Times it was evicted.
+    pub evictions: u32,
+    /// Runs that failed.
+    pub failures: u32,
+}
+
+/// The row of a lot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LotRow {
+    /// The job's specification.
+    pub spec: Spec,
+    /// Milliseconds since the Unix epoch of the job's submission.
+    pub submitted: Millis,
+    /// Epoch of the owner that wrote it last.
+    pub epoch: u64,
+    /// Counts that owner's writes.
+    pub seq: u64,
+    /// The tasks.
+    pub tasks: Vec<TaskRow>,
+}
+
+/// A lot's row with its version.
+#[derive(Clone, Debug)]
+pub struct Versioned {
+    /// Key of the row.
+    pub key: Name,
+    /// Version of the row.
+    pub version: u64,
+    /// Contents of the row.
+    pub row: LotRow,
+}
+
+/// Returns the key of a job's row.
+pub fn key(id: &str) -> String {
+    format!("{PREFIX}{id}")
+}
+
+/// Returns the key of a lot's row.
+pub fn lot_key(cell: &str, job: &str, number: usize) -> Name {
+    format!("{LOT}{cell}/{job}.{number}").into()
+}
+
+/// Returns the prefix of the keys of a cell's lots.
+pub fn lot_prefix(cell: &str) -> String {
+    format!("{LOT}{cell}/")
+}
+
+/// Returns the cell that a lot's key names: `HALL/RACK`.
+pub fn lot_cell(key: &str) -> Option<&str> {
+    let rest = key.strip_prefix(LOT)?;
+    let (cell, _) = rest.rsplit_once('/')?;
+    Some(cell)
+}
--- /dev/null
+++ b/src/job/plan.rs
@@ -0,0 +1,167 @@
+//! How a job is checked, spread over cells and summed up.
+
+use super::{JobRow, LOT_LIMIT, LotRow, Phase, Spec, TASK_LIMIT, TaskRow, lot_key};
+use crate::cell::{Shape, Size};
+use crate::options::is_name;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Fewest tasks for which a further cell is used.
+const CHUNK: u32 = 8;
+
+/// A cell that can take lots.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// Name of the cell.
+    pub cell: Name,
+    /// Shapes of its workers.
+    pub shapes: Vec<Shape>,
+    /// Thousandths of cores that batch tasks could have now.
+    pub free: u64,
+}
+
+/// Why a job was not accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The specification itself is wrong; one text for each finding.
+    Invalid(Vec<String>),
+    /// No worker could ever run one of its tasks.
+    Never(String),
+}
+
+impl std::fmt::Display for Refusal {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Invalid(findings) => f.write_str(&findings.join("; ")),
+            Self::Never(reason) => write!(f, "can never run: {reason}"),
+        }
+    }
+}
+
+/// Returns all that is wrong with a specification.
+pub fn validate(spec: &Spec) -> Vec<String> {
+    let mut findings = Vec::new();
+    for (field, value) in [("id", &spec.id), ("team", &spec.team), ("kind", &spec.kind)] {
+        if !is_name(value) {
+            findings.push(format!("{field}: `{value}` is no name"));
+        }
+    }
+    if spec.tasks == 0 || spec.tasks > TASK_LIMIT {
+        findings.push(format!("tasks: give 1 to {TASK_LIMIT}"));
+    }
+    if spec.size.cores == 0 {
+        findings.push("cores: give more than 0".into());
+    }
+    if spec.work == 0 {
+        findings.push("work: give more than 0".into());
+    }
+    findings
+}
+
+/// Spreads a job over cells by their free cores, or tells why it can't run.
+pub fn spread(spec: &Spec, sites: &[Site], now: Millis) -> Result<(JobRow, Vec<LotRow>), Refusal> {
+    let findings = validate(spec);
+    if !findings.is_empty() {
+        return Err(Refusal::Invalid(findings));
+    }
+    let mut fitting: Vec<&Site> = sites
+        .iter()
+        .filter(|s| s.shapes.iter().any(|shape| shape.holds(spec.size)))
+        .collect();
+    if fitting.is_empty() {
+        return Err(Refusal::Never(largest(spec.size, sites)));
+    }
+    fitting.sort_by_key(|s| (std::cmp::Reverse(s.free), s.cell.clone()));
+    let wanted = spec
+        .tasks
+        .div_ceil(CHUNK)
+        .max(spec.tasks.div_ceil(LOT_LIMIT)) as usize;
+    let cells = &fitting[..wanted.min(fitting.len())];
+    let total: u64 = cells.iter().map(|s| s.free + 1).sum();
+    let mut row = JobRow {
+        spec: spec.clone(),
+        lots: Vec::new(),
+        cancelled: false,
+        submitted: now,
+    };
+    let mut lots = Vec::new();
+    let mut next = 0;
+    let mut weight = 0;
+    for site in cells {
+        weight += site.free + 1;
+        let end = (u64::from(spec.tasks) * weight / total) as u32;
+        while next < end {
+            let upto = end.min(next + LOT_LIMIT);
+            row.lots.push(lot_key(&site.cell, &spec.id, row.lots.len()));
+            lots.push(lot(spec, now, next..upto));
+            next = upto;
+        }
+    }
+    Ok((row, lots))
+}
+
+fn lot(spec: &Spec, now: Millis, indexes: std::ops::Range<u32>) -> LotRow {
+    let task = |index| TaskRow {
+        index,
+        phase: Phase::Open,
+        saved: 0,
+        evictions: 0,
+        failures: 0,
+    };
+    LotRow {
+        spec: spec.clone(),
+        submitted: now,
+        epoch: 0,
+        seq: 0,
+        tasks: indexes.map(task).collect(),
+    }
+}
+
+fn largest(size: Size, sites: &[Site]) -> String {
+    let shapes = sites.iter().flat_map(|s| &s.shapes);
+    let max = shapes.fold(Size::default(), |max, shape| Size {
+        cores: max.cores.max(shape.cores),
+        memory: max.memory.max(shape.memory),
+        accelerators: max.accelerators.max(shape.accelerators),
+    });
+    if max == Size::default() {
+        return "no worker is known".into();
+    }
+    format!("a task needs {size}, and the largest workers known have {max}")
+}
+
+/// A job summed up over its lots.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// `open`, `done`, `failed` or `cancelled`.
+    pub state: &'static str,
+    /// Tasks finished.
+    pub done: u32,
+    /// Tasks given up.
+    pub failed: u32,
+    /// Evictions of all tasks.
+    pub evictions: u32,
+}
+
+/// Sums up a job.
+pub fn summarize(job: &JobRow, lots: &[LotRow]) -> Summary {
+    let mut summary = Summary::default();
+    let mut cancelled = 0;
+    for task in lots.iter().flat_map(|l| &l.tasks) {
+        summary.evictions += task.evictions;
+        match task.phase {
+            Phase::Done => summary.done += 1,
+            Phase::Failed => summary.failed += 1,
+            Phase::Cancelled => cancelled += 1,
+            Phase::Open => {}
+        }
+    }
+    let ended = summary.done + summary.failed + cancelled;
+    summary.state = match () {
+        () if summary.done == job.spec.tasks => "done",
+        () if job.cancelled => "cancelled",
+        () if ended == job.spec.tasks => "failed",
+        () => "open",
+    };
+    summary
+}
--- /dev/null
+++ b/src/job/tests.rs
@@ -0,0 +1,73 @@
+//! Tests of how jobs are spread and refused.
+
+use super::*;
+use crate::cell::Shape;
+
+fn spec(tasks: u32, cores: u32) -> Spec {
+    Spec {
+        id: "j1".into(),
+        team: "t".into(),
+        kind: "k".into(),
+        tasks,
+        size: Size {
+            cores,
+            memory: 100,
+            accelerators: 0,
+        },
+        work: 1_000,
+        urgent: false,
+    }
+}
+
+fn site(cell: &str, free: u64) -> Site {
+    let shape = Shape {
+        slots: 8,
+        connections: 64,
+        cores: 16_000,
+        memory: 60_000,
+        accelerators: 0,
+    };
+    Site {
+        cell: cell.into(),
+        shapes: vec![shape],
+        free,
+    }
+}
+
+#[test]
+fn every_task_lies_in_exactly_one_lot() {
+    let sites = [site("h/a", 9_000), site("h/b", 1_000), site("h/c", 0)];
+    for tasks in [1, 7, 8, 9, 100, 1_000] {
+        let (row, lots) = spread(&spec(tasks, 1_000), &sites, 5).expect("accepted");
+        let mut seen: Vec<u32> = lots
+            .iter()
+            .flat_map(|l| l.tasks.iter().map(|t| t.index))
+            .collect();
+        seen.sort();
+        assert_eq!(seen, (0..tasks).collect::<Vec<_>>());
+        assert_eq!(row.lots.len(), lots.len());
+        assert!(lots.iter().all(|l| l.tasks.len() as u32 <= LOT_LIMIT));
+    }
+}
+
+#[test]
+fn a_job_that_can_never_run_is_refused_with_the_reason() {
+    let refusal = spread(&spec(1, 17_000), &[site("h/a", 0)], 0).expect_err("refused");
+    let Refusal::Never(reason) = refusal else {
+        panic!("wrong refusal");
+    };
+    assert!(reason.contains("17"), "{reason}");
+}
+
+#[test]
+fn findings_of_a_specification_come_together() {
+    let mut bad = spec(0, 0);
+    bad.team = "no name".into();
+    assert_eq!(validate(&bad).len(), 3);
+}
+
+#[test]
+fn the_cell_is_read_back_from_the_key_of_a_lot() {
+    let key = lot_key("leon-1/r1", "job.7", 3);
+    assert_eq!(lot_cell(&key), Some("leon-1/r1"));
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,33 @@
+//! willowpoint: a scheduler for latency-critical and batch work on the same boxes.
+//!
+//! Every entry box runs one daemon with all duties: it takes callers'
+//! requests, hands them to the owner of a suitable cell of workers, and owns
+//! some cells itself. What must last lies in the platform's table. See
+//! `docs/DESIGN.md`.
+
+pub mod cell;
+pub mod claim;
+pub mod config;
+pub mod constants;
+pub mod demo;
+pub mod engine;
+pub mod entry;
+pub mod guard;
+pub mod invariant;
+pub mod job;
+pub mod lease;
+pub mod logs;
+pub mod metrics;
+pub mod operator;
+pub mod options;
+pub mod program;
+pub mod proto;
+pub mod request;
+pub mod route;
+pub mod rpc;
+pub mod standin;
+pub mod table;
+pub mod trace;
+pub mod trial;
+pub mod utils;
+pub mod web;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,143 @@
+//! Counters and gauges in the text format of Prometheus.
+
+use std::sync::LazyLock;
+use std::sync::atomic::{AtomicI64, AtomicU64};
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use crate::invariant::{RULES, checks, violations};
+
+/// Labels of an answer to a caller.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct Answer {
+    /// `answer`, `not-run` or `unknown`.
+    pub verdict: &'static str,
+    /// Why, for what is not the endpoint's answer.
+    pub reason: &'static str,
+}
+
+/// Label of an invariant.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct RuleLabel {
+    rule: String,
+}
+
+/// All metrics of a box.
+pub struct Metrics {
+    registry: Registry,
+    /// Answers to callers.
+    pub answers: Family<Answer, Counter>,
+    /// Seconds from a caller's request to its answer.
+    pub seconds: Histogram,
+    /// Requests handed to other boxes.
+    pub forwards: Counter,
+    /// Rows that did not decode.
+    pub undecoded: Counter,
+    /// Messages that were malformed or too large.
+    pub malformed: Counter,
+    /// Cells owned.
+    pub cells: Gauge<i64, AtomicI64>,
+    /// Version of the configuration in force.
+    pub config: Gauge<i64, AtomicI64>,
+    /// Calls to the table.
+    pub calls: Counter<u64, AtomicU64>,
+    /// Tasks evicted.
+    pub evictions: Gauge<i64, AtomicI64>,
+    /// Tasks finished.
+    pub finished: Gauge<i64, AtomicI64>,
+    checks: Family<RuleLabel, Gauge>,
+    violations: Family<RuleLabel, Gauge>,
+}
+
+static METRICS: LazyLock<Metrics> = LazyLock::new(Metrics::new);
+
+/// Returns the metrics of this process.
+pub fn get() -> &'static Metrics {
+    &METRICS
+}
+
+/// Counts a row that did not decode.
+pub fn undecoded() {
+    METRICS.undecoded.inc();
+}
+
+impl Metrics {
+    fn new() -> Self {
+        let mut registry = Registry::with_prefix("willowpoint");
+        let metrics = Self {
+            registry: Registry::default(),
+            answers: Family::default(),
+            seconds: Histogram::new(exponential_buckets(0.000_1, 2.0, 18)),
+            forwards: Counter::default(),
+            undecoded: Counter::default(),
+            malformed: Counter::default(),
+            cells: Gauge::default(),
+            config: Gauge::default(),
+            calls: Counter::default(),
+            evictions: Gauge::default(),
+            finished: Gauge::default(),
+            checks: Family::default(),
+            violations: Family::default(),
+        };
+        let m = &metrics;
+        registry.register("answers", "Answers to callers", m.answers.clone());
+        registry.register("request_seconds", "Time to the answer", m.seconds.clone());
+        registry.register(
+            "forwards",
+            "Requests handed to other boxes",
+            m.forwards.clone(),
+        );
+        registry.register(
+            "rows_undecoded",
+            "Rows that did not decode",
+            m.undecoded.clone(),
+        );
+        registry.register("malformed", "Malformed messages", m.malformed.clone());
+        registry.register("cells", "Cells owned", m.cells.clone());
+        registry.register("config_version", "Configuration in force", m.config.clone());
+        registry.register("table_calls", "Calls to the table", m.calls.clone());
+        registry.register(
+            "tasks_evicted",
+            "Tasks evicted by present owners",
+            m.evictions.clone(),
+        );
+        registry.register(
+            "tasks_finished",
+            "Tasks finished under present owners",
+            m.finished.clone(),
+        );
+        registry.register("invariant_checks", "Checks of invariants", m.checks.clone());
+        registry.register(
+            "invariant_violations",
+            "Violations of invariants",
+            m.violations.clone(),
+        );
+        Self {
+            registry,
+            ..metrics
+        }
+    }
+
+    /// Returns all metrics as text.
+    pub fn text(&self) -> String {
+        for rule in RULES {
+            let label = RuleLabel {
+                rule: format!("{rule:?}").to_lowercase(),
+            };
+            self.checks.get_or_create(&label).set(checks(rule) as i64);
+            self.violations
+                .get_or_create(&label)
+                .set(violations(rule) as i64);
+        }
+        let mut text = String::new();
+        // Writing into a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/src/options.rs
@@ -0,0 +1,68 @@
+//! Settings: arguments and file, merged once into checked structs.
+
+pub mod args;
+mod check;
+pub mod file;
+mod reader;
+
+#[cfg(test)]
+mod tests;
+
+use std::net::SocketAddr;
+
+use crate::cell::Policy;
+use crate::lease::Terms;
+use crate::logs::Logs;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+use crate::web::server::Limits;
+
+pub use reader::{Finding, is_name};
+
+/// Checked settings of an entry box.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the box, the same after a restart.
+    pub name: Name,
+    /// Hall in which it stands.
+    pub hall: Name,
+    /// Address for callers.
+    pub web: SocketAddr,
+    /// Address for other boxes and for operators.
+    pub rpc: SocketAddr,
+    /// Address for health, readiness and metrics.
+    pub admin: SocketAddr,
+    /// Address of the platform's RPC.
+    pub platform: SocketAddr,
+    /// Bound of one call to the platform, in milliseconds.
+    pub patience: Millis,
+    /// Lease of the box and promises.
+    pub terms: Terms,
+    /// Times of the control work.
+    pub pace: Pace,
+    /// Bounds for callers' requests.
+    pub limits: Limits,
+    /// Decisions about requests and tasks.
+    pub policy: Policy,
+    /// Part of requests without a trace context that are traced, from 0 to 1.
+    pub sample: f64,
+    /// Logs.
+    pub logs: Logs,
+}
+
+/// Intervals of the control work, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// Between two greetings to the same box.
+    pub heartbeat: Millis,
+    /// Between two reads of the table's head rows.
+    pub poll: Millis,
+    /// Between two exchanges with the same worker.
+    pub sync: Millis,
+    /// Between two commits of the journal.
+    pub journal: Millis,
+    /// Lease of tasks on workers.
+    pub task: Millis,
+    /// Longest wait of a planned stop for what is in progress.
+    pub stop: Millis,
+}
--- /dev/null
+++ b/src/options/file.rs
@@ -0,0 +1,127 @@
+//! The settings file of an entry box.
+
+use log::LevelFilter;
+
+use super::reader::{Finding, Reader};
+use super::{Pace, Settings, check};
+use crate::cell::Policy;
+use crate::lease::Terms;
+use crate::logs::{Format, Logs};
+use crate::web::server::Limits;
+
+const HOUR: u64 = 3_600_000;
+const MINUTE: u64 = 60_000;
+
+/// Reads and checks a settings file; all findings are reported together.
+pub fn load(path: &str) -> Result<Settings, Vec<Finding>> {
+    let text = std::fs::read_to_string(path).map_err(|e| {
+        vec![Finding {
+            file: path.into(),
+            line: 1,
+            key: "(file)".into(),
+            wrong: format!("cannot be read: {e}"),
+            right: "name a readable file".into(),
+        }]
+    })?;
+    parse(path, &text)
+}
+
+/// Checks the text of a settings file.
+pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Finding>> {
+    let mut reader = Reader::new(file, text).map_err(|f| vec![f])?;
+    let settings = Settings {
+        name: reader.name("box.name").into(),
+        hall: reader.name("box.hall").into(),
+        web: reader.address("box.web"),
+        rpc: reader.address("box.rpc"),
+        admin: reader.address("box.admin"),
+        platform: reader.address("platform.rpc"),
+        patience: reader.duration("platform.patience", 2_000, 10..=MINUTE),
+        terms: terms(&mut reader),
+        pace: pace(&mut reader),
+        limits: limits(&mut reader),
+        policy: policy(&mut reader),
+        sample: reader.fraction("trace.sample", 0.01),
+        logs: logs(&mut reader),
+    };
+    check::settings(&settings, &mut reader);
+    let findings = reader.finish();
+    match findings.is_empty() {
+        true => Ok(settings),
+        false => Err(findings),
+    }
+}
+
+fn terms(reader: &mut Reader) -> Terms {
+    let default = Terms::default();
+    Terms {
+        length: reader.duration("lease.length", default.length, 200..=HOUR),
+        margin: reader.duration("lease.margin", default.margin, 10..=MINUTE),
+        promise: reader.duration("lease.promise", default.promise, 50..=HOUR),
+        outage: reader.duration("lease.outage", default.outage, 1_000..=48 * HOUR),
+    }
+}
+
+fn pace(reader: &mut Reader) -> Pace {
+    Pace {
+        heartbeat: reader.duration("pace.heartbeat", 1_000, 20..=MINUTE),
+        poll: reader.duration("pace.poll", 1_000, 20..=MINUTE),
+        sync: reader.duration("pace.sync", 1_000, 20..=MINUTE),
+        journal: reader.duration("pace.journal", 300, 20..=MINUTE),
+        task: reader.duration("pace.task", 10_000, 200..=HOUR),
+        stop: reader.duration("pace.stop", 30_000, 0..=HOUR),
+    }
+}
+
+fn limits(reader: &mut Reader) -> Limits {
+    Limits {
+        head: reader.size("limits.head", 16 << 10, 512..=1 << 20) as usize,
+        body: reader.size("limits.body", 1 << 20, 1..=64 << 20) as usize,
+        connections: reader.count("limits.connections", 4_096, 1..=60_000) as usize,
+        idle: reader.duration("limits.idle", MINUTE, 10..=HOUR),
+    }
+}
+
+fn policy(reader: &mut Reader) -> Policy {
+    let default = Policy::default();
+    Policy {
+        tail: reader.fraction("policy.tail-weight", default.tail),
+        queue: reader.count("policy.queue", default.queue as u64, 0..=100_000) as usize,
+        retries: reader.count("policy.retries", u64::from(default.retries), 0..=16) as u32,
+        deadline: reader.duration("policy.deadline", default.deadline, 1..=HOUR),
+        reserve: reader.fraction("policy.reserve", default.reserve),
+        ..default
+    }
+}
+
+fn logs(reader: &mut Reader) -> Logs {
+    let format = match reader.text("log.format", Some("json")).as_str() {
+        "json" => Format::Json,
+        "text" => Format::Text,
+        other => {
+            let wrong = format!("`{other}` is no format");
+            reader.find("log.format", wrong, "write \"json\" or \"text\"");
+            Format::Json
+        }
+    };
+    let text = reader.text("log.level", Some("info"));
+    let level = level(reader, "log.level", &text);
+    let mut modules = Vec::new();
+    for (module, text) in reader.texts("log.modules") {
+        let key = format!("log.modules.{module}");
+        modules.push((module, self::level(reader, &key, &text)));
+    }
+    Logs {
+        format,
+        level,
+        modules,
+    }
+}
+
+fn level(reader: &mut Reader, key: &str, text: &str) -> LevelFilter {
+    text.parse().unwrap_or_else(|_| {
+        let wrong = format!("`{text}` is no level");
+        reader.find(key, wrong, "write off, error, warn, info, debug or trace");
+        LevelFilter::Info
+    })
+}
--- /dev/null
+++ b/src/options/reader.rs
@@ -0,0 +1,355 @@
+//! Reads values out of a TOML document and collects findings with their place.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use toml_edit::{Document, Item, Table};
+
+use crate::utils::clock::Millis;
+
+/// Something wrong in a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// Name of the file.
+    pub file: String,
+    /// Line, counted from 1.
+    pub line: usize,
+    /// Key with its section, such as `lease.length`.
+    pub key: String,
+    /// What is wrong.
+    pub wrong: String,
+    /// What would be right.
+    pub right: String,
+}
+
+impl std::fmt::Display for Finding {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            file,
+            line,
+            key,
+            wrong,
+            right,
+        } = self;
+        write!(f, "{file}:{line}: {key}: {wrong}; {right}")
+    }
+}
+
+const DURATIONS: [(&str, u64); 4] = [("ms", 1), ("s", 1_000), ("m", 60_000), ("h", 3_600_000)];
+const SIZES: [(&str, u64); 4] = [
+    ("KiB", 1 << 10),
+    ("MiB", 1 << 20),
+    ("GiB", 1 << 30),
+    ("B", 1),
+];
+
+/// Reader of one document.
+pub struct Reader<'a> {
+    file: &'a str,
+    text: &'a str,
+    document: Document<&'a str>,
+    asked: BTreeSet<String>,
+    /// What was found so far.
+    pub findings: Vec<Finding>,
+}
+
+impl<'a> Reader<'a> {
+    /// Parses a document; the finding tells where it is no TOML.
+    pub fn new(file: &'a str, text: &'a str) -> Result<Self, Finding> {
+        let document = Document::parse(text).map_err(|e| Finding {
+            file: file.into(),
+            line: line(text, e.span().map_or(0, |s| s.start)),
+            key: "(file)".into(),
+            wrong: e.message().to_string(),
+            right: "write valid TOML".into(),
+        })?;
+        Ok(Self {
+            file,
+            text,
+            document,
+            asked: BTreeSet::new(),
+            findings: Vec::new(),
+        })
+    }
+
+    /// Records a finding at a key.
+    pub fn find(&mut self, key: &str, wrong: impl Into<String>, right: impl Into<String>) {
+        let start = self.span(key);
+        self.findings.push(Finding {
+            file: self.file.into(),
+            line: line(self.text, start),
+            key: key.into(),
+            wrong: wrong.into(),
+            right: right.into(),
+        });
+    }
+
+    /// Returns a text, or a finding when it is required and absent.
+    pub fn text(&mut self, key: &str, default: Option<&str>) -> String {
+        let Some(item) = self.item(key) else {
+            return self.absent(key, default, "a text");
+        };
+        let Some(text) = item.as_str().map(str::to_string) else {
+            let got = item.type_name();
+            self.find(key, format!("is a {got}"), "write a text in quotes");
+            return default.unwrap_or_default().into();
+        };
+        text
+    }
+
+    /// Returns a name: letters, digits, `-`, `_` and `.`.
+    pub fn name(&mut self, key: &str) -> String {
+        let text = self.text(key, None);
+        if !text.is_empty() && !is_name(&text) {
+            let right = "use letters, digits, '-', '_' and '.', at most 128";
+            self.find(key, format!("`{text}` is no name"), right);
+        }
+        text
+    }
+
+    /// Returns a socket address given by IP number and port.
+    pub fn address(&mut self, key: &str) -> SocketAddr {
+        let none = SocketAddr::from(([0, 0, 0, 0], 0));
+        let text = self.text(key, None);
+        if text.is_empty() {
+            return none;
+        }
+        text.parse().unwrap_or_else(|_| {
+            let right = "write IP:port, for example \"10.0.0.1:8080\"";
+            self.find(key, format!("`{text}` is no address"), right);
+            none
+        })
+    }
+
+    /// Returns a duration in milliseconds, written with its unit.
+    pub fn duration(
+        &mut self,
+        key: &str,
+        default: Millis,
+        range: RangeInclusive<Millis>,
+    ) -> Millis {
+        let right = "write a number with ms, s, m or h, for example \"500ms\"";
+        self.quantity(key, default, range, &DURATIONS, right)
+    }
+
+    /// Returns a size in bytes, written with its unit.
+    pub fn size(&mut self, key: &str, default: u64, range: RangeInclusive<u64>) -> u64 {
+        let right = "write a number with B, KiB, MiB or GiB, for example \"16KiB\"";
+        self.quantity(key, default, range, &SIZES, right)
+    }
+
+    /// Returns a whole number.
+    pub fn count(&mut self, key: &str, default: u64, range: RangeInclusive<u64>) -> u64 {
+        let Some(item) = self.item(key) else {
+            return default;
+        };
+        let value = item.as_integer().and_then(|n| u64::try_from(n).ok());
+        let got = item.type_name();
+        match value {
+            Some(value) if range.contains(&value) => value,
+            Some(value) => {
+                self.outside(key, &value.to_string(), &range);
+                default
+            }
+            None => {
+                self.find(
+                    key,
+                    format!("is no whole number ({got})"),
+                    "write a number from 0",
+                );
+                default
+            }
+        }
+    }
+
+    /// Returns a fraction from 0 to 1.
+    pub fn fraction(&mut self, key: &str, default: f64) -> f64 {
+        let Some(item) = self.item(key) else {
+            return default;
+        };
+        let whole = item.as_integer().map(|n| n as f64);
+        match item.as_float().or(whole) {
+            Some(value) if (0.0..=1.0).contains(&value) => value,
+            _ => {
+                self.find(key, "is no fraction", "write a number from 0.0 to 1.0");
+                default
+            }
+        }
+    }
+
+    /// Returns the entries of a table of texts.
+    pub fn texts(&mut self, key: &str) -> Vec<(String, String)> {
+        let Some(item) = self.item(key) else {
+            return Vec::new();
+        };
+        let Some(table) = item.as_table_like() else {
+            self.find(
+                key,
+                "is no table",
+                "write `module = \"level\"` lines under it",
+            );
+            return Vec::new();
+        };
+        let entries: Vec<_> = table
+            .iter()
+            .map(|(name, value)| (name.to_string(), value.as_str().unwrap_or("").to_string()))
+            .collect();
+        for (name, _) in &entries {
+            self.asked.insert(format!("{key}.{name}"));
+        }
+        entries
+    }
+
+    /// Records a finding for each key that nobody asked for.
+    pub fn finish(mut self) -> Vec<Finding> {
+        let mut keys = Vec::new();
+        collect(self.document.as_table(), "", &mut keys);
+        for key in keys {
+            let known = self.asked.contains(&key);
+            let section = self.asked.iter().any(|a| a.starts_with(&format!("{key}.")));
+            if known || section {
+                continue;
+            }
+            let right = match nearest(&key, &self.asked) {
+                Some(near) => format!("did you mean `{near}`?"),
+                None => "remove it".into(),
+            };
+            self.find(&key, "unknown key", right);
+        }
+        self.findings.sort_by_key(|f| f.line);
+        self.findings
+    }
+
+    fn quantity(
+        &mut self,
+        key: &str,
+        default: u64,
+        range: RangeInclusive<u64>,
+        units: &[(&str, u64)],
+        right: &str,
+    ) -> u64 {
+        let Some(item) = self.item(key) else {
+            return default;
+        };
+        let text = match item.as_str() {
+            Some(text) => text.to_string(),
+            None => {
+                self.find(key, "has no unit", right);
+                return default;
+            }
+        };
+        match parse(&text, units) {
+            Some(value) if range.contains(&value) => value,
+            Some(_) => {
+                self.outside(key, &text, &range);
+                default
+            }
+            None => {
+                self.find(
+                    key,
+                    format!("`{text}` is no quantity with a known unit"),
+                    right,
+                );
+                default
+            }
+        }
+    }
+
+    fn outside(&mut self, key: &str, got: &str, range: &RangeInclusive<u64>) {
+        let right = format!("write a value from {} to {}", range.start(), range.end());
+        self.find(key, format!("`{got}` is out of range"), right);
+    }
+
+    fn absent(&mut self, key: &str, default: Option<&str>, kind: &str) -> String {
+        match default {
+            Some(default) => default.into(),
+            None => {
+                self.find(key, "is missing", format!("add {kind}"));
+                String::new()
+            }
+        }
+    }
+
+    fn item(&mut self, key: &str) -> Option<Item> {
+        self.asked.insert(key.to_string());
+        lookup(self.document.as_item(), key).cloned()
+    }
+
+    fn span(&self, key: &str) -> usize {
+        let mut path = key;
+        loop {
+            let item = lookup(self.document.as_item(), path);
+            if let Some(span) = item.and_then(Item::span) {
+                return span.start;
+            }
+            let Some((parent, _)) = path.rsplit_once('.') else {
+                return 0;
+            };
+            path = parent;
+        }
+    }
+}
+
+/// Returns true for a non-empty name of letters, digits, `-`, `_` and `.`.
+pub fn is_name(text: &str) -> bool {
+    let fits = (1..=crate::constants::NAME_LIMIT).contains(&text.len());
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    fits && text.bytes().all(plain)
+}
+
+fn parse(text: &str, units: &[(&str, u64)]) -> Option<u64> {
+    let split = text.find(|c: char| !c.is_ascii_digit())?;
+    let (number, unit) = text.split_at(split);
+    let scale = units.iter().find(|(name, _)| *name == unit.trim())?.1;
+    number.parse::<u64>().ok()?.checked_mul(scale)
+}
+
+fn lookup<'i>(root: &'i Item, key: &str) -> Option<&'i Item> {
+    key.split('.').try_fold(root, |item, part| item.get(part))
+}
+
+fn collect(table: &Table, prefix: &str, keys: &mut Vec<String>) {
+    for (name, item) in table.iter() {
+        let key = match prefix {
+            "" => name.to_string(),
+            _ => format!("{prefix}.{name}"),
+        };
+        match item.as_table() {
+            Some(inner) => collect(inner, &key, keys),
+            None => keys.push(key),
+        }
+    }
+}
+
+fn line(text: &str, offset: usize) -> usize {
+    let end = offset.min(text.len());
+    1 + text.as_bytes()[..end]
+        .iter()
+        .filter(|b| **b == b'\n')
+        .count()
+}
+
+/// Largest edit distance at which a known key is proposed for an unknown one.
+const NEAR: usize = 3;
+
+fn nearest(key: &str, known: &BTreeSet<String>) -> Option<String> {
+    let scored = known.iter().map(|k| (distance(key, k), k));
+    let (distance, near) = scored.min()?;
+    (distance <= NEAR).then(|| near.clone())
+}
+
+fn distance(a: &str, b: &str) -> usize {
+    let b: Vec<char> = b.chars().collect();
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, ca) in a.chars().enumerate() {
+        let mut last = row[0];
+        row[0] = i + 1;
+        for (j, cb) in b.iter().enumerate() {
+            let change = last + usize::from(ca != *cb);
+            last = row[j + 1];
+            row[j + 1] = change.min(row[j] + 1).min(last + 1);
+        }
+    }
+    row[b.len()]
+}
