--- a/src/cell.rs
+++ b/src/cell.rs
@@ -115,6 +115,8 @@
     pub throttle: bool,
     /// Failed runs after which a task is given up.
     pub failures: u32,
+    /// Milliseconds of a worker's first quarantine; each further one doubles it.
+    pub quarantine: Millis,
 }
 
 impl Default for Policy {
@@ -129,6 +131,7 @@
             place: Pick::Learned,
             throttle: true,
             failures: 3,
+            quarantine: 30_000,
         }
     }
 }
--- a/src/cell/requests.rs
+++ b/src/cell/requests.rs
@@ -114,6 +114,7 @@
     /// Takes in a request; it is sent, queued or refused.
     pub fn admit(&mut self, now: Millis, micros: u64, ask: Ask) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.note_use(now, &ask.service);
         if self.leaving {
             let after = COME_BACK.0;
             actions.push(refuse(&ask, Reason::Stopping, after));
@@ -124,7 +125,7 @@
             actions.push(refuse(
                 &ask,
                 Reason::Deadline,
-                self.wait(ask.class, &ask.service),
+                self.wait(now, ask.class, &ask.service),
             ));
             return actions;
         }
@@ -137,10 +138,17 @@
         actions
     }
 
+    fn note_use(&mut self, now: Millis, service: &Name) {
+        match self.used.get_mut(service) {
+            Some(at) => *at = now,
+            None => drop(self.used.insert(service.clone(), now)),
+        }
+    }
+
     fn enqueue(&mut self, now: Millis, ask: Ask, actions: &mut Vec<Action>) {
-        let wait = self.wait(ask.class, &ask.service);
+        let wait = self.wait(now, ask.class, &ask.service);
         let expected = self.expected(&ask.service);
-        let open = self.workers.values().any(Worker::open);
+        let open = self.workers.values().any(|w| w.open(now));
         if !open || now + wait + expected > ask.deadline {
             let reason = if open {
                 Reason::Deadline
@@ -188,7 +196,7 @@
     }
 
     fn pick(&mut self, now: Millis, ask: &Ask) -> Option<Name> {
-        let open = self.workers.values().filter(|w| w.open());
+        let open = self.workers.values().filter(|w| w.open(now));
         let (total, sound) = open.fold((0, 0), |(total, sound), worker| {
             (total + 1, sound + usize::from(worker.ejected <= now))
         });
@@ -197,7 +205,7 @@
         let candidates: Vec<&Worker> = self
             .workers
             .values()
-            .filter(|w| w.open() && w.slots() > 0 && w.fits(ask.size))
+            .filter(|w| w.open(now) && w.slots() > 0 && w.fits(ask.size))
             .filter(|w| !strict || w.ejected <= now)
             .collect();
         let count = candidates.len() as u64;
@@ -299,7 +307,13 @@
             now + (mean / 1_000.0) as Millis > ask.deadline
         };
         let expired = self.queue.expire(late);
-        let told = |ask: &Ask| refuse(ask, Reason::Deadline, self.wait(ask.class, &ask.service));
+        let told = |ask: &Ask| {
+            refuse(
+                ask,
+                Reason::Deadline,
+                self.wait(now, ask.class, &ask.service),
+            )
+        };
         expired.iter().map(told).collect()
     }
 
@@ -319,11 +333,11 @@
     }
 
     /// Returns the expected wait of a new request in milliseconds.
-    pub fn wait(&self, class: Class, service: &str) -> Millis {
+    pub fn wait(&self, now: Millis, class: Class, service: &str) -> Millis {
         let slots: u32 = self
             .workers
             .values()
-            .filter(|w| w.open())
+            .filter(|w| w.open(now))
             .map(|w| w.shape.slots)
             .sum();
         let mean = self.means.get(service).copied().unwrap_or(GUESS);
--- a/src/cell/room.rs
+++ b/src/cell/room.rs
@@ -54,6 +54,9 @@
     pub foreign: u32,
     /// Runs that may be running.
     pub runs: BTreeMap<RunId, Run>,
+    /// Runs that have ended, and when that was learned: an exchange sent
+    /// before may still report them as running.
+    pub ended: BTreeMap<RunId, Millis>,
     /// Runs whose end is recorded and may be forgotten by the worker.
     pub acks: Vec<RunId>,
     /// Moving average of answer times in microseconds; 0 before the first.
@@ -62,8 +65,8 @@
     pub asked: Option<Millis>,
     /// True while an exchange is in progress.
     pub syncing: bool,
-    /// When it last answered an exchange.
-    heard: Millis,
+    /// Until when its last answer is relied on.
+    pub trusted: Millis,
     /// When a renewal that it may have got was last sent.
     pub renewed: Millis,
     /// When the renewal in progress was sent, or 0.
@@ -104,11 +107,12 @@
             active: BTreeMap::new(),
             foreign: 0,
             runs: BTreeMap::new(),
+            ended: BTreeMap::new(),
             acks: Vec::new(),
             latency: 0.0,
             asked: None,
             syncing: false,
-            heard: 0,
+            trusted: 0,
             renewed: 0,
             renewing: 0,
             retiring: false,
@@ -124,19 +128,10 @@
         }
     }
 
-    /// Returns true when anything new may go there.
-    pub fn open(&self) -> bool {
-        self.known && !self.leaving && !self.retiring && self.listed
-    }
-
-    /// Returns when it last answered an exchange.
-    pub fn heard(&self) -> Millis {
-        self.heard
-    }
-
-    /// Takes in that it answered an exchange.
-    pub fn hear(&mut self, now: Millis) {
-        self.heard = now;
+    /// Returns true when anything new may go there: its last answer is young
+    /// enough to be relied on, and it is not leaving.
+    pub fn open(&self, now: Millis) -> bool {
+        self.known && now < self.trusted && !self.leaving && !self.retiring && self.listed
     }
 
     /// Returns the slots in use, those of earlier epochs included.
@@ -190,8 +185,24 @@
         self.runs.insert(run.id, run);
     }
 
-    /// Removes a run.
-    pub fn free(&mut self, id: RunId) -> Option<Run> {
+    /// Removes a run that has ended.
+    pub fn free(&mut self, now: Millis, id: RunId) -> Option<Run> {
+        self.ended.insert(id, now);
+        self.drop_run(id)
+    }
+
+    /// Forgets ended runs that no exchange sent after `sent` can report.
+    pub fn forget_ended(&mut self, sent: Millis) {
+        self.ended.retain(|_, at| *at >= sent);
+    }
+
+    /// Returns true when a run had ended before an exchange was answered.
+    pub fn has_ended(&self, id: RunId) -> bool {
+        self.ended.contains_key(&id)
+    }
+
+    /// Takes a run out of the count.
+    pub fn drop_run(&mut self, id: RunId) -> Option<Run> {
         let run = self.runs.remove(&id)?;
         self.used = minus(self.used, run.held());
         Some(run)
--- a/src/cell/runs.rs
+++ b/src/cell/runs.rs
@@ -4,7 +4,7 @@
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
-/// Number of a run, unique for ever: the epoch, then a counter.
+/// Number of a run, unique for ever within its cell: the epoch, then a counter.
 pub type RunId = u64;
 
 /// How far a run is, as its owner knows.
--- a/src/cell/state.rs
+++ b/src/cell/state.rs
@@ -15,7 +15,7 @@
 
 /// Weight of a new measurement in a moving average.
 const SMOOTH: f64 = 0.2;
-/// Exchanges without an answer after which a worker gets nothing new.
+/// Intervals between exchanges for which an answer is relied on.
 const SILENT: u64 = 3;
 
 /// A worker in the list of live and leaving ones.
@@ -113,6 +113,8 @@
     pub workers: BTreeMap<Name, Worker>,
     /// Lots by key.
     pub lots: BTreeMap<Name, Lot>,
+    /// Versions of the rows of lots that ended under this epoch.
+    pub closed: BTreeMap<Name, u64>,
     /// Tasks evicted under this epoch.
     pub evictions: u64,
     /// Tasks finished under this epoch.
@@ -121,6 +123,8 @@
     pub harm: Harm,
     /// Mean answer time of each service in microseconds.
     pub means: HashMap<Name, f64>,
+    /// When a request to each service last came.
+    pub(super) used: HashMap<Name, Millis>,
     pub(super) slowdowns: HashMap<Name, f64>,
     pub(super) usage: HashMap<Name, f64>,
     pub(super) teams: BTreeMap<Name, u64>,
@@ -149,10 +153,12 @@
             part: 1.0,
             workers: BTreeMap::new(),
             lots: BTreeMap::new(),
+            closed: BTreeMap::new(),
             evictions: 0,
             finished: 0,
             harm: Harm::default(),
             means: HashMap::new(),
+            used: HashMap::new(),
             slowdowns: HashMap::new(),
             usage: HashMap::new(),
             teams: BTreeMap::new(),
@@ -191,14 +197,14 @@
     }
 
     /// Returns the free slots of all workers.
-    pub fn free(&self) -> u32 {
-        let open = self.workers.values().filter(|w| w.open());
+    pub fn free(&self, now: Millis) -> u32 {
+        let open = self.workers.values().filter(|w| w.open(now));
         open.map(Worker::slots).sum()
     }
 
     /// Returns the free cores of all workers in thousandths.
-    pub fn cores(&self) -> u64 {
-        let open = self.workers.values().filter(|w| w.open());
+    pub fn cores(&self, now: Millis) -> u64 {
+        let open = self.workers.values().filter(|w| w.open(now));
         open.map(|w| u64::from(w.cores())).sum()
     }
 
@@ -240,10 +246,7 @@
             if worker.syncing || !due {
                 continue;
             }
-            let silent = worker
-                .asked
-                .is_some_and(|_| now > worker.heard() + self.times.sync * SILENT);
-            if silent {
+            if now >= worker.trusted {
                 worker.known = false;
             }
             worker.syncing = true;
@@ -290,7 +293,7 @@
             worker.known = false;
             return (true, Vec::new());
         }
-        worker.hear(now);
+        worker.trusted = sent + self.times.sync * SILENT;
         worker.known = true;
         worker.shape = reply.shape;
         worker.retiring = reply.leaving;
@@ -314,6 +317,9 @@
         for report in &reply.runs {
             actions.extend(self.settle(now, name, report));
         }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.forget_ended(sent);
+        }
         self.measure(name, &reply);
         actions.extend(self.pump(now, micros));
         (false, actions)
--- a/src/cell/tasks.rs
+++ b/src/cell/tasks.rs
@@ -15,6 +15,13 @@
 
 /// Starts of one tick, so that a tick stays short.
 const STARTS: usize = 64;
+/// Shares with which a run may start, in thousandths, the best first.
+const SHARES: [u32; 3] = [WHOLE, WHOLE / 2, LOWEST];
+/// Milliseconds after which a waiting task starts at the lowest share though
+/// it hurts services, so that none waits for ever.
+const STARVED: Millis = 10_000;
+/// Milliseconds for which a service counts as in use after a request.
+const IN_USE: Millis = 5_000;
 /// Lowest share to which a run is throttled, in thousandths.
 const LOWEST: u32 = 250;
 /// Milliseconds between two steps of throttling on one worker.
@@ -25,8 +32,6 @@
 const COOL: Millis = 5_000;
 /// Failures in a row, of two jobs or more, that put a worker in quarantine.
 const FAILURES: usize = 3;
-/// Milliseconds of a first quarantine; each further one doubles it.
-const QUARANTINE: Millis = 30_000;
 
 /// Where a task is, beyond what its row tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,6 +63,17 @@
     }
 }
 
+/// A task that looks for a worker.
+struct Wanted<'a> {
+    kind: &'a str,
+    size: Size,
+    urgent: bool,
+    /// True when it has waited so long that it may hurt.
+    starved: bool,
+    /// Worker on which its last run failed.
+    shunned: Option<Name>,
+}
+
 /// What one write of a lot's row settles.
 #[derive(Clone, Debug)]
 struct Writing {
@@ -77,6 +93,8 @@
     pub live: Vec<Live>,
     /// True once its job was cancelled.
     pub cancelled: bool,
+    /// When a task of it last started, or when it came.
+    since: Millis,
     dirty: bool,
     writing: Option<Writing>,
     reread: bool,
@@ -86,7 +104,7 @@
 }
 
 impl Lot {
-    fn new(versioned: Versioned, fresh: bool) -> Self {
+    fn new(now: Millis, versioned: Versioned, fresh: bool) -> Self {
         let start = |phase| match phase {
             Phase::Open if fresh => Live::Waiting,
             Phase::Open => Live::Held,
@@ -98,6 +116,7 @@
             row: versioned.row,
             live,
             cancelled: false,
+            since: now,
             dirty: false,
             writing: None,
             reread: false,
@@ -129,28 +148,31 @@
 
 impl Cell {
     /// Takes in the lots of the cell as read after it was won.
-    pub fn load(&mut self, lots: Vec<Versioned>) {
+    pub fn load(&mut self, now: Millis, lots: Vec<Versioned>) {
         // Nothing of an earlier owner can be running where there was none.
         let fresh = self.epoch == 1;
         for versioned in lots {
-            self.add(versioned, fresh);
+            self.add(now, versioned, fresh);
         }
         self.loaded = true;
     }
 
     /// Takes in a lot that was read later: new, or known already.
-    pub fn offer(&mut self, versioned: Versioned) {
-        if self.lots.contains_key(&versioned.key) || !self.loaded {
+    pub fn offer(&mut self, now: Millis, versioned: Versioned) {
+        // A read that is older than the end of a lot must not bring it back.
+        let closed = self.closed.get(&versioned.key);
+        let old = closed.is_some_and(|version| versioned.version <= *version);
+        if old || self.lots.contains_key(&versioned.key) || !self.loaded {
             return;
         }
         // Another owner's mark means that it may have been started before.
         let fresh = versioned.row.epoch == 0;
-        self.add(versioned, fresh);
+        self.add(now, versioned, fresh);
     }
 
-    fn add(&mut self, versioned: Versioned, fresh: bool) {
+    fn add(&mut self, now: Millis, versioned: Versioned, fresh: bool) {
         let key = versioned.key.clone();
-        let lot = Lot::new(versioned, fresh);
+        let lot = Lot::new(now, versioned, fresh);
         if !lot.ended() {
             self.lots.entry(key).or_insert(lot);
         }
@@ -276,7 +298,14 @@
         let shunned = lot.shunned.get(&index).cloned();
         let saved = lot.row.tasks[index].saved;
         let task = lot.row.tasks[index].index;
-        let name = self.place(now, &spec.kind, size, spec.urgent, shunned)?;
+        let wanted = Wanted {
+            kind: &spec.kind,
+            size,
+            urgent: spec.urgent,
+            starved: now >= lot.since + STARVED,
+            shunned,
+        };
+        let (name, share) = self.place(now, wanted)?;
         self.counter += 1;
         let id = (self.epoch << 32) | self.counter;
         let worker = self.workers.get_mut(&name)?;
@@ -286,7 +315,7 @@
             task,
             kind: spec.kind.clone(),
             size,
-            share: WHOLE,
+            share,
             phase: RunPhase::Starting,
             saved,
             progress: saved,
@@ -300,6 +329,7 @@
         let rpc = worker.rpc;
         *self.teams.entry(spec.team.clone()).or_default() += u64::from(size.cores);
         if let Some(lot) = self.lots.get_mut(key) {
+            lot.since = now;
             let before = std::mem::replace(&mut lot.live[index], Live::Running(id));
             invariant::check(before == Live::Waiting, Rule::Resume, || {
                 format!("{key} {task}")
@@ -327,7 +357,7 @@
         if yielding {
             return None;
         }
-        let victims = self.workers.values().filter(|w| w.open());
+        let victims = self.workers.values().filter(|w| w.open(now));
         let victims = victims.flat_map(|w| w.running().map(move |r| (w, r)));
         let enough = |(w, r): &(&Worker, &Run)| !r.urgent && fits_without(w, r, size);
         let loss = |(_, r): &(&Worker, &Run)| (r.progress.saturating_sub(r.saved), r.id);
@@ -336,20 +366,20 @@
         self.evict(now, &worker, run)
     }
 
-    fn place(
-        &mut self,
-        now: Millis,
-        kind: &str,
-        size: Size,
-        urgent: bool,
-        shunned: Option<Name>,
-    ) -> Option<Name> {
-        let reserve = if urgent { 0.0 } else { self.policy.reserve };
+    /// Returns a worker for a task and the share with which it may start.
+    fn place(&mut self, now: Millis, wanted: Wanted) -> Option<(Name, u32)> {
+        let reserve = if wanted.urgent {
+            0.0
+        } else {
+            self.policy.reserve
+        };
         let kept = |w: &Worker| (f64::from(w.shape.cores) * reserve) as u32;
+        let size = wanted.size;
         let candidates: Vec<&Worker> = self
             .workers
             .values()
-            .filter(|w| w.open() && w.quarantine <= now && Some(&w.name) != shunned.as_ref())
+            .filter(|w| w.open(now) && w.quarantine <= now)
+            .filter(|w| Some(&w.name) != wanted.shunned.as_ref())
             .filter(|w| w.fits(size) && w.cores() >= size.cores + kept(w))
             .collect();
         let count = candidates.len() as u64;
@@ -367,38 +397,54 @@
                 let index = self.turn.checked_rem(count).unwrap_or(0) as usize;
                 candidates.get(index).copied()
             }
-            Pick::Learned => self.least_harm(candidates, kind, urgent),
+            Pick::Learned => return self.least_harm(now, candidates, &wanted),
         };
-        chosen.map(|w| w.name.clone())
+        chosen.map(|w| (w.name.clone(), WHOLE))
     }
 
-    /// Returns the worker on which a kind would hurt least, if that is little enough.
-    fn least_harm<'w>(
+    /// Returns the worker on which a task would hurt least, and the largest
+    /// share at which that is bearable.
+    fn least_harm(
         &self,
-        workers: Vec<&'w Worker>,
-        kind: &str,
-        urgent: bool,
-    ) -> Option<&'w Worker> {
-        let scored = workers.into_iter().map(|w| (self.hurt(w, kind), w));
-        let (hurt, worker) = scored.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        now: Millis,
+        workers: Vec<&Worker>,
+        wanted: &Wanted,
+    ) -> Option<(Name, u32)> {
+        let scored = workers
+            .into_iter()
+            .map(|w| (self.hurt(now, w, wanted.kind), w));
+        let ((present, added), worker) =
+            scored.min_by(|(a, _), (b, _)| (a.0 + a.1).total_cmp(&(b.0 + b.1)))?;
+        if wanted.urgent {
+            return Some((worker.name.clone(), WHOLE));
+        }
         let bearable = self.bearable() - 1.0;
-        (urgent || hurt <= bearable).then_some(worker)
+        let hurt = |share: u32| present + added * f64::from(share) / f64::from(WHOLE);
+        let share = SHARES.into_iter().find(|share| hurt(*share) <= bearable);
+        let share = share.or(wanted.starved.then_some(LOWEST))?;
+        Some((worker.name.clone(), share))
     }
 
-    /// Returns the slowdown above 1 that services on a worker would see with
-    /// one more run of a kind.
-    fn hurt(&self, worker: &Worker, kind: &str) -> f64 {
+    /// Returns the slowdown above 1 that services see on a worker now, and
+    /// what one more run of a kind would add at its whole share. Of several
+    /// services the one that would be hurt most counts.
+    fn hurt(&self, now: Millis, worker: &Worker, kind: &str) -> (f64, f64) {
         let busy = worker.crowded();
-        let mut worst: f64 = 0.0;
-        for service in self.means.keys() {
+        let mut worst = (0.0, 0.0);
+        let in_use = |at: &Millis| now < at + IN_USE;
+        for (service, _) in self.used.iter().filter(|(_, at)| in_use(at)) {
             let present: f64 = worker
                 .runs
                 .values()
                 .map(|r| {
-                    self.harm.of(service, &r.kind, busy) * f64::from(r.share) / f64::from(WHOLE)
+                    let share = f64::from(r.share) / f64::from(WHOLE);
+                    self.harm.of(service, &r.kind, busy) * share
                 })
                 .sum();
-            worst = worst.max(present + self.harm.of(service, kind, busy));
+            let added = self.harm.of(service, kind, busy);
+            if present + added > worst.0 + worst.1 {
+                worst = (present, added);
+            }
         }
         worst
     }
@@ -470,11 +516,11 @@
 
     /// Makes room for a waiting critical request that no worker can hold.
     pub fn make_room(&mut self, now: Millis, size: Size) -> Vec<Action> {
-        let stuck = |w: &&Worker| w.open() && w.slots() > 0 && !w.fits(size);
+        let stuck = |w: &&Worker| w.open(now) && w.slots() > 0 && !w.fits(size);
         let fits = self
             .workers
             .values()
-            .any(|w| w.open() && w.slots() > 0 && w.fits(size));
+            .any(|w| w.open(now) && w.slots() > 0 && w.fits(size));
         if fits {
             return Vec::new();
         }
@@ -586,7 +632,7 @@
                 });
             }
             Called::Refused => {
-                if let Some(run) = worker.free(id) {
+                if let Some(run) = worker.free(now, id) {
                     self.unstarted(&run);
                 }
             }
@@ -629,14 +675,12 @@
 
     /// Takes a run out of its team's count; returns the task if it is its run.
     fn uncount(&mut self, run: &Run) -> Option<(&mut Lot, usize)> {
-        let lot = self
-            .lots
-            .values_mut()
-            .find(|l| l.row.spec.id == run.job && l.index(run.task).is_some())?;
-        let index = lot.index(run.task)?;
-        if let Some(used) = self.teams.get_mut(&lot.row.spec.team) {
+        let (lot, index) = self.task(&run.job, run.task)?;
+        let team = lot.row.spec.team.clone();
+        if let Some(used) = self.teams.get_mut(&team) {
             *used = used.saturating_sub(u64::from(run.size.cores));
         }
+        let (lot, index) = self.task(&run.job, run.task).filter(|(_, i)| *i == index)?;
         (lot.live[index] == Live::Running(run.id)).then_some((lot, index))
     }
 
@@ -654,7 +698,7 @@
         };
         // A lost or refused stop is settled by the next exchange.
         if let Called::Done(kept) = called
-            && let Some(run) = worker.free(id)
+            && let Some(run) = worker.free(now, id)
         {
             self.end(now, name, &run, RunState::Stopped, kept);
         }
@@ -709,6 +753,7 @@
     /// Counts a failed run; a worker that fails the tasks of several jobs is
     /// put in quarantine, and those failures no longer count for the tasks.
     fn strike(&mut self, now: Millis, name: &Name, job: Name) {
+        let quarantine = self.policy.quarantine;
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -718,7 +763,7 @@
         if !again && (worker.failing.len() < FAILURES || jobs.len() < 2) {
             return;
         }
-        let span = QUARANTINE << worker.quarantines.min(6);
+        let span = quarantine << worker.quarantines.min(6);
         worker.quarantine = now + span;
         worker.quarantines += 1;
         let blamed = std::mem::take(&mut worker.failing);
@@ -734,17 +779,12 @@
     pub fn settle(&mut self, now: Millis, name: &Name, report: &Report) -> Option<Action> {
         let worker = self.workers.get_mut(name)?;
         if report.state != RunState::Running {
-            let held = worker.free(report.id);
+            let held = worker.free(now, report.id);
             let run = held.unwrap_or_else(|| adopted(report, now));
-            if self.known(&run) {
-                self.end(now, name, &run, report.state, report.progress);
-                return None;
-            }
-            let recorded = self.loaded && !self.awaits(report.id);
-            let worker = self.workers.get_mut(name)?;
-            if recorded && !worker.acks.contains(&report.id) {
-                worker.acks.push(report.id);
-            }
+            self.settle_ended(now, name, &run, report);
+            return None;
+        }
+        if worker.has_ended(report.id) {
             return None;
         }
         match worker.runs.contains_key(&report.id) {
@@ -774,14 +814,9 @@
 
     /// Ties a running run to its task, or stops it when it has none.
     fn adopt(&mut self, name: &Name, report: &Report, now: Millis) -> Option<Action> {
-        let lot = self
-            .lots
-            .values_mut()
-            .find(|l| l.row.spec.id == report.job && l.index(report.task).is_some());
-        let Some(lot) = lot else {
+        let Some((lot, index)) = self.task(&report.job, report.task) else {
             return self.stop_once(name, report.id);
         };
-        let index = lot.index(report.task)?;
         match lot.live[index] {
             Live::Running(id) if id == report.id => None,
             Live::Held => {
@@ -819,22 +854,50 @@
         }
     }
 
-    /// Returns true when a run is its task's present one, or the task is held.
-    fn known(&mut self, run: &Run) -> bool {
-        let lot = self
-            .lots
-            .values_mut()
-            .find(|l| l.row.spec.id == run.job && l.index(run.task).is_some());
-        let Some(lot) = lot else {
-            return false;
+    /// Takes in a worker's word on a run that has ended.
+    fn settle_ended(&mut self, now: Millis, name: &Name, run: &Run, report: &Report) {
+        let Some((lot, index)) = self.task(&run.job, run.task) else {
+            return self.acknowledge(name, run.id);
         };
-        let Some(index) = lot.index(run.task) else {
-            return false;
-        };
-        if lot.live[index] == Live::Held {
-            lot.live[index] = Live::Running(run.id);
+        match lot.live[index] {
+            Live::Running(id) if id == run.id => {
+                self.end(now, name, run, report.state, report.progress);
+            }
+            // A finished task is done, whichever of its runs finished it.
+            Live::Held if report.state == RunState::Finished => {
+                lot.live[index] = Live::Running(run.id);
+                self.end(now, name, run, report.state, report.progress);
+            }
+            // It may not be the last run of the task: its work is kept, and
+            // the task is held on.
+            Live::Held => {
+                let task = &mut lot.row.tasks[index];
+                task.saved = task.saved.max(report.progress);
+                lot.dirty = true;
+                lot.acks.push((name.clone(), run.id));
+            }
+            _ => self.acknowledge(name, run.id),
+        }
+    }
+
+    /// Returns the lot of a task and its place in there.
+    fn task(&mut self, job: &Name, task: u32) -> Option<(&mut Lot, usize)> {
+        let holds = |l: &&mut Lot| l.row.spec.id == *job && l.index(task).is_some();
+        let lot = self.lots.values_mut().find(holds)?;
+        let index = lot.index(task)?;
+        Some((lot, index))
+    }
+
+    /// Lets a worker forget a run, unless its end is yet to be recorded.
+    fn acknowledge(&mut self, name: &Name, id: RunId) {
+        if !self.loaded || self.awaits(id) {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(name)
+            && !worker.acks.contains(&id)
+        {
+            worker.acks.push(id);
         }
-        lot.live[index] == Live::Running(run.id)
     }
 
     fn awaits(&self, id: RunId) -> bool {
@@ -849,7 +912,7 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        let Some(run) = worker.free(id) else {
+        let Some(run) = worker.free(now, id) else {
             return;
         };
         match run.phase {
@@ -941,8 +1004,8 @@
                 worker.acks.push(id);
             }
         }
-        if ended {
-            self.lots.remove(key);
+        if ended && let Some(lot) = self.lots.remove(key) {
+            self.closed.insert(key.clone(), lot.version);
         }
     }
 
@@ -1011,6 +1074,6 @@
 
 fn fits_without(worker: &Worker, run: &Run, size: Size) -> bool {
     let mut rest = worker.clone();
-    rest.free(run.id);
+    rest.drop_run(run.id);
     rest.fits(size)
 }
--- a/src/claim/state.rs
+++ b/src/claim/state.rs
@@ -24,6 +24,14 @@
     pub leaving: bool,
 }
 
+/// A cell that is given up.
+#[derive(Clone, Debug)]
+struct Releasing {
+    epoch: u64,
+    /// True while a write of its row has no outcome.
+    writing: bool,
+}
+
 #[derive(Clone, Debug)]
 struct View {
     version: u64,
@@ -38,7 +46,8 @@
     views: BTreeMap<Name, View>,
     mine: BTreeMap<Name, Mine>,
     pending: BTreeMap<Name, u64>,
-    releasing: BTreeSet<Name>,
+    /// Cells that are given up and whose rows may still name this box.
+    releasing: BTreeMap<Name, Releasing>,
     free: BTreeMap<Name, Millis>,
     hosts: Vec<Host>,
     changed: Millis,
@@ -59,7 +68,7 @@
             views: BTreeMap::new(),
             mine: BTreeMap::new(),
             pending: BTreeMap::new(),
-            releasing: BTreeSet::new(),
+            releasing: BTreeMap::new(),
             free: BTreeMap::new(),
             hosts: Vec::new(),
             changed: 0,
@@ -140,6 +149,7 @@
             actions.extend(self.claim(now, gone));
         }
         self.leave(now);
+        actions.extend(self.write_releases());
         actions
     }
 
@@ -198,23 +208,48 @@
         }
     }
 
-    /// Releases a leaving cell in which nothing is in progress.
-    pub fn release(&mut self, cell: &Name) -> Option<Action> {
-        let mine = self.mine.get(cell)?;
-        let view = self.views.get(cell)?;
-        if !mine.leaving || self.releasing.contains(cell) {
-            return None;
-        }
-        self.releasing.insert(cell.clone());
-        let row = CellRow {
-            owner: None,
-            epoch: mine.epoch,
+    /// Gives up a leaving cell in which nothing is in progress: from now on
+    /// this box does not act for it, whatever becomes of the write.
+    pub fn release(&mut self, cell: &Name) -> Vec<Action> {
+        let leaving = self.mine.get(cell).filter(|m| m.leaving);
+        let Some(epoch) = leaving.map(|m| m.epoch) else {
+            return Vec::new();
+        };
+        self.mine.remove(cell);
+        let releasing = Releasing {
+            epoch,
+            writing: false,
         };
-        Some(Action::Release {
-            cell: cell.clone(),
-            expect: view.version,
-            row,
-        })
+        self.releasing.insert(cell.clone(), releasing);
+        let mut actions = vec![Action::Lost { cell: cell.clone() }];
+        actions.extend(self.write_releases());
+        actions
+    }
+
+    /// Writes the rows of cells that are given up, until the table tells that
+    /// they have no owner or another one.
+    fn write_releases(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (cell, releasing) in &mut self.releasing {
+            let Some(view) = self.views.get(cell).filter(|_| !releasing.writing) else {
+                continue;
+            };
+            releasing.writing = true;
+            actions.push(Action::Release {
+                cell: cell.clone(),
+                expect: view.version,
+                row: CellRow {
+                    owner: None,
+                    epoch: releasing.epoch,
+                },
+            });
+        }
+        actions
+    }
+
+    /// Returns true when nothing is owned and no row names this box.
+    pub fn empty(&self) -> bool {
+        self.mine.is_empty() && self.releasing.is_empty()
     }
 
     /// Takes in the rows of all cells, read by a call sent at `sent`; `None`
@@ -241,7 +276,10 @@
         let ours = row.owner.as_ref() == Some(&self.me);
         let epoch = row.epoch;
         self.views.insert(cell.clone(), View { version, row });
-        if ours && !self.mine.contains_key(&cell) && !self.releasing.contains(&cell) {
+        if !ours {
+            self.releasing.remove(&cell);
+        }
+        if ours && !self.mine.contains_key(&cell) && !self.releasing.contains_key(&cell) {
             return Some(self.win(cell, epoch));
         }
         if !ours && self.mine.contains_key(&cell) {
@@ -322,9 +360,11 @@
                 };
                 self.saw(versioned)
             }
+            // The next tick tries again with what the next read shows.
             Written::Conflict | Written::NotSent | Written::Unknown => {
-                // Still owned by the row, as far as known; the next tick tries again.
-                self.releasing.remove(cell);
+                if let Some(releasing) = self.releasing.get_mut(cell) {
+                    releasing.writing = false;
+                }
                 self.read = None;
                 None
             }
--- a/src/engine/journal.rs
+++ b/src/engine/journal.rs
@@ -134,8 +134,8 @@
             })
         });
         match self.scanned.contains_key(name) {
-            true => versioned.for_each(|v| cell.offer(v)),
-            false => cell.load(versioned.collect()),
+            true => versioned.for_each(|v| cell.offer(now.millis, v)),
+            false => cell.load(now.millis, versioned.collect()),
         }
         let first = self.scanned.insert(name.clone(), now.millis).is_none();
         if first {
--- a/src/engine/peers.rs
+++ b/src/engine/peers.rs
@@ -56,9 +56,9 @@
         open.map(|cell| Load {
             cell: cell.name.clone(),
             epoch: cell.epoch,
-            free: cell.free(),
+            free: cell.free(now),
             queued: cell.queued() as u32,
-            cores: cell.cores(),
+            cores: cell.cores(now),
             largest: largest(cell.workers.values().map(|w| w.shape)),
         })
         .collect()
--- a/src/engine/state.rs
+++ b/src/engine/state.rs
@@ -408,7 +408,7 @@
     }
 
     fn release(&mut self, now: Now, cell: &Name, out: &mut Vec<Action>) {
-        if let Some(action) = self.claims.release(cell) {
+        for action in self.claims.release(cell) {
             self.claim_action(now, action, out);
         }
     }
@@ -617,7 +617,7 @@
         let Some(since) = self.stopping else {
             return;
         };
-        let idle = self.flights.is_empty() && self.claims.mine().is_empty();
+        let idle = self.flights.is_empty() && self.claims.empty();
         let over = now.millis >= since + self.setup.pace.stop;
         if (idle || over) && !self.exited {
             self.exited = true;
--- a/src/engine/views.rs
+++ b/src/engine/views.rs
@@ -133,6 +133,12 @@
         }
     }
 
+    /// Returns the tasks of a job in own cells.
+    pub fn tasks_of(&self, job: &Name) -> Vec<TaskView> {
+        let cells = self.cells.values();
+        cells.flat_map(|c| tasks(c, Some(job))).collect()
+    }
+
     fn status(&self, now: Millis) -> StatusView {
         StatusView {
             id: self.id().clone(),
@@ -197,7 +203,7 @@
 fn state(worker: &Worker, now: Millis) -> &'static str {
     match () {
         () if !worker.known => "silent",
-        () if !worker.open() => "leaving",
+        () if !worker.open(now) => "leaving",
         () if worker.quarantine > now => "quarantine",
         () if worker.ejected > now => "ejected",
         () => "open",
--- a/src/entry/workers.rs
+++ b/src/entry/workers.rs
@@ -81,9 +81,11 @@
 }
 
 impl Place {
-    /// Returns the milliseconds since the epoch beyond which a call is void.
+    /// Returns the milliseconds since the epoch beyond which a call is void:
+    /// with the lease, and before the owner takes a lost start to be over.
     fn not_after(&self) -> Millis {
-        clock::wall() + self.context.left()
+        let task = self.context.settings.pace.task;
+        clock::wall() + self.context.left().min(task)
     }
 
     /// Connects, and then looks at the lease right before the call leaves.
@@ -106,7 +108,7 @@
         lease: if renew { task } else { 0 },
         acks: acks.clone(),
         round,
-        not_after: place.not_after() + task,
+        not_after: place.not_after(),
     };
     let result = match place.ready().await {
         Ok(channel) => {
@@ -146,6 +148,7 @@
         done: run.saved,
         round: run.round,
         not_after: place.not_after(),
+        share: run.share,
     };
     let result = match place.ready().await {
         Ok(channel) => {
--- a/src/invariant.rs
+++ b/src/invariant.rs
@@ -3,7 +3,7 @@
 //! A violation is counted and logged as an error; the caller refuses what
 //! would break the rule. Tests and randomised runs read the counts.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 /// What must always hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,13 +44,25 @@
 static CHECKS: [AtomicU64; 9] = [const { AtomicU64::new(0) }; 9];
 static VIOLATIONS: [AtomicU64; 9] = [const { AtomicU64::new(0) }; 9];
 
+static STRICT: AtomicBool = AtomicBool::new(false);
+
+/// Makes every violation a panic, for randomised runs.
+pub fn strict() {
+    STRICT.store(true, Ordering::Relaxed);
+}
+
 /// Counts a check; returns `holds`, and logs the violation when it is false.
 pub fn check(holds: bool, rule: Rule, detail: impl FnOnce() -> String) -> bool {
     let index = rule as usize;
     CHECKS[index].fetch_add(1, Ordering::Relaxed);
     if !holds {
         VIOLATIONS[index].fetch_add(1, Ordering::Relaxed);
-        log::error!(target: "invariant", "{rule:?} violated: {}", detail());
+        let detail = detail();
+        log::error!(target: "invariant", "{rule:?} violated: {detail}");
+        assert!(
+            !STRICT.load(Ordering::Relaxed),
+            "{rule:?} violated: {detail}"
+        );
     }
     holds
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,5 @@
 pub mod standin;
 pub mod table;
 pub mod trace;
-pub mod trial;
 pub mod utils;
 pub mod web;
--- a/src/options/args.rs
+++ b/src/options/args.rs
@@ -34,11 +34,6 @@
     /// Example: willowpoint demo --seconds 10 --seed 1
     #[bpaf(command)]
     Demo(#[bpaf(external(demo))] Demo),
-    /// Drive the decisions of several boxes through random faults.
-    ///
-    /// Example: willowpoint trial --seeds 10000 --steps 600
-    #[bpaf(command)]
-    Trial(#[bpaf(external(trial))] Trial),
     /// Create, update, list and remove services.
     #[bpaf(command)]
     Service {
@@ -218,23 +213,6 @@
     pub json: bool,
 }
 
-/// A randomised run of the decisions.
-#[derive(Debug, Clone, Bpaf)]
-pub struct Trial {
-    /// Number of schedules
-    #[bpaf(argument("N"), fallback(100), display_fallback)]
-    pub seeds: u64,
-    /// First seed
-    #[bpaf(argument("N"), fallback(1), display_fallback)]
-    pub first: u64,
-    /// Steps of each schedule
-    #[bpaf(argument("N"), fallback(600), display_fallback)]
-    pub steps: u64,
-    /// Threads
-    #[bpaf(argument("N"), fallback(4), display_fallback)]
-    pub threads: usize,
-}
-
 /// Services.
 #[derive(Debug, Clone, Bpaf)]
 pub enum Service {
--- a/src/options/file.rs
+++ b/src/options/file.rs
@@ -90,6 +90,8 @@
         retries: reader.count("policy.retries", u64::from(default.retries), 0..=16) as u32,
         deadline: reader.duration("policy.deadline", default.deadline, 1..=HOUR),
         reserve: reader.fraction("policy.reserve", default.reserve),
+        failures: reader.count("policy.failures", u64::from(default.failures), 1..=100) as u32,
+        quarantine: reader.duration("policy.quarantine", default.quarantine, 100..=HOUR),
         ..default
     }
 }
--- a/src/program.rs
+++ b/src/program.rs
@@ -11,7 +11,7 @@
 use crate::options::args::{Command, StandIn};
 use crate::options::file;
 use crate::standin::{platform, worker};
-use crate::{cell, demo, entry, proto, rpc, trace, trial};
+use crate::{cell, demo, entry, proto, rpc, trace};
 
 /// Runs a command to its end.
 pub fn run(command: Command) -> ExitCode {
@@ -20,7 +20,6 @@
         Command::Entry { config } => return daemon(config),
         Command::StandIn(stand_in) => stand_in_run(stand_in.clone()),
         Command::Demo(options) => demo::run(options),
-        Command::Trial(options) => trial::run(options),
         Command::Trace { json, id, files } => spans(*json, id, files),
         _ => return operate(&command),
     };
--- a/src/standin/worker/serve.rs
+++ b/src/standin/worker/serve.rs
@@ -102,7 +102,7 @@
                 memory: size.memory,
                 accelerators: size.accelerators,
             },
-            share: constants::WHOLE,
+            share: request.share.clamp(1, constants::WHOLE),
             state: RunState::Running,
             work: request.work,
             done: request.done as f64,
--- a/src/standin/worker/state.rs
+++ b/src/standin/worker/state.rs
@@ -39,6 +39,17 @@
     pub lease: Millis,
 }
 
+impl Task {
+    /// Returns the size that the run holds, its throttle taken into account.
+    fn held(&self) -> Size {
+        let cores = u64::from(self.size.cores) * u64::from(self.share) / u64::from(WHOLE);
+        Size {
+            cores: cores as u32,
+            ..self.size
+        }
+    }
+}
+
 /// A request in progress.
 #[derive(Clone, Debug)]
 pub struct Active {
@@ -202,10 +213,10 @@
     fn used(&self) -> Size {
         let mut used = Size::default();
         for task in self.running() {
-            let cores = u64::from(task.size.cores) * u64::from(task.share) / u64::from(WHOLE);
-            used.cores += cores as u32;
-            used.memory += task.size.memory;
-            used.accelerators += task.size.accelerators;
+            let held = task.held();
+            used.cores += held.cores;
+            used.memory += held.memory;
+            used.accelerators += held.accelerators;
         }
         used
     }
@@ -267,7 +278,7 @@
             return Err(Refusal::Leaving);
         }
         let used = self.used();
-        let size = start.task.size;
+        let size = start.task.held();
         let total = Size {
             cores: used.cores + size.cores,
             memory: used.memory + size.memory,
--- /dev/null
+++ b/tools/trial/src/tests.rs
@@ -0,0 +1,19 @@
+//! A short run with fixed seeds, the same on every machine.
+
+use crate::schedule::Schedule;
+use crate::{Counts, missing, run_one};
+
+const SEEDS: std::ops::Range<u64> = 1..41;
+const STEPS: u64 = 400;
+
+#[test]
+fn no_schedule_violates_a_rule() {
+    println!("seeds {SEEDS:?}, {STEPS} steps each");
+    let mut counts = Counts::default();
+    for seed in SEEDS {
+        let (one, violation) = run_one(&Schedule::of(seed, STEPS));
+        assert!(violation.is_none(), "seed {seed}: {violation:?}");
+        counts.add(&one);
+    }
+    assert_eq!(missing(&counts), Vec::<String>::new());
+}
--- /dev/null
+++ b/tools/trial/src/world/boxes.rs
@@ -0,0 +1,281 @@
+//! What the engines ask for, carried out as the daemon's tasks do.
+
+use std::net::SocketAddr;
+
+use willowpoint::cell::{Action as CellAction, Called, Exchange, Reason, Sent};
+use willowpoint::engine::{Action, Event, Handed, Reported, Verdict};
+use willowpoint::invariant::Rule;
+use willowpoint::lease::Written;
+use willowpoint::table::{Call as TableCall, Outcome};
+use willowpoint::utils::Name;
+
+use super::ends::{PATIENCE, Payload, Request};
+use super::{Asker, End, PORTS, TASK, World};
+
+/// Milliseconds that a greeting may take.
+const GREETING: u64 = 200;
+
+impl World {
+    /// Brings an event to a box and carries out what it asks for.
+    pub fn feed(&mut self, node: usize, event: Event) {
+        let now = self.clock(node);
+        let actions = self.nodes[node].engine.step(now, event);
+        for action in actions {
+            self.carry_out(node, action);
+        }
+    }
+
+    /// Carries out one action of a box.
+    pub fn carry_out(&mut self, node: usize, action: Action) {
+        match action {
+            Action::Send {
+                ticket,
+                epoch,
+                http,
+                left,
+                ..
+            } => self.send(node, ticket, epoch, http, left),
+            Action::Forward {
+                ticket,
+                to,
+                meta,
+                cell,
+                guard,
+                epoch,
+            } => {
+                let retries = meta.retries;
+                let unsent = |reason| Event::Handed {
+                    ticket,
+                    handed: Handed::NotRun {
+                        reason,
+                        after: 100,
+                        retries,
+                    },
+                };
+                let guarding = guard.is_some() && cell.is_some();
+                if guarding && !self.acts(node) {
+                    return self.feed(node, unsent(Reason::Lapsed));
+                }
+                let Some(attempt) = self.attempt(node, ticket) else {
+                    return;
+                };
+                let lost = Event::Handed {
+                    ticket,
+                    handed: Handed::Unknown,
+                };
+                let limit = meta.left + 50;
+                let payload = Payload::Forward {
+                    meta,
+                    cell,
+                    guard,
+                    epoch,
+                    request: Request { ticket, attempt },
+                };
+                let unsent = unsent(Reason::Unreachable);
+                self.ask(
+                    node,
+                    End::Box(index(to, PORTS.0)),
+                    limit,
+                    payload,
+                    lost,
+                    unsent,
+                );
+            }
+            Action::Finish {
+                ticket,
+                verdict,
+                retries,
+            } => self.conclude(node, ticket, verdict, retries),
+            Action::Store { op, call } => self.call_store(node, op, call),
+            Action::List => {
+                let event = Event::Listed(None);
+                self.ask(
+                    node,
+                    End::Store,
+                    PATIENCE,
+                    Payload::List,
+                    event.clone(),
+                    event,
+                );
+            }
+            Action::Worker {
+                cell,
+                epoch,
+                action,
+            } => self.call_worker(node, cell, epoch, action),
+            Action::Greet { to, rpc, greeting } => {
+                let event = Event::Greeted {
+                    to: to.clone(),
+                    sent: greeting.sent,
+                    reply: None,
+                };
+                let end = End::Box(index(rpc, PORTS.0));
+                let payload = Payload::Greet { to, greeting };
+                self.ask(node, end, GREETING, payload, event.clone(), event);
+            }
+            Action::Snapshot(rpc) => {
+                let event = Event::Snapshot(None);
+                let end = End::Box(index(rpc, PORTS.0));
+                self.ask(node, end, PATIENCE, Payload::Snapshot, event.clone(), event);
+            }
+            Action::Exit => self.exit(node),
+            Action::Regreet { .. }
+            | Action::Hint { .. }
+            | Action::Answer { .. }
+            | Action::Disconnect(_) => {}
+        }
+    }
+
+    fn acts(&self, node: usize) -> bool {
+        let now = self.clock(node).millis;
+        self.nodes[node].engine.acts(now)
+    }
+
+    fn attempt(&self, node: usize, ticket: u64) -> Option<usize> {
+        let key = (node, self.nodes[node].boot, ticket);
+        self.parked.get(&key).map(|p| p.attempt)
+    }
+
+    fn send(&mut self, node: usize, ticket: u64, epoch: u64, http: SocketAddr, left: u64) {
+        let event = |sent| Event::Sent { ticket, sent };
+        if !self.acts(node) {
+            return self.feed(node, event(Sent::Unsent));
+        }
+        let Some(attempt) = self.attempt(node, ticket) else {
+            return;
+        };
+        let now = self.clock(node);
+        let until = self.nodes[node].engine.until();
+        let wait = left.min(until.saturating_sub(now.millis));
+        let payload = Payload::Begin {
+            epoch,
+            not_after: now.wall + wait,
+            request: Request { ticket, attempt },
+            service: "s0".into(),
+        };
+        let lost = event(Sent::Unknown {
+            until: now.millis + left * 2,
+        });
+        let end = End::Worker(index(http, PORTS.1));
+        self.ask(node, end, left.max(1), payload, lost, event(Sent::NotRun));
+    }
+
+    fn call_store(&mut self, node: usize, op: u64, call: TableCall) {
+        let sent = self.clock(node).millis;
+        let event = |outcome| Event::Stored { op, sent, outcome };
+        let (lost, unsent) = match call {
+            TableCall::Commit(_) => (
+                event(Outcome::Written(Written::Unknown)),
+                event(Outcome::Written(Written::NotSent)),
+            ),
+            _ => (event(Outcome::Failed), event(Outcome::Failed)),
+        };
+        let payload = Payload::Store { op, sent, call };
+        self.ask(node, End::Store, PATIENCE, payload, lost, unsent);
+    }
+
+    fn call_worker(&mut self, node: usize, cell: Name, epoch: u64, action: CellAction) {
+        let now = self.clock(node);
+        let (worker, lost, unsent) = match &action {
+            CellAction::Sync {
+                worker,
+                round,
+                acks,
+                ..
+            } => {
+                let synced = |exchange| Reported::Synced {
+                    sent: now.millis,
+                    round: *round,
+                    acks: acks.clone(),
+                    exchange,
+                };
+                (worker, synced(Exchange::Lost), synced(Exchange::NotSent))
+            }
+            CellAction::Start { worker, run, .. } => {
+                let started = |called| Reported::Started(run.id, called);
+                (worker, started(Called::Lost), started(Called::Refused))
+            }
+            CellAction::Stop { worker, run, .. } => {
+                let stopped = |called| Reported::Stopped(*run, called);
+                (worker, stopped(Called::Lost), stopped(Called::Refused))
+            }
+            CellAction::Throttle {
+                worker, run, share, ..
+            } => {
+                let throttled = |called| Reported::Throttled(*run, *share, called);
+                (worker, throttled(Called::Lost), throttled(Called::Refused))
+            }
+            _ => return,
+        };
+        let event = |reported| Event::Worker {
+            cell: cell.clone(),
+            epoch,
+            worker: worker.clone(),
+            reported,
+        };
+        let (lost, unsent) = (event(lost), event(unsent));
+        if !self.acts(node) {
+            return self.feed(node, unsent);
+        }
+        let number: usize = worker.trim_start_matches('w').parse().unwrap_or(0);
+        let until = self.nodes[node].engine.until();
+        let payload = Payload::Worker {
+            cell,
+            epoch,
+            not_after: now.wall + until.saturating_sub(now.millis).min(TASK),
+            sent: now.millis,
+            action,
+        };
+        self.ask(node, End::Worker(number), PATIENCE, payload, lost, unsent);
+    }
+
+    fn conclude(&mut self, node: usize, ticket: u64, verdict: Verdict, retries: u32) {
+        let key = (node, self.nodes[node].boot, ticket);
+        let Some(parked) = self.parked.remove(&key) else {
+            self.truth
+                .check(false, Rule::Answer, || format!("{ticket} has two outcomes"));
+            return;
+        };
+        match parked.from {
+            Asker::Caller => self.tell_caller(parked.attempt, verdict, parked.answer),
+            Asker::Peer { call, ticket } => {
+                let handed = match verdict {
+                    Verdict::Answer => Handed::Answered,
+                    Verdict::NotRun { reason, after } => Handed::NotRun {
+                        reason,
+                        after,
+                        retries,
+                    },
+                    Verdict::Unknown { .. } => Handed::Unknown,
+                };
+                self.tell_peer(node, call, ticket, handed, parked.answer);
+            }
+        }
+    }
+
+    /// Ends a planned stop: nothing may be in progress, or it took too long.
+    fn exit(&mut self, node: usize) {
+        let boot = self.nodes[node].boot;
+        let waiting = self
+            .parked
+            .keys()
+            .filter(|k| (k.0, k.1) == (node, boot))
+            .count();
+        match waiting {
+            0 => self.truth.counts.event("planned stops completed"),
+            _ => self.truth.counts.event("planned stops cut short"),
+        }
+        self.replace(node);
+    }
+
+    /// Puts a new process in the place of a box.
+    pub fn replace(&mut self, node: usize) {
+        let boot = self.nodes[node].boot;
+        self.parked.retain(|k, _| (k.0, k.1) != (node, boot));
+        self.nodes[node] = self.boot(node);
+    }
+}
+
+fn index(address: SocketAddr, base: u16) -> usize {
+    usize::from(address.port() - base)
+}
--- /dev/null
+++ b/tools/trial/src/world/load.rs
@@ -0,0 +1,419 @@
+//! Callers, operators and jobs.
+
+use std::collections::BTreeMap;
+
+use willowpoint::cell::{Class, Size};
+use willowpoint::config::{self, ChangeRow, Edit, Editor, Head, Refusal, Step};
+use willowpoint::engine::{Action, Event, Query, Verdict, View};
+use willowpoint::invariant::Rule;
+use willowpoint::job::{self, JobRow, LotRow, Site, Spec};
+use willowpoint::lease::Written;
+use willowpoint::request::Meta;
+use willowpoint::table::{Call, Expect, Op, Outcome, decode};
+use willowpoint::utils::Name;
+
+use super::{Asker, Delivery, EPOCH, World};
+use crate::schedule::{BOXES, Fault};
+use crate::truth::{Attempt, Request};
+
+/// Milliseconds until a request's answer is worthless.
+const DEADLINE: u64 = 1_500;
+/// Sends of one request at most.
+const SENDS: u32 = 4;
+/// Probability that a caller issues a request in one step.
+const RATE: f64 = 0.6;
+/// Jobs of one run at most.
+const JOBS: usize = 30;
+
+/// An operator's change in progress.
+pub struct Operation {
+    editor: Editor,
+    id: Name,
+    call: Option<Call>,
+    box_used: usize,
+}
+
+impl World {
+    /// Writes the configuration that the run begins with.
+    pub fn prepare(&mut self) {
+        let edit = |name: &str| Edit {
+            key: format!("service/{name}").into(),
+            value: Some(r#"{"team":"t","cores":500}"#.into()),
+            expect: None,
+        };
+        let row = ChangeRow {
+            version: 0,
+            id: "first".into(),
+            author: "run".into(),
+            when: EPOCH,
+            edits: vec![edit("s0"), edit("s1"), edit("s2")],
+        };
+        let (mut editor, mut step) = Editor::new(row);
+        while let Step::Call(call) = step {
+            step = editor.next(self.table.call(&call));
+        }
+    }
+
+    /// Lets callers issue requests.
+    pub fn callers(&mut self) {
+        if !self.random.chance(RATE) {
+            return;
+        }
+        let number = self.truth.requests.len();
+        let skew = self.random.below(401);
+        self.truth.requests.push(Request {
+            id: format!("q{number}").into(),
+            issued: EPOCH + self.now + skew - 200,
+            repeatable: self.random.chance(0.4),
+            ran: 0,
+            sends: 0,
+        });
+        self.send_request(number);
+    }
+
+    /// Sends a request through any box.
+    pub fn send_request(&mut self, number: usize) {
+        let attempt = self.truth.attempts.len();
+        self.truth.attempts.push(Attempt {
+            request: number,
+            ran: 0,
+            denied: false,
+            told: false,
+        });
+        let request = &mut self.truth.requests[number];
+        request.sends += 1;
+        let class = match number % 4 {
+            0 => Class::Batch,
+            _ => Class::Critical,
+        };
+        let meta = Meta {
+            id: request.id.clone(),
+            service: "s0".into(),
+            team: "t".into(),
+            class,
+            repeatable: request.repeatable,
+            left: DEADLINE,
+            issued: request.issued,
+            retries: 2,
+        };
+        let node = self.random.below(BOXES as u64) as usize;
+        let boot = self.nodes[node].boot;
+        let ticket = self.park(node, Asker::Caller, attempt);
+        self.local(node, boot, Event::Request { ticket, meta });
+        let wait = DEADLINE + 500;
+        self.push(self.now + wait, Delivery::GiveUp { attempt });
+    }
+
+    /// Tells a caller what came of its attempt.
+    pub fn tell_caller(&mut self, attempt: usize, verdict: Verdict, answer: Option<usize>) {
+        match verdict {
+            Verdict::Answer => {
+                self.truth.counts.event("callers answered");
+                self.truth.check(answer.is_some(), Rule::Answer, || {
+                    format!("attempt {attempt} is answered without an answer")
+                });
+            }
+            Verdict::NotRun { .. } => {
+                self.truth.counts.event("callers told not run");
+                self.truth.deny(attempt);
+            }
+            Verdict::Unknown { .. } => self.truth.counts.event("callers told unknown"),
+        }
+        self.truth.answer(attempt, answer);
+        if verdict != Verdict::Answer {
+            self.send_again(attempt);
+        }
+    }
+
+    /// Lets a caller that had no answer wait no longer.
+    pub fn give_up(&mut self, attempt: usize) {
+        if !self.truth.attempts[attempt].told {
+            self.truth.counts.event("callers left without an answer");
+            self.send_again(attempt);
+        }
+    }
+
+    fn send_again(&mut self, attempt: usize) {
+        let number = self.truth.attempts[attempt].request;
+        let sends = self.truth.requests[number].sends;
+        if sends < SENDS && self.random.chance(0.7) {
+            let at = self.now + self.random.below(400);
+            self.push(at, Delivery::Resend { request: number });
+        }
+    }
+
+    /// Lets two operators change the same entry.
+    pub fn race(&mut self, fault: Fault) {
+        let key: Name = format!("service/s{}", fault.b % 3).into();
+        let rows = self.table.read(&[format!("{}{key}", config::ENTRY).into()]);
+        let entry = rows.first().and_then(decode::<config::EntryRow>);
+        let expect = entry.map_or(0, |e| e.version);
+        for side in 0..2 {
+            let number = self.operations.len();
+            let id: Name = format!("c{number}").into();
+            let value = format!(r#"{{"team":"t","cores":{}}}"#, 500 + number % 7);
+            let row = ChangeRow {
+                version: 0,
+                id: id.clone(),
+                author: "run".into(),
+                when: EPOCH + self.now,
+                edits: vec![Edit {
+                    key: key.clone(),
+                    value: Some(value.into()),
+                    expect: Some(expect),
+                }],
+            };
+            let (editor, step) = Editor::new(row);
+            let operation = Operation {
+                editor,
+                id,
+                call: None,
+                box_used: (fault.a + side) % BOXES,
+            };
+            self.operations.push(operation);
+            self.advance(number, step);
+        }
+    }
+
+    fn advance(&mut self, number: usize, step: Step) {
+        let id = self.operations[number].id.clone();
+        match step {
+            Step::Call(call) => {
+                self.operations[number].call = Some(call);
+                let at = self.now + self.delay(super::End::Store);
+                self.push(at, Delivery::Operate { operation: number });
+            }
+            Step::Accepted(version) => {
+                self.truth.counts.event("changes accepted");
+                self.truth.accepted.insert(id, version);
+            }
+            Step::Refused(Refusal::Unknown) => self.truth.counts.event("changes unknown"),
+            Step::Refused(_) => {
+                self.truth.counts.event("changes refused");
+                self.truth.refused.push(id);
+            }
+        }
+    }
+
+    /// Makes the next call of an operator's change.
+    pub fn operate(&mut self, number: usize) {
+        let Some(call) = self.operations[number].call.take() else {
+            return;
+        };
+        let is_commit = matches!(call, Call::Commit(_));
+        let node = self.operations[number].box_used;
+        let away = self.is_cut(super::End::Box(node), super::End::Store);
+        let down = self.trouble.store_down > self.now || away;
+        let lost = self.trouble.lose > self.now && self.random.chance(0.5);
+        let outcome = match (down, is_commit) {
+            (true, true) => Outcome::Written(Written::Unknown),
+            (true, false) => Outcome::Failed,
+            (false, _) => {
+                let outcome = self.table.call(&call);
+                match lost && is_commit {
+                    true => Outcome::Written(Written::Unknown),
+                    false => outcome,
+                }
+            }
+        };
+        let step = self.operations[number].editor.next(outcome);
+        self.advance(number, step);
+    }
+
+    fn sites(&mut self) -> Vec<Site> {
+        for node in 0..BOXES {
+            let now = self.clock(node);
+            let query = Event::Query {
+                ticket: 0,
+                query: Query::Sites,
+            };
+            let mut actions = self.nodes[node].engine.step(now, query);
+            if let Some(Action::Answer {
+                view: View::Sites(sites),
+                ..
+            }) = actions.pop()
+                && !sites.is_empty()
+            {
+                return sites.into_iter().map(|(site, _)| site).collect();
+            }
+        }
+        Vec::new()
+    }
+
+    /// Submits a job; false when that is not possible now.
+    pub fn submit(&mut self, fault: Fault, urgent: bool) -> bool {
+        let sites = self.sites();
+        if sites.is_empty() || self.jobs.len() >= JOBS {
+            return false;
+        }
+        let spec = Spec {
+            id: format!("j{}", self.jobs.len()).into(),
+            team: format!("t{}", fault.a % 2).into(),
+            kind: format!("k{}", fault.b % 3).into(),
+            tasks: 1 + (fault.b % 9) as u32,
+            size: Size {
+                cores: 500 + (fault.b % 4) as u32 * 500,
+                memory: 500,
+                accelerators: 0,
+            },
+            work: 200 + fault.span * 20,
+            urgent,
+        };
+        let Ok((row, lots)) = job::spread(&spec, &sites, EPOCH + self.now) else {
+            return false;
+        };
+        let mut ops = vec![Op::put(job::key(&spec.id), Expect::Absent, &row)];
+        let rows = row.lots.iter().zip(&lots);
+        ops.extend(rows.map(|(key, lot)| Op::put(key.clone(), Expect::Absent, lot)));
+        if self.table.commit(&ops).is_err() {
+            return false;
+        }
+        self.jobs.push(spec.id);
+        let cells: Vec<Name> = row
+            .lots
+            .iter()
+            .filter_map(|k| job::lot_cell(k))
+            .map(Name::from)
+            .collect();
+        self.hint(cells, Vec::new());
+        true
+    }
+
+    /// Tells boxes of new lots or cancelled jobs; some are not reached.
+    fn hint(&mut self, cells: Vec<Name>, cancelled: Vec<Name>) {
+        for node in 0..BOXES {
+            if self.random.chance(0.2) {
+                continue;
+            }
+            let event = Event::Hint {
+                cells: cells.clone(),
+                cancelled: cancelled.clone(),
+            };
+            let boot = self.nodes[node].boot;
+            self.local(node, boot, event);
+        }
+    }
+
+    /// Submits a job that can never run, which must be refused.
+    pub fn submit_never(&mut self) -> bool {
+        let sites = self.sites();
+        let known = sites.iter().any(|s| s.shapes.iter().any(|sh| sh.cores > 0));
+        if !known {
+            return false;
+        }
+        let spec = Spec {
+            id: "never".into(),
+            team: "t".into(),
+            kind: "k".into(),
+            tasks: 1,
+            size: Size {
+                cores: 4_001,
+                memory: 1,
+                accelerators: 0,
+            },
+            work: 1,
+            urgent: false,
+        };
+        let refused = job::spread(&spec, &sites, EPOCH).is_err();
+        self.truth.check(refused, Rule::Room, || {
+            "a job that can't run is accepted".into()
+        });
+        true
+    }
+
+    /// Cancels every job at once.
+    pub fn cancel_all(&mut self) -> bool {
+        let jobs = self.jobs.clone();
+        for id in &jobs {
+            let key: Name = job::key(id).into();
+            let rows = self.table.read(std::slice::from_ref(&key));
+            if let Some(mut row) = rows.first().and_then(decode::<JobRow>) {
+                row.cancelled = true;
+                let _ = self.table.commit(&[Op::put(key, Expect::Present, &row)]);
+            }
+        }
+        self.hint(Vec::new(), jobs.clone());
+        !jobs.is_empty()
+    }
+
+    /// Checks that all became whole after the calm.
+    pub fn finish(&mut self) {
+        self.finish_owners();
+        self.finish_config();
+        self.finish_jobs();
+    }
+
+    fn finish_owners(&mut self) {
+        let cells: Vec<Name> = super::RACKS.iter().map(|c| Name::from(*c)).collect();
+        for cell in cells {
+            let mut owners = 0;
+            for node in 0..BOXES {
+                let now = self.clock(node).millis;
+                let engine = &self.nodes[node].engine;
+                owners += usize::from(engine.acts(now) && engine.owned().any(|(c, _)| *c == cell));
+            }
+            self.truth.check(owners == 1, Rule::Owner, || {
+                format!("{cell} has {owners} owners at the end")
+            });
+        }
+    }
+
+    fn finish_config(&mut self) {
+        let rows = self.table.read(&[config::HEAD.into()]);
+        let head = rows
+            .first()
+            .and_then(decode::<Head>)
+            .map_or(0, |h| h.version);
+        let versions: Vec<u64> = (0..BOXES).map(|n| self.nodes[n].engine.version()).collect();
+        let all = versions.iter().all(|v| *v == head);
+        self.truth.check(all, Rule::Config, || {
+            format!("the head is {head}, in force are {versions:?}")
+        });
+        let keys: Vec<Name> = (1..=head).map(config::change_key).collect();
+        let rows = self.table.read(&keys);
+        let changes = rows.iter().filter_map(decode::<ChangeRow>);
+        let made: BTreeMap<Name, u64> = changes.map(|c| (c.id, c.version)).collect();
+        let accepted = self.truth.accepted.clone();
+        for (id, version) in accepted {
+            let kept = made.get(&id) == Some(&version);
+            self.truth.check(kept, Rule::Config, || {
+                format!("{id} was accepted and is not there")
+            });
+        }
+        let refused = self.truth.refused.clone();
+        for id in refused {
+            let absent = !made.contains_key(&id);
+            self.truth.check(absent, Rule::Config, || {
+                format!("{id} was refused and is there")
+            });
+        }
+    }
+
+    fn finish_jobs(&mut self) {
+        let jobs = self.jobs.clone();
+        for id in jobs {
+            let rows = self.table.read(&[job::key(&id).into()]);
+            let Some(row) = rows.first().and_then(decode::<JobRow>) else {
+                self.truth
+                    .check(false, Rule::Resume, || format!("{id} is lost"));
+                continue;
+            };
+            let rows = self.table.read(&row.lots);
+            let lots: Vec<LotRow> = rows.iter().filter_map(decode).collect();
+            let summary = job::summarize(&row, &lots);
+            let name = match summary.state {
+                "done" => "jobs done",
+                "failed" => "jobs failed",
+                "cancelled" => "jobs cancelled",
+                _ => "jobs open",
+            };
+            self.truth.counts.event(name);
+            let ended = summary.state != "open";
+            self.truth.check(ended, Rule::Resume, || {
+                let states = self.nodes.iter().map(|n| n.engine.tasks_of(&id));
+                let states: Vec<_> = states.collect();
+                format!("{id} has not ended: {summary:?} {states:?}")
+            });
+        }
+    }
+}
