--- a/src/cell/room.rs
+++ b/src/cell/room.rs
@@ -67,6 +67,9 @@
     pub syncing: bool,
     /// Until when its last answer is relied on.
     pub trusted: Millis,
+    /// When it began to answer after a silence: what was sent to it before may
+    /// take effect for some time more.
+    pub awake: Millis,
     /// When a renewal that it may have got was last sent.
     pub renewed: Millis,
     /// When the renewal in progress was sent, or 0.
@@ -113,6 +116,7 @@
             asked: None,
             syncing: false,
             trusted: 0,
+            awake: 0,
             renewed: 0,
             renewing: 0,
             retiring: false,
@@ -257,7 +261,8 @@
 impl Run {
     /// Returns the size that the run holds, its throttle taken into account.
     pub fn held(&self) -> Size {
-        let cores = u64::from(self.size.cores) * u64::from(self.share) / u64::from(WHOLE);
+        let share = self.share.max(self.floor);
+        let cores = u64::from(self.size.cores) * u64::from(share) / u64::from(WHOLE);
         Size {
             cores: cores as u32,
             ..self.size
--- a/src/cell/runs.rs
+++ b/src/cell/runs.rs
@@ -35,6 +35,11 @@
     pub size: Size,
     /// Thousandths of its cores that it may use.
     pub share: u32,
+    /// Thousandths of its cores that it may come to use by a raise without an
+    /// answer; never counted less.
+    pub floor: u32,
+    /// True while a change of its share has no outcome.
+    pub throttling: bool,
     /// How far it is.
     pub phase: RunPhase,
     /// Milliseconds of work done before it started.
@@ -49,6 +54,13 @@
     pub urgent: bool,
 }
 
+impl Run {
+    /// Returns true when its start may or may not have taken effect.
+    pub fn unconfirmed(&self) -> bool {
+        matches!(self.phase, RunPhase::Starting | RunPhase::Doubt)
+    }
+}
+
 /// How a run ended or goes on, as its worker says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunState {
--- a/src/cell/state.rs
+++ b/src/cell/state.rs
@@ -6,7 +6,7 @@
 use super::harm::{Harm, Sample};
 use super::requests::Queue;
 use super::room::Worker;
-use super::runs::{Report, RunId, RunPhase};
+use super::runs::{Report, Run, RunId, RunPhase};
 use super::tasks::Lot;
 use super::{Action, Policy, Shape};
 use crate::utils::Name;
@@ -276,7 +276,7 @@
         asked: Asked,
         exchange: Exchange,
     ) -> (bool, Vec<Action>) {
-        let Asked { sent, round, acks } = asked;
+        let Asked { sent, acks, .. } = asked;
         let Some(worker) = self.workers.get_mut(name) else {
             return (false, Vec::new());
         };
@@ -293,6 +293,9 @@
             worker.known = false;
             return (true, Vec::new());
         }
+        if !worker.known || now >= worker.trusted {
+            worker.awake = now;
+        }
         worker.trusted = sent + self.times.sync * SILENT;
         worker.known = true;
         worker.shape = reply.shape;
@@ -309,7 +312,7 @@
         for ticket in gone {
             worker.remove(ticket);
         }
-        let missing = absent(worker, sent, round, &reply.runs);
+        let missing = absent(worker, sent, self.margin, &reply.runs);
         let mut actions = Vec::new();
         for id in missing {
             self.vanish(now, name, id);
@@ -345,28 +348,36 @@
     }
 
     /// Ends the runs of workers that can't have renewed them.
+    ///
+    /// A start in doubt may lie unread before a worker that stands still, and
+    /// not all workers refuse it later: it is over only when the worker has
+    /// answered, or is gone from the list.
     fn lapse(&mut self, now: Millis) {
         let span = self.times.task + self.times.margin;
-        let lapsed: Vec<(Name, RunId)> = self
-            .workers
-            .values()
-            .filter(|w| !w.known && now > w.renewed.max(w.renewing) + span)
-            .flat_map(|w| w.runs.keys().map(|id| (w.name.clone(), *id)))
-            .collect();
+        let mut lapsed: Vec<(Name, RunId)> = Vec::new();
+        for worker in self.workers.values() {
+            if worker.known || now <= worker.renewed.max(worker.renewing) + span {
+                continue;
+            }
+            let over = |r: &&Run| !worker.listed || !r.unconfirmed();
+            let runs = worker.runs.values().filter(over);
+            lapsed.extend(runs.map(|r| (worker.name.clone(), r.id)));
+        }
         for (name, id) in lapsed {
             self.vanish(now, &name, id);
         }
     }
 }
 
-/// Returns runs that should be on the worker and are not.
-fn absent(worker: &Worker, sent: Millis, round: u64, reports: &[Report]) -> Vec<RunId> {
+/// Returns runs that should be on the worker and are not, by an exchange that
+/// was sent at `sent`.
+fn absent(worker: &Worker, sent: Millis, margin: Millis, reports: &[Report]) -> Vec<RunId> {
     let reported: BTreeSet<RunId> = reports.iter().map(|r| r.id).collect();
     let gone = worker.runs.values().filter(|run| {
         let confirmed = match run.phase {
             RunPhase::Running | RunPhase::Stopping => run.since < sent,
-            // The worker refuses a start of an earlier round from now on.
-            RunPhase::Doubt => run.round < round,
+            // What was sent before has taken effect by now, or never will.
+            RunPhase::Doubt => sent > run.since.max(worker.awake) + margin,
             RunPhase::Starting => false,
         };
         confirmed && !reported.contains(&run.id)
--- a/src/cell/tasks.rs
+++ b/src/cell/tasks.rs
@@ -220,6 +220,10 @@
             return;
         }
         for lot in self.lots.values_mut() {
+            // Work that a worker told of is recorded before it is resumed.
+            if !lot.quiet() {
+                continue;
+            }
             for live in &mut lot.live {
                 if *live == Live::Held {
                     *live = Live::Waiting;
@@ -316,6 +320,8 @@
             kind: spec.kind.clone(),
             size,
             share,
+            floor: 0,
+            throttling: false,
             phase: RunPhase::Starting,
             saved,
             progress: saved,
@@ -345,7 +351,8 @@
 
     /// Makes room for urgent work: the run whose stop loses least yields.
     fn start_urgent(&mut self, now: Millis, key: &Name) -> Option<Action> {
-        let spec = &self.lots.get(key)?.row.spec;
+        let lot = self.lots.get(key)?;
+        let spec = &lot.row.spec;
         if !spec.urgent {
             return None;
         }
@@ -357,7 +364,12 @@
         if yielding {
             return None;
         }
-        let victims = self.workers.values().filter(|w| w.open(now));
+        let index = lot.live.iter().position(|l| *l == Live::Waiting)?;
+        let shunned = lot.shunned.get(&index);
+        // Only where the urgent task could then run.
+        let victims = self.workers.values().filter(|w| {
+            w.open(now) && w.quarantine <= now && Some(&w.name) != shunned
+        });
         let victims = victims.flat_map(|w| w.running().map(move |r| (w, r)));
         let enough = |(w, r): &(&Worker, &Run)| !r.urgent && fits_without(w, r, size);
         let loss = |(_, r): &(&Worker, &Run)| (r.progress.saturating_sub(r.saved), r.id);
@@ -548,17 +560,18 @@
     fn throttle(&mut self, now: Millis, name: &Name, id: RunId, share: u32) -> Option<Action> {
         let worker = self.workers.get_mut(name)?;
         let rpc = worker.rpc;
-        let old = worker.runs.get(&id)?.share;
-        let run = worker.runs.get(&id)?;
+        let run = worker.runs.get(&id).filter(|r| !r.throttling)?;
+        let (old, held) = (run.share, run.held().cores);
         let more = u64::from(run.size.cores) * u64::from(share) / u64::from(WHOLE);
-        if share > old && more as u32 > worker.cores() + run.held().cores {
+        if share > old && more as u32 > worker.cores() + held {
             return None;
         }
         worker.throttled = now;
         // More is counted at once, less only when the worker has confirmed it.
-        if share > old {
-            worker.change(id, |r| r.share = share);
-        }
+        worker.change(id, |r| {
+            r.throttling = true;
+            r.share = r.share.max(share);
+        });
         Some(Action::Throttle {
             worker: name.clone(),
             rpc,
@@ -580,12 +593,17 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return Vec::new();
         };
-        if let Called::Done(_) = called {
-            worker.change(id, |r| {
-                r.share = share;
-                r.since = now;
-            });
-        }
+        worker.change(id, |r| {
+            r.throttling = false;
+            match called {
+                Called::Done(_) => {
+                    r.share = share;
+                    r.since = now;
+                }
+                Called::Lost => r.floor = r.floor.max(share),
+                Called::Refused => {}
+            }
+        });
         self.pump(now, micros)
     }
 
@@ -628,6 +646,7 @@
                 worker.change(id, |r| {
                     if r.phase == RunPhase::Starting {
                         r.phase = RunPhase::Doubt;
+                        r.since = now;
                     }
                 });
             }
@@ -791,7 +810,8 @@
             true => {
                 worker.change(report.id, |r| {
                     r.progress = report.progress;
-                    r.share = report.share;
+                    // A report may be older than the last change of the share.
+                    r.share = r.share.max(report.share);
                     if matches!(r.phase, RunPhase::Starting | RunPhase::Doubt) {
                         r.phase = RunPhase::Running;
                         r.since = now;
@@ -1056,6 +1076,9 @@
         kind: report.kind.clone(),
         size: report.size,
         share: report.share,
+        // An earlier owner may have raised its share without an answer.
+        floor: WHOLE,
+        throttling: false,
         phase: RunPhase::Running,
         saved: 0,
         progress: report.progress,
