The demo, planned moves without a gap, and an honest promise of callers

A released cell had no owner for up to two polls; a stopped box ended while peers still handed over to it; a new guard knew nothing of ids issued before its time. Change: a release names the next owner in the same write, and tells at once; a stopping box lingers and refuses; a request waits 100 to 200 ms for another guard within its sends; a caller may promise to send only once before its deadline (willowpoint-resend: no). Also found by random runs: a task was cancelled or resumed while a start of an earlier owner lay unread before a worker that stood still; held tasks now wait until every listed worker has answered.

--- a/src/cell/tasks.rs
+++ b/src/cell/tasks.rs
@@ -33,6 +33,9 @@
 /// Failures in a row, of two jobs or more, that put a worker in quarantine.
 const FAILURES: usize = 3;
 
+/// Doublings of a quarantine at most.
+const BACKOFF: u32 = 4;
+
 /// Where a task is, beyond what its row tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Live {
@@ -196,7 +199,7 @@
             }
             lot.cancelled = true;
             for (index, live) in lot.live.iter_mut().enumerate() {
-                if matches!(live, Live::Waiting | Live::Held) {
+                if *live == Live::Waiting {
                     *live = Live::Ended;
                     lot.row.tasks[index].phase = Phase::Cancelled;
                     lot.dirty = true;
@@ -215,8 +218,12 @@
     }
 
     /// Lets tasks start that an earlier owner can no longer have running.
+    ///
+    /// A start that it sent may lie unread before a worker that stands still,
+    /// so every listed worker must have answered, and some time ago.
     pub fn unhold(&mut self, now: Millis) {
-        if now < self.hold || !self.loaded {
+        let settled = |w: &Worker| !w.listed || (w.known && now > w.awake + self.margin);
+        if now < self.hold || !self.loaded || !self.workers.values().all(settled) {
             return;
         }
         for lot in self.lots.values_mut() {
@@ -229,6 +236,9 @@
                     *live = Live::Waiting;
                 }
             }
+            if lot.cancelled {
+                end_waiting(lot);
+            }
         }
     }
 
@@ -367,9 +377,10 @@
         let index = lot.live.iter().position(|l| *l == Live::Waiting)?;
         let shunned = lot.shunned.get(&index);
         // Only where the urgent task could then run.
-        let victims = self.workers.values().filter(|w| {
-            w.open(now) && w.quarantine <= now && Some(&w.name) != shunned
-        });
+        let victims = self
+            .workers
+            .values()
+            .filter(|w| w.open(now) && w.quarantine <= now && Some(&w.name) != shunned);
         let victims = victims.flat_map(|w| w.running().map(move |r| (w, r)));
         let enough = |(w, r): &(&Worker, &Run)| !r.urgent && fits_without(w, r, size);
         let loss = |(_, r): &(&Worker, &Run)| (r.progress.saturating_sub(r.saved), r.id);
@@ -773,6 +784,8 @@
     /// put in quarantine, and those failures no longer count for the tasks.
     fn strike(&mut self, now: Millis, name: &Name, job: Name) {
         let quarantine = self.policy.quarantine;
+        let listed = self.workers.values().filter(|w| w.listed).count();
+        let shut = self.workers.values().filter(|w| w.quarantine > now).count();
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -782,7 +795,11 @@
         if !again && (worker.failing.len() < FAILURES || jobs.len() < 2) {
             return;
         }
-        let span = quarantine << worker.quarantines.min(6);
+        // Where half of the workers fail, the fault is more likely the jobs'.
+        if (shut + 1) * 2 > listed {
+            return;
+        }
+        let span = quarantine << worker.quarantines.min(BACKOFF);
         worker.quarantine = now + span;
         worker.quarantines += 1;
         let blamed = std::mem::take(&mut worker.failing);
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -60,7 +60,8 @@
         /// New contents.
         row: CellRow,
     },
-    /// Write the row of a cell without an owner.
+    /// Write the row of a cell that is given up: to the box that should have
+    /// it, expecting that box's row present, or without an owner.
     Release {
         /// Name of the cell.
         cell: Name,
--- a/src/claim/state.rs
+++ b/src/claim/state.rs
@@ -10,6 +10,8 @@
 
 /// Claims in progress at once, so that a takeover does not flood the table.
 const PENDING: usize = 8;
+/// Cells that are given away at once.
+const MOVES: usize = 4;
 /// Milliseconds that a free cell is left to the box it should belong to.
 const PATIENCE: Millis = 2_000;
 /// Milliseconds that the hosts must be unchanged before a cell is given away.
@@ -30,6 +32,8 @@
     epoch: u64,
     /// True while a write of its row has no outcome.
     writing: bool,
+    /// True once a write that names the next owner has failed.
+    alone: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -57,6 +61,7 @@
     read_sent: Millis,
     complete: bool,
     stopping: bool,
+    moves: u64,
 }
 
 impl Claims {
@@ -78,6 +83,7 @@
             read_sent: 0,
             complete: false,
             stopping: false,
+            moves: 0,
         }
     }
 
@@ -127,6 +133,11 @@
         self.targets = plan(&cells, &self.hosts);
     }
 
+    /// Makes the next tick read all cells.
+    pub fn refresh(&mut self) {
+        self.read = None;
+    }
+
     /// Stops claiming and gives away what is owned.
     pub fn stop(&mut self) {
         self.stopping = true;
@@ -185,7 +196,7 @@
         actions
     }
 
-    /// Marks one owned cell that should belong to another box as leaving.
+    /// Marks a few owned cells that should belong to other boxes as leaving.
     fn leave(&mut self, now: Millis) {
         if self.stopping {
             for mine in self.mine.values_mut() {
@@ -193,17 +204,17 @@
             }
             return;
         }
-        let busy = self.mine.values().any(|m| m.leaving);
-        if busy || now < self.changed + SETTLED {
+        let leaving = self.mine.values().filter(|m| m.leaving).count();
+        if now < self.changed + SETTLED {
             return;
         }
         let me = &self.me;
         let targets = &self.targets;
-        let stray = self
+        let strays = self
             .mine
             .iter_mut()
-            .find(|(cell, _)| targets.get(*cell).is_some_and(|t| t != me));
-        if let Some((_, mine)) = stray {
+            .filter(|(cell, mine)| !mine.leaving && targets.get(*cell).is_some_and(|t| t != me));
+        for (_, mine) in strays.take(MOVES.saturating_sub(leaving)) {
             mine.leaving = true;
         }
     }
@@ -219,6 +230,7 @@
         let releasing = Releasing {
             epoch,
             writing: false,
+            alone: false,
         };
         self.releasing.insert(cell.clone(), releasing);
         let mut actions = vec![Action::Lost { cell: cell.clone() }];
@@ -235,18 +247,25 @@
                 continue;
             };
             releasing.writing = true;
+            let target = self.targets.get(cell).filter(|t| **t != self.me);
+            let owner = target.filter(|_| !releasing.alone).cloned();
+            // A new owner has a new epoch; without one the next claim counts on.
+            let epoch = releasing.epoch + u64::from(owner.is_some());
             actions.push(Action::Release {
                 cell: cell.clone(),
                 expect: view.version,
-                row: CellRow {
-                    owner: None,
-                    epoch: releasing.epoch,
-                },
+                row: CellRow { owner, epoch },
             });
         }
         actions
     }
 
+    /// Returns the number of cells won and given away, by which others learn
+    /// that the owners are to be read again.
+    pub fn moves(&self) -> u64 {
+        self.moves
+    }
+
     /// Returns true when nothing is owned and no row names this box.
     pub fn empty(&self) -> bool {
         self.mine.is_empty() && self.releasing.is_empty()
@@ -292,6 +311,7 @@
     }
 
     fn win(&mut self, cell: Name, epoch: u64) -> Action {
+        self.moves += 1;
         self.pending.remove(&cell);
         let mine = Mine {
             epoch,
@@ -353,6 +373,7 @@
     ) -> Option<Action> {
         match written {
             Written::Committed => {
+                self.moves += 1;
                 let versioned = Versioned {
                     cell: cell.clone(),
                     version: expect + 1,
@@ -364,6 +385,7 @@
             Written::Conflict | Written::NotSent | Written::Unknown => {
                 if let Some(releasing) = self.releasing.get_mut(cell) {
                     releasing.writing = false;
+                    releasing.alone |= written == Written::Conflict;
                 }
                 self.read = None;
                 None
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -16,6 +16,9 @@
 pub const ID: &str = "willowpoint-id";
 /// Header of a request: milliseconds since the Unix epoch of its first issue.
 pub const ISSUED: &str = "willowpoint-issued-ms";
+/// Header of a request: `no` when the caller has not sent it before and will not
+/// send it again before its deadline or an answer; `yes` otherwise.
+pub const RESEND: &str = "willowpoint-resend";
 /// Header of a request: the team it is counted for.
 pub const TEAM: &str = "willowpoint-team";
 /// Header of a request to an endpoint: the cell of the endpoint.
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -1,6 +1,193 @@
-//! demo
+//! The embedded demo: everything in one process, on real sockets.
+
+mod parts;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use serde_json::json;
+
+use crate::invariant::{RULES, checks, violated};
+use crate::load::{self, Plan, Report};
+use crate::logs::{self, Logs};
 use crate::options::args::Demo;
-/// x
-pub fn run(_o: &Demo) -> eyre::Result<()> {
+use crate::program::block_on;
+use crate::proto::{self, operator_client::OperatorClient};
+use crate::rpc::client::Channel;
+use parts::{Deployment, Site};
+
+/// Requests a second on all boxes together.
+const RATE: f64 = 1_500.0;
+/// Milliseconds until an answer is worthless.
+const DEADLINE: u64 = 1_000;
+/// Milliseconds of one call to a box.
+const PATIENCE: u64 = 5_000;
+/// Milliseconds to wait for the deployment to be ready.
+const READY: u64 = 30_000;
+/// Batch tasks of one job.
+const TASKS: u32 = 24;
+/// Kinds of batch work.
+const KINDS: [&str; 4] = ["reconcile", "restock", "settle", "tariff"];
+
+/// Runs the demo and prints its summary.
+pub fn run(options: &Demo) -> eyre::Result<()> {
+    let quiet = Logs {
+        level: log::LevelFilter::Error,
+        ..Logs::default()
+    };
+    logs::start(&quiet, "demo")?;
+    let mut deployment = Deployment::start(Site {
+        boxes: 3,
+        workers: 8,
+        service: 5_000,
+    })?;
+    let say = |text: &str| {
+        if !options.json {
+            eprintln!("{text}");
+        }
+    };
+    say("two halls, three entry boxes, a platform and eight workers are up");
+    let (first, second, jobs) = block_on(async {
+        deployment.ready(READY).await?;
+        prepare(&deployment).await?;
+        say("a service is created, jobs are submitted, load begins");
+        let half = options.seconds.max(2) * 500;
+        let first = load::run(plan(&deployment, options.seed, half)).await;
+        say("one entry box is replaced under load");
+        deployment.replace(2, READY).await?;
+        let second = load::run(plan(&deployment, options.seed + 1, half)).await;
+        let jobs = summary(&deployment).await?;
+        eyre::Ok((first, second, jobs))
+    })??;
+    let seconds = options.seconds.max(2);
+    print(options, &merge(first, second), &jobs, seconds);
+    deployment.stop();
+    match violated() {
+        0 => Ok(()),
+        count => Err(eyre::eyre!("{count} invariants were violated")),
+    }
+}
+
+fn plan(deployment: &Deployment, seed: u64, span: u64) -> Plan {
+    Plan {
+        boxes: deployment.callers(),
+        service: "stock".into(),
+        rate: RATE,
+        span,
+        deadline: DEADLINE,
+        seed,
+    }
+}
+
+async fn prepare(deployment: &Deployment) -> eyre::Result<()> {
+    let channel = Channel::new(deployment.rpc(0));
+    let service = proto::EntryChange {
+        key: "service/stock".into(),
+        value: r#"{"team":"pharmacy","cores":500}"#.into(),
+        remove: false,
+        expect: Some(0),
+    };
+    let request = proto::ChangeRequest {
+        id: "demo".into(),
+        author: "demo".into(),
+        changes: vec![service],
+    };
+    let call = |c| async move { OperatorClient::new(c).change(request).await };
+    channel.call(PATIENCE, call).await.wrap_err("no service")?;
+    for (index, kind) in KINDS.iter().enumerate() {
+        let spec = proto::JobSpec {
+            id: format!("{kind}-1"),
+            team: "ledger".into(),
+            kind: (*kind).into(),
+            tasks: TASKS,
+            cores: 2_000,
+            memory: 2_000,
+            accelerators: 0,
+            work: 1_000 + 500 * index as u64,
+            urgent: false,
+        };
+        let request = proto::SubmitJobRequest { spec: Some(spec) };
+        let call = |c| async move { OperatorClient::new(c).submit_job(request).await };
+        channel.call(PATIENCE, call).await.wrap_err("no job")?;
+    }
+    // Every box has the service in force within its poll.
+    monoio::time::sleep(Duration::from_millis(2_500)).await;
     Ok(())
 }
+
+async fn summary(deployment: &Deployment) -> eyre::Result<Vec<proto::JobReply>> {
+    let channel = Channel::new(deployment.rpc(1));
+    let request = proto::ListJobsRequest::default();
+    let call = |c| async move { OperatorClient::new(c).list_jobs(request).await };
+    let reply = channel
+        .call(PATIENCE, call)
+        .await
+        .wrap_err("no list of jobs")?;
+    Ok(reply.jobs)
+}
+
+fn merge(first: Report, second: Report) -> Report {
+    let mut all = first;
+    for (verdict, count) in second.verdicts {
+        *all.verdicts.entry(verdict).or_default() += count;
+    }
+    all.wrong += second.wrong;
+    all.micros.extend(second.micros);
+    all.micros.sort_unstable();
+    all
+}
+
+fn print(options: &Demo, report: &Report, jobs: &[proto::JobReply], seconds: u64) {
+    let done: u32 = jobs.iter().map(|j| j.done).sum();
+    let evictions: u32 = jobs.iter().map(|j| j.evictions).sum();
+    let rate = f64::from(done) / seconds as f64;
+    let parts = [("p50", 0.5), ("p99", 0.99), ("p99.9", 0.999)];
+    if options.json {
+        let micros: serde_json::Map<_, _> = parts
+            .iter()
+            .map(|(name, part)| (name.to_string(), json!(report.quantile(*part))))
+            .collect();
+        let rules: serde_json::Map<_, _> = RULES
+            .iter()
+            .map(|r| (format!("{r:?}").to_lowercase(), json!(checks(*r))))
+            .collect();
+        let value = json!({
+            "seed": options.seed,
+            "requests": report.verdicts,
+            "wrong_answers": report.wrong,
+            "micros": micros,
+            "tasks_done": done,
+            "tasks_a_second": rate,
+            "evictions": evictions,
+            "invariant_checks": rules,
+            "invariant_violations": violated(),
+        });
+        println!("{value:#}");
+        return;
+    }
+    println!("requests by what the caller was told");
+    for (verdict, count) in &report.verdicts {
+        println!("  {verdict:28} {count:>8}");
+    }
+    println!("  {:28} {:>8}", "wrong or cut answers", report.wrong);
+    println!("time to the answer");
+    for (name, part) in parts {
+        println!("  {name:28} {:>8.2} ms", report.quantile(part) as f64 / 1e3);
+    }
+    println!("batch");
+    println!("  {:28} {done:>8}", "tasks finished");
+    println!("  {:28} {rate:>8.1}", "tasks a second");
+    println!("  {:28} {evictions:>8}", "evictions");
+    println!("invariants checked inside the program");
+    for rule in RULES {
+        let name = format!("{rule:?}").to_lowercase();
+        println!("  {name:28} {:>8}", checks(rule));
+    }
+    println!("  {:28} {:>8}", "violated", violated());
+}
+
+/// Sets a switch that stops a box as planned.
+fn switch_off(switch: &crate::entry::Switch) {
+    switch.store(true, Ordering::Relaxed);
+}
--- /dev/null
+++ b/src/demo/parts.rs
@@ -0,0 +1,205 @@
+//! A deployment inside one process: each part on a thread of its own.
+
+use std::net::{SocketAddr, TcpListener};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use eyre::WrapErr;
+
+use crate::cell::Shape;
+use crate::entry::{self, Switch};
+use crate::options::{Settings, file};
+use crate::program::block_on;
+use crate::proto;
+use crate::proto::operator_client::OperatorClient;
+use crate::rpc::client::Channel;
+use crate::standin::platform::{self, Platform, Rates};
+use crate::standin::worker;
+use crate::utils::clock;
+
+/// Rates of the platform, as the users have them.
+const RATES: Rates = Rates {
+    writes: 300,
+    reads: 2_000,
+};
+
+/// Sizes of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Site {
+    /// Entry boxes.
+    pub boxes: usize,
+    /// Workers.
+    pub workers: usize,
+    /// Microseconds that a request takes alone.
+    pub service: u64,
+}
+
+struct Member {
+    settings: Settings,
+    switch: Switch,
+    thread: JoinHandle<()>,
+}
+
+/// A running deployment.
+pub struct Deployment {
+    platform: SocketAddr,
+    members: Vec<Member>,
+    generation: usize,
+}
+
+impl Deployment {
+    /// Starts a platform, workers and entry boxes on free ports.
+    pub fn start(site: Site) -> eyre::Result<Self> {
+        let platform = free()?;
+        let service = Platform::new(RATES);
+        for index in 0..site.workers {
+            start_worker(&service, index, site.service)?;
+        }
+        spawn("platform", move || {
+            block_on(platform::serve(service, platform))?
+        })?;
+        let mut deployment = Self {
+            platform,
+            members: Vec::new(),
+            generation: 0,
+        };
+        for index in 0..site.boxes {
+            let member = deployment.member(index)?;
+            deployment.members.push(member);
+        }
+        Ok(deployment)
+    }
+
+    fn member(&mut self, index: usize) -> eyre::Result<Member> {
+        self.generation += 1;
+        let settings = settings(index, self.generation, self.platform)?;
+        let switch = Switch::default();
+        let (own, off) = (settings.clone(), switch.clone());
+        let thread = spawn("entry", move || block_on(entry::run(own, off))?)?;
+        Ok(Member {
+            settings,
+            switch,
+            thread,
+        })
+    }
+
+    /// Returns the addresses for callers.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.members.iter().map(|m| m.settings.web).collect()
+    }
+
+    /// Returns the address for operators of a box.
+    pub fn rpc(&self, index: usize) -> SocketAddr {
+        self.members[index].settings.rpc
+    }
+
+    /// Waits until every box answers and all cells have an owner.
+    pub async fn ready(&self, limit: u64) -> eyre::Result<()> {
+        let end = clock::now() + limit;
+        for member in &self.members {
+            wait(&member.settings, end).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts a new box in the place of one that then stops as planned.
+    pub async fn replace(&mut self, index: usize, limit: u64) -> eyre::Result<()> {
+        let fresh = self.member(index)?;
+        wait(&fresh.settings, clock::now() + limit).await?;
+        let old = std::mem::replace(&mut self.members[index], fresh);
+        super::switch_off(&old.switch);
+        // It ends by itself when what is in progress has ended.
+        drop(old.thread);
+        Ok(())
+    }
+
+    /// Stops all boxes as planned.
+    pub fn stop(self) {
+        for member in &self.members {
+            super::switch_off(&member.switch);
+        }
+        for member in self.members {
+            let _ = member.thread.join();
+        }
+    }
+}
+
+/// Waits until a box is ready, as the platform's balancer would.
+async fn wait(settings: &Settings, end: u64) -> eyre::Result<()> {
+    let channel = Channel::new(settings.rpc);
+    loop {
+        let request = proto::StatusRequest {};
+        let call = |c| async move { OperatorClient::new(c).status(request).await };
+        let status = channel.call(1_000, call).await;
+        if status.is_ok_and(|s| s.ready) {
+            return Ok(());
+        }
+        if clock::now() >= end {
+            return Err(eyre::eyre!("{} is not ready", settings.name));
+        }
+        monoio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+fn start_worker(platform: &Platform, index: usize, service: u64) -> eyre::Result<()> {
+    let (http, rpc) = (free()?, free()?);
+    platform.register(proto::DirectoryEntry {
+        name: format!("w{index}"),
+        hall: format!("h{}", index % 2),
+        rack: format!("r{}", index / 4),
+        http: http.to_string(),
+        rpc: rpc.to_string(),
+        leaving: false,
+    });
+    let setup = worker::Setup {
+        http,
+        rpc,
+        shape: Shape {
+            slots: 8,
+            connections: 64,
+            cores: 16_000,
+            memory: 60_000,
+            accelerators: 0,
+        },
+        service,
+        fence: true,
+    };
+    spawn("worker", move || block_on(worker::serve(setup))?)?;
+    Ok(())
+}
+
+/// Starts a part on a thread; its error ends up in the log.
+fn spawn(
+    name: &str,
+    part: impl FnOnce() -> eyre::Result<()> + Send + 'static,
+) -> eyre::Result<JoinHandle<()>> {
+    let label = name.to_string();
+    let thread = std::thread::Builder::new().name(label.clone());
+    let handle = thread.spawn(move || {
+        if let Err(e) = part() {
+            log::error!(target: "demo", "{label} ended: {e:#}");
+        }
+    });
+    handle.wrap_err_with(|| format!("no thread for {name}"))
+}
+
+/// Returns a free address on loopback.
+pub fn free() -> eyre::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").wrap_err("no free port")?;
+    Ok(listener.local_addr()?)
+}
+
+fn settings(index: usize, generation: usize, platform: SocketAddr) -> eyre::Result<Settings> {
+    let text = format!(
+        "[box]\nname = \"e{index}-{generation}\"\nhall = \"h{}\"\nweb = \"{}\"\nrpc = \"{}\"\n\
+         admin = \"{}\"\n[platform]\nrpc = \"{platform}\"\n",
+        index % 2,
+        free()?,
+        free()?,
+        free()?
+    );
+    file::parse("demo", &text).map_err(|findings| {
+        let lines: Vec<String> = findings.iter().map(|f| f.to_string()).collect();
+        eyre::eyre!(lines.join("\n"))
+    })
+}
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -89,6 +89,9 @@
     pub ask: Option<Name>,
     /// When it was sent, on the sender's clock.
     pub sent: Millis,
+    /// Cells that the sender has won and given away; more than before means
+    /// that the owners are to be read again.
+    pub moves: u64,
     /// Load of the sender's cells.
     pub loads: Vec<Load>,
 }
--- a/src/engine/flights.rs
+++ b/src/engine/flights.rs
@@ -17,6 +17,8 @@
 const EARNED: f64 = 0.1;
 /// Milliseconds after which to come back when nothing better is known.
 const COME_BACK: Millis = 200;
+/// Milliseconds after which another owner of a guard shard is looked for.
+const BACKOFF: Millis = 100;
 /// Milliseconds by which that time varies, so that callers do not come together.
 const JITTER: u64 = 200;
 
@@ -38,6 +40,8 @@
     New,
     /// At the box that owns the guard shard.
     Guard,
+    /// Waiting for another owner of the guard shard to be known.
+    Backoff(Millis),
     /// In an own cell.
     Local(Name),
     /// At the owner of another cell.
@@ -146,7 +150,7 @@
             if leaving {
                 return self.not_run(now, ticket, Reason::Stopping, COME_BACK, out);
             }
-            let admission = guard.admit(now.wall, &id, flight.meta.issued);
+            let admission = guard.admit(now.wall, &id, flight.meta.issued, flight.meta.alone);
             flight.guard = Some((shard, guard.epoch));
             return self.admitted(now, ticket, admission, out);
         }
@@ -170,7 +174,34 @@
                     epoch: 0,
                 });
             }
-            _ => self.not_run(now, ticket, Reason::NotOwner, COME_BACK, out),
+            _ if asked_me => self.not_run(now, ticket, Reason::NotOwner, COME_BACK, out),
+            _ => self.back_off(now, ticket, Reason::NotOwner, out),
+        }
+    }
+
+    /// Waits a little for the guard shard to get another owner, if the request
+    /// has time and sends left.
+    fn back_off(&mut self, now: Now, ticket: u64, reason: Reason, out: &mut Vec<Action>) {
+        let jitter = crate::utils::hash::mix(ticket) % BACKOFF;
+        let until = now.millis + BACKOFF + jitter;
+        let flight = self.flights.get(&ticket);
+        let in_time = flight.is_some_and(|f| f.deadline > until);
+        if !in_time || !self.may_retry(now, ticket) {
+            return self.not_run(now, ticket, reason, COME_BACK, out);
+        }
+        self.claims.refresh();
+        if let Some(flight) = self.flights.get_mut(&ticket) {
+            flight.stage = Stage::Backoff(until);
+        }
+    }
+
+    /// Looks again for the guards of requests that wait for one.
+    pub(super) fn seek_guards(&mut self, now: Now, out: &mut Vec<Action>) {
+        let due = |f: &Flight| matches!(f.stage, Stage::Backoff(until) if until <= now.millis);
+        let waiting = self.flights.iter().filter(|(_, f)| due(f));
+        let tickets: Vec<u64> = waiting.map(|(ticket, _)| *ticket).collect();
+        for ticket in tickets {
+            self.guard(now, ticket, out);
         }
     }
 
@@ -200,6 +231,13 @@
         let Some(flight) = self.flights.get_mut(&ticket) else {
             return;
         };
+        // A guard that has lost its shard meanwhile lets nothing through.
+        if let Some((shard, epoch)) = &flight.guard {
+            let kept = self.guards.get(shard).is_some_and(|g| g.epoch == *epoch);
+            if !kept || !self.lease.acts(now.millis) {
+                return self.not_run(now, ticket, Reason::Lapsed, COME_BACK, out);
+            }
+        }
         let Some(cell) = self.router.choose(&flight.tried) else {
             let reason = if flight.tried.is_empty() {
                 Reason::NotReady
@@ -348,8 +386,8 @@
                 }
                 // Only the guard itself may try cells; another guard may be found.
                 let moved = matches!(reason, Reason::NotOwner | Reason::Unreachable);
-                match moved && self.may_retry(now, ticket) {
-                    true => self.guard(now, ticket, out),
+                match moved {
+                    true => self.back_off(now, ticket, reason, out),
                     false => self.not_run(now, ticket, reason, after, out),
                 }
             }
--- a/src/engine/peers.rs
+++ b/src/engine/peers.rs
@@ -15,6 +15,11 @@
             .others()
             .filter_map(|b| b.rpc.parse().ok().map(|rpc| (b.id.clone(), rpc)))
             .collect();
+        // A cell that has moved is told at once.
+        if self.told != self.claims.moves() {
+            self.told = self.claims.moves();
+            self.greeted.clear();
+        }
         self.greeted
             .retain(|id, _| others.iter().any(|(o, _)| o == id));
         for (id, rpc) in others {
@@ -43,6 +48,7 @@
             stopping: self.stopping.is_some(),
             ask: None,
             sent: now,
+            moves: self.claims.moves(),
             loads: self.loads(now),
         }
     }
@@ -108,6 +114,10 @@
     }
 
     fn learn(&mut self, now: Now, greeting: &Greeting, out: &mut Vec<Action>) {
+        let known = self.moves.insert(greeting.from.clone(), greeting.moves);
+        if known.is_some_and(|moves| moves < greeting.moves) {
+            self.claims.refresh();
+        }
         if greeting.stopping {
             self.router.drop_owner(&greeting.from);
         } else {
--- a/src/engine/state.rs
+++ b/src/engine/state.rs
@@ -17,6 +17,8 @@
 
 /// Heartbeats without a word after which a peer's loads are forgotten.
 const SILENT: u64 = 5;
+/// Heartbeats for which a box that stops goes on refusing.
+const LINGER: u64 = 3;
 /// Milliseconds between two scans for lots that no hint told of.
 const RESCAN: Millis = 10_000;
 
@@ -61,11 +63,16 @@
     pub(super) polled: Option<Millis>,
     pub(super) polling: bool,
     pub(super) greeted: BTreeMap<Name, Millis>,
+    /// Moves of cells that each peer told of, and the own ones told to all.
+    pub(super) moves: BTreeMap<Name, u64>,
+    pub(super) told: u64,
     pub(super) flushed: Millis,
     pub(super) scanned: BTreeMap<Name, Millis>,
     pub(super) checked: Millis,
     pub(super) answered: Millis,
     pub(super) snapshot: Option<Millis>,
+    /// Since when nothing is in progress, during a planned stop.
+    idle: Option<Millis>,
     exited: bool,
 }
 
@@ -101,11 +108,14 @@
             polled: None,
             polling: false,
             greeted: BTreeMap::new(),
+            moves: BTreeMap::new(),
+            told: 0,
             flushed: 0,
             scanned: BTreeMap::new(),
             checked: 0,
             answered: 0,
             snapshot: None,
+            idle: None,
             exited: false,
             setup,
         }
@@ -197,6 +207,7 @@
         self.poll(now, out);
         self.greet(now, out);
         self.claim(now, out);
+        self.seek_guards(now, out);
         if self.lease.acts(now.millis) {
             self.run_cells(now, out);
         } else {
@@ -612,14 +623,20 @@
     }
 
     /// Ends a planned stop when nothing is owned or in progress, or when its
-    /// time is over.
+    /// time is over. It lingers until its peers know, and refuses what they
+    /// still hand over; ended at once it would cut that off.
     fn finish_stop(&mut self, now: Now, out: &mut Vec<Action>) {
         let Some(since) = self.stopping else {
             return;
         };
-        let idle = self.flights.is_empty() && self.claims.empty();
+        let busy = !self.flights.is_empty() || !self.claims.empty();
+        if busy {
+            self.idle = None;
+        }
+        let idle = *self.idle.get_or_insert(now.millis);
+        let quiet = !busy && now.millis >= idle + self.setup.pace.heartbeat * LINGER;
         let over = now.millis >= since + self.setup.pace.stop;
-        if (idle || over) && !self.exited {
+        if (quiet || over) && !self.exited {
             self.exited = true;
             out.push(Action::Exit);
         }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -10,8 +10,8 @@
 mod store;
 mod workers;
 
-use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -44,7 +44,7 @@
 }
 
 /// A switch that begins a planned stop from within the process.
-pub type Switch = Rc<Cell<bool>>;
+pub type Switch = Arc<AtomicBool>;
 
 /// Runs an entry box until its planned stop is complete.
 pub async fn run(settings: Settings, switch: Switch) -> eyre::Result<()> {
@@ -82,7 +82,7 @@
     let mut interval = monoio::time::interval(Duration::from_millis(TICK));
     loop {
         interval.tick().await;
-        let stop = TERMINATED.load(Ordering::Relaxed) || switch.get();
+        let stop = TERMINATED.load(Ordering::Relaxed) || switch.load(Ordering::Relaxed);
         if stop {
             context.send(Message::Event(Event::Stop));
         }
--- a/src/entry/convert.rs
+++ b/src/entry/convert.rs
@@ -26,6 +26,7 @@
         stopping: message.stopping,
         ask: optional(message.ask),
         sent: message.sent,
+        moves: message.moves,
         loads: message.cells.into_iter().map(load).collect(),
     })
 }
@@ -40,6 +41,7 @@
         stopping: greeting.stopping,
         ask: greeting.ask.map(|a| a.to_string()).unwrap_or_default(),
         sent: greeting.sent,
+        moves: greeting.moves,
         cells: greeting.loads.into_iter().map(to_load).collect(),
     }
 }
@@ -86,6 +88,7 @@
         repeatable: message.repeatable,
         left: message.left,
         issued: message.issued,
+        alone: message.alone,
         retries: message.retries,
     }
 }
@@ -101,6 +104,7 @@
         left: meta.left,
         issued: meta.issued,
         retries: meta.retries,
+        alone: meta.alone,
         trace,
     }
 }
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -2,8 +2,8 @@
 //!
 //! Each id belongs to one of a fixed number of guard shards, owned like cells.
 //! The owner remembers the ids it has let through for a retention time after
-//! their first issue. It can't know those of an earlier owner, so a request
-//! that was first issued before its time began is answered as unknown. This
+//! their first issue. It can't know those of an earlier owner, so a resend of
+//! what was first issued before its time began is answered as unknown. This
 //! costs no write per request.
 
 #[cfg(test)]
@@ -27,7 +27,7 @@
     fn default() -> Self {
         Self {
             retention: 120_000,
-            skew: 2_000,
+            skew: 500,
         }
     }
 }
@@ -91,7 +91,10 @@
     }
 
     /// Decides on a request first issued at `issued`, and remembers a fresh one.
-    pub fn admit(&mut self, wall: Millis, id: &Name, issued: Millis) -> Admission {
+    ///
+    /// `alone` is the time until which the caller sends it only once, as it
+    /// promised, or 0: until then no earlier owner can have let it through.
+    pub fn admit(&mut self, wall: Millis, id: &Name, issued: Millis, alone: Millis) -> Admission {
         if let Some(state) = self.ids.get(id) {
             return match state {
                 State::Running => Admission::Running,
@@ -105,7 +108,8 @@
         if issued + retention <= wall {
             return Admission::TooOld;
         }
-        if self.since > 0 && issued <= self.since + skew {
+        let first = wall + skew <= alone;
+        if !first && self.since > 0 && issued <= self.since + skew {
             return Admission::Predates;
         }
         self.ids.insert(id.clone(), State::Running);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod invariant;
 pub mod job;
 pub mod lease;
+pub mod load;
 pub mod logs;
 pub mod metrics;
 pub mod operator;
--- /dev/null
+++ b/src/load/tests.rs
@@ -0,0 +1,20 @@
+//! Tests of the sums over a load.
+
+use super::*;
+
+#[test]
+fn quantiles_are_taken_from_sorted_times() {
+    let report = Report {
+        micros: (1..=1_000).collect(),
+        ..Report::default()
+    };
+    assert_eq!(report.quantile(0.5), 501);
+    assert_eq!(report.quantile(0.99), 990);
+    assert_eq!(Report::default().quantile(0.5), 0);
+}
+
+#[test]
+fn a_box_that_is_not_reached_told_nothing() {
+    let result = Err(WebError::NotSent("refused".into()));
+    assert_eq!(verdict(&result), "not reached");
+}
--- a/src/request.rs
+++ b/src/request.rs
@@ -31,6 +31,9 @@
     pub left: Millis,
     /// Milliseconds since the Unix epoch of its first issue; 0 when not given.
     pub issued: Millis,
+    /// Milliseconds since the Unix epoch until which the caller sends it only
+    /// once, as it promised; 0 without that promise.
+    pub alone: Millis,
     /// Further sends that it may make, over all hops.
     pub retries: u32,
 }
@@ -135,6 +138,10 @@
             format!("is more than {DEADLINE_LIMIT}"),
         );
     }
+    let once = reader.word(constants::RESEND, &answers) == Some(false);
+    let alone = issued
+        .filter(|_| once)
+        .map_or(0, |at| at.saturating_add(left.min(DEADLINE_LIMIT)));
     let meta = Meta {
         id: id.unwrap_or_else(|| "".into()),
         service: service.unwrap_or_else(|| "".into()),
@@ -147,6 +154,7 @@
         repeatable,
         left,
         issued: issued.unwrap_or(0),
+        alone,
         retries: policy.retries,
     };
     match reader.findings.is_empty() {
--- a/tools/trial/src/world/load.rs
+++ b/tools/trial/src/world/load.rs
@@ -94,6 +94,11 @@
             repeatable: request.repeatable,
             left: DEADLINE,
             issued: request.issued,
+            // Some callers do not tell.
+            alone: match request.sends == 1 && number % 3 != 0 {
+                true => request.issued + DEADLINE,
+                false => 0,
+            },
             retries: 2,
         };
         let node = self.random.below(BOXES as u64) as usize;
