Separate processes, killed, frozen, stopped and replaced

Cause: the decisions were shown under failure, the daemon around them not. Change: eight tests start a platform, entry boxes and workers as processes: boxes replaced one after another, a frozen owner, the platform down for longer than a lease, planned stops under load, resends of requests that are not repeatable, the workers' own record against what callers were told. Ruled out: a box that was never ready in one run was a port taken by an outgoing connection; ports now come from below that range.

--- a/src/demo/parts.rs
+++ b/src/demo/parts.rs
@@ -1,6 +1,7 @@
 //! A deployment inside one process: each part on a thread of its own.
 
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -23,6 +24,9 @@
     reads: 2_000,
 };
 
+/// First port that is tried, and how many ports are.
+const PORTS: (u16, u16) = (23_000, 4_000);
+
 /// Sizes of a deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct Site {
@@ -183,10 +187,19 @@
     handle.wrap_err_with(|| format!("no thread for {name}"))
 }
 
-/// Returns a free address on loopback.
-pub fn free() -> eyre::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").wrap_err("no free port")?;
-    Ok(listener.local_addr()?)
+/// Returns a free address on loopback, below the ports that outgoing
+/// connections get.
+fn free() -> eyre::Result<SocketAddr> {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = PORTS.0 + (std::process::id() % u32::from(PORTS.1)) as u16;
+    for _ in 0..PORTS.1 {
+        let port = start + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS.1;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(eyre::eyre!("no free port on loopback"))
 }
 
 fn settings(index: usize, generation: usize, platform: SocketAddr) -> eyre::Result<Settings> {
--- /dev/null
+++ b/tests/processes/main.rs
@@ -0,0 +1,172 @@
+//! The parts as separate processes: killed, frozen, stopped and replaced.
+
+mod parts;
+
+use std::time::Duration;
+
+use parts::{Deployment, Told};
+
+/// Requests sent through each box in turn.
+const REQUESTS: usize = 60;
+
+#[test]
+fn a_request_is_answered_through_every_box() {
+    let deployment = Deployment::start(3, 4);
+    deployment.create_service();
+    for index in 0..3 {
+        let told = deployment.request(index, &format!("r{index}"), true);
+        assert_eq!(told, Told::Answer(format!("r{index}\nbody of r{index}")));
+    }
+}
+
+#[test]
+fn job_state_outlives_every_box() {
+    let mut deployment = Deployment::start(3, 4);
+    deployment.create_service();
+    deployment.operate(&[
+        "job",
+        "submit",
+        "long",
+        "--team",
+        "ledger",
+        "--kind",
+        "settle",
+        "--tasks",
+        "12",
+        "--cores",
+        "2000",
+        "--work-ms",
+        "4000",
+    ]);
+    for index in 0..3 {
+        deployment.kill(index);
+        deployment.start_box(index);
+        deployment.wait_ready(index);
+    }
+    let shown = deployment.wait_job("long", "done");
+    assert_eq!(shown["done"], 12, "{shown}");
+    let counts = deployment.worker_counts();
+    let doubled: u64 = counts.iter().map(|c| c.doubled).sum();
+    let overloads: u64 = counts.iter().map(|c| c.overloads).sum();
+    assert_eq!((doubled, overloads), (0, 0));
+}
+
+#[test]
+fn a_request_that_is_not_repeatable_runs_at_most_once_while_boxes_die() {
+    let mut deployment = Deployment::start(3, 4);
+    deployment.create_service();
+    for number in 0..REQUESTS {
+        let id = format!("hold{number}");
+        if number == REQUESTS / 3 {
+            deployment.kill(number % 3);
+        }
+        // The caller sends it again through every other box, whatever it is told.
+        for index in 0..3 {
+            deployment.request(index, &id, false);
+        }
+    }
+    let counts = deployment.worker_counts();
+    for (id, runs) in counts.iter().flat_map(|c| &c.ids) {
+        assert!(*runs <= 1, "{id} ran {runs} times");
+    }
+    assert!(counts.iter().any(|c| !c.ids.is_empty()), "nothing ran");
+}
+
+#[test]
+fn what_is_called_not_run_was_not_run_by_the_workers_own_record() {
+    let mut deployment = Deployment::start(3, 4);
+    deployment.create_service();
+    let mut denied = Vec::new();
+    for number in 0..REQUESTS {
+        if number == REQUESTS / 4 {
+            deployment.kill_worker(1);
+        }
+        if number == REQUESTS / 2 {
+            deployment.kill(0);
+        }
+        let id = format!("once{number}");
+        if matches!(deployment.request(number % 3, &id, false), Told::NotRun) {
+            denied.push(id);
+        }
+    }
+    let counts = deployment.worker_counts();
+    for id in &denied {
+        let ran = counts.iter().any(|c| c.ids.contains_key(id));
+        assert!(!ran, "{id} was denied and ran");
+    }
+}
+
+#[test]
+fn a_frozen_owner_does_not_act_beside_its_successor() {
+    let deployment = Deployment::start(3, 4);
+    deployment.create_service();
+    deployment.operate(&[
+        "job",
+        "submit",
+        "slow",
+        "--team",
+        "ledger",
+        "--kind",
+        "settle",
+        "--tasks",
+        "16",
+        "--cores",
+        "3000",
+        "--work-ms",
+        "3000",
+    ]);
+    deployment.freeze(0);
+    deployment.wait_cells_without(0);
+    deployment.thaw(0);
+    let shown = deployment.wait_job("slow", "done");
+    assert_eq!(shown["done"], 16, "{shown}");
+    let counts = deployment.worker_counts();
+    let doubled: u64 = counts.iter().map(|c| c.doubled).sum();
+    let overloads: u64 = counts.iter().map(|c| c.overloads).sum();
+    assert_eq!((doubled, overloads), (0, 0));
+}
+
+#[test]
+fn requests_go_on_while_the_platform_is_down() {
+    let deployment = Deployment::start(3, 4);
+    deployment.create_service();
+    // Longer than a lease: only promises carry the boxes through.
+    deployment.platform_down(5_000);
+    std::thread::sleep(Duration::from_millis(4_000));
+    let told = deployment.request(1, "outage", true);
+    assert_eq!(told, Told::Answer("outage\nbody of outage".into()));
+}
+
+#[test]
+fn a_planned_stop_cuts_off_no_request() {
+    let mut deployment = Deployment::start(3, 4);
+    deployment.create_service();
+    let callers = deployment.callers(REQUESTS * 4);
+    for index in 0..3 {
+        let code = deployment.stop(index);
+        assert_eq!(code, Some(0));
+        deployment.start_box(index);
+        deployment.wait_ready(index);
+    }
+    let told = callers.join();
+    let lost = told
+        .iter()
+        .filter(|t| matches!(t, Told::Lost | Told::Unknown));
+    assert_eq!(lost.count(), 0, "{told:?}");
+    let answered = told.iter().filter(|t| matches!(t, Told::Answer(_))).count();
+    assert!(answered > 0, "no request was answered");
+}
+
+#[test]
+fn of_two_operators_one_wins_and_exit_codes_tell() {
+    let deployment = Deployment::start(3, 2);
+    deployment.create_service();
+    let change = |value: &str| {
+        let set = format!("team/ledger={{\"cores\":{value}}}");
+        deployment.command(&["config", "apply", "--expect", "0", "--set", &set])
+    };
+    let codes = [change("1000").code, change("2000").code];
+    assert_eq!(codes, [0, 2]);
+    let unreached = parts::command_at("127.0.0.1:1", &["status"]);
+    assert_eq!(unreached.code, 3, "{}", unreached.text);
+}
--- /dev/null
+++ b/tests/processes/parts.rs
@@ -0,0 +1,416 @@
+//! A deployment of separate processes on free ports.
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use willowpoint::program::block_on;
+use willowpoint::proto;
+use willowpoint::proto::platform_faults_client::PlatformFaultsClient;
+use willowpoint::proto::worker_faults_client::WorkerFaultsClient;
+use willowpoint::rpc::client::Channel;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_willowpoint");
+/// Generous bound of every wait for an event.
+const PATIENCE: Duration = Duration::from_secs(60);
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// What a caller was told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// The endpoint's whole answer.
+    Answer(String),
+    /// It was not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+    /// The connection was refused.
+    Refused,
+    /// The connection ended without an answer.
+    Lost,
+}
+
+/// What a command printed, and its exit code.
+pub struct Printed {
+    pub code: i32,
+    pub text: String,
+}
+
+/// A worker's own record.
+pub struct Counts {
+    pub doubled: u64,
+    pub overloads: u64,
+    pub ids: HashMap<String, u32>,
+}
+
+struct Worker {
+    rpc: SocketAddr,
+    child: Child,
+    alive: bool,
+}
+
+struct Node {
+    web: SocketAddr,
+    rpc: SocketAddr,
+    admin: SocketAddr,
+    settings: std::path::PathBuf,
+    child: Child,
+}
+
+/// Running processes, ended with this value.
+pub struct Deployment {
+    platform: SocketAddr,
+    process: Child,
+    workers: Vec<Worker>,
+    nodes: Vec<Node>,
+    folder: std::path::PathBuf,
+}
+
+/// Callers that send requests on a thread of their own.
+pub struct Callers {
+    thread: JoinHandle<Vec<Told>>,
+}
+
+impl Callers {
+    pub fn join(self) -> Vec<Told> {
+        self.thread.join().expect("callers end")
+    }
+}
+
+/// Returns an address that nothing uses, below the ports that outgoing
+/// connections get, so that none of them takes it meanwhile.
+fn free() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(21_000);
+    loop {
+        let port = NEXT.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+fn spawn(arguments: &[String]) -> Child {
+    let mut command = Command::new(BINARY);
+    command
+        .args(arguments)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null());
+    command.spawn().expect("the program starts")
+}
+
+fn wait(what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < end, "waited in vain: {what}");
+        std::thread::sleep(PAUSE);
+    }
+}
+
+pub fn command_at(address: &str, arguments: &[&str]) -> Printed {
+    // The address comes after the command's first word.
+    let mut all = vec![arguments[0], "--at", address, "--json"];
+    all.extend(&arguments[1..]);
+    let output = Command::new(BINARY)
+        .args(all)
+        .output()
+        .expect("the command runs");
+    let text = String::from_utf8_lossy(&output.stdout).to_string();
+    let errors = String::from_utf8_lossy(&output.stderr).to_string();
+    Printed {
+        code: output.status.code().unwrap_or(-1),
+        text: text + &errors,
+    }
+}
+
+impl Deployment {
+    pub fn start(boxes: usize, workers: usize) -> Self {
+        let platform = free();
+        let name = format!("willowpoint-{}-{}", std::process::id(), platform.port());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let process = spawn(&words(&format!("stand-in platform --rpc {platform}")));
+        let mut deployment = Self {
+            platform,
+            process,
+            workers: Vec::new(),
+            nodes: Vec::new(),
+            folder,
+        };
+        for index in 0..workers {
+            deployment.start_worker(index);
+        }
+        for index in 0..boxes {
+            deployment.start_box(index);
+        }
+        for index in 0..boxes {
+            deployment.wait_ready(index);
+        }
+        deployment
+    }
+
+    fn start_worker(&mut self, index: usize) {
+        let (http, rpc) = (free(), free());
+        let line = format!(
+            "stand-in worker --name w{index} --hall h{} --rack r0 --http {http} --rpc {rpc} \
+             --platform {} --service 2000",
+            index % 2,
+            self.platform
+        );
+        let child = spawn(&words(&line));
+        let alive = true;
+        self.workers.push(Worker { rpc, child, alive });
+    }
+
+    /// Starts a box, at the addresses of the one before it if there was one.
+    pub fn start_box(&mut self, index: usize) {
+        let known = self.nodes.get(index).map(|n| (n.web, n.rpc, n.admin));
+        let (web, rpc, admin) = known.unwrap_or_else(|| (free(), free(), free()));
+        let settings = self.folder.join(format!("e{index}.toml"));
+        let text = format!(
+            "[box]\nname = \"e{index}\"\nhall = \"h{}\"\nweb = \"{web}\"\nrpc = \"{rpc}\"\n\
+             admin = \"{admin}\"\n[platform]\nrpc = \"{}\"\npatience = \"500ms\"\n\
+             [lease]\nlength = \"2s\"\nmargin = \"500ms\"\npromise = \"1500ms\"\n\
+             [pace]\nheartbeat = \"300ms\"\npoll = \"300ms\"\nsync = \"300ms\"\ntask = \"2s\"\n\
+             stop = \"20s\"\n",
+            index % 2,
+            self.platform
+        );
+        std::fs::write(&settings, text).expect("settings are written");
+        let child = spawn(&words(&format!("entry --config {}", settings.display())));
+        let node = Node {
+            web,
+            rpc,
+            admin,
+            settings,
+            child,
+        };
+        match index < self.nodes.len() {
+            true => self.nodes[index] = node,
+            false => self.nodes.push(node),
+        }
+    }
+
+    pub fn wait_ready(&self, index: usize) {
+        let admin = self.nodes[index].admin;
+        wait("readiness", || {
+            exchange(
+                admin,
+                "GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n",
+            )
+            .is_ok_and(|text| text.starts_with("HTTP/1.1 200"))
+        });
+        assert!(self.nodes[index].settings.exists());
+    }
+
+    pub fn create_service(&self) {
+        self.operate(&["service", "create", "stock", "--team", "pharmacy"]);
+        // In force at every box.
+        for node in &self.nodes {
+            wait("the service", || {
+                let shown = command_at(&node.rpc.to_string(), &["service", "list"]);
+                shown.text.contains("stock")
+            });
+        }
+    }
+
+    /// Runs an operator's command at the first box that is reached.
+    pub fn command(&self, arguments: &[&str]) -> Printed {
+        let mut last = None;
+        for node in &self.nodes {
+            let printed = command_at(&node.rpc.to_string(), arguments);
+            if printed.code != 3 {
+                return printed;
+            }
+            last = Some(printed);
+        }
+        last.expect("a box")
+    }
+
+    pub fn operate(&self, arguments: &[&str]) -> String {
+        let printed = self.command(arguments);
+        assert_eq!(printed.code, 0, "{arguments:?}: {}", printed.text);
+        printed.text
+    }
+
+    /// Waits until a job is in a state and returns what is shown of it.
+    pub fn wait_job(&self, id: &str, state: &str) -> serde_json::Value {
+        let mut shown = serde_json::Value::Null;
+        wait(&format!("job {id} to be {state}"), || {
+            let printed = self.command(&["job", "show", id]);
+            let list = serde_json::from_str::<Vec<serde_json::Value>>(&printed.text);
+            let job = list.ok().and_then(|mut l| l.pop());
+            shown = job.unwrap_or(serde_json::Value::Null);
+            shown["state"] == state
+        });
+        shown
+    }
+
+    pub fn request(&self, index: usize, id: &str, repeatable: bool) -> Told {
+        request(self.nodes[index].web, id, repeatable)
+    }
+
+    /// Lets callers send requests through all boxes in turn, trying the next
+    /// box when one refuses the connection, as a balancer does.
+    pub fn callers(&self, count: usize) -> Callers {
+        let boxes: Vec<SocketAddr> = self.nodes.iter().map(|n| n.web).collect();
+        let thread = std::thread::spawn(move || {
+            let one = |number: usize| {
+                let id = format!("caller{number}");
+                let at = |turn: usize| boxes[(number + turn) % boxes.len()];
+                let mut told = (0..boxes.len()).map(|turn| request(at(turn), &id, true));
+                std::thread::sleep(PAUSE);
+                told.find(|t| *t != Told::Refused).unwrap_or(Told::Refused)
+            };
+            (0..count).map(one).collect()
+        });
+        Callers { thread }
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        let child = &mut self.nodes[index].child;
+        child.kill().expect("killed");
+        child.wait().expect("ended");
+    }
+
+    pub fn kill_worker(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        worker.child.kill().expect("killed");
+        worker.child.wait().expect("ended");
+        worker.alive = false;
+    }
+
+    fn signal(&self, index: usize, signal: libc::c_int) {
+        let id = self.nodes[index].child.id() as libc::pid_t;
+        // SAFETY: the child was started here and has not been waited for.
+        assert_eq!(unsafe { libc::kill(id, signal) }, 0);
+    }
+
+    pub fn freeze(&self, index: usize) {
+        self.signal(index, libc::SIGSTOP);
+    }
+
+    pub fn thaw(&self, index: usize) {
+        self.signal(index, libc::SIGCONT);
+    }
+
+    /// Stops a box as planned and returns its exit code.
+    pub fn stop(&mut self, index: usize) -> Option<i32> {
+        self.signal(index, libc::SIGTERM);
+        let mut code = None;
+        let child = &mut self.nodes[index].child;
+        wait("the planned stop", || {
+            let status = child.try_wait().expect("status");
+            code = status.and_then(|s| s.code());
+            status.is_some()
+        });
+        code
+    }
+
+    /// Waits until the other boxes own all workers that answer.
+    pub fn wait_cells_without(&self, index: usize) {
+        let other = (index + 1) % self.nodes.len();
+        let address = self.nodes[other].rpc.to_string();
+        let wanted = self.workers.len();
+        wait("the successors", || {
+            let shown = command_at(&address, &["worker", "list"]);
+            let value: serde_json::Value = serde_json::from_str(&shown.text).unwrap_or_default();
+            let workers = value["workers"].as_array().cloned().unwrap_or_default();
+            let open = workers.iter().filter(|w| w["state"] == "open");
+            open.count() == wanted
+        });
+    }
+
+    pub fn platform_down(&self, millis: u64) {
+        let platform = self.platform;
+        let fault = proto::PlatformFault {
+            down_ms: millis,
+            ..Default::default()
+        };
+        let call = async move {
+            let channel = Channel::new(platform);
+            let set = |c| async move { PlatformFaultsClient::new(c).set(fault).await };
+            channel.call(5_000, set).await
+        };
+        block_on(call)
+            .expect("a runtime")
+            .expect("the fault is set");
+    }
+
+    /// Returns the own records of the workers that are alive.
+    pub fn worker_counts(&self) -> Vec<Counts> {
+        let alive = self.workers.iter().filter(|w| w.alive);
+        alive.map(|w| counts(w.rpc)).collect()
+    }
+}
+
+fn counts(rpc: SocketAddr) -> Counts {
+    let call = async move {
+        let request = proto::WorkerCountRequest {};
+        let count = |c| async move { WorkerFaultsClient::new(c).count(request).await };
+        Channel::new(rpc).call(5_000, count).await
+    };
+    let reply = block_on(call)
+        .expect("a runtime")
+        .expect("the worker answers");
+    Counts {
+        doubled: reply.doubled,
+        overloads: reply.overloads,
+        ids: reply.ids.into_iter().map(|i| (i.id, i.count)).collect(),
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        let nodes = self.nodes.iter_mut().map(|n| &mut n.child);
+        let workers = self.workers.iter_mut().map(|w| &mut w.child);
+        for child in nodes.chain(workers).chain([&mut self.process]) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn words(line: &str) -> Vec<String> {
+    line.split_whitespace().map(str::to_string).collect()
+}
+
+fn exchange(address: SocketAddr, message: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect_timeout(&address, PATIENCE)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.write_all(message.as_bytes())?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    Ok(text)
+}
+
+fn request(address: SocketAddr, id: &str, repeatable: bool) -> Told {
+    let issued = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("a clock");
+    let body = format!("body of {id}");
+    let message = format!(
+        "POST /x HTTP/1.1\r\nhost: x\r\nconnection: close\r\nwillowpoint-service: stock\r\n\
+         willowpoint-id: {id}\r\nwillowpoint-repeatable: {}\r\nwillowpoint-issued-ms: {}\r\n\
+         willowpoint-deadline-ms: 3000\r\ncontent-length: {}\r\n\r\n{body}",
+        if repeatable { "yes" } else { "no" },
+        issued.as_millis(),
+        body.len()
+    );
+    let text = match exchange(address, &message) {
+        Ok(text) if !text.is_empty() => text,
+        Err(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => return Told::Refused,
+        _ => return Told::Lost,
+    };
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    match () {
+        () if head.contains("willowpoint-verdict: answer") => Told::Answer(body.into()),
+        () if head.contains("willowpoint-verdict: not-run") => Told::NotRun,
+        () => Told::Unknown,
+    }
+}
--- a/tools/trial/src/world/faults.rs
+++ b/tools/trial/src/world/faults.rs
@@ -88,7 +88,9 @@
                 host.frozen = host.frozen.max(until);
             }
             Kind::Leave => return self.leave(worker, fault.span),
-            Kind::FailTasks => self.hosts[worker].worker.faults.fail = fault.span % 4 != 0,
+            Kind::FailTasks => {
+                self.hosts[worker].worker.faults.fail = !fault.span.is_multiple_of(4)
+            }
             Kind::CancelWave => return self.cancel_all(),
             Kind::Submit => return self.submit(fault, false),
             Kind::SubmitUrgent => return self.submit(fault, true),
--- a/tools/trial/src/world/load.rs
+++ b/tools/trial/src/world/load.rs
@@ -95,7 +95,7 @@
             left: DEADLINE,
             issued: request.issued,
             // Some callers do not tell.
-            alone: match request.sends == 1 && number % 3 != 0 {
+            alone: match request.sends == 1 && !number.is_multiple_of(3) {
                 true => request.issued + DEADLINE,
                 false => 0,
             },
