--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,440 @@
+//! Slopes of state, time and bytes, for `docs/CAPACITY.md`.
+//!
+//! `cargo bench --bench capacity` measures each at three sizes with fixed
+//! seeds and prints the least-squares line with its largest residual.
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+
+use prost::Message;
+use willowpoint::cell::{
+    Action, Ask, Asked, Called, Cell, Class, Exchange, Place, Policy, Sent, Shape, Size,
+    SyncResult, Times,
+};
+use willowpoint::config::{Config, EntryRow};
+use willowpoint::guard::{Guard, Memory};
+use willowpoint::job::{LotRow, Phase, Spec, TaskRow, Versioned};
+use willowpoint::proto;
+use willowpoint::route::{Load, Router};
+use willowpoint::utils::Name;
+
+/// An allocator that counts the bytes in use.
+struct Counting;
+
+static BYTES: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: every call is handed on to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        BYTES.fetch_add(layout.size(), Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        BYTES.fetch_sub(layout.size(), Ordering::Relaxed);
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+const SHAPE: Shape = Shape {
+    slots: 8,
+    connections: 64,
+    cores: 64_000,
+    memory: 250_000,
+    accelerators: 2,
+};
+/// Workers of one rack.
+const RACK: usize = 8;
+/// Batch tasks running on one worker at the target, rounded up.
+const RUNS: usize = 6;
+
+fn main() {
+    println!(
+        "{:44} {:>12} {:>14} {:>10}",
+        "what", "per unit", "fixed", "residual"
+    );
+    memory();
+    bytes();
+    time();
+}
+
+/// Prints the line through the measured points.
+fn line(what: &str, unit: &str, points: &[(f64, f64)]) {
+    let count = points.len() as f64;
+    let mean = |f: &dyn Fn(&(f64, f64)) -> f64| points.iter().map(f).sum::<f64>() / count;
+    let (x, y) = (mean(&|p| p.0), mean(&|p| p.1));
+    let over: f64 = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
+    let under: f64 = points.iter().map(|p| (p.0 - x).powi(2)).sum();
+    let slope = over / under;
+    let fixed = y - slope * x;
+    let miss = |p: &(f64, f64)| ((fixed + slope * p.0 - p.1) / p.1.max(1.0)).abs();
+    let residual = points.iter().map(miss).fold(0.0, f64::max) * 100.0;
+    println!("{what:44} {slope:>9.2} {unit:2} {fixed:>11.0} {unit:2} {residual:>8.1} %");
+}
+
+fn held<T>(build: impl FnOnce() -> T) -> f64 {
+    let before = BYTES.load(Ordering::Relaxed);
+    let value = build();
+    let after = BYTES.load(Ordering::Relaxed);
+    drop(value);
+    (after - before) as f64
+}
+
+fn memory() {
+    let sizes = [13, 52, 104];
+    let points = sizes.map(|n| ((n * RACK) as f64, held(|| cells(n, RUNS))));
+    line("memory: worker with 6 runs", "B", &points);
+    let points = sizes.map(|n| ((n * RACK) as f64, held(|| cells(n, 0))));
+    line("memory: worker without runs", "B", &points);
+    let points = [100, 500, 1_000].map(|n| (n as f64, held(|| router(n))));
+    line("memory: cell in the view of a router", "B", &points);
+    let points = [1_000, 10_000, 50_000].map(|n| (n as f64, held(|| guard(n))));
+    line("memory: id in a guard", "B", &points);
+    let points = [100, 500, 1_000].map(|n| (n as f64, held(|| config(n))));
+    line("memory: entry of the configuration", "B", &points);
+}
+
+fn bytes() {
+    let greeting = |n: usize| greeting(n).encoded_len() as f64;
+    let points = [1, 26, 104].map(|n| (n as f64, greeting(n)));
+    line("bytes: cell in a greeting", "B", &points);
+    let points = [0, 6, 24].map(|n| (n as f64, sync_reply(n).encoded_len() as f64));
+    line("bytes: run in an exchange's reply", "B", &points);
+    let request = proto::SyncRequest {
+        cell: "hall-01/rack-01".into(),
+        epoch: 7,
+        lease: 10_000,
+        acks: vec![7 << 32; 1],
+        round: 100_000,
+        not_after: 1_700_000_000_000,
+    };
+    println!(
+        "{:44} {:>9} B",
+        "bytes: exchange's request",
+        request.encoded_len()
+    );
+    let points = [8, 64, 256].map(|n| {
+        let row = willowpoint::table::encode(&lot(n).row);
+        (n as f64, row.len() as f64)
+    });
+    line("bytes: task in a lot's row", "B", &points);
+    let points = [100, 500, 1_000].map(|n| {
+        let entries = willowpoint::table::encode(&config(n));
+        (n as f64, entries.len() as f64)
+    });
+    line("bytes: entry in a snapshot", "B", &points);
+}
+
+/// Returns nanoseconds of one call, the best of a few rounds.
+fn nanos(calls: usize, mut work: impl FnMut()) -> f64 {
+    let round = |work: &mut dyn FnMut()| {
+        let start = Instant::now();
+        (0..calls).for_each(|_| work());
+        start.elapsed().as_nanos() as f64 / calls as f64
+    };
+    (0..5).map(|_| round(&mut work)).fold(f64::MAX, f64::min)
+}
+
+fn time() {
+    let points = [94, 469, 938].map(|n| {
+        let mut router = router(n);
+        let took = nanos(100_000, || {
+            if let Some(cell) = router.choose(&[]) {
+                router.done(&cell);
+            }
+        });
+        println!(
+            "{:44} {took:>9.0} ns",
+            format!("time: choice among {n} cells")
+        );
+        (n as f64, took)
+    });
+    line("time: cell more in a choice", "ns", &points);
+    let points = [8, 32, 128].map(|n| (n as f64, admit(n)));
+    line("time: worker more in an admission", "ns", &points);
+    let points = [8, 32, 128].map(|n| (n as f64, placement(n)));
+    line("time: worker more in a placement", "ns", &points);
+    let points = [13, 52, 104].map(|n| {
+        let mut all = cells(n, RUNS);
+        let mut now = 2_000;
+        let took = nanos(200, || {
+            now += 1;
+            all.iter_mut().for_each(|c| drop(c.tick(now, now * 1_000)));
+        });
+        ((n * RACK) as f64, took)
+    });
+    line("time: worker in a tick", "ns", &points);
+    let points = [13, 52, 104].map(|n| {
+        let mut all = cells(n, RUNS);
+        let took = nanos(20, || {
+            for cell in &mut all {
+                exchange(cell, 2_000, RUNS);
+            }
+        });
+        ((n * RACK) as f64, took)
+    });
+    line("time: exchange's reply with 6 runs", "ns", &points);
+    let points = [1, 26, 104].map(|n| {
+        let message = greeting(n).encode_to_vec();
+        let took = nanos(2_000, || {
+            let decoded = proto::Greeting::decode(&message[..]);
+            assert!(decoded.is_ok());
+        });
+        (n as f64, took)
+    });
+    line("time: cell in a greeting, decoded", "ns", &points);
+}
+
+fn admit(workers: usize) -> f64 {
+    let mut cell = cell(0, workers, RUNS);
+    let mut ticket = 0;
+    let took = nanos(20_000, || {
+        ticket += 1;
+        let ask = Ask {
+            ticket,
+            service: "stock".into(),
+            class: Class::Critical,
+            size: Size {
+                cores: 100,
+                memory: 0,
+                accelerators: 0,
+            },
+            deadline: 1_000_000,
+        };
+        let actions = cell.admit(1_000, 1_000_000, ask);
+        assert!(matches!(actions[..], [Action::Send { .. }]));
+        cell.ended(1_000, 1_001_000, ticket, Sent::Answered);
+    });
+    println!(
+        "{:44} {took:>9.0} ns",
+        format!("time: admission among {workers} workers")
+    );
+    took
+}
+
+fn placement(workers: usize) -> f64 {
+    let mut best = f64::MAX;
+    for _ in 0..20 {
+        let mut cell = cell(0, workers, 0);
+        cell.load(1_000, vec![lot(256)]);
+        let start = Instant::now();
+        let started = cell.start(1_000).len();
+        best = best.min(start.elapsed().as_nanos() as f64 / started.max(1) as f64);
+    }
+    println!(
+        "{:44} {best:>9.0} ns",
+        format!("time: placement among {workers} workers")
+    );
+    best
+}
+
+fn cells(count: usize, runs: usize) -> Vec<Cell> {
+    (0..count).map(|i| cell(i, RACK, runs)).collect()
+}
+
+/// Returns a cell whose workers have all answered and run some tasks.
+fn cell(index: usize, workers: usize, runs: usize) -> Cell {
+    let name: Name = format!("hall-01/rack-{index:03}").into();
+    let times = Times {
+        task: 10_000,
+        margin: 2_000,
+        sync: 1_000,
+    };
+    let mut cell = Cell::new(name.clone(), 1, 0, Policy::default(), times);
+    let place = |i: usize| Place {
+        name: format!("worker-{index:03}-{i:03}").into(),
+        cell: name.clone(),
+        http: SocketAddr::from(([10, 0, 0, 1], 1 + i as u16)),
+        rpc: SocketAddr::from(([10, 0, 0, 2], 1 + i as u16)),
+        leaving: false,
+    };
+    let places: Vec<Place> = (0..workers).map(place).collect();
+    cell.places(&places, &Default::default());
+    cell.load(0, Vec::new());
+    exchange(&mut cell, 1_000, 0);
+    if runs > 0 {
+        cell.load(1_000, vec![lot(workers * runs)]);
+        let mut started = cell.start(1_000);
+        while !started.is_empty() {
+            for action in started.drain(..) {
+                if let Action::Start { worker, run, .. } = action {
+                    cell.started(1_000, &worker, run.id, Called::Done(0));
+                }
+            }
+            started = cell.start(1_000);
+        }
+    }
+    cell
+}
+
+fn exchange(cell: &mut Cell, now: u64, runs: usize) {
+    let names: Vec<Name> = cell.workers.keys().cloned().collect();
+    for name in names {
+        let present = cell.workers[&name].runs.values().take(runs);
+        let reports = present.map(|r| willowpoint::cell::Report {
+            id: r.id,
+            job: r.job.clone(),
+            task: r.task,
+            kind: r.kind.clone(),
+            size: r.size,
+            state: willowpoint::cell::RunState::Running,
+            progress: 500,
+            share: r.share,
+            usage: r.size.cores,
+        });
+        let reply = SyncResult {
+            shape: SHAPE,
+            runs: reports.collect(),
+            ..SyncResult::default()
+        };
+        let asked = Asked {
+            sent: now,
+            round: 1,
+            acks: Vec::new(),
+        };
+        cell.synced(now, now * 1_000, &name, asked, Exchange::Reply(reply));
+    }
+}
+
+fn lot(tasks: usize) -> Versioned {
+    let spec = Spec {
+        id: "settlement-2026-11".into(),
+        team: "ledger".into(),
+        kind: "settlement".into(),
+        tasks: tasks as u32,
+        size: Size {
+            cores: 1_000,
+            memory: 1_000,
+            accelerators: 0,
+        },
+        work: 60_000,
+        urgent: false,
+    };
+    let task = |index| TaskRow {
+        index,
+        phase: Phase::Open,
+        saved: 0,
+        evictions: 0,
+        failures: 0,
+    };
+    Versioned {
+        key: "lot/hall-01/rack-001/settlement-2026-11.0".into(),
+        version: 1,
+        row: LotRow {
+            spec,
+            submitted: 1,
+            epoch: 0,
+            seq: 0,
+            tasks: (0..tasks as u32).map(task).collect(),
+        },
+    }
+}
+
+fn router(cells: usize) -> Router {
+    let mut router = Router::new("hall-01".into(), 1);
+    let load = |i: usize| Load {
+        cell: format!("hall-{:02}/rack-{i:03}", i % 21).into(),
+        epoch: 1,
+        free: 30 + (i % 30) as u32,
+        queued: 0,
+        cores: 100_000,
+        largest: SHAPE,
+    };
+    for owner in 0..9 {
+        let id: Name = format!("entry-{owner}.1").into();
+        let rpc = Some(SocketAddr::from(([10, 0, 0, 3], 1 + owner as u16)));
+        let loads = (0..cells).filter(|i| i % 9 == owner).map(load).collect();
+        router.report(0, &id, rpc, loads);
+    }
+    router
+}
+
+fn guard(ids: usize) -> Guard {
+    let mut guard = Guard::new(1, 0, Memory::default());
+    for index in 0..ids {
+        let id: Name = format!("prescription-hold-{index:08}").into();
+        guard.admit(1_000, &id, 1_000, 0);
+    }
+    guard
+}
+
+fn config(entries: usize) -> Config {
+    let mut config = Config::default();
+    let entry = |i: usize| {
+        let key: Name = format!("service/service-{i:04}").into();
+        let row = EntryRow {
+            value: r#"{"team":"pharmacy","cores":500,"memory":200}"#.into(),
+            version: i as u64,
+        };
+        (key, row)
+    };
+    config.replace(entries as u64, (0..entries).map(entry).collect());
+    config
+}
+
+fn greeting(cells: usize) -> proto::Greeting {
+    let load = |i: usize| proto::CellLoad {
+        cell: format!("hall-01/rack-{i:03}"),
+        epoch: 12,
+        free: 40,
+        queued: 2,
+        cores: 200_000,
+        largest: Some(proto::Shape {
+            slots: 8,
+            connections: 64,
+            cores: 64_000,
+            memory: 250_000,
+            accelerators: 2,
+        }),
+    };
+    proto::Greeting {
+        from: "entry-1.19aa0c45d00".into(),
+        address: "10.0.0.1:9080".into(),
+        hall: "hall-01".into(),
+        config: 120_000,
+        stopping: false,
+        ask: "entry-2.19aa0c45d00".into(),
+        sent: 123_456_789,
+        cells: (0..cells).map(load).collect(),
+        moves: 40,
+    }
+}
+
+fn sync_reply(runs: usize) -> proto::SyncReply {
+    let run = |i: usize| proto::Run {
+        run: (7 << 32) + i as u64,
+        job: "settlement-2026-11".into(),
+        task: i as u32,
+        state: proto::RunState::Running.into(),
+        progress: 45_000,
+        size: Some(proto::Size {
+            cores: 1_000,
+            memory: 1_000,
+            accelerators: 0,
+        }),
+        kind: "settlement".into(),
+        throttle: 1_000,
+        usage: 990,
+    };
+    proto::SyncReply {
+        refused: false,
+        epoch: 7,
+        shape: Some(proto::Shape {
+            slots: 8,
+            connections: 64,
+            cores: 64_000,
+            memory: 250_000,
+            accelerators: 2,
+        }),
+        tickets: (0..7).map(|i| 1_000_000 + i).collect(),
+        foreign: 0,
+        runs: (0..runs).map(run).collect(),
+        samples: Vec::new(),
+        leaving: false,
+    }
+}
--- a/src/cell/tests.rs
+++ b/src/cell/tests.rs
@@ -1,1 +1,339 @@
-//! t
+//! Tests of the decisions in one cell.
+
+use super::*;
+use crate::job::{LotRow, Phase, Spec, TaskRow, Versioned};
+use crate::lease::Written;
+
+const SHAPE: Shape = Shape {
+    slots: 2,
+    connections: 64,
+    cores: 4_000,
+    memory: 8_000,
+    accelerators: 0,
+};
+const TIMES: Times = Times {
+    task: 1_000,
+    margin: 200,
+    sync: 100,
+};
+
+fn place(index: usize) -> Place {
+    let port = index as u16 + 1;
+    Place {
+        name: format!("w{index}").into(),
+        cell: "h/r".into(),
+        http: SocketAddr::from(([127, 0, 0, 1], port)),
+        rpc: SocketAddr::from(([127, 0, 0, 2], port)),
+        leaving: false,
+    }
+}
+
+fn answer(cell: &mut Cell, now: Millis, worker: usize, reply: SyncResult) -> Vec<Action> {
+    let asked = Asked {
+        sent: now,
+        round: 1,
+        acks: Vec::new(),
+    };
+    let name: Name = format!("w{worker}").into();
+    cell.synced(now, now * 1_000, &name, asked, Exchange::Reply(reply))
+        .1
+}
+
+fn shaped() -> SyncResult {
+    SyncResult {
+        shape: SHAPE,
+        ..SyncResult::default()
+    }
+}
+
+/// Returns a cell whose workers have answered at time 0.
+fn cell(workers: usize) -> Cell {
+    let mut cell = Cell::new("h/r".into(), 1, 0, Policy::default(), TIMES);
+    let places: Vec<Place> = (0..workers).map(place).collect();
+    cell.places(&places, &Default::default());
+    cell.load(0, Vec::new());
+    for worker in 0..workers {
+        answer(&mut cell, 0, worker, shaped());
+    }
+    cell
+}
+
+fn ask(ticket: u64, class: Class, deadline: Millis) -> Ask {
+    Ask {
+        ticket,
+        service: "s".into(),
+        class,
+        size: Size {
+            cores: 500,
+            memory: 0,
+            accelerators: 0,
+        },
+        deadline,
+    }
+}
+
+fn lot(job: &str, tasks: u32, cores: u32) -> Versioned {
+    let spec = Spec {
+        id: job.into(),
+        team: "t".into(),
+        kind: "k".into(),
+        tasks,
+        size: Size {
+            cores,
+            memory: 0,
+            accelerators: 0,
+        },
+        work: 1_000,
+        urgent: false,
+    };
+    let task = |index| TaskRow {
+        index,
+        phase: Phase::Open,
+        saved: 0,
+        evictions: 0,
+        failures: 0,
+    };
+    Versioned {
+        key: format!("lot/h/r/{job}.0").into(),
+        version: 1,
+        row: LotRow {
+            spec,
+            submitted: 0,
+            epoch: 0,
+            seq: 0,
+            tasks: (0..tasks).map(task).collect(),
+        },
+    }
+}
+
+fn starts(actions: &[Action]) -> Vec<(Name, Run)> {
+    let start = |a: &Action| match a {
+        Action::Start { worker, run, .. } => Some((worker.clone(), run.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(start).collect()
+}
+
+#[test]
+fn a_worker_that_has_not_answered_is_full() {
+    let mut cell = Cell::new("h/r".into(), 1, 0, Policy::default(), TIMES);
+    cell.places(&[place(0)], &Default::default());
+    let actions = cell.admit(10, 10_000, ask(1, Class::Critical, 1_000));
+    let [Action::Refuse { reason, .. }] = actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(reason, Reason::NoRoom);
+}
+
+#[test]
+fn slots_are_never_exceeded_and_who_waits_is_sent_next() {
+    let mut cell = cell(1);
+    for ticket in 0..2 {
+        let actions = cell.admit(10, 10_000, ask(ticket, Class::Critical, 1_000));
+        assert!(matches!(actions[..], [Action::Send { .. }]));
+    }
+    assert!(
+        cell.admit(10, 10_000, ask(2, Class::Critical, 1_000))
+            .is_empty()
+    );
+    let actions = cell.ended(20, 20_000, 0, Sent::Answered);
+    assert!(
+        matches!(actions[..], [Action::Send { ticket: 2, .. }]),
+        "{actions:?}"
+    );
+}
+
+#[test]
+fn a_lost_answer_keeps_its_slot_until_the_worker_tells() {
+    let mut cell = cell(1);
+    for ticket in 0..2 {
+        cell.admit(10, 10_000, ask(ticket, Class::Critical, 1_000));
+    }
+    cell.ended(20, 20_000, 0, Sent::Unknown { until: 30 });
+    assert_eq!(cell.free(25), 0);
+    let mut reply = shaped();
+    reply.tickets = vec![0, 1];
+    answer(&mut cell, 300, 0, reply);
+    assert_eq!(cell.free(300), 0, "it still runs there");
+    let mut reply = shaped();
+    reply.tickets = vec![1];
+    answer(&mut cell, 600, 0, reply);
+    // The first answer after a silence does not tell of what lay unread.
+    let mut reply = shaped();
+    reply.tickets = vec![1];
+    answer(&mut cell, 801, 0, reply);
+    assert_eq!(cell.free(801), 1);
+}
+
+#[test]
+fn overload_sheds_batch_before_critical() {
+    let mut cell = cell(1);
+    cell.policy.queue = 1;
+    for ticket in 0..2 {
+        cell.admit(10, 10_000, ask(ticket, Class::Critical, 9_000));
+    }
+    assert!(
+        cell.admit(10, 10_000, ask(2, Class::Batch, 9_000))
+            .is_empty()
+    );
+    let actions = cell.admit(10, 10_000, ask(3, Class::Critical, 9_000));
+    let shed = |a: &Action| {
+        matches!(
+            a,
+            Action::Refuse {
+                ticket: 2,
+                reason: Reason::Shed,
+                ..
+            }
+        )
+    };
+    assert!(actions.iter().any(shed), "{actions:?}");
+}
+
+#[test]
+fn what_can_not_be_answered_in_time_is_refused_at_once() {
+    let mut cell = cell(1);
+    for ticket in 0..2 {
+        cell.admit(10, 10_000, ask(ticket, Class::Critical, 9_000));
+    }
+    cell.ended(510, 510_000, 0, Sent::Answered);
+    let actions = cell.admit(510, 510_000, ask(5, Class::Critical, 600));
+    let late = |a: &Action| {
+        matches!(
+            a,
+            Action::Refuse {
+                reason: Reason::Deadline,
+                ..
+            }
+        )
+    };
+    assert!(actions.iter().any(late), "{actions:?}");
+}
+
+#[test]
+fn an_evicted_task_starts_again_only_after_its_end_is_recorded() {
+    let mut cell = cell(1);
+    cell.offer(0, lot("j", 1, 1_000));
+    let (worker, run) = starts(&cell.tick(10, 10_000)).remove(0);
+    cell.started(15, &worker, run.id, Called::Done(0));
+    cell.stopped(20, 20_000, &worker, run.id, Called::Done(700));
+    assert!(
+        starts(&cell.tick(30, 30_000)).is_empty(),
+        "not recorded yet"
+    );
+    let writes = cell.flush();
+    let [Action::Write { key, row, .. }] = &writes[..] else {
+        panic!("{writes:?}");
+    };
+    assert_eq!(row.tasks[0].saved, 700);
+    assert!(
+        starts(&cell.tick(40, 40_000)).is_empty(),
+        "not committed yet"
+    );
+    cell.written(key, Written::Committed);
+    let again = starts(&cell.tick(50, 50_000));
+    assert_eq!(again[0].1.saved, 700, "it resumes from its checkpoint");
+    assert_ne!(again[0].1.id, run.id);
+}
+
+#[test]
+fn a_write_in_doubt_is_settled_by_reading_the_row() {
+    let mut cell = cell(1);
+    cell.offer(0, lot("j", 1, 1_000));
+    let (worker, run) = starts(&cell.tick(10, 10_000)).remove(0);
+    cell.started(15, &worker, run.id, Called::Done(0));
+    cell.stopped(20, 20_000, &worker, run.id, Called::Done(700));
+    let writes = cell.flush();
+    let [Action::Write { key, row, .. }] = &writes[..] else {
+        panic!("{writes:?}");
+    };
+    cell.written(key, Written::Unknown);
+    assert!(starts(&cell.tick(40, 40_000)).is_empty());
+    let found = Versioned {
+        key: key.clone(),
+        version: 2,
+        row: row.clone(),
+    };
+    cell.reread(key, Some(&found));
+    assert_eq!(starts(&cell.tick(50, 50_000)).len(), 1);
+}
+
+#[test]
+fn a_new_owner_holds_what_it_can_not_account_for() {
+    let mut cell = Cell::new("h/r".into(), 2, 0, Policy::default(), TIMES);
+    cell.places(&[place(0)], &Default::default());
+    let mut known = lot("j", 1, 1_000);
+    known.row.epoch = 1;
+    cell.load(0, vec![known]);
+    answer(&mut cell, 10, 0, shaped());
+    assert!(starts(&cell.tick(20, 20_000)).is_empty());
+    let after = TIMES.task + TIMES.margin;
+    answer(&mut cell, after, 0, shaped());
+    answer(&mut cell, after + 250, 0, shaped());
+    assert_eq!(starts(&cell.tick(after + 250, 1)).len(), 1);
+}
+
+#[test]
+fn a_start_in_doubt_on_a_silent_worker_is_not_repeated() {
+    let mut cell = cell(2);
+    cell.offer(0, lot("j", 1, 1_000));
+    let (worker, run) = starts(&cell.tick(10, 10_000)).remove(0);
+    cell.started(15, &worker, run.id, Called::Lost);
+    let other = if &*worker == "w0" { 1 } else { 0 };
+    for now in (100..5_000).step_by(100) {
+        answer(&mut cell, now, other, shaped());
+        assert!(starts(&cell.tick(now, now * 1_000)).is_empty(), "at {now}");
+    }
+}
+
+#[test]
+fn a_throttle_without_an_answer_never_lowers_what_is_counted() {
+    let mut cell = cell(1);
+    cell.offer(0, lot("j", 1, 2_000));
+    let (worker, run) = starts(&cell.tick(10, 10_000)).remove(0);
+    cell.started(15, &worker, run.id, Called::Done(0));
+    let before = cell.cores(20);
+    cell.throttled(20, 20_000, &worker, run.id, 500, Called::Lost);
+    assert_eq!(cell.cores(20), before);
+    cell.throttled(30, 30_000, &worker, run.id, 500, Called::Done(0));
+    assert!(cell.cores(30) >= before);
+}
+
+#[test]
+fn a_leaving_worker_gets_nothing_new() {
+    let mut cell = cell(1);
+    let mut reply = shaped();
+    reply.leaving = true;
+    answer(&mut cell, 10, 0, reply);
+    let actions = cell.admit(20, 20_000, ask(1, Class::Critical, 1_000));
+    assert!(matches!(actions[..], [Action::Refuse { .. }]));
+    cell.offer(20, lot("j", 1, 500));
+    assert!(starts(&cell.tick(30, 30_000)).is_empty());
+}
+
+#[test]
+fn harm_is_learned_from_noisy_samples() {
+    let mut harm = Harm::default();
+    let mut random = crate::utils::random::Random::new(7);
+    let truth = |kind: &str| if kind == "loud" { 1.0 } else { 0.05 };
+    for _ in 0..400 {
+        let mut others: Vec<Name> = Vec::new();
+        for kind in ["loud", "calm"] {
+            if random.chance(0.5) {
+                others.push(kind.into());
+            }
+        }
+        let sum: f64 = others.iter().map(|k| truth(k)).sum();
+        let noise = (random.unit() - 0.5) * 0.4;
+        harm.learn(&Sample {
+            kind: "s".into(),
+            others,
+            slowdown: 1.0 + sum + noise,
+            busy: false,
+        });
+    }
+    let (loud, _) = harm.estimated("s", "loud", false);
+    let (calm, _) = harm.estimated("s", "calm", false);
+    assert!((loud - 1.0).abs() < 0.15, "{loud}");
+    assert!((calm - 0.05).abs() < 0.15, "{calm}");
+}
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -1,9 +1,8 @@
 //! The embedded demo: everything in one process, on real sockets.
 
-mod parts;
+pub mod parts;
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use eyre::WrapErr;
 use serde_json::json;
@@ -41,6 +40,7 @@
         boxes: 3,
         workers: 8,
         service: 5_000,
+        halls: 2,
     })?;
     let say = |text: &str| {
         if !options.json {
@@ -81,20 +81,8 @@
 }
 
 async fn prepare(deployment: &Deployment) -> eyre::Result<()> {
+    deployment.service().await?;
     let channel = Channel::new(deployment.rpc(0));
-    let service = proto::EntryChange {
-        key: "service/stock".into(),
-        value: r#"{"team":"pharmacy","cores":500}"#.into(),
-        remove: false,
-        expect: Some(0),
-    };
-    let request = proto::ChangeRequest {
-        id: "demo".into(),
-        author: "demo".into(),
-        changes: vec![service],
-    };
-    let call = |c| async move { OperatorClient::new(c).change(request).await };
-    channel.call(PATIENCE, call).await.wrap_err("no service")?;
     for (index, kind) in KINDS.iter().enumerate() {
         let spec = proto::JobSpec {
             id: format!("{kind}-1"),
@@ -111,8 +99,6 @@
         let call = |c| async move { OperatorClient::new(c).submit_job(request).await };
         channel.call(PATIENCE, call).await.wrap_err("no job")?;
     }
-    // Every box has the service in force within its poll.
-    monoio::time::sleep(Duration::from_millis(2_500)).await;
     Ok(())
 }
 
--- a/src/demo/parts.rs
+++ b/src/demo/parts.rs
@@ -24,9 +24,16 @@
     reads: 2_000,
 };
 
+/// Milliseconds of one call to a box.
+const PATIENCE: u64 = 5_000;
+/// Pause between two looks at a box.
+const PAUSE: Duration = Duration::from_millis(50);
 /// First port that is tried, and how many ports are.
 const PORTS: (u16, u16) = (23_000, 4_000);
 
+/// Workers of one rack.
+const RACK: usize = 8;
+
 /// Sizes of a deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct Site {
@@ -36,6 +43,8 @@
     pub workers: usize,
     /// Microseconds that a request takes alone.
     pub service: u64,
+    /// Halls over which workers and boxes are spread.
+    pub halls: usize,
 }
 
 struct Member {
@@ -47,6 +56,8 @@
 /// A running deployment.
 pub struct Deployment {
     platform: SocketAddr,
+    endpoints: Vec<SocketAddr>,
+    halls: usize,
     members: Vec<Member>,
     generation: usize,
 }
@@ -56,14 +67,18 @@
     pub fn start(site: Site) -> eyre::Result<Self> {
         let platform = free()?;
         let service = Platform::new(RATES);
+        let mut endpoints = Vec::new();
         for index in 0..site.workers {
-            start_worker(&service, index, site.service)?;
+            let endpoint = start_worker(&service, index, site)?;
+            endpoints.push(endpoint);
         }
         spawn("platform", move || {
             block_on(platform::serve(service, platform))?
         })?;
         let mut deployment = Self {
             platform,
+            endpoints,
+            halls: site.halls,
             members: Vec::new(),
             generation: 0,
         };
@@ -76,7 +91,7 @@
 
     fn member(&mut self, index: usize) -> eyre::Result<Member> {
         self.generation += 1;
-        let settings = settings(index, self.generation, self.platform)?;
+        let settings = settings(index, self.halls, self.generation, self.platform)?;
         let switch = Switch::default();
         let (own, off) = (settings.clone(), switch.clone());
         let thread = spawn("entry", move || block_on(entry::run(own, off))?)?;
@@ -106,6 +121,67 @@
         Ok(())
     }
 
+    /// Starts a worker that is in no list, and returns its endpoint.
+    pub fn lone_worker(&self, service: u64) -> eyre::Result<SocketAddr> {
+        let (http, rpc) = (free()?, free()?);
+        let setup = setup(http, rpc, service);
+        spawn("worker", move || block_on(worker::serve(setup))?)?;
+        Ok(http)
+    }
+
+    /// Creates the service `stock` and waits until it is in force at every box.
+    pub async fn service(&self) -> eyre::Result<()> {
+        let change = proto::EntryChange {
+            key: "service/stock".into(),
+            value: r#"{"team":"pharmacy","cores":500}"#.into(),
+            remove: false,
+            expect: Some(0),
+        };
+        let request = proto::ChangeRequest {
+            id: "stock".into(),
+            author: "demo".into(),
+            changes: vec![change],
+        };
+        let channel = Channel::new(self.members[0].settings.rpc);
+        let call = |c| async move { OperatorClient::new(c).change(request).await };
+        let reply = channel.call(PATIENCE, call).await;
+        let version = reply.wrap_err("no service")?.version;
+        let end = clock::now() + PATIENCE;
+        for member in &self.members {
+            while status(&member.settings).await?.config < version {
+                if clock::now() >= end {
+                    return Err(eyre::eyre!("{} does not follow", member.settings.name));
+                }
+                monoio::time::sleep(PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the box that owns the cell of the first worker, once one does
+    /// and all others know.
+    pub async fn owner(&self) -> eyre::Result<usize> {
+        let end = clock::now() + PATIENCE * 4;
+        loop {
+            for (index, member) in self.members.iter().enumerate() {
+                let channel = Channel::new(member.settings.rpc);
+                let request = proto::ListWorkersRequest { local: true };
+                let call = |c| async move { OperatorClient::new(c).list_workers(request).await };
+                let reply = channel.call(PATIENCE, call).await?;
+                let open = reply.workers.iter().filter(|w| w.state == "open").count();
+                if open == self.endpoints.len() {
+                    // Greetings tell the others.
+                    monoio::time::sleep(Duration::from_secs(3)).await;
+                    return Ok(index);
+                }
+            }
+            if clock::now() >= end {
+                return Err(eyre::eyre!("no box owns all workers"));
+            }
+            monoio::time::sleep(PAUSE).await;
+        }
+    }
+
     /// Starts a new box in the place of one that then stops as planned.
     pub async fn replace(&mut self, index: usize, limit: u64) -> eyre::Result<()> {
         let fresh = self.member(index)?;
@@ -128,34 +204,45 @@
     }
 }
 
+/// Asks a box for its status.
+async fn status(settings: &Settings) -> eyre::Result<proto::StatusReply> {
+    let channel = Channel::new(settings.rpc);
+    let request = proto::StatusRequest {};
+    let call = |c| async move { OperatorClient::new(c).status(request).await };
+    Ok(channel.call(PATIENCE, call).await?)
+}
+
 /// Waits until a box is ready, as the platform's balancer would.
 async fn wait(settings: &Settings, end: u64) -> eyre::Result<()> {
-    let channel = Channel::new(settings.rpc);
     loop {
-        let request = proto::StatusRequest {};
-        let call = |c| async move { OperatorClient::new(c).status(request).await };
-        let status = channel.call(1_000, call).await;
-        if status.is_ok_and(|s| s.ready) {
+        if status(settings).await.is_ok_and(|s| s.ready) {
             return Ok(());
         }
         if clock::now() >= end {
             return Err(eyre::eyre!("{} is not ready", settings.name));
         }
-        monoio::time::sleep(Duration::from_millis(50)).await;
+        monoio::time::sleep(PAUSE).await;
     }
 }
 
-fn start_worker(platform: &Platform, index: usize, service: u64) -> eyre::Result<()> {
+/// Starts a worker and returns the address of its endpoint.
+fn start_worker(platform: &Platform, index: usize, site: Site) -> eyre::Result<SocketAddr> {
     let (http, rpc) = (free()?, free()?);
     platform.register(proto::DirectoryEntry {
         name: format!("w{index}"),
-        hall: format!("h{}", index % 2),
-        rack: format!("r{}", index / 4),
+        hall: format!("h{}", index % site.halls),
+        rack: format!("r{}", index / RACK),
         http: http.to_string(),
         rpc: rpc.to_string(),
         leaving: false,
     });
-    let setup = worker::Setup {
+    let setup = setup(http, rpc, site.service);
+    spawn("worker", move || block_on(worker::serve(setup))?)?;
+    Ok(http)
+}
+
+fn setup(http: SocketAddr, rpc: SocketAddr, service: u64) -> worker::Setup {
+    worker::Setup {
         http,
         rpc,
         shape: Shape {
@@ -167,9 +254,7 @@
         },
         service,
         fence: true,
-    };
-    spawn("worker", move || block_on(worker::serve(setup))?)?;
-    Ok(())
+    }
 }
 
 /// Starts a part on a thread; its error ends up in the log.
@@ -202,11 +287,16 @@
     Err(eyre::eyre!("no free port on loopback"))
 }
 
-fn settings(index: usize, generation: usize, platform: SocketAddr) -> eyre::Result<Settings> {
+fn settings(
+    index: usize,
+    halls: usize,
+    generation: usize,
+    platform: SocketAddr,
+) -> eyre::Result<Settings> {
     let text = format!(
         "[box]\nname = \"e{index}-{generation}\"\nhall = \"h{}\"\nweb = \"{}\"\nrpc = \"{}\"\n\
          admin = \"{}\"\n[platform]\nrpc = \"{platform}\"\n",
-        index % 2,
+        index % halls,
         free()?,
         free()?,
         free()?
