--- /dev/null
+++ b/tests/command.rs
@@ -0,0 +1,40 @@
+//! The command line without a deployment.
+
+use std::process::{Command, Output};
+
+fn run(arguments: &[&str]) -> Output {
+    let binary = env!("CARGO_BIN_EXE_willowpoint");
+    let mut command = Command::new(binary);
+    command.args(arguments).current_dir(env!("CARGO_MANIFEST_DIR"));
+    command.output().expect("the program runs")
+}
+
+#[test]
+fn the_sample_settings_pass() {
+    let output = run(&["check", "settings/recoge-ya.toml", "settings/sonnenfeld-abrechnung.toml"]);
+    let text = String::from_utf8_lossy(&output.stdout).to_string();
+    assert!(output.status.success(), "{text}");
+}
+
+#[test]
+fn a_daemon_refuses_to_start_on_the_findings_of_check() {
+    let path = std::env::temp_dir().join(format!("willowpoint-{}.toml", std::process::id()));
+    std::fs::write(&path, "[box]\nname = \"e1\"\nhall = \"h\"\nweb = \"x\"\n").expect("written");
+    let name = path.to_string_lossy().to_string();
+    let checked = run(&["check", &name]);
+    let refused = run(&["entry", "--config", &name]);
+    std::fs::remove_file(&path).expect("removed");
+    let codes = (checked.status.code(), refused.status.code());
+    assert_eq!(codes, (Some(2), Some(2)));
+    let found = String::from_utf8_lossy(&checked.stdout).to_string();
+    let told = String::from_utf8_lossy(&refused.stderr).to_string();
+    assert_eq!(found, told);
+    assert!(found.contains(":4: box.web:"), "{found}");
+}
+
+#[test]
+fn help_has_examples() {
+    let output = run(&["job", "submit", "--help"]);
+    let text = String::from_utf8_lossy(&output.stdout).to_string();
+    assert!(text.contains("Example: willowpoint job"), "{text}");
+}
