--- /dev/null
+++ b/benches/policy.rs
@@ -0,0 +1,432 @@
+//! The decisions against their baselines, in one cell and virtual time.
+//!
+//! `cargo bench --bench policy` drives one cell of eight stand-in workers with
+//! requests and batch tasks of four kinds, some of which hurt the service. All
+//! policies see the same arrivals. Service times follow the stand-in's table
+//! of harm, which no policy but the oracle knows.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use willowpoint::cell::{
+    Action, Ask, Asked, Called, Cell, Class, Exchange, Pick, Place, Policy, RunState, Sample, Sent,
+    Shape, Size, SyncResult, Times,
+};
+use willowpoint::job::{LotRow, Phase, Spec, TaskRow, Versioned};
+use willowpoint::lease::Written;
+use willowpoint::standin::worker::state::{Active, Start, Sync, Task, Worker};
+use willowpoint::utils::Name;
+use willowpoint::utils::random::Random;
+
+const WORKERS: usize = 8;
+const SLOTS: u32 = 8;
+/// Milliseconds of one run, the first of which are not counted.
+const SPAN: u64 = 60_000;
+const WARM: u64 = 10_000;
+/// Mean milliseconds of a request that nothing hurts.
+const SERVICE: f64 = 20.0;
+const DEADLINE: u64 = 500;
+const SERVICES: &str = "stock";
+const KINDS: [&str; 4] = ["reconcile", "settle", "restock", "payout"];
+/// Milliseconds of work of a batch task.
+const WORK: u64 = 4_000;
+const SEED: u64 = 11;
+
+/// What a policy came to.
+#[derive(Default)]
+struct Outcome {
+    times: Vec<f64>,
+    issued: u64,
+    refused: u64,
+    late: u64,
+    finished: u64,
+    evictions: u64,
+}
+
+struct Variant {
+    name: &'static str,
+    policy: Policy,
+    oracle: bool,
+}
+
+fn variants() -> Vec<Variant> {
+    let baseline = |name, pick| Variant {
+        name,
+        policy: Policy {
+            route: pick,
+            place: pick,
+            throttle: false,
+            ..Policy::default()
+        },
+        oracle: false,
+    };
+    let learned = |name, tail, oracle| Variant {
+        name,
+        policy: Policy {
+            tail,
+            ..Policy::default()
+        },
+        oracle,
+    };
+    vec![
+        baseline("first fit", Pick::First),
+        baseline("round robin", Pick::Turn),
+        baseline("random", Pick::Random),
+        baseline("least loaded", Pick::Least),
+        learned("learned, tail 0.2", 0.2, false),
+        learned("learned, tail 0.5", 0.5, false),
+        learned("learned, tail 0.9", 0.9, false),
+        learned("oracle, tail 0.9", 0.9, true),
+    ]
+}
+
+fn main() {
+    println!(
+        "seed {SEED}, {WORKERS} workers of {SLOTS} slots, {} s each",
+        (SPAN - WARM) / 1_000
+    );
+    for kind in KINDS {
+        println!(
+            "true harm of {kind} to {SERVICES}: {}",
+            Worker::harm(SERVICES, kind)
+        );
+    }
+    for load in [0.5, 0.8, 0.95, 1.2] {
+        println!("\nload {:.0} % of the slots", load * 100.0);
+        println!(
+            "{:20} {:>8} {:>8} {:>8} {:>9} {:>9} {:>8} {:>9}",
+            "policy",
+            "p50 ms",
+            "p99 ms",
+            "p99.9 ms",
+            "in time/s",
+            "refused",
+            "batch/s",
+            "evictions"
+        );
+        for variant in variants() {
+            let outcome = World::new(&variant, load).run();
+            print(variant.name, outcome);
+        }
+    }
+}
+
+fn print(name: &str, mut outcome: Outcome) {
+    outcome.times.sort_by(f64::total_cmp);
+    let at = |part: f64| {
+        let last = outcome.times.len().saturating_sub(1) as f64;
+        outcome
+            .times
+            .get((last * part) as usize)
+            .copied()
+            .unwrap_or(0.0)
+    };
+    let seconds = (SPAN - WARM) as f64 / 1e3;
+    let good = (outcome.times.len() as u64 - outcome.late) as f64 / seconds;
+    let refused = outcome.refused as f64 * 100.0 / outcome.issued.max(1) as f64;
+    let batch = outcome.finished as f64 / seconds;
+    println!(
+        "{name:20} {:>8.1} {:>8.1} {:>8.1} {good:>9.0} {refused:>8.1}% {batch:>8.2} {:>9}",
+        at(0.5),
+        at(0.99),
+        at(0.999),
+        outcome.evictions
+    );
+}
+
+struct World {
+    cell: Cell,
+    workers: Vec<Worker>,
+    random: Random,
+    rate: f64,
+    oracle: bool,
+    now: u64,
+    ends: BTreeMap<(u64, u64), usize>,
+    issued: BTreeMap<u64, u64>,
+    done: Outcome,
+    ticket: u64,
+}
+
+impl World {
+    fn new(variant: &Variant, load: f64) -> Self {
+        let times = Times {
+            task: 10_000,
+            margin: 1_000,
+            sync: 200,
+        };
+        let policy = variant.policy.clone();
+        let mut cell = Cell::new("h/r".into(), 1, 0, policy, times);
+        let place = |i: usize| Place {
+            name: format!("w{i}").into(),
+            cell: "h/r".into(),
+            http: SocketAddr::from(([127, 0, 0, 1], 1 + i as u16)),
+            rpc: SocketAddr::from(([127, 0, 0, 2], 1 + i as u16)),
+            leaving: false,
+        };
+        let places: Vec<Place> = (0..WORKERS).map(place).collect();
+        cell.places(&places, &Default::default());
+        cell.load(0, KINDS.iter().map(|k| lot(k)).collect());
+        let shape = Shape {
+            slots: SLOTS,
+            connections: 64,
+            cores: 16_000,
+            memory: 60_000,
+            accelerators: 0,
+        };
+        Self {
+            cell,
+            workers: (0..WORKERS).map(|_| Worker::new(shape)).collect(),
+            random: Random::new(SEED),
+            rate: load * (WORKERS as f64) * f64::from(SLOTS) / SERVICE,
+            oracle: variant.oracle,
+            now: 0,
+            ends: BTreeMap::new(),
+            issued: BTreeMap::new(),
+            done: Outcome::default(),
+            ticket: 0,
+        }
+    }
+
+    fn run(mut self) -> Outcome {
+        let mut next = 0.0;
+        while self.now < SPAN {
+            self.now += 1;
+            while next < self.now as f64 {
+                next += self.random.exponential(1.0 / self.rate);
+                self.issue();
+            }
+            self.finish();
+            if self.now.is_multiple_of(25) {
+                let actions = self.cell.tick(self.now, self.now * 1_000);
+                self.carry_out(actions);
+                for action in self.cell.flush() {
+                    if let Action::Write { key, .. } = action {
+                        self.cell.written(&key, Written::Committed);
+                    }
+                }
+            }
+        }
+        self.done.evictions = self.cell.evictions;
+        self.done
+    }
+
+    fn issue(&mut self) {
+        self.ticket += 1;
+        if self.now > WARM {
+            self.done.issued += 1;
+        }
+        self.issued.insert(self.ticket, self.now);
+        let ask = Ask {
+            ticket: self.ticket,
+            service: SERVICES.into(),
+            class: Class::Critical,
+            size: Size {
+                cores: 1_000,
+                memory: 0,
+                accelerators: 0,
+            },
+            deadline: self.now + DEADLINE,
+        };
+        let actions = self.cell.admit(self.now, self.now * 1_000, ask);
+        self.carry_out(actions);
+    }
+
+    fn finish(&mut self) {
+        while let Some(((at, ticket), worker)) = self.ends.first_key_value().map(|(k, v)| (*k, *v))
+        {
+            if at > self.now {
+                return;
+            }
+            self.ends.remove(&(at, ticket));
+            self.workers[worker].finish(ticket, 1);
+            if let Some(issued) = self.issued.remove(&ticket)
+                && issued > WARM
+            {
+                let took = self.now - issued;
+                self.done.times.push(took as f64);
+                self.done.late += u64::from(took > DEADLINE);
+            }
+            let actions = self
+                .cell
+                .ended(self.now, self.now * 1_000, ticket, Sent::Answered);
+            self.carry_out(actions);
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        let mut rest = actions;
+        while let Some(action) = rest.pop() {
+            rest.extend(self.one(action));
+        }
+    }
+
+    fn one(&mut self, action: Action) -> Vec<Action> {
+        let (now, micros) = (self.now, self.now * 1_000);
+        match action {
+            Action::Send { ticket, worker, .. } => {
+                let index = number(&worker);
+                let active = Active {
+                    ticket,
+                    epoch: 1,
+                    service: SERVICES.into(),
+                };
+                let began = self.workers[index].begin(now, now, active, u64::MAX);
+                assert!(began.is_ok(), "the cell gave more than the room");
+                let slow = self.workers[index].slowdown(SERVICES);
+                let took = self.random.exponential(SERVICE / 2.0) + SERVICE / 2.0;
+                let end = now + (took * slow).ceil() as u64;
+                self.ends.insert((end, ticket), index);
+                Vec::new()
+            }
+            Action::Refuse { ticket, .. } => {
+                if self.issued.remove(&ticket).is_some_and(|at| at > WARM) {
+                    self.done.refused += 1;
+                }
+                Vec::new()
+            }
+            Action::Sync {
+                worker,
+                acks,
+                renew,
+                round,
+                ..
+            } => self.sync(&worker, acks, renew, round),
+            Action::Start {
+                worker, run, work, ..
+            } => {
+                let start = Start {
+                    epoch: 1,
+                    round: run.round,
+                    lease: 10_000,
+                    not_after: u64::MAX,
+                    task: Task {
+                        id: run.id,
+                        job: run.job.clone(),
+                        task: run.task,
+                        kind: run.kind.clone(),
+                        size: run.size,
+                        share: run.share,
+                        state: RunState::Running,
+                        work,
+                        done: run.saved as f64,
+                        saved: run.saved,
+                        lease: 0,
+                    },
+                };
+                let result = self.workers[number(&worker)].start(now, now, start);
+                let called = result.map_or(Called::Refused, |()| Called::Done(0));
+                self.cell.started(now, &worker, run.id, called)
+            }
+            Action::Stop {
+                worker,
+                run,
+                checkpoint,
+                ..
+            } => {
+                let result = self.workers[number(&worker)].stop(now, 1, run, checkpoint);
+                let called = result.map_or(Called::Refused, Called::Done);
+                self.cell.stopped(now, micros, &worker, run, called)
+            }
+            Action::Throttle {
+                worker, run, share, ..
+            } => {
+                let result = self.workers[number(&worker)].throttle(now, 1, run, share);
+                let called = result.map_or(Called::Refused, |()| Called::Done(0));
+                self.cell
+                    .throttled(now, micros, &worker, run, share, called)
+            }
+            Action::Write { .. } => Vec::new(),
+        }
+    }
+
+    fn sync(&mut self, worker: &Name, acks: Vec<u64>, renew: bool, round: u64) -> Vec<Action> {
+        let host = &mut self.workers[number(worker)];
+        let sync = Sync {
+            epoch: 1,
+            round,
+            lease: if renew { 10_000 } else { 0 },
+            not_after: u64::MAX,
+            acks: acks.clone(),
+        };
+        let runs = host.sync(self.now, self.now, &sync).unwrap_or_default();
+        let ended = runs.iter().filter(|r| r.state == RunState::Finished);
+        let fresh = ended.filter(|r| self.cell.workers[worker].runs.contains_key(&r.id));
+        let finished = fresh.count() as u64;
+        if self.now > WARM {
+            self.done.finished += finished;
+        }
+        let (tickets, foreign) = host.tickets();
+        let late = host.late_samples(self.now).into_iter().map(|(_, s)| s);
+        let samples = match self.oracle {
+            false => late.collect(),
+            true => oracle(),
+        };
+        let reply = SyncResult {
+            shape: host.shape,
+            tickets,
+            foreign,
+            runs,
+            samples,
+            ..SyncResult::default()
+        };
+        let asked = Asked {
+            sent: self.now,
+            round,
+            acks,
+        };
+        let reply = Exchange::Reply(reply);
+        self.cell
+            .synced(self.now, self.now * 1_000, worker, asked, reply)
+            .1
+    }
+}
+
+/// Returns the true table of harm as samples without noise or lag.
+fn oracle() -> Vec<Sample> {
+    let sample = |kind: &&str, busy| Sample {
+        kind: SERVICES.into(),
+        others: vec![(*kind).into()],
+        slowdown: 1.0 + Worker::harm(SERVICES, kind),
+        busy,
+    };
+    let both = |kind| [sample(kind, true), sample(kind, false)];
+    KINDS.iter().flat_map(both).collect()
+}
+
+fn number(worker: &str) -> usize {
+    worker.trim_start_matches('w').parse().unwrap_or(0)
+}
+
+fn lot(kind: &str) -> Versioned {
+    let spec = Spec {
+        id: format!("{kind}-1").into(),
+        team: kind.into(),
+        kind: kind.into(),
+        tasks: 600,
+        size: Size {
+            cores: 2_000,
+            memory: 1_000,
+            accelerators: 0,
+        },
+        work: WORK,
+        urgent: false,
+    };
+    let task = |index| TaskRow {
+        index,
+        phase: Phase::Open,
+        saved: 0,
+        evictions: 0,
+        failures: 0,
+    };
+    Versioned {
+        key: format!("lot/h/r/{kind}-1.0").into(),
+        version: 1,
+        row: LotRow {
+            spec,
+            submitted: 0,
+            epoch: 0,
+            seq: 0,
+            tasks: (0..600).map(task).collect(),
+        },
+    }
+}
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -5,13 +5,19 @@
 fn run(arguments: &[&str]) -> Output {
     let binary = env!("CARGO_BIN_EXE_willowpoint");
     let mut command = Command::new(binary);
-    command.args(arguments).current_dir(env!("CARGO_MANIFEST_DIR"));
+    command
+        .args(arguments)
+        .current_dir(env!("CARGO_MANIFEST_DIR"));
     command.output().expect("the program runs")
 }
 
 #[test]
 fn the_sample_settings_pass() {
-    let output = run(&["check", "settings/recoge-ya.toml", "settings/sonnenfeld-abrechnung.toml"]);
+    let output = run(&[
+        "check",
+        "settings/recoge-ya.toml",
+        "settings/sonnenfeld-abrechnung.toml",
+    ]);
     let text = String::from_utf8_lossy(&output.stdout).to_string();
     assert!(output.status.success(), "{text}");
 }
