--- a/src/engine/state.rs
+++ b/src/engine/state.rs
@@ -584,7 +584,7 @@
                 let actions = self.lease.renewed(now.millis, beat, written(&outcome));
                 self.lease_actions(now, actions, out);
             }
-            Purpose::Declare(owner) => self.lease.declared(&owner, written(&outcome)),
+            Purpose::Declare(owner) => self.lease.declared(now.millis, &owner, written(&outcome)),
             Purpose::Cells => {
                 let rows = rows(&outcome).map(|r| cells(r));
                 let actions = self.claims.read(sent, rows);
--- a/src/lease/state.rs
+++ b/src/lease/state.rs
@@ -44,6 +44,9 @@
     given: BTreeMap<Name, Millis>,
     declaring: BTreeMap<Name, u64>,
     seen: BTreeMap<Name, Seen>,
+    /// Boxes that this one has declared dead, and when that was known: a read
+    /// sent before may still show their rows.
+    dead: BTreeMap<Name, Millis>,
     read_sent: Millis,
     complete: bool,
 }
@@ -68,6 +71,7 @@
             given: BTreeMap::new(),
             declaring: BTreeMap::new(),
             seen: BTreeMap::new(),
+            dead: BTreeMap::new(),
             read_sent: 0,
             complete: false,
         }
@@ -211,7 +215,7 @@
         for (id, seen) in &self.seen {
             let promised = self.given.get(id).is_some_and(|until| *until > now);
             let pending = self.declaring.contains_key(id);
-            if !promised && !pending && self.dead(seen, now) {
+            if !promised && !pending && self.is_dead(seen, now) {
                 due.push((id.clone(), seen.version));
             }
         }
@@ -223,7 +227,7 @@
             .collect()
     }
 
-    fn dead(&self, seen: &Seen, now: Millis) -> bool {
+    fn is_dead(&self, seen: &Seen, now: Millis) -> bool {
         let terms = self.terms;
         let idle = now.saturating_sub(seen.since);
         let listed = seen.row.successors.contains(&self.me.id);
@@ -255,6 +259,8 @@
                 present.insert(versioned.row.id.clone(), versioned);
             }
         }
+        self.dead.retain(|_, at| *at >= sent);
+        present.retain(|id, _| !self.dead.contains_key(id));
         self.seen.retain(|id, _| present.contains_key(id));
         self.declaring.retain(|id, _| present.contains_key(id));
         for (id, versioned) in present {
@@ -338,11 +344,12 @@
     }
 
     /// Takes in how the declaration of a dead box ended.
-    pub fn declared(&mut self, owner: &Name, written: Written) {
+    pub fn declared(&mut self, now: Millis, owner: &Name, written: Written) {
         match written {
             Written::Committed => {
                 self.declaring.remove(owner);
                 self.seen.remove(owner);
+                self.dead.insert(owner.clone(), now);
             }
             Written::Conflict | Written::NotSent => {
                 self.declaring.remove(owner);
@@ -359,7 +366,8 @@
         if self.deposed || in_doubt || !self.seen.contains_key(owner) {
             return false;
         }
-        let until = now + self.terms.promise;
+        // The margin covers clocks that do not run alike.
+        let until = now + self.terms.promise + self.terms.margin;
         let given = self.given.entry(owner.clone()).or_insert(until);
         *given = until.max(*given);
         true
--- a/src/lease/tests.rs
+++ b/src/lease/tests.rs
@@ -128,9 +128,9 @@
     read(&mut lease, 0, &[(4, row("x.1", &["a.1"]))]);
     let asked = TERMS.length + TERMS.margin - 100;
     assert!(lease.asked(asked, &"x.1".into()));
-    let held = lease.tick(asked + TERMS.promise - 1, 10_000);
+    let held = lease.tick(asked + TERMS.promise + TERMS.margin - 1, 10_000);
     assert!(!declares(&held, "x.1"));
-    let due = lease.tick(asked + TERMS.promise, 10_000);
+    let due = lease.tick(asked + TERMS.promise + TERMS.margin, 10_000);
     assert!(declares(&due, "x.1"));
 }
 
@@ -140,7 +140,7 @@
     read(&mut lease, 0, &[(4, row("x.1", &["a.1"]))]);
     let due = lease.tick(2_000, 10_000);
     assert!(declares(&due, "x.1"));
-    lease.declared(&"x.1".into(), Written::Unknown);
+    lease.declared(2_050, &"x.1".into(), Written::Unknown);
     assert!(!lease.asked(2_100, &"x.1".into()));
     read(&mut lease, 2_200, &[(4, row("x.1", &["a.1"]))]);
     assert!(
@@ -151,6 +151,19 @@
     assert!(lease.asked(2_500, &"x.1".into()));
 }
 
+#[test]
+fn an_old_read_does_not_bring_a_dead_box_back() {
+    let mut lease = Lease::new(TERMS, row("a.1", &[]));
+    let rows = [(4, row("x.1", &["a.1"]))];
+    read(&mut lease, 0, &rows);
+    assert!(declares(&lease.tick(2_000, 10_000), "x.1"));
+    lease.declared(2_100, &"x.1".into(), Written::Committed);
+    // This read was sent before the row was deleted.
+    let old = rows.iter().map(|(v, r)| versioned(*v, r.clone())).collect();
+    lease.read(2_200, 2_050, Some(old));
+    assert!(!lease.asked(2_300, &"x.1".into()));
+}
+
 #[test]
 fn a_restarted_box_takes_the_place_of_the_one_before_it_at_once() {
     let mut lease = Lease::new(TERMS, row("a.2", &[]));
