--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -15,7 +15,7 @@
 };
 use willowpoint::config::{Config, EntryRow};
 use willowpoint::guard::{Guard, Memory};
-use willowpoint::job::{LotRow, Phase, Spec, TaskRow, Versioned};
+use willowpoint::job::{LotRow, Spec, TaskRow, Versioned};
 use willowpoint::proto;
 use willowpoint::route::{Load, Router};
 use willowpoint::utils::Name;
@@ -315,13 +315,6 @@
         work: 60_000,
         urgent: false,
     };
-    let task = |index| TaskRow {
-        index,
-        phase: Phase::Open,
-        saved: 0,
-        evictions: 0,
-        failures: 0,
-    };
     Versioned {
         key: "lot/hall-01/rack-001/settlement-2026-11.0".into(),
         version: 1,
@@ -330,7 +323,7 @@
             submitted: 1,
             epoch: 0,
             seq: 0,
-            tasks: (0..tasks as u32).map(task).collect(),
+            tasks: (0..tasks as u32).map(TaskRow::open).collect(),
         },
     }
 }
--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -12,7 +12,7 @@
     Action, Ask, Asked, Called, Cell, Class, Exchange, Pick, Place, Policy, RunState, Sample, Sent,
     Shape, Size, SyncResult, Times,
 };
-use willowpoint::job::{LotRow, Phase, Spec, TaskRow, Versioned};
+use willowpoint::job::{LotRow, Spec, TaskRow, Versioned};
 use willowpoint::lease::Written;
 use willowpoint::standin::worker::state::{Active, Start, Sync, Task, Worker};
 use willowpoint::utils::Name;
@@ -411,13 +411,6 @@
         work: WORK,
         urgent: false,
     };
-    let task = |index| TaskRow {
-        index,
-        phase: Phase::Open,
-        saved: 0,
-        evictions: 0,
-        failures: 0,
-    };
     Versioned {
         key: format!("lot/h/r/{kind}-1.0").into(),
         version: 1,
@@ -426,7 +419,7 @@
             submitted: 0,
             epoch: 0,
             seq: 0,
-            tasks: (0..600).map(task).collect(),
+            tasks: (0..600).map(TaskRow::open).collect(),
         },
     }
 }
--- a/src/cell/tests.rs
+++ b/src/cell/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the decisions in one cell.
 
 use super::*;
-use crate::job::{LotRow, Phase, Spec, TaskRow, Versioned};
+use crate::job::{LotRow, Spec, TaskRow, Versioned};
 use crate::lease::Written;
 
 const SHAPE: Shape = Shape {
@@ -86,13 +86,6 @@
         work: 1_000,
         urgent: false,
     };
-    let task = |index| TaskRow {
-        index,
-        phase: Phase::Open,
-        saved: 0,
-        evictions: 0,
-        failures: 0,
-    };
     Versioned {
         key: format!("lot/h/r/{job}.0").into(),
         version: 1,
@@ -101,7 +94,7 @@
             submitted: 0,
             epoch: 0,
             seq: 0,
-            tasks: (0..tasks).map(task).collect(),
+            tasks: (0..tasks).map(TaskRow::open).collect(),
         },
     }
 }
--- a/src/job.rs
+++ b/src/job.rs
@@ -86,6 +86,19 @@
     pub failures: u32,
 }
 
+impl TaskRow {
+    /// Returns the row of a task that was never run.
+    pub fn open(index: u32) -> Self {
+        Self {
+            index,
+            phase: Phase::Open,
+            saved: 0,
+            evictions: 0,
+            failures: 0,
+        }
+    }
+}
+
 /// The row of a lot.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LotRow {
--- a/src/job/plan.rs
+++ b/src/job/plan.rs
@@ -101,19 +101,12 @@
 }
 
 fn lot(spec: &Spec, now: Millis, indexes: std::ops::Range<u32>) -> LotRow {
-    let task = |index| TaskRow {
-        index,
-        phase: Phase::Open,
-        saved: 0,
-        evictions: 0,
-        failures: 0,
-    };
     LotRow {
         spec: spec.clone(),
         submitted: now,
         epoch: 0,
         seq: 0,
-        tasks: indexes.map(task).collect(),
+        tasks: indexes.map(TaskRow::open).collect(),
     }
 }
 
