--- a/src/operator/commands.rs
+++ b/src/operator/commands.rs
@@ -59,7 +59,7 @@
 
 /// Returns a channel to the first box that can be reached.
 async fn reach(target: &Target) -> Result<Channel, CallError> {
-    let mut last = CallError::NotSent("no address".into());
+    let mut last = CallError::NotSent("name an entry box with --at or WILLOWPOINT_AT".into());
     for address in &target.at {
         let channel = Channel::new(*address);
         match channel.connect(target.timeout).await {
--- a/src/options/args.rs
+++ b/src/options/args.rs
@@ -10,6 +10,7 @@
 pub enum Command {
     /// Run the daemon of an entry box until TERM.
     ///
+    ///
     /// Example: willowpoint entry --config settings/recoge-ya.toml
     #[bpaf(command)]
     Entry {
@@ -19,6 +20,7 @@
     },
     /// Read settings files without starting; all findings are printed.
     ///
+    ///
     /// Example: willowpoint check settings/*.toml
     #[bpaf(command)]
     Check {
@@ -31,6 +33,7 @@
     StandIn(#[bpaf(external(stand_in))] StandIn),
     /// Run everything in one process for some seconds and sum it up.
     ///
+    ///
     /// Example: willowpoint demo --seconds 10 --seed 1
     #[bpaf(command)]
     Demo(#[bpaf(external(demo))] Demo),
@@ -103,6 +106,7 @@
     },
     /// Show the spans of one trace out of log files.
     ///
+    ///
     /// Example: willowpoint trace 4bf92f3577b34da6a3ce929d0e0e4736 e1.log e2.log
     #[bpaf(command)]
     Trace {
@@ -121,12 +125,7 @@
 #[derive(Debug, Clone, Bpaf)]
 pub struct Target {
     /// RPC address of an entry box; repeated, the next is asked when one is not reached
-    #[bpaf(
-        long("at"),
-        env("WILLOWPOINT_AT"),
-        argument("IP:PORT"),
-        some("name an entry box with --at or WILLOWPOINT_AT")
-    )]
+    #[bpaf(long("at"), env("WILLOWPOINT_AT"), argument("IP:PORT"), many)]
     pub at: Vec<SocketAddr>,
     /// Milliseconds to wait for an answer
     #[bpaf(argument("MS"), fallback(10_000), display_fallback)]
@@ -140,6 +139,7 @@
 pub enum StandIn {
     /// Table, object store and list of workers.
     ///
+    ///
     /// Example: willowpoint stand-in platform --rpc 127.0.0.1:9000
     #[bpaf(command)]
     Platform {
@@ -155,6 +155,7 @@
     },
     /// An endpoint with slots, cores and batch tasks.
     ///
+    ///
     /// Example: willowpoint stand-in worker --name w1 --hall h1 --rack r1
     /// --http 127.0.0.1:9101 --rpc 127.0.0.1:9102 --platform 127.0.0.1:9000
     #[bpaf(command)]
@@ -218,6 +219,7 @@
 pub enum Service {
     /// Create a service; refused when it exists.
     ///
+    ///
     /// Example: willowpoint service --at 127.0.0.1:9080 create stock --team pharmacy
     #[bpaf(command)]
     Create(#[bpaf(external(service_spec))] ServiceSpec),
@@ -268,6 +270,7 @@
 pub enum Job {
     /// Submit a job; a resend with the same id and content is submitted once.
     ///
+    ///
     /// Example: willowpoint job --at 127.0.0.1:9080 submit settle-11 --team ledger
     /// --kind settlement --tasks 40 --cores 2000 --memory 4000 --work-ms 60000
     #[bpaf(command)]
@@ -327,6 +330,7 @@
 pub enum Config {
     /// Set and remove entries in one change.
     ///
+    ///
     /// Example: willowpoint config --at 127.0.0.1:9080 apply
     /// --set 'team/ledger={"cores":64000,"weight":3}' --remove drain/w7
     #[bpaf(command)]
