One place for what is held of a size at a share

Cause: reading the change again, the cores that a throttled run holds were worked out in three places (the owner's count, a raise of the share, the stand-in worker), which must agree for room to hold. Change: `Size::at` serves all three; behaviour is as before.

--- a/src/cell.rs
+++ b/src/cell.rs
@@ -25,6 +25,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::constants::WHOLE;
 use crate::job;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -40,6 +41,17 @@
     pub accelerators: u32,
 }
 
+impl Size {
+    /// Returns what is held of it at a share of its cores, in thousandths.
+    pub fn at(self, share: u32) -> Self {
+        let cores = u64::from(self.cores) * u64::from(share) / u64::from(WHOLE);
+        Self {
+            cores: cores as u32,
+            ..self
+        }
+    }
+}
+
 impl std::fmt::Display for Size {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let cores = f64::from(self.cores) / 1_000.0;
--- a/src/cell/room.rs
+++ b/src/cell/room.rs
@@ -5,7 +5,6 @@
 
 use super::runs::{Run, RunId, RunPhase};
 use super::{Shape, Size};
-use crate::constants::WHOLE;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -261,12 +260,7 @@
 impl Run {
     /// Returns the size that the run holds, its throttle taken into account.
     pub fn held(&self) -> Size {
-        let share = self.share.max(self.floor);
-        let cores = u64::from(self.size.cores) * u64::from(share) / u64::from(WHOLE);
-        Size {
-            cores: cores as u32,
-            ..self.size
-        }
+        self.size.at(self.share.max(self.floor))
     }
 }
 
--- a/src/cell/tasks.rs
+++ b/src/cell/tasks.rs
@@ -573,8 +573,8 @@
         let rpc = worker.rpc;
         let run = worker.runs.get(&id).filter(|r| !r.throttling)?;
         let (old, held) = (run.share, run.held().cores);
-        let more = u64::from(run.size.cores) * u64::from(share) / u64::from(WHOLE);
-        if share > old && more as u32 > worker.cores() + held {
+        let wanted = run.size.at(share).cores;
+        if share > old && wanted > worker.cores() + held {
             return None;
         }
         worker.throttled = now;
--- a/src/standin/worker/state.rs
+++ b/src/standin/worker/state.rs
@@ -42,11 +42,7 @@
 impl Task {
     /// Returns the size that the run holds, its throttle taken into account.
     fn held(&self) -> Size {
-        let cores = u64::from(self.size.cores) * u64::from(self.share) / u64::from(WHOLE);
-        Size {
-            cores: cores as u32,
-            ..self.size
-        }
+        self.size.at(self.share)
     }
 }
 
