A planned stop answers what its sockets hold before it ends

Cause: when a planned stop was complete the task of the decisions returned and the runtime was dropped with it. Connections that the kernel had accepted, a request that was half read, answers that were not yet written and calls of peers on their way were cut off. Callers saw a reset, peers counted their requests as unknown.

Ruled out: the order of hand-over of cells (the engine had no flight left in every failing run), the linger (a longer one only moves the cut).

Change: src/utils/drain.rs tells the servers that the end has begun and waits for them; src/utils/listen.rs takes over what the kernel has accepted before a listener closes. The web server gives idle connections 500 ms for a request that may be on its way, reads what has begun, answers and closes. The RPC server sends GOAWAY, so a peer knows which of its calls were never taken: the client now tells these (and calls that met a closed connection) as not sent rather than lost. A failing accept no longer spins. Tests begin at ports of their own, as two runs at once took each other's.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -348,8 +348,11 @@
     },
     /// Close idle connections to endpoints of a cell that was given up.
     Disconnect(Vec<SocketAddr>),
-    /// The planned stop is complete.
-    Exit,
+    /// The planned stop is complete but for what the servers have read.
+    Exit {
+        /// Milliseconds within which they are to end.
+        within: Millis,
+    },
 }
 
 /// Returns the largest of some shapes, each dimension by itself.
--- a/src/engine/state.rs
+++ b/src/engine/state.rs
@@ -19,6 +19,8 @@
 const SILENT: u64 = 5;
 /// Heartbeats for which a box that stops goes on refusing.
 const LINGER: u64 = 3;
+/// Milliseconds that the servers have to end when the time of the stop is over.
+const LAST: Millis = 1_000;
 /// Milliseconds between two scans for lots that no hint told of.
 const RESCAN: Millis = 10_000;
 
@@ -638,7 +640,9 @@
         let over = now.millis >= since + self.setup.pace.stop;
         if (quiet || over) && !self.exited {
             self.exited = true;
-            out.push(Action::Exit);
+            let end = since + self.setup.pace.stop;
+            let within = end.saturating_sub(now.millis).max(LAST);
+            out.push(Action::Exit { within });
         }
     }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -20,8 +20,8 @@
 use crate::engine::{Engine, Event, Setup};
 use crate::guard::Memory;
 use crate::options::Settings;
-use crate::standin::listen;
-use crate::utils::clock;
+use crate::utils::drain::Drain;
+use crate::utils::{clock, listen};
 use shell::{Context, Message, Shell};
 
 /// Milliseconds between two ticks of the decisions.
@@ -48,9 +48,9 @@
 
 /// Runs an entry box until its planned stop is complete.
 pub async fn run(settings: Settings, switch: Switch) -> eyre::Result<()> {
-    let web = listen(settings.web)?;
-    let rpc = listen(settings.rpc)?;
-    let admin = listen(settings.admin)?;
+    let web = listen::bind(settings.web)?;
+    let rpc = listen::bind(settings.rpc)?;
+    let admin = listen::bind(settings.admin)?;
     let engine = Engine::new(Setup {
         name: settings.name.clone(),
         boot: clock::wall(),
@@ -66,15 +66,15 @@
     let context = Rc::new(Context::new(settings, sender));
     let limits = context.settings.limits;
     let callers = context.clone();
-    let serve = crate::web::server::serve(web, limits, move |request| {
-        callers::handle(callers.clone(), request)
-    });
+    let (trigger, drain) = Drain::new();
+    let handle = move |request| callers::handle(callers.clone(), request);
+    let serve = crate::web::server::serve(web, limits, drain.clone(), handle);
     monoio::spawn(serve);
     let bridge = bridge::Bridge::start(context.clone());
-    monoio::spawn(peers::serve(rpc, bridge, limits.body));
+    monoio::spawn(peers::serve(rpc, drain, bridge, limits.body));
     monoio::spawn(admin::serve(admin, context.clone()));
     monoio::spawn(ticks(context.clone(), switch));
-    Shell::new(engine, context).run(receiver).await;
+    Shell::new(engine, context, trigger).run(receiver).await;
     Ok(())
 }
 
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -8,15 +8,14 @@
 use super::shell::Context;
 use crate::engine::{Query, View};
 use crate::metrics;
+use crate::utils::drain::Drain;
 use crate::web::{self, Reply};
 
 /// Serves `/health`, `/ready` and `/metrics` for ever.
 pub async fn serve(listener: TcpListener, context: Rc<Context>) {
     let limits = context.settings.limits;
-    web::server::serve(listener, limits, move |request| {
-        handle(context.clone(), request)
-    })
-    .await;
+    let handle = move |request| handle(context.clone(), request);
+    web::server::serve(listener, limits, Drain::never(), handle).await;
 }
 
 async fn handle(context: Rc<Context>, request: web::Request) -> Reply {
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 
 use super::shell::{Context, Load, Message, Outcome, set};
+use crate::cell::Reason;
 use crate::constants;
 use crate::engine::Verdict;
 use crate::metrics::{self, Answer};
@@ -87,6 +88,9 @@
         constants::RETRY_AFTER,
         &after.to_string(),
     );
+    if reason == Reason::Stopping.word() {
+        set(&mut reply.headers, "connection", "close");
+    }
     let answer = Answer {
         verdict: "not-run",
         reason,
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -21,6 +21,7 @@
 use crate::trace;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
+use crate::utils::drain::Drain;
 use crate::web::{self, Reply};
 
 /// Bound of one call that is not a request, in milliseconds.
@@ -303,15 +304,15 @@
     message
 }
 
-/// Serves other boxes and operators for ever.
-pub async fn serve(listener: TcpListener, bridge: Bridge, body: usize) {
+/// Serves other boxes and operators until `drain` has begun.
+pub async fn serve(listener: TcpListener, drain: Drain, bridge: Bridge, body: usize) {
     let service = Service {
         bridge: bridge.clone(),
     };
     let peers = peer_server::PeerServer::new(service).max_decoding_message_size(body + HEADROOM);
     let operators = operators::Service::new(bridge);
     let operators = operator_server::OperatorServer::new(operators);
-    rpc::server::serve(listener, move |request| {
+    rpc::server::serve(listener, drain, move |request| {
         let (mut peers, mut operators) = (peers.clone(), operators.clone());
         async move {
             use tower_service::Service;
--- a/src/entry/shell.rs
+++ b/src/entry/shell.rs
@@ -19,6 +19,7 @@
 use crate::trace;
 use crate::utils::Name;
 use crate::utils::clock::{self, Millis};
+use crate::utils::drain::Trigger;
 use crate::web::client::Pool;
 use crate::web::{self, Reply, WebError};
 
@@ -86,6 +87,8 @@
         /// Where the answer goes.
         reply: oneshot::Sender<(Greeting, bool)>,
     },
+    /// The servers have ended.
+    Drained,
     /// A question about the state.
     Query {
         /// What is asked.
@@ -169,12 +172,13 @@
     greetings: HashMap<u64, oneshot::Sender<(Greeting, bool)>>,
     queries: HashMap<u64, oneshot::Sender<View>>,
     next: u64,
-    done: bool,
+    /// Ends the tasks that hold connections; none once it has begun.
+    trigger: Option<Trigger>,
 }
 
 impl Shell {
-    /// Returns the task around an engine.
-    pub fn new(engine: Engine, context: Rc<Context>) -> Self {
+    /// Returns the task around an engine, with what ends the servers.
+    pub fn new(engine: Engine, context: Rc<Context>, trigger: Trigger) -> Self {
         Self {
             engine,
             context,
@@ -182,24 +186,23 @@
             greetings: HashMap::new(),
             queries: HashMap::new(),
             next: 0,
-            done: false,
+            trigger: Some(trigger),
         }
     }
 
     /// Takes in messages until a planned stop is complete.
     pub async fn run(mut self, mut receiver: mpsc::UnboundedReceiver<Message>) {
         while let Some(message) = receiver.next().await {
-            let event = self.accept(message);
+            let Some(event) = self.accept(message) else {
+                log::info!(target: "entry", "stopped");
+                return;
+            };
             let now = Now::read();
             let actions = self.engine.step(now, event);
             self.context.fence.set(self.engine.until());
             for action in actions {
                 self.carry_out(action);
             }
-            if self.done {
-                log::info!(target: "entry", "stopped");
-                return;
-            }
         }
     }
 
@@ -219,8 +222,10 @@
         ticket
     }
 
-    fn accept(&mut self, message: Message) -> Event {
-        match message {
+    /// Returns the event that a message tells of; none when nothing is left to do.
+    fn accept(&mut self, message: Message) -> Option<Event> {
+        let event = match message {
+            Message::Drained => return None,
             Message::Event(event) => event,
             Message::Request { meta, load, reply } => {
                 let ticket = self.park(load, reply);
@@ -260,7 +265,8 @@
                 self.queries.insert(ticket, reply);
                 Event::Query { ticket, query }
             }
-        }
+        };
+        Some(event)
     }
 
     fn carry_out(&mut self, action: Action) {
@@ -364,10 +370,24 @@
                     context.pool.clear(Some(endpoint));
                 }
             }
-            Action::Exit => self.done = true,
+            Action::Exit { within } => self.drain(within),
         }
     }
 
+    /// Lets the servers answer what has come, then ends this task.
+    fn drain(&mut self, within: Millis) {
+        let Some(trigger) = self.trigger.take() else {
+            return;
+        };
+        let context = self.context.clone();
+        monoio::spawn(async move {
+            if !trigger.finish(within).await {
+                log::warn!(target: "entry", "connections were still open at the end of the stop");
+            }
+            context.send(Message::Drained);
+        });
+    }
+
     fn finish(&mut self, ticket: u64, verdict: Verdict, retries: u32) {
         let Some(parked) = self.parked.remove(&ticket) else {
             return;
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -2,3 +2,6 @@
 
 pub mod client;
 pub mod server;
+
+#[cfg(test)]
+mod tests;
--- a/src/rpc/client.rs
+++ b/src/rpc/client.rs
@@ -41,6 +41,38 @@
 
 impl std::error::Error for CallError {}
 
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Proof that a call did not leave this process.
+#[derive(Debug)]
+struct Unsent(String);
+
+impl std::fmt::Display for Unsent {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Unsent {}
+
+/// Returns true when an error proves that the server has not run the call: it
+/// never left, or the server's GOAWAY excludes its stream (RFC 9113, 6.8).
+fn unsent(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut next = Some(error);
+    while let Some(e) = next {
+        let excluded = |e: &h2::Error| e.is_go_away() && e.is_remote();
+        let proof = e.is::<Unsent>()
+            || e.downcast_ref::<hyper::Error>()
+                .is_some_and(hyper::Error::is_canceled)
+            || e.downcast_ref::<h2::Error>().is_some_and(excluded);
+        if proof {
+            return true;
+        }
+        next = e.source();
+    }
+    false
+}
+
 /// A connection to one address that connects again when it broke.
 #[derive(Clone)]
 pub struct Channel {
@@ -99,9 +131,12 @@
     }
 
     fn failure(&self, status: tonic::Status) -> CallError {
-        if std::error::Error::source(&status).is_some() {
+        if let Some(cause) = std::error::Error::source(&status) {
             self.sender.borrow_mut().take();
-            return CallError::Lost(status.to_string());
+            return match unsent(cause) {
+                true => CallError::NotSent(status.to_string()),
+                false => CallError::Lost(status.to_string()),
+            };
         }
         CallError::Refused(status.code(), status.message().to_string())
     }
@@ -122,7 +157,7 @@
 
 impl Service<http::Request<Body>> for Channel {
     type Response = http::Response<hyper::body::Incoming>;
-    type Error = eyre::Report;
+    type Error = BoxError;
     type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>>>>;
 
     fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
@@ -135,10 +170,11 @@
         let address = self.address;
         Box::pin(async move {
             let Some(mut sender) = sender else {
-                return Err(eyre::eyre!("not connected"));
+                return Err(Unsent("not connected".into()).into());
             };
             *request.uri_mut() = format!("http://{address}{path}").parse()?;
-            sender.ready().await?;
+            let ready = sender.ready().await;
+            ready.map_err(|e| Unsent(e.to_string()))?;
             Ok(sender.send_request(request).await?)
         })
     }
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -2,8 +2,10 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 
+use futures::future::{Either, select};
 use hyper::body::Incoming;
 use hyper::server::conn::http2;
 use monoio::io::IntoPollIo;
@@ -11,27 +13,28 @@
 use monoio_compat::hyper::{MonoioExecutor, MonoioIo};
 use tonic::body::Body;
 
+use crate::utils::drain::Drain;
+use crate::utils::listen;
+
 /// Largest number of calls in progress on one connection.
 const STREAMS: u32 = 4_096;
 
-/// Accepts connections for ever and hands each call to `handle`.
-pub async fn serve<H, F>(listener: TcpListener, handle: H)
+/// Accepts connections until `drain` has begun and hands each call to `handle`.
+///
+/// Calls that have come by then are answered; the peers are told which these are.
+pub async fn serve<H, F>(listener: TcpListener, drain: Drain, handle: H)
 where
     H: Fn(http::Request<Incoming>) -> F + 'static,
     F: Future<Output = http::Response<Body>> + 'static,
 {
     let handle = Rc::new(handle);
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                monoio::spawn(connection(stream, handle.clone()));
-            }
-            Err(e) => log::warn!(target: "rpc", "accept failed: {e}"),
-        }
-    }
+    let begin = |stream| {
+        monoio::spawn(connection(stream, drain.clone(), handle.clone()));
+    };
+    listen::accept_all(listener, &drain, begin).await;
 }
 
-async fn connection<H, F>(stream: TcpStream, handle: Rc<H>)
+async fn connection<H, F>(stream: TcpStream, drain: Drain, handle: Rc<H>)
 where
     H: Fn(http::Request<Incoming>) -> F + 'static,
     F: Future<Output = http::Response<Body>> + 'static,
@@ -47,11 +50,18 @@
         let reply = handle(request);
         async move { Ok::<_, Infallible>(reply.await) }
     });
-    let result = http2::Builder::new(MonoioExecutor)
+    let serving = http2::Builder::new(MonoioExecutor)
         .max_concurrent_streams(STREAMS)
-        .serve_connection(MonoioIo::new(stream), service)
-        .await;
-    if let Err(e) = result {
+        .serve_connection(MonoioIo::new(stream), service);
+    let mut serving = pin!(serving);
+    let ended = match select(serving.as_mut(), pin!(drain.begun())).await {
+        Either::Left((ended, _)) => ended,
+        Either::Right(_) => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(e) = ended {
         log::debug!(target: "rpc", "connection ended: {e}");
     }
 }
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -13,6 +13,7 @@
 use crate::rpc;
 use crate::table::{Change, Expect, Op};
 use crate::utils::clock::{self, Millis};
+use crate::utils::drain::Drain;
 
 /// Rows of one page of a scan, at most.
 const PAGE: usize = 500;
@@ -317,12 +318,12 @@
 
 /// Serves the platform for ever.
 pub async fn serve(platform: Platform, address: SocketAddr) -> eyre::Result<()> {
-    let listener = super::listen(address)?;
+    let listener = crate::utils::listen::bind(address)?;
     let table = table_server::TableServer::new(platform.clone());
     let objects = object_store_server::ObjectStoreServer::new(platform.clone());
     let directory = directory_server::DirectoryServer::new(platform.clone());
     let faults = platform_faults_server::PlatformFaultsServer::new(platform);
-    rpc::server::serve(listener, move |request| {
+    rpc::server::serve(listener, Drain::never(), move |request| {
         let (mut table, mut objects) = (table.clone(), objects.clone());
         let (mut directory, mut faults) = (directory.clone(), faults.clone());
         async move {
--- a/src/standin/worker/serve.rs
+++ b/src/standin/worker/serve.rs
@@ -13,8 +13,9 @@
 use crate::constants;
 use crate::proto::{self, worker_faults_server, worker_server};
 use crate::rpc;
-use crate::utils::clock;
+use crate::utils::drain::Drain;
 use crate::utils::hash::mix;
+use crate::utils::{clock, listen};
 use crate::web::server::Limits;
 use crate::web::{self, Reply};
 
@@ -320,8 +321,8 @@
         worker: Arc::new(Mutex::new(worker)),
         service: setup.service,
     };
-    let web = crate::standin::listen(setup.http)?;
-    let control = crate::standin::listen(setup.rpc)?;
+    let web = listen::bind(setup.http)?;
+    let control = listen::bind(setup.rpc)?;
     let limits = Limits {
         head: 64 << 10,
         body: 64 << 20,
@@ -329,12 +330,11 @@
         idle: 600_000,
     };
     let endpoint = shared.clone();
-    monoio::spawn(web::server::serve(web, limits, move |request| {
-        handle(endpoint.clone(), request)
-    }));
+    let handle = move |request| handle(endpoint.clone(), request);
+    monoio::spawn(web::server::serve(web, limits, Drain::never(), handle));
     let calls = worker_server::WorkerServer::new(shared.clone());
     let faults = worker_faults_server::WorkerFaultsServer::new(shared);
-    rpc::server::serve(control, move |request| {
+    rpc::server::serve(control, Drain::never(), move |request| {
         let (mut calls, mut faults) = (calls.clone(), faults.clone());
         async move {
             use tower_service::Service;
--- a/src/utils.rs
+++ b/src/utils.rs
@@ -1,7 +1,9 @@
 //! Small helpers without a duty of their own.
 
 pub mod clock;
+pub mod drain;
 pub mod hash;
+pub mod listen;
 pub mod random;
 
 use std::sync::Arc;
--- /dev/null
+++ b/src/utils/listen.rs
@@ -0,0 +1,60 @@
+//! Listening sockets and what they accept.
+
+use std::net::SocketAddr;
+use std::os::fd::{AsRawFd, BorrowedFd};
+use std::time::Duration;
+
+use eyre::WrapErr;
+use futures::future::{Either, select};
+use monoio::net::{TcpListener, TcpStream};
+
+use super::drain::Drain;
+
+/// Pause after a failed accept, for descriptors to become free.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Binds a listener on an address.
+pub fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).wrap_err_with(|| format!("cannot listen on {address}"))
+}
+
+/// Hands each accepted connection to `serve`, until `drain` has begun.
+///
+/// What the kernel had accepted by then is handed over as well: closing the
+/// listener would reset it.
+pub async fn accept_all(listener: TcpListener, drain: &Drain, serve: impl Fn(TcpStream)) {
+    let mut begun = Box::pin(drain.begun());
+    loop {
+        let accepted = match select(Box::pin(listener.accept()), begun.as_mut()).await {
+            Either::Left((accepted, _)) => accepted,
+            Either::Right(_) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve(stream),
+            Err(e) => {
+                log::warn!(target: "listen", "accept failed: {e}");
+                monoio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+    if let Err(e) = accept_rest(listener, serve) {
+        log::warn!(target: "listen", "connections were not accepted: {e}");
+    }
+}
+
+fn accept_rest(listener: TcpListener, serve: impl Fn(TcpStream)) -> std::io::Result<()> {
+    // SAFETY: the descriptor is open while `listener` lives.
+    let fd = unsafe { BorrowedFd::borrow_raw(listener.as_raw_fd()) };
+    let twin = std::net::TcpListener::from(fd.try_clone_to_owned()?);
+    twin.set_nonblocking(true)?;
+    loop {
+        match twin.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                serve(TcpStream::from_std(stream)?);
+            }
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return Ok(()),
+            Err(e) => return Err(e),
+        }
+    }
+}
--- a/src/web/limit.rs
+++ b/src/web/limit.rs
@@ -29,6 +29,11 @@
         self.0.get() == 0
     }
 
+    /// Returns true while nothing was read of an allowance of `bytes`.
+    pub fn whole(&self, bytes: usize) -> bool {
+        self.0.get() == bytes
+    }
+
     fn take(&self, bytes: usize) {
         self.0.set(self.0.get().saturating_sub(bytes));
     }
--- a/src/web/server.rs
+++ b/src/web/server.rs
@@ -2,14 +2,16 @@
 
 use std::cell::Cell;
 use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::{Either, select};
 use http::{StatusCode, Version};
 use monoio::io::sink::{Sink, SinkExt};
 use monoio::io::stream::Stream;
 use monoio::net::{TcpListener, TcpStream};
-use monoio::time::timeout;
+use monoio::time::{sleep, timeout};
 use monoio_http::common::response::Response;
 use monoio_http::h1::codec::ServerCodec;
 use monoio_http::h1::codec::decoder::FillPayload;
@@ -18,6 +20,12 @@
 use super::limit::{Allowance, Limited};
 use super::{Reply, Request, WebError, keeps_alive, length, payload, strip, whole};
 use crate::utils::clock::Millis;
+use crate::utils::drain::Drain;
+use crate::utils::listen;
+
+/// How long a connection without a request stays open once the end has begun:
+/// its next request may be on its way.
+const LAST_CALL: Duration = Duration::from_millis(500);
 
 /// Bounds of what a server reads and holds.
 #[derive(Clone, Copy, Debug)]
@@ -32,39 +40,39 @@
     pub idle: Millis,
 }
 
-/// Accepts connections for ever and hands each request to `handle`.
-pub async fn serve<H, F>(listener: TcpListener, limits: Limits, handle: H)
+/// Accepts connections until `drain` has begun and hands each request to `handle`.
+///
+/// A request that has begun by then is read, answered and its connection closed.
+pub async fn serve<H, F>(listener: TcpListener, limits: Limits, drain: Drain, handle: H)
 where
     H: Fn(Request) -> F + 'static,
     F: Future<Output = Reply> + 'static,
 {
     let handle = Rc::new(handle);
     let open = Rc::new(Cell::new(0));
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!(target: "web", "accept failed: {e}");
-                continue;
-            }
-        };
+    let begin = |stream: TcpStream| {
         if open.get() >= limits.connections {
             log::warn!(target: "web", "connection refused: limit of {} reached", limits.connections);
-            continue;
+            return;
         }
         open.set(open.get() + 1);
-        let handle = handle.clone();
-        let open = open.clone();
+        let (handle, open, drain) = (handle.clone(), open.clone(), drain.clone());
         monoio::spawn(async move {
-            if let Err(e) = connection(stream, limits, handle).await {
+            if let Err(e) = connection(stream, limits, drain, handle).await {
                 log::debug!(target: "web", "connection ended: {e}");
             }
             open.set(open.get() - 1);
         });
-    }
+    };
+    listen::accept_all(listener, &drain, begin).await;
 }
 
-async fn connection<H, F>(stream: TcpStream, limits: Limits, handle: Rc<H>) -> Result<(), WebError>
+async fn connection<H, F>(
+    stream: TcpStream,
+    limits: Limits,
+    drain: Drain,
+    handle: Rc<H>,
+) -> Result<(), WebError>
 where
     H: Fn(Request) -> F,
     F: Future<Output = Reply>,
@@ -76,14 +84,10 @@
     let mut codec = ServerCodec::new(Limited::new(stream, left.clone()));
     loop {
         left.reset(limits.head);
-        let read = timeout(
-            Duration::from_millis(limits.idle),
-            read(&mut codec, &left, limits),
-        );
-        let outcome = match read.await {
-            Ok(Ok(Some(outcome))) => outcome,
-            Ok(Ok(None)) | Err(_) => return Ok(()),
-            Ok(Err(e)) => {
+        let outcome = match next(&mut codec, &left, limits, &drain).await {
+            Ok(Some(outcome)) => outcome,
+            Ok(None) => return Ok(()),
+            Err(e) => {
                 let reply = refusal(&e);
                 send(&mut codec, reply, false).await?;
                 return Err(e);
@@ -91,6 +95,7 @@
         };
         let (request, alive) = outcome;
         let reply = handle(request).await;
+        let alive = alive && keeps_alive(Version::HTTP_11, &reply.headers) && !drain.active();
         send(&mut codec, reply, alive).await?;
         if !alive {
             let closed = Sink::<Response>::close(&mut codec).await;
@@ -99,6 +104,28 @@
     }
 }
 
+/// Reads the next request; none when the peer has closed, was idle for too
+/// long, or had sent nothing of it by the end of the last call.
+async fn next(
+    codec: &mut ServerCodec<Limited>,
+    left: &Allowance,
+    limits: Limits,
+    drain: &Drain,
+) -> Result<Option<(Request, bool)>, WebError> {
+    let idle = Duration::from_millis(limits.idle);
+    let mut reading = pin!(timeout(idle, read(codec, left, limits)));
+    if let Either::Left((outcome, _)) = select(reading.as_mut(), pin!(drain.begun())).await {
+        return outcome.unwrap_or(Ok(None));
+    }
+    if let Either::Left((outcome, _)) = select(reading.as_mut(), pin!(sleep(LAST_CALL))).await {
+        return outcome.unwrap_or(Ok(None));
+    }
+    if left.whole(limits.head) {
+        return Ok(None);
+    }
+    reading.await.unwrap_or(Ok(None))
+}
+
 async fn read(
     codec: &mut ServerCodec<Limited>,
     left: &Allowance,
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -8,6 +8,8 @@
 
 /// Requests sent through each box in turn.
 const REQUESTS: usize = 60;
+/// Requests of which only a part is sent before the box stops.
+const HALVES: usize = 20;
 
 #[test]
 fn a_request_is_answered_through_every_box() {
@@ -157,6 +159,20 @@
     assert!(answered > 0, "no request was answered");
 }
 
+#[test]
+fn a_request_that_is_half_sent_at_the_end_of_a_planned_stop_is_answered() {
+    let mut deployment = Deployment::start(3, 4);
+    deployment.create_service();
+    let begun: Vec<_> = (0..HALVES).map(|_| deployment.half_request(0)).collect();
+    deployment.terminate(0);
+    // The last thing a box does is to close its listeners.
+    deployment.wait_closed(0);
+    for half in begun {
+        assert_eq!(half.finish(), Told::NotRun);
+    }
+    assert_eq!(deployment.wait_end(0), Some(0));
+}
+
 #[test]
 fn of_two_operators_one_wins_and_exit_codes_tell() {
     let deployment = Deployment::start(3, 2);
--- a/tests/processes/parts.rs
+++ b/tests/processes/parts.rs
@@ -17,6 +17,8 @@
 const BINARY: &str = env!("CARGO_BIN_EXE_willowpoint");
 /// Generous bound of every wait for an event.
 const PATIENCE: Duration = Duration::from_secs(60);
+/// First port of the tests, runs that begin at ports of their own, and ports of each.
+const PORTS: (u16, u32, u16) = (12_000, 60, 300);
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// What a caller was told.
@@ -70,6 +72,12 @@
     folder: std::path::PathBuf,
 }
 
+/// A request of which only a part is sent.
+pub struct Half {
+    stream: TcpStream,
+    rest: String,
+}
+
 /// Callers that send requests on a thread of their own.
 pub struct Callers {
     thread: JoinHandle<Vec<Told>>,
@@ -82,11 +90,13 @@
 }
 
 /// Returns an address that nothing uses, below the ports that outgoing
-/// connections get, so that none of them takes it meanwhile.
+/// connections get, so that none of them takes it meanwhile. Two runs of the
+/// tests at once begin at different ports.
 fn free() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(21_000);
+    static TAKEN: AtomicU16 = AtomicU16::new(0);
+    let first = PORTS.0 + (std::process::id() % PORTS.1) as u16 * PORTS.2;
     loop {
-        let port = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = first + TAKEN.fetch_add(1, Ordering::Relaxed);
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         if TcpListener::bind(address).is_ok() {
             return address;
@@ -300,7 +310,33 @@
 
     /// Stops a box as planned and returns its exit code.
     pub fn stop(&mut self, index: usize) -> Option<i32> {
+        self.terminate(index);
+        self.wait_end(index)
+    }
+
+    /// Begins a planned stop.
+    pub fn terminate(&self, index: usize) {
         self.signal(index, libc::SIGTERM);
+    }
+
+    /// Waits until callers can't connect to a box any more.
+    pub fn wait_closed(&self, index: usize) {
+        let web = self.nodes[index].web;
+        wait("closed listeners", || TcpStream::connect(web).is_err());
+    }
+
+    /// Sends the first part of a request to a box.
+    pub fn half_request(&self, index: usize) -> Half {
+        let text = message("half", true);
+        let (first, rest) = text.split_at(text.len() / 2);
+        let mut stream = TcpStream::connect(self.nodes[index].web).expect("connected");
+        stream.write_all(first.as_bytes()).expect("sent");
+        let rest = rest.to_string();
+        Half { stream, rest }
+    }
+
+    /// Waits for the end of a box and returns its exit code.
+    pub fn wait_end(&mut self, index: usize) -> Option<i32> {
         let mut code = None;
         let child = &mut self.nodes[index].child;
         wait("the planned stop", || {
@@ -380,8 +416,18 @@
     line.split_whitespace().map(str::to_string).collect()
 }
 
+impl Half {
+    /// Sends the rest and returns what the caller is told.
+    pub fn finish(self) -> Told {
+        told(finish(self.stream, &self.rest))
+    }
+}
+
 fn exchange(address: SocketAddr, message: &str) -> std::io::Result<String> {
-    let mut stream = TcpStream::connect_timeout(&address, PATIENCE)?;
+    finish(TcpStream::connect_timeout(&address, PATIENCE)?, message)
+}
+
+fn finish(mut stream: TcpStream, message: &str) -> std::io::Result<String> {
     stream.set_read_timeout(Some(PATIENCE))?;
     stream.write_all(message.as_bytes())?;
     let mut text = String::new();
@@ -390,19 +436,26 @@
 }
 
 fn request(address: SocketAddr, id: &str, repeatable: bool) -> Told {
+    told(exchange(address, &message(id, repeatable)))
+}
+
+fn message(id: &str, repeatable: bool) -> String {
     let issued = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .expect("a clock");
     let body = format!("body of {id}");
-    let message = format!(
+    format!(
         "POST /x HTTP/1.1\r\nhost: x\r\nconnection: close\r\nwillowpoint-service: stock\r\n\
          willowpoint-id: {id}\r\nwillowpoint-repeatable: {}\r\nwillowpoint-issued-ms: {}\r\n\
          willowpoint-deadline-ms: 3000\r\ncontent-length: {}\r\n\r\n{body}",
         if repeatable { "yes" } else { "no" },
         issued.as_millis(),
         body.len()
-    );
-    let text = match exchange(address, &message) {
+    )
+}
+
+fn told(result: std::io::Result<String>) -> Told {
+    let text = match result {
         Ok(text) if !text.is_empty() => text,
         Err(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => return Told::Refused,
         _ => return Told::Lost,
--- a/tools/trial/src/world/boxes.rs
+++ b/tools/trial/src/world/boxes.rs
@@ -118,7 +118,7 @@
                 let end = End::Box(index(rpc, PORTS.0));
                 self.ask(node, end, PATIENCE, Payload::Snapshot, event.clone(), event);
             }
-            Action::Exit => self.exit(node),
+            Action::Exit { .. } => self.exit(node),
             Action::Regreet { .. }
             | Action::Hint { .. }
             | Action::Answer { .. }
