All nine rules are asserted inside the program

Change: a flight knows whether a send of it has no outcome. A second send (Once), a denial while a send may run (NotRun), a missing flight at its answer (Answer), a send or start without the lease and the epoch (Owner), a start beside a run of the task (Place) and a choice of a leaving worker (Leaving) are checked right before the action leaves, and refused when they fail: the request is told unknown or sent elsewhere, the start does not happen.

The look at the lease before the socket stopped these, so no rule was broken outside; now the decisions refuse them at once, in one place for all paths.

--- a/src/cell/requests.rs
+++ b/src/cell/requests.rs
@@ -180,6 +180,9 @@
     fn dispatch(&mut self, now: Millis, micros: u64, ask: &Ask) -> Option<Action> {
         let name = self.pick(now, ask)?;
         let worker = self.workers.get_mut(&name)?;
+        if !worker.stays() {
+            return None;
+        }
         let active = Active {
             service: ask.service.clone(),
             size: ask.size,
--- a/src/cell/room.rs
+++ b/src/cell/room.rs
@@ -5,6 +5,7 @@
 
 use super::runs::{Run, RunId, RunPhase};
 use super::{Shape, Size};
+use crate::invariant::{self, Rule};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -137,6 +138,13 @@
         self.known && now < self.trusted && !self.leaving && !self.retiring && self.listed
     }
 
+    /// Returns true unless the worker is leaving and so gets nothing new.
+    pub fn stays(&self) -> bool {
+        let stays = self.listed && !self.leaving && !self.retiring;
+        let detail = || format!("{} is leaving and was chosen", self.name);
+        invariant::check(stays, Rule::Leaving, detail)
+    }
+
     /// Returns the slots in use, those of earlier epochs included.
     pub fn busy(&self) -> u32 {
         self.active.len() as u32 + self.foreign
@@ -168,11 +176,9 @@
     pub fn add(&mut self, ticket: u64, active: Active) {
         self.used = plus(self.used, active.size);
         self.active.insert(ticket, active);
-        crate::invariant::check(
-            self.busy() <= self.shape.slots && self.within(),
-            crate::invariant::Rule::Room,
-            || format!("{} has {} requests", self.name, self.busy()),
-        );
+        let held = self.busy() <= self.shape.slots && self.within();
+        let detail = || format!("{} has {} requests", self.name, self.busy());
+        invariant::check(held, Rule::Room, detail);
     }
 
     /// Removes a request.
--- a/src/cell/tasks.rs
+++ b/src/cell/tasks.rs
@@ -320,6 +320,9 @@
             shunned,
         };
         let (name, share) = self.place(now, wanted)?;
+        if self.runs_already(&spec.id, task) || !self.workers.get(&name)?.stays() {
+            return None;
+        }
         self.counter += 1;
         let id = (self.epoch << 32) | self.counter;
         let worker = self.workers.get_mut(&name)?;
@@ -359,6 +362,14 @@
         })
     }
 
+    /// Returns true when a run of a task is held anywhere in the cell.
+    fn runs_already(&self, job: &Name, task: u32) -> bool {
+        let twin = |r: &Run| r.task == task && r.job == *job;
+        let found = self.workers.values().any(|w| w.runs.values().any(twin));
+        let detail = || format!("{job} {task} would start beside a run of it");
+        !invariant::check(!found, Rule::Place, detail)
+    }
+
     /// Makes room for urgent work: the run whose stop loses least yields.
     fn start_urgent(&mut self, now: Millis, key: &Name) -> Option<Action> {
         let lot = self.lots.get(key)?;
--- a/src/engine/flights.rs
+++ b/src/engine/flights.rs
@@ -22,6 +22,9 @@
 /// Milliseconds by which that time varies, so that callers do not come together.
 const JITTER: u64 = 200;
 
+/// What is told of a request that was sent before and may have run.
+pub(super) const RESENT: Verdict = Verdict::Unknown { reason: "retried" };
+
 /// Who asked this box.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Origin {
@@ -59,6 +62,8 @@
     /// The guard shard that let it through, and the epoch.
     guard: Option<(Name, u64)>,
     retries: u32,
+    /// True while a send of it has no outcome.
+    sending: bool,
     /// True once a send of it may have run.
     doubtful: bool,
 }
@@ -69,6 +74,19 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// Returns the verdict, or unknown in place of a denial that is not proved.
+    fn provable(&self, ticket: u64, verdict: Verdict) -> Verdict {
+        let Verdict::NotRun { reason, .. } = verdict else {
+            return verdict;
+        };
+        let proved = !self.sending && !self.doubtful;
+        let detail = || format!("{ticket} is denied ({}) and may run", reason.word());
+        match invariant::check(proved, Rule::NotRun, detail) {
+            true => verdict,
+            false => RESENT,
+        }
+    }
+
     /// Returns true when an own guard shard let it through.
     pub(super) fn guarded_by(&self, shard: &str) -> bool {
         self.guard
@@ -107,12 +125,26 @@
             tried: Vec::new(),
             guard: None,
             retries: meta.retries,
+            sending: false,
             doubtful: false,
             meta,
         };
         self.flights.insert(ticket, flight);
     }
 
+    /// Notes that a request is sent; false when it must not be, as an earlier
+    /// send of it is in progress or may have run.
+    pub(super) fn depart(&mut self, ticket: u64) -> bool {
+        let flight = self.flights.get_mut(&ticket);
+        let known = flight.is_some();
+        let once = flight.is_some_and(|f| {
+            let before = std::mem::replace(&mut f.sending, true);
+            !before && (f.meta.repeatable || !f.doubtful)
+        });
+        let detail = || format!("{ticket} is sent again; known: {known}");
+        invariant::check(once, Rule::Once, detail)
+    }
+
     #[allow(clippy::too_many_arguments)] // One for each field of the event.
     pub(super) fn forwarded(
         &mut self,
@@ -165,6 +197,9 @@
                 let mut meta = flight.meta.clone();
                 meta.left = flight.left(now.millis);
                 meta.retries = flight.retries;
+                if !self.depart(ticket) {
+                    return self.finish(ticket, RESENT, out);
+                }
                 out.push(Action::Forward {
                     ticket,
                     to: rpc,
@@ -256,6 +291,9 @@
         meta.left = flight.left(now.millis);
         meta.retries = flight.retries;
         let (guard, epoch) = flight.guard.clone().unzip();
+        if !self.depart(ticket) {
+            return self.finish(ticket, RESENT, out);
+        }
         out.push(Action::Forward {
             ticket,
             to: rpc,
@@ -317,9 +355,17 @@
             let actions = cell.ended(now.millis, now.micros, ticket, Sent::Unsent);
             debug_assert!(actions.is_empty());
         }
+        self.arrive(ticket);
         self.refused(now, ticket, Reason::Lapsed, COME_BACK, out);
     }
 
+    /// Notes that the last send of a request has an outcome.
+    fn arrive(&mut self, ticket: u64) {
+        if let Some(flight) = self.flights.get_mut(&ticket) {
+            flight.sending = false;
+        }
+    }
+
     fn left_cell(&mut self, ticket: u64) {
         let flight = self.flights.get_mut(&ticket);
         let stage = flight.map(|f| std::mem::replace(&mut f.stage, Stage::New));
@@ -345,6 +391,7 @@
     }
 
     pub(super) fn sent(&mut self, now: Now, ticket: u64, sent: Sent, out: &mut Vec<Action>) {
+        self.arrive(ticket);
         let stage = self.flights.get(&ticket).map(|f| f.stage.clone());
         if let Some(Stage::Local(name)) = stage
             && let Some(cell) = self.cells.get_mut(&name)
@@ -366,6 +413,7 @@
     }
 
     pub(super) fn handed(&mut self, now: Now, ticket: u64, handed: Handed, out: &mut Vec<Action>) {
+        self.arrive(ticket);
         let Some(flight) = self.flights.get_mut(&ticket) else {
             return;
         };
@@ -422,17 +470,20 @@
         // An earlier send that may have run forbids to say that it did not.
         let doubtful = self.flights.get(&ticket).is_some_and(|f| f.doubtful);
         let verdict = match doubtful {
-            true => Verdict::Unknown { reason: "retried" },
+            true => RESENT,
             false => Verdict::NotRun { reason, after },
         };
         self.finish(ticket, verdict, out);
     }
 
-    fn finish(&mut self, ticket: u64, verdict: Verdict, out: &mut Vec<Action>) {
-        let Some(flight) = self.flights.remove(&ticket) else {
-            invariant::check(false, Rule::Answer, || format!("{ticket} answered twice"));
+    pub(super) fn finish(&mut self, ticket: u64, verdict: Verdict, out: &mut Vec<Action>) {
+        let flight = self.flights.remove(&ticket);
+        let twice = || format!("{ticket} answered twice");
+        invariant::check(flight.is_some(), Rule::Answer, twice);
+        let Some(flight) = flight else {
             return;
         };
+        let verdict = flight.provable(ticket, verdict);
         if let Some((shard, epoch)) = &flight.guard
             && let Some(guard) = self.guards.get_mut(shard).filter(|g| g.epoch == *epoch)
         {
--- a/src/engine/state.rs
+++ b/src/engine/state.rs
@@ -2,13 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::flights::Flight;
+use super::flights::{self, Flight};
 use super::{Action, Event, Now, Reported, Setup};
 use crate::cell::{self, Cell, Place, Reason, Times};
 use crate::claim::{self, CellRow, Claims, GUARD, Host};
 use crate::config::Config;
 use crate::constants::GUARDS;
 use crate::guard::Guard;
+use crate::invariant::{self, Rule};
 use crate::lease::{self, BoxRow, Lease, Written};
 use crate::route::Router;
 use crate::table::{Call, Expect, Op, Outcome, Row, decode};
@@ -103,7 +104,7 @@
             flights: HashMap::new(),
             ops: HashMap::new(),
             next_op: 0,
-            budget: super::flights::BUDGET,
+            budget: flights::BUDGET,
             stopping: None,
             listed: None,
             listing: false,
@@ -441,6 +442,14 @@
         }
     }
 
+    /// Returns true when this box may act for a cell under an epoch.
+    fn rules(&self, now: Now, cell: &Name, epoch: u64) -> bool {
+        let owned = self.claims.mine().get(cell);
+        let rules = self.lease.acts(now.millis) && owned.is_some_and(|m| m.epoch == epoch);
+        let detail = || format!("{} acts for {cell} under epoch {epoch}", self.id());
+        invariant::check(rules, Rule::Owner, detail)
+    }
+
     /// Carries out what a cell asks for.
     pub(super) fn cell_action(
         &mut self,
@@ -451,7 +460,17 @@
         out: &mut Vec<Action>,
     ) {
         match action {
+            // A lapsed lease ends sends here, and once more right before the socket.
+            cell::Action::Send { ticket, .. } if !self.lease.acts(now.millis) => {
+                self.unsent(now, cell, ticket, out);
+            }
             cell::Action::Send { ticket, http, .. } => {
+                if !self.rules(now, cell, epoch) {
+                    return self.unsent(now, cell, ticket, out);
+                }
+                if !self.depart(ticket) {
+                    return self.finish(ticket, flights::RESENT, out);
+                }
                 let left = self.flights.get(&ticket).map_or(0, |f| f.left(now.millis));
                 out.push(Action::Send {
                     ticket,
@@ -466,6 +485,10 @@
                 reason,
                 after,
             } => self.refused(now, ticket, reason, after, out),
+            cell::Action::Start { worker, run, .. } if !self.rules(now, cell, epoch) => {
+                let reported = Reported::Started(run.id, cell::Called::Refused);
+                self.worker(now, cell, epoch, &worker, reported, out);
+            }
             other => out.push(Action::Worker {
                 cell: cell.clone(),
                 epoch,
@@ -483,7 +506,6 @@
         reported: Reported,
         out: &mut Vec<Action>,
     ) {
-        let acts = self.lease.acts(now.millis);
         let Some(cell) = self.cells.get_mut(name).filter(|c| c.epoch == epoch) else {
             return;
         };
@@ -514,13 +536,7 @@
             }
         };
         for action in actions {
-            let send = matches!(action, cell::Action::Send { .. });
-            // What may not be sent any more is refused by the next tick.
-            if acts || !send {
-                self.cell_action(now, name, epoch, action, out);
-            } else if let cell::Action::Send { ticket, .. } = action {
-                self.unsent(now, name, ticket, out);
-            }
+            self.cell_action(now, name, epoch, action, out);
         }
     }
 
--- a/tools/trial/src/main.rs
+++ b/tools/trial/src/main.rs
@@ -157,6 +157,11 @@
         if !counts.checks.contains_key(counts::word(rule)) {
             missing.push(format!("rule {rule:?} was never checked"));
         }
+        if willowpoint::invariant::checks(rule) == 0 {
+            missing.push(format!(
+                "rule {rule:?} was never checked inside the program"
+            ));
+        }
     }
     missing
 }
--- a/tools/trial/src/tests.rs
+++ b/tools/trial/src/tests.rs
@@ -8,6 +8,7 @@
 
 #[test]
 fn no_schedule_violates_a_rule() {
+    willowpoint::invariant::strict();
     println!("seeds {SEEDS:?}, {STEPS} steps each");
     let mut counts = Counts::default();
     for seed in SEEDS {
