A seed of the randomised runs takes the same course each time

Cause: several maps that are walked (flights of an engine, services in use, the trial's calls, deliveries and parked requests) were hash maps with a random state.

Ruled out: threads (each seed is a world of its own), the clock.

--- a/src/engine/state.rs
+++ b/src/engine/state.rs
@@ -1,6 +1,6 @@
 //! The engine's state and its steps.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::flights::{self, Flight};
 use super::{Action, Event, Now, Reported, Setup};
@@ -56,8 +56,8 @@
     pub(super) staged: Option<Config>,
     pub(super) router: Router,
     pub(super) places: Vec<Place>,
-    pub(super) flights: HashMap<u64, Flight>,
-    pub(super) ops: HashMap<u64, Purpose>,
+    pub(super) flights: BTreeMap<u64, Flight>,
+    pub(super) ops: BTreeMap<u64, Purpose>,
     pub(super) next_op: u64,
     pub(super) budget: f64,
     pub(super) stopping: Option<Millis>,
@@ -101,8 +101,8 @@
             staged: None,
             router: Router::new(setup.hall.clone(), seed),
             places: Vec::new(),
-            flights: HashMap::new(),
-            ops: HashMap::new(),
+            flights: BTreeMap::new(),
+            ops: BTreeMap::new(),
             next_op: 0,
             budget: flights::BUDGET,
             stopping: None,
--- a/tools/trial/src/truth.rs
+++ b/tools/trial/src/truth.rs
@@ -1,7 +1,7 @@
 //! What really happened, kept beside the program under test, and the checks
 //! against it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use willowpoint::invariant::Rule;
 use willowpoint::utils::Name;
@@ -55,7 +55,7 @@
     /// All requests.
     pub requests: Vec<Request>,
     /// Runs that were started, by rack and number, and their workers.
-    pub started: HashMap<(usize, u64), usize>,
+    pub started: BTreeMap<(usize, u64), usize>,
     /// Highest version of the configuration seen at each incarnation of a box.
     pub versions: BTreeMap<Name, u64>,
     /// Versions that operators were told, by the id of the change.
--- a/tools/trial/src/world.rs
+++ b/tools/trial/src/world.rs
@@ -6,7 +6,7 @@
 mod load;
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap};
 use std::net::SocketAddr;
 
 use willowpoint::cell::{Place, Policy, Shape};
@@ -144,14 +144,14 @@
     now: u64,
     sequence: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
-    deliveries: HashMap<u64, Delivery>,
+    deliveries: BTreeMap<u64, Delivery>,
     nodes: Vec<Node>,
     hosts: Vec<Host>,
     table: Table,
     cuts: Vec<Cut>,
     trouble: Trouble,
-    calls: HashMap<u64, Call>,
-    parked: HashMap<(usize, u64, u64), Parked>,
+    calls: BTreeMap<u64, Call>,
+    parked: BTreeMap<(usize, u64, u64), Parked>,
     operations: Vec<Operation>,
     jobs: Vec<Name>,
     boots: u64,
@@ -237,14 +237,14 @@
             now: 0,
             sequence: 0,
             queue: BinaryHeap::new(),
-            deliveries: HashMap::new(),
+            deliveries: BTreeMap::new(),
             nodes: Vec::new(),
             hosts: Vec::new(),
             table: Table::default(),
             cuts: Vec::new(),
             trouble: Trouble::default(),
-            calls: HashMap::new(),
-            parked: HashMap::new(),
+            calls: BTreeMap::new(),
+            parked: BTreeMap::new(),
             operations: Vec::new(),
             jobs: Vec::new(),
             boots: 0,
@@ -433,7 +433,7 @@
     }
 
     fn watch_owners(&mut self) {
-        let mut owners: HashMap<Name, Vec<Name>> = HashMap::new();
+        let mut owners: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
         for node in 0..BOXES {
             let now = self.clock(node).millis;
             let Node { engine, frozen, .. } = &self.nodes[node];
