A registration in doubt is not written again under the same incarnation

A box was frozen while its first registration had no outcome. The write had taken effect, so others gave it a cell and, as it stayed silent, declared it dead by deleting its row. When it woke it still believed that it had never been registered and wrote its row anew, which the table took, since the row was absent. The dead incarnation was alive again beside the new owner.

Ruled out: the promises (its successor refused them), the claim (the commit expects the old owner's row gone, and it was), clocks.

Change: a registration is written once. When its outcome is in doubt a read tells; when a later read does not show the row the box starts again as another incarnation.

--- a/src/lease/state.rs
+++ b/src/lease/state.rs
@@ -167,7 +167,9 @@
         let due = self
             .renewed
             .is_none_or(|at| now >= at + self.terms.length / 4);
-        if self.waiting.is_some() || !due {
+        // A read tells what became of a registration in doubt.
+        let unsettled = self.version == 0 && !self.doubtful.is_empty();
+        if self.waiting.is_some() || unsettled || !due {
             return None;
         }
         self.me.beat += 1;
@@ -291,11 +293,17 @@
     }
 
     fn missing(&mut self, sent: Millis) -> Vec<Action> {
-        // A read from before the registration says nothing.
-        if self.registered.is_none_or(|at| sent < at) {
-            return Vec::new();
+        let gone = match self.registered {
+            // A read from before the registration says nothing.
+            Some(at) => sent >= at,
+            // In doubt it may have taken effect and been deleted as a dead box'
+            // since; written again it would bring that box back to life.
+            None => self.waiting.is_none() && self.doubtful.iter().any(|r| r.sent < sent),
+        };
+        match gone {
+            true => self.depose(),
+            false => Vec::new(),
         }
-        self.depose()
     }
 
     fn depose(&mut self) -> Vec<Action> {
--- a/src/lease/tests.rs
+++ b/src/lease/tests.rs
@@ -180,3 +180,35 @@
     assert_eq!(actions, [Action::Deposed]);
     assert!(!lease.acts(500));
 }
+
+/// Returns a new box whose registration, sent at 0, has no known outcome.
+fn registering() -> Lease {
+    let mut lease = Lease::new(TERMS, row("a.1", &[]));
+    read(&mut lease, 0, &[(1, row("b.1", &[]))]);
+    lease.tick(0, 100);
+    lease.renewed(50, 1, Written::Unknown);
+    lease
+}
+
+#[test]
+fn a_registration_in_doubt_is_not_written_again() {
+    // Its row may have been written, and deleted as that of a dead box: the
+    // same incarnation would come back to life beside its successors.
+    let mut lease = registering();
+    for now in [300, 2_000, 9_000] {
+        let again = lease.tick(now, 100);
+        assert!(!again.iter().any(|a| matches!(a, Action::Renew { .. })));
+    }
+    let actions = read(&mut lease, 9_100, &[(1, row("b.1", &[]))]);
+    assert_eq!(actions, [Action::Deposed]);
+    assert!(!lease.registered());
+}
+
+#[test]
+fn a_registration_in_doubt_is_settled_by_a_read_that_shows_it() {
+    let mut lease = registering();
+    let mut own = row("a.1", &["b.1"]);
+    own.beat = 1;
+    assert!(read(&mut lease, 200, &[(1, own)]).is_empty());
+    assert!(lease.registered() && lease.acts(999));
+}
