A request waits a moment for cells that are all moving

Cause: with few cells a move can leave a box without any that it may choose; it then refused at once as not-ready although the next owner was a tick away.

Change: a box that has known cells lets a request wait 100 to 200 ms for the next owner, as it did for guards, when the request's deadline and the retry budget allow it; otherwise it is refused at once with when to come back, as before. A box that has never known a cell still refuses at once.

--- a/src/engine/flights.rs
+++ b/src/engine/flights.rs
@@ -17,7 +17,7 @@
 const EARNED: f64 = 0.1;
 /// Milliseconds after which to come back when nothing better is known.
 const COME_BACK: Millis = 200;
-/// Milliseconds after which another owner of a guard shard is looked for.
+/// Milliseconds after which another owner of a guard shard or a cell is looked for.
 const BACKOFF: Millis = 100;
 /// Milliseconds by which that time varies, so that callers do not come together.
 const JITTER: u64 = 200;
@@ -43,7 +43,7 @@
     New,
     /// At the box that owns the guard shard.
     Guard,
-    /// Waiting for another owner of the guard shard to be known.
+    /// Waiting for an owner of the guard shard, or of any cell, to be known.
     Backoff(Millis),
     /// In an own cell.
     Local(Name),
@@ -102,7 +102,7 @@
         if self.stopping.is_some() {
             return self.not_run(now, ticket, Reason::Stopping, COME_BACK, out);
         }
-        if !self.ready() {
+        if !self.config.known() || !self.router.seen() {
             return self.not_run(now, ticket, Reason::NotReady, COME_BACK, out);
         }
         let Some(flight) = self.flights.get(&ticket) else {
@@ -214,8 +214,8 @@
         }
     }
 
-    /// Waits a little for the guard shard to get another owner, if the request
-    /// has time and sends left.
+    /// Waits a little for a guard shard or the cells to get other owners, if
+    /// the request has time and sends left.
     fn back_off(&mut self, now: Now, ticket: u64, reason: Reason, out: &mut Vec<Action>) {
         let jitter = crate::utils::hash::mix(ticket) % BACKOFF;
         let until = now.millis + BACKOFF + jitter;
@@ -227,16 +227,22 @@
         self.claims.refresh();
         if let Some(flight) = self.flights.get_mut(&ticket) {
             flight.stage = Stage::Backoff(until);
+            flight.tried.clear();
         }
     }
 
-    /// Looks again for the guards of requests that wait for one.
-    pub(super) fn seek_guards(&mut self, now: Now, out: &mut Vec<Action>) {
+    /// Looks again for the guards or cells of requests that wait for one.
+    pub(super) fn seek_owners(&mut self, now: Now, out: &mut Vec<Action>) {
         let due = |f: &Flight| matches!(f.stage, Stage::Backoff(until) if until <= now.millis);
         let waiting = self.flights.iter().filter(|(_, f)| due(f));
         let tickets: Vec<u64> = waiting.map(|(ticket, _)| *ticket).collect();
         for ticket in tickets {
-            self.guard(now, ticket, out);
+            let flight = self.flights.get(&ticket);
+            let admitted = flight.is_some_and(|f| f.meta.repeatable || f.guard.is_some());
+            match admitted {
+                true => self.route(now, ticket, out),
+                false => self.guard(now, ticket, out),
+            }
         }
     }
 
@@ -274,12 +280,11 @@
             }
         }
         let Some(cell) = self.router.choose(&flight.tried) else {
-            let reason = if flight.tried.is_empty() {
-                Reason::NotReady
-            } else {
-                Reason::NoRoom
+            let known = !self.router.views().is_empty();
+            return match known {
+                true => self.not_run(now, ticket, Reason::NoRoom, COME_BACK, out),
+                false => self.back_off(now, ticket, Reason::NotReady, out),
             };
-            return self.not_run(now, ticket, reason, COME_BACK, out);
         };
         flight.tried.push(cell.clone());
         let view = self.router.view(&cell);
--- a/src/engine/state.rs
+++ b/src/engine/state.rs
@@ -216,7 +216,7 @@
         self.poll(now, out);
         self.greet(now, out);
         self.claim(now, out);
-        self.seek_guards(now, out);
+        self.seek_owners(now, out);
         if self.lease.acts(now.millis) {
             self.run_cells(now, out);
         } else {
--- a/src/route.rs
+++ b/src/route.rs
@@ -62,6 +62,8 @@
     views: Vec<View>,
     index: HashMap<Name, usize>,
     random: Random,
+    /// True once a cell was known.
+    seen: bool,
 }
 
 impl Router {
@@ -72,9 +74,15 @@
             views: Vec::new(),
             index: HashMap::new(),
             random: Random::new(seed),
+            seen: false,
         }
     }
 
+    /// Returns true once any cell was known: what is missing since is moving.
+    pub fn seen(&self) -> bool {
+        self.seen
+    }
+
     /// Returns all cells known.
     pub fn views(&self) -> &[View] {
         &self.views
@@ -101,6 +109,7 @@
     }
 
     fn insert(&mut self, view: View) {
+        self.seen = true;
         match self.index.get(&view.load.cell) {
             // An older owner's word does not count against a newer one's.
             Some(&at) if self.views[at].load.epoch > view.load.epoch => {}
--- a/src/route/tests.rs
+++ b/src/route/tests.rs
@@ -61,3 +61,15 @@
     assert!(router.view("h/1").is_none());
     assert!(router.view("h/2").is_some());
 }
+
+#[test]
+fn a_cell_that_its_owner_denies_is_not_chosen_until_it_is_reported() {
+    let mut router = Router::new("h".into(), 1);
+    assert!(!router.seen());
+    router.report(0, &"a".into(), None, vec![load("h/r0", 1, 8)]);
+    router.drop_cell("h/r0");
+    assert_eq!(router.choose(&[]), None);
+    assert!(router.seen());
+    router.report(1, &"b".into(), None, vec![load("h/r0", 2, 8)]);
+    assert_eq!(router.choose(&[]).as_deref(), Some("h/r0"));
+}
