A box that is deaf to the table, as a test with real processes

Every request gets an answer, a job goes through, and by the workers' own records nothing ran twice or beyond room. Three tests share their job and their count now.

--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -1,8 +1,9 @@
 //! The parts as separate processes: killed, frozen, stopped and replaced.
 
 mod parts;
+mod proxy;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use parts::{Deployment, Told};
 
@@ -28,21 +29,7 @@
 fn job_state_outlives_every_box() {
     let mut deployment = Deployment::start(3, 4);
     deployment.create_service();
-    deployment.operate(&[
-        "job",
-        "submit",
-        "long",
-        "--team",
-        "ledger",
-        "--kind",
-        "settle",
-        "--tasks",
-        "12",
-        "--cores",
-        "2000",
-        "--work-ms",
-        "4000",
-    ]);
+    deployment.submit("long", 12, 2_000, 4_000);
     for index in 0..3 {
         deployment.kill(index);
         deployment.start_box(index);
@@ -50,10 +37,7 @@
     }
     let shown = deployment.wait_job("long", "done");
     assert_eq!(shown["done"], 12, "{shown}");
-    let counts = deployment.worker_counts();
-    let doubled: u64 = counts.iter().map(|c| c.doubled).sum();
-    let overloads: u64 = counts.iter().map(|c| c.overloads).sum();
-    assert_eq!((doubled, overloads), (0, 0));
+    assert_eq!(deployment.broken(), (0, 0));
 }
 
 #[test]
@@ -105,30 +89,13 @@
 fn a_frozen_owner_does_not_act_beside_its_successor() {
     let deployment = Deployment::start(3, 4);
     deployment.create_service();
-    deployment.operate(&[
-        "job",
-        "submit",
-        "slow",
-        "--team",
-        "ledger",
-        "--kind",
-        "settle",
-        "--tasks",
-        "16",
-        "--cores",
-        "3000",
-        "--work-ms",
-        "3000",
-    ]);
+    deployment.submit("slow", 16, 3_000, 3_000);
     deployment.freeze(0);
     deployment.wait_cells_without(0);
     deployment.thaw(0);
     let shown = deployment.wait_job("slow", "done");
     assert_eq!(shown["done"], 16, "{shown}");
-    let counts = deployment.worker_counts();
-    let doubled: u64 = counts.iter().map(|c| c.doubled).sum();
-    let overloads: u64 = counts.iter().map(|c| c.overloads).sum();
-    assert_eq!((doubled, overloads), (0, 0));
+    assert_eq!(deployment.broken(), (0, 0));
 }
 
 #[test]
@@ -142,6 +109,29 @@
     assert_eq!(told, Told::Answer("outage\nbody of outage".into()));
 }
 
+#[test]
+fn a_box_that_is_deaf_to_the_table_does_not_act_beside_another() {
+    let deployment = Deployment::start(3, 4);
+    deployment.create_service();
+    deployment.submit("deaf", 16, 3_000, 3_000);
+    // Its writes take effect, and it hears of none: longer than a lease.
+    deployment.cut_answers(true);
+    let end = Instant::now() + Duration::from_secs(5);
+    let mut number = 0;
+    while Instant::now() < end {
+        let told = deployment.request(number % 3, &format!("deaf{number}"), true);
+        assert!(!matches!(told, Told::Lost | Told::Refused), "{told:?}");
+        number += 1;
+    }
+    deployment.cut_answers(false);
+    let shown = deployment.wait_job("deaf", "done");
+    assert_eq!(shown["done"], 16, "{shown}");
+    assert_eq!(deployment.broken(), (0, 0));
+    let counts = deployment.worker_counts();
+    let ran: u32 = counts.iter().flat_map(|c| c.ids.values()).sum();
+    assert!(ran > 0, "no request ran");
+}
+
 #[test]
 fn a_planned_stop_cuts_off_no_request() {
     let mut deployment = Deployment::start(3, 4);
--- a/tests/processes/parts.rs
+++ b/tests/processes/parts.rs
@@ -8,6 +8,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use super::proxy::Proxy;
 use willowpoint::claim;
 use willowpoint::program::block_on;
 use willowpoint::proto;
@@ -68,6 +69,8 @@
 /// Running processes, ended with this value.
 pub struct Deployment {
     platform: SocketAddr,
+    /// Between the first box and the platform.
+    proxy: Proxy,
     process: Child,
     workers: Vec<Worker>,
     nodes: Vec<Node>,
@@ -148,6 +151,7 @@
         let process = spawn(&words(&format!("stand-in platform --rpc {platform}")));
         let mut deployment = Self {
             platform,
+            proxy: Proxy::start(free(), platform),
             process,
             workers: Vec::new(),
             nodes: Vec::new(),
@@ -183,14 +187,17 @@
         let known = self.nodes.get(index).map(|n| (n.web, n.rpc, n.admin));
         let (web, rpc, admin) = known.unwrap_or_else(|| (free(), free(), free()));
         let settings = self.folder.join(format!("e{index}.toml"));
+        let platform = match index {
+            0 => self.proxy.address(),
+            _ => self.platform,
+        };
         let text = format!(
             "[box]\nname = \"e{index}\"\nhall = \"h{}\"\nweb = \"{web}\"\nrpc = \"{rpc}\"\n\
-             admin = \"{admin}\"\n[platform]\nrpc = \"{}\"\npatience = \"500ms\"\n\
+             admin = \"{admin}\"\n[platform]\nrpc = \"{platform}\"\npatience = \"500ms\"\n\
              [lease]\nlength = \"2s\"\nmargin = \"500ms\"\npromise = \"1500ms\"\n\
              [pace]\nheartbeat = \"300ms\"\npoll = \"300ms\"\nsync = \"300ms\"\ntask = \"2s\"\n\
              stop = \"20s\"\n",
             index % 2,
-            self.platform
         );
         std::fs::write(&settings, text).expect("settings are written");
         let child = spawn(&words(&format!("entry --config {}", settings.display())));
@@ -249,6 +256,23 @@
         printed.text
     }
 
+    /// Submits a job of `tasks` tasks of `cores` thousandths and `work` milliseconds.
+    pub fn submit(&self, id: &str, tasks: u32, cores: u32, work: u64) {
+        let (tasks, cores, work) = (tasks.to_string(), cores.to_string(), work.to_string());
+        let mut words = vec!["job", "submit", id, "--team", "ledger", "--kind", "settle"];
+        words.extend(["--tasks", &tasks, "--cores", &cores, "--work-ms", &work]);
+        self.operate(&words);
+    }
+
+    /// Returns how often the living workers ran a task beside itself, and were
+    /// given more than their room, by their own records.
+    pub fn broken(&self) -> (u64, u64) {
+        let counts = self.worker_counts();
+        let doubled = counts.iter().map(|c| c.doubled).sum();
+        let overloads = counts.iter().map(|c| c.overloads).sum();
+        (doubled, overloads)
+    }
+
     /// Waits until a job is in a state and returns what is shown of it.
     pub fn wait_job(&self, id: &str, state: &str) -> serde_json::Value {
         let mut shown = serde_json::Value::Null;
@@ -363,6 +387,11 @@
         });
     }
 
+    /// Holds up all answers of the platform to the first box, or lets them go on.
+    pub fn cut_answers(&self, cut: bool) {
+        self.proxy.cut_answers(cut);
+    }
+
     pub fn platform_down(&self, millis: u64) {
         let platform = self.platform;
         let fault = proto::PlatformFault {
