An adopted run of a silent worker is not over at once; cells are polled rarely

Ruled out: acknowledgements, the hold of unknown tasks (it was right in both).

Change: a reported run counts as renewed when it is adopted, and nothing lapses before the hold of the new owner is over.

--- a/src/cell/outcome.rs
+++ b/src/cell/outcome.rs
@@ -220,6 +220,8 @@
             }
             false => {
                 worker.hold(adopted(report, now));
+                // A start that lay unread there may just have begun its lease.
+                worker.renewed = worker.renewed.max(now);
                 if !self.loaded {
                     return None;
                 }
--- a/src/cell/state.rs
+++ b/src/cell/state.rs
@@ -356,7 +356,9 @@
         let span = self.times.task + self.times.margin;
         let mut lapsed: Vec<(Name, RunId)> = Vec::new();
         for worker in self.workers.values() {
-            if worker.known || now <= worker.renewed.max(worker.renewing) + span {
+            // An earlier owner may have renewed them until this one won.
+            let end = self.hold.max(worker.renewed.max(worker.renewing) + span);
+            if worker.known || now <= end {
                 continue;
             }
             let over = |r: &&Run| !worker.listed || !r.unconfirmed();
--- a/src/cell/tests.rs
+++ b/src/cell/tests.rs
@@ -330,3 +330,51 @@
     assert!((loud - 1.0).abs() < 0.15, "{loud}");
     assert!((calm - 0.05).abs() < 0.15, "{calm}");
 }
+
+#[test]
+fn an_adopted_run_of_a_silent_worker_is_not_over_before_the_old_leases() {
+    const BEGIN: Millis = 10_000;
+    for late in [10, TIMES.task + TIMES.margin + 10] {
+        adopts_and_waits(BEGIN, BEGIN + late);
+    }
+}
+
+fn adopts_and_waits(begin: Millis, adopted: Millis) {
+    let mut cell = Cell::new("h/r".into(), 2, begin, Policy::default(), TIMES);
+    cell.places(&[place(0)], &Default::default());
+    let mut known = lot("j", 1, 1_000);
+    known.row.epoch = 1;
+    let key = known.key.clone();
+    cell.load(begin, vec![known]);
+    let mut reply = shaped();
+    reply.runs = vec![Report {
+        id: 1 << 32,
+        job: "j".into(),
+        task: 0,
+        kind: "k".into(),
+        size: lot("j", 1, 1_000).row.spec.size,
+        state: RunState::Running,
+        progress: 10,
+        share: 1_000,
+        usage: 0,
+    }];
+    answer(&mut cell, adopted, 0, reply);
+    let asked = |now| Asked {
+        sent: now,
+        round: 1,
+        acks: Vec::new(),
+    };
+    // The earlier owner may have renewed it right before this one won, or its
+    // start may have lain unread until right before the report.
+    for now in (adopted..adopted + TIMES.task + TIMES.margin).step_by(100) {
+        cell.tick(now, now * 1_000);
+        cell.synced(
+            now,
+            now * 1_000,
+            &"w0".into(),
+            asked(now),
+            Exchange::NotSent,
+        );
+        assert_eq!(cell.lots[&key].live, [Live::Running(1 << 32)], "at {now}");
+    }
+}
--- a/src/claim/state.rs
+++ b/src/claim/state.rs
@@ -12,6 +12,9 @@
 const PENDING: usize = 8;
 /// Milliseconds between two reads of all cells that changes ask for.
 const REFRESH: Millis = 250;
+/// Polls between two reads of all cells that nothing asks for: other boxes
+/// tell of moves, and a missed one asks for a read.
+const CALM: u64 = 5;
 /// Cells that are given away at once.
 const MOVES: usize = 4;
 /// Milliseconds that a free cell is left to the box it should belong to.
@@ -162,7 +165,7 @@
         let pause = if self.wanted {
             REFRESH.min(interval)
         } else {
-            interval
+            interval * CALM
         };
         if !self.reading && self.read.is_none_or(|at| now >= at + pause) {
             self.wanted = false;
