--- a/src/cell/lot.rs
+++ b/src/cell/lot.rs
@@ -5,7 +5,7 @@
 use super::Action;
 use super::room::Worker;
 use super::runs::{Run, RunId};
-use super::state::Cell;
+use super::state::{Cell, SILENT};
 use crate::job::{LotRow, Phase, Versioned};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -121,6 +121,7 @@
             self.add(now, versioned, fresh);
         }
         self.loaded = true;
+        self.read = now;
     }
 
     /// Takes in a lot that was read later: new, or known already.
@@ -183,9 +184,12 @@
     /// Lets tasks start that an earlier owner can no longer have running.
     ///
     /// A start that it sent may lie unread before a worker that stands still,
-    /// so every listed worker must have answered, and some time ago.
+    /// so every listed worker must have answered, and some time ago. What it
+    /// told before the lots were read is told again by its next answer.
     pub fn unhold(&mut self, now: Millis) {
-        let settled = |w: &Worker| !w.listed || (w.known && now > w.awake + self.margin);
+        let since = self.read + self.times.sync * SILENT;
+        let told = |w: &Worker| w.known && w.trusted >= since && now > w.awake + self.margin;
+        let settled = |w: &Worker| !w.listed || told(w);
         if now < self.hold || !self.loaded || !self.workers.values().all(settled) {
             return;
         }
--- a/src/cell/state.rs
+++ b/src/cell/state.rs
@@ -16,7 +16,7 @@
 /// Weight of a new measurement in a moving average.
 const SMOOTH: f64 = 0.2;
 /// Intervals between exchanges for which an answer is relied on.
-const SILENT: u64 = 3;
+pub(super) const SILENT: u64 = 3;
 
 /// A worker in the list of live and leaving ones.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -135,9 +135,11 @@
     pub(super) counter: u64,
     pub(super) round: u64,
     pub(super) hold: Millis,
+    /// When the lots were read: what workers told before settled nothing.
+    pub(super) read: Millis,
     pub(super) loaded: bool,
     pub(super) margin: Millis,
-    times: Times,
+    pub(super) times: Times,
 }
 
 impl Cell {
@@ -169,6 +171,7 @@
             counter: 0,
             round: 0,
             hold: now + times.task + times.margin,
+            read: now,
             loaded: false,
             margin: times.margin,
             times,
--- a/src/cell/tests.rs
+++ b/src/cell/tests.rs
@@ -378,3 +378,19 @@
         assert_eq!(cell.lots[&key].live, [Live::Running(1 << 32)], "at {now}");
     }
 }
+
+#[test]
+fn what_was_reported_before_the_lots_were_read_is_not_started_again() {
+    let mut cell = Cell::new("h/r".into(), 2, 0, Policy::default(), TIMES);
+    cell.places(&[place(0)], &Default::default());
+    let late = TIMES.task + TIMES.margin + 500;
+    for now in (0..late).step_by(100) {
+        answer(&mut cell, now, 0, shaped());
+    }
+    let mut known = lot("j", 1, 1_000);
+    known.row.epoch = 1;
+    cell.load(late, vec![known]);
+    assert!(starts(&cell.tick(late, late * 1_000)).is_empty());
+    answer(&mut cell, late + 10, 0, shaped());
+    assert_eq!(starts(&cell.tick(late + 20, late * 1_000)).len(), 1);
+}
--- a/tests/processes/parts.rs
+++ b/tests/processes/parts.rs
@@ -151,7 +151,7 @@
         let process = spawn(&words(&format!("stand-in platform --rpc {platform}")));
         let mut deployment = Self {
             platform,
-            proxy: Proxy::start(free(), platform),
+            proxy: Proxy::start(platform),
             process,
             workers: Vec::new(),
             nodes: Vec::new(),
--- a/tests/processes/proxy.rs
+++ b/tests/processes/proxy.rs
@@ -19,9 +19,10 @@
 }
 
 impl Proxy {
-    /// Starts to forward from a listener to an address.
-    pub fn start(address: SocketAddr, target: SocketAddr) -> Self {
-        let listener = TcpListener::bind(address).expect("a port for the proxy");
+    /// Starts to forward to an address, on a port that the kernel chooses.
+    pub fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port for the proxy");
+        let address = listener.local_addr().expect("an address");
         let deaf = Arc::new(AtomicBool::new(false));
         let held = deaf.clone();
         std::thread::spawn(move || {
