--- a/src/cell/lot.rs
+++ b/src/cell/lot.rs
@@ -162,13 +162,7 @@
                 continue;
             }
             lot.cancelled = true;
-            for (index, live) in lot.live.iter_mut().enumerate() {
-                if *live == Live::Waiting {
-                    *live = Live::Ended;
-                    lot.row.tasks[index].phase = Phase::Cancelled;
-                    lot.dirty = true;
-                }
-            }
+            end_waiting(lot);
         }
         let mut stops = Vec::new();
         for worker in self.workers.values() {
@@ -218,6 +212,7 @@
     }
 }
 
+/// Ends the waiting tasks of a lot whose job was cancelled.
 pub(super) fn end_waiting(lot: &mut Lot) {
     for (index, live) in lot.live.iter_mut().enumerate() {
         if *live == Live::Waiting {
--- a/src/cell/outcome.rs
+++ b/src/cell/outcome.rs
@@ -213,21 +213,17 @@
                         r.since = now;
                     }
                 });
-                if !self.loaded {
-                    return None;
-                }
-                self.adopt(name, report, now)
             }
             false => {
                 worker.hold(adopted(report, now));
                 // A start that lay unread there may just have begun its lease.
                 worker.renewed = worker.renewed.max(now);
-                if !self.loaded {
-                    return None;
-                }
-                self.adopt(name, report, now)
             }
         }
+        if !self.loaded {
+            return None;
+        }
+        self.adopt(name, report, now)
     }
 
     /// Ties a running run to its task, or stops it when it has none.
