--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,66 @@
+//! The daemon of an entry box on the platform: sockets and tasks around the
+//! decisions of `sched`.
+
+mod admin;
+mod desk;
+mod lead;
+mod member;
+mod peers;
+mod shared;
+mod watch;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::channel::mpsc;
+use monoio::time::sleep;
+
+use crate::options::daemon::Settings;
+use crate::rpc::bridge::Bridge;
+use crate::utils::clock::{self, Millis};
+use crate::utils::drain::Drain;
+use crate::utils::{listen, stop};
+use crate::web;
+use shared::Shared;
+
+/// Milliseconds between two looks whether a planned stop was asked for.
+const LOOK: Duration = Duration::from_millis(50);
+/// Milliseconds from a planned stop until no connection is accepted any more:
+/// the platform's balancer asks each second and leaves a box out after two
+/// refusals.
+const LEAVE: Duration = Duration::from_millis(2_600);
+
+/// Runs the daemon until its planned stop is complete.
+pub async fn run(settings: Settings) -> eyre::Result<()> {
+    let web = listen::bind(settings.web)?;
+    let rpc = listen::bind(settings.rpc)?;
+    let admin = listen::bind(settings.admin)?;
+    let metrics = settings.metrics.map(listen::bind).transpose()?;
+    let life = clock::wall();
+    log::info!(target: "daemon", "event=start box={} life={life} web={} rpc={}", settings.name, settings.web, settings.rpc);
+    let limits = settings.limits;
+    let rest = settings.stop.saturating_sub(LEAVE.as_millis() as Millis);
+    let (sender, receiver) = mpsc::unbounded();
+    let (nudge, nudged) = mpsc::unbounded();
+    let shared = Rc::new(Shared::new(settings, life, sender, nudge));
+    let (trigger, drain) = Drain::new();
+    let desk = shared.clone();
+    let handle = move |request| desk::handle(desk.clone(), request);
+    monoio::spawn(web::server::serve(web, limits, drain.clone(), handle));
+    monoio::spawn(peers::serve(rpc, Bridge::start(shared.clone())));
+    for listener in [Some(admin), metrics].into_iter().flatten() {
+        monoio::spawn(admin::serve(listener, shared.clone()));
+    }
+    monoio::spawn(watch::config(shared.clone()));
+    monoio::spawn(lead::run(shared.clone(), receiver));
+    monoio::spawn(member::run(shared.clone(), nudged));
+    while !stop::asked() {
+        sleep(LOOK).await;
+    }
+    log::info!(target: "daemon", "event=stop box={}", shared.settings.name);
+    shared.stop();
+    sleep(LEAVE).await;
+    let whole = trigger.finish(rest).await;
+    log::info!(target: "daemon", "event=stopped box={} whole={whole}", shared.settings.name);
+    Ok(())
+}
--- /dev/null
+++ b/src/daemon/admin.rs
@@ -0,0 +1,35 @@
+//! Readiness and metrics over HTTP.
+
+use std::rc::Rc;
+
+use http::StatusCode;
+use monoio::net::TcpListener;
+
+use super::shared::Shared;
+use crate::metrics;
+use crate::utils::drain::Drain;
+use crate::web::{self, Reply};
+
+/// Serves `/ready` and `/metrics` until the process ends.
+pub async fn serve(listener: TcpListener, shared: Rc<Shared>) {
+    let limits = shared.settings.limits;
+    let handle = move |request| {
+        let reply = answer(&shared, &request);
+        std::future::ready(reply)
+    };
+    web::server::serve(listener, limits, Drain::never(), handle).await;
+}
+
+fn answer(shared: &Shared, request: &web::Request) -> Reply {
+    match request.uri.path() {
+        "/ready" if ready(shared) => Reply::text(StatusCode::OK, "ready\n"),
+        "/ready" => Reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        "/metrics" => Reply::text(StatusCode::OK, metrics::get().text()),
+        _ => Reply::text(StatusCode::NOT_FOUND, "try /ready or /metrics\n"),
+    }
+}
+
+/// A box is ready with a configuration, unless it is stopping.
+fn ready(shared: &Shared) -> bool {
+    shared.queues().version() > 0 && !shared.stopping()
+}
--- /dev/null
+++ b/src/daemon/desk.rs
@@ -0,0 +1,148 @@
+//! Callers' requests, handed to the owner wherever it is.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::channel::oneshot;
+use http::StatusCode;
+use monoio::time::{sleep, timeout};
+
+use super::lead;
+use super::shared::Shared;
+use crate::platform::ingress;
+use crate::proto::cluster_client::ClusterClient;
+use crate::proto::{AskReply, AskRequest};
+use crate::rpc::client::CallError;
+use crate::sched::COME_BACK;
+use crate::sched::message::{Answer, Ask};
+use crate::utils::clock::{self, Millis};
+use crate::web::{Reply, Request};
+
+/// Longest wait for an owner, in milliseconds: a takeover and a half.
+const NO_OWNER: Millis = 1_800;
+/// Milliseconds between two tries to reach the owner.
+const PAUSE: Duration = Duration::from_millis(40);
+/// Longest wait for one answer of the owner, in milliseconds: a commit to a
+/// slow store and more; after that it may be dead.
+const ANSWER: Millis = 1_000;
+/// Milliseconds of the caller's patience kept for the way back.
+const WAY_BACK: Millis = 100;
+
+/// Takes a caller's request to its answer.
+pub async fn handle(shared: Rc<Shared>, request: Request) -> Reply {
+    let queues = shared.queues();
+    if queues.version() == 0 {
+        log::info!(target: "desk", "event=refused reason=no-config");
+        return ingress::reply(&Answer::Refused(COME_BACK));
+    }
+    let ask = match ingress::ask(&request, &queues) {
+        Ok(ask) => ask,
+        Err(reply) => {
+            if reply.status != StatusCode::NOT_FOUND {
+                log::warn!(target: "desk", "event=bad-request path={} status={}", request.uri.path(), reply.status);
+            }
+            return reply;
+        }
+    };
+    let patience = ingress::patience(&request).saturating_sub(WAY_BACK);
+    let start = clock::micros();
+    let answer = ask_owner(&shared, &ask, patience).await;
+    let took = clock::micros() - start;
+    crate::metrics::get().seconds.observe(took as f64 / 1e6);
+    if !matches!(ask, Ask::Show(_) | Ask::Count(_)) {
+        let (what, id) = name(&ask);
+        let version = queues.version();
+        log::info!(target: "desk", "job={id} event={what} answer={answer:?} us={took} config={version}");
+    }
+    ingress::reply(&answer)
+}
+
+fn name(ask: &Ask) -> (&'static str, &str) {
+    match ask {
+        Ask::Submit { id, .. } => ("submit", id),
+        Ask::Cancel(id) => ("cancel", id),
+        Ask::Show(id) => ("show", id),
+        Ask::Count(queue) => ("count", queue),
+    }
+}
+
+/// Asks the owner, and its successor when it is replaced meanwhile.
+async fn ask_owner(shared: &Rc<Shared>, ask: &Ask, patience: Millis) -> Answer {
+    let start = clock::now();
+    // Once a try may have reached an owner, the request may have been done.
+    let mut doubt = false;
+    loop {
+        let spent = clock::now() - start;
+        if spent >= patience.min(NO_OWNER) {
+            return given_up(ask, doubt, "no-owner", spent);
+        }
+        let left = (patience - spent).min(ANSWER);
+        match one_try(shared, ask, left).await {
+            Ok(Answer::Refused(_) | Answer::Unknown) if doubt && changes(ask) => {
+                return given_up(ask, doubt, "earlier-try-in-doubt", spent);
+            }
+            Ok(answer) => return answer,
+            Err(Failure::Lost) => doubt = true,
+            Err(Failure::NotThere) => {}
+        }
+        shared.nudge();
+        sleep(PAUSE).await;
+    }
+}
+
+fn changes(ask: &Ask) -> bool {
+    matches!(ask, Ask::Submit { .. } | Ask::Cancel(_))
+}
+
+fn given_up(ask: &Ask, doubt: bool, reason: &str, spent: Millis) -> Answer {
+    let (what, id) = name(ask);
+    log::info!(target: "desk", "job={id} event=given-up ask={what} reason={reason} doubt={doubt} spent_ms={spent}");
+    match doubt && changes(ask) {
+        true => Answer::InDoubt,
+        false => Answer::Refused(COME_BACK),
+    }
+}
+
+/// Why one try has no answer.
+enum Failure {
+    /// The owner did not get it.
+    NotThere,
+    /// The owner may have got it.
+    Lost,
+}
+
+async fn one_try(shared: &Rc<Shared>, ask: &Ask, left: Millis) -> Result<Answer, Failure> {
+    if shared.leading().is_some() {
+        return match ask_here(shared, ask.clone(), left).await {
+            Some(answer) => Ok(answer),
+            None => Err(Failure::Lost),
+        };
+    }
+    let Some(owner) = shared.owner().filter(|o| !o.row.released) else {
+        return Err(Failure::NotThere);
+    };
+    if owner.row.address == shared.settings.rpc {
+        return Err(Failure::NotThere);
+    }
+    let message = AskRequest {
+        ask: crate::table::encode(ask),
+        left,
+    };
+    let call = |c| async move { ClusterClient::new(c).ask(message).await };
+    match shared.channel(owner.row.address).call(left, call).await {
+        Ok(AskReply { answer }) if answer.is_empty() => Err(Failure::NotThere),
+        Ok(AskReply { answer }) => serde_json::from_slice(&answer).map_err(|e| {
+            log::error!(target: "desk", "event=malformed-answer cause=\"{e}\"");
+            Failure::Lost
+        }),
+        Err(CallError::NotSent(_)) => Err(Failure::NotThere),
+        Err(_) => Err(Failure::Lost),
+    }
+}
+
+/// Asks the owner in this process; none when it does not answer in time.
+pub async fn ask_here(shared: &Shared, ask: Ask, left: Millis) -> Option<Answer> {
+    let (reply, answer) = oneshot::channel();
+    shared.lead(lead::Message::Ask(ask, reply));
+    timeout(Duration::from_millis(left), answer).await.ok()?.ok()
+}
--- /dev/null
+++ b/src/daemon/lead.rs
@@ -0,0 +1,221 @@
+//! The task that holds the owner while this box is it.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::channel::{mpsc, oneshot};
+use monoio::time::timeout;
+
+use super::shared::{PART, Shared};
+use super::watch;
+use crate::sched::journal::{OWNER_KEY, OWNER_TABLE};
+use crate::sched::message::{Action, Answer, Ask, Event, Ticket, Write, Written};
+use crate::sched::owner::{Now, Owner};
+use crate::utils::clock::{self, Millis};
+
+/// Shortest wait for a commit's answer, in milliseconds: many times the usual.
+const COMMIT_LEAST: Millis = 250;
+/// Longest wait for a commit's answer, in milliseconds.
+const COMMIT_MOST: Millis = 2_000;
+/// Answers of a commit take at most this many times the last one.
+const COMMIT_SPREAD: Millis = 5;
+
+/// What the task is told.
+pub enum Message {
+    /// A caller asks.
+    Ask(Ask, oneshot::Sender<Answer>),
+    /// This box has become the owner.
+    Begin(Box<Owner>, u64),
+    /// Something happened to the owner of an epoch.
+    Event(u64, Event),
+    /// The owner before extends no lease any more.
+    PredecessorEnded(u64),
+    /// A later owner exists.
+    Superseded(u64),
+    /// Give the cell up.
+    Resign,
+}
+
+/// An owner in this process.
+struct Lead {
+    owner: Owner,
+    epoch: u64,
+    tickets: HashMap<Ticket, oneshot::Sender<Answer>>,
+    next_ticket: Ticket,
+    commit_limit: Millis,
+    commit_sent: Millis,
+    resigned: bool,
+}
+
+/// Runs until the process ends.
+pub async fn run(shared: Rc<Shared>, mut receiver: mpsc::UnboundedReceiver<Message>) {
+    let mut lead: Option<Lead> = None;
+    loop {
+        let wait = lead.as_ref().map_or(1_000, |l| l.owner.wait(now()));
+        let message = timeout(Duration::from_millis(wait), receiver.next()).await;
+        let mut next = match message {
+            Ok(Some(message)) => Some(message),
+            Ok(None) => return,
+            Err(_) => Some(tick(&lead)),
+        };
+        while let Some(message) = next {
+            take(&shared, &mut lead, message);
+            next = receiver.try_recv().ok();
+        }
+        finish(&shared, &mut lead);
+    }
+}
+
+fn tick(lead: &Option<Lead>) -> Message {
+    Message::Event(lead.as_ref().map_or(0, |l| l.epoch), Event::Tick)
+}
+
+fn now() -> Now {
+    Now {
+        steady: clock::now(),
+        wall: clock::wall(),
+    }
+}
+
+fn take(shared: &Rc<Shared>, lead: &mut Option<Lead>, message: Message) {
+    match (message, lead.as_mut()) {
+        (Message::Begin(owner, epoch), _) => {
+            *lead = Some(begin(*owner, epoch));
+            shared.set_leading(Some(epoch));
+            monoio::spawn(watch::directory(shared.clone(), epoch));
+            if shared.stopping() {
+                shared.lead(Message::Resign);
+            }
+        }
+        (Message::Ask(ask, reply), Some(lead)) => {
+            let ticket = lead.next_ticket;
+            lead.next_ticket += 1;
+            lead.tickets.insert(ticket, reply);
+            lead.step(shared, Event::Ask(ticket, ask));
+        }
+        (Message::Event(epoch, event), Some(lead)) if epoch == lead.epoch => {
+            lead.step(shared, event);
+        }
+        (Message::PredecessorEnded(epoch), Some(lead)) if epoch == lead.epoch => {
+            lead.owner.predecessor_ended(now());
+        }
+        (Message::Superseded(epoch), Some(held)) if epoch > held.epoch => {
+            end(shared, lead, "superseded");
+        }
+        (Message::Resign, Some(lead)) => {
+            lead.resigned = true;
+            lead.owner.resign(now());
+        }
+        // Dropping a caller's side tells it that nobody will answer.
+        _ => {}
+    }
+}
+
+fn begin(owner: Owner, epoch: u64) -> Lead {
+    Lead {
+        owner,
+        epoch,
+        tickets: HashMap::new(),
+        next_ticket: 1,
+        commit_limit: COMMIT_LEAST,
+        commit_sent: 0,
+        resigned: false,
+    }
+}
+
+fn end(shared: &Shared, lead: &mut Option<Lead>, reason: &str) {
+    if let Some(lead) = lead.take() {
+        log::info!(target: "owner", "event=owner-ends epoch={} reason={reason}", lead.epoch);
+    }
+    shared.set_leading(None);
+    shared.nudge();
+}
+
+/// Ends an owner that was replaced or has given the cell up.
+fn finish(shared: &Shared, lead: &mut Option<Lead>) {
+    let Some(held) = lead else {
+        return;
+    };
+    shared.set_confirmed(held.owner.confirmed());
+    if held.owner.deposed() {
+        end(shared, lead, "deposed");
+    } else if held.owner.released() {
+        end(shared, lead, "released");
+    } else if shared.leading() != Some(held.epoch) {
+        end(shared, lead, "superseded");
+    }
+}
+
+impl Lead {
+    fn step(&mut self, shared: &Rc<Shared>, event: Event) {
+        if let Event::Written(_, written) = &event {
+            self.pace_commits(written);
+        }
+        for action in self.owner.step(event, now()) {
+            self.act(shared, action);
+        }
+    }
+
+    /// Waits longer for the next commit while the store is slow.
+    fn pace_commits(&mut self, written: &Written) {
+        let took = clock::now() - self.commit_sent;
+        let wished = match written {
+            Written::Unknown => self.commit_limit * 2,
+            _ => took * COMMIT_SPREAD,
+        };
+        self.commit_limit = wished.clamp(COMMIT_LEAST, COMMIT_MOST);
+    }
+
+    fn act(&mut self, shared: &Rc<Shared>, action: Action) {
+        let (shared, epoch) = (shared.clone(), self.epoch);
+        let tell = move |shared: &Shared, event| shared.lead(Message::Event(epoch, event));
+        match action {
+            Action::Reply(ticket, answer) => {
+                if let Some(reply) = self.tickets.remove(&ticket) {
+                    // A caller that has gone away needs no answer.
+                    let _ = reply.send(answer);
+                }
+            }
+            Action::Hold(hold) => {
+                let sent = clock::now();
+                monoio::spawn(async move {
+                    let reply = shared.workers.hold(&hold).await;
+                    tell(&shared, Event::Held(hold.worker, sent, reply));
+                });
+            }
+            Action::Start(start) => {
+                monoio::spawn(async move {
+                    let reply = shared.workers.start(&start).await;
+                    tell(&shared, Event::Started(start.key, start.run, start.worker, reply));
+                });
+            }
+            Action::Stop(stop) => {
+                monoio::spawn(async move {
+                    let reply = shared.workers.stop(&stop).await;
+                    tell(&shared, Event::Stopped(stop.key, stop.run, stop.worker, reply));
+                });
+            }
+            Action::Commit {
+                number,
+                version,
+                writes,
+            } => {
+                self.commit_sent = clock::now();
+                let limit = self.commit_limit;
+                monoio::spawn(async move {
+                    let written = commit(&shared, version, &writes, limit).await;
+                    tell(&shared, Event::Written(number, written));
+                });
+            }
+        }
+    }
+}
+
+/// Writes rows on the condition that the owner's row has a version.
+pub async fn commit(shared: &Shared, version: u64, writes: &[Write], limit: Millis) -> Written {
+    crate::metrics::get().calls.inc();
+    let condition = (OWNER_TABLE, OWNER_KEY.into(), version);
+    shared.store.commit(PART, condition, writes, limit).await
+}
--- /dev/null
+++ b/src/daemon/peers.rs
@@ -0,0 +1,79 @@
+//! Calls from other boxes.
+
+use std::rc::Rc;
+
+use monoio::net::TcpListener;
+use tonic::{Request, Response, Status};
+
+use super::desk;
+use super::lead::Message;
+use super::shared::Shared;
+use crate::proto::cluster_server::{Cluster, ClusterServer};
+use crate::proto::{AskReply, AskRequest, PingReply, PingRequest};
+use crate::rpc::{self, bridge::Bridge};
+use crate::utils::clock;
+use crate::utils::drain::Drain;
+
+struct Service {
+    bridge: Bridge<Shared>,
+}
+
+#[tonic::async_trait]
+impl Cluster for Service {
+    async fn ask(&self, request: Request<AskRequest>) -> Result<Response<AskReply>, Status> {
+        let request = request.into_inner();
+        self.bridge.run(move |shared| ask(shared, request)).await
+    }
+
+    async fn ping(&self, request: Request<PingRequest>) -> Result<Response<PingReply>, Status> {
+        let request = request.into_inner();
+        let work = move |shared: Rc<Shared>| async move { Ok(pong(&shared, &request)) };
+        self.bridge.run(work).await
+    }
+}
+
+async fn ask(shared: Rc<Shared>, request: AskRequest) -> Result<AskReply, Status> {
+    let ask = serde_json::from_slice(&request.ask)
+        .map_err(|e| Status::invalid_argument(e.to_string()))?;
+    if shared.leading().is_none() {
+        return Ok(AskReply::default());
+    }
+    match desk::ask_here(&shared, ask, request.left).await {
+        Some(answer) => Ok(AskReply {
+            answer: crate::table::encode(&answer),
+        }),
+        None => Err(Status::deadline_exceeded("no answer of the owner in time")),
+    }
+}
+
+fn pong(shared: &Shared, ping: &PingRequest) -> PingReply {
+    if shared.leading().is_some_and(|epoch| ping.epoch > epoch) {
+        // The caller knows a later owner, so this one has ended.
+        shared.set_leading(None);
+        shared.lead(Message::Superseded(ping.epoch));
+        shared.nudge();
+    }
+    let newer = ping.config < shared.queues().version();
+    let config = shared.config().filter(|_| newer);
+    PingReply {
+        owner: shared.leading().is_some(),
+        epoch: shared.leading().unwrap_or(0),
+        confirmed: clock::now().saturating_sub(shared.confirmed()),
+        config_row: config.as_ref().map_or(0, |c| c.version),
+        config: config.map(|c| c.value).unwrap_or_default(),
+    }
+}
+
+/// Serves other boxes until the process ends.
+pub async fn serve(listener: TcpListener, bridge: Bridge<Shared>) {
+    let service = ClusterServer::new(Service { bridge });
+    rpc::server::serve(listener, Drain::never(), move |request| {
+        let mut service = service.clone();
+        async move {
+            use tower_service::Service;
+            let reply = service.call(request).await;
+            reply.unwrap_or_else(|never| match never {})
+        }
+    })
+    .await;
+}
--- /dev/null
+++ b/src/daemon/shared.rs
@@ -0,0 +1,162 @@
+//! What the tasks of a box share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use futures::channel::mpsc::UnboundedSender;
+
+use super::lead;
+use crate::options::daemon::Settings;
+use crate::platform::store::Store;
+use crate::platform::{config, worker::Workers};
+use crate::queues::Queues;
+use crate::rpc::client::Channel;
+use crate::sched::journal::OwnerRow;
+use crate::table::Row;
+
+/// Part of the store in which the owner keeps everything.
+pub const PART: &str = "main";
+
+/// The owner as last seen.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Its row.
+    pub row: OwnerRow,
+    /// Version of its row.
+    pub version: u64,
+}
+
+/// State and clients that the tasks of a box share.
+pub struct Shared {
+    /// Checked settings.
+    pub settings: Settings,
+    /// Number of this life of the process, higher than of lives before.
+    pub life: u64,
+    /// The platform's store.
+    pub store: Store,
+    /// The workers.
+    pub workers: Workers,
+    lead: UnboundedSender<lead::Message>,
+    nudge: UnboundedSender<()>,
+    queues: RefCell<Rc<Queues>>,
+    config: RefCell<Option<Row>>,
+    owner: RefCell<Option<Seen>>,
+    leading: Cell<Option<u64>>,
+    confirmed: Cell<u64>,
+    stopping: Cell<bool>,
+    channels: RefCell<HashMap<SocketAddr, Channel>>,
+}
+
+impl Shared {
+    /// Returns the shared state of a box that has just started.
+    pub fn new(
+        settings: Settings,
+        life: u64,
+        lead: UnboundedSender<lead::Message>,
+        nudge: UnboundedSender<()>,
+    ) -> Self {
+        Self {
+            store: Store::new(settings.store),
+            workers: Workers::default(),
+            settings,
+            life,
+            lead,
+            nudge,
+            queues: RefCell::default(),
+            config: RefCell::default(),
+            owner: RefCell::default(),
+            leading: Cell::new(None),
+            confirmed: Cell::new(0),
+            stopping: Cell::new(false),
+            channels: RefCell::default(),
+        }
+    }
+
+    /// Sends a message to the task of the owner.
+    pub fn lead(&self, message: lead::Message) {
+        // The task ends only with the process.
+        let _ = self.lead.unbounded_send(message);
+    }
+
+    /// Has the owner looked for at once.
+    pub fn nudge(&self) {
+        // The task ends only with the process.
+        let _ = self.nudge.unbounded_send(());
+    }
+
+    /// Returns the queues in force.
+    pub fn queues(&self) -> Rc<Queues> {
+        self.queues.borrow().clone()
+    }
+
+    /// Returns the row of the configuration in force.
+    pub fn config(&self) -> Option<Row> {
+        self.config.borrow().clone()
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    pub fn configure(&self, row: Row, from: &str) {
+        let Some(queues) = config::queues(&row) else {
+            return;
+        };
+        let old = self.queues.borrow().version();
+        let new = queues.version();
+        if new <= old {
+            return;
+        }
+        log::info!(target: "config", "event=config version={new} before={old} from={from}");
+        crate::metrics::get().config.set(new as i64);
+        *self.queues.borrow_mut() = Rc::new(queues);
+        *self.config.borrow_mut() = Some(row);
+    }
+
+    /// Returns the owner as last seen.
+    pub fn owner(&self) -> Option<Seen> {
+        self.owner.borrow().clone()
+    }
+
+    /// Sets the owner as last seen.
+    pub fn see(&self, seen: Option<Seen>) {
+        *self.owner.borrow_mut() = seen;
+    }
+
+    /// Returns the epoch of the owner in this process.
+    pub fn leading(&self) -> Option<u64> {
+        self.leading.get()
+    }
+
+    /// Sets the epoch of the owner in this process.
+    pub fn set_leading(&self, epoch: Option<u64>) {
+        self.leading.set(epoch);
+    }
+
+    /// Returns when the store confirmed the owner in this process.
+    pub fn confirmed(&self) -> u64 {
+        self.confirmed.get()
+    }
+
+    /// Sets when the store confirmed the owner in this process.
+    pub fn set_confirmed(&self, at: u64) {
+        self.confirmed.set(at);
+    }
+
+    /// Returns true once a planned stop has begun.
+    pub fn stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+        self.lead(lead::Message::Resign);
+    }
+
+    /// Returns the channel to another box.
+    pub fn channel(&self, address: SocketAddr) -> Channel {
+        let mut channels = self.channels.borrow_mut();
+        let channel = channels.entry(address);
+        channel.or_insert_with(|| Channel::new(address)).clone()
+    }
+}
--- /dev/null
+++ b/src/daemon/watch.rs
@@ -0,0 +1,86 @@
+//! Feeds of the store: the configuration, and the directory for the owner.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::time::sleep;
+
+use super::lead::Message;
+use super::shared::Shared;
+use crate::platform::store::{Page, StoreError};
+use crate::platform::{config, directory};
+use crate::sched::message::Event;
+use crate::utils::clock::Millis;
+
+/// Milliseconds that a feed waits for a change; the platform allows 30,000.
+const WAIT: Millis = 10_000;
+/// Milliseconds for the answer to a read, several times that of a slow store.
+pub const READ: Millis = 1_500;
+/// Pause after a feed that failed.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Follows the configuration for ever.
+pub async fn config(shared: Rc<Shared>) {
+    let take = |page: Page| {
+        let rows = page.rows.into_iter();
+        for row in rows.filter(|r| &*r.key == config::KEY) {
+            shared.configure(row, "store");
+        }
+    };
+    follow(&shared, config::TABLE, |page, _| take(page), || true).await;
+}
+
+/// Follows the directory while the owner of `epoch` is in this process.
+pub async fn directory(shared: Rc<Shared>, epoch: u64) {
+    let take = |page: Page, whole: bool| {
+        let listings = directory::listings(page);
+        let event = match whole {
+            true => Event::Directory(listings.into_iter().filter_map(|(_, l)| l).collect()),
+            false => Event::Listed(listings),
+        };
+        shared.lead(Message::Event(epoch, event));
+    };
+    let leading = || shared.leading() == Some(epoch);
+    follow(&shared, directory::TABLE, take, leading).await;
+}
+
+/// Reads a table, then takes in its changes in their order.
+async fn follow(
+    shared: &Shared,
+    table: &str,
+    take: impl Fn(Page, bool),
+    go_on: impl Fn() -> bool,
+) {
+    let mut version = None;
+    let mut healthy = true;
+    while go_on() {
+        let read = match version {
+            None => shared.store.read(table, "", READ).await,
+            Some(version) => shared.store.feed(table, version, WAIT).await,
+        };
+        match read {
+            Ok(page) => {
+                if !healthy {
+                    log::info!(target: "store", "event=feed-regained table={table}");
+                    healthy = true;
+                }
+                let whole = version.is_none();
+                version = Some(page.version);
+                if whole || !page.rows.is_empty() || !page.dropped.is_empty() {
+                    take(page, whole);
+                }
+            }
+            Err(StoreError::Forgotten) => {
+                log::info!(target: "store", "event=feed-forgotten table={table} version={version:?}");
+                version = None;
+            }
+            Err(e) => {
+                if healthy {
+                    log::warn!(target: "store", "event=feed-lost table={table} cause=\"{e}\"");
+                    healthy = false;
+                }
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,7 +1,6 @@
 //! The daemon of an entry box: sockets and tasks around the decisions.
 
 mod admin;
-mod bridge;
 mod callers;
 mod convert;
 mod operators;
@@ -21,28 +20,12 @@
 use crate::guard::Memory;
 use crate::options::Settings;
 use crate::utils::drain::Drain;
-use crate::utils::{clock, listen};
+use crate::utils::{clock, listen, stop};
 use shell::{Context, Message, Shell};
 
 /// Milliseconds between two ticks of the decisions.
 const TICK: u64 = 25;
 
-static TERMINATED: AtomicBool = AtomicBool::new(false);
-
-extern "C" fn terminate(_: libc::c_int) {
-    TERMINATED.store(true, Ordering::Relaxed);
-}
-
-/// Begins a planned stop of this process' daemon when TERM or INT comes.
-pub fn catch_signals() {
-    let handler = terminate as extern "C" fn(libc::c_int);
-    // SAFETY: the handler only stores into an atomic, which is safe in a signal.
-    unsafe {
-        libc::signal(libc::SIGTERM, handler as libc::sighandler_t);
-        libc::signal(libc::SIGINT, handler as libc::sighandler_t);
-    }
-}
-
 /// A switch that begins a planned stop from within the process.
 pub type Switch = Arc<AtomicBool>;
 
@@ -70,7 +53,7 @@
     let handle = move |request| callers::handle(callers.clone(), request);
     let serve = crate::web::server::serve(web, limits, drain.clone(), handle);
     monoio::spawn(serve);
-    let bridge = bridge::Bridge::start(context.clone());
+    let bridge = crate::rpc::bridge::Bridge::start(context.clone());
     monoio::spawn(peers::serve(rpc, drain, bridge, limits.body));
     monoio::spawn(admin::serve(admin, context.clone()));
     monoio::spawn(ticks(context.clone(), switch));
@@ -82,8 +65,8 @@
     let mut interval = monoio::time::interval(Duration::from_millis(TICK));
     loop {
         interval.tick().await;
-        let stop = TERMINATED.load(Ordering::Relaxed) || switch.load(Ordering::Relaxed);
-        if stop {
+        let stopping = stop::asked() || switch.load(Ordering::Relaxed);
+        if stopping {
             context.send(Message::Event(Event::Stop));
         }
         if !context.send(Message::Event(Event::Tick)) {
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -6,7 +6,7 @@
 
 use tonic::{Request, Response, Status};
 
-use super::bridge::Bridge;
+use crate::rpc::bridge::Bridge;
 use super::shell::{Context, Message};
 use super::{convert, peers};
 use crate::cell::Size;
@@ -29,12 +29,12 @@
 
 /// The operators' service.
 pub struct Service {
-    bridge: Bridge,
+    bridge: Bridge<Context>,
 }
 
 impl Service {
     /// Returns the service on a bridge to the box's tasks.
-    pub fn new(bridge: Bridge) -> Self {
+    pub fn new(bridge: Bridge<Context>) -> Self {
         Self { bridge }
     }
 }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -8,7 +8,7 @@
 use monoio::net::TcpListener;
 use tonic::{Request, Response, Status};
 
-use super::bridge::Bridge;
+use crate::rpc::bridge::Bridge;
 use super::shell::{Context, Load, Message, Outcome, pairs};
 use super::{convert, operators};
 use crate::cell::Reason;
@@ -166,7 +166,7 @@
 }
 
 struct Service {
-    bridge: Bridge,
+    bridge: Bridge<Context>,
 }
 
 #[tonic::async_trait]
@@ -305,7 +305,7 @@
 }
 
 /// Serves other boxes and operators until `drain` has begun.
-pub async fn serve(listener: TcpListener, drain: Drain, bridge: Bridge, body: usize) {
+pub async fn serve(listener: TcpListener, drain: Drain, bridge: Bridge<Context>, body: usize) {
     let service = Service {
         bridge: bridge.clone(),
     };
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -48,7 +48,7 @@
     message: &'a str,
 }
 
-/// Starts logging to the error stream; `node` is the name written into each line.
+/// Starts logging to standard output; `node` is the name written into each line.
 pub fn start(logs: &Logs, node: &str) -> eyre::Result<()> {
     let format = logs.format;
     let node = node.to_string();
@@ -69,7 +69,7 @@
     for (module, level) in &logs.modules {
         dispatch = dispatch.level_for(module.clone(), *level);
     }
-    let sink: Box<dyn Write + Send> = Box::new(std::io::stderr());
+    let sink: Box<dyn Write + Send> = Box::new(std::io::stdout());
     dispatch.chain(sink).apply()?;
     Ok(())
 }
--- a/src/options.rs
+++ b/src/options.rs
@@ -2,6 +2,7 @@
 
 pub mod args;
 mod check;
+pub mod daemon;
 pub mod file;
 mod reader;
 
--- a/src/options/args.rs
+++ b/src/options/args.rs
@@ -18,6 +18,16 @@
         #[bpaf(argument("FILE"))]
         config: String,
     },
+    /// Run the daemon of an entry box on the platform until TERM.
+    ///
+    ///
+    /// Example: willowpoint serve --config /etc/willowpoint/settings.conf
+    #[bpaf(command)]
+    Serve {
+        /// Settings file
+        #[bpaf(argument("FILE"))]
+        config: String,
+    },
     /// Read settings files without starting; all findings are printed.
     ///
     ///
--- /dev/null
+++ b/src/options/daemon.rs
@@ -0,0 +1,81 @@
+//! The settings file of a box on the platform.
+
+use std::net::SocketAddr;
+
+use super::file::{limits, logs};
+use super::reader::{Finding, Reader};
+use crate::logs::Logs;
+use crate::sched::owner::Bounds;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+use crate::web::server::Limits;
+
+/// Longest lease on a worker that is ever wished for, in milliseconds; a
+/// shorter one frees the tasks of a dead worker sooner, a longer one bridges
+/// a takeover of about 2 s.
+const LEASE: Millis = 4_000;
+/// Milliseconds of the platform's grace that a planned stop leaves unused.
+const STOP_SLACK: Millis = 800;
+const HOUR: Millis = 3_600_000;
+
+/// Checked settings of a box on the platform.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the box, the same after a restart.
+    pub name: Name,
+    /// Hall in which it stands.
+    pub hall: Name,
+    /// Address for callers.
+    pub web: SocketAddr,
+    /// Address for other boxes.
+    pub rpc: SocketAddr,
+    /// Address for readiness.
+    pub admin: SocketAddr,
+    /// Address for metrics, when it is another one.
+    pub metrics: Option<SocketAddr>,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Bounds of decisions.
+    pub bounds: Bounds,
+    /// Milliseconds within which a planned stop is complete.
+    pub stop: Millis,
+    /// Bounds for callers' requests.
+    pub limits: Limits,
+    /// Logs.
+    pub logs: Logs,
+}
+
+/// Reads and checks a settings file; all findings are reported together.
+pub fn load(path: &str) -> Result<Settings, Vec<Finding>> {
+    let text = super::file::text(path)?;
+    parse(path, &text)
+}
+
+/// Checks the text of a settings file.
+pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Finding>> {
+    let mut reader = Reader::new(file, text).map_err(|f| vec![f])?;
+    let grace = reader.duration("platform.grace", 6_000, 1_000..=HOUR);
+    let longest = reader.duration("platform.longest-lease", LEASE, 500..=HOUR);
+    let settings = Settings {
+        name: reader.name("box.name").into(),
+        hall: reader.name("box.hall").into(),
+        web: reader.address("box.web"),
+        rpc: reader.address("box.rpc"),
+        admin: reader.address("box.admin"),
+        metrics: reader.optional_address("box.metrics"),
+        store: reader.address("platform.store"),
+        bounds: Bounds {
+            lease: reader.duration("workers.lease", LEASE, 500..=HOUR).min(longest),
+            unconfirmed: reader.duration("workers.unconfirmed", 10_000, 500..=HOUR),
+            remember: reader.duration("jobs.remember", 120_000, 1_000..=HOUR),
+        },
+        stop: grace - STOP_SLACK,
+        limits: limits(&mut reader),
+        logs: logs(&mut reader),
+    };
+    let findings = reader.finish();
+    match findings.is_empty() {
+        true => Ok(settings),
+        false => Err(findings),
+    }
+}
--- a/src/options/file.rs
+++ b/src/options/file.rs
@@ -14,7 +14,12 @@
 
 /// Reads and checks a settings file; all findings are reported together.
 pub fn load(path: &str) -> Result<Settings, Vec<Finding>> {
-    let text = std::fs::read_to_string(path).map_err(|e| {
+    parse(path, &text(path)?)
+}
+
+/// Reads the text of a settings file.
+pub(super) fn text(path: &str) -> Result<String, Vec<Finding>> {
+    std::fs::read_to_string(path).map_err(|e| {
         vec![Finding {
             file: path.into(),
             line: 1,
@@ -22,8 +27,7 @@
             wrong: format!("cannot be read: {e}"),
             right: "name a readable file".into(),
         }]
-    })?;
-    parse(path, &text)
+    })
 }
 
 /// Checks the text of a settings file.
@@ -73,7 +77,7 @@
     }
 }
 
-fn limits(reader: &mut Reader) -> Limits {
+pub(super) fn limits(reader: &mut Reader) -> Limits {
     Limits {
         head: reader.size("limits.head", 16 << 10, 512..=1 << 20) as usize,
         body: reader.size("limits.body", 1 << 20, 1..=64 << 20) as usize,
@@ -96,7 +100,7 @@
     }
 }
 
-fn logs(reader: &mut Reader) -> Logs {
+pub(super) fn logs(reader: &mut Reader) -> Logs {
     let format = match reader.text("log.format", Some("json")).as_str() {
         "json" => Format::Json,
         "text" => Format::Text,
--- a/src/options/reader.rs
+++ b/src/options/reader.rs
@@ -122,6 +122,12 @@
         })
     }
 
+    /// Returns a socket address when the key is there.
+    pub fn optional_address(&mut self, key: &str) -> Option<SocketAddr> {
+        self.item(key)?;
+        Some(self.address(key))
+    }
+
     /// Returns a duration in milliseconds, written with its unit.
     pub fn duration(
         &mut self,
--- /dev/null
+++ b/src/platform/ingress.rs
@@ -0,0 +1,139 @@
+//! Clients' requests and the answers to them.
+
+use http::header::{ALLOW, CONTENT_TYPE, HOST, RETRY_AFTER};
+use http::{HeaderValue, Method, StatusCode};
+use serde_json::json;
+
+use super::wire::{self, Job, Step};
+use crate::queues::Queues;
+use crate::sched::message::{Answer, Ask};
+use crate::sched::job::Shown;
+use crate::sched::spec::{JobSpec, Room, Schedule, StepSpec};
+use crate::utils::clock::Millis;
+use crate::web::{Reply, Request};
+
+/// Characters of a job's id.
+const ID_LENGTH: usize = 16;
+/// Bytes of the text of a job.
+const TEXT_LIMIT: usize = 4_000;
+/// Milliseconds that a client waits when it does not say.
+const PATIENCE: Millis = 3_000;
+
+/// Returns how long the client waits for its answer, in milliseconds.
+pub fn patience(request: &Request) -> Millis {
+    let value = request.headers.get(wire::DEADLINE);
+    let text = value.and_then(|v| v.to_str().ok());
+    text.and_then(|t| t.parse().ok()).unwrap_or(PATIENCE)
+}
+
+/// Returns what a request asks for, or the answer to one that asks for nothing known.
+pub fn ask(request: &Request, queues: &Queues) -> Result<Ask, Reply> {
+    let host = request.headers.get(HOST).and_then(|h| h.to_str().ok());
+    let host = host.unwrap_or("").split(':').next().unwrap_or("");
+    let Some((route, rest)) = queues.find(host, request.uri.path()) else {
+        return Err(Reply::text(StatusCode::NOT_FOUND, "no such queue\n"));
+    };
+    let queue = route.queue.clone();
+    if rest.is_empty() && request.method == Method::GET {
+        return Ok(Ask::Count(queue.name));
+    }
+    if rest.len() != ID_LENGTH || !rest.bytes().all(|b| b.is_ascii_hexdigit()) {
+        let text = format!("a job's id has {ID_LENGTH} hex digits\n");
+        return Err(Reply::text(StatusCode::BAD_REQUEST, text));
+    }
+    let id = rest.into();
+    match request.method {
+        Method::GET => Ok(Ask::Show(id)),
+        Method::DELETE => Ok(Ask::Cancel(id)),
+        Method::POST => Ok(Ask::Submit {
+            id,
+            spec: Box::new(job(&request.body)?),
+            queue,
+        }),
+        _ => {
+            let mut reply = Reply::text(StatusCode::METHOD_NOT_ALLOWED, "GET, POST or DELETE\n");
+            let allowed = HeaderValue::from_static("GET, POST, DELETE");
+            reply.headers.insert(ALLOW, allowed);
+            Err(reply)
+        }
+    }
+}
+
+fn job(body: &[u8]) -> Result<JobSpec, Reply> {
+    let wrong = |text: String| Reply::text(StatusCode::BAD_REQUEST, format!("{text}\n"));
+    let job: Job = serde_json::from_slice(body).map_err(|e| wrong(e.to_string()))?;
+    if job.spec.len() > TEXT_LIMIT {
+        return Err(wrong(format!("a spec has at most {TEXT_LIMIT} bytes")));
+    }
+    Ok(JobSpec {
+        text: job.spec,
+        steps: job.steps.into_iter().map(step).collect(),
+        schedule: (job.max_runs > 0).then_some(Schedule {
+            rounds: job.max_runs,
+            first: job.initial_delay_ms,
+            interval: job.interval_ms,
+        }),
+    })
+}
+
+fn step(step: Step) -> StepSpec {
+    StepSpec {
+        count: step.count,
+        room: Room {
+            cpu: step.cpu,
+            memory: step.mem_mb,
+            gpu: step.gpu,
+        },
+        estimate: step.estimate_ms,
+        after: step.after,
+        image: step.image,
+        label: step.requires,
+        rack: step.affinity,
+        spread: step.anti_affinity,
+        target: step.target_ms,
+        disruptions: step.may_miss,
+        saves: step.saves_progress,
+        gang: step.gang,
+        one_rack: step.same_rack,
+        speculative: step.speculative,
+        lasting: step.persistent,
+        filler: step.fills,
+    }
+}
+
+/// Returns the answer to a client.
+pub fn reply(answer: &Answer) -> Reply {
+    match answer {
+        Answer::Accepted | Answer::Cancelled => json(StatusCode::OK, json!({})),
+        Answer::State(shown) => json(StatusCode::OK, json!({ "state": state(*shown) })),
+        Answer::Waiting(count) => json(StatusCode::OK, json!({ "pending": count })),
+        Answer::Unknown => Reply::text(StatusCode::GONE, "no such job\n"),
+        Answer::Invalid(wrong) => Reply::text(StatusCode::BAD_REQUEST, format!("{wrong}\n")),
+        Answer::InDoubt => Reply::text(StatusCode::GATEWAY_TIMEOUT, "not known yet\n"),
+        Answer::Refused(after) => refused(*after),
+    }
+}
+
+fn refused(after: Millis) -> Reply {
+    let mut reply = Reply::text(StatusCode::SERVICE_UNAVAILABLE, "not taken\n");
+    let seconds = after.div_ceil(1_000);
+    reply.headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    reply
+}
+
+fn state(shown: Shown) -> &'static str {
+    match shown {
+        Shown::Queued => "queued",
+        Shown::Running => "running",
+        Shown::Completed => "completed",
+        Shown::Failed => "failed",
+        Shown::Cancelled => "cancelled",
+    }
+}
+
+fn json(status: StatusCode, value: serde_json::Value) -> Reply {
+    let mut reply = Reply::text(status, value.to_string());
+    let kind = HeaderValue::from_static("application/json");
+    reply.headers.insert(CONTENT_TYPE, kind);
+    reply
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,245 @@
+//! The platform's transactional store of rows.
+
+use std::net::SocketAddr;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{Method, StatusCode};
+
+use super::wire::{self, Row, RowRef, Rows, Transaction};
+use crate::sched::message::{Write, Written};
+use crate::table;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+use crate::web::client::Pool;
+use crate::web::{Reply, WebError};
+
+/// Bytes of the largest answer: a page of rows has 1 MB, and JSON around it.
+const ANSWER_LIMIT: usize = 4 << 20;
+/// Rows of one page; the platform's bound.
+const PAGE: usize = 500;
+/// Milliseconds beyond its wait that the answer of a feed is waited for.
+const FEED_SLACK: Millis = 1_000;
+
+/// Why a read has no rows.
+#[derive(Debug)]
+pub enum StoreError {
+    /// No answer, or none that says anything.
+    Away(WebError),
+    /// The store does not serve this box now.
+    Refused(StatusCode),
+    /// Older changes are forgotten; the rows must be read anew.
+    Forgotten,
+    /// The answer does not decode.
+    Malformed(String),
+}
+
+impl std::fmt::Display for StoreError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Away(e) => write!(f, "store away: {e}"),
+            Self::Refused(status) => write!(f, "store refused: {status}"),
+            Self::Forgotten => f.write_str("history forgotten"),
+            Self::Malformed(e) => write!(f, "store's answer does not decode: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+/// Rows as of one moment.
+#[derive(Debug, Default)]
+pub struct Page {
+    /// The rows that are there.
+    pub rows: Vec<table::Row>,
+    /// Keys of rows that were dropped, in a feed.
+    pub dropped: Vec<Name>,
+    /// Version of the store at that moment.
+    pub version: u64,
+}
+
+/// A condition on one row: its table, its key and its version, 0 for none.
+pub type Condition = (&'static str, Name, u64);
+
+/// The client of the store.
+#[derive(Clone)]
+pub struct Store {
+    pool: Pool,
+    address: SocketAddr,
+}
+
+impl Store {
+    /// Returns a client that connects at its first call.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            pool: Pool::new(ANSWER_LIMIT),
+            address,
+        }
+    }
+
+    /// Applies all writes to a part of the store, or none.
+    pub async fn commit(
+        &self,
+        part: &str,
+        condition: Condition,
+        writes: &[Write],
+        limit: Millis,
+    ) -> Written {
+        let (table, key, version) = &condition;
+        let row = |table, key, ver, value| RowRef {
+            table,
+            part,
+            key,
+            ver,
+            value,
+        };
+        let puts = writes.iter().filter_map(|w| {
+            let value = w.value.as_ref()?;
+            Some(row(w.table, &w.key, None, Some(STANDARD.encode(value))))
+        });
+        let removed = writes.iter().filter(|w| w.value.is_none());
+        let transaction = Transaction {
+            expected_revision: vec![row(table, key, Some(*version), None)],
+            put: puts.collect(),
+            remove: removed.map(|w| row(w.table, &w.key, None, None)).collect(),
+        };
+        let body = table::encode(&transaction);
+        let call = wire::call(
+            &self.pool,
+            self.address,
+            Method::POST,
+            "/rows-tx",
+            Some(body),
+            None,
+            limit,
+        );
+        written(call.await)
+    }
+
+    /// Reads all rows of a part of a table from a key on.
+    pub async fn read(
+        &self,
+        table: &str,
+        part: &str,
+        limit: Millis,
+    ) -> Result<Page, StoreError> {
+        let mut page = Page::default();
+        let mut from = String::new();
+        loop {
+            let path = format!("/rows-get?table={table}&part={part}&from={from}&limit={PAGE}");
+            let rows = self.get(&path, limit).await?;
+            page.version = rows.ver;
+            let more = rows.more;
+            page.add(rows)?;
+            match page.rows.last() {
+                // The smallest key after the last one: URL code of a zero byte.
+                Some(last) if more => from = format!("{}%00", last.key),
+                _ => return Ok(page),
+            }
+        }
+    }
+
+    /// Waits for changes of a table after a version.
+    pub async fn feed(&self, table: &str, after: u64, wait: Millis) -> Result<Page, StoreError> {
+        let path = format!("/rows-feed?table={table}&after={after}&waitMs={wait}");
+        let rows = self.get(&path, wait + FEED_SLACK).await?;
+        let mut page = Page {
+            version: rows.ver.max(after),
+            ..Page::default()
+        };
+        page.add(rows)?;
+        Ok(page)
+    }
+
+    async fn get(&self, path: &str, limit: Millis) -> Result<Rows, StoreError> {
+        let call = wire::call(
+            &self.pool,
+            self.address,
+            Method::GET,
+            path,
+            None,
+            None,
+            limit,
+        );
+        let reply = call.await.map_err(StoreError::Away)?;
+        match reply.status {
+            StatusCode::OK => decode(&reply),
+            StatusCode::GONE => Err(StoreError::Forgotten),
+            status => Err(StoreError::Refused(status)),
+        }
+    }
+}
+
+impl Page {
+    fn add(&mut self, rows: Rows) -> Result<(), StoreError> {
+        for row in rows.rows {
+            if row.gone {
+                self.dropped.push(row.key);
+            } else {
+                self.rows.push(plain(row)?);
+            }
+        }
+        Ok(())
+    }
+}
+
+fn plain(row: Row) -> Result<table::Row, StoreError> {
+    let value = STANDARD
+        .decode(&row.value)
+        .map_err(|e| StoreError::Malformed(format!("row {}: {e}", row.key)))?;
+    Ok(table::Row {
+        key: row.key,
+        version: row.ver,
+        value: value.into(),
+    })
+}
+
+fn decode(reply: &Reply) -> Result<Rows, StoreError> {
+    serde_json::from_slice(&reply.body).map_err(|e| StoreError::Malformed(e.to_string()))
+}
+
+fn written(result: Result<Reply, WebError>) -> Written {
+    let reply = match result {
+        Ok(reply) => reply,
+        Err(WebError::NotSent(_) | WebError::Held) => return Written::NotDone,
+        Err(e) => {
+            log::info!(target: "store", "event=commit-in-doubt cause=\"{e}\"");
+            return Written::Unknown;
+        }
+    };
+    match reply.status {
+        StatusCode::OK => match decode(&reply) {
+            Ok(rows) => Written::Done(rows.ver),
+            Err(e) => {
+                log::error!(target: "store", "event=commit-in-doubt cause=\"{e}\"");
+                Written::Unknown
+            }
+        },
+        StatusCode::PRECONDITION_FAILED => conflict(&reply),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Written::NotDone,
+        status => {
+            let text = String::from_utf8_lossy(&reply.body);
+            log::error!(target: "store", "event=commit-refused status={status} body=\"{text}\"");
+            Written::NotDone
+        }
+    }
+}
+
+fn conflict(reply: &Reply) -> Written {
+    let rows = match decode(reply) {
+        Ok(rows) => rows,
+        Err(e) => {
+            log::error!(target: "store", "event=commit-in-doubt cause=\"{e}\"");
+            return Written::Unknown;
+        }
+    };
+    let row = rows.rows.into_iter().find(|r| !r.gone && r.ver > 0);
+    match row.map(plain).transpose() {
+        Ok(row) => Written::Conflict(row.map(|r| (r.version, Bytes::clone(&r.value)))),
+        Err(e) => {
+            log::error!(target: "store", "event=conflict-unread cause=\"{e}\"");
+            Written::Conflict(None)
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/wire.rs
@@ -0,0 +1,242 @@
+//! Messages as they stand on the wire, and one way to make a call.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HOST};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
+use serde::{Deserialize, Serialize};
+
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+use crate::web::client::Pool;
+use crate::web::{Reply, Request, WebError};
+
+/// Names the life of a worker that an order is meant for.
+pub const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-expect-instance");
+/// How long a client waits for its answer, in milliseconds.
+pub const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+
+/// A job as a client hands it in.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Job {
+    #[serde(default)]
+    pub spec: Name,
+    pub steps: Vec<Step>,
+    #[serde(default)]
+    pub max_runs: u32,
+    #[serde(default)]
+    pub initial_delay_ms: Millis,
+    #[serde(default)]
+    pub interval_ms: Millis,
+}
+
+/// A step of a job; what is 0, false or empty may be left out.
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Step {
+    pub count: u32,
+    pub cpu: u64,
+    pub mem_mb: u64,
+    pub gpu: u64,
+    pub estimate_ms: Millis,
+    pub after: Vec<usize>,
+    pub saves_progress: bool,
+    pub gang: bool,
+    pub same_rack: bool,
+    pub requires: Name,
+    /// Names a rack, not a step.
+    pub affinity: Name,
+    /// A number of tasks, not a label.
+    pub anti_affinity: u32,
+    pub speculative: bool,
+    pub persistent: bool,
+    pub image: Name,
+    #[serde(rename = "target_ms")]
+    pub target_ms: Millis,
+    pub fills: bool,
+    #[serde(rename = "may_miss")]
+    pub may_miss: Option<u32>,
+}
+
+/// A start order.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct RunStart<'a> {
+    pub task: &'a str,
+    pub run: u32,
+    pub spec: &'a str,
+    /// End of the lease on everything that the worker runs, not of the task.
+    pub deadline_ms: Millis,
+    pub fence: u64,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    pub last_checkpoint: &'a str,
+}
+
+/// A stop order.
+#[derive(Serialize)]
+pub struct RunStop<'a> {
+    pub task: &'a str,
+    pub run: u32,
+    pub fence: u64,
+}
+
+/// A lease extension that also asks for the worker's report.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Hold {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub deadline_ms: Option<Millis>,
+    pub fence: u64,
+    /// Number of the last end that the worker may forget.
+    pub last_seen: u64,
+    #[serde(skip_serializing_if = "is_zero")]
+    pub wait_ms: Millis,
+}
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
+/// A worker's answer to an order.
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct OrderReply {
+    /// Time on the worker's own steady clock.
+    pub clock_ms: Millis,
+    pub reason: Name,
+    pub running: Vec<(Name, u32, Name, u32, f64)>,
+    pub finished: Vec<(u64, Name, u32, Name, Name)>,
+}
+
+/// A worker's entry in the directory.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Beat {
+    pub service: Name,
+    pub address: SocketAddr,
+    pub zone: Name,
+    #[serde(default)]
+    pub state: Name,
+    pub capacity: Capacity,
+    #[serde(default)]
+    pub labels: Vec<Name>,
+}
+
+/// The whole room of a worker.
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Capacity {
+    pub cpu: u64,
+    pub mem_mb: u64,
+    pub gpu: u64,
+}
+
+/// The operator's configuration.
+#[derive(Debug, Deserialize)]
+pub struct Config {
+    pub version: u64,
+    #[serde(default)]
+    pub routes: Vec<Route>,
+}
+
+/// A queue and the requests that belong to it.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Route {
+    pub name: Name,
+    pub host: Name,
+    pub path_prefix: Name,
+    /// Time beyond the stretched ideal run time of a job, not of a request.
+    #[serde(default)]
+    pub target_latency_ms: Millis,
+    #[serde(default)]
+    pub priority: u32,
+    pub service: Name,
+    #[serde(default)]
+    pub max_attempts: u32,
+    #[serde(default)]
+    pub stretch: f64,
+}
+
+/// A row of the store.
+#[derive(Debug, Deserialize)]
+pub struct Row {
+    pub key: Name,
+    /// Base64.
+    #[serde(default)]
+    pub value: String,
+    #[serde(default)]
+    pub ver: u64,
+    /// True when the row was dropped.
+    #[serde(default)]
+    pub gone: bool,
+}
+
+/// The store's answer to any call about rows.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Rows {
+    pub rows: Vec<Row>,
+    pub more: bool,
+    /// The newest version in the store.
+    pub ver: u64,
+}
+
+/// Names a row in a transaction.
+#[derive(Serialize)]
+pub struct RowRef<'a> {
+    pub table: &'a str,
+    pub part: &'a str,
+    pub key: &'a str,
+    /// Version that the row must have, 0 for none; not in entries that remove.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ver: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub value: Option<String>,
+}
+
+/// A transaction.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Transaction<'a> {
+    /// Conditions on rows, not versions of the transaction.
+    pub expected_revision: Vec<RowRef<'a>>,
+    pub put: Vec<RowRef<'a>>,
+    pub remove: Vec<RowRef<'a>>,
+}
+
+/// Makes a call and reads its whole answer within `limit` milliseconds.
+pub async fn call(
+    pool: &Pool,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Option<Bytes>,
+    life: Option<&str>,
+    limit: Millis,
+) -> Result<Reply, WebError> {
+    let uri: Uri = path
+        .parse()
+        .map_err(|e| WebError::NotSent(format!("path {path}: {e}")))?;
+    let mut headers = HeaderMap::new();
+    headers.insert(HOST, header(&address.to_string())?);
+    if body.is_some() {
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    }
+    if let Some(life) = life {
+        headers.insert(EXPECT_INSTANCE, header(life)?);
+    }
+    let request = Request {
+        method,
+        uri,
+        headers,
+        body: body.unwrap_or_default(),
+    };
+    pool.call(address, request, limit, || true).await
+}
+
+fn header(text: &str) -> Result<HeaderValue, WebError> {
+    HeaderValue::from_str(text).map_err(|e| WebError::NotSent(e.to_string()))
+}
--- /dev/null
+++ b/src/platform/worker.rs
@@ -0,0 +1,187 @@
+//! Orders to workers.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+
+use super::wire::{self, OrderReply, RunStart, RunStop};
+use crate::sched::message::{Ended, Hold, How, Refusal, Reply, Report, Running, Start, Stop};
+use crate::table::encode;
+use crate::utils::clock::Millis;
+use crate::web::client::Pool;
+use crate::web::{self, WebError};
+
+/// Bytes of the largest report: 500 ends and all runs of a worker.
+const REPORT_LIMIT: usize = 1 << 20;
+/// Milliseconds for an order's answer: hundreds of times its usual time, well
+/// under a lease.
+const ORDER_LIMIT: Millis = 700;
+
+/// The client of all workers.
+#[derive(Clone)]
+pub struct Workers {
+    pool: Pool,
+}
+
+impl Default for Workers {
+    fn default() -> Self {
+        Self {
+            pool: Pool::new(REPORT_LIMIT),
+        }
+    }
+}
+
+impl Workers {
+    /// Starts a run; the answer holds the worker's clock.
+    pub async fn start(&self, start: &Start) -> Reply<Millis> {
+        let body = encode(&RunStart {
+            task: &start.task,
+            run: start.run,
+            spec: &start.text,
+            deadline_ms: start.lease,
+            fence: start.epoch,
+            last_checkpoint: &start.saved,
+        });
+        let reply = self.order(start.address, "/run-start", body, &start.worker, 0);
+        map(reply.await, |r| r.clock_ms)
+    }
+
+    /// Stops a run; the answer holds the worker's clock.
+    pub async fn stop(&self, stop: &Stop) -> Reply<Millis> {
+        let body = encode(&RunStop {
+            task: &stop.task,
+            run: stop.run,
+            fence: stop.epoch,
+        });
+        let reply = self.order(stop.address, "/run-stop", body, &stop.worker, 0);
+        map(reply.await, |r| r.clock_ms)
+    }
+
+    /// Extends the lease of a worker and returns its report.
+    pub async fn hold(&self, hold: &Hold) -> Reply<Report> {
+        let body = encode(&wire::Hold {
+            deadline_ms: hold.lease,
+            fence: hold.epoch,
+            last_seen: hold.seen,
+            wait_ms: hold.wait,
+        });
+        let reply = self.order(hold.address, "/hold", body, &hold.worker, hold.wait);
+        map(reply.await, report)
+    }
+
+    async fn order(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+        life: &str,
+        wait: Millis,
+    ) -> Reply<OrderReply> {
+        let call = wire::call(
+            &self.pool,
+            address,
+            Method::POST,
+            path,
+            Some(body),
+            Some(life),
+            ORDER_LIMIT + wait,
+        );
+        match call.await {
+            Ok(reply) => decode(path, &reply),
+            Err(WebError::NotSent(_) | WebError::Held) => Reply::NotSent,
+            Err(e) => {
+                log::debug!(target: "worker", "worker={life} call={path} event=lost cause=\"{e}\"");
+                Reply::Lost
+            }
+        }
+    }
+}
+
+fn decode(path: &str, reply: &web::Reply) -> Reply<OrderReply> {
+    let body = match serde_json::from_slice::<OrderReply>(&reply.body) {
+        Ok(body) => body,
+        Err(e) if reply.status == StatusCode::OK => {
+            log::error!(target: "worker", "call={path} event=malformed cause=\"{e}\"");
+            return Reply::Lost;
+        }
+        // Refusals need no body.
+        Err(_) => OrderReply::default(),
+    };
+    match reply.status {
+        StatusCode::OK => Reply::Ok(body),
+        StatusCode::CONFLICT => Reply::Refused(conflict(path, &body.reason)),
+        StatusCode::MISDIRECTED_REQUEST => Reply::Refused(Refusal::Reborn),
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            Reply::Refused(Refusal::Unwell)
+        }
+        status => {
+            let text = String::from_utf8_lossy(&reply.body);
+            log::warn!(target: "worker", "call={path} event=refused status={status} body=\"{text}\"");
+            Reply::Refused(Refusal::Unfit)
+        }
+    }
+}
+
+fn conflict(path: &str, reason: &str) -> Refusal {
+    match reason {
+        "fence" => Refusal::Fenced,
+        "old" => Refusal::Old,
+        "late" => Refusal::Late,
+        "room" => Refusal::Full,
+        "ticket" => Refusal::Ticket,
+        other => {
+            log::warn!(target: "worker", "call={path} event=refused reason=\"{other}\"");
+            Refusal::Unfit
+        }
+    }
+}
+
+fn map<T>(reply: Reply<OrderReply>, f: impl FnOnce(OrderReply) -> T) -> Reply<T> {
+    match reply {
+        Reply::Ok(body) => Reply::Ok(f(body)),
+        Reply::Refused(refusal) => Reply::Refused(refusal),
+        Reply::NotSent => Reply::NotSent,
+        Reply::Lost => Reply::Lost,
+    }
+}
+
+fn report(body: OrderReply) -> Report {
+    let running = body.running.into_iter().map(|(task, run, saved, pace, gauge)| Running {
+        task,
+        run,
+        saved,
+        pace,
+        gauge: gauge.max(0.0) as u64,
+    });
+    let ended = body.finished.into_iter().filter_map(|(number, task, run, how, saved)| {
+        let how = how_ended(&how)?;
+        Some(Ended {
+            number,
+            task,
+            run,
+            how,
+            saved,
+        })
+    });
+    Report {
+        clock: body.clock_ms,
+        running: running.collect(),
+        ended: ended.collect(),
+    }
+}
+
+fn how_ended(how: &str) -> Option<How> {
+    Some(match how {
+        "done" => How::Done,
+        "failed" => How::Failed,
+        "stopped" => How::Stopped,
+        "lapsed" => How::Lapsed,
+        "broken" => How::Broken,
+        "alone" => How::Alone,
+        other => {
+            log::error!(target: "worker", "event=malformed end=\"{other}\"");
+            return None;
+        }
+    })
+}
--- a/src/program.rs
+++ b/src/program.rs
@@ -9,15 +9,17 @@
 use crate::logs::{self, Logs};
 use crate::operator::{self, exit};
 use crate::options::args::{Command, StandIn};
-use crate::options::file;
+use crate::options::{self, file};
 use crate::standin::{platform, worker};
-use crate::{cell, demo, entry, proto, rpc, trace};
+use crate::utils::stop;
+use crate::{cell, daemon, demo, proto, rpc, trace};
 
 /// Runs a command to its end.
 pub fn run(command: Command) -> ExitCode {
     let result = match &command {
         Command::Check { files } => return check(files),
-        Command::Entry { config } => return daemon(config),
+        Command::Entry { config } => return entry(config),
+        Command::Serve { config } => return serve(config),
         Command::StandIn(stand_in) => stand_in_run(stand_in.clone()),
         Command::Demo(options) => demo::run(options),
         Command::Trace { json, id, files } => spans(*json, id, files),
@@ -59,7 +61,7 @@
     ExitCode::from(code)
 }
 
-fn daemon(name: &str) -> ExitCode {
+fn entry(name: &str) -> ExitCode {
     let settings = match file::load(name) {
         Ok(settings) => settings,
         Err(findings) => {
@@ -69,8 +71,24 @@
     };
     let start = || {
         logs::start(&settings.logs, &settings.name)?;
-        entry::catch_signals();
-        block_on(entry::run(settings, entry::Switch::default()))?
+        stop::catch();
+        block_on(crate::entry::run(settings, crate::entry::Switch::default()))?
+    };
+    finish(start())
+}
+
+fn serve(name: &str) -> ExitCode {
+    let settings = match options::daemon::load(name) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            findings.iter().for_each(|f| eprintln!("{f}"));
+            return ExitCode::from(exit::REFUSED);
+        }
+    };
+    let start = || {
+        logs::start(&settings.logs, &settings.name)?;
+        stop::catch();
+        block_on(daemon::run(settings))?
     };
     finish(start())
 }
--- a/src/entry/bridge.rs
+++ b/src/rpc/bridge.rs
@@ -9,21 +9,27 @@
 use futures::channel::{mpsc, oneshot};
 use tonic::{Response, Status};
 
-use super::shell::Context;
 
 type Local = Pin<Box<dyn Future<Output = ()>>>;
-type Job = Box<dyn FnOnce(Rc<Context>) -> Local + Send>;
+type Job<C> = Box<dyn FnOnce(Rc<C>) -> Local + Send>;
 
 /// A way to run work on the thread that owns the context.
-#[derive(Clone)]
-pub struct Bridge {
-    jobs: mpsc::UnboundedSender<Job>,
+pub struct Bridge<C> {
+    jobs: mpsc::UnboundedSender<Job<C>>,
 }
 
-impl Bridge {
+impl<C> Clone for Bridge<C> {
+    fn clone(&self) -> Self {
+        Self {
+            jobs: self.jobs.clone(),
+        }
+    }
+}
+
+impl<C: 'static> Bridge<C> {
     /// Starts the task that runs the work.
-    pub fn start(context: Rc<Context>) -> Self {
-        let (jobs, mut receiver) = mpsc::unbounded::<Job>();
+    pub fn start(context: Rc<C>) -> Self {
+        let (jobs, mut receiver) = mpsc::unbounded::<Job<C>>();
         monoio::spawn(async move {
             while let Some(job) = receiver.next().await {
                 monoio::spawn(job(context.clone()));
@@ -36,11 +42,11 @@
     pub async fn run<T, W, F>(&self, work: W) -> Result<Response<T>, Status>
     where
         T: Send + 'static,
-        W: FnOnce(Rc<Context>) -> F + Send + 'static,
+        W: FnOnce(Rc<C>) -> F + Send + 'static,
         F: Future<Output = Result<T, Status>> + 'static,
     {
         let (reply, result) = oneshot::channel();
-        let job: Job = Box::new(move |context| {
+        let job: Job<C> = Box::new(move |context| {
             Box::pin(async move {
                 let result = work(context).await;
                 // A caller that has gone away needs no reply.
--- /dev/null
+++ b/src/sched/asks.rs
@@ -0,0 +1,88 @@
+//! Callers' requests about jobs.
+
+use super::job::{Job, Outcome, Queue};
+use super::journal::After;
+use super::message::{Answer, Ask, Ticket};
+use super::owner::Owner;
+use super::spec::JobSpec;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Milliseconds without a confirmed commit after which new jobs are refused:
+/// several times the store's usual answer, also when it is slow.
+const STORE_AWAY: Millis = 1_200;
+/// Milliseconds after which a refused caller should come back; about what a
+/// takeover or a short outage takes.
+pub const COME_BACK: Millis = 500;
+
+impl Owner {
+    pub(super) fn ask(&mut self, ticket: Ticket, ask: Ask) {
+        match ask {
+            Ask::Submit { id, spec, queue } => self.submit(ticket, id, *spec, queue),
+            Ask::Cancel(id) => self.cancel(ticket, &id),
+            Ask::Show(id) => self.show(ticket, &id),
+            Ask::Count(queue) => self.count(ticket, &queue),
+        }
+    }
+
+    fn submit(&mut self, ticket: Ticket, id: Name, spec: JobSpec, queue: Queue) {
+        if let Some(number) = self.ids.get(&id) {
+            let number = *number;
+            return self.answer_kept(ticket, number, Answer::Accepted);
+        }
+        let findings = spec.findings();
+        if !findings.is_empty() {
+            log::warn!(target: "job", "job={id} event=invalid findings={findings:?}");
+            return self.reply(ticket, Answer::Invalid(findings.join("; ")));
+        }
+        let silent = self.now.steady - self.journal.confirmed();
+        if silent > STORE_AWAY {
+            log::info!(target: "job", "job={id} event=refused reason=store-away silent_ms={silent}");
+            return self.reply(ticket, Answer::Refused(COME_BACK));
+        }
+        let steps = spec.steps.len();
+        log::info!(target: "job", "job={id} event=accept queue={} steps={steps}", queue.name);
+        let job = Job::new(id, spec, queue, self.now.wall);
+        let number = self.add(job);
+        self.journal.after(number, After::Reply(ticket, Answer::Accepted));
+        self.release(number);
+    }
+
+    /// Answers once the store holds the job as it is now.
+    fn answer_kept(&mut self, ticket: Ticket, number: u32, answer: Answer) {
+        let job = &self.jobs[&number];
+        if job.stored && job.kept == job.row.outcome {
+            return self.reply(ticket, answer);
+        }
+        self.journal.after(number, After::Reply(ticket, answer));
+    }
+
+    fn cancel(&mut self, ticket: Ticket, id: &Name) {
+        let Some(number) = self.ids.get(id).copied() else {
+            return self.reply(ticket, Answer::Unknown);
+        };
+        if self.jobs[&number].open() {
+            self.finish(number, Outcome::Cancelled);
+        }
+        self.answer_kept(ticket, number, Answer::Cancelled);
+    }
+
+    fn show(&mut self, ticket: Ticket, id: &Name) {
+        let number = self.ids.get(id);
+        let answer = match number.map(|n| &self.jobs[n]) {
+            Some(job) if job.stored => Answer::State(job.shown()),
+            // Its acceptance is on its way to the store, so neither word is true yet.
+            Some(_) => Answer::InDoubt,
+            None => Answer::Unknown,
+        };
+        self.reply(ticket, answer);
+    }
+
+    fn count(&mut self, ticket: Ticket, queue: &str) {
+        let waits = |job: &&Job| {
+            job.stored && job.open() && &*job.row.queue.name == queue && job.unbegun()
+        };
+        let count = self.jobs.values().filter(waits).count() as u64;
+        self.reply(ticket, Answer::Waiting(count));
+    }
+}
--- /dev/null
+++ b/src/sched/journal.rs
@@ -0,0 +1,285 @@
+//! Group commits: changed jobs are written together, one commit at a time.
+//!
+//! Each commit also rewrites the owner's row on the condition of its version.
+//! So an owner that was replaced writes nothing more, and a commit without an
+//! answer can no longer take effect once a later one has.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::job::TaskKey;
+use super::message::{Answer, Ticket, Write, Written};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Table of the owner's row.
+pub const OWNER_TABLE: &str = "owner";
+/// Table of the specifications of jobs, written once.
+pub const SPEC_TABLE: &str = "spec";
+/// Table of the states of jobs.
+pub const JOB_TABLE: &str = "job";
+/// Key of the owner's row.
+pub const OWNER_KEY: &str = "owner";
+
+/// Jobs in one commit; with its specification each may need two of the
+/// store's 100 entries, and the owner's row takes two.
+const JOBS_LIMIT: usize = 48;
+/// Bytes of rows in one commit, half of the store's bound, as rows grow by
+/// a third on the wire.
+const BYTES_LIMIT: usize = 500_000;
+/// Milliseconds between two commits, to let changes gather.
+const PAUSE: Millis = 4;
+/// Milliseconds until a commit that had no effect is tried again.
+const RETRY: Millis = 60;
+/// Milliseconds after which an idle owner confirms that it still is the owner.
+const CONFIRM: Millis = 500;
+
+/// The owner's row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerRow {
+    /// Name of the owning box.
+    pub name: Name,
+    /// Life of the owning process.
+    pub life: u64,
+    /// Where other boxes reach it.
+    pub address: std::net::SocketAddr,
+    /// Counts owners.
+    pub epoch: u64,
+    /// Counts its commits.
+    pub seq: u64,
+    /// True once it has given the cell up.
+    #[serde(default)]
+    pub released: bool,
+}
+
+/// What waits for a job's row to be in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum After {
+    /// The answer to a caller.
+    Reply(Ticket, Answer),
+    /// The start of a run.
+    Start(TaskKey, u32),
+    /// The acknowledgement of an end to a worker.
+    Seen(Name, u64),
+}
+
+/// How the last commit changed what is known.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Settled {
+    /// The jobs are in the store as they were when it was built.
+    Kept(Vec<(u32, Vec<After>)>),
+    /// Nothing is settled; it will be written again.
+    Again,
+    /// Another box owns the cell.
+    Deposed,
+}
+
+struct Flight {
+    number: u64,
+    sent: Millis,
+    released: bool,
+    jobs: Vec<(u32, Vec<After>)>,
+}
+
+/// The owner's commits.
+pub struct Journal {
+    row: OwnerRow,
+    version: u64,
+    order: VecDeque<u32>,
+    waiting: BTreeMap<u32, Vec<After>>,
+    flight: Option<Flight>,
+    next: Millis,
+    confirmed: Millis,
+    in_doubt: bool,
+    left: bool,
+}
+
+impl Journal {
+    /// Returns the journal of an owner whose row was written as `version` by a
+    /// commit sent at `now`.
+    pub fn new(row: OwnerRow, version: u64, now: Millis) -> Self {
+        Self {
+            row,
+            version,
+            order: VecDeque::new(),
+            waiting: BTreeMap::new(),
+            flight: None,
+            next: now,
+            confirmed: now,
+            in_doubt: false,
+            left: false,
+        }
+    }
+
+    /// Returns the epoch of the owner.
+    pub fn epoch(&self) -> u64 {
+        self.row.epoch
+    }
+
+    /// Returns when the last commit that took effect was sent.
+    pub fn confirmed(&self) -> Millis {
+        self.confirmed
+    }
+
+    /// Returns true while the outcome of a commit is not known.
+    pub fn doubtful(&self) -> bool {
+        self.in_doubt
+    }
+
+    /// Returns the number of jobs that wait to be written.
+    pub fn backlog(&self) -> usize {
+        self.order.len()
+    }
+
+    /// Marks a job as changed.
+    pub fn touch(&mut self, job: u32) {
+        if !self.waiting.contains_key(&job) {
+            self.waiting.insert(job, Vec::new());
+            self.order.push_back(job);
+        }
+    }
+
+    /// Marks a job as changed, with what waits for its row.
+    pub fn after(&mut self, job: u32, after: After) {
+        self.touch(job);
+        if let Some(list) = self.waiting.get_mut(&job) {
+            list.push(after);
+        }
+    }
+
+    /// Drops the answers that a caller no longer waits for.
+    pub fn forget(&mut self, ticket: Ticket) {
+        for list in self.waiting.values_mut() {
+            list.retain(|a| !matches!(a, After::Reply(t, _) if *t == ticket));
+        }
+    }
+
+    /// Gives the cell up with the next commit.
+    pub fn release(&mut self, now: Millis) {
+        self.row.released = true;
+        self.next = now;
+    }
+
+    /// Returns true once the store holds everything and the release.
+    pub fn released(&self) -> bool {
+        self.left && self.order.is_empty() && self.flight.is_none()
+    }
+
+    /// Returns when the next commit is due, unless one is on its way.
+    pub fn due(&self) -> Option<Millis> {
+        let idle = match self.order.is_empty() && !self.row.released {
+            true => self.confirmed + CONFIRM,
+            false => 0,
+        };
+        self.flight.is_none().then_some(self.next.max(idle))
+    }
+
+    /// Returns the next commit when one is due; `rows` gives the rows of a job.
+    pub fn build(
+        &mut self,
+        now: Millis,
+        mut rows: impl FnMut(u32) -> Vec<Write>,
+    ) -> Option<(u64, u64, Vec<Write>)> {
+        let idle = now >= self.confirmed + CONFIRM || (self.row.released && !self.left);
+        if self.flight.is_some() || now < self.next || (self.order.is_empty() && !idle) {
+            return None;
+        }
+        self.row.seq += 1;
+        let mut writes = vec![self.own_row()];
+        let mut jobs = Vec::new();
+        let mut bytes = 0;
+        while jobs.len() < JOBS_LIMIT && bytes < BYTES_LIMIT {
+            let Some(job) = self.order.pop_front() else {
+                break;
+            };
+            let list = self.waiting.remove(&job).unwrap_or_default();
+            let made = rows(job);
+            let size = |w: &Write| w.value.as_ref().map_or(0, Bytes::len);
+            bytes += made.iter().map(size).sum::<usize>();
+            writes.extend(made);
+            jobs.push((job, list));
+        }
+        let number = self.row.seq;
+        self.flight = Some(Flight {
+            number,
+            sent: now,
+            released: self.row.released,
+            jobs,
+        });
+        Some((number, self.version, writes))
+    }
+
+    fn own_row(&self) -> Write {
+        Write {
+            table: OWNER_TABLE,
+            key: OWNER_KEY.into(),
+            value: Some(crate::table::encode(&self.row)),
+        }
+    }
+
+    /// Takes in how a commit ended.
+    pub fn settle(&mut self, number: u64, written: Written, now: Millis) -> Settled {
+        let Some(flight) = self.flight.take_if(|f| f.number == number) else {
+            return Settled::Again;
+        };
+        match written {
+            Written::Done(version) => {
+                self.version = version;
+                self.confirmed = flight.sent;
+                self.in_doubt = false;
+                self.left = self.row.released && flight.released;
+                self.next = now + PAUSE;
+                return Settled::Kept(flight.jobs);
+            }
+            Written::Conflict(row) => {
+                if !self.adopt(row) {
+                    return Settled::Deposed;
+                }
+                self.next = now;
+            }
+            Written::NotDone => self.next = now + RETRY,
+            Written::Unknown => {
+                self.in_doubt = true;
+                self.next = now;
+            }
+        }
+        self.restore(flight.jobs);
+        Settled::Again
+    }
+
+    /// Accepts the version of a row that an earlier commit of this owner wrote.
+    fn adopt(&mut self, row: Option<(u64, Bytes)>) -> bool {
+        let Some((version, value)) = row else {
+            return false;
+        };
+        let found: OwnerRow = match serde_json::from_slice(&value) {
+            Ok(found) => found,
+            Err(e) => {
+                log::error!(target: "journal", "the owner's row does not decode: {e}");
+                return false;
+            }
+        };
+        let own = found.life == self.row.life && found.epoch == self.row.epoch;
+        if own {
+            self.version = version;
+        }
+        own
+    }
+
+    fn restore(&mut self, jobs: Vec<(u32, Vec<After>)>) {
+        for (job, mut list) in jobs.into_iter().rev() {
+            match self.waiting.get_mut(&job) {
+                Some(later) => {
+                    list.append(later);
+                    *later = list;
+                }
+                None => {
+                    self.waiting.insert(job, list);
+                    self.order.push_front(job);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/sched/message.rs
@@ -0,0 +1,275 @@
+//! What the owner is told and what it asks for.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::job::{Queue, Shown, TaskKey};
+use super::spec::JobSpec;
+use super::worker::Listing;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Names the caller's side of a request until it is answered.
+pub type Ticket = u64;
+
+/// A caller's request about jobs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// Accept and keep a job.
+    Submit {
+        /// Id chosen by the caller.
+        id: Name,
+        /// What is to run.
+        spec: Box<JobSpec>,
+        /// Queue as configured now.
+        queue: Queue,
+    },
+    /// Cancel a job.
+    Cancel(Name),
+    /// Tell how far a job is.
+    Show(Name),
+    /// Count the jobs of a queue of which no task has begun.
+    Count(Name),
+}
+
+/// The answer to a caller's request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The job is accepted and kept.
+    Accepted,
+    /// The cancel is kept.
+    Cancelled,
+    /// How far the job is.
+    State(Shown),
+    /// No such job.
+    Unknown,
+    /// Jobs of the queue that have not begun.
+    Waiting(u64),
+    /// Nothing was done; come back after so many milliseconds.
+    Refused(Millis),
+    /// It may or may not have been done.
+    InDoubt,
+    /// The request itself is wrong; what is wrong with it.
+    Invalid(String),
+}
+
+/// A run that a worker lists.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Running {
+    /// Name of the task.
+    pub task: Name,
+    /// Number of the run.
+    pub run: u32,
+    /// Last checkpoint; empty for none.
+    pub saved: Name,
+    /// Share of its full pace at which it works, in percent.
+    pub pace: u32,
+    /// Processor share in use, or the latency tail in milliseconds of a
+    /// serving task, over the last half second.
+    pub gauge: u64,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    /// Its work is done.
+    Done,
+    /// It failed, by its own fault or the worker's.
+    Failed,
+    /// It was stopped as ordered.
+    Stopped,
+    /// The worker's lease ended.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come in time.
+    Alone,
+}
+
+/// An ended run that a worker lists.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// Number of the end within the worker's life.
+    pub number: u64,
+    /// Name of the task.
+    pub task: Name,
+    /// Number of the run.
+    pub run: u32,
+    /// How it ended.
+    pub how: How,
+    /// Last checkpoint; empty for none.
+    pub saved: Name,
+}
+
+/// Everything a worker tells in one exchange.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Time on the worker's clock.
+    pub clock: Millis,
+    /// Runs there.
+    pub running: Vec<Running>,
+    /// Ends that were not acknowledged yet, 500 at most.
+    pub ended: Vec<Ended>,
+}
+
+/// Why a worker did not do what it was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// It has seen a newer owner.
+    Fenced,
+    /// The run is not above one that ended or was stopped there.
+    Old,
+    /// The lease in the order had ended already.
+    Late,
+    /// The task does not fit.
+    Full,
+    /// The advice that the order carried does not hold.
+    Ticket,
+    /// It does not take the order, for another reason.
+    Unfit,
+    /// It is unhealthy and did nothing.
+    Unwell,
+    /// Another life of the worker answers at this address.
+    Reborn,
+}
+
+/// How an order to a worker went.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply<T> {
+    /// Done, with the worker's word.
+    Ok(T),
+    /// Not done.
+    Refused(Refusal),
+    /// Not sent.
+    NotSent,
+    /// No answer: it may be done, now or later.
+    Lost,
+}
+
+/// How a commit ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// It took effect; version of its rows.
+    Done(u64),
+    /// A condition failed; what the owner's row holds now.
+    Conflict(Option<(u64, Bytes)>),
+    /// It had no effect and will have none.
+    NotDone,
+    /// It may take effect, now or later.
+    Unknown,
+}
+
+/// A change of one row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    /// Table of the row.
+    pub table: &'static str,
+    /// Key of the row.
+    pub key: Name,
+    /// New value; none removes the row.
+    pub value: Option<Bytes>,
+}
+
+/// What the owner is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A caller asks.
+    Ask(Ticket, Ask),
+    /// The caller's side no longer waits.
+    Left(Ticket),
+    /// The whole directory was read.
+    Directory(Vec<Listing>),
+    /// Listings changed; none stands for a removed one.
+    Listed(Vec<(Name, Option<Listing>)>),
+    /// An exchange that was sent at this time ended.
+    Held(Name, Millis, Reply<Report>),
+    /// A start ended.
+    Started(TaskKey, u32, Name, Reply<Millis>),
+    /// A stop ended.
+    Stopped(TaskKey, u32, Name, Reply<Millis>),
+    /// A commit ended.
+    Written(u64, Written),
+    /// Time passes.
+    Tick,
+}
+
+/// An exchange with a worker: extends its lease and asks for its report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hold {
+    /// Id of the worker.
+    pub worker: Name,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// End of the lease on its clock; none leaves it as it is.
+    pub lease: Option<Millis>,
+    /// Epoch of the owner.
+    pub epoch: u64,
+    /// Highest end that may be forgotten.
+    pub seen: u64,
+    /// Milliseconds that it may wait for an end.
+    pub wait: Millis,
+}
+
+/// A start of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// The task.
+    pub key: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+    /// Id of the worker.
+    pub worker: Name,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Name of the task.
+    pub task: String,
+    /// Text of the job.
+    pub text: Name,
+    /// End of the lease on the worker's clock.
+    pub lease: Millis,
+    /// Epoch of the owner.
+    pub epoch: u64,
+    /// Checkpoint to resume from; empty for none.
+    pub saved: Name,
+}
+
+/// A stop of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stop {
+    /// The task.
+    pub key: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+    /// Id of the worker.
+    pub worker: Name,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Name of the task.
+    pub task: String,
+    /// Epoch of the owner.
+    pub epoch: u64,
+}
+
+/// What the owner asks for.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Answer a caller.
+    Reply(Ticket, Answer),
+    /// Exchange with a worker.
+    Hold(Hold),
+    /// Start a run.
+    Start(Start),
+    /// Stop a run.
+    Stop(Stop),
+    /// Write rows, on the condition that the owner's row has this version.
+    Commit {
+        /// Number of the commit.
+        number: u64,
+        /// Version that the owner's row must have.
+        version: u64,
+        /// Rows to write, the owner's row among them.
+        writes: Vec<Write>,
+    },
+}
--- /dev/null
+++ b/src/sched/owner.rs
@@ -0,0 +1,442 @@
+//! The owner of all jobs and workers of a cell: events in, actions out.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use super::job::{Job, JobRow, Outcome, Phase, TaskKey};
+use super::journal::{After, JOB_TABLE, Journal, SPEC_TABLE, Settled};
+use super::message::{Action, Answer, Event, Stop, Ticket, Write, Written};
+use super::spec::JobSpec;
+use super::worker::{Contact, Slot, Stage, Worker, lease_span};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Bounds that the platform and the settings give.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Milliseconds of a lease given to a worker.
+    pub lease: Millis,
+    /// Milliseconds that an owner goes on extending leases without a commit.
+    pub unconfirmed: Millis,
+    /// Milliseconds for which the state of an ended job is told.
+    pub remember: Millis,
+}
+
+/// The clocks at the time of an event.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    /// Milliseconds on this box's steady clock.
+    pub steady: Millis,
+    /// Milliseconds since the Unix epoch.
+    pub wall: Millis,
+}
+
+/// A job as read from the store at a takeover.
+pub struct Kept {
+    /// Its id.
+    pub id: Name,
+    /// Its description.
+    pub spec: JobSpec,
+    /// Its state.
+    pub row: JobRow,
+}
+
+/// Order in which tasks are placed: priority, when the job is due, the task.
+pub(super) type Rank = (u32, Millis, TaskKey);
+
+/// The owner of a cell.
+pub struct Owner {
+    pub(super) bounds: Bounds,
+    pub(super) journal: Journal,
+    pub(super) jobs: BTreeMap<u32, Job>,
+    pub(super) ids: HashMap<Name, u32>,
+    pub(super) ready: BTreeSet<Rank>,
+    pub(super) workers: BTreeMap<Name, Worker>,
+    /// Where each placed task is.
+    pub(super) placed: HashMap<TaskKey, Name>,
+    /// The worker on which a task failed last.
+    pub(super) failed_on: HashMap<TaskKey, Name>,
+    pub(super) actions: Vec<Action>,
+    pub(super) now: Now,
+    /// When leases given by earlier owners have certainly ended.
+    pub(super) inherited: Millis,
+    pub(super) crowded: bool,
+    next_job: u32,
+    next_sweep: Millis,
+    deposed: bool,
+}
+
+/// Milliseconds between two looks at what has become due or too old.
+const SWEEP: Millis = 100;
+
+impl Owner {
+    /// Returns the owner that goes on with what the store holds; leases given
+    /// by earlier owners end at `inherited` at the latest.
+    pub fn new(
+        bounds: Bounds,
+        journal: Journal,
+        kept: Vec<Kept>,
+        inherited: Millis,
+        now: Now,
+    ) -> Self {
+        let mut owner = Self {
+            bounds,
+            journal,
+            jobs: BTreeMap::new(),
+            ids: HashMap::new(),
+            ready: BTreeSet::new(),
+            workers: BTreeMap::new(),
+            placed: HashMap::new(),
+            failed_on: HashMap::new(),
+            actions: Vec::new(),
+            now,
+            inherited,
+            crowded: false,
+            next_job: 0,
+            next_sweep: 0,
+            deposed: false,
+        };
+        for job in kept {
+            owner.load(Job::load(job.id, job.spec, job.row));
+        }
+        owner
+    }
+
+    fn load(&mut self, job: Job) {
+        let number = self.add(job);
+        let job = &self.jobs[&number];
+        let placed: Vec<(TaskKey, Name)> = job
+            .tasks(number)
+            .filter_map(|(key, task)| match &task.phase {
+                Phase::Placed(worker) => Some((key, worker.clone())),
+                _ => None,
+            })
+            .collect();
+        self.placed.extend(placed);
+        self.release(number);
+    }
+
+    /// Adds a job and returns its number.
+    pub(super) fn add(&mut self, job: Job) -> u32 {
+        let number = self.next_job;
+        self.next_job += 1;
+        self.ids.insert(job.id.clone(), number);
+        self.jobs.insert(number, job);
+        number
+    }
+
+    /// Returns the jobs, workers and waiting tasks, for gauges.
+    pub fn sizes(&self) -> (usize, usize, usize) {
+        (self.jobs.len(), self.workers.len(), self.ready.len())
+    }
+
+    /// Returns when the last commit that took effect was sent.
+    pub fn confirmed(&self) -> Millis {
+        self.journal.confirmed()
+    }
+
+    /// Returns true once another box owns the cell.
+    pub fn deposed(&self) -> bool {
+        self.deposed
+    }
+
+    /// Returns true once the store holds that the cell was given up.
+    pub fn released(&self) -> bool {
+        self.journal.released()
+    }
+
+    /// Returns the milliseconds until something is due.
+    pub fn wait(&self, now: Now) -> Millis {
+        let contacts = self.workers.values().filter_map(|w| match w.contact {
+            Contact::Due(at) => Some(at),
+            Contact::Open(_) => None,
+        });
+        let due = contacts.chain(self.journal.due()).chain([self.next_sweep]);
+        due.min().unwrap_or(0).saturating_sub(now.steady).max(1)
+    }
+
+    /// Gives the cell up with the next commit.
+    pub fn resign(&mut self, now: Now) {
+        self.journal.release(now.steady);
+    }
+
+    /// Takes in that the owner before extends no lease any more.
+    pub fn predecessor_ended(&mut self, now: Now) {
+        let end = now.steady + lease_span(self.bounds.lease);
+        self.inherited = self.inherited.min(end);
+    }
+
+    /// Takes in an event and returns what is to be done.
+    pub fn step(&mut self, event: Event, now: Now) -> Vec<Action> {
+        self.now = now;
+        match event {
+            Event::Ask(ticket, ask) => self.ask(ticket, ask),
+            Event::Left(ticket) => self.journal.forget(ticket),
+            Event::Directory(listings) => self.directory(listings),
+            Event::Listed(changes) => self.listed(changes),
+            Event::Held(worker, sent, reply) => self.held(&worker, sent, reply),
+            Event::Started(key, run, worker, reply) => self.started(key, run, &worker, reply),
+            Event::Stopped(key, run, worker, reply) => self.stopped(key, run, &worker, reply),
+            Event::Written(number, written) => self.written(number, written),
+            Event::Tick => {}
+        }
+        if now.steady >= self.next_sweep {
+            self.next_sweep = now.steady + SWEEP;
+            self.sweep();
+        }
+        if !self.deposed {
+            self.place();
+            self.contact();
+            self.commit();
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    pub(super) fn reply(&mut self, ticket: Ticket, answer: Answer) {
+        self.actions.push(Action::Reply(ticket, answer));
+    }
+
+    fn sweep(&mut self) {
+        self.lapse();
+        self.check_runs();
+        let wall = self.now.wall;
+        let scheduled: Vec<u32> = self
+            .jobs
+            .iter_mut()
+            .filter_map(|(number, job)| job.add_due(wall).then_some(*number))
+            .collect();
+        for number in scheduled {
+            self.journal.touch(number);
+            self.release(number);
+        }
+        self.expire();
+    }
+
+    /// Marks jobs for removal whose state need not be told any more.
+    fn expire(&mut self) {
+        let (wall, remember) = (self.now.wall, self.bounds.remember);
+        let old = |job: &Job| job.kept != Outcome::Open && wall > job.row.ended + remember;
+        let expired: Vec<u32> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| old(job))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in expired {
+            self.journal.touch(number);
+        }
+    }
+
+    fn commit(&mut self) {
+        let (wall, remember) = (self.now.wall, self.bounds.remember);
+        let jobs = &mut self.jobs;
+        let rows = |number| match jobs.get_mut(&number) {
+            Some(job) => rows(job, wall > job.row.ended.saturating_add(remember)),
+            None => Vec::new(),
+        };
+        if let Some((number, version, writes)) = self.journal.build(self.now.steady, rows) {
+            self.actions.push(Action::Commit {
+                number,
+                version,
+                writes,
+            });
+        }
+    }
+
+    fn written(&mut self, number: u64, written: Written) {
+        match self.journal.settle(number, written, self.now.steady) {
+            Settled::Again => {}
+            Settled::Deposed => {
+                self.deposed = true;
+            }
+            Settled::Kept(jobs) => {
+                for (number, afters) in jobs {
+                    self.kept(number, afters);
+                }
+            }
+        }
+    }
+
+    fn kept(&mut self, number: u32, afters: Vec<After>) {
+        if let Some(job) = self.jobs.get_mut(&number) {
+            job.stored = true;
+            job.kept = job.sent;
+            let removed = job.removed;
+            let over = job.kept != Outcome::Open;
+            if removed {
+                let id = job.id.clone();
+                self.ids.remove(&id);
+                self.jobs.remove(&number);
+            } else if over {
+                self.stop_all(number);
+            }
+        }
+        for after in afters {
+            match after {
+                After::Reply(ticket, answer) => self.reply(ticket, answer),
+                After::Start(key, run) => self.start(key, run),
+                After::Seen(worker, end) => self.seen(&worker, end),
+            }
+        }
+    }
+
+    fn seen(&mut self, worker: &str, end: u64) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.pending.remove(&end);
+        }
+    }
+
+    /// Puts the tasks of a job that may start now among the ready ones.
+    pub(super) fn release(&mut self, number: u32) {
+        let Some(job) = self.jobs.get(&number) else {
+            return;
+        };
+        if !job.open() {
+            return;
+        }
+        for round in 0..job.row.rounds.len() {
+            for step in 0..job.spec.steps.len() {
+                if job.released(round, step) {
+                    let due = due(job, round);
+                    let tasks = job.row.rounds[round][step].iter().enumerate();
+                    let waiting = tasks.filter(|(_, t)| t.phase == Phase::Waiting);
+                    self.ready.extend(waiting.map(|(index, _)| {
+                        let key = TaskKey {
+                            job: number,
+                            round: round as u32,
+                            step: step as u32,
+                            index: index as u32,
+                        };
+                        (job.row.queue.priority, due, key)
+                    }));
+                }
+            }
+        }
+    }
+
+    /// Returns the place of a task in the order of starts.
+    pub(super) fn rank(&self, key: TaskKey) -> Option<Rank> {
+        let job = self.jobs.get(&key.job)?;
+        Some((job.row.queue.priority, due(job, key.round as usize), key))
+    }
+
+    /// Ends a job, and with it all that it runs once the end is in the store.
+    pub(super) fn finish(&mut self, number: u32, outcome: Outcome) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        job.row.outcome = outcome;
+        job.row.ended = self.now.wall;
+        log::info!(target: "job", "job={} event=end outcome={outcome:?}", job.id);
+        self.journal.touch(number);
+        self.ready.retain(|(_, _, key)| key.job != number);
+    }
+
+    /// Stops what runs of a job that is over.
+    pub(super) fn stop_all(&mut self, number: u32) {
+        let Some(job) = self.jobs.get(&number) else {
+            return;
+        };
+        let keys: Vec<TaskKey> = job.tasks(number).map(|(key, _)| key).collect();
+        for key in keys {
+            self.stop(key);
+        }
+    }
+
+    /// Stops a placed task, or takes it back when its start was not sent.
+    pub(super) fn stop(&mut self, key: TaskKey) {
+        let Some(name) = self.placed.get(&key).cloned() else {
+            return;
+        };
+        let (now, epoch) = (self.now.steady, self.journal.epoch());
+        let Some(worker) = self.workers.get_mut(&name) else {
+            return;
+        };
+        let address = worker.listing.address;
+        let Some(slot) = worker.slots.get_mut(&key) else {
+            return;
+        };
+        match slot.stage {
+            Stage::Recording => {
+                self.free(key);
+                return;
+            }
+            Stage::Stopping(_) | Stage::Stopped(_) => return,
+            Stage::Starting | Stage::Running(_) | Stage::Doubt => {
+                slot.stage = Stage::Stopping(now);
+            }
+        }
+        let run = slot.run;
+        self.send_stop(key, run, name, address, epoch);
+    }
+
+    pub(super) fn send_stop(
+        &mut self,
+        key: TaskKey,
+        run: u32,
+        worker: Name,
+        address: std::net::SocketAddr,
+        epoch: u64,
+    ) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let task = job.task_name(key);
+        log::info!(target: "task", "task={task} run={run} event=stop worker={worker}");
+        self.actions.push(Action::Stop(Stop {
+            key,
+            run,
+            worker,
+            address,
+            task,
+            epoch,
+        }));
+    }
+
+    /// Takes a task off its worker; it waits for another start if its job goes on.
+    pub(super) fn free(&mut self, key: TaskKey) -> Option<Slot> {
+        let name = self.placed.remove(&key)?;
+        let slot = self.workers.get_mut(&name).and_then(|w| w.take(key));
+        self.crowded = false;
+        let job = self.jobs.get_mut(&key.job)?;
+        let task = job.task_mut(key)?;
+        if matches!(task.phase, Phase::Placed(_)) {
+            task.phase = Phase::Waiting;
+            let open = job.open();
+            self.journal.touch(key.job);
+            if open && let Some(rank) = self.rank(key) {
+                self.ready.insert(rank);
+            }
+        }
+        slot
+    }
+}
+
+/// Returns when a round of a job should be done to be on time, as the
+/// milliseconds since the Unix epoch.
+fn due(job: &Job, round: usize) -> Millis {
+    let start = match job.spec.schedule {
+        Some(schedule) => schedule.first + schedule.interval * round as u64,
+        None => job.row.accepted,
+    };
+    let queue = &job.row.queue;
+    start + queue.slack + job.ideal() * u64::from(queue.stretch) / 1_000
+}
+
+fn rows(job: &mut Job, expired: bool) -> Vec<Write> {
+    job.sent = job.row.outcome;
+    let over = job.kept != Outcome::Open;
+    let write = |table, value| Write {
+        table,
+        key: job.id.clone(),
+        value,
+    };
+    if over && expired {
+        job.removed = true;
+        return vec![write(JOB_TABLE, None), write(SPEC_TABLE, None)];
+    }
+    let mut rows = vec![write(JOB_TABLE, Some(crate::table::encode(&job.row)))];
+    if !job.stored {
+        rows.push(write(SPEC_TABLE, Some(crate::table::encode(&*job.spec))));
+    }
+    rows
+}
--- /dev/null
+++ b/src/sched/reports.rs
@@ -0,0 +1,471 @@
+//! What workers report: runs, ends, and their silence.
+
+use std::collections::BTreeSet;
+
+use super::job::{Outcome, Phase, TaskKey, parse_task};
+use super::journal::After;
+use super::message::{Action, Ended, Hold, How, Refusal, Reply, Report, Running, Stop};
+use super::owner::Owner;
+use super::worker::{Contact, Listing, Stage, Worker};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Milliseconds that an exchange may wait for an end.
+const WAIT: Millis = 1_000;
+/// Milliseconds until the next exchange after one that had no answer.
+const MISS_PAUSE: Millis = 250;
+/// Milliseconds until the next exchange while ends wait to be written.
+const ENDS_PAUSE: Millis = 15;
+/// Ends in one report; with so many there may be more.
+const REPORT_LIMIT: usize = 500;
+/// Failed runs in a row after which a worker rests.
+const FAILURES: u32 = 3;
+/// Milliseconds of that rest, doubled with each further failure up to eight times.
+const REST: Millis = 2_000;
+
+impl Owner {
+    /// Takes in the whole directory.
+    pub(super) fn directory(&mut self, listings: Vec<Listing>) {
+        let named: BTreeSet<Name> = listings.iter().map(|l| l.id.clone()).collect();
+        let gone: Vec<Name> = self
+            .workers
+            .keys()
+            .filter(|id| !named.contains(*id))
+            .cloned()
+            .collect();
+        let mut changes: Vec<(Name, Option<Listing>)> =
+            gone.into_iter().map(|id| (id, None)).collect();
+        changes.extend(listings.into_iter().map(|l| (l.id.clone(), Some(l))));
+        self.listed(changes);
+    }
+
+    /// Takes in changes of the directory.
+    pub(super) fn listed(&mut self, changes: Vec<(Name, Option<Listing>)>) {
+        self.crowded = false;
+        for (id, listing) in changes {
+            match listing {
+                Some(listing) => self.list(id, listing),
+                None => self.unlist(&id),
+            }
+        }
+        self.adopt_placed();
+    }
+
+    fn list(&mut self, id: Name, listing: Listing) {
+        if let Some(worker) = self.workers.get_mut(&id) {
+            if worker.listing != listing || !worker.listed {
+                log::info!(target: "worker", "worker={id} event=listed leaving={}", listing.leaving);
+            }
+            worker.listing = listing;
+            worker.listed = true;
+            return;
+        }
+        // Another life at the same address means that the one before has ended.
+        let before: Vec<Name> = self
+            .workers
+            .values()
+            .filter(|w| w.listing.address == listing.address)
+            .map(|w| w.listing.id.clone())
+            .collect();
+        for old in before {
+            self.reborn(&old);
+        }
+        log::info!(target: "worker", "worker={id} event=new leaving={}", listing.leaving);
+        let worker = Worker::new(listing, self.now.steady);
+        self.workers.insert(id, worker);
+    }
+
+    fn unlist(&mut self, id: &Name) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.listed {
+            log::info!(target: "worker", "worker={id} event=unlisted tasks={}", worker.slots.len());
+        }
+        worker.listed = false;
+    }
+
+    /// Gives tasks that the store holds as placed to their workers.
+    fn adopt_placed(&mut self) {
+        let placed: Vec<(TaskKey, Name)> = self
+            .placed
+            .iter()
+            .filter(|(key, name)| {
+                let worker = self.workers.get(*name);
+                worker.is_some_and(|w| !w.slots.contains_key(key))
+            })
+            .map(|(key, name)| (*key, name.clone()))
+            .collect();
+        for (key, name) in placed {
+            let run = self.jobs[&key.job].task(key).map_or(0, |t| t.run);
+            // The owner before may have started it or not; any report tells.
+            let slot = self.slot(key, run, Stage::Stopped(0));
+            if let Some(worker) = self.workers.get_mut(&name) {
+                worker.put(key, slot);
+            }
+        }
+    }
+
+    /// Ends everything that a life of a worker ran, which has certainly ended.
+    pub(super) fn reborn(&mut self, name: &Name) {
+        log::info!(target: "worker", "worker={name} event=ended reason=another-life");
+        self.clear(name);
+        self.workers.remove(name);
+    }
+
+    fn clear(&mut self, name: &Name) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let keys: Vec<TaskKey> = worker.slots.keys().copied().collect();
+        for key in keys {
+            self.free(key);
+        }
+    }
+
+    /// Frees what ran on workers whose leases have certainly ended.
+    pub(super) fn lapse(&mut self) {
+        let now = self.now.steady;
+        let inherited = self.inherited;
+        let ended = |w: &Worker| now > w.lease_end().max(inherited);
+        let silent = |w: &&Worker| !w.answering(now) && ended(w) && w.misses > 0;
+        let ended: Vec<Name> = self
+            .workers
+            .values()
+            .filter(silent)
+            .filter(|w| !w.slots.is_empty() || !w.listed)
+            .map(|w| w.listing.id.clone())
+            .collect();
+        for name in ended {
+            let worker = &self.workers[&name];
+            let (tasks, listed) = (worker.slots.len(), worker.listed);
+            log::info!(target: "worker", "worker={name} event=lapsed tasks={tasks} listed={listed}");
+            self.clear(&name);
+            if !listed {
+                self.workers.remove(&name);
+            }
+        }
+        let drained = |w: &&Worker| !w.listed && w.slots.is_empty() && w.pending.is_empty();
+        let drained: Vec<Name> = self
+            .workers
+            .values()
+            .filter(drained)
+            .map(|w| w.listing.id.clone())
+            .collect();
+        for name in drained {
+            self.workers.remove(&name);
+        }
+        self.lapse_unlisted();
+    }
+
+    /// Frees tasks of workers that were never listed here.
+    fn lapse_unlisted(&mut self) {
+        if self.now.steady <= self.inherited {
+            return;
+        }
+        let lost: Vec<TaskKey> = self
+            .placed
+            .iter()
+            .filter(|(_, name)| !self.workers.contains_key(*name))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in lost {
+            self.free(key);
+        }
+    }
+
+    /// Starts the exchanges that are due.
+    pub(super) fn contact(&mut self) {
+        let now = self.now.steady;
+        let confirmed = now < self.journal.confirmed() + self.bounds.unconfirmed;
+        let (span, epoch) = (self.bounds.lease, self.journal.epoch());
+        for worker in self.workers.values_mut() {
+            let Contact::Due(at) = worker.contact else {
+                continue;
+            };
+            if now < at {
+                continue;
+            }
+            let lease = match confirmed && !worker.slots.is_empty() {
+                true => worker.grant(span, now),
+                false => None,
+            };
+            let known = worker.answered > 0;
+            worker.contact = Contact::Open(now);
+            self.actions.push(Action::Hold(Hold {
+                worker: worker.listing.id.clone(),
+                address: worker.listing.address,
+                lease,
+                epoch,
+                seen: worker.seen(),
+                wait: if known && worker.misses == 0 { WAIT } else { 0 },
+            }));
+        }
+    }
+
+    /// Takes in how an exchange went.
+    pub(super) fn held(&mut self, name: &Name, sent: Millis, reply: Reply<Report>) {
+        let now = self.now.steady;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        match reply {
+            Reply::Ok(report) => {
+                if worker.misses > 0 || worker.answered == 0 {
+                    log::info!(target: "worker", "worker={name} event=answers misses={}", worker.misses);
+                    self.crowded = false;
+                }
+                worker.misses = 0;
+                worker.hear(report.clock, now);
+                worker.contact = Contact::Due(now);
+                self.report(name, sent, report);
+            }
+            Reply::Refused(Refusal::Reborn) => self.reborn(name),
+            Reply::Refused(Refusal::Fenced) => {
+                // Only an owner with a higher epoch can have been there; the
+                // next commit finds out.
+                log::warn!(target: "worker", "worker={name} event=fenced epoch={}", self.journal.epoch());
+                worker.contact = Contact::Due(now + MISS_PAUSE);
+            }
+            Reply::Refused(_) | Reply::NotSent | Reply::Lost => {
+                if worker.misses == 0 {
+                    log::info!(target: "worker", "worker={name} event=silent reply={reply:?}");
+                }
+                worker.misses += 1;
+                worker.contact = Contact::Due(now + MISS_PAUSE);
+            }
+        }
+    }
+
+    fn report(&mut self, name: &Name, sent: Millis, report: Report) {
+        let whole = report.ended.len() < REPORT_LIMIT;
+        for end in &report.ended {
+            self.end(name, end);
+        }
+        self.runs(name, sent, &report.running, whole);
+        let now = self.now.steady;
+        if let Some(worker) = self.workers.get_mut(name)
+            && !worker.pending.is_empty()
+        {
+            worker.contact = Contact::Due(now + ENDS_PAUSE);
+        }
+    }
+
+    /// Compares the runs that a worker lists with those that are known there.
+    fn runs(&mut self, name: &Name, sent: Millis, running: &[Running], whole: bool) {
+        let mut listed = BTreeSet::new();
+        let mut strangers = Vec::new();
+        for run in running {
+            match self.find(&run.task) {
+                Some(key) if self.confirm(name, key, run) => {
+                    listed.insert(key);
+                }
+                found => strangers.push((found, run)),
+            }
+        }
+        let address = self.workers.get(name).map(|w| w.listing.address);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.strangers = !strangers.is_empty();
+        }
+        for (found, run) in strangers {
+            log::warn!(target: "task", "task={} run={} event=unknown-run worker={name}", run.task, run.run);
+            let (Some(key), Some(address)) = (found, address) else {
+                continue;
+            };
+            self.actions.push(Action::Stop(Stop {
+                key,
+                run: run.run,
+                worker: name.clone(),
+                address,
+                task: run.task.to_string(),
+                epoch: self.journal.epoch(),
+            }));
+        }
+        if whole {
+            self.missing(name, sent, &listed);
+        }
+    }
+
+    /// Finds a task by its name.
+    fn find(&self, name: &str) -> Option<TaskKey> {
+        let (id, round, step, index) = parse_task(name)?;
+        let job = *self.ids.get(id)?;
+        Some(TaskKey {
+            job,
+            round,
+            step,
+            index,
+        })
+    }
+
+    /// Takes in that a run is listed; false when it should not be there.
+    fn confirm(&mut self, name: &Name, key: TaskKey, run: &Running) -> bool {
+        let now = self.now.steady;
+        let slot = self.workers.get_mut(name).and_then(|w| w.slots.get_mut(&key));
+        let Some(slot) = slot.filter(|s| s.run == run.run) else {
+            return false;
+        };
+        let inherited = slot.stage == Stage::Stopped(0);
+        if inherited || slot.stage == Stage::Starting {
+            slot.stage = Stage::Running(now);
+        }
+        if let Some(job) = self.jobs.get_mut(&key.job) {
+            let over = !job.open();
+            if let Some(task) = job.task_mut(key)
+                && task.saved != run.saved
+                && !run.saved.is_empty()
+            {
+                task.saved = run.saved.clone();
+            }
+            if inherited && over {
+                self.stop(key);
+            }
+        }
+        true
+    }
+
+    /// Frees the tasks that a worker should run and does not list.
+    fn missing(&mut self, name: &Name, sent: Millis, listed: &BTreeSet<TaskKey>) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let mut free = Vec::new();
+        let mut doubt = Vec::new();
+        for (key, slot) in &mut worker.slots {
+            if listed.contains(key) {
+                continue;
+            }
+            match slot.stage {
+                Stage::Stopped(at) if at <= sent => free.push(*key),
+                Stage::Running(at) if at <= sent => {
+                    slot.stage = Stage::Doubt;
+                    doubt.push(*key);
+                }
+                _ => {}
+            }
+        }
+        for key in doubt {
+            self.stop(key);
+        }
+        for key in free {
+            self.free(key);
+        }
+    }
+
+    /// Takes in the end of a run.
+    fn end(&mut self, name: &Name, end: &Ended) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if end.number <= worker.top {
+            return;
+        }
+        worker.top = end.number;
+        let Some(key) = self.find(&end.task) else {
+            return;
+        };
+        let Ended { task, run, how, .. } = end;
+        log::info!(target: "task", "task={task} run={run} event=ended how={how:?} worker={name}");
+        let current = self.workers.get(name).and_then(|w| w.slots.get(&key));
+        let current = current.is_some_and(|s| s.run == end.run);
+        if end.how == How::Done {
+            self.done(key, current);
+        } else if current {
+            self.broken(name, key, end);
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.pending.insert(end.number);
+        }
+        self.journal.after(key.job, After::Seen(name.clone(), end.number));
+    }
+
+    fn done(&mut self, key: TaskKey, current: bool) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let lasting = job.step(key).lasting;
+        let open = job.open();
+        if lasting && open {
+            if current {
+                self.free(key);
+            }
+            return;
+        }
+        let Some(task) = job.task_mut(key) else {
+            return;
+        };
+        if task.phase == Phase::Done {
+            return;
+        }
+        if current {
+            let name = self.placed.get(&key).cloned();
+            if let Some(worker) = name.and_then(|n| self.workers.get_mut(&n)) {
+                worker.failures = 0;
+            }
+            task.phase = Phase::Done;
+            self.free(key);
+        } else if open {
+            // An earlier run came through after all: its successor is not needed.
+            if let Some(rank) = self.rank(key) {
+                self.ready.remove(&rank);
+            }
+            self.stop(key);
+            if let Some(task) = self.jobs.get_mut(&key.job).and_then(|j| j.task_mut(key)) {
+                task.phase = Phase::Done;
+            }
+            if let Some(rank) = self.rank(key) {
+                self.ready.remove(&rank);
+            }
+        }
+        self.journal.touch(key.job);
+        self.failed_on.remove(&key);
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        if open && job.all_done() {
+            self.finish(key.job, Outcome::Completed);
+        } else {
+            self.release(key.job);
+        }
+    }
+
+    /// Takes in the end of a current run that has not done its work.
+    fn broken(&mut self, name: &Name, key: TaskKey, end: &Ended) {
+        let now = self.now.steady;
+        let stuck = self
+            .workers
+            .get(name)
+            .and_then(|w| w.slots.get(&key))
+            .is_some_and(|s| s.stuck);
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let lasting = job.step(key).lasting;
+        let attempts = job.row.queue.attempts;
+        let mut over = false;
+        if let Some(task) = job.task_mut(key) {
+            if !end.saved.is_empty() {
+                task.saved = end.saved.clone();
+            }
+            if end.how == How::Failed {
+                task.failures += 1;
+                over = !lasting && task.failures >= attempts;
+            }
+        }
+        if end.how == How::Failed || stuck {
+            self.failed_on.insert(key, name.clone());
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.failures += 1;
+                if worker.failures >= FAILURES {
+                    let doubled = (worker.failures - FAILURES).min(3);
+                    worker.barred = now + (REST << doubled);
+                    log::warn!(target: "worker", "worker={name} event=rests failures={}", worker.failures);
+                }
+            }
+        }
+        self.free(key);
+        if over && self.jobs.get(&key.job).is_some_and(|j| j.open()) {
+            self.give_up(key);
+        }
+    }
+}
--- /dev/null
+++ b/src/sched/spec.rs
@@ -0,0 +1,148 @@
+//! What a caller asks for: a job of steps, each with tasks of one shape.
+
+use serde::{Deserialize, Serialize};
+
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Most tasks of one job, so that its row fits the store's bound on rows.
+pub const TASK_LIMIT: u64 = 2_000;
+
+/// A job as its caller described it; it never changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// Opaque text handed to the worker with each task.
+    pub text: Name,
+    /// Steps, which refer to each other by their place here.
+    pub steps: Vec<StepSpec>,
+    /// When the steps run; none runs them once, at once.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub schedule: Option<Schedule>,
+}
+
+/// Repeated runs of all steps of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Schedule {
+    /// Number of rounds.
+    pub rounds: u32,
+    /// Milliseconds since the Unix epoch at which the first is due.
+    pub first: Millis,
+    /// Milliseconds between two rounds.
+    pub interval: Millis,
+}
+
+/// Room that one task takes on a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Room {
+    /// Thousandths of cores.
+    pub cpu: u64,
+    /// Megabytes of memory.
+    pub memory: u64,
+    /// Accelerators.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub gpu: u64,
+}
+
+/// One step of a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct StepSpec {
+    /// Number of tasks.
+    pub count: u32,
+    /// Declared room of one task.
+    pub room: Room,
+    /// The caller's rough guess of one task's run time, in milliseconds.
+    pub estimate: Millis,
+    /// Earlier steps that must be done first.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub after: Vec<usize>,
+    /// Tasks of one image behave alike; empty when unnamed.
+    #[serde(skip_serializing_if = "no_text")]
+    pub image: Name,
+    /// Label that the worker must carry; empty for none.
+    #[serde(skip_serializing_if = "no_text")]
+    pub label: Name,
+    /// Rack on which the data lies; empty for none.
+    #[serde(skip_serializing_if = "no_text")]
+    pub rack: Name,
+    /// Most tasks of the step on one worker; 0 for no bound.
+    #[serde(skip_serializing_if = "is_zero_u32")]
+    pub spread: u32,
+    /// Tail latency that a serving task must stay under, in milliseconds; 0 for none.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub target: Millis,
+    /// Most tasks that may be away at once through the scheduler's doing.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub disruptions: Option<u32>,
+    /// Checkpoints its progress.
+    #[serde(skip_serializing_if = "is_false")]
+    pub saves: bool,
+    /// All tasks must run at the same time.
+    #[serde(skip_serializing_if = "is_false")]
+    pub gang: bool,
+    /// Runs much faster when all tasks are on one rack.
+    #[serde(skip_serializing_if = "is_false")]
+    pub one_rack: bool,
+    /// Copies of a task may run side by side.
+    #[serde(skip_serializing_if = "is_false")]
+    pub speculative: bool,
+    /// Runs until the job is cancelled and is restarted however it ends.
+    #[serde(skip_serializing_if = "is_false")]
+    pub lasting: bool,
+    /// Its processor share is not reserved: it gets what others leave.
+    #[serde(skip_serializing_if = "is_false")]
+    pub filler: bool,
+}
+
+impl StepSpec {
+    /// Returns the room that one task holds on a worker.
+    pub fn held(&self) -> Room {
+        match self.filler {
+            true => Room {
+                cpu: 0,
+                ..self.room
+            },
+            false => self.room,
+        }
+    }
+}
+
+impl JobSpec {
+    /// Returns all that is wrong with the job, a text for each finding.
+    pub fn findings(&self) -> Vec<String> {
+        let mut findings = Vec::new();
+        if self.steps.is_empty() {
+            findings.push("a job needs at least one step".to_string());
+        }
+        let tasks: u64 = self.steps.iter().map(|s| u64::from(s.count)).sum();
+        let rounds = self.schedule.map_or(1, |s| u64::from(s.rounds));
+        if tasks.saturating_mul(rounds) > TASK_LIMIT {
+            findings.push(format!("more than {TASK_LIMIT} tasks"));
+        }
+        for (place, step) in self.steps.iter().enumerate() {
+            if step.count == 0 {
+                findings.push(format!("step {place} has no tasks"));
+            }
+            if step.after.iter().any(|a| *a >= place) {
+                findings.push(format!("step {place} waits for a step that is not earlier"));
+            }
+        }
+        findings
+    }
+}
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
+fn is_zero_u32(value: &u32) -> bool {
+    *value == 0
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+fn no_text(text: &Name) -> bool {
+    text.is_empty()
+}
--- /dev/null
+++ b/src/sched/starts.rs
@@ -0,0 +1,304 @@
+//! Placing tasks and starting and stopping their runs.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::job::{Outcome, Phase, TaskKey};
+use super::journal::After;
+use super::message::{Action, Refusal, Reply, Start};
+use super::owner::{Owner, Rank};
+use super::place::{Wish, choose};
+use super::spec::{Room, StepSpec};
+use super::worker::{Slot, Stage};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Most tasks that are placed in one go, so that other events get their turn.
+const PLACED_AT_ONCE: usize = 200;
+/// Milliseconds for which a worker that lacked room or was unwell gets nothing new.
+const BARRED: Millis = 700;
+/// Milliseconds after which a stop without an effect is sent again.
+const STOP_AGAIN: Millis = 1_000;
+
+impl Owner {
+    /// Places ready tasks in their order, as far as there is room.
+    pub(super) fn place(&mut self) {
+        if self.crowded || self.ready.is_empty() || self.journal.doubtful() {
+            return;
+        }
+        let mut misfits: BTreeSet<(Name, Room, bool)> = BTreeSet::new();
+        let ranks: Vec<Rank> = self.ready.iter().copied().collect();
+        let mut count = 0;
+        for rank in ranks {
+            if count >= PLACED_AT_ONCE {
+                return;
+            }
+            if !self.ready.contains(&rank) {
+                continue;
+            }
+            let key = rank.2;
+            let job = &self.jobs[&key.job];
+            let step = job.step(key);
+            let shape = (job.row.queue.service.clone(), step.held(), step.filler);
+            let plain = step.label.is_empty() && step.spread == 0;
+            if misfits.contains(&shape) {
+                continue;
+            }
+            let placed = match step.gang {
+                true => self.place_gang(key),
+                false => self.place_one(key),
+            };
+            count += placed;
+            if placed == 0 && plain {
+                misfits.insert(shape);
+            }
+        }
+        self.crowded = count == 0;
+    }
+
+    fn place_one(&mut self, key: TaskKey) -> usize {
+        let Some(worker) = self.pick(key, "") else {
+            return 0;
+        };
+        let run = self.jobs[&key.job].task(key).map_or(0, |t| t.run) + 1;
+        self.assign(key, run, worker);
+        1
+    }
+
+    /// Places all members of a gang or none; they share the number of their run.
+    fn place_gang(&mut self, key: TaskKey) -> usize {
+        let members = self.members(key);
+        let job = &self.jobs[&key.job];
+        let tasks: Vec<_> = members.iter().filter_map(|m| job.task(*m)).collect();
+        if tasks.iter().any(|t| t.phase != Phase::Waiting) {
+            return 0;
+        }
+        let run = tasks.iter().map(|t| t.run).max().unwrap_or(0) + 1;
+        let one_rack = job.step(key).one_rack;
+        let mut rack = Name::from("");
+        let mut done = Vec::new();
+        for member in &members {
+            let Some(worker) = self.pick(*member, &rack) else {
+                break;
+            };
+            if one_rack && rack.is_empty() {
+                rack = self.workers[&worker].listing.rack().into();
+            }
+            self.assign(*member, run, worker);
+            done.push(*member);
+        }
+        if done.len() == members.len() {
+            return done.len();
+        }
+        for member in done {
+            self.free(member);
+            if let Some(task) = self.jobs.get_mut(&key.job).and_then(|j| j.task_mut(member)) {
+                task.run = run - 1;
+            }
+        }
+        0
+    }
+
+    /// Returns all tasks of a task's step and round.
+    pub(super) fn members(&self, key: TaskKey) -> Vec<TaskKey> {
+        let count = self.jobs.get(&key.job).map_or(0, |j| j.step(key).count);
+        (0..count).map(|index| TaskKey { index, ..key }).collect()
+    }
+
+    fn pick(&self, key: TaskKey, rack: &str) -> Option<Name> {
+        let job = &self.jobs[&key.job];
+        let task = job.task(key)?;
+        let step = job.step(key);
+        let wanted;
+        let step = match rack {
+            "" => step,
+            rack => {
+                wanted = StepSpec {
+                    rack: rack.into(),
+                    ..step.clone()
+                };
+                &wanted
+            }
+        };
+        let mut beside = BTreeMap::new();
+        if step.spread > 0 {
+            for member in self.members(key) {
+                if let Some(worker) = self.placed.get(&member) {
+                    *beside.entry(worker.clone()).or_insert(0) += 1;
+                }
+            }
+        }
+        let wish = Wish {
+            service: &job.row.queue.service,
+            step,
+            last_try: !step.lasting && task.failures + 1 >= job.row.queue.attempts,
+            avoid: self.failed_on.get(&key).map_or("", |w| w),
+            beside: &beside,
+        };
+        choose(&self.workers, &wish, self.now.steady)
+    }
+
+    fn assign(&mut self, key: TaskKey, run: u32, name: Name) {
+        if let Some(rank) = self.rank(key) {
+            self.ready.remove(&rank);
+        }
+        let slot = self.slot(key, run, Stage::Recording);
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        if let Some(task) = job.task_mut(key) {
+            task.run = run;
+            task.phase = Phase::Placed(name.clone());
+        }
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.put(key, slot);
+        }
+        self.placed.insert(key, name);
+        self.journal.after(key.job, After::Start(key, run));
+    }
+
+    /// Returns what a run of a task takes on its worker.
+    pub(super) fn slot(&self, key: TaskKey, run: u32, stage: Stage) -> Slot {
+        let step = self.jobs[&key.job].step(key);
+        Slot {
+            run,
+            stage,
+            room: step.held(),
+            soft: if step.filler { step.room.cpu } else { 0 },
+            serving: step.target > 0,
+            filler: step.filler,
+            since: self.now.steady,
+            stuck: false,
+        }
+    }
+
+    /// Starts a run whose placement is in the store.
+    pub(super) fn start(&mut self, key: TaskKey, run: u32) {
+        let Some(name) = self.placed.get(&key).cloned() else {
+            return;
+        };
+        let Some(job) = self.jobs.get(&key.job).filter(|j| j.open()) else {
+            self.free(key);
+            return;
+        };
+        let (now, span, epoch) = (self.now.steady, self.bounds.lease, self.journal.epoch());
+        let Some(worker) = self.workers.get_mut(&name) else {
+            return;
+        };
+        let current = worker.slots.get(&key);
+        if current.is_none_or(|s| s.run != run || s.stage != Stage::Recording) {
+            return;
+        }
+        let lease = match worker.open(now) {
+            true => worker.grant(span, now),
+            false => None,
+        };
+        let (Some(lease), Some(slot)) = (lease, worker.slots.get_mut(&key)) else {
+            log::info!(target: "task", "task={} run={run} event=withdrawn worker={name}", job.task_name(key));
+            self.free(key);
+            return;
+        };
+        slot.stage = Stage::Starting;
+        slot.since = now;
+        let task = job.task_name(key);
+        log::info!(target: "task", "task={task} run={run} event=start worker={name}");
+        self.actions.push(Action::Start(Start {
+            key,
+            run,
+            worker: name,
+            address: worker.listing.address,
+            task,
+            text: job.spec.text.clone(),
+            lease,
+            epoch,
+            saved: job.task(key).map(|t| t.saved.clone()).unwrap_or_default(),
+        }));
+    }
+
+    /// Takes in how a start went.
+    pub(super) fn started(&mut self, key: TaskKey, run: u32, name: &Name, reply: Reply<Millis>) {
+        let now = self.now.steady;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let Some(slot) = worker.slots.get_mut(&key).filter(|s| s.run == run) else {
+            return;
+        };
+        match reply {
+            Reply::Ok(_) if slot.stage == Stage::Starting => slot.stage = Stage::Running(now),
+            Reply::Ok(_) => {}
+            Reply::Lost if slot.stage == Stage::Starting => {
+                // It may be carried out seconds later, unless a stop of it is answered first.
+                slot.stage = Stage::Doubt;
+                self.stop(key);
+            }
+            Reply::Lost => {}
+            Reply::NotSent => {
+                self.free(key);
+            }
+            Reply::Refused(refusal) => self.refused(key, run, name, refusal),
+        }
+    }
+
+    fn refused(&mut self, key: TaskKey, run: u32, name: &Name, refusal: Refusal) {
+        let now = self.now.steady;
+        log::info!(target: "task", "task={key:?} run={run} event=refused worker={name} reason={refusal:?}");
+        if let Some(worker) = self.workers.get_mut(name) {
+            match refusal {
+                Refusal::Full | Refusal::Unwell | Refusal::Unfit | Refusal::Ticket => {
+                    worker.barred = now + BARRED;
+                }
+                Refusal::Late | Refusal::Old | Refusal::Fenced | Refusal::Reborn => {}
+            }
+        }
+        self.free(key);
+        if refusal == Refusal::Reborn {
+            self.reborn(name);
+        }
+    }
+
+    /// Takes in how a stop went.
+    pub(super) fn stopped(&mut self, key: TaskKey, run: u32, name: &Name, reply: Reply<Millis>) {
+        let now = self.now.steady;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let Some(slot) = worker.slots.get_mut(&key).filter(|s| s.run == run) else {
+            return;
+        };
+        match reply {
+            Reply::Ok(_) => slot.stage = Stage::Stopped(now),
+            // It is sent again while the worker answers.
+            Reply::Lost | Reply::NotSent => slot.stage = Stage::Stopping(now),
+            Reply::Refused(Refusal::Reborn) => self.reborn(name),
+            Reply::Refused(_) => slot.stage = Stage::Stopping(now),
+        }
+    }
+
+    /// Repeats stops that had no effect, and ends runs that take far too long.
+    pub(super) fn check_runs(&mut self) {
+        let (now, epoch) = (self.now.steady, self.journal.epoch());
+        let mut again = Vec::new();
+        for (name, worker) in &mut self.workers {
+            if !worker.answering(now) {
+                continue;
+            }
+            let address = worker.listing.address;
+            for (key, slot) in &mut worker.slots {
+                if let Stage::Stopping(at) = slot.stage
+                    && now >= at + STOP_AGAIN
+                {
+                    slot.stage = Stage::Stopping(now);
+                    again.push((*key, slot.run, name.clone(), address));
+                }
+            }
+        }
+        for (key, run, name, address) in again {
+            self.send_stop(key, run, name, address, epoch);
+        }
+    }
+
+    /// Records that a task failed for good: its job has failed.
+    pub(super) fn give_up(&mut self, key: TaskKey) {
+        self.finish(key.job, Outcome::Failed);
+    }
+}
--- /dev/null
+++ b/src/sched/worker.rs
@@ -0,0 +1,236 @@
+//! What the owner knows of one worker: its room, its tasks and its lease.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use super::job::TaskKey;
+use super::spec::Room;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Slowest that a worker's clock runs, in hundredths (the platform's bound).
+const CLOCK_RATE: u64 = 98;
+/// Milliseconds added to the computed end of a lease, for timers that fire late.
+const LAPSE_MARGIN: Millis = 250;
+/// Milliseconds without an answer after which a worker gets no new tasks: a
+/// long poll and half of one more.
+const SILENT_AFTER: Millis = 1_800;
+
+/// Returns the longest that a lease of `span` milliseconds may last.
+pub fn lease_span(span: Millis) -> Millis {
+    span * 100 / CLOCK_RATE + LAPSE_MARGIN
+}
+
+/// A worker as the platform's directory lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listing {
+    /// Id of this life of the worker.
+    pub id: Name,
+    /// Service that it belongs to.
+    pub service: Name,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// Hall in which it stands.
+    pub hall: Name,
+    /// Labels, the rack among them.
+    pub labels: Vec<Name>,
+    /// Its whole room.
+    pub capacity: Room,
+    /// True once it has said that it will leave.
+    pub leaving: bool,
+}
+
+impl Listing {
+    /// Returns the rack; the platform lists it after the worker's kind.
+    pub fn rack(&self) -> &str {
+        self.labels.get(1).map_or("", |l| l)
+    }
+}
+
+/// How far a placed task is on its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Its placement is not known to be in the store; nothing was sent.
+    Recording,
+    /// The start was sent and has no answer yet.
+    Starting,
+    /// The worker confirmed it at this time.
+    Running(Millis),
+    /// It may be running or be started late: a stop is needed to know.
+    Doubt,
+    /// A stop was answered at this time; a later report tells how it ended.
+    Stopped(Millis),
+    /// A stop of a running task was sent at this time.
+    Stopping(Millis),
+}
+
+/// A task on a worker.
+#[derive(Clone, Debug)]
+pub struct Slot {
+    /// Number of the run.
+    pub run: u32,
+    /// How far it is.
+    pub stage: Stage,
+    /// Room that it holds.
+    pub room: Room,
+    /// Processor share that it would like beyond what it holds.
+    pub soft: u64,
+    /// True when it serves users under a latency target.
+    pub serving: bool,
+    /// True when it takes what others leave.
+    pub filler: bool,
+    /// When it was placed.
+    pub since: Millis,
+    /// True when the cause of a stop is that the run takes far too long.
+    pub stuck: bool,
+}
+
+/// A report of a worker's clock.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    clock: Millis,
+    at: Millis,
+}
+
+/// The exchange with a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contact {
+    /// The next exchange is due at this time.
+    Due(Millis),
+    /// An exchange sent at this time has no answer yet.
+    Open(Millis),
+}
+
+/// A worker at the owner.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// As listed last.
+    pub listing: Listing,
+    /// False once its listing was removed.
+    pub listed: bool,
+    /// Tasks placed there.
+    pub slots: BTreeMap<TaskKey, Slot>,
+    /// Room held by them.
+    pub used: Room,
+    /// Processor share that fillers there would like.
+    pub soft: u64,
+    /// Tasks there that serve under a target.
+    pub serving: u32,
+    /// Fillers there.
+    pub fillers: u32,
+    /// The exchange with it.
+    pub contact: Contact,
+    /// Exchanges without an answer in a row.
+    pub misses: u32,
+    /// When it answered last; 0 for never.
+    pub answered: Millis,
+    /// Highest end that was taken in.
+    pub top: u64,
+    /// Ends taken in that the store does not hold yet.
+    pub pending: BTreeSet<u64>,
+    /// Failed runs without a good one between.
+    pub failures: u32,
+    /// Until when it gets no new tasks.
+    pub barred: Millis,
+    /// True when it runs something that is not known here.
+    pub strangers: bool,
+    heard: Option<Heard>,
+    granted: Millis,
+}
+
+impl Worker {
+    /// Returns a worker that was just listed.
+    pub fn new(listing: Listing, now: Millis) -> Self {
+        Self {
+            listing,
+            listed: true,
+            slots: BTreeMap::new(),
+            used: Room::default(),
+            soft: 0,
+            serving: 0,
+            fillers: 0,
+            contact: Contact::Due(now),
+            misses: 0,
+            answered: 0,
+            top: 0,
+            pending: BTreeSet::new(),
+            failures: 0,
+            barred: 0,
+            strangers: false,
+            heard: None,
+            granted: 0,
+        }
+    }
+
+    /// Puts a task there.
+    pub fn put(&mut self, key: TaskKey, slot: Slot) {
+        self.used.cpu += slot.room.cpu;
+        self.used.memory += slot.room.memory;
+        self.used.gpu += slot.room.gpu;
+        self.soft += slot.soft;
+        self.serving += u32::from(slot.serving);
+        self.fillers += u32::from(slot.filler);
+        self.slots.insert(key, slot);
+    }
+
+    /// Takes a task away.
+    pub fn take(&mut self, key: TaskKey) -> Option<Slot> {
+        let slot = self.slots.remove(&key)?;
+        self.used.cpu -= slot.room.cpu;
+        self.used.memory -= slot.room.memory;
+        self.used.gpu -= slot.room.gpu;
+        self.soft -= slot.soft;
+        self.serving -= u32::from(slot.serving);
+        self.fillers -= u32::from(slot.filler);
+        Some(slot)
+    }
+
+    /// Returns true when a task of this room fits beside what is there.
+    pub fn fits(&self, room: Room) -> bool {
+        let all = self.listing.capacity;
+        self.used.cpu + room.cpu <= all.cpu
+            && self.used.memory + room.memory <= all.memory
+            && self.used.gpu + room.gpu <= all.gpu
+    }
+
+    /// Returns true when new tasks may be sent there.
+    pub fn open(&self, now: Millis) -> bool {
+        let heard = self.answered > 0 && now < self.answered + SILENT_AFTER;
+        let offered = self.listed && !self.listing.leaving;
+        offered && heard && self.misses == 0 && now >= self.barred && !self.strangers
+    }
+
+    /// Returns true while it answers.
+    pub fn answering(&self, now: Millis) -> bool {
+        self.answered > 0 && self.misses == 0 && now < self.answered + SILENT_AFTER
+    }
+
+    /// Takes in a report of its clock.
+    pub fn hear(&mut self, clock: Millis, now: Millis) {
+        self.heard = Some(Heard { clock, at: now });
+        self.answered = now;
+    }
+
+    /// Returns the time on its clock at which a lease of `span` ends, and counts it as given.
+    pub fn grant(&mut self, span: Millis, now: Millis) -> Option<Millis> {
+        let heard = self.heard?;
+        let clock = heard.clock + (now - heard.at) * CLOCK_RATE / 100;
+        let end = clock + span;
+        let last = heard.at + lease_span(end - heard.clock);
+        self.granted = self.granted.max(last);
+        Some(end)
+    }
+
+    /// Returns when every lease given to it here has certainly ended.
+    pub fn lease_end(&self) -> Millis {
+        self.granted
+    }
+
+    /// Returns the highest end up to which all are in the store.
+    pub fn seen(&self) -> u64 {
+        match self.pending.first() {
+            Some(first) => first - 1,
+            None => self.top,
+        }
+    }
+}
--- a/src/utils.rs
+++ b/src/utils.rs
@@ -5,6 +5,7 @@
 pub mod hash;
 pub mod listen;
 pub mod random;
+pub mod stop;
 
 use std::sync::Arc;
 
--- a/tools/schema/src/main.rs
+++ b/tools/schema/src/main.rs
@@ -7,11 +7,12 @@
 
 use eyre::WrapErr;
 
-const PROTOS: [&str; 4] = [
+const PROTOS: [&str; 5] = [
     "willowpoint/v1/platform.proto",
     "willowpoint/v1/worker.proto",
     "willowpoint/v1/peer.proto",
     "willowpoint/v1/operator.proto",
+    "willowpoint/v1/cluster.proto",
 ];
 const FILE: &str = "willowpoint.v1.rs";
 
