--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -181,7 +181,7 @@
         written => {
             log::info!(target: "member", "event=not-acquired epoch={} outcome={}", row.epoch, label(&written));
             match read_owner(shared).await {
-                Ok(Some(seen)) if seen.row.life == shared.life && seen.row.seq == 0 => {
+                Ok(Some(seen)) if seen.row.same_owner(&row) => {
                     let (row, version) = (seen.row, seen.version);
                     take_over(shared, row, version, sent, before).await;
                 }
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -32,7 +32,7 @@
 pub struct Shared {
     /// Checked settings.
     pub settings: Settings,
-    /// Number of this life of the process, higher than of lives before.
+    /// Milliseconds since the Unix epoch of the start; tells lives of one box apart.
     pub life: u64,
     /// The platform's store.
     pub store: Store,
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -54,6 +54,15 @@
     pub released: bool,
 }
 
+impl OwnerRow {
+    /// Returns true when both were written by the same life of the same box as
+    /// the same owner. Boxes that start in the same millisecond share the
+    /// number of their life.
+    pub fn same_owner(&self, other: &Self) -> bool {
+        self.name == other.name && self.life == other.life && self.epoch == other.epoch
+    }
+}
+
 /// What waits for a job's row to be in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum After {
@@ -261,7 +270,7 @@
                 return false;
             }
         };
-        let own = found.life == self.row.life && found.epoch == self.row.epoch;
+        let own = found.same_owner(&self.row);
         if own {
             self.version = version;
         }
