Fillers are placed and paced by learned pressure on serving tasks

Change: tails turned into busy shares, which add up; factors a pair of images learned from differences between reports; fillers paced one by one, heaviest first; serving tasks packed by image.

--- a/src/cell.rs
+++ b/src/cell.rs
@@ -4,7 +4,6 @@
 //! One [`Cell`] counts the room of its workers in one place. It is plain
 //! state: events and the time go in, actions come out.
 
-mod harm;
 mod lot;
 mod outcome;
 mod record;
@@ -18,7 +17,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use harm::{Harm, Sample};
+pub use crate::harm::{Harm, Sample};
 pub use lot::{Live, Lot};
 pub use requests::{Ask, Class, Sent};
 pub use room::Worker;
--- a/src/cell/state.rs
+++ b/src/cell/state.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
-use super::harm::{Harm, Sample};
 use super::lot::Lot;
 use super::requests::Queue;
 use super::room::Worker;
 use super::runs::{Report, Run, RunId, RunPhase};
 use super::{Action, Policy, Shape};
+use crate::harm::{Harm, Sample};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 use crate::utils::random::Random;
--- a/src/daemon/desk.rs
+++ b/src/daemon/desk.rs
@@ -144,5 +144,8 @@
 pub async fn ask_here(shared: &Shared, ask: Ask, left: Millis) -> Option<Answer> {
     let (reply, answer) = oneshot::channel();
     shared.lead(lead::Message::Ask(ask, reply));
-    timeout(Duration::from_millis(left), answer).await.ok()?.ok()
+    timeout(Duration::from_millis(left), answer)
+        .await
+        .ok()?
+        .ok()
 }
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -188,13 +188,28 @@
             Action::Start(start) => {
                 monoio::spawn(async move {
                     let reply = shared.workers.start(&start).await;
-                    tell(&shared, Event::Started(start.key, start.run, start.worker, reply));
+                    tell(
+                        &shared,
+                        Event::Started(start.key, start.run, start.worker, reply),
+                    );
                 });
             }
             Action::Stop(stop) => {
                 monoio::spawn(async move {
                     let reply = shared.workers.stop(&stop).await;
-                    tell(&shared, Event::Stopped(stop.key, stop.run, stop.worker, reply));
+                    tell(
+                        &shared,
+                        Event::Stopped(stop.key, stop.run, stop.worker, reply),
+                    );
+                });
+            }
+            Action::Pace(pace) => {
+                monoio::spawn(async move {
+                    let reply = shared.workers.pace(&pace).await;
+                    tell(
+                        &shared,
+                        Event::Paced(pace.key, pace.run, pace.percent, pace.worker, reply),
+                    );
                 });
             }
             Action::Commit {
--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -126,9 +126,9 @@
 async fn refresh(shared: &Shared, before: &Seen) -> bool {
     match read_owner(shared).await {
         Ok(seen) => {
-            let same = seen.as_ref().is_some_and(|s| {
-                s.row.epoch == before.row.epoch && !s.row.released
-            });
+            let same = seen
+                .as_ref()
+                .is_some_and(|s| s.row.epoch == before.row.epoch && !s.row.released);
             adopt(shared, seen);
             !same
         }
--- a/src/daemon/watch.rs
+++ b/src/daemon/watch.rs
@@ -45,12 +45,7 @@
 }
 
 /// Reads a table, then takes in its changes in their order.
-async fn follow(
-    shared: &Shared,
-    table: &str,
-    take: impl Fn(Page, bool),
-    go_on: impl Fn() -> bool,
-) {
+async fn follow(shared: &Shared, table: &str, take: impl Fn(Page, bool), go_on: impl Fn() -> bool) {
     let mut version = None;
     let mut healthy = true;
     while go_on() {
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -6,7 +6,6 @@
 
 use tonic::{Request, Response, Status};
 
-use crate::rpc::bridge::Bridge;
 use super::shell::{Context, Message};
 use super::{convert, peers};
 use crate::cell::Size;
@@ -16,6 +15,7 @@
 use crate::job::{self, JobRow, LotRow, Site, Spec};
 use crate::lease::Written;
 use crate::proto::{self, operator_client::OperatorClient, operator_server};
+use crate::rpc::bridge::Bridge;
 use crate::table::{Call, Expect, Op, Outcome, Row, decode};
 use crate::utils::Name;
 use crate::utils::clock::{self, Millis};
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -8,7 +8,6 @@
 use monoio::net::TcpListener;
 use tonic::{Request, Response, Status};
 
-use crate::rpc::bridge::Bridge;
 use super::shell::{Context, Load, Message, Outcome, pairs};
 use super::{convert, operators};
 use crate::cell::Reason;
@@ -17,6 +16,7 @@
 use crate::proto::{self, operator_server, peer_client::PeerClient, peer_server};
 use crate::request::Meta;
 use crate::rpc;
+use crate::rpc::bridge::Bridge;
 use crate::rpc::client::CallError;
 use crate::trace;
 use crate::utils::Name;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod engine;
 pub mod entry;
 pub mod guard;
+pub mod harm;
 pub mod invariant;
 pub mod job;
 pub mod lease;
--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -65,7 +65,9 @@
         metrics: reader.optional_address("box.metrics"),
         store: reader.address("platform.store"),
         bounds: Bounds {
-            lease: reader.duration("workers.lease", LEASE, 500..=HOUR).min(longest),
+            lease: reader
+                .duration("workers.lease", LEASE, 500..=HOUR)
+                .min(longest),
             unconfirmed: reader.duration("workers.unconfirmed", 10_000, 500..=HOUR),
             remember: reader.duration("jobs.remember", 120_000, 1_000..=HOUR),
         },
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -6,8 +6,8 @@
 
 use super::wire::{self, Job, Step};
 use crate::queues::Queues;
-use crate::sched::message::{Answer, Ask};
 use crate::sched::job::Shown;
+use crate::sched::message::{Answer, Ask};
 use crate::sched::spec::{JobSpec, Room, Schedule, StepSpec};
 use crate::utils::clock::Millis;
 use crate::web::{Reply, Request};
@@ -117,7 +117,9 @@
 fn refused(after: Millis) -> Reply {
     let mut reply = Reply::text(StatusCode::SERVICE_UNAVAILABLE, "not taken\n");
     let seconds = after.div_ceil(1_000);
-    reply.headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    reply
+        .headers
+        .insert(RETRY_AFTER, HeaderValue::from(seconds));
     reply
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -118,12 +118,7 @@
     }
 
     /// Reads all rows of a part of a table from a key on.
-    pub async fn read(
-        &self,
-        table: &str,
-        part: &str,
-        limit: Millis,
-    ) -> Result<Page, StoreError> {
+    pub async fn read(&self, table: &str, part: &str, limit: Millis) -> Result<Page, StoreError> {
         let mut page = Page::default();
         let mut from = String::new();
         loop {
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -82,6 +82,15 @@
     pub fence: u64,
 }
 
+/// A change of the pace of a run.
+#[derive(Serialize)]
+pub struct Pace<'a> {
+    pub task: &'a str,
+    pub run: u32,
+    pub percent: u32,
+    pub fence: u64,
+}
+
 /// A lease extension that also asks for the worker's report.
 #[derive(Serialize)]
 #[serde(rename_all = "camelCase")]
@@ -106,7 +115,10 @@
     /// Time on the worker's own steady clock.
     pub clock_ms: Millis,
     pub reason: Name,
+    /// Task, run, checkpoint, percent of work done (not of pace), and processor
+    /// share in use or tail latency of a serving task.
     pub running: Vec<(Name, u32, Name, u32, f64)>,
+    /// Number of the end, task, run, how it ended, checkpoint.
     pub finished: Vec<(u64, Name, u32, Name, Name)>,
 }
 
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -6,7 +6,7 @@
 use http::{Method, StatusCode};
 
 use super::wire::{self, OrderReply, RunStart, RunStop};
-use crate::sched::message::{Ended, Hold, How, Refusal, Reply, Report, Running, Start, Stop};
+use crate::sched::message::{Ended, Hold, How, Pace, Refusal, Reply, Report, Running, Start, Stop};
 use crate::table::encode;
 use crate::utils::clock::Millis;
 use crate::web::client::Pool;
@@ -58,6 +58,18 @@
         map(reply.await, |r| r.clock_ms)
     }
 
+    /// Changes the pace of a run; the answer holds the worker's clock.
+    pub async fn pace(&self, pace: &Pace) -> Reply<Millis> {
+        let body = encode(&wire::Pace {
+            task: &pace.task,
+            run: pace.run,
+            percent: pace.percent,
+            fence: pace.epoch,
+        });
+        let reply = self.order(pace.address, "/pace", body, &pace.worker, 0);
+        map(reply.await, |r| r.clock_ms)
+    }
+
     /// Extends the lease of a worker and returns its report.
     pub async fn hold(&self, hold: &Hold) -> Reply<Report> {
         let body = encode(&wire::Hold {
@@ -147,23 +159,29 @@
 }
 
 fn report(body: OrderReply) -> Report {
-    let running = body.running.into_iter().map(|(task, run, saved, pace, gauge)| Running {
-        task,
-        run,
-        saved,
-        pace,
-        gauge: gauge.max(0.0) as u64,
-    });
-    let ended = body.finished.into_iter().filter_map(|(number, task, run, how, saved)| {
-        let how = how_ended(&how)?;
-        Some(Ended {
-            number,
+    let running = body
+        .running
+        .into_iter()
+        .map(|(task, run, saved, progress, gauge)| Running {
             task,
             run,
-            how,
             saved,
-        })
-    });
+            progress,
+            gauge: gauge.max(0.0) as u64,
+        });
+    let ended = body
+        .finished
+        .into_iter()
+        .filter_map(|(number, task, run, how, saved)| {
+            let how = how_ended(&how)?;
+            Some(Ended {
+                number,
+                task,
+                run,
+                how,
+                saved,
+            })
+        });
     Report {
         clock: body.clock_ms,
         running: running.collect(),
--- a/src/queues.rs
+++ b/src/queues.rs
@@ -38,7 +38,10 @@
     pub fn find<'p>(&self, host: &str, path: &'p str) -> Option<(&Route, &'p str)> {
         self.routes.iter().find_map(|route| {
             let rest = path.strip_prefix(&*route.prefix)?;
-            route.host.eq_ignore_ascii_case(host).then_some((route, rest))
+            route
+                .host
+                .eq_ignore_ascii_case(host)
+                .then_some((route, rest))
         })
     }
 }
--- a/src/rpc/bridge.rs
+++ b/src/rpc/bridge.rs
@@ -9,7 +9,6 @@
 use futures::channel::{mpsc, oneshot};
 use tonic::{Response, Status};
 
-
 type Local = Pin<Box<dyn Future<Output = ()>>>;
 type Job<C> = Box<dyn FnOnce(Rc<C>) -> Local + Send>;
 
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -10,6 +10,7 @@
 pub mod message;
 pub mod owner;
 mod place;
+mod pressure;
 mod reports;
 pub mod spec;
 mod starts;
--- a/src/sched/asks.rs
+++ b/src/sched/asks.rs
@@ -44,7 +44,8 @@
         log::info!(target: "job", "job={id} event=accept queue={} steps={steps}", queue.name);
         let job = Job::new(id, spec, queue, self.now.wall);
         let number = self.add(job);
-        self.journal.after(number, After::Reply(ticket, Answer::Accepted));
+        self.journal
+            .after(number, After::Reply(ticket, Answer::Accepted));
         self.release(number);
     }
 
@@ -79,9 +80,8 @@
     }
 
     fn count(&mut self, ticket: Ticket, queue: &str) {
-        let waits = |job: &&Job| {
-            job.stored && job.open() && &*job.row.queue.name == queue && job.unbegun()
-        };
+        let waits =
+            |job: &&Job| job.stored && job.open() && &*job.row.queue.name == queue && job.unbegun();
         let count = self.jobs.values().filter(waits).count() as u64;
         self.reply(ticket, Answer::Waiting(count));
     }
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -178,7 +178,9 @@
 
     fn add_round(&mut self) {
         let tasks = |step: &StepSpec| vec![Task::default(); step.count as usize];
-        self.row.rounds.push(self.spec.steps.iter().map(tasks).collect());
+        self.row
+            .rounds
+            .push(self.spec.steps.iter().map(tasks).collect());
     }
 
     /// Adds the rounds of a scheduled job that are due; true when there was one.
@@ -204,14 +206,20 @@
 
     /// Returns a task.
     pub fn task(&self, key: TaskKey) -> Option<&Task> {
-        let step = self.row.rounds.get(key.round as usize)?.get(key.step as usize)?;
+        let step = self
+            .row
+            .rounds
+            .get(key.round as usize)?
+            .get(key.step as usize)?;
         step.get(key.index as usize)
     }
 
     /// Returns a task for changing it.
     pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
         let round = self.row.rounds.get_mut(key.round as usize)?;
-        round.get_mut(key.step as usize)?.get_mut(key.index as usize)
+        round
+            .get_mut(key.step as usize)?
+            .get_mut(key.index as usize)
     }
 
     /// Returns the description of a task's step.
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -64,8 +64,8 @@
     pub run: u32,
     /// Last checkpoint; empty for none.
     pub saved: Name,
-    /// Share of its full pace at which it works, in percent.
-    pub pace: u32,
+    /// Percent of its work that is done; of a lasting task, its pace once it is at work.
+    pub progress: u32,
     /// Processor share in use, or the latency tail in milliseconds of a
     /// serving task, over the last half second.
     pub gauge: u64,
@@ -189,6 +189,8 @@
     Started(TaskKey, u32, Name, Reply<Millis>),
     /// A stop ended.
     Stopped(TaskKey, u32, Name, Reply<Millis>),
+    /// A change of pace ended.
+    Paced(TaskKey, u32, u32, Name, Reply<Millis>),
     /// A commit ended.
     Written(u64, Written),
     /// Time passes.
@@ -252,6 +254,25 @@
     pub epoch: u64,
 }
 
+/// A change of the pace of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// The task.
+    pub key: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+    /// Id of the worker.
+    pub worker: Name,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Name of the task.
+    pub task: String,
+    /// Epoch of the owner.
+    pub epoch: u64,
+    /// Share of its full pace at which it may work, in percent.
+    pub percent: u32,
+}
+
 /// What the owner asks for.
 #[derive(Clone, Debug)]
 pub enum Action {
@@ -263,6 +284,8 @@
     Start(Start),
     /// Stop a run.
     Stop(Stop),
+    /// Change the pace of a run.
+    Pace(Pace),
     /// Write rows, on the condition that the owner's row has this version.
     Commit {
         /// Number of the commit.
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -5,6 +5,7 @@
 use super::job::{Job, JobRow, Outcome, Phase, TaskKey};
 use super::journal::{After, JOB_TABLE, Journal, SPEC_TABLE, Settled};
 use super::message::{Action, Answer, Event, Stop, Ticket, Write, Written};
+use super::pressure::Pressure;
 use super::spec::JobSpec;
 use super::worker::{Contact, Slot, Stage, Worker, lease_span};
 use crate::utils::Name;
@@ -60,6 +61,7 @@
     /// When leases given by earlier owners have certainly ended.
     pub(super) inherited: Millis,
     pub(super) crowded: bool,
+    pub(super) pressure: Pressure,
     next_job: u32,
     next_sweep: Millis,
     deposed: bool,
@@ -91,6 +93,7 @@
             now,
             inherited,
             crowded: false,
+            pressure: Pressure::default(),
             next_job: 0,
             next_sweep: 0,
             deposed: false,
@@ -176,6 +179,9 @@
             Event::Held(worker, sent, reply) => self.held(&worker, sent, reply),
             Event::Started(key, run, worker, reply) => self.started(key, run, &worker, reply),
             Event::Stopped(key, run, worker, reply) => self.stopped(key, run, &worker, reply),
+            Event::Paced(key, run, percent, worker, reply) => {
+                self.paced(key, run, percent, &worker, reply);
+            }
             Event::Written(number, written) => self.written(number, written),
             Event::Tick => {}
         }
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -2,19 +2,28 @@
 
 use std::collections::BTreeMap;
 
+use super::pressure::Pressure;
 use super::spec::StepSpec;
 use super::worker::Worker;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
-/// Score of a worker that hosts work which this task would disturb, or that
-/// would disturb it; above any load.
-const CLASH: u64 = 10_000;
+/// Score of a whole of pressure beyond what a serving task bears; a quarter of
+/// it counts as much as a worker's load.
+const CLASH: u64 = 6_000;
 /// Score of a worker outside the rack that holds the data: the work takes
 /// half as long again or longer there.
 const FAR: u64 = 4_000;
 /// Score of each failed run of late, to try sound workers first.
 const FAILURE: u64 = 1_500;
+/// Score of serving tasks of several images on one worker.
+const MIXED: u64 = 800;
+/// Score of the first serving task on a worker.
+const OPENED: u64 = 300;
+/// Load, in thousandths, above which fillers get less than they could use.
+const FULL: u64 = 900;
+/// Weight of load beyond that.
+const FULL_WEIGHT: u64 = 3;
 /// Whole of a load share.
 const WHOLE: u64 = 1_000;
 
@@ -24,6 +33,8 @@
     pub service: &'a str,
     /// Step of the task.
     pub step: &'a StepSpec,
+    /// What is known of how fillers slow serving tasks.
+    pub pressure: &'a Pressure,
     /// True when one more failure ends the job.
     pub last_try: bool,
     /// Worker on which it failed last; empty for none.
@@ -56,18 +67,15 @@
 fn score(worker: &Worker, wish: &Wish<'_>) -> u64 {
     let step = wish.step;
     let all = worker.listing.capacity;
-    let wanted = worker.used.cpu + worker.soft + step.room.cpu;
-    let load = wanted * WHOLE / all.cpu.max(1);
-    let memory = (worker.used.memory + step.room.memory) * WHOLE / all.memory.max(1);
-    let mut score = load.max(memory);
-    let serving = step.target > 0;
-    if serving {
-        // Serving tasks share few workers, so that fillers find others.
-        score = if worker.serving > 0 { score / 2 } else { score + WHOLE };
-    }
-    let clash = (serving && worker.fillers > 0) || (step.filler && worker.serving > 0);
-    if clash {
-        score += CLASH;
+    let load = |cpu: u64| cpu * WHOLE / all.cpu.max(1);
+    let mut score = match (step.target > 0, step.filler) {
+        (true, _) => packing(worker, step, load(worker.used.cpu + step.room.cpu)),
+        (_, true) => crowding(load(worker.taken() + worker.soft + step.room.cpu)),
+        _ => load(worker.used.cpu + worker.soft + step.room.cpu),
+    };
+    if step.target > 0 || step.filler {
+        let excess = wish.pressure.excess_with(worker, step);
+        score += (excess * CLASH as f64) as u64;
     }
     if !step.rack.is_empty() && worker.listing.rack() != &*step.rack {
         score += FAR;
@@ -79,3 +87,26 @@
     }
     score
 }
+
+/// Serving tasks are packed, each image by itself: so fillers find workers
+/// without any, and workers with none that they would slow.
+fn packing(worker: &Worker, step: &StepSpec, load: u64) -> u64 {
+    let mixed = worker
+        .slots
+        .values()
+        .any(|s| s.serving && s.image != step.image);
+    let opened = worker.serving == 0;
+    let mut score = WHOLE.saturating_sub(load);
+    if mixed {
+        score += MIXED;
+    }
+    if opened {
+        score += OPENED;
+    }
+    score
+}
+
+/// Fillers on a full worker slow each other.
+fn crowding(load: u64) -> u64 {
+    load + load.saturating_sub(FULL) * FULL_WEIGHT
+}
--- /dev/null
+++ b/src/sched/pressure.rs
@@ -0,0 +1,289 @@
+//! How much fillers slow the serving tasks beside them, and their pace.
+//!
+//! The tail of a serving task behaves like that of a queue: with a share `x`
+//! of its server busy, it is the tail of an idle one over `1 - x`. Measured
+//! tails are turned into such shares, which add up: the task's own load and a
+//! part for each filler, its processor share times what its image presses on
+//! the serving image. These factors are learned for each pair of images, from
+//! differences between reports: own loads swing over many seconds, while
+//! fillers come and go at once.
+
+use std::rc::Rc;
+
+use super::job::TaskKey;
+use super::message::{Action, Pace, Reply, Running};
+use super::owner::Owner;
+use super::spec::StepSpec;
+use super::worker::{Gauge, Mix, Stage, Worker};
+use crate::harm::{Harm, Model};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Pace of a run that is not slowed, in percent.
+pub const FULL_PACE: u32 = 100;
+
+/// Tail of an idle server as a part of the target. Targets are set at several
+/// times the idle tail.
+const IDLE: f64 = 0.2;
+/// Highest busy share that a tail can tell of; above it the queue only grows.
+const BUSIEST: f64 = 0.98;
+/// Own load of a serving task that was not measured yet.
+const OWN: f64 = 0.5;
+/// Factor of a pair of images before any was measured, and the noise: between
+/// two reports own loads move by about a twentieth.
+const MODEL: Model = Model {
+    prior: 1.0,
+    variance: 4.0,
+    noise: 0.01,
+    drift: 0.002,
+    caution: 0.3,
+};
+/// Milliseconds over which a worker measures its gauges.
+const SPAN: Millis = 500;
+/// Milliseconds between two reports that are compared.
+const COMPARED: std::ops::RangeInclusive<Millis> = 250..=2_500;
+/// How far the own load of a serving task may rise while a filler that is
+/// placed beside it runs.
+const RISE: f64 = 0.1;
+/// Busy share up to which a serving task is loaded on purpose; the target of
+/// five idle tails is met up to 0.8.
+const GOAL: f64 = 0.73;
+/// Busy share above which fillers are slowed at once.
+const HIGH: f64 = 0.77;
+/// Part below which a filler is not worth slowing.
+const SLIGHT: f64 = 0.02;
+/// Paces are ordered in steps of so many percent, to save orders.
+const STEP: u32 = 20;
+
+/// What is known of how fillers slow serving tasks.
+pub struct Pressure {
+    harm: Harm,
+}
+
+impl Default for Pressure {
+    fn default() -> Self {
+        Self {
+            harm: Harm::new(MODEL),
+        }
+    }
+}
+
+/// Returns the busy share that a measured tail tells of.
+fn busy_share(tail: Millis, target: Millis) -> f64 {
+    let idle = IDLE * target as f64;
+    (1.0 - idle / (tail as f64).max(idle)).min(BUSIEST)
+}
+
+/// A running filler while its pace is decided.
+struct Filler {
+    key: TaskKey,
+    image: Name,
+    /// Share of the worker's processors at full pace.
+    share: f64,
+    /// Pace it should have, as a fraction.
+    wished: f64,
+}
+
+impl Pressure {
+    /// Returns the part of a serving image's server that a filler takes at full pace.
+    fn part(&self, victim: &str, culprit: &str, cpu: u64, capacity: u64) -> f64 {
+        let share = cpu as f64 / capacity.max(1) as f64;
+        self.harm.of(victim, culprit, false) * share
+    }
+
+    /// Returns how far the serving tasks of a worker would be over their goal
+    /// with one more task of a step there.
+    pub fn excess_with(&self, worker: &Worker, step: &StepSpec) -> f64 {
+        let capacity = worker.listing.capacity.cpu;
+        let parts = |victim: &str| -> f64 {
+            let fillers = worker.slots.values().filter(|s| s.filler);
+            fillers
+                .map(|f| self.part(victim, &f.image, f.cpu, capacity))
+                .sum()
+        };
+        if !step.filler {
+            let part = parts(&step.image);
+            return if part > 0.0 {
+                (OWN + part - GOAL).max(0.0)
+            } else {
+                0.0
+            };
+        }
+        let serving = worker.slots.values().filter(|s| s.serving);
+        let over = serving.map(|victim| {
+            let own = victim.gauge.as_ref().map_or(OWN, |g| g.own);
+            let added = self.part(&victim.image, &step.image, step.room.cpu, capacity);
+            // What presses little is let in also where the own load is high.
+            let before = own + RISE + parts(&victim.image) - GOAL;
+            (before.max(0.0) + added.min(before + added)).max(0.0) * f64::from(added > SLIGHT)
+        });
+        over.sum()
+    }
+
+    fn pressed(&self, victim: &str, mix: &Mix) -> f64 {
+        let part =
+            |(image, share): (&Name, &f64)| self.harm.estimated(victim, image, false).0 * share;
+        mix.iter().map(part).sum()
+    }
+
+    /// Learns from how a serving task's busy share moved with its neighbours.
+    fn learn(&mut self, victim: &str, before: &Gauge, busy: f64, mix: &Mix) {
+        let images = before.mix.keys().chain(mix.keys());
+        let mut moved = Mix::new();
+        for image in images {
+            let share = |m: &Mix| m.get(image).copied().unwrap_or(0.0);
+            moved.insert(image.clone(), share(mix) - share(&before.mix));
+        }
+        let moved: Vec<(Name, f64)> = moved.into_iter().filter(|(_, m)| m.abs() > 0.005).collect();
+        if !moved.is_empty() {
+            self.harm
+                .learn_weighted(&victim.into(), &moved, busy - before.busy, false);
+        }
+    }
+
+    /// Lowers the wished paces until a victim of this own load would be at its
+    /// goal, those that press most first.
+    fn limit(&self, fillers: &mut [Filler], victim: &str, own: f64) {
+        let part = |f: &Filler| self.harm.of(victim, &f.image, false) * f.share;
+        let wished: f64 = fillers.iter().map(|f| part(f) * f.wished).sum();
+        let mut excess = own + wished - GOAL;
+        let mut order: Vec<(f64, &mut Filler)> = fillers.iter_mut().map(|f| (part(f), f)).collect();
+        order.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (part, filler) in order {
+            if excess <= 0.0 || part < SLIGHT {
+                return;
+            }
+            let cut = (excess / part).min(filler.wished);
+            filler.wished -= cut;
+            excess -= cut * part;
+        }
+    }
+}
+
+impl Owner {
+    /// Returns what fillers a worker has run in the last half second.
+    pub(super) fn mix(&self, name: &Name) -> Rc<Mix> {
+        let mut mix = Mix::new();
+        let Some(worker) = self.workers.get(name).filter(|w| w.serving > 0) else {
+            return mix.into();
+        };
+        let capacity = worker.listing.capacity.cpu.max(1) as f64;
+        for slot in worker.slots.values().filter(|s| s.filler) {
+            if matches!(slot.stage, Stage::Running(_) | Stage::Stopping(_)) {
+                let ran = (self.now.steady - slot.since).min(SPAN) as f64 / SPAN as f64;
+                let share = slot.cpu as f64 / capacity * f64::from(slot.pace) / 100.0;
+                *mix.entry(slot.image.clone()).or_insert(0.0) += share * ran;
+            }
+        }
+        mix.into()
+    }
+
+    /// Takes in the gauges of a worker's tasks, and slows or speeds up its fillers.
+    pub(super) fn relieve(&mut self, name: &Name, mix: Rc<Mix>, running: &[Running]) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let capacity = worker.listing.capacity.cpu.max(1) as f64;
+        let fillers = worker.slots.iter().filter(|(_, s)| s.filler);
+        let mut fillers: Vec<Filler> = fillers
+            .filter(|(_, s)| matches!(s.stage, Stage::Running(_)))
+            .map(|(key, slot)| Filler {
+                key: *key,
+                image: slot.image.clone(),
+                share: slot.cpu as f64 / capacity,
+                wished: 1.0,
+            })
+            .collect();
+        let mut high = false;
+        for run in running.iter().filter(|r| r.gauge > 0) {
+            let Some((image, busy, own)) = self.gauge(name, run, &mix) else {
+                continue;
+            };
+            high |= busy > HIGH;
+            self.pressure.limit(&mut fillers, &image, own);
+        }
+        self.order_paces(name, &fillers, high);
+    }
+
+    /// Takes in the gauge of a serving task; returns its image, its busy share
+    /// and the part of it that is its own load.
+    fn gauge(&mut self, name: &Name, run: &Running, mix: &Rc<Mix>) -> Option<(Name, f64, f64)> {
+        let key = self.find(&run.task)?;
+        let now = self.now.steady;
+        let slot = self.workers.get_mut(name)?.slots.get_mut(&key)?;
+        if !slot.serving || slot.run != run.run {
+            return None;
+        }
+        let busy = busy_share(run.gauge, slot.target);
+        let image = slot.image.clone();
+        if let Some(before) = &slot.gauge
+            && COMPARED.contains(&(now - before.at))
+        {
+            self.pressure.learn(&image, before, busy, mix);
+        }
+        let own = (busy - self.pressure.pressed(&image, mix)).clamp(0.0, busy);
+        slot.gauge = Some(Gauge {
+            at: now,
+            busy,
+            own,
+            mix: mix.clone(),
+        });
+        Some((image, busy, own))
+    }
+
+    /// Orders the paces that fillers of a worker should have.
+    fn order_paces(&mut self, name: &Name, fillers: &[Filler], high: bool) {
+        let epoch = self.journal.epoch();
+        for filler in fillers {
+            let wished = (filler.wished * 100.0) as u32 / STEP * STEP;
+            let Some(worker) = self.workers.get_mut(name) else {
+                return;
+            };
+            let address = worker.listing.address;
+            let Some(slot) = worker.slots.get_mut(&filler.key) else {
+                continue;
+            };
+            // A pace is lowered only while a tail is high.
+            let changes = wished > slot.pace || (high && wished < slot.pace);
+            let Some(job) = self
+                .jobs
+                .get(&filler.key.job)
+                .filter(|_| changes && !slot.pacing)
+            else {
+                continue;
+            };
+            slot.pacing = true;
+            self.actions.push(Action::Pace(Pace {
+                key: filler.key,
+                run: slot.run,
+                worker: name.clone(),
+                address,
+                task: job.task_name(filler.key),
+                epoch,
+                percent: wished,
+            }));
+        }
+    }
+
+    /// Takes in how a change of pace went.
+    pub(super) fn paced(
+        &mut self,
+        key: TaskKey,
+        run: u32,
+        percent: u32,
+        name: &Name,
+        reply: Reply<Millis>,
+    ) {
+        let slot = self
+            .workers
+            .get_mut(name)
+            .and_then(|w| w.slots.get_mut(&key));
+        let Some(slot) = slot.filter(|s| s.run == run) else {
+            return;
+        };
+        slot.pacing = false;
+        if matches!(reply, Reply::Ok(_)) {
+            slot.pace = percent;
+        }
+    }
+}
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -12,6 +12,9 @@
 
 /// Milliseconds that an exchange may wait for an end.
 const WAIT: Millis = 1_000;
+/// Milliseconds of that wait where fillers run beside serving tasks: their
+/// tails are measured over half a second.
+const WATCH: Millis = 400;
 /// Milliseconds until the next exchange after one that had no answer.
 const MISS_PAUSE: Millis = 250;
 /// Milliseconds until the next exchange while ends wait to be written.
@@ -190,7 +193,8 @@
                 true => worker.grant(span, now),
                 false => None,
             };
-            let known = worker.answered > 0;
+            let known = worker.answered > 0 && worker.misses == 0;
+            let mixed = worker.serving > 0 && worker.fillers > 0;
             worker.contact = Contact::Open(now);
             self.actions.push(Action::Hold(Hold {
                 worker: worker.listing.id.clone(),
@@ -198,7 +202,11 @@
                 lease,
                 epoch,
                 seen: worker.seen(),
-                wait: if known && worker.misses == 0 { WAIT } else { 0 },
+                wait: match (known, mixed) {
+                    (false, _) => 0,
+                    (true, true) => WATCH,
+                    (true, false) => WAIT,
+                },
             }));
         }
     }
@@ -239,10 +247,12 @@
 
     fn report(&mut self, name: &Name, sent: Millis, report: Report) {
         let whole = report.ended.len() < REPORT_LIMIT;
+        let mix = self.mix(name);
         for end in &report.ended {
             self.end(name, end);
         }
         self.runs(name, sent, &report.running, whole);
+        self.relieve(name, mix, &report.running);
         let now = self.now.steady;
         if let Some(worker) = self.workers.get_mut(name)
             && !worker.pending.is_empty()
@@ -287,7 +297,7 @@
     }
 
     /// Finds a task by its name.
-    fn find(&self, name: &str) -> Option<TaskKey> {
+    pub(super) fn find(&self, name: &str) -> Option<TaskKey> {
         let (id, round, step, index) = parse_task(name)?;
         let job = *self.ids.get(id)?;
         Some(TaskKey {
@@ -301,7 +311,10 @@
     /// Takes in that a run is listed; false when it should not be there.
     fn confirm(&mut self, name: &Name, key: TaskKey, run: &Running) -> bool {
         let now = self.now.steady;
-        let slot = self.workers.get_mut(name).and_then(|w| w.slots.get_mut(&key));
+        let slot = self
+            .workers
+            .get_mut(name)
+            .and_then(|w| w.slots.get_mut(&key));
         let Some(slot) = slot.filter(|s| s.run == run.run) else {
             return false;
         };
@@ -376,7 +389,8 @@
         if let Some(worker) = self.workers.get_mut(name) {
             worker.pending.insert(end.number);
         }
-        self.journal.after(key.job, After::Seen(name.clone(), end.number));
+        self.journal
+            .after(key.job, After::Seen(name.clone(), end.number));
     }
 
     fn done(&mut self, key: TaskKey, current: bool) {
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -7,6 +7,7 @@
 use super::message::{Action, Refusal, Reply, Start};
 use super::owner::{Owner, Rank};
 use super::place::{Wish, choose};
+use super::pressure::FULL_PACE;
 use super::spec::{Room, StepSpec};
 use super::worker::{Slot, Stage};
 use crate::utils::Name;
@@ -131,6 +132,7 @@
             service: &job.row.queue.service,
             step,
             last_try: !step.lasting && task.failures + 1 >= job.row.queue.attempts,
+            pressure: &self.pressure,
             avoid: self.failed_on.get(&key).map_or("", |w| w),
             beside: &beside,
         };
@@ -166,6 +168,12 @@
             soft: if step.filler { step.room.cpu } else { 0 },
             serving: step.target > 0,
             filler: step.filler,
+            image: step.image.clone(),
+            target: step.target,
+            cpu: step.room.cpu,
+            pace: FULL_PACE,
+            pacing: false,
+            gauge: None,
             since: self.now.steady,
             stuck: false,
         }
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use super::job::TaskKey;
 use super::spec::Room;
@@ -79,12 +80,40 @@
     pub serving: bool,
     /// True when it takes what others leave.
     pub filler: bool,
+    /// Kind of work; tasks of one image behave alike.
+    pub image: Name,
+    /// Latency that a serving task must stay under, in milliseconds.
+    pub target: Millis,
+    /// Processor share at full pace.
+    pub cpu: u64,
+    /// Pace last ordered, in percent.
+    pub pace: u32,
+    /// True while a change of the pace has no answer.
+    pub pacing: bool,
     /// When it was placed.
     pub since: Millis,
+    /// Last gauge of a serving task.
+    pub gauge: Option<Gauge>,
     /// True when the cause of a stop is that the run takes far too long.
     pub stuck: bool,
 }
 
+/// How busy a serving task was, and what ran beside it.
+#[derive(Clone, Debug)]
+pub struct Gauge {
+    /// When it was reported.
+    pub at: Millis,
+    /// Busy share of its server, from 0 to 1.
+    pub busy: f64,
+    /// The part of it that is its own load, as estimated.
+    pub own: f64,
+    /// Fillers beside it in the half second before.
+    pub mix: Rc<Mix>,
+}
+
+/// Processor shares of fillers by image.
+pub type Mix = BTreeMap<Name, f64>;
+
 /// A report of a worker's clock.
 #[derive(Clone, Copy, Debug)]
 struct Heard {
@@ -185,6 +214,14 @@
         Some(slot)
     }
 
+    /// Returns the processor share that work other than fillers takes: serving
+    /// tasks use about half of what they hold.
+    pub fn taken(&self) -> u64 {
+        let serving = self.slots.values().filter(|s| s.serving);
+        let idle: u64 = serving.map(|s| s.room.cpu / 2).sum();
+        self.used.cpu - idle
+    }
+
     /// Returns true when a task of this room fits beside what is there.
     pub fn fits(&self, room: Room) -> bool {
         let all = self.listing.capacity;
