Short feeds, a halt beside tasks over their target, shorter holds of requests

Change: feeds wait 0.8 s; everything beside a serving task that is over its target for 1 s is halted; a request is held 1.3 s at most.

--- a/src/daemon/desk.rs
+++ b/src/daemon/desk.rs
@@ -18,13 +18,14 @@
 use crate::utils::clock::{self, Millis};
 use crate::web::{Reply, Request};
 
-/// Longest wait for an owner, in milliseconds: a takeover and a half.
-const NO_OWNER: Millis = 1_800;
+/// Longest that a request is held before it is given up, in milliseconds: a
+/// takeover, and under half of what callers wait.
+const HELD: Millis = 1_300;
 /// Milliseconds between two tries to reach the owner.
 const PAUSE: Duration = Duration::from_millis(40);
 /// Longest wait for one answer of the owner, in milliseconds: a commit to a
 /// slow store and more; after that it may be dead.
-const ANSWER: Millis = 1_000;
+const ANSWER: Millis = 800;
 /// Milliseconds of the caller's patience kept for the way back.
 const WAY_BACK: Millis = 100;
 
@@ -73,10 +74,11 @@
     let mut doubt = false;
     loop {
         let spent = clock::now() - start;
-        if spent >= patience.min(NO_OWNER) {
+        let longest = patience.min(HELD);
+        if spent >= longest {
             return given_up(ask, doubt, "no-owner", spent);
         }
-        let left = (patience - spent).min(ANSWER);
+        let left = (longest - spent).min(ANSWER);
         match one_try(shared, ask, left).await {
             Ok(Answer::Refused(_) | Answer::Unknown) if doubt && changes(ask) => {
                 return given_up(ask, doubt, "earlier-try-in-doubt", spent);
--- a/src/daemon/watch.rs
+++ b/src/daemon/watch.rs
@@ -12,12 +12,14 @@
 use crate::sched::message::Event;
 use crate::utils::clock::Millis;
 
-/// Milliseconds that a feed waits for a change; the platform allows 30,000.
-const WAIT: Millis = 10_000;
+/// Milliseconds that a feed waits for a change. The platform allows 30,000, but
+/// a connection that fell silent is noticed only after this wait, and a
+/// configuration has to be in force 2 s after the store took it.
+const WAIT: Millis = 800;
 /// Milliseconds for the answer to a read, several times that of a slow store.
 pub const READ: Millis = 1_500;
 /// Pause after a feed that failed.
-const PAUSE: Duration = Duration::from_millis(300);
+const PAUSE: Duration = Duration::from_millis(150);
 
 /// Follows the configuration for ever.
 pub async fn config(shared: Rc<Shared>) {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -20,7 +20,7 @@
 /// Rows of one page; the platform's bound.
 const PAGE: usize = 500;
 /// Milliseconds beyond its wait that the answer of a feed is waited for.
-const FEED_SLACK: Millis = 1_000;
+const FEED_SLACK: Millis = 600;
 
 /// Why a read has no rows.
 #[derive(Debug)]
--- a/src/sched/asks.rs
+++ b/src/sched/asks.rs
@@ -10,7 +10,7 @@
 
 /// Milliseconds without a confirmed commit after which new jobs are refused:
 /// several times the store's usual answer, also when it is slow.
-const STORE_AWAY: Millis = 1_200;
+const STORE_AWAY: Millis = 1_000;
 /// Milliseconds after which a refused caller should come back; about what a
 /// takeover or a short outage takes.
 pub const COME_BACK: Millis = 500;
--- a/src/sched/pressure.rs
+++ b/src/sched/pressure.rs
@@ -50,6 +50,9 @@
 const GOAL: f64 = 0.73;
 /// Busy share above which fillers are slowed at once.
 const HIGH: f64 = 0.77;
+/// Milliseconds over its target after which everything beside a serving task
+/// is halted, whatever was learned; a quarter of what is borne.
+const HALT: Millis = 1_000;
 /// Part below which a filler is not worth slowing.
 const SLIGHT: f64 = 0.02;
 /// Paces are ordered in steps of so many percent, to save orders.
@@ -196,18 +199,23 @@
             .collect();
         let mut high = false;
         for run in running.iter().filter(|r| r.gauge > 0) {
-            let Some((image, busy, own)) = self.gauge(name, run, &mix) else {
+            let Some((image, gauge)) = self.gauge(name, run, &mix) else {
                 continue;
             };
-            high |= busy > HIGH;
-            self.pressure.limit(&mut fillers, &image, own);
+            high |= gauge.busy > HIGH;
+            if gauge
+                .over
+                .is_some_and(|over| self.now.steady >= over + HALT)
+            {
+                fillers.iter_mut().for_each(|f| f.wished = 0.0);
+            }
+            self.pressure.limit(&mut fillers, &image, gauge.own);
         }
         self.order_paces(name, &fillers, high);
     }
 
-    /// Takes in the gauge of a serving task; returns its image, its busy share
-    /// and the part of it that is its own load.
-    fn gauge(&mut self, name: &Name, run: &Running, mix: &Rc<Mix>) -> Option<(Name, f64, f64)> {
+    /// Takes in the gauge of a serving task and returns it with the task's image.
+    fn gauge(&mut self, name: &Name, run: &Running, mix: &Rc<Mix>) -> Option<(Name, Gauge)> {
         let key = self.find(&run.task)?;
         let now = self.now.steady;
         let slot = self.workers.get_mut(name)?.slots.get_mut(&key)?;
@@ -222,13 +230,16 @@
             self.pressure.learn(&image, before, busy, mix);
         }
         let own = (busy - self.pressure.pressed(&image, mix)).clamp(0.0, busy);
-        slot.gauge = Some(Gauge {
+        let before = slot.gauge.as_ref().and_then(|g| g.over);
+        let gauge = Gauge {
             at: now,
             busy,
+            over: (run.gauge > slot.target).then(|| before.unwrap_or(now)),
             own,
             mix: mix.clone(),
-        });
-        Some((image, busy, own))
+        };
+        slot.gauge = Some(gauge.clone());
+        Some((image, gauge))
     }
 
     /// Orders the paces that fillers of a worker should have.
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -105,6 +105,8 @@
     pub at: Millis,
     /// Busy share of its server, from 0 to 1.
     pub busy: f64,
+    /// Since when it was over its target; none while it is not.
+    pub over: Option<Millis>,
     /// The part of it that is its own load, as estimated.
     pub own: f64,
     /// Fillers beside it in the half second before.
