Lasting tasks leave workers that drain; HUP reloads the settings

Change: a slice for the directory: lasting tasks are moved at once, tasks with checkpoints shortly before the end; listings that lapse around trouble of the store count as gone only 2.5 s later; HUP reads the settings again.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,11 +15,11 @@
 use futures::channel::mpsc;
 use monoio::time::sleep;
 
-use crate::options::daemon::Settings;
+use crate::options::daemon::{self, Settings};
 use crate::rpc::bridge::Bridge;
 use crate::utils::clock::{self, Millis};
 use crate::utils::drain::Drain;
-use crate::utils::{listen, stop};
+use crate::utils::{listen, signals};
 use crate::web;
 use shared::Shared;
 
@@ -31,7 +31,7 @@
 const LEAVE: Duration = Duration::from_millis(2_600);
 
 /// Runs the daemon until its planned stop is complete.
-pub async fn run(settings: Settings) -> eyre::Result<()> {
+pub async fn run(settings: Settings, file: &str) -> eyre::Result<()> {
     let web = listen::bind(settings.web)?;
     let rpc = listen::bind(settings.rpc)?;
     let admin = listen::bind(settings.admin)?;
@@ -54,7 +54,10 @@
     monoio::spawn(watch::config(shared.clone()));
     monoio::spawn(lead::run(shared.clone(), receiver));
     monoio::spawn(member::run(shared.clone(), nudged));
-    while !stop::asked() {
+    while !signals::asked() {
+        if signals::reload_asked() {
+            reload(&shared, file);
+        }
         sleep(LOOK).await;
     }
     log::info!(target: "daemon", "event=stop box={}", shared.settings.name);
@@ -64,3 +67,22 @@
     log::info!(target: "daemon", "event=stopped box={} whole={whole}", shared.settings.name);
     Ok(())
 }
+
+/// Reads the settings again. Bounds change at once; addresses and names need
+/// another start, which is said.
+fn reload(shared: &Shared, file: &str) {
+    let settings = match daemon::load(file) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            for finding in findings {
+                log::error!(target: "daemon", "event=reload-refused finding=\"{finding}\"");
+            }
+            return;
+        }
+    };
+    let old = &shared.settings;
+    let moved = (settings.web, settings.rpc, settings.admin, settings.store)
+        != (old.web, old.rpc, old.admin, old.store);
+    log::info!(target: "daemon", "event=reload addresses_changed={moved} restart_needed={moved}");
+    shared.rebound(settings.bounds);
+}
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -12,7 +12,7 @@
 use super::watch;
 use crate::sched::journal::{OWNER_KEY, OWNER_TABLE};
 use crate::sched::message::{Action, Answer, Ask, Event, Ticket, Write, Written};
-use crate::sched::owner::{Now, Owner};
+use crate::sched::owner::{Bounds, Now, Owner};
 use crate::utils::clock::{self, Millis};
 
 /// Shortest wait for a commit's answer, in milliseconds: many times the usual.
@@ -34,6 +34,8 @@
     PredecessorEnded(u64),
     /// A later owner exists.
     Superseded(u64),
+    /// The settings have changed.
+    Bounds(Bounds),
     /// Give the cell up.
     Resign,
 }
@@ -104,6 +106,7 @@
         (Message::Superseded(epoch), Some(held)) if epoch > held.epoch => {
             end(shared, lead, "superseded");
         }
+        (Message::Bounds(bounds), Some(lead)) => lead.owner.rebound(bounds),
         (Message::Resign, Some(lead)) => {
             lead.resigned = true;
             lead.owner.resign(now());
--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -224,7 +224,7 @@
             return;
         }
     };
-    let bounds = shared.settings.bounds;
+    let bounds = shared.bounds();
     let now = Now {
         steady: clock::now(),
         wall: clock::wall(),
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -14,6 +14,7 @@
 use crate::queues::Queues;
 use crate::rpc::client::Channel;
 use crate::sched::journal::OwnerRow;
+use crate::sched::owner::Bounds;
 use crate::table::Row;
 
 /// Part of the store in which the owner keeps everything.
@@ -45,6 +46,7 @@
     owner: RefCell<Option<Seen>>,
     leading: Cell<Option<u64>>,
     confirmed: Cell<u64>,
+    bounds: Cell<Bounds>,
     stopping: Cell<bool>,
     channels: RefCell<HashMap<SocketAddr, Channel>>,
 }
@@ -60,6 +62,7 @@
         Self {
             store: Store::new(settings.store),
             workers: Workers::default(),
+            bounds: Cell::new(settings.bounds),
             settings,
             life,
             lead,
@@ -142,6 +145,17 @@
         self.confirmed.set(at);
     }
 
+    /// Returns the bounds of decisions in force.
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.get()
+    }
+
+    /// Puts other bounds of decisions in force.
+    pub fn rebound(&self, bounds: Bounds) {
+        self.bounds.set(bounds);
+        self.lead(lead::Message::Bounds(bounds));
+    }
+
     /// Returns true once a planned stop has begun.
     pub fn stopping(&self) -> bool {
         self.stopping.get()
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -20,7 +20,7 @@
 use crate::guard::Memory;
 use crate::options::Settings;
 use crate::utils::drain::Drain;
-use crate::utils::{clock, listen, stop};
+use crate::utils::{clock, listen, signals};
 use shell::{Context, Message, Shell};
 
 /// Milliseconds between two ticks of the decisions.
@@ -65,7 +65,7 @@
     let mut interval = monoio::time::interval(Duration::from_millis(TICK));
     loop {
         interval.tick().await;
-        let stopping = stop::asked() || switch.load(Ordering::Relaxed);
+        let stopping = signals::asked() || switch.load(Ordering::Relaxed);
         if stopping {
             context.send(Message::Event(Event::Stop));
         }
--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -69,6 +69,7 @@
                 .duration("workers.lease", LEASE, 500..=HOUR)
                 .min(longest),
             unconfirmed: reader.duration("workers.unconfirmed", 10_000, 500..=HOUR),
+            drain: reader.duration("platform.drain", 2_000, 0..=HOUR),
             remember: reader.duration("jobs.remember", 120_000, 1_000..=HOUR),
         },
         stop: grace - STOP_SLACK,
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -32,5 +32,6 @@
             gpu: beat.capacity.gpu,
         },
         leaving: &*beat.state == "draining",
+        stays: beat.remaining_ms,
     })
 }
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -131,6 +131,9 @@
     pub zone: Name,
     #[serde(default)]
     pub state: Name,
+    /// Least time until a draining worker ends; not of its tasks.
+    #[serde(default)]
+    pub remaining_ms: Millis,
     pub capacity: Capacity,
     #[serde(default)]
     pub labels: Vec<Name>,
--- a/src/program.rs
+++ b/src/program.rs
@@ -11,7 +11,7 @@
 use crate::options::args::{Command, StandIn};
 use crate::options::{self, file};
 use crate::standin::{platform, worker};
-use crate::utils::stop;
+use crate::utils::signals;
 use crate::{cell, daemon, demo, proto, rpc, trace};
 
 /// Runs a command to its end.
@@ -71,7 +71,7 @@
     };
     let start = || {
         logs::start(&settings.logs, &settings.name)?;
-        stop::catch();
+        signals::catch();
         block_on(crate::entry::run(settings, crate::entry::Switch::default()))?
     };
     finish(start())
@@ -87,8 +87,8 @@
     };
     let start = || {
         logs::start(&settings.logs, &settings.name)?;
-        stop::catch();
-        block_on(daemon::run(settings))?
+        signals::catch();
+        block_on(daemon::run(settings, name))?
     };
     finish(start())
 }
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -5,6 +5,7 @@
 //! shown (`asks`). Everything here is plain state without sockets and clocks.
 
 mod asks;
+mod directory;
 pub mod job;
 pub mod journal;
 pub mod message;
--- /dev/null
+++ b/src/sched/directory.rs
@@ -0,0 +1,190 @@
+//! The directory of workers: who is there, who leaves and who has left.
+
+use std::collections::BTreeSet;
+
+use super::job::TaskKey;
+use super::owner::Owner;
+use super::worker::{Listing, Presence, Stage, Worker};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Milliseconds after trouble of the store in which a listing that is gone may
+/// only have lapsed.
+const TROUBLE: Millis = 5_000;
+/// Milliseconds in which such a listing comes back: about 2 s by the platform.
+const COME_BACK: Millis = 2_500;
+/// Milliseconds without an answer that are too short for a listing to lapse:
+/// less than two heartbeats.
+const LEFT: Millis = 1_900;
+/// Milliseconds before a worker's end at which what it runs is stopped: a stop
+/// takes up to 900, and its report some more.
+const STOP_TIME: Millis = 1_200;
+
+impl Owner {
+    /// Takes in the whole directory.
+    pub(super) fn directory(&mut self, listings: Vec<Listing>) {
+        let named: BTreeSet<Name> = listings.iter().map(|l| l.id.clone()).collect();
+        let gone: Vec<Name> = self
+            .workers
+            .keys()
+            .filter(|id| !named.contains(*id))
+            .cloned()
+            .collect();
+        let mut changes: Vec<(Name, Option<Listing>)> =
+            gone.into_iter().map(|id| (id, None)).collect();
+        changes.extend(listings.into_iter().map(|l| (l.id.clone(), Some(l))));
+        self.listed(changes);
+    }
+
+    /// Takes in changes of the directory.
+    pub(super) fn listed(&mut self, changes: Vec<(Name, Option<Listing>)>) {
+        self.crowded = false;
+        for (id, listing) in changes {
+            match listing {
+                Some(listing) => self.list(id, listing),
+                None => self.unlist(&id),
+            }
+        }
+        self.adopt_placed();
+    }
+
+    fn list(&mut self, id: Name, listing: Listing) {
+        let now = self.now.steady;
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.presence = Presence::Listed;
+            if listing.leaving && worker.leaves.is_none() {
+                worker.leaves = Some(now + listing.stays);
+                let tasks = worker.slots.len();
+                log::info!(target: "worker", "worker={id} event=leaving stays_ms={} tasks={tasks}", listing.stays);
+            }
+            worker.listing = listing;
+            return;
+        }
+        // Another life at the same address means that the one before has ended.
+        let before: Vec<Name> = self
+            .workers
+            .values()
+            .filter(|w| w.listing.address == listing.address)
+            .map(|w| w.listing.id.clone())
+            .collect();
+        for old in before {
+            self.ended(&old, "another-life");
+        }
+        log::info!(target: "worker", "worker={id} event=new leaving={}", listing.leaving);
+        let mut worker = Worker::new(listing, now);
+        if worker.listing.leaving {
+            worker.leaves = Some(now + worker.listing.stays);
+        }
+        self.workers.insert(id, worker);
+    }
+
+    fn unlist(&mut self, id: &Name) {
+        let now = self.now.steady;
+        let doubtful = now < self.store_trouble + TROUBLE;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let before = worker.presence;
+        worker.presence = match (before, doubtful) {
+            (Presence::Listed, true) => Presence::Lapsed(now),
+            (Presence::Listed, false) => Presence::Removed,
+            (before, _) => before,
+        };
+        if before != worker.presence {
+            let (presence, tasks) = (worker.presence, worker.slots.len());
+            log::info!(target: "worker", "worker={id} event=unlisted presence={presence:?} tasks={tasks}");
+        }
+        if worker.presence != Presence::Removed {
+            return;
+        }
+        // A listing that lapses does so after three heartbeats of silence. One
+        // that goes at once with a worker that said it would leave was removed
+        // by the worker at its end.
+        let silent = now - worker.answered.min(now);
+        if worker.leaves.is_some() && worker.misses > 0 && silent < LEFT {
+            return self.ended(id, "has-left");
+        }
+        worker.leaves.get_or_insert(now + self.bounds.drain);
+    }
+
+    /// Takes listings that did not come back after trouble of the store as removed.
+    pub(super) fn settle_lapsed(&mut self) {
+        let now = self.now.steady;
+        let drain = self.bounds.drain;
+        for (id, worker) in &mut self.workers {
+            if let Presence::Lapsed(at) = worker.presence
+                && now >= at + COME_BACK
+            {
+                log::info!(target: "worker", "worker={id} event=removed reason=not-listed-again");
+                worker.presence = Presence::Removed;
+                worker.leaves.get_or_insert(now + drain);
+            }
+        }
+    }
+
+    /// Moves tasks off workers that leave: lasting ones at once, those that
+    /// checkpoint shortly before the end; others may still finish.
+    pub(super) fn evacuate(&mut self) {
+        let now = self.now.steady;
+        let mut moved = Vec::new();
+        for worker in self.workers.values() {
+            let Some(leaves) = worker.leaves else {
+                continue;
+            };
+            for (key, slot) in &worker.slots {
+                let Some(job) = self.jobs.get(&key.job).filter(|j| j.open()) else {
+                    continue;
+                };
+                let step = job.step(*key);
+                let last = step.saves && now + STOP_TIME >= leaves;
+                if matches!(slot.stage, Stage::Running(_)) && (step.lasting || last) {
+                    moved.push(*key);
+                }
+            }
+        }
+        for key in moved {
+            if self.may_move(key) {
+                self.stop(key);
+            }
+        }
+    }
+
+    /// Returns true when the step of a task bears that it is away for a while.
+    fn may_move(&self, key: TaskKey) -> bool {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return false;
+        };
+        let Some(bound) = job.step(key).disruptions else {
+            return true;
+        };
+        let at_work = |member: &TaskKey| {
+            let worker = self.placed.get(member).and_then(|n| self.workers.get(n));
+            let slot = worker.and_then(|w| w.slots.get(member));
+            slot.is_some_and(|s| matches!(s.stage, Stage::Running(_)) && s.at_work)
+        };
+        let members = self.members(key);
+        let away = members.iter().filter(|m| **m != key && !at_work(m)).count();
+        (away as u32) < bound
+    }
+
+    /// Gives tasks that the store holds as placed to their workers.
+    fn adopt_placed(&mut self) {
+        let placed: Vec<(TaskKey, Name)> = self
+            .placed
+            .iter()
+            .filter(|(key, name)| {
+                let worker = self.workers.get(*name);
+                worker.is_some_and(|w| !w.slots.contains_key(key))
+            })
+            .map(|(key, name)| (*key, name.clone()))
+            .collect();
+        for (key, name) in placed {
+            let run = self.jobs[&key.job].task(key).map_or(0, |t| t.run);
+            // The owner before may have started it or not; any report tells.
+            let slot = self.slot(key, run, Stage::Stopped(0));
+            if let Some(worker) = self.workers.get_mut(&name) {
+                worker.put(key, slot);
+            }
+        }
+    }
+}
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -18,6 +18,8 @@
     pub lease: Millis,
     /// Milliseconds that an owner goes on extending leases without a commit.
     pub unconfirmed: Millis,
+    /// Least milliseconds that a worker serves on after its listing is gone.
+    pub drain: Millis,
     /// Milliseconds for which the state of an ended job is told.
     pub remember: Millis,
 }
@@ -62,11 +64,16 @@
     pub(super) inherited: Millis,
     pub(super) crowded: bool,
     pub(super) pressure: Pressure,
+    /// When the store was last away, slow or silent.
+    pub(super) store_trouble: Millis,
     next_job: u32,
     next_sweep: Millis,
     deposed: bool,
 }
 
+/// Milliseconds without a commit that tell of trouble of the store: an idle
+/// owner commits each 500.
+const SILENT_STORE: Millis = 900;
 /// Milliseconds between two looks at what has become due or too old.
 const SWEEP: Millis = 100;
 
@@ -94,6 +101,7 @@
             inherited,
             crowded: false,
             pressure: Pressure::default(),
+            store_trouble: 0,
             next_job: 0,
             next_sweep: 0,
             deposed: false,
@@ -157,6 +165,11 @@
         due.min().unwrap_or(0).saturating_sub(now.steady).max(1)
     }
 
+    /// Goes on with other bounds.
+    pub fn rebound(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// Gives the cell up with the next commit.
     pub fn resign(&mut self, now: Now) {
         self.journal.release(now.steady);
@@ -202,7 +215,12 @@
     }
 
     fn sweep(&mut self) {
+        if self.now.steady > self.journal.confirmed() + SILENT_STORE {
+            self.store_trouble = self.now.steady;
+        }
+        self.settle_lapsed();
         self.lapse();
+        self.evacuate();
         self.check_runs();
         let wall = self.now.wall;
         let scheduled: Vec<u32> = self
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -6,7 +6,8 @@
 use super::journal::After;
 use super::message::{Action, Ended, Hold, How, Refusal, Reply, Report, Running, Stop};
 use super::owner::Owner;
-use super::worker::{Contact, Listing, Stage, Worker};
+use super::pressure::FULL_PACE;
+use super::worker::{Contact, Presence, Stage, Worker};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -27,91 +28,9 @@
 const REST: Millis = 2_000;
 
 impl Owner {
-    /// Takes in the whole directory.
-    pub(super) fn directory(&mut self, listings: Vec<Listing>) {
-        let named: BTreeSet<Name> = listings.iter().map(|l| l.id.clone()).collect();
-        let gone: Vec<Name> = self
-            .workers
-            .keys()
-            .filter(|id| !named.contains(*id))
-            .cloned()
-            .collect();
-        let mut changes: Vec<(Name, Option<Listing>)> =
-            gone.into_iter().map(|id| (id, None)).collect();
-        changes.extend(listings.into_iter().map(|l| (l.id.clone(), Some(l))));
-        self.listed(changes);
-    }
-
-    /// Takes in changes of the directory.
-    pub(super) fn listed(&mut self, changes: Vec<(Name, Option<Listing>)>) {
-        self.crowded = false;
-        for (id, listing) in changes {
-            match listing {
-                Some(listing) => self.list(id, listing),
-                None => self.unlist(&id),
-            }
-        }
-        self.adopt_placed();
-    }
-
-    fn list(&mut self, id: Name, listing: Listing) {
-        if let Some(worker) = self.workers.get_mut(&id) {
-            if worker.listing != listing || !worker.listed {
-                log::info!(target: "worker", "worker={id} event=listed leaving={}", listing.leaving);
-            }
-            worker.listing = listing;
-            worker.listed = true;
-            return;
-        }
-        // Another life at the same address means that the one before has ended.
-        let before: Vec<Name> = self
-            .workers
-            .values()
-            .filter(|w| w.listing.address == listing.address)
-            .map(|w| w.listing.id.clone())
-            .collect();
-        for old in before {
-            self.reborn(&old);
-        }
-        log::info!(target: "worker", "worker={id} event=new leaving={}", listing.leaving);
-        let worker = Worker::new(listing, self.now.steady);
-        self.workers.insert(id, worker);
-    }
-
-    fn unlist(&mut self, id: &Name) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        if worker.listed {
-            log::info!(target: "worker", "worker={id} event=unlisted tasks={}", worker.slots.len());
-        }
-        worker.listed = false;
-    }
-
-    /// Gives tasks that the store holds as placed to their workers.
-    fn adopt_placed(&mut self) {
-        let placed: Vec<(TaskKey, Name)> = self
-            .placed
-            .iter()
-            .filter(|(key, name)| {
-                let worker = self.workers.get(*name);
-                worker.is_some_and(|w| !w.slots.contains_key(key))
-            })
-            .map(|(key, name)| (*key, name.clone()))
-            .collect();
-        for (key, name) in placed {
-            let run = self.jobs[&key.job].task(key).map_or(0, |t| t.run);
-            // The owner before may have started it or not; any report tells.
-            let slot = self.slot(key, run, Stage::Stopped(0));
-            if let Some(worker) = self.workers.get_mut(&name) {
-                worker.put(key, slot);
-            }
-        }
-    }
-
     /// Ends everything that a life of a worker ran, which has certainly ended.
-    pub(super) fn reborn(&mut self, name: &Name) {
-        log::info!(target: "worker", "worker={name} event=ended reason=another-life");
+    pub(super) fn ended(&mut self, name: &Name, reason: &str) {
+        log::info!(target: "worker", "worker={name} event=over reason={reason}");
         self.clear(name);
         self.workers.remove(name);
     }
@@ -136,19 +55,21 @@
             .workers
             .values()
             .filter(silent)
-            .filter(|w| !w.slots.is_empty() || !w.listed)
+            .filter(|w| !w.slots.is_empty() || w.presence == Presence::Removed)
             .map(|w| w.listing.id.clone())
             .collect();
         for name in ended {
             let worker = &self.workers[&name];
-            let (tasks, listed) = (worker.slots.len(), worker.listed);
-            log::info!(target: "worker", "worker={name} event=lapsed tasks={tasks} listed={listed}");
+            let (tasks, presence) = (worker.slots.len(), worker.presence);
+            log::info!(target: "worker", "worker={name} event=lapsed tasks={tasks} presence={presence:?}");
             self.clear(&name);
-            if !listed {
+            if presence == Presence::Removed {
                 self.workers.remove(&name);
             }
         }
-        let drained = |w: &&Worker| !w.listed && w.slots.is_empty() && w.pending.is_empty();
+        let drained = |w: &&Worker| {
+            w.presence == Presence::Removed && w.slots.is_empty() && w.pending.is_empty()
+        };
         let drained: Vec<Name> = self
             .workers
             .values()
@@ -228,7 +149,7 @@
                 worker.contact = Contact::Due(now);
                 self.report(name, sent, report);
             }
-            Reply::Refused(Refusal::Reborn) => self.reborn(name),
+            Reply::Refused(Refusal::Reborn) => self.ended(name, "another-life"),
             Reply::Refused(Refusal::Fenced) => {
                 // Only an owner with a higher epoch can have been there; the
                 // next commit finds out.
@@ -322,6 +243,7 @@
         if inherited || slot.stage == Stage::Starting {
             slot.stage = Stage::Running(now);
         }
+        slot.at_work = run.progress == FULL_PACE;
         if let Some(job) = self.jobs.get_mut(&key.job) {
             let over = !job.open();
             if let Some(task) = job.task_mut(key)
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -173,6 +173,7 @@
             cpu: step.room.cpu,
             pace: FULL_PACE,
             pacing: false,
+            at_work: false,
             gauge: None,
             since: self.now.steady,
             stuck: false,
@@ -260,7 +261,7 @@
         }
         self.free(key);
         if refusal == Refusal::Reborn {
-            self.reborn(name);
+            self.ended(name, "another-life");
         }
     }
 
@@ -277,7 +278,7 @@
             Reply::Ok(_) => slot.stage = Stage::Stopped(now),
             // It is sent again while the worker answers.
             Reply::Lost | Reply::NotSent => slot.stage = Stage::Stopping(now),
-            Reply::Refused(Refusal::Reborn) => self.reborn(name),
+            Reply::Refused(Refusal::Reborn) => self.ended(name, "another-life"),
             Reply::Refused(_) => slot.stage = Stage::Stopping(now),
         }
     }
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -39,6 +39,8 @@
     pub capacity: Room,
     /// True once it has said that it will leave.
     pub leaving: bool,
+    /// Least milliseconds that it stays once it leaves, from when it was listed.
+    pub stays: Millis,
 }
 
 impl Listing {
@@ -92,6 +94,8 @@
     pub pacing: bool,
     /// When it was placed.
     pub since: Millis,
+    /// True once a lasting task is at work.
+    pub at_work: bool,
     /// Last gauge of a serving task.
     pub gauge: Option<Gauge>,
     /// True when the cause of a stop is that the run takes far too long.
@@ -132,13 +136,27 @@
     Open(Millis),
 }
 
+/// Whether the directory lists a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It is listed.
+    Listed,
+    /// Its listing lapsed at this time, around trouble of the store: it may
+    /// come back.
+    Lapsed(Millis),
+    /// Its listing was removed.
+    Removed,
+}
+
 /// A worker at the owner.
 #[derive(Clone, Debug)]
 pub struct Worker {
     /// As listed last.
     pub listing: Listing,
-    /// False once its listing was removed.
-    pub listed: bool,
+    /// Whether the directory lists it.
+    pub presence: Presence,
+    /// When it ends at the earliest, once it is known to leave.
+    pub leaves: Option<Millis>,
     /// Tasks placed there.
     pub slots: BTreeMap<TaskKey, Slot>,
     /// Room held by them.
@@ -174,7 +192,8 @@
     pub fn new(listing: Listing, now: Millis) -> Self {
         Self {
             listing,
-            listed: true,
+            presence: Presence::Listed,
+            leaves: None,
             slots: BTreeMap::new(),
             used: Room::default(),
             soft: 0,
@@ -234,9 +253,8 @@
 
     /// Returns true when new tasks may be sent there.
     pub fn open(&self, now: Millis) -> bool {
-        let heard = self.answered > 0 && now < self.answered + SILENT_AFTER;
-        let offered = self.listed && !self.listing.leaving;
-        offered && heard && self.misses == 0 && now >= self.barred && !self.strangers
+        let offered = self.presence != Presence::Removed && self.leaves.is_none();
+        offered && self.answering(now) && now >= self.barred && !self.strangers
     }
 
     /// Returns true while it answers.
--- a/src/utils.rs
+++ b/src/utils.rs
@@ -5,7 +5,7 @@
 pub mod hash;
 pub mod listen;
 pub mod random;
-pub mod stop;
+pub mod signals;
 
 use std::sync::Arc;
 
