--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -127,7 +127,7 @@
     pub(super) fn evacuate(&mut self) {
         let now = self.now.steady;
         let mut moved = Vec::new();
-        for worker in self.workers.values() {
+        for worker in self.workers.values().filter(|w| w.misses == 0) {
             let Some(leaves) = worker.leaves else {
                 continue;
             };
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -110,7 +110,10 @@
             if now < at {
                 continue;
             }
-            let lease = match confirmed && !worker.slots.is_empty() {
+            // An order without an answer may be carried out: a silent worker's
+            // lease is left to end, so that its tasks can run elsewhere.
+            let extends = confirmed && worker.misses == 0 && !worker.slots.is_empty();
+            let lease = match extends {
                 true => worker.grant(span, now),
                 false => None,
             };
