Fillers keep away from serving tasks whose load may rise; slowed ones move

Cause: heavy fillers beside serving tasks whose own load was low at the start met its swing (goal 0.73 of a momentary load). Change: placement looks at the peak within a filler's run; a run at 40 percent or less for 0.8 s is moved.

--- a/src/sched/pressure.rs
+++ b/src/sched/pressure.rs
@@ -43,16 +43,27 @@
 /// Milliseconds between two reports that are compared.
 const COMPARED: std::ops::RangeInclusive<Millis> = 250..=2_500;
 /// How far the own load of a serving task may rise while a filler that is
-/// placed beside it runs.
-const RISE: f64 = 0.1;
-/// Busy share up to which a serving task is loaded on purpose; the target of
-/// five idle tails is met up to 0.8.
-const GOAL: f64 = 0.73;
+/// placed beside it runs, and where that ends: own loads swing by a half
+/// around their mean, over ten seconds and more, while a task runs for two.
+const RISE: f64 = 0.25;
+/// Own load that is not exceeded often.
+const PEAK: f64 = 0.72;
+/// Busy share at which a tail is at its target of five idle tails.
+const BORNE: f64 = 0.8;
+/// Busy share to which fillers are slowed.
+const GOAL: f64 = 0.76;
 /// Busy share above which fillers are slowed at once.
-const HIGH: f64 = 0.77;
+const HIGH: f64 = 0.78;
+/// Pace, in percent, at which a run had better be elsewhere.
+const SLOW: u32 = 40;
+/// Milliseconds at such a pace after which it is moved: a stop and a restart
+/// cost about as much.
+const SLOW_SPAN: Millis = 800;
 /// Milliseconds over its target after which everything beside a serving task
 /// is halted, whatever was learned; a quarter of what is borne.
 const HALT: Millis = 1_000;
+/// Percent of its work that a run without checkpoints may lose by a move.
+const CHEAP: u32 = 30;
 /// Part below which a filler is not worth slowing.
 const SLIGHT: f64 = 0.02;
 /// Paces are ordered in steps of so many percent, to save orders.
@@ -105,20 +116,16 @@
                 .sum()
         };
         if !step.filler {
-            let part = parts(&step.image);
-            return if part > 0.0 {
-                (OWN + part - GOAL).max(0.0)
-            } else {
-                0.0
-            };
+            return (PEAK + parts(&step.image) - BORNE).max(0.0);
         }
         let serving = worker.slots.values().filter(|s| s.serving);
         let over = serving.map(|victim| {
             let own = victim.gauge.as_ref().map_or(OWN, |g| g.own);
+            let peak = (own + RISE).min(PEAK.max(own));
             let added = self.part(&victim.image, &step.image, step.room.cpu, capacity);
-            // What presses little is let in also where the own load is high.
-            let before = own + RISE + parts(&victim.image) - GOAL;
-            (before.max(0.0) + added.min(before + added)).max(0.0) * f64::from(added > SLIGHT)
+            let before = (peak + parts(&victim.image) - BORNE).max(0.0);
+            let after = (peak + parts(&victim.image) + added - BORNE).max(0.0);
+            after - before
         });
         over.sum()
     }
@@ -264,6 +271,7 @@
                 continue;
             };
             slot.pacing = true;
+            log::debug!(target: "task", "task={} run={} event=pace percent={wished}", job.task_name(filler.key), slot.run);
             self.actions.push(Action::Pace(Pace {
                 key: filler.key,
                 run: slot.run,
@@ -295,6 +303,30 @@
         slot.pacing = false;
         if matches!(reply, Reply::Ok(_)) {
             slot.pace = percent;
+            let slow = percent <= SLOW;
+            slot.slow = slow.then(|| slot.slow.unwrap_or(self.now.steady));
+        }
+    }
+
+    /// Moves runs that have been slowed for a while, if little work is lost.
+    pub(super) fn move_slowed(&mut self) {
+        let now = self.now.steady;
+        let mut moved = Vec::new();
+        for (name, worker) in &self.workers {
+            for (key, slot) in &worker.slots {
+                let slow = slot.slow.is_some_and(|at| now >= at + SLOW_SPAN);
+                let Some(job) = self.jobs.get(&key.job).filter(|_| slow) else {
+                    continue;
+                };
+                let cheap = job.step(*key).saves || slot.progress < CHEAP;
+                if cheap && matches!(slot.stage, Stage::Running(_)) {
+                    moved.push((*key, name.clone()));
+                }
+            }
+        }
+        for (key, name) in moved {
+            self.failed_on.insert(key, name);
+            self.stop(key);
         }
     }
 }
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -247,6 +247,7 @@
             slot.stage = Stage::Running(now);
         }
         slot.at_work = run.progress == FULL_PACE;
+        slot.progress = run.progress;
         if let Some(job) = self.jobs.get_mut(&key.job) {
             let over = !job.open();
             if let Some(task) = job.task_mut(key)
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -173,6 +173,8 @@
             cpu: step.room.cpu,
             pace: FULL_PACE,
             pacing: false,
+            slow: None,
+            progress: 0,
             at_work: false,
             gauge: None,
             since: self.now.steady,
