Tasks are ordered by what they can still earn; owners keep up and follow successors

Change: placement in goes of 10 ms, six fillers tried in vain a go, factors by number of image. Cause 3: a chain of owners forgot that one before the last might still extend leases. Change: the owner's row says whether that is settled. Also: order by priority, what can still be earned, due time; fillers wait up to 1.8 s for a worker on which they would run; a slowed task moves once.

--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -72,7 +72,7 @@
         Ok(reply) => {
             take_config(shared, &reply);
             if !reply.owner || reply.epoch != seen.row.epoch {
-                refresh(shared, &seen).await;
+                refresh(shared).await;
             } else if reply.confirmed > UNCONFIRMED {
                 replace(shared, &seen, STILL).await;
             }
@@ -122,31 +122,26 @@
     shared.see(seen);
 }
 
-/// Reads the owner's row again; true when another owner stands there.
-async fn refresh(shared: &Shared, before: &Seen) -> bool {
+/// Reads the owner's row again.
+async fn refresh(shared: &Shared) {
     match read_owner(shared).await {
-        Ok(seen) => {
-            let same = seen
-                .as_ref()
-                .is_some_and(|s| s.row.epoch == before.row.epoch && !s.row.released);
-            adopt(shared, seen);
-            !same
-        }
-        Err(e) => {
-            store_failed(&e).await;
-            false
-        }
+        Ok(seen) => adopt(shared, seen),
+        Err(e) => store_failed(&e).await,
     }
 }
 
 /// Takes the place of an owner whose row stands still for so many milliseconds.
 async fn replace(shared: &Rc<Shared>, seen: &Seen, still: Millis) {
-    if refresh(shared, seen).await && still > 0 {
-        return;
-    }
+    refresh(shared).await;
     let Some(first) = shared.owner() else {
         return;
     };
+    // A box that was replaced finds its successor here, and follows it.
+    let vacant = first.row.released || first.row.name == shared.settings.name;
+    let unchanged = first.row.epoch == seen.row.epoch;
+    if (still == 0 && !vacant) || (still > 0 && !unchanged) {
+        return;
+    }
     let stagger = stable(&[&shared.settings.name]) % STAGGER;
     if still > 0 {
         sleep(Duration::from_millis(still + stagger)).await;
@@ -167,6 +162,7 @@
         address: settings.rpc,
         epoch: before.as_ref().map_or(0, |b| b.row.epoch) + 1,
         seq: 0,
+        settled: Legacy::of(before.as_ref().map(|b| &b.row), &settings.name) <= Legacy::Leases,
         released: false,
     };
     let write = Write {
@@ -201,6 +197,30 @@
     }
 }
 
+/// What earlier owners may still do to workers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Legacy {
+    /// There was none.
+    Nothing,
+    /// The last one has ended; its leases run out.
+    Leases,
+    /// The last one may still extend leases, until it hears of its end.
+    Owner,
+    /// One before the last one may.
+    Chain,
+}
+
+impl Legacy {
+    fn of(before: Option<&OwnerRow>, name: &str) -> Self {
+        match before {
+            None => Self::Nothing,
+            Some(row) if !row.settled => Self::Chain,
+            Some(row) if row.released || &*row.name == name => Self::Leases,
+            Some(_) => Self::Owner,
+        }
+    }
+}
+
 /// Loads what the store holds and goes on with it.
 async fn take_over(
     shared: &Rc<Shared>,
@@ -229,14 +249,11 @@
         steady: clock::now(),
         wall: clock::wall(),
     };
-    let extends = match &before {
-        None => 0,
-        Some(b) if b.row.released || b.row.name == row.name => 0,
-        Some(_) => bounds.unconfirmed,
-    };
-    let inherited = match &before {
-        None => now.steady,
-        Some(_) => now.steady + extends + lease_span(bounds.lease),
+    let legacy = Legacy::of(before.as_ref().map(|b| &b.row), &row.name);
+    let inherited = match legacy {
+        Legacy::Nothing => now.steady,
+        Legacy::Leases => now.steady + lease_span(bounds.lease),
+        Legacy::Owner | Legacy::Chain => now.steady + bounds.unconfirmed + lease_span(bounds.lease),
     };
     let took = now.steady - sent;
     log::info!(target: "owner", "event=owner-begins epoch={epoch} jobs={} load_ms={took}", kept.len());
@@ -247,7 +264,7 @@
     let journal = Journal::new(row, version, sent);
     let owner = Owner::new(bounds, journal, kept, inherited, now);
     shared.lead(Message::Begin(Box::new(owner), epoch));
-    if let Some(before) = before.filter(|_| extends > 0) {
+    if let Some(before) = before.filter(|_| legacy == Legacy::Owner) {
         monoio::spawn(tell_predecessor(shared.clone(), before.row, epoch));
     }
 }
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -9,6 +9,7 @@
 pub mod job;
 pub mod journal;
 pub mod message;
+mod order;
 pub mod owner;
 mod place;
 mod pressure;
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -234,10 +234,15 @@
 
     /// Returns the declared milliseconds of its longest chain of steps.
     pub fn ideal(&self) -> Millis {
+        self.chain(|step| self.spec.steps[step].estimate)
+    }
+
+    /// Returns the longest chain of steps, where `span` gives the time of each.
+    pub fn chain(&self, span: impl Fn(usize) -> Millis) -> Millis {
         let mut ends: Vec<Millis> = Vec::with_capacity(self.spec.steps.len());
-        for step in &self.spec.steps {
+        for (place, step) in self.spec.steps.iter().enumerate() {
             let start = step.after.iter().filter_map(|a| ends.get(*a)).max();
-            ends.push(start.copied().unwrap_or(0) + step.estimate);
+            ends.push(start.copied().unwrap_or(0) + span(place));
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -49,6 +49,9 @@
     pub epoch: u64,
     /// Counts its commits.
     pub seq: u64,
+    /// True once no owner before it can extend a lease on a worker.
+    #[serde(default)]
+    pub settled: bool,
     /// True once it has given the cell up.
     #[serde(default)]
     pub released: bool,
@@ -165,6 +168,11 @@
         }
     }
 
+    /// Has the row say that no owner before can extend a lease any more.
+    pub fn settle_legacy(&mut self) {
+        self.row.settled = true;
+    }
+
     /// Gives the cell up with the next commit.
     pub fn release(&mut self, now: Millis) {
         self.row.released = true;
--- /dev/null
+++ b/src/sched/order.rs
@@ -0,0 +1,75 @@
+//! The order in which waiting tasks are placed.
+
+use std::collections::HashMap;
+
+use super::job::{Job, Phase, TaskKey};
+use super::owner::Owner;
+use crate::utils::clock::Millis;
+
+/// A job that takes more than this many times its aim is worth nothing.
+const WORTHLESS: Millis = 3;
+
+/// What a job can still earn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Prospect {
+    /// It can still be on time.
+    OnTime,
+    /// It can still be late.
+    Late,
+    /// It is worth nothing any more.
+    Lost,
+}
+
+/// Place of a task in the order: the queue's priority, whether it lasts, what
+/// its job can still earn, and when that is due.
+type Rank = (u32, bool, Prospect, Millis, TaskKey);
+
+impl Owner {
+    /// Returns the waiting tasks in the order in which they should start.
+    pub(super) fn order(&self) -> Vec<TaskKey> {
+        let mut known: HashMap<(u32, u32), (Prospect, Millis)> = HashMap::new();
+        let rank = |key: &TaskKey| -> Option<Rank> {
+            let job = self.jobs.get(&key.job)?;
+            let round = key.round;
+            let prospect = || prospect(job, round as usize, self.now.wall);
+            let (prospect, due) = *known.entry((key.job, round)).or_insert_with(prospect);
+            let lasting = job.step(*key).lasting;
+            Some((job.row.queue.priority, lasting, prospect, due, *key))
+        };
+        let mut ranks: Vec<Rank> = self.ready.keys().filter_map(rank).collect();
+        ranks.sort_unstable();
+        ranks.into_iter().map(|rank| rank.4).collect()
+    }
+}
+
+fn prospect(job: &Job, round: usize, wall: Millis) -> (Prospect, Millis) {
+    let queue = &job.row.queue;
+    let start = match job.spec.schedule {
+        Some(schedule) => schedule.first + schedule.interval * round as u64,
+        None => job.row.accepted,
+    };
+    let aim = queue.slack + job.ideal() * u64::from(queue.stretch) / 1_000;
+    let end = wall + remaining(job, round);
+    let prospect = match end {
+        _ if end <= start + aim => Prospect::OnTime,
+        _ if end <= start + aim * WORTHLESS => Prospect::Late,
+        _ => Prospect::Lost,
+    };
+    (prospect, start + aim)
+}
+
+/// Returns the declared milliseconds of the longest chain of steps not done.
+fn remaining(job: &Job, round: usize) -> Millis {
+    let done = |step: usize| {
+        job.row.rounds[round][step]
+            .iter()
+            .all(|t| t.phase == Phase::Done)
+    };
+    job.chain(|step| {
+        if done(step) {
+            0
+        } else {
+            job.spec.steps[step].estimate
+        }
+    })
+}
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -1,6 +1,6 @@
 //! The owner of all jobs and workers of a cell: events in, actions out.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
 use super::job::{Job, JobRow, Outcome, Phase, TaskKey};
 use super::journal::{After, JOB_TABLE, Journal, SPEC_TABLE, Settled};
@@ -43,16 +43,14 @@
     pub row: JobRow,
 }
 
-/// Order in which tasks are placed: priority, when the job is due, the task.
-pub(super) type Rank = (u32, Millis, TaskKey);
-
 /// The owner of a cell.
 pub struct Owner {
     pub(super) bounds: Bounds,
     pub(super) journal: Journal,
     pub(super) jobs: BTreeMap<u32, Job>,
     pub(super) ids: HashMap<Name, u32>,
-    pub(super) ready: BTreeSet<Rank>,
+    /// Tasks that may start, and since when.
+    pub(super) ready: BTreeMap<TaskKey, Millis>,
     pub(super) workers: BTreeMap<Name, Worker>,
     /// Where each placed task is.
     pub(super) placed: HashMap<TaskKey, Name>,
@@ -63,6 +61,7 @@
     /// When leases given by earlier owners have certainly ended.
     pub(super) inherited: Millis,
     pub(super) crowded: bool,
+    pub(super) next_place: Millis,
     pub(super) pressure: Pressure,
     /// When the store was last away, slow or silent.
     pub(super) store_trouble: Millis,
@@ -92,7 +91,7 @@
             journal,
             jobs: BTreeMap::new(),
             ids: HashMap::new(),
-            ready: BTreeSet::new(),
+            ready: BTreeMap::new(),
             workers: BTreeMap::new(),
             placed: HashMap::new(),
             failed_on: HashMap::new(),
@@ -100,6 +99,7 @@
             now,
             inherited,
             crowded: false,
+            next_place: 0,
             pressure: Pressure::default(),
             store_trouble: 0,
             next_job: 0,
@@ -161,7 +161,12 @@
             Contact::Due(at) => Some(at),
             Contact::Open(_) => None,
         });
-        let due = contacts.chain(self.journal.due()).chain([self.next_sweep]);
+        let places = !self.crowded && !self.ready.is_empty();
+        let place = places.then_some(self.next_place);
+        let due = contacts
+            .chain(self.journal.due())
+            .chain(place)
+            .chain([self.next_sweep]);
         due.min().unwrap_or(0).saturating_sub(now.steady).max(1)
     }
 
@@ -179,6 +184,7 @@
     pub fn predecessor_ended(&mut self, now: Now) {
         let end = now.steady + lease_span(self.bounds.lease);
         self.inherited = self.inherited.min(end);
+        self.journal.settle_legacy();
     }
 
     /// Takes in an event and returns what is to be done.
@@ -215,6 +221,9 @@
     }
 
     fn sweep(&mut self) {
+        if self.now.steady > self.inherited {
+            self.journal.settle_legacy();
+        }
         if self.now.steady > self.journal.confirmed() + SILENT_STORE {
             self.store_trouble = self.now.steady;
         }
@@ -234,6 +243,7 @@
             self.release(number);
         }
         self.expire();
+        self.crowded = false;
     }
 
     /// Marks jobs for removal whose state need not be told any more.
@@ -320,28 +330,22 @@
         }
         for round in 0..job.row.rounds.len() {
             for step in 0..job.spec.steps.len() {
-                if job.released(round, step) {
-                    let due = due(job, round);
-                    let tasks = job.row.rounds[round][step].iter().enumerate();
-                    let waiting = tasks.filter(|(_, t)| t.phase == Phase::Waiting);
-                    self.ready.extend(waiting.map(|(index, _)| {
-                        let key = TaskKey {
-                            job: number,
-                            round: round as u32,
-                            step: step as u32,
-                            index: index as u32,
-                        };
-                        (job.row.queue.priority, due, key)
-                    }));
+                if !job.released(round, step) {
+                    continue;
+                }
+                let tasks = job.row.rounds[round][step].iter().enumerate();
+                for (index, _) in tasks.filter(|(_, t)| t.phase == Phase::Waiting) {
+                    let key = TaskKey {
+                        job: number,
+                        round: round as u32,
+                        step: step as u32,
+                        index: index as u32,
+                    };
+                    self.ready.entry(key).or_insert(self.now.steady);
                 }
             }
         }
-    }
-
-    /// Returns the place of a task in the order of starts.
-    pub(super) fn rank(&self, key: TaskKey) -> Option<Rank> {
-        let job = self.jobs.get(&key.job)?;
-        Some((job.row.queue.priority, due(job, key.round as usize), key))
+        self.crowded = false;
     }
 
     /// Ends a job, and with it all that it runs once the end is in the store.
@@ -353,7 +357,7 @@
         job.row.ended = self.now.wall;
         log::info!(target: "job", "job={} event=end outcome={outcome:?}", job.id);
         self.journal.touch(number);
-        self.ready.retain(|(_, _, key)| key.job != number);
+        self.ready.retain(|key, _| key.job != number);
     }
 
     /// Stops what runs of a job that is over.
@@ -428,25 +432,14 @@
             task.phase = Phase::Waiting;
             let open = job.open();
             self.journal.touch(key.job);
-            if open && let Some(rank) = self.rank(key) {
-                self.ready.insert(rank);
+            if open {
+                self.ready.insert(key, self.now.steady);
             }
         }
         slot
     }
 }
 
-/// Returns when a round of a job should be done to be on time, as the
-/// milliseconds since the Unix epoch.
-fn due(job: &Job, round: usize) -> Millis {
-    let start = match job.spec.schedule {
-        Some(schedule) => schedule.first + schedule.interval * round as u64,
-        None => job.row.accepted,
-    };
-    let queue = &job.row.queue;
-    start + queue.slack + job.ideal() * u64::from(queue.stretch) / 1_000
-}
-
 fn rows(job: &mut Job, expired: bool) -> Vec<Write> {
     job.sent = job.row.outcome;
     let over = job.kept != Outcome::Open;
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::pressure::Pressure;
+use super::pressure::{Kind, Pressure};
 use super::spec::StepSpec;
 use super::worker::Worker;
 use crate::utils::Name;
@@ -24,6 +24,12 @@
 const FULL: u64 = 900;
 /// Weight of load beyond that.
 const FULL_WEIGHT: u64 = 3;
+/// Score from which a filler had better wait: the worker is so full, or so
+/// much would be slowed, that it would hardly run.
+const UNHELPFUL: u64 = 1_700;
+/// Milliseconds that a filler waits for a better worker; a job that could run
+/// must not idle for 3 s.
+const PATIENCE: Millis = 1_800;
 /// Whole of a load share.
 const WHOLE: u64 = 1_000;
 
@@ -33,6 +39,10 @@
     pub service: &'a str,
     /// Step of the task.
     pub step: &'a StepSpec,
+    /// Milliseconds that the task has waited.
+    pub waited: Millis,
+    /// Number of the step's image.
+    pub kind: Kind,
     /// What is known of how fillers slow serving tasks.
     pub pressure: &'a Pressure,
     /// True when one more failure ends the job.
@@ -46,8 +56,10 @@
 /// Returns the worker on which the task does best, none when it fits nowhere.
 pub fn choose(workers: &BTreeMap<Name, Worker>, wish: &Wish<'_>, now: Millis) -> Option<Name> {
     let fitting = workers.values().filter(|w| allowed(w, wish, now));
-    let best = fitting.min_by_key(|w| (score(w, wish), &w.listing.id));
-    best.map(|w| w.listing.id.clone())
+    let scored = fitting.map(|w| (score(w, wish), &w.listing.id));
+    let (score, id) = scored.min()?;
+    let waits = wish.step.filler && score > UNHELPFUL && wish.waited < PATIENCE;
+    (!waits).then(|| id.clone())
 }
 
 fn allowed(worker: &Worker, wish: &Wish<'_>, now: Millis) -> bool {
@@ -74,7 +86,7 @@
         _ => load(worker.used.cpu + worker.soft + step.room.cpu),
     };
     if step.target > 0 || step.filler {
-        let excess = wish.pressure.excess_with(worker, step);
+        let excess = wish.pressure.excess_with(worker, step, wish.kind);
         score += (excess * CLASH as f64) as u64;
     }
     if !step.rack.is_empty() && worker.listing.rack() != &*step.rack {
--- a/src/sched/pressure.rs
+++ b/src/sched/pressure.rs
@@ -8,6 +8,7 @@
 //! differences between reports: own loads swing over many seconds, while
 //! fillers come and go at once.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use super::job::TaskKey;
@@ -72,12 +73,22 @@
 /// What is known of how fillers slow serving tasks.
 pub struct Pressure {
     harm: Harm,
+    /// Numbers of images.
+    kinds: HashMap<Name, Kind>,
+    /// Factors with caution by victim and culprit, since placement asks for
+    /// thousands of them.
+    factors: Vec<Vec<f64>>,
 }
 
+/// Number of an image.
+pub type Kind = usize;
+
 impl Default for Pressure {
     fn default() -> Self {
         Self {
             harm: Harm::new(MODEL),
+            kinds: HashMap::new(),
+            factors: Vec::new(),
         }
     }
 }
@@ -91,7 +102,7 @@
 /// A running filler while its pace is decided.
 struct Filler {
     key: TaskKey,
-    image: Name,
+    kind: Kind,
     /// Share of the worker's processors at full pace.
     share: f64,
     /// Pace it should have, as a fraction.
@@ -99,33 +110,60 @@
 }
 
 impl Pressure {
+    /// Returns the number of an image.
+    pub fn kind(&mut self, image: &Name) -> Kind {
+        if let Some(kind) = self.kinds.get(image) {
+            return *kind;
+        }
+        let kind = self.kinds.len();
+        self.kinds.insert(image.clone(), kind);
+        let unseen = self.harm.of(image, image, false);
+        self.factors.iter_mut().for_each(|row| row.push(unseen));
+        self.factors.push(vec![unseen; kind + 1]);
+        kind
+    }
+
+    /// Returns the number of an image, or one that stands for unknown images.
+    pub fn kind_of(&self, image: &str) -> Kind {
+        self.kinds.get(image).copied().unwrap_or(Kind::MAX)
+    }
+
+    fn factor(&self, victim: Kind, culprit: Kind) -> f64 {
+        let row = self.factors.get(victim);
+        row.and_then(|r| r.get(culprit))
+            .copied()
+            .unwrap_or(MODEL.prior)
+    }
+
     /// Returns the part of a serving image's server that a filler takes at full pace.
-    fn part(&self, victim: &str, culprit: &str, cpu: u64, capacity: u64) -> f64 {
-        let share = cpu as f64 / capacity.max(1) as f64;
-        self.harm.of(victim, culprit, false) * share
+    fn part(&self, victim: Kind, culprit: Kind, cpu: u64, capacity: u64) -> f64 {
+        self.factor(victim, culprit) * cpu as f64 / capacity.max(1) as f64
     }
 
     /// Returns how far the serving tasks of a worker would be over their goal
     /// with one more task of a step there.
-    pub fn excess_with(&self, worker: &Worker, step: &StepSpec) -> f64 {
+    pub fn excess_with(&self, worker: &Worker, step: &StepSpec, kind: Kind) -> f64 {
         let capacity = worker.listing.capacity.cpu;
-        let parts = |victim: &str| -> f64 {
-            let fillers = worker.slots.values().filter(|s| s.filler);
-            fillers
-                .map(|f| self.part(victim, &f.image, f.cpu, capacity))
-                .sum()
+        let fillers: Vec<(Kind, u64)> = worker
+            .slots
+            .values()
+            .filter(|s| s.filler)
+            .map(|s| (s.kind, s.cpu))
+            .collect();
+        let parts = |victim: Kind| -> f64 {
+            let part = |(kind, cpu): &(Kind, u64)| self.part(victim, *kind, *cpu, capacity);
+            fillers.iter().map(part).sum()
         };
         if !step.filler {
-            return (PEAK + parts(&step.image) - BORNE).max(0.0);
+            return (PEAK + parts(kind) - BORNE).max(0.0);
         }
         let serving = worker.slots.values().filter(|s| s.serving);
         let over = serving.map(|victim| {
             let own = victim.gauge.as_ref().map_or(OWN, |g| g.own);
             let peak = (own + RISE).min(PEAK.max(own));
-            let added = self.part(&victim.image, &step.image, step.room.cpu, capacity);
-            let before = (peak + parts(&victim.image) - BORNE).max(0.0);
-            let after = (peak + parts(&victim.image) + added - BORNE).max(0.0);
-            after - before
+            let added = self.part(victim.kind, kind, step.room.cpu, capacity);
+            let before = peak + parts(victim.kind) - BORNE;
+            (before + added).max(0.0) - before.max(0.0)
         });
         over.sum()
     }
@@ -137,7 +175,7 @@
     }
 
     /// Learns from how a serving task's busy share moved with its neighbours.
-    fn learn(&mut self, victim: &str, before: &Gauge, busy: f64, mix: &Mix) {
+    fn learn(&mut self, victim: &Name, before: &Gauge, busy: f64, mix: &Mix) {
         let images = before.mix.keys().chain(mix.keys());
         let mut moved = Mix::new();
         for image in images {
@@ -147,14 +185,19 @@
         let moved: Vec<(Name, f64)> = moved.into_iter().filter(|(_, m)| m.abs() > 0.005).collect();
         if !moved.is_empty() {
             self.harm
-                .learn_weighted(&victim.into(), &moved, busy - before.busy, false);
+                .learn_weighted(victim, &moved, busy - before.busy, false);
+            let row = self.kind(victim);
+            for (image, _) in &moved {
+                let column = self.kind(image);
+                self.factors[row][column] = self.harm.of(victim, image, false);
+            }
         }
     }
 
     /// Lowers the wished paces until a victim of this own load would be at its
     /// goal, those that press most first.
-    fn limit(&self, fillers: &mut [Filler], victim: &str, own: f64) {
-        let part = |f: &Filler| self.harm.of(victim, &f.image, false) * f.share;
+    fn limit(&self, fillers: &mut [Filler], victim: Kind, own: f64) {
+        let part = |f: &Filler| self.factor(victim, f.kind) * f.share;
         let wished: f64 = fillers.iter().map(|f| part(f) * f.wished).sum();
         let mut excess = own + wished - GOAL;
         let mut order: Vec<(f64, &mut Filler)> = fillers.iter_mut().map(|f| (part(f), f)).collect();
@@ -199,14 +242,14 @@
             .filter(|(_, s)| matches!(s.stage, Stage::Running(_)))
             .map(|(key, slot)| Filler {
                 key: *key,
-                image: slot.image.clone(),
+                kind: slot.kind,
                 share: slot.cpu as f64 / capacity,
                 wished: 1.0,
             })
             .collect();
         let mut high = false;
         for run in running.iter().filter(|r| r.gauge > 0) {
-            let Some((image, gauge)) = self.gauge(name, run, &mix) else {
+            let Some((kind, gauge)) = self.gauge(name, run, &mix) else {
                 continue;
             };
             high |= gauge.busy > HIGH;
@@ -216,13 +259,13 @@
             {
                 fillers.iter_mut().for_each(|f| f.wished = 0.0);
             }
-            self.pressure.limit(&mut fillers, &image, gauge.own);
+            self.pressure.limit(&mut fillers, kind, gauge.own);
         }
         self.order_paces(name, &fillers, high);
     }
 
-    /// Takes in the gauge of a serving task and returns it with the task's image.
-    fn gauge(&mut self, name: &Name, run: &Running, mix: &Rc<Mix>) -> Option<(Name, Gauge)> {
+    /// Takes in the gauge of a serving task and returns it with the task's kind.
+    fn gauge(&mut self, name: &Name, run: &Running, mix: &Rc<Mix>) -> Option<(Kind, Gauge)> {
         let key = self.find(&run.task)?;
         let now = self.now.steady;
         let slot = self.workers.get_mut(name)?.slots.get_mut(&key)?;
@@ -246,7 +289,7 @@
             mix: mix.clone(),
         };
         slot.gauge = Some(gauge.clone());
-        Some((image, gauge))
+        Some((slot.kind, gauge))
     }
 
     /// Orders the paces that fillers of a worker should have.
@@ -318,6 +361,10 @@
                 let Some(job) = self.jobs.get(&key.job).filter(|_| slow) else {
                     continue;
                 };
+                // One move a task: where all workers are busy, moves help nobody.
+                if self.failed_on.contains_key(key) {
+                    continue;
+                }
                 let cheap = job.step(*key).saves || slot.progress < CHEAP;
                 if cheap && matches!(slot.stage, Stage::Running(_)) {
                     moved.push((*key, name.clone()));
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -346,16 +346,11 @@
             self.free(key);
         } else if open {
             // An earlier run came through after all: its successor is not needed.
-            if let Some(rank) = self.rank(key) {
-                self.ready.remove(&rank);
-            }
             self.stop(key);
             if let Some(task) = self.jobs.get_mut(&key.job).and_then(|j| j.task_mut(key)) {
                 task.phase = Phase::Done;
             }
-            if let Some(rank) = self.rank(key) {
-                self.ready.remove(&rank);
-            }
+            self.ready.remove(&key);
         }
         self.journal.touch(key.job);
         self.failed_on.remove(&key);
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -5,7 +5,7 @@
 use super::job::{Outcome, Phase, TaskKey};
 use super::journal::After;
 use super::message::{Action, Refusal, Reply, Start};
-use super::owner::{Owner, Rank};
+use super::owner::Owner;
 use super::place::{Wish, choose};
 use super::pressure::FULL_PACE;
 use super::spec::{Room, StepSpec};
@@ -13,8 +13,13 @@
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
+/// Milliseconds between two goes, as one looks at all that waits.
+const PLACE_PAUSE: Millis = 10;
 /// Most tasks that are placed in one go, so that other events get their turn.
 const PLACED_AT_ONCE: usize = 200;
+/// Fillers that are tried in vain in one go: what one did not find, the next
+/// rarely does.
+const FILLERS_TRIED: usize = 6;
 /// Milliseconds for which a worker that lacked room or was unwell gets nothing new.
 const BARRED: Millis = 700;
 /// Milliseconds after which a stop without an effect is sent again.
@@ -23,25 +28,27 @@
 impl Owner {
     /// Places ready tasks in their order, as far as there is room.
     pub(super) fn place(&mut self) {
-        if self.crowded || self.ready.is_empty() || self.journal.doubtful() {
+        let now = self.now.steady;
+        if self.crowded || now < self.next_place || self.journal.doubtful() {
             return;
         }
+        self.next_place = now + PLACE_PAUSE;
         let mut misfits: BTreeSet<(Name, Room, bool)> = BTreeSet::new();
-        let ranks: Vec<Rank> = self.ready.iter().copied().collect();
+        let mut fillers_left = FILLERS_TRIED;
         let mut count = 0;
-        for rank in ranks {
+        for key in self.order() {
             if count >= PLACED_AT_ONCE {
                 return;
             }
-            if !self.ready.contains(&rank) {
+            if !self.ready.contains_key(&key) {
                 continue;
             }
-            let key = rank.2;
             let job = &self.jobs[&key.job];
             let step = job.step(key);
             let shape = (job.row.queue.service.clone(), step.held(), step.filler);
-            let plain = step.label.is_empty() && step.spread == 0;
-            if misfits.contains(&shape) {
+            let plain = step.label.is_empty() && step.spread == 0 && !step.filler;
+            let filler = step.filler;
+            if misfits.contains(&shape) || (filler && fillers_left == 0) {
                 continue;
             }
             let placed = match step.gang {
@@ -49,6 +56,9 @@
                 false => self.place_one(key),
             };
             count += placed;
+            if placed == 0 && filler {
+                fillers_left -= 1;
+            }
             if placed == 0 && plain {
                 misfits.insert(shape);
             }
@@ -128,10 +138,13 @@
                 }
             }
         }
+        let since = self.ready.get(&key).copied().unwrap_or(self.now.steady);
         let wish = Wish {
+            waited: self.now.steady - since,
             service: &job.row.queue.service,
             step,
             last_try: !step.lasting && task.failures + 1 >= job.row.queue.attempts,
+            kind: self.pressure.kind_of(&step.image),
             pressure: &self.pressure,
             avoid: self.failed_on.get(&key).map_or("", |w| w),
             beside: &beside,
@@ -140,9 +153,7 @@
     }
 
     fn assign(&mut self, key: TaskKey, run: u32, name: Name) {
-        if let Some(rank) = self.rank(key) {
-            self.ready.remove(&rank);
-        }
+        self.ready.remove(&key);
         let slot = self.slot(key, run, Stage::Recording);
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
@@ -159,8 +170,9 @@
     }
 
     /// Returns what a run of a task takes on its worker.
-    pub(super) fn slot(&self, key: TaskKey, run: u32, stage: Stage) -> Slot {
+    pub(super) fn slot(&mut self, key: TaskKey, run: u32, stage: Stage) -> Slot {
         let step = self.jobs[&key.job].step(key);
+        let kind = self.pressure.kind(&step.image);
         Slot {
             run,
             stage,
@@ -169,6 +181,7 @@
             serving: step.target > 0,
             filler: step.filler,
             image: step.image.clone(),
+            kind,
             target: step.target,
             cpu: step.room.cpu,
             pace: FULL_PACE,
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use super::job::TaskKey;
+use super::pressure::Kind;
 use super::spec::Room;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -84,6 +85,8 @@
     pub filler: bool,
     /// Kind of work; tasks of one image behave alike.
     pub image: Name,
+    /// Number of that kind.
+    pub kind: Kind,
     /// Latency that a serving task must stay under, in milliseconds.
     pub target: Millis,
     /// Processor share at full pace.
