What is learned of pressure between images outlasts its owner

Change: the factors are one small row of the store, written with a commit each 3 s at most, and read at a takeover.

--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -10,12 +10,15 @@
 use super::lead::{Message, commit};
 use super::shared::{PART, Seen, Shared};
 use super::watch::READ;
+use crate::harm::Known;
 use crate::platform::store::StoreError;
 use crate::proto::cluster_client::ClusterClient;
 use crate::proto::{PingReply, PingRequest};
 use crate::rpc::client::CallError;
 use crate::sched::job::JobRow;
-use crate::sched::journal::{JOB_TABLE, Journal, OWNER_KEY, OWNER_TABLE, OwnerRow, SPEC_TABLE};
+use crate::sched::journal::{
+    BELIEF_TABLE, JOB_TABLE, Journal, OWNER_KEY, OWNER_TABLE, OwnerRow, PRESSURE_KEY, SPEC_TABLE,
+};
 use crate::sched::message::{Write, Written};
 use crate::sched::owner::{Kept, Now, Owner};
 use crate::sched::spec::JobSpec;
@@ -230,7 +233,7 @@
     before: Option<Seen>,
 ) {
     let epoch = row.epoch;
-    let kept = loop {
+    let (kept, known) = loop {
         match load(shared).await {
             Ok(kept) => break kept,
             Err(e) => {
@@ -262,7 +265,8 @@
         version,
     }));
     let journal = Journal::new(row, version, sent);
-    let owner = Owner::new(bounds, journal, kept, inherited, now);
+    let mut owner = Owner::new(bounds, journal, kept, inherited, now);
+    owner.recall(known);
     shared.lead(Message::Begin(Box::new(owner), epoch));
     if let Some(before) = before.filter(|_| legacy == Legacy::Owner) {
         monoio::spawn(tell_predecessor(shared.clone(), before.row, epoch));
@@ -283,7 +287,7 @@
     }
 }
 
-async fn load(shared: &Shared) -> Result<Vec<Kept>, StoreError> {
+async fn load(shared: &Shared) -> Result<(Vec<Kept>, Vec<Known>), StoreError> {
     let specs = shared.store.read(SPEC_TABLE, PART, READ).await?;
     let rows = shared.store.read(JOB_TABLE, PART, READ).await?;
     let mut specs: std::collections::HashMap<_, JobSpec> = specs
@@ -303,7 +307,10 @@
             row: state,
         })
     });
-    Ok(jobs.collect())
+    let kept = jobs.collect();
+    let beliefs = shared.store.read(BELIEF_TABLE, PART, READ).await?;
+    let known = beliefs.rows.iter().find(|r| &*r.key == PRESSURE_KEY);
+    Ok((kept, known.and_then(decode).unwrap_or_default()))
 }
 
 async fn ping(shared: &Shared, owner: &OwnerRow) -> Result<PingReply, CallError> {
--- a/src/harm.rs
+++ b/src/harm.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::utils::Name;
 
 /// What is assumed before and about measurements.
@@ -45,6 +47,21 @@
     pub busy: bool,
 }
 
+/// An estimate as it is kept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Known {
+    /// Kind that suffers.
+    pub victim: Name,
+    /// Kind that it suffers from.
+    pub culprit: Name,
+    /// True for the band of high load.
+    pub busy: bool,
+    /// Expected harm.
+    pub mean: f64,
+    /// Variance of that.
+    pub variance: f64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Pair {
     victim: u32,
@@ -139,6 +156,37 @@
         }
     }
 
+    /// Returns all estimates, to be kept.
+    pub fn export(&self) -> Vec<Known> {
+        let names: HashMap<u32, &Name> = self.kinds.iter().map(|(n, k)| (*k, n)).collect();
+        let known = |(pair, estimate): (&Pair, &Estimate)| Known {
+            victim: names[&pair.victim].clone(),
+            culprit: names[&pair.culprit].clone(),
+            busy: pair.busy,
+            mean: estimate.mean,
+            variance: estimate.variance,
+        };
+        let mut all: Vec<Known> = self.pairs.iter().map(known).collect();
+        all.sort_by(|a, b| (&a.victim, &a.culprit).cmp(&(&b.victim, &b.culprit)));
+        all
+    }
+
+    /// Takes in estimates that were kept.
+    pub fn import(&mut self, all: Vec<Known>) {
+        for known in all {
+            let pair = Pair {
+                victim: self.kind(&known.victim),
+                culprit: self.kind(&known.culprit),
+                busy: known.busy,
+            };
+            let estimate = Estimate {
+                mean: known.mean,
+                variance: known.variance,
+            };
+            self.pairs.insert(pair, estimate);
+        }
+    }
+
     fn unseen(&self) -> Estimate {
         Estimate {
             mean: self.model.prior,
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -20,6 +20,10 @@
 pub const SPEC_TABLE: &str = "spec";
 /// Table of the states of jobs.
 pub const JOB_TABLE: &str = "job";
+/// Table of what owners learned.
+pub const BELIEF_TABLE: &str = "belief";
+/// Key of the factors of pressure between images.
+pub const PRESSURE_KEY: &str = "pressure";
 /// Key of the owner's row.
 pub const OWNER_KEY: &str = "owner";
 
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -3,11 +3,12 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::job::{Job, JobRow, Outcome, Phase, TaskKey};
-use super::journal::{After, JOB_TABLE, Journal, SPEC_TABLE, Settled};
+use super::journal::{After, BELIEF_TABLE, JOB_TABLE, Journal, PRESSURE_KEY, SPEC_TABLE, Settled};
 use super::message::{Action, Answer, Event, Stop, Ticket, Write, Written};
 use super::pressure::Pressure;
 use super::spec::JobSpec;
 use super::worker::{Contact, Slot, Stage, Worker, lease_span};
+use crate::harm::Known;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -67,12 +68,16 @@
     pub(super) store_trouble: Millis,
     next_job: u32,
     next_sweep: Millis,
+    next_beliefs: Millis,
     deposed: bool,
 }
 
 /// Milliseconds without a commit that tell of trouble of the store: an idle
 /// owner commits each 500.
 const SILENT_STORE: Millis = 900;
+/// Milliseconds between two writes of what was learned: it is learned anew
+/// within some seconds, at the cost of those.
+const BELIEFS: Millis = 3_000;
 /// Milliseconds between two looks at what has become due or too old.
 const SWEEP: Millis = 100;
 
@@ -104,6 +109,7 @@
             store_trouble: 0,
             next_job: 0,
             next_sweep: 0,
+            next_beliefs: 0,
             deposed: false,
         };
         for job in kept {
@@ -268,7 +274,8 @@
             Some(job) => rows(job, wall > job.row.ended.saturating_add(remember)),
             None => Vec::new(),
         };
-        if let Some((number, version, writes)) = self.journal.build(self.now.steady, rows) {
+        if let Some((number, version, mut writes)) = self.journal.build(self.now.steady, rows) {
+            writes.extend(self.beliefs());
             self.actions.push(Action::Commit {
                 number,
                 version,
@@ -277,6 +284,25 @@
         }
     }
 
+    /// Returns the row of what was learned, now and then.
+    fn beliefs(&mut self) -> Option<Write> {
+        if self.now.steady < self.next_beliefs {
+            return None;
+        }
+        self.next_beliefs = self.now.steady + BELIEFS;
+        let known = self.pressure.export()?;
+        Some(Write {
+            table: BELIEF_TABLE,
+            key: PRESSURE_KEY.into(),
+            value: Some(crate::table::encode(&known)),
+        })
+    }
+
+    /// Goes on with what earlier owners learned of pressure between images.
+    pub fn recall(&mut self, known: Vec<Known>) {
+        self.pressure.import(known);
+    }
+
     fn written(&mut self, number: u64, written: Written) {
         match self.journal.settle(number, written, self.now.steady) {
             Settled::Again => {}
--- a/src/sched/pressure.rs
+++ b/src/sched/pressure.rs
@@ -16,7 +16,7 @@
 use super::owner::Owner;
 use super::spec::StepSpec;
 use super::worker::{Gauge, Mix, Stage, Worker};
-use crate::harm::{Harm, Model};
+use crate::harm::{Harm, Known, Model};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -78,6 +78,8 @@
     /// Factors with caution by victim and culprit, since placement asks for
     /// thousands of them.
     factors: Vec<Vec<f64>>,
+    /// True when something was learned since it was last kept.
+    learned: bool,
 }
 
 /// Number of an image.
@@ -89,6 +91,7 @@
             harm: Harm::new(MODEL),
             kinds: HashMap::new(),
             factors: Vec::new(),
+            learned: false,
         }
     }
 }
@@ -110,6 +113,26 @@
 }
 
 impl Pressure {
+    /// Returns what was learned, to be kept, if that is more than before.
+    pub fn export(&mut self) -> Option<Vec<Known>> {
+        std::mem::take(&mut self.learned).then(|| self.harm.export())
+    }
+
+    /// Goes on with what an earlier owner learned.
+    pub fn import(&mut self, all: Vec<Known>) {
+        self.harm.import(all.clone());
+        for known in all {
+            self.note(&known.victim, &known.culprit);
+        }
+    }
+
+    /// Keeps the factor of a pair at hand.
+    fn note(&mut self, victim: &Name, culprit: &Name) {
+        let row = self.kind(victim);
+        let column = self.kind(culprit);
+        self.factors[row][column] = self.harm.of(victim, culprit, false);
+    }
+
     /// Returns the number of an image.
     pub fn kind(&mut self, image: &Name) -> Kind {
         if let Some(kind) = self.kinds.get(image) {
@@ -186,11 +209,8 @@
         if !moved.is_empty() {
             self.harm
                 .learn_weighted(victim, &moved, busy - before.busy, false);
-            let row = self.kind(victim);
-            for (image, _) in &moved {
-                let column = self.kind(image);
-                self.factors[row][column] = self.harm.of(victim, image, false);
-            }
+            moved.iter().for_each(|(image, _)| self.note(victim, image));
+            self.learned = true;
         }
     }
 
