--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -236,7 +236,6 @@
         self.settle_lapsed();
         self.lapse();
         self.evacuate();
-        self.move_slowed();
         self.check_runs();
         let wall = self.now.wall;
         let scheduled: Vec<u32> = self
--- a/src/sched/pressure.rs
+++ b/src/sched/pressure.rs
@@ -55,16 +55,9 @@
 const GOAL: f64 = 0.76;
 /// Busy share above which fillers are slowed at once.
 const HIGH: f64 = 0.78;
-/// Pace, in percent, at which a run had better be elsewhere.
-const SLOW: u32 = 40;
-/// Milliseconds at such a pace after which it is moved: a stop and a restart
-/// cost about as much.
-const SLOW_SPAN: Millis = 800;
 /// Milliseconds over its target after which everything beside a serving task
 /// is halted, whatever was learned; a quarter of what is borne.
 const HALT: Millis = 1_000;
-/// Percent of its work that a run without checkpoints may lose by a move.
-const CHEAP: u32 = 30;
 /// Part below which a filler is not worth slowing.
 const SLIGHT: f64 = 0.02;
 /// Paces are ordered in steps of so many percent, to save orders.
@@ -366,34 +359,6 @@
         slot.pacing = false;
         if matches!(reply, Reply::Ok(_)) {
             slot.pace = percent;
-            let slow = percent <= SLOW;
-            slot.slow = slow.then(|| slot.slow.unwrap_or(self.now.steady));
-        }
-    }
-
-    /// Moves runs that have been slowed for a while, if little work is lost.
-    pub(super) fn move_slowed(&mut self) {
-        let now = self.now.steady;
-        let mut moved = Vec::new();
-        for (name, worker) in &self.workers {
-            for (key, slot) in &worker.slots {
-                let slow = slot.slow.is_some_and(|at| now >= at + SLOW_SPAN);
-                let Some(job) = self.jobs.get(&key.job).filter(|_| slow) else {
-                    continue;
-                };
-                // One move a task: where all workers are busy, moves help nobody.
-                if self.failed_on.contains_key(key) {
-                    continue;
-                }
-                let cheap = job.step(*key).saves || slot.progress < CHEAP;
-                if cheap && matches!(slot.stage, Stage::Running(_)) {
-                    moved.push((*key, name.clone()));
-                }
-            }
-        }
-        for (key, name) in moved {
-            self.failed_on.insert(key, name);
-            self.stop(key);
         }
     }
 }
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -186,7 +186,6 @@
             cpu: step.room.cpu,
             pace: FULL_PACE,
             pacing: false,
-            slow: None,
             progress: 0,
             at_work: false,
             gauge: None,
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -97,8 +97,6 @@
     pub pacing: bool,
     /// When it was placed.
     pub since: Millis,
-    /// Since when it has been slowed much; none while it is not.
-    pub slow: Option<Millis>,
     /// Percent of its work that is done.
     pub progress: u32,
     /// True once a lasting task is at work.
