--- a/src/sched/pressure.rs
+++ b/src/sched/pressure.rs
@@ -184,14 +184,14 @@
         over.sum()
     }
 
-    fn pressed(&self, victim: &str, mix: &Mix) -> f64 {
+    pub(super) fn pressed(&self, victim: &str, mix: &Mix) -> f64 {
         let part =
             |(image, share): (&Name, &f64)| self.harm.estimated(victim, image, false).0 * share;
         mix.iter().map(part).sum()
     }
 
     /// Learns from how a serving task's busy share moved with its neighbours.
-    fn learn(&mut self, victim: &Name, before: &Gauge, busy: f64, mix: &Mix) {
+    pub(super) fn learn(&mut self, victim: &Name, before: &Gauge, busy: f64, mix: &Mix) {
         let images = before.mix.keys().chain(mix.keys());
         let mut moved = Mix::new();
         for image in images {
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -1,1 +1,10 @@
+//! Tests of the owner against fake workers and a fake store, in virtual time.
 
+mod directory;
+mod journal;
+mod jobs;
+mod order;
+mod pressure;
+mod random;
+mod takeover;
+mod world;
--- /dev/null
+++ b/src/sched/tests/directory.rs
@@ -0,0 +1,102 @@
+//! Workers that leave, vanish and come back.
+
+use super::world::{World, job, step};
+use crate::sched::job::Shown;
+use crate::sched::message::{Event, How};
+use crate::sched::spec::StepSpec;
+
+fn lasting(count: u32) -> StepSpec {
+    StepSpec {
+        lasting: true,
+        ..step(count, 1_000)
+    }
+}
+
+fn leave(world: &mut World, id: &str, stays: u64) {
+    let worker = world.workers.get_mut(id).expect("worker");
+    worker.listing.leaving = true;
+    worker.listing.stays = stays;
+    let listing = worker.listing.clone();
+    world.step(Event::Listed(vec![(id.into(), Some(listing))]));
+}
+
+#[test]
+fn lasting_tasks_leave_a_draining_worker_at_once() {
+    let mut world = World::new(2);
+    world.script = |_, _| (1_000_000, How::Done);
+    world.submit("j1", job(vec![lasting(3)]));
+    world.run(200);
+    leave(&mut world, "w0", 5_000);
+    world.run(1_500);
+    assert!(world.running().iter().all(|(_, w)| &**w == "w1"));
+    assert_eq!(world.running().len(), 3);
+}
+
+#[test]
+fn no_more_tasks_are_moved_at_once_than_the_step_bears() {
+    let mut world = World::new(2);
+    world.script = |_, _| (1_000_000, How::Done);
+    let step = StepSpec {
+        disruptions: Some(1),
+        spread: 2,
+        ..lasting(4)
+    };
+    world.submit("j1", job(vec![step]));
+    world.run(1_500);
+    assert_eq!(world.running().len(), 4);
+    world.add_worker("w2", 200);
+    world.list();
+    world.run(200);
+    leave(&mut world, "w0", 30_000);
+    for _ in 0..4_000 {
+        world.run(1);
+        assert!(world.running().len() >= 3);
+    }
+    assert!(world.running().iter().all(|(_, w)| &**w != "w0"));
+}
+
+#[test]
+fn a_silent_worker_is_left_to_its_lease_and_then_replaced() {
+    let mut world = World::new(2);
+    world.script = |_, _| (1_000_000, How::Done);
+    world.submit("j1", job(vec![lasting(2)]));
+    world.run(200);
+    let lost = world.running().iter().filter(|(_, w)| &**w == "w0").count();
+    assert!(lost > 0);
+    world.workers.get_mut("w0").expect("worker").cut = true;
+    world.run(12_000);
+    let here = world.running().iter().filter(|(_, w)| &**w == "w1").count();
+    assert_eq!(here, 2, "unanswered exchanges must not count as leases for ever");
+    assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+}
+
+#[test]
+fn a_listing_that_lapses_with_the_store_away_is_no_news_of_a_worker() {
+    let mut world = World::new(2);
+    world.script = |_, _| (1_000_000, How::Done);
+    world.submit("j1", job(vec![lasting(2)]));
+    world.run(200);
+    world.store_down = true;
+    world.run(3_000);
+    world.store_down = false;
+    world.step(Event::Directory(Vec::new()));
+    world.run(1_000);
+    world.list();
+    world.run(5_000);
+    assert_eq!(world.starts.len(), 2, "nothing was moved");
+}
+
+#[test]
+fn another_life_at_the_same_address_ends_the_one_before() {
+    let mut world = World::new(2);
+    world.script = |_, _| (1_000_000, How::Done);
+    world.submit("j1", job(vec![lasting(2)]));
+    world.run(200);
+    world.workers.remove("w0");
+    world.add_worker("w9", 100);
+    let listing = world.workers["w9"].listing.clone();
+    world.step(Event::Listed(vec![("w9".into(), Some(listing))]));
+    world.run(300);
+    assert_eq!(world.running().len(), 2);
+    assert_eq!(world.shown("j1"), Some(Shown::Running));
+}
--- /dev/null
+++ b/src/sched/tests/takeover.rs
@@ -0,0 +1,65 @@
+//! What a new owner may conclude about what runs.
+
+use super::world::{World, job, step};
+use crate::sched::job::Shown;
+use crate::sched::message::How;
+
+/// Milliseconds within which the owner before has certainly ended.
+const INHERITED: u64 = 14_000;
+
+#[test]
+fn runs_go_on_under_the_next_owner() {
+    let mut world = World::new(3);
+    world.script = |_, _| (3_000, How::Done);
+    world.submit("j1", job(vec![step(4, 1_000)]));
+    world.run(500);
+    world.take_over(INHERITED);
+    world.run(3_500);
+    assert_eq!(world.shown("j1"), Some(Shown::Completed));
+    assert_eq!(world.starts.len(), 4);
+}
+
+#[test]
+fn a_task_on_a_worker_that_cannot_be_reached_waits_for_all_leases() {
+    let mut world = World::new(2);
+    world.script = |_, _| (30_000, How::Done);
+    world.submit("j1", job(vec![step(2, 1_000)]));
+    world.run(500);
+    world.workers.get_mut("w0").expect("worker").cut = true;
+    world.take_over(INHERITED);
+    world.run(INHERITED - 500);
+    assert_eq!(world.starts.len(), 2);
+    world.run(2_500);
+    assert_eq!(world.starts.len(), 3, "the leases have ended");
+    assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+}
+
+#[test]
+fn word_that_the_owner_before_has_ended_shortens_the_wait() {
+    let mut world = World::new(2);
+    world.script = |_, _| (30_000, How::Done);
+    world.submit("j1", job(vec![step(2, 1_000)]));
+    world.run(500);
+    world.workers.get_mut("w0").expect("worker").cut = true;
+    world.take_over(INHERITED);
+    let now = crate::sched::owner::Now {
+        steady: world.now,
+        wall: world.now,
+    };
+    world.owner.predecessor_ended(now);
+    world.run(7_000);
+    assert_eq!(world.starts.len(), 3);
+    assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+}
+
+#[test]
+fn a_job_that_was_accepted_outlasts_its_owner() {
+    let mut world = World::new(2);
+    let ticket = world.submit("j1", job(vec![step(2, 1_000)]));
+    while !world.answers.contains_key(&ticket) {
+        world.run(1);
+    }
+    world.take_over(INHERITED);
+    world.run(2_500);
+    assert_eq!(world.shown("j1"), Some(Shown::Completed));
+}
