--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -339,12 +339,6 @@
         }
     }
 
-    fn seen(&mut self, worker: &str, end: u64) {
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.pending.remove(&end);
-        }
-    }
-
     /// Puts the tasks of a job that may start now among the ready ones.
     pub(super) fn release(&mut self, number: u32) {
         let Some(job) = self.jobs.get(&number) else {
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -18,8 +18,11 @@
 const WATCH: Millis = 400;
 /// Milliseconds until the next exchange after one that had no answer.
 const MISS_PAUSE: Millis = 250;
-/// Milliseconds until the next exchange while ends wait to be written.
-const ENDS_PAUSE: Millis = 15;
+/// Longest that the next exchange waits for ends to be written, in
+/// milliseconds; one before that is answered at once, with the same ends.
+const ENDS_PAUSE: Millis = 300;
+/// Milliseconds from then to the next exchange, for more ends to gather.
+const GATHER: Millis = 25;
 /// Ends in one report; with so many there may be more.
 const REPORT_LIMIT: usize = 500;
 /// Failed runs in a row after which a worker rests.
@@ -185,6 +188,18 @@
         }
     }
 
+    /// Takes in that the store holds an end, so that the worker may forget it.
+    pub(super) fn seen(&mut self, name: &str, end: u64) {
+        let now = self.now.steady;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        worker.pending.remove(&end);
+        if worker.pending.is_empty() && matches!(worker.contact, Contact::Due(_)) {
+            worker.contact = Contact::Due(now + GATHER);
+        }
+    }
+
     /// Compares the runs that a worker lists with those that are known there.
     fn runs(&mut self, name: &Name, sent: Millis, running: &[Running], whole: bool) {
         let mut listed = BTreeSet::new();
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of the owner against fake workers and a fake store, in virtual time.
 
 mod directory;
-mod journal;
 mod jobs;
+mod journal;
 mod order;
 mod pressure;
 mod random;
--- a/src/sched/tests/directory.rs
+++ b/src/sched/tests/directory.rs
@@ -66,7 +66,10 @@
     world.workers.get_mut("w0").expect("worker").cut = true;
     world.run(12_000);
     let here = world.running().iter().filter(|(_, w)| &**w == "w1").count();
-    assert_eq!(here, 2, "unanswered exchanges must not count as leases for ever");
+    assert_eq!(
+        here, 2,
+        "unanswered exchanges must not count as leases for ever"
+    );
     assert!(world.doubles.is_empty(), "{:?}", world.doubles);
 }
 
--- a/src/sched/tests/journal.rs
+++ b/src/sched/tests/journal.rs
@@ -19,7 +19,9 @@
 #[test]
 fn boxes_that_start_in_the_same_millisecond_are_not_taken_for_each_other() {
     let mut journal = Journal::new(row("box-a", 77), 1, 0);
-    let (number, ..) = journal.build(1_000, |_| Vec::new()).expect("a commit is due");
+    let (number, ..) = journal
+        .build(1_000, |_| Vec::new())
+        .expect("a commit is due");
     let other = Written::Conflict(Some((2, encode(&row("box-b", 77)))));
     assert_eq!(journal.settle(number, other, 1_010), Settled::Deposed);
 }
@@ -30,12 +32,19 @@
     journal.touch(5);
     let (number, version, _) = journal.build(10, |_| Vec::new()).expect("a commit is due");
     assert_eq!(version, 1);
-    assert_eq!(journal.settle(number, Written::Unknown, 300), Settled::Again);
+    assert_eq!(
+        journal.settle(number, Written::Unknown, 300),
+        Settled::Again
+    );
     assert!(journal.doubtful());
-    let (number, ..) = journal.build(300, |_| Vec::new()).expect("it is tried again");
+    let (number, ..) = journal
+        .build(300, |_| Vec::new())
+        .expect("it is tried again");
     let own = Written::Conflict(Some((9, encode(&row("box-a", 77)))));
     assert_eq!(journal.settle(number, own, 310), Settled::Again);
-    let (number, version, _) = journal.build(310, |_| Vec::new()).expect("it is tried again");
+    let (number, version, _) = journal
+        .build(310, |_| Vec::new())
+        .expect("it is tried again");
     assert_eq!(version, 9);
     let kept = journal.settle(number, Written::Done(10), 320);
     assert_eq!(kept, Settled::Kept(vec![(5, Vec::new())]));
@@ -50,7 +59,9 @@
     journal.release(11);
     journal.settle(number, Written::Done(2), 12);
     assert!(!journal.released());
-    let (number, ..) = journal.build(20, |_| Vec::new()).expect("the release is due");
+    let (number, ..) = journal
+        .build(20, |_| Vec::new())
+        .expect("the release is due");
     journal.settle(number, Written::Done(3), 22);
     assert!(journal.released());
 }
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -206,7 +206,8 @@
     }
 
     fn put_owner(&mut self, row: &OwnerRow) {
-        self.rows.insert((OWNER_TABLE, OWNER_KEY.into()), encode(row));
+        self.rows
+            .insert((OWNER_TABLE, OWNER_KEY.into()), encode(row));
     }
 
     pub fn add_worker(&mut self, id: &str, port: u16) {
@@ -281,7 +282,10 @@
     }
 
     fn kept(&self) -> Vec<Kept> {
-        let jobs = self.rows.iter().filter(|((table, _), _)| *table == JOB_TABLE);
+        let jobs = self
+            .rows
+            .iter()
+            .filter(|((table, _), _)| *table == JOB_TABLE);
         jobs.map(|((_, id), value)| {
             let spec = &self.rows[&(SPEC_TABLE, id.clone())];
             let row: JobRow = serde_json::from_slice(value).expect("row");
@@ -367,7 +371,10 @@
         let event = match call {
             Call::Commit(number, version, writes) => {
                 if self.store_down {
-                    return self.later(GIVEN_UP, Due::Event(self.epoch, Event::Written(number, Written::Unknown)));
+                    return self.later(
+                        GIVEN_UP,
+                        Due::Event(self.epoch, Event::Written(number, Written::Unknown)),
+                    );
                 }
                 Event::Written(number, self.commit(version, writes))
             }
@@ -476,10 +483,18 @@
             return Reply::Refused(Refusal::Late);
         }
         worker.lease = worker.lease.max(start.lease);
-        if worker.running.get(&start.task).is_some_and(|r| r.run == start.run) {
+        if worker
+            .running
+            .get(&start.task)
+            .is_some_and(|r| r.run == start.run)
+        {
             return Reply::Ok(now);
         }
-        if worker.barred.get(&start.task).is_some_and(|r| start.run <= *r) {
+        if worker
+            .barred
+            .get(&start.task)
+            .is_some_and(|r| start.run <= *r)
+        {
             return Reply::Refused(Refusal::Old);
         }
         let run = Run {
@@ -490,9 +505,14 @@
         worker.running.insert(start.task.clone(), run);
         let id = start.worker.clone();
         self.starts.push((start.task.clone(), start.run, id, now));
-        let places = self.running().into_iter().filter(|(t, _)| *t == start.task).count();
+        let places = self
+            .running()
+            .into_iter()
+            .filter(|(t, _)| *t == start.task)
+            .count();
         if places > 1 {
-            self.doubles.push(format!("{} run {} at {now}", start.task, start.run));
+            self.doubles
+                .push(format!("{} run {} at {now}", start.task, start.run));
         }
         Reply::Ok(now)
     }
@@ -507,7 +527,11 @@
         }
         let barred = worker.barred.entry(stop.task.clone()).or_insert(0);
         *barred = stop.run.max(*barred);
-        if worker.running.get(&stop.task).is_some_and(|r| r.run == stop.run) {
+        if worker
+            .running
+            .get(&stop.task)
+            .is_some_and(|r| r.run == stop.run)
+        {
             worker.end(&stop.task, How::Stopped, now);
         }
         Reply::Ok(now)
