Logs that never block, counters of the owner, explain; tests of the adapter

Log lines go to standard output through a sink that asks whether the reader takes them, drops whole lines otherwise and says how many (test with a full pipe). explain ID prints the course of a job over the logs of many boxes.

--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -70,6 +70,16 @@
     }
 }
 
+fn gauges(owner: &Owner) {
+    let metrics = crate::metrics::get();
+    let (jobs, workers, waiting) = owner.sizes();
+    metrics.jobs.set(jobs as i64);
+    metrics.workers.set(workers as i64);
+    metrics.waiting.set(waiting as i64);
+    let age = clock::now().saturating_sub(owner.confirmed());
+    metrics.unconfirmed.set(age as i64);
+}
+
 fn tick(lead: &Option<Lead>) -> Message {
     Message::Event(lead.as_ref().map_or(0, |l| l.epoch), Event::Tick)
 }
@@ -85,6 +95,7 @@
     match (message, lead.as_mut()) {
         (Message::Begin(owner, epoch), _) => {
             *lead = Some(begin(*owner, epoch));
+            crate::metrics::get().takeovers.inc();
             shared.set_leading(Some(epoch));
             monoio::spawn(watch::directory(shared.clone(), epoch));
             if shared.stopping() {
@@ -142,6 +153,7 @@
         return;
     };
     shared.set_confirmed(held.owner.confirmed());
+    gauges(&held.owner);
     if held.owner.deposed() {
         end(shared, lead, "deposed");
     } else if held.owner.released() {
@@ -164,6 +176,8 @@
     /// Waits longer for the next commit while the store is slow.
     fn pace_commits(&mut self, written: &Written) {
         let took = clock::now() - self.commit_sent;
+        let seconds = took as f64 / 1_000.0;
+        crate::metrics::get().commit_seconds.observe(seconds);
         let wished = match written {
             Written::Unknown => self.commit_limit * 2,
             _ => took * COMMIT_SPREAD,
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,116 @@
+//! The course of one job or task, out of the logs of many boxes.
+
+#[cfg(test)]
+mod tests;
+
+use serde::Serialize;
+
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// One decision that touched the job, as a box logged it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Moment {
+    /// Milliseconds since the Unix epoch on the clock of the box.
+    pub time: Millis,
+    /// Box that decided.
+    #[serde(rename = "box")]
+    pub node: String,
+    /// What happened.
+    pub event: String,
+    /// What decided it: `key=value` pairs, without the event.
+    pub inputs: String,
+}
+
+/// Returns the moments of a job, a task or a worker in their order, with what
+/// befell the owners and the store between the first and the last of them.
+pub fn find<'l>(lines: impl Iterator<Item = &'l str>, id: &str) -> Vec<Moment> {
+    let all: Vec<(bool, Moment)> = lines
+        .filter_map(|line| Some((names(line, id), parse(line)?)))
+        .collect();
+    let touched = || all.iter().filter(|(named, _)| *named).map(|(_, m)| m.time);
+    let (Some(first), Some(last)) = (touched().min(), touched().max()) else {
+        return Vec::new();
+    };
+    let within = |m: &Moment| (first..=last).contains(&m.time) && concerns_all(&m.event);
+    let mut moments: Vec<Moment> = all
+        .into_iter()
+        .filter(|(named, m)| *named || within(m))
+        .map(|(_, m)| m)
+        .collect();
+    moments.sort_by_key(|m| m.time);
+    moments
+}
+
+/// Events that touch every job.
+const COMMON: [&str; 8] = [
+    "owner-begins",
+    "owner-ends",
+    "predecessor-ended",
+    "owner-silent",
+    "feed-lost",
+    "feed-regained",
+    "stop",
+    "log-dropped",
+];
+
+fn concerns_all(event: &str) -> bool {
+    COMMON.contains(&event)
+}
+
+/// Returns true when a line has the id as a value or as the start of one.
+fn names(line: &str, id: &str) -> bool {
+    line.split_ascii_whitespace().any(|word| {
+        let value = word.split_once('=').map_or(word, |(_, v)| v);
+        let rest = value.strip_prefix(id);
+        rest.is_some_and(|r| r.is_empty() || r.starts_with('.'))
+    })
+}
+
+/// Reads a line as text: time, level, box, module and pairs; or as JSON.
+fn parse(line: &str) -> Option<Moment> {
+    let start = line.find(|c: char| c.is_ascii_digit() || c == '{')?;
+    let line = &line[start..];
+    if line.starts_with('{') {
+        return parse_json(line);
+    }
+    let words: Vec<&str> = line.split_ascii_whitespace().collect();
+    // A test bench may put its own time and the box before the line.
+    let place = words
+        .iter()
+        .position(|w| w.len() >= 13 && w.parse::<Millis>().is_ok())?;
+    let time = words[place].parse().ok()?;
+    let node = words.get(place + 2)?.to_string();
+    moment(time, node, &words.get(place + 4..)?.join(" "))
+}
+
+/// A log line as JSON, as far as it is needed.
+#[derive(serde::Deserialize)]
+struct Line {
+    time: Millis,
+    #[serde(rename = "box")]
+    node: Name,
+    message: String,
+}
+
+fn parse_json(line: &str) -> Option<Moment> {
+    let line: Line = serde_json::from_str(line).ok()?;
+    moment(line.time, line.node.to_string(), &line.message)
+}
+
+fn moment(time: Millis, node: String, message: &str) -> Option<Moment> {
+    let mut event = None;
+    let mut inputs = Vec::new();
+    for word in message.split_ascii_whitespace() {
+        match word.strip_prefix("event=") {
+            Some(name) if event.is_none() => event = Some(name.to_string()),
+            _ => inputs.push(word),
+        }
+    }
+    Some(Moment {
+        time,
+        node,
+        event: event?,
+        inputs: inputs.join(" "),
+    })
+}
--- /dev/null
+++ b/src/explain/tests.rs
@@ -0,0 +1,27 @@
+//! Tests of the course of a job out of log lines.
+
+use super::find;
+
+const LOG: &str = "\
+1783687890011 INFO  b1 daemon: event=start box=b1 life=1
+1783687891000 INFO  b1 job: job=aa11 event=accept queue=q steps=1
+1783687891020 INFO  b1 task: task=aa11.0.0.0 run=1 event=start worker=w1
+1783687891030 INFO  b1 task: task=aa112.0.0.0 run=1 event=start worker=w1
+1783687892000 INFO  b2 owner: event=owner-begins epoch=2 jobs=1 load_ms=30
+{\"time\":1783687892500,\"level\":\"INFO\",\"module\":\"job\",\"box\":\"b2\",\"message\":\"job=aa11 event=end outcome=Completed\"}
+1783687893000 INFO  b2 owner: event=owner-ends epoch=2 reason=deposed
+";
+
+#[test]
+fn a_job_is_followed_over_boxes_with_what_befell_the_owner() {
+    let moments = find(LOG.lines(), "aa11");
+    let events: Vec<&str> = moments.iter().map(|m| &*m.event).collect();
+    assert_eq!(events, ["accept", "start", "owner-begins", "end"]);
+    assert_eq!(moments[3].node, "b2");
+    assert_eq!(moments[1].inputs, "task=aa11.0.0.0 run=1 worker=w1");
+}
+
+#[test]
+fn an_unknown_id_has_no_course() {
+    assert!(find(LOG.lines(), "ff").is_empty());
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod demo;
 pub mod engine;
 pub mod entry;
+pub mod explain;
 pub mod guard;
 pub mod harm;
 pub mod invariant;
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,10 +1,17 @@
 //! Logs: one line an event, as JSON or plain text.
 
-use std::io::Write;
+mod sink;
+
+#[cfg(test)]
+mod tests;
+
+use std::os::fd::AsRawFd;
 
 use log::LevelFilter;
 use serde::Serialize;
 
+pub use sink::Sink;
+
 use crate::utils::clock;
 
 /// How log lines look.
@@ -69,7 +76,8 @@
     for (module, level) in &logs.modules {
         dispatch = dispatch.level_for(module.clone(), *level);
     }
-    let sink: Box<dyn Write + Send> = Box::new(std::io::stdout());
+    let sink = Sink::new(std::io::stdout().as_raw_fd());
+    let sink: Box<dyn std::io::Write + Send> = Box::new(sink);
     dispatch.chain(sink).apply()?;
     Ok(())
 }
--- /dev/null
+++ b/src/logs/tests.rs
@@ -0,0 +1,44 @@
+//! Tests of the sink of log lines.
+
+use std::io::{Read, Write};
+use std::os::fd::AsRawFd;
+
+use super::Sink;
+
+fn line(sink: &mut Sink, text: &str) {
+    sink.write_all(text.as_bytes()).expect("gathered");
+    sink.flush().expect("sent or dropped");
+}
+
+#[test]
+fn a_full_pipe_is_not_waited_for_and_the_loss_is_said() {
+    let (mut reader, writer) = std::io::pipe().expect("pipe");
+    let mut sink = Sink::new(writer.as_raw_fd());
+    let long = format!("{}\n", "x".repeat(2_000));
+    for _ in 0..100 {
+        line(&mut sink, &long);
+    }
+    let mut first = vec![0; 1 << 16];
+    let count = reader.read(&mut first).expect("lines");
+    assert!(count > 0);
+    line(&mut sink, "after\n");
+    drop(sink);
+    drop(writer);
+    let mut rest = String::new();
+    reader.read_to_string(&mut rest).expect("rest");
+    assert!(rest.contains("event=log-dropped lines="), "{rest}");
+    assert!(rest.ends_with("after\n"));
+}
+
+#[test]
+fn a_line_is_cut_to_what_a_pipe_takes_at_once() {
+    let (mut reader, writer) = std::io::pipe().expect("pipe");
+    let mut sink = Sink::new(writer.as_raw_fd());
+    line(&mut sink, &format!("{}\n", "x".repeat(9_000)));
+    drop(sink);
+    drop(writer);
+    let mut text = String::new();
+    reader.read_to_string(&mut text).expect("line");
+    assert_eq!(text.len(), 4_096);
+    assert!(text.ends_with("x\n"));
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -45,6 +45,22 @@
     pub cells: Gauge<i64, AtomicI64>,
     /// Version of the configuration in force.
     pub config: Gauge<i64, AtomicI64>,
+    /// Seconds from a commit to its answer.
+    pub commit_seconds: Histogram,
+    /// Seconds from a job's acceptance to its first start.
+    pub start_seconds: Histogram,
+    /// Times that this box became the owner.
+    pub takeovers: Counter,
+    /// Jobs held by the owner in this process.
+    pub jobs: Gauge<i64, AtomicI64>,
+    /// Workers known to the owner in this process.
+    pub workers: Gauge<i64, AtomicI64>,
+    /// Tasks that wait for a worker.
+    pub waiting: Gauge<i64, AtomicI64>,
+    /// Milliseconds since the store confirmed the owner in this process.
+    pub unconfirmed: Gauge<i64, AtomicI64>,
+    /// Log lines that were dropped.
+    pub dropped: Counter,
     /// Calls to the table.
     pub calls: Counter<u64, AtomicU64>,
     /// Tasks evicted.
@@ -79,6 +95,14 @@
             malformed: Counter::default(),
             cells: Gauge::default(),
             config: Gauge::default(),
+            commit_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
+            start_seconds: Histogram::new(exponential_buckets(0.005, 2.0, 14)),
+            takeovers: Counter::default(),
+            jobs: Gauge::default(),
+            workers: Gauge::default(),
+            waiting: Gauge::default(),
+            unconfirmed: Gauge::default(),
+            dropped: Counter::default(),
             calls: Counter::default(),
             evictions: Gauge::default(),
             finished: Gauge::default(),
@@ -101,6 +125,7 @@
         registry.register("malformed", "Malformed messages", m.malformed.clone());
         registry.register("cells", "Cells owned", m.cells.clone());
         registry.register("config_version", "Configuration in force", m.config.clone());
+        register_owner(&mut registry, m);
         registry.register("table_calls", "Calls to the table", m.calls.clone());
         registry.register(
             "tasks_evicted",
@@ -141,3 +166,35 @@
         text
     }
 }
+
+/// Registers what the owner of jobs counts.
+fn register_owner(registry: &mut Registry, m: &Metrics) {
+    registry.register(
+        "commit_seconds",
+        "Time of a commit",
+        m.commit_seconds.clone(),
+    );
+    registry.register(
+        "first_start_seconds",
+        "Time from acceptance to the first start",
+        m.start_seconds.clone(),
+    );
+    registry.register(
+        "takeovers",
+        "Times that it became the owner",
+        m.takeovers.clone(),
+    );
+    registry.register("jobs", "Jobs held by the owner", m.jobs.clone());
+    registry.register("workers", "Workers known to the owner", m.workers.clone());
+    registry.register(
+        "tasks_waiting",
+        "Tasks that wait for a worker",
+        m.waiting.clone(),
+    );
+    registry.register(
+        "unconfirmed_ms",
+        "Milliseconds since the store confirmed the owner",
+        m.unconfirmed.clone(),
+    );
+    registry.register("log_dropped", "Log lines dropped", m.dropped.clone());
+}
--- a/src/options/args.rs
+++ b/src/options/args.rs
@@ -114,6 +114,21 @@
         /// Where to ask
         target: Target,
     },
+    /// Show the course of a job, task or worker out of the logs of many boxes.
+    ///
+    ///
+    /// Example: willowpoint explain 5c0e7a21d94b36f8 box1.log box2.log
+    #[bpaf(command)]
+    Explain {
+        /// Print JSON
+        json: bool,
+        /// Id of a job, name of a task, or id of a worker
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Log files; the standard input without any
+        #[bpaf(positional("FILE"))]
+        files: Vec<String>,
+    },
     /// Show the spans of one trace out of log files.
     ///
     ///
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,1 +1,137 @@
+//! Tests of what the platform's names are decoded into.
 
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+
+use super::store::Page;
+use super::{config, directory, ingress};
+use crate::queues::Queues;
+use crate::sched::message::{Answer, Ask};
+use crate::table::Row;
+use crate::web::{Reply, Request};
+
+const CONFIG: &str = r#"{"version":7,"routes":[
+    {"name":"r-long","host":"a.example","pathPrefix":"/q/x/","type":"unsafe","timeoutMs":3000,"targetLatencyMs":250,"priority":0,"service":"s1","maxAttempts":3,"stretch":1.5},
+    {"name":"r-short","host":"a.example","pathPrefix":"/q/","type":"unsafe","timeoutMs":3000,"targetLatencyMs":1000,"priority":2,"service":"s2","maxAttempts":4,"stretch":2.0}],
+    "services":[{"name":"s1"}],"limits":{"maxBodyBytes":1000}}"#;
+
+fn row(key: &str, value: &str) -> Row {
+    Row {
+        key: key.into(),
+        version: 3,
+        value: value.to_string().into(),
+    }
+}
+
+fn queues() -> Queues {
+    config::queues(&row(config::KEY, CONFIG)).expect("decodes")
+}
+
+fn request(method: Method, path: &str, body: &str) -> Request {
+    let mut headers = HeaderMap::new();
+    headers.insert(http::header::HOST, HeaderValue::from_static("A.example:80"));
+    Request {
+        method,
+        uri: path.parse().expect("path"),
+        headers,
+        body: body.to_string().into(),
+    }
+}
+
+fn refused(method: Method, path: &str, body: &str) -> Reply {
+    let request = request(method, path, body);
+    ingress::ask(&request, &queues()).expect_err("refused")
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_names_the_queue() {
+    let queues = queues();
+    assert_eq!(queues.version(), 7);
+    let (route, rest) = queues.find("a.example", "/q/x/1").expect("a route");
+    assert_eq!((&*route.queue.name, rest), ("r-long", "1"));
+    assert_eq!((route.queue.attempts, route.queue.stretch), (3, 1_500));
+    assert_eq!(route.queue.slack, 250);
+    let (route, _) = queues.find("a.example", "/q/1").expect("a route");
+    assert_eq!(&*route.queue.service, "s2");
+    assert!(queues.find("b.example", "/q/1").is_none());
+}
+
+#[test]
+fn a_configuration_that_does_not_decode_is_not_taken() {
+    assert!(config::queues(&row(config::KEY, "{\"version\":")).is_none());
+}
+
+#[test]
+fn a_job_is_decoded_with_every_field() {
+    let body = r#"{"spec":"t","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900,"affinity":"r1-3","antiAffinity":2,"requires":"a"},
+        {"count":2,"cpu":100,"memMb":10,"gpu":1,"after":[0],"savesProgress":true,"gang":true,"sameRack":true,"persistent":true,"image":"i","target_ms":50,"fills":true,"may_miss":0,"speculative":true}],
+        "maxRuns":3,"initialDelayMs":1000,"intervalMs":500}"#;
+    let request = request(Method::POST, "/q/x/5c0e7a21d94b36f8", body);
+    let Ok(Ask::Submit { id, spec, queue }) = ingress::ask(&request, &queues()) else {
+        panic!("a submission");
+    };
+    assert_eq!((&*id, &*queue.name), ("5c0e7a21d94b36f8", "r-long"));
+    let (first, second) = (&spec.steps[0], &spec.steps[1]);
+    assert_eq!(
+        (first.count, first.room.cpu, first.room.memory),
+        (4, 500, 256)
+    );
+    assert_eq!(
+        (&*first.rack, first.spread, &*first.label),
+        ("r1-3", 2, "a")
+    );
+    assert!(second.saves && second.gang && second.one_rack && second.lasting);
+    assert!(second.filler && second.speculative);
+    assert_eq!((second.target, second.disruptions), (50, Some(0)));
+    assert_eq!(second.held().cpu, 0, "a filler reserves no processors");
+    let schedule = spec.schedule.expect("a schedule");
+    assert_eq!(
+        (schedule.rounds, schedule.first, schedule.interval),
+        (3, 1_000, 500)
+    );
+}
+
+#[test]
+fn wrong_requests_are_told_what_is_wrong() {
+    let post = |path, body| refused(Method::POST, path, body).status;
+    assert_eq!(post("/none/1", ""), StatusCode::NOT_FOUND);
+    assert_eq!(post("/q/short", "{}"), StatusCode::BAD_REQUEST);
+    assert_eq!(post("/q/5c0e7a21d94b36fz", "{}"), StatusCode::BAD_REQUEST);
+    assert_eq!(post("/q/5c0e7a21d94b36f8", "{"), StatusCode::BAD_REQUEST);
+    let long = format!("{{\"spec\":\"{}\",\"steps\":[]}}", "x".repeat(4_001));
+    assert_eq!(post("/q/5c0e7a21d94b36f8", &long), StatusCode::BAD_REQUEST);
+    let put = refused(Method::PUT, "/q/5c0e7a21d94b36f8", "");
+    assert_eq!(put.status, StatusCode::METHOD_NOT_ALLOWED);
+}
+
+#[test]
+fn answers_say_what_is_true_and_when_to_come_back() {
+    let refused = ingress::reply(&Answer::Refused(500));
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refused.headers[http::header::RETRY_AFTER], "1");
+    let doubt = ingress::reply(&Answer::InDoubt);
+    assert_eq!(doubt.status, StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(ingress::reply(&Answer::Unknown).status, StatusCode::GONE);
+    assert_eq!(
+        ingress::reply(&Answer::Waiting(12)).body,
+        "{\"pending\":12}"
+    );
+}
+
+#[test]
+fn the_directory_is_decoded_and_malformed_entries_are_left_out() {
+    let beat = r#"{"service":"s1","address":"10.1.0.9:80","zone":"z","version":"v1","slots":8,"state":"draining","remainingMs":900,"capacity":{"cpu":16000,"memMb":100},"labels":["a","r1-3"],"seq":4}"#;
+    let page = Page {
+        rows: vec![row("i-1", beat), row("i-2", "{}")],
+        dropped: vec!["i-3".into()],
+        version: 9,
+    };
+    let listings = directory::listings(page);
+    assert_eq!(listings.len(), 2);
+    assert!(listings[0].1.is_none());
+    let worker = listings[1].1.as_ref().expect("a worker");
+    assert!(worker.leaving);
+    assert_eq!(
+        (worker.rack(), worker.stays, worker.capacity.cpu),
+        ("r1-3", 900, 16_000)
+    );
+}
--- a/src/program.rs
+++ b/src/program.rs
@@ -23,6 +23,7 @@
         Command::StandIn(stand_in) => stand_in_run(stand_in.clone()),
         Command::Demo(options) => demo::run(options),
         Command::Trace { json, id, files } => spans(*json, id, files),
+        Command::Explain { json, id, files } => explain(*json, id, files),
         _ => return operate(&command),
     };
     finish(result)
@@ -189,14 +190,7 @@
 }
 
 fn spans(json: bool, id: &str, files: &[String]) -> eyre::Result<()> {
-    let mut text = String::new();
-    for name in files {
-        let part = std::fs::read_to_string(name).wrap_err_with(|| format!("cannot read {name}"))?;
-        text.push_str(&part);
-    }
-    if files.is_empty() {
-        text = std::io::read_to_string(std::io::stdin()).wrap_err("cannot read the input")?;
-    }
+    let text = read_all(files)?;
     let spans = trace::find(text.lines(), id);
     if spans.is_empty() {
         return Err(eyre::eyre!("no span of trace {id}"));
@@ -218,3 +212,38 @@
     }
     Ok(())
 }
+
+/// Reads files one after the other, or the standard input without any.
+fn read_all(files: &[String]) -> eyre::Result<String> {
+    if files.is_empty() {
+        return std::io::read_to_string(std::io::stdin()).wrap_err("cannot read the input");
+    }
+    let mut text = String::new();
+    for name in files {
+        let part = std::fs::read_to_string(name).wrap_err_with(|| format!("cannot read {name}"))?;
+        text.push_str(&part);
+    }
+    Ok(text)
+}
+
+fn explain(json: bool, id: &str, files: &[String]) -> eyre::Result<()> {
+    let text = read_all(files)?;
+    let moments = crate::explain::find(text.lines(), id);
+    if moments.is_empty() {
+        return Err(eyre::eyre!("no line names {id}"));
+    }
+    if json {
+        println!("{}", serde_json::to_string_pretty(&moments)?);
+        return Ok(());
+    }
+    for moment in &moments {
+        let crate::explain::Moment {
+            time,
+            node,
+            event,
+            inputs,
+        } = moment;
+        println!("{time} {node:24} {event:18} {inputs}");
+    }
+    Ok(())
+}
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -223,7 +223,12 @@
         slot.stage = Stage::Starting;
         slot.since = now;
         let task = job.task_name(key);
-        log::info!(target: "task", "task={task} run={run} event=start worker={name}");
+        let age = self.now.wall.saturating_sub(job.row.accepted);
+        if (key.step, key.index, run) == (0, 0, 1) {
+            let seconds = age as f64 / 1_000.0;
+            crate::metrics::get().start_seconds.observe(seconds);
+        }
+        log::info!(target: "task", "task={task} run={run} event=start worker={name} job_age_ms={age}");
         self.actions.push(Action::Start(Start {
             key,
             run,
