--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -17,8 +17,9 @@
 
 /// Shortest wait for a commit's answer, in milliseconds: many times the usual.
 const COMMIT_LEAST: Millis = 250;
-/// Longest wait for a commit's answer, in milliseconds.
-const COMMIT_MOST: Millis = 2_000;
+/// Longest wait for a commit's answer, in milliseconds: that of a store 60
+/// times slower than usual takes 600.
+const COMMIT_MOST: Millis = 900;
 /// Answers of a commit take at most this many times the last one.
 const COMMIT_SPREAD: Millis = 5;
 
--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -28,12 +28,12 @@
 use crate::utils::hash::stable;
 
 /// Milliseconds between two pings of the owner.
-const PING: Millis = 250;
+const PING: Millis = 200;
 /// Milliseconds for the answer to a ping: a hundred round trips.
-const PONG: Millis = 400;
+const PONG: Millis = 350;
 /// Milliseconds during which the owner's row must stand still before a box
-/// that can't reach the owner takes its place; the owner writes it each 500.
-const STILL: Millis = 650;
+/// that can't reach the owner takes its place; the owner writes it each 300.
+const STILL: Millis = 420;
 /// Milliseconds without a commit after which an owner that can be reached is
 /// replaced, when the store serves another box.
 const UNCONFIRMED: Millis = 1_500;
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -38,7 +38,7 @@
 /// Milliseconds until a commit that had no effect is tried again.
 const RETRY: Millis = 60;
 /// Milliseconds after which an idle owner confirms that it still is the owner.
-const CONFIRM: Millis = 500;
+const CONFIRM: Millis = 300;
 
 /// The owner's row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -73,7 +73,7 @@
 }
 
 /// Milliseconds without a commit that tell of trouble of the store: an idle
-/// owner commits each 500.
+/// owner commits each 300.
 const SILENT_STORE: Millis = 900;
 /// Milliseconds between two writes of what was learned: it is learned anew
 /// within some seconds, at the cost of those.
