--- a/src/daemon/desk.rs
+++ b/src/daemon/desk.rs
@@ -23,9 +23,9 @@
 const HELD: Millis = 1_300;
 /// Milliseconds between two tries to reach the owner.
 const PAUSE: Duration = Duration::from_millis(40);
-/// Longest wait for one answer of the owner, in milliseconds: a commit to a
-/// slow store and more; after that it may be dead.
-const ANSWER: Millis = 800;
+/// Longest that a request waits in all while the owner works on it, in
+/// milliseconds: two commits to a slow store, and under half of what callers wait.
+const ANSWER: Millis = 1_450;
 /// Milliseconds of the caller's patience kept for the way back.
 const WAY_BACK: Millis = 100;
 
@@ -74,11 +74,10 @@
     let mut doubt = false;
     loop {
         let spent = clock::now() - start;
-        let longest = patience.min(HELD);
-        if spent >= longest {
+        if spent >= patience.min(HELD) {
             return given_up(ask, doubt, "no-owner", spent);
         }
-        let left = (longest - spent).min(ANSWER);
+        let left = patience.min(ANSWER) - spent;
         match one_try(shared, ask, left).await {
             Ok(Answer::Refused(_) | Answer::Unknown) if doubt && changes(ask) => {
                 return given_up(ask, doubt, "earlier-try-in-doubt", spent);
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -16,12 +16,12 @@
 use crate::utils::clock::{self, Millis};
 
 /// Shortest wait for a commit's answer, in milliseconds: many times the usual.
-const COMMIT_LEAST: Millis = 250;
+const COMMIT_LEAST: Millis = 120;
 /// Longest wait for a commit's answer, in milliseconds: that of a store 60
 /// times slower than usual takes 600.
 const COMMIT_MOST: Millis = 900;
 /// Answers of a commit take at most this many times the last one.
-const COMMIT_SPREAD: Millis = 5;
+const COMMIT_SPREAD: Millis = 3;
 
 /// What the task is told.
 pub enum Message {
