The fate of a commit without an answer is read; a worker that is listed again takes tasks again

Cause 1: with a store 60 times slower commits were given up after 0.1 to 0.9 s and queued up behind each other, as one part takes its writes in turn. Change: after a short wait the owner's row is read: it tells that the commit took effect; read quickly, that the answer was lost; read slowly, that the store is slow, and the commit is waited for.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,6 +2,7 @@
 //! decisions of `sched`.
 
 mod admin;
+mod commits;
 mod desk;
 mod lead;
 mod member;
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -8,18 +8,16 @@
 use futures::channel::{mpsc, oneshot};
 use monoio::time::timeout;
 
-use super::shared::{PART, Shared};
+use super::commits::commit_own;
+use super::shared::Shared;
 use super::watch;
-use crate::sched::journal::{OWNER_KEY, OWNER_TABLE};
-use crate::sched::message::{Action, Answer, Ask, Event, Ticket, Write, Written};
+use crate::sched::message::{Action, Answer, Ask, Event, Ticket, Written};
 use crate::sched::owner::{Bounds, Now, Owner};
 use crate::utils::clock::{self, Millis};
 
-/// Shortest wait for a commit's answer, in milliseconds: many times the usual.
-const COMMIT_LEAST: Millis = 120;
-/// Longest wait for a commit's answer, in milliseconds: that of a store 60
-/// times slower than usual takes 600.
-const COMMIT_MOST: Millis = 900;
+/// Shortest and longest wait for a commit's answer, in milliseconds, before
+/// its fate is asked for: many times the usual, and that of a slow store.
+const PATIENCE: std::ops::RangeInclusive<Millis> = 120..=900;
 /// Answers of a commit take at most this many times the last one.
 const COMMIT_SPREAD: Millis = 3;
 
@@ -47,7 +45,7 @@
     epoch: u64,
     tickets: HashMap<Ticket, oneshot::Sender<Answer>>,
     next_ticket: Ticket,
-    commit_limit: Millis,
+    patience: Millis,
     commit_sent: Millis,
     resigned: bool,
 }
@@ -134,7 +132,7 @@
         epoch,
         tickets: HashMap::new(),
         next_ticket: 1,
-        commit_limit: COMMIT_LEAST,
+        patience: *PATIENCE.start(),
         commit_sent: 0,
         resigned: false,
     }
@@ -180,10 +178,10 @@
         let seconds = took as f64 / 1_000.0;
         crate::metrics::get().commit_seconds.observe(seconds);
         let wished = match written {
-            Written::Unknown => self.commit_limit * 2,
+            Written::Unknown => self.patience,
             _ => took * COMMIT_SPREAD,
         };
-        self.commit_limit = wished.clamp(COMMIT_LEAST, COMMIT_MOST);
+        self.patience = wished.clamp(*PATIENCE.start(), *PATIENCE.end());
     }
 
     fn act(&mut self, shared: &Rc<Shared>, action: Action) {
@@ -236,19 +234,12 @@
                 writes,
             } => {
                 self.commit_sent = clock::now();
-                let limit = self.commit_limit;
+                let patience = self.patience;
                 monoio::spawn(async move {
-                    let written = commit(&shared, version, &writes, limit).await;
+                    let written = commit_own(&shared, number, version, &writes, patience).await;
                     tell(&shared, Event::Written(number, written));
                 });
             }
         }
     }
 }
-
-/// Writes rows on the condition that the owner's row has a version.
-pub async fn commit(shared: &Shared, version: u64, writes: &[Write], limit: Millis) -> Written {
-    crate::metrics::get().calls.inc();
-    let condition = (OWNER_TABLE, OWNER_KEY.into(), version);
-    shared.store.commit(PART, condition, writes, limit).await
-}
--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -7,7 +7,8 @@
 use futures::channel::mpsc::UnboundedReceiver;
 use monoio::time::{sleep, timeout};
 
-use super::lead::{Message, commit};
+use super::commits::commit;
+use super::lead::Message;
 use super::shared::{PART, Seen, Shared};
 use super::watch::READ;
 use crate::harm::Known;
@@ -103,7 +104,8 @@
     sleep(Duration::from_millis(STORE_PAUSE)).await;
 }
 
-async fn read_owner(shared: &Shared) -> Result<Option<Seen>, StoreError> {
+/// Reads the owner's row.
+pub(super) async fn read_owner(shared: &Shared) -> Result<Option<Seen>, StoreError> {
     let page = shared.store.read(OWNER_TABLE, PART, READ).await?;
     let row = page.rows.iter().find(|r| &*r.key == OWNER_KEY);
     Ok(row.and_then(|row| {
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -125,6 +125,11 @@
         *self.owner.borrow_mut() = seen;
     }
 
+    /// Returns true when this life of this box wrote an owner's row.
+    pub fn owns(&self, row: &OwnerRow) -> bool {
+        row.name == self.settings.name && row.life == self.life
+    }
+
     /// Returns the epoch of the owner in this process.
     pub fn leading(&self) -> Option<u64> {
         self.leading.get()
--- a/src/sched/asks.rs
+++ b/src/sched/asks.rs
@@ -11,6 +11,10 @@
 /// Milliseconds without a confirmed commit after which new jobs are refused:
 /// several times the store's usual answer, also when it is slow.
 const STORE_AWAY: Millis = 1_000;
+/// While commits are slow, so many of them may pass unconfirmed.
+const SLOW_COMMITS: Millis = 3;
+/// Longest such span, in milliseconds.
+const STORE_AWAY_MOST: Millis = 2_500;
 /// Milliseconds after which a refused caller should come back; about what a
 /// takeover or a short outage takes.
 pub const COME_BACK: Millis = 500;
@@ -36,7 +40,8 @@
             return self.reply(ticket, Answer::Invalid(findings.join("; ")));
         }
         let silent = self.now.steady - self.journal.confirmed();
-        if silent > STORE_AWAY {
+        let slow = (self.journal.took() * SLOW_COMMITS).min(STORE_AWAY_MOST);
+        if silent > STORE_AWAY.max(slow) {
             log::info!(target: "job", "job={id} event=refused reason=store-away silent_ms={silent}");
             return self.reply(ticket, Answer::Refused(COME_BACK));
         }
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -52,6 +52,9 @@
         let now = self.now.steady;
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.presence = Presence::Listed;
+            if !listing.leaving && worker.leaves.take().is_some() {
+                log::info!(target: "worker", "worker={id} event=stays reason=listed-again");
+            }
             if listing.leaving && worker.leaves.is_none() {
                 worker.leaves = Some(now + listing.stays);
                 let tasks = worker.slots.len();
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -108,6 +108,8 @@
     flight: Option<Flight>,
     next: Millis,
     confirmed: Millis,
+    /// Milliseconds that the last commit took.
+    took: Millis,
     in_doubt: bool,
     left: bool,
 }
@@ -124,6 +126,7 @@
             flight: None,
             next: now,
             confirmed: now,
+            took: 0,
             in_doubt: false,
             left: false,
         }
@@ -139,6 +142,11 @@
         self.confirmed
     }
 
+    /// Returns the milliseconds that the last commit took.
+    pub fn took(&self) -> Millis {
+        self.took
+    }
+
     /// Returns true while the outcome of a commit is not known.
     pub fn doubtful(&self) -> bool {
         self.in_doubt
@@ -249,6 +257,7 @@
             Written::Done(version) => {
                 self.version = version;
                 self.confirmed = flight.sent;
+                self.took = now - flight.sent;
                 self.in_doubt = false;
                 self.left = self.row.released && flight.released;
                 self.next = now + PAUSE;
--- a/src/sched/tests/directory.rs
+++ b/src/sched/tests/directory.rs
@@ -103,3 +103,23 @@
     assert_eq!(world.running().len(), 2);
     assert_eq!(world.shown("j1"), Some(Shown::Running));
 }
+
+#[test]
+fn a_worker_that_is_listed_again_takes_tasks_again() {
+    let mut world = World::new(1);
+    world.script = |_, _| (1_000_000, How::Done);
+    world.submit("j0", job(vec![lasting(1)]));
+    world.run(6_000);
+    world.step(Event::Listed(vec![("w0".into(), None)]));
+    world.submit("j1", job(vec![step(1, 1_000)]));
+    world.run(1_000);
+    let begun = world.starts.len();
+    assert!(
+        !world.starts.iter().any(|s| s.0.starts_with("j1")),
+        "it may be about to end"
+    );
+    world.list();
+    world.run(300);
+    assert!(world.starts.len() > begun);
+    assert!(world.starts.iter().any(|s| s.0.starts_with("j1")));
+}
