--- a/src/daemon/desk.rs
+++ b/src/daemon/desk.rs
@@ -42,7 +42,7 @@
             if reply.status != StatusCode::NOT_FOUND {
                 log::warn!(target: "desk", "event=bad-request path={} status={}", request.uri.path(), reply.status);
             }
-            return reply;
+            return *reply;
         }
     };
     let patience = ingress::patience(&request).saturating_sub(WAY_BACK);
--- a/src/harm.rs
+++ b/src/harm.rs
@@ -1,4 +1,4 @@
-//! How much one kind of work slows another, learned from late measurements.
+//! How much one kind of work slows another, learned from measurements.
 
 use std::collections::HashMap;
 
@@ -78,8 +78,9 @@
 /// Estimates of harm for each pair of kinds and load band.
 ///
 /// The model is additive: the slowdown of a kind is 1 plus the harm of each
-/// kind beside it, weighted by its share. Each measurement moves the estimates by a Kalman step with
-/// a diagonal covariance, so that uncertain pairs move most.
+/// kind beside it, weighted by its share. Each measurement moves the estimates
+/// by a Kalman step with a diagonal covariance, so that uncertain pairs move
+/// most.
 #[derive(Clone, Debug, Default)]
 pub struct Harm {
     model: Model,
@@ -108,11 +109,6 @@
         (estimate.mean, estimate.variance)
     }
 
-    /// Returns the number of pairs that were measured.
-    pub fn pairs(&self) -> usize {
-        self.pairs.len()
-    }
-
     /// Takes in a measurement in which each kind beside it counts alike.
     pub fn learn(&mut self, sample: &Sample) {
         if sample.others.is_empty() || !sample.slowdown.is_finite() {
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -27,11 +27,12 @@
 }
 
 /// Returns what a request asks for, or the answer to one that asks for nothing known.
-pub fn ask(request: &Request, queues: &Queues) -> Result<Ask, Reply> {
+pub fn ask(request: &Request, queues: &Queues) -> Result<Ask, Box<Reply>> {
     let host = request.headers.get(HOST).and_then(|h| h.to_str().ok());
     let host = host.unwrap_or("").split(':').next().unwrap_or("");
     let Some((route, rest)) = queues.find(host, request.uri.path()) else {
-        return Err(Reply::text(StatusCode::NOT_FOUND, "no such queue\n"));
+        let reply = Reply::text(StatusCode::NOT_FOUND, "no such queue\n");
+        return Err(reply.into());
     };
     let queue = route.queue.clone();
     if rest.is_empty() && request.method == Method::GET {
@@ -39,7 +40,7 @@
     }
     if rest.len() != ID_LENGTH || !rest.bytes().all(|b| b.is_ascii_hexdigit()) {
         let text = format!("a job's id has {ID_LENGTH} hex digits\n");
-        return Err(Reply::text(StatusCode::BAD_REQUEST, text));
+        return Err(Reply::text(StatusCode::BAD_REQUEST, text).into());
     }
     let id = rest.into();
     match request.method {
@@ -54,13 +55,13 @@
             let mut reply = Reply::text(StatusCode::METHOD_NOT_ALLOWED, "GET, POST or DELETE\n");
             let allowed = HeaderValue::from_static("GET, POST, DELETE");
             reply.headers.insert(ALLOW, allowed);
-            Err(reply)
+            Err(reply.into())
         }
     }
 }
 
-fn job(body: &[u8]) -> Result<JobSpec, Reply> {
-    let wrong = |text: String| Reply::text(StatusCode::BAD_REQUEST, format!("{text}\n"));
+fn job(body: &[u8]) -> Result<JobSpec, Box<Reply>> {
+    let wrong = |text: String| Box::new(Reply::text(StatusCode::BAD_REQUEST, format!("{text}\n")));
     let job: Job = serde_json::from_slice(body).map_err(|e| wrong(e.to_string()))?;
     if job.spec.len() > TEXT_LIMIT {
         return Err(wrong(format!("a spec has at most {TEXT_LIMIT} bytes")));
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -39,7 +39,7 @@
 
 fn refused(method: Method, path: &str, body: &str) -> Reply {
     let request = request(method, path, body);
-    ingress::ask(&request, &queues()).expect_err("refused")
+    *ingress::ask(&request, &queues()).expect_err("refused")
 }
 
 #[test]
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -177,8 +177,6 @@
 pub enum Event {
     /// A caller asks.
     Ask(Ticket, Ask),
-    /// The caller's side no longer waits.
-    Left(Ticket),
     /// The whole directory was read.
     Directory(Vec<Listing>),
     /// Listings changed; none stands for a removed one.
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -7,7 +7,7 @@
 use super::message::{Action, Answer, Event, Stop, Ticket, Write, Written};
 use super::pressure::Pressure;
 use super::spec::JobSpec;
-use super::worker::{Contact, Slot, Stage, Worker, lease_span};
+use super::worker::{Contact, Stage, Worker, lease_span};
 use crate::harm::Known;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -198,7 +198,6 @@
         self.now = now;
         match event {
             Event::Ask(ticket, ask) => self.ask(ticket, ask),
-            Event::Left(ticket) => self.journal.forget(ticket),
             Event::Directory(listings) => self.directory(listings),
             Event::Listed(changes) => self.listed(changes),
             Event::Held(worker, sent, reply) => self.held(&worker, sent, reply),
@@ -236,7 +235,7 @@
         self.settle_lapsed();
         self.lapse();
         self.evacuate();
-        self.check_runs();
+        self.repeat_stops();
         let wall = self.now.wall;
         let scheduled: Vec<u32> = self
             .jobs
@@ -441,12 +440,20 @@
     }
 
     /// Takes a task off its worker; it waits for another start if its job goes on.
-    pub(super) fn free(&mut self, key: TaskKey) -> Option<Slot> {
-        let name = self.placed.remove(&key)?;
-        let slot = self.workers.get_mut(&name).and_then(|w| w.take(key));
+    pub(super) fn free(&mut self, key: TaskKey) {
+        let Some(name) = self.placed.remove(&key) else {
+            return;
+        };
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.take(key);
+        }
         self.crowded = false;
-        let job = self.jobs.get_mut(&key.job)?;
-        let task = job.task_mut(key)?;
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let Some(task) = job.task_mut(key) else {
+            return;
+        };
         if matches!(task.phase, Phase::Placed(_)) {
             task.phase = Phase::Waiting;
             let open = job.open();
@@ -455,7 +462,6 @@
                 self.ready.insert(key, self.now.steady);
             }
         }
-        slot
     }
 }
 
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -262,7 +262,6 @@
             slot.stage = Stage::Running(now);
         }
         slot.at_work = run.progress == FULL_PACE;
-        slot.progress = run.progress;
         if let Some(job) = self.jobs.get_mut(&key.job) {
             let over = !job.open();
             if let Some(task) = job.task_mut(key)
@@ -382,11 +381,6 @@
     /// Takes in the end of a current run that has not done its work.
     fn broken(&mut self, name: &Name, key: TaskKey, end: &Ended) {
         let now = self.now.steady;
-        let stuck = self
-            .workers
-            .get(name)
-            .and_then(|w| w.slots.get(&key))
-            .is_some_and(|s| s.stuck);
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
@@ -402,7 +396,7 @@
                 over = !lasting && task.failures >= attempts;
             }
         }
-        if end.how == How::Failed || stuck {
+        if end.how == How::Failed {
             self.failed_on.insert(key, name.clone());
             if let Some(worker) = self.workers.get_mut(name) {
                 worker.failures += 1;
@@ -415,7 +409,7 @@
         }
         self.free(key);
         if over && self.jobs.get(&key.job).is_some_and(|j| j.open()) {
-            self.give_up(key);
+            self.finish(key.job, Outcome::Failed);
         }
     }
 }
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::job::{Outcome, Phase, TaskKey};
+use super::job::{Phase, TaskKey};
 use super::journal::After;
 use super::message::{Action, Refusal, Reply, Start};
 use super::owner::Owner;
@@ -186,11 +186,9 @@
             cpu: step.room.cpu,
             pace: FULL_PACE,
             pacing: false,
-            progress: 0,
             at_work: false,
             gauge: None,
             since: self.now.steady,
-            stuck: false,
         }
     }
 
@@ -260,9 +258,7 @@
                 self.stop(key);
             }
             Reply::Lost => {}
-            Reply::NotSent => {
-                self.free(key);
-            }
+            Reply::NotSent => self.free(key),
             Reply::Refused(refusal) => self.refused(key, run, name, refusal),
         }
     }
@@ -302,8 +298,8 @@
         }
     }
 
-    /// Repeats stops that had no effect, and ends runs that take far too long.
-    pub(super) fn check_runs(&mut self) {
+    /// Repeats stops that had no effect yet.
+    pub(super) fn repeat_stops(&mut self) {
         let (now, epoch) = (self.now.steady, self.journal.epoch());
         let mut again = Vec::new();
         for (name, worker) in &mut self.workers {
@@ -324,9 +320,4 @@
             self.send_stop(key, run, name, address, epoch);
         }
     }
-
-    /// Records that a task failed for good: its job has failed.
-    pub(super) fn give_up(&mut self, key: TaskKey) {
-        self.finish(key.job, Outcome::Failed);
-    }
 }
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -97,14 +97,10 @@
     pub pacing: bool,
     /// When it was placed.
     pub since: Millis,
-    /// Percent of its work that is done.
-    pub progress: u32,
     /// True once a lasting task is at work.
     pub at_work: bool,
     /// Last gauge of a serving task.
     pub gauge: Option<Gauge>,
-    /// True when the cause of a stop is that the run takes far too long.
-    pub stuck: bool,
 }
 
 /// How busy a serving task was, and what ran beside it.
@@ -229,15 +225,16 @@
     }
 
     /// Takes a task away.
-    pub fn take(&mut self, key: TaskKey) -> Option<Slot> {
-        let slot = self.slots.remove(&key)?;
+    pub fn take(&mut self, key: TaskKey) {
+        let Some(slot) = self.slots.remove(&key) else {
+            return;
+        };
         self.used.cpu -= slot.room.cpu;
         self.used.memory -= slot.room.memory;
         self.used.gpu -= slot.room.gpu;
         self.soft -= slot.soft;
         self.serving -= u32::from(slot.serving);
         self.fillers -= u32::from(slot.filler);
-        Some(slot)
     }
 
     /// Returns the processor share that work other than fillers takes: serving
