The modules of the owner have one job each

placing.rs (from starts.rs), ends.rs and silence.rs (from reports.rs), stops of runs from owner.rs to starts.rs; place.rs is choice.rs. No behaviour changes.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -1,20 +1,25 @@
 //! Jobs of steps on workers: one owner at a time decides for all of them.
 //!
-//! The way of a job: accepted (`asks`), kept (`journal`), placed (`place`,
-//! `starts`), started and stopped (`starts`), held and ended (`reports`),
-//! shown (`asks`). Everything here is plain state without sockets and clocks.
+//! The way of a job: accepted (`asks`), kept (`journal`), placed (`order`,
+//! `placing`, `choice`), started and stopped (`starts`), watched (`reports`),
+//! ended (`ends`), shown (`asks`). Workers come and go by `directory` and
+//! `silence`; `pressure` and `paces` keep fillers from slowing serving tasks.
+//! Everything here is plain state without sockets and clocks.
 
 mod asks;
+mod choice;
 mod directory;
+mod ends;
 pub mod job;
 pub mod journal;
 pub mod message;
 mod order;
 pub mod owner;
 mod paces;
-mod place;
+mod placing;
 mod pressure;
 mod reports;
+mod silence;
 pub mod spec;
 mod starts;
 pub mod worker;
--- a/src/sched/place.rs
+++ b/src/sched/choice.rs
@@ -1,4 +1,4 @@
-//! Where a task goes.
+//! Which worker suits a task best.
 
 use std::collections::BTreeMap;
 
--- /dev/null
+++ b/src/sched/ends.rs
@@ -0,0 +1,147 @@
+//! Ends of runs: what becomes of their tasks, jobs and workers.
+
+use super::job::{Outcome, Phase, TaskKey};
+use super::journal::After;
+use super::message::{Ended, How};
+use super::owner::Owner;
+use super::worker::Contact;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Milliseconds from the moment that all ends of a worker are written to the
+/// next exchange with it, for more ends to gather.
+const GATHER: Millis = 25;
+/// Failed runs in a row after which a worker rests.
+const FAILURES: u32 = 3;
+/// Milliseconds of that rest, doubled with each further failure up to eight times.
+const REST: Millis = 2_000;
+
+impl Owner {
+    /// Takes in the end of a run.
+    pub(super) fn end(&mut self, name: &Name, end: &Ended) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if end.number <= worker.top {
+            return;
+        }
+        worker.top = end.number;
+        let Some(key) = self.find(&end.task) else {
+            return;
+        };
+        let Ended { task, run, how, .. } = end;
+        log::info!(target: "task", "task={task} run={run} event=ended how={how:?} worker={name}");
+        let current = self.workers.get(name).and_then(|w| w.slots.get(&key));
+        let current = current.is_some_and(|s| s.run == end.run);
+        if end.how == How::Done {
+            self.done(key, current);
+        } else if current {
+            self.broken(name, key, end);
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.pending.insert(end.number);
+        }
+        self.journal
+            .after(key.job, After::Seen(name.clone(), end.number));
+    }
+
+    /// Takes in that a run has done its work; `current` when it is the run that its
+    /// task is placed for.
+    fn done(&mut self, key: TaskKey, current: bool) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let open = job.open();
+        if job.step(key).lasting && open {
+            if current {
+                self.free(key);
+            }
+            return;
+        }
+        if job.task(key).is_none_or(|t| t.phase == Phase::Done) {
+            return;
+        }
+        if current {
+            let name = self.placed.get(&key);
+            if let Some(worker) = name.and_then(|n| self.workers.get_mut(n)) {
+                worker.failures = 0;
+            }
+            self.mark_done(key);
+            self.free(key);
+        } else if open {
+            // An earlier run came through after all: its successor is not needed.
+            self.stop(key);
+            self.mark_done(key);
+            self.ready.remove(&key);
+        }
+        self.journal.touch(key.job);
+        self.failed_on.remove(&key);
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        if open && job.all_done() {
+            self.finish(key.job, Outcome::Completed);
+        } else {
+            self.release(key.job);
+        }
+    }
+
+    fn mark_done(&mut self, key: TaskKey) {
+        let job = self.jobs.get_mut(&key.job);
+        if let Some(task) = job.and_then(|j| j.task_mut(key)) {
+            task.phase = Phase::Done;
+        }
+    }
+
+    /// Takes in the end of a current run that has not done its work.
+    fn broken(&mut self, name: &Name, key: TaskKey, end: &Ended) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let lasting = job.step(key).lasting;
+        let attempts = job.row.queue.attempts;
+        let mut exhausted = false;
+        if let Some(task) = job.task_mut(key) {
+            if !end.saved.is_empty() {
+                task.saved = end.saved.clone();
+            }
+            if end.how == How::Failed {
+                task.failures += 1;
+                exhausted = !lasting && task.failures >= attempts;
+            }
+        }
+        if end.how == How::Failed {
+            self.failed_on.insert(key, name.clone());
+            self.count_failure(name);
+        }
+        self.free(key);
+        if exhausted && self.jobs.get(&key.job).is_some_and(|j| j.open()) {
+            self.finish(key.job, Outcome::Failed);
+        }
+    }
+
+    /// Counts a failed run of a worker, which rests after several in a row.
+    fn count_failure(&mut self, name: &Name) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        worker.failures += 1;
+        if worker.failures >= FAILURES {
+            let doubled = (worker.failures - FAILURES).min(3);
+            worker.barred = self.now.steady + (REST << doubled);
+            log::warn!(target: "worker", "worker={name} event=rests failures={}", worker.failures);
+        }
+    }
+
+    /// Takes in that the store holds an end, so that the worker may forget it.
+    pub(super) fn end_stored(&mut self, name: &str, end: u64) {
+        let now = self.now.steady;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        worker.pending.remove(&end);
+        if worker.pending.is_empty() && matches!(worker.contact, Contact::Due(_)) {
+            worker.contact = Contact::Due(now + GATHER);
+        }
+    }
+}
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -4,10 +4,10 @@
 
 use super::job::{Job, JobRow, Outcome, Phase, TaskKey};
 use super::journal::{After, BELIEF_TABLE, JOB_TABLE, Journal, PRESSURE_KEY, SPEC_TABLE, Settled};
-use super::message::{Action, Answer, Event, Stop, Ticket, Write, Written};
+use super::message::{Action, Answer, Event, Ticket, Write, Written};
 use super::pressure::Pressure;
 use super::spec::JobSpec;
-use super::worker::{Contact, Stage, Worker, lease_span};
+use super::worker::{Contact, Worker, lease_span};
 use crate::harm::Known;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -378,67 +378,6 @@
         self.ready.retain(|key, _| key.job != number);
     }
 
-    /// Stops what runs of a job that is over.
-    pub(super) fn stop_all(&mut self, number: u32) {
-        let Some(job) = self.jobs.get(&number) else {
-            return;
-        };
-        let keys: Vec<TaskKey> = job.tasks(number).map(|(key, _)| key).collect();
-        for key in keys {
-            self.stop(key);
-        }
-    }
-
-    /// Stops a placed task, or takes it back when its start was not sent.
-    pub(super) fn stop(&mut self, key: TaskKey) {
-        let Some(name) = self.placed.get(&key).cloned() else {
-            return;
-        };
-        let (now, epoch) = (self.now.steady, self.journal.epoch());
-        let Some(worker) = self.workers.get_mut(&name) else {
-            return;
-        };
-        let address = worker.listing.address;
-        let Some(slot) = worker.slots.get_mut(&key) else {
-            return;
-        };
-        match slot.stage {
-            Stage::Recording => {
-                self.free(key);
-                return;
-            }
-            Stage::Stopping(_) | Stage::Stopped(_) => return,
-            Stage::Starting | Stage::Running(_) | Stage::Doubt => {
-                slot.stage = Stage::Stopping(now);
-            }
-        }
-        let run = slot.run;
-        self.send_stop(key, run, name, address, epoch);
-    }
-
-    pub(super) fn send_stop(
-        &mut self,
-        key: TaskKey,
-        run: u32,
-        worker: Name,
-        address: std::net::SocketAddr,
-        epoch: u64,
-    ) {
-        let Some(job) = self.jobs.get(&key.job) else {
-            return;
-        };
-        let task = job.task_name(key);
-        log::info!(target: "task", "task={task} run={run} event=stop worker={worker}");
-        self.actions.push(Action::Stop(Stop {
-            key,
-            run,
-            worker,
-            address,
-            task,
-            epoch,
-        }));
-    }
-
     /// Takes a task off its worker; it waits for another start if its job goes on.
     pub(super) fn free(&mut self, key: TaskKey) {
         let Some(name) = self.placed.remove(&key) else {
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -1,13 +1,12 @@
-//! What workers report: runs, ends, and their silence.
+//! Exchanges with workers, and the runs that they report.
 
 use std::collections::BTreeSet;
 
-use super::job::{Outcome, Phase, TaskKey, parse_task};
-use super::journal::After;
-use super::message::{Action, Ended, Hold, How, Refusal, Reply, Report, Running, Stop};
+use super::job::{TaskKey, parse_task};
+use super::message::{Action, Hold, Refusal, Reply, Report, Running, Stop};
 use super::owner::Owner;
 use super::paces::FULL_PACE;
-use super::worker::{Contact, Presence, Stage, Worker};
+use super::worker::{Contact, Stage};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -21,86 +20,10 @@
 /// Longest that the next exchange waits for ends to be written, in
 /// milliseconds; one before that is answered at once, with the same ends.
 const ENDS_PAUSE: Millis = 300;
-/// Milliseconds from then to the next exchange, for more ends to gather.
-const GATHER: Millis = 25;
 /// Ends in one report; with so many there may be more.
 const REPORT_LIMIT: usize = 500;
-/// Failed runs in a row after which a worker rests.
-const FAILURES: u32 = 3;
-/// Milliseconds of that rest, doubled with each further failure up to eight times.
-const REST: Millis = 2_000;
 
 impl Owner {
-    /// Ends everything that a life of a worker ran, which has certainly ended.
-    pub(super) fn life_ended(&mut self, name: &Name, reason: &str) {
-        log::info!(target: "worker", "worker={name} event=over reason={reason}");
-        self.clear(name);
-        self.workers.remove(name);
-    }
-
-    fn clear(&mut self, name: &Name) {
-        let Some(worker) = self.workers.get(name) else {
-            return;
-        };
-        let keys: Vec<TaskKey> = worker.slots.keys().copied().collect();
-        for key in keys {
-            self.free(key);
-        }
-    }
-
-    /// Frees what ran on workers whose leases have certainly ended.
-    pub(super) fn lapse(&mut self) {
-        let now = self.now.steady;
-        let inherited = self.inherited;
-        let ended = |w: &Worker| now > w.lease_end().max(inherited);
-        let silent = |w: &&Worker| !w.answering(now) && ended(w) && w.misses > 0;
-        let ended: Vec<Name> = self
-            .workers
-            .values()
-            .filter(silent)
-            .filter(|w| !w.slots.is_empty() || w.presence == Presence::Removed)
-            .map(|w| w.listing.id.clone())
-            .collect();
-        for name in ended {
-            let worker = &self.workers[&name];
-            let (tasks, presence) = (worker.slots.len(), worker.presence);
-            log::info!(target: "worker", "worker={name} event=lapsed tasks={tasks} presence={presence:?}");
-            self.clear(&name);
-            if presence == Presence::Removed {
-                self.workers.remove(&name);
-            }
-        }
-        let drained = |w: &&Worker| {
-            w.presence == Presence::Removed && w.slots.is_empty() && w.pending.is_empty()
-        };
-        let drained: Vec<Name> = self
-            .workers
-            .values()
-            .filter(drained)
-            .map(|w| w.listing.id.clone())
-            .collect();
-        for name in drained {
-            self.workers.remove(&name);
-        }
-        self.lapse_unlisted();
-    }
-
-    /// Frees tasks of workers that were never listed here.
-    fn lapse_unlisted(&mut self) {
-        if self.now.steady <= self.inherited {
-            return;
-        }
-        let lost: Vec<TaskKey> = self
-            .placed
-            .iter()
-            .filter(|(_, name)| !self.workers.contains_key(*name))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in lost {
-            self.free(key);
-        }
-    }
-
     /// Starts the exchanges that are due.
     pub(super) fn contact(&mut self) {
         let now = self.now.steady;
@@ -188,18 +111,6 @@
         }
     }
 
-    /// Takes in that the store holds an end, so that the worker may forget it.
-    pub(super) fn end_stored(&mut self, name: &str, end: u64) {
-        let now = self.now.steady;
-        let Some(worker) = self.workers.get_mut(name) else {
-            return;
-        };
-        worker.pending.remove(&end);
-        if worker.pending.is_empty() && matches!(worker.contact, Contact::Due(_)) {
-            worker.contact = Contact::Due(now + GATHER);
-        }
-    }
-
     /// Compares the runs that a worker lists with those that are known there.
     fn runs(&mut self, name: &Name, sent: Millis, running: &[Running], whole: bool) {
         let mut listed = BTreeSet::new();
@@ -304,112 +215,4 @@
             self.free(key);
         }
     }
-
-    /// Takes in the end of a run.
-    fn end(&mut self, name: &Name, end: &Ended) {
-        let Some(worker) = self.workers.get_mut(name) else {
-            return;
-        };
-        if end.number <= worker.top {
-            return;
-        }
-        worker.top = end.number;
-        let Some(key) = self.find(&end.task) else {
-            return;
-        };
-        let Ended { task, run, how, .. } = end;
-        log::info!(target: "task", "task={task} run={run} event=ended how={how:?} worker={name}");
-        let current = self.workers.get(name).and_then(|w| w.slots.get(&key));
-        let current = current.is_some_and(|s| s.run == end.run);
-        if end.how == How::Done {
-            self.done(key, current);
-        } else if current {
-            self.broken(name, key, end);
-        }
-        if let Some(worker) = self.workers.get_mut(name) {
-            worker.pending.insert(end.number);
-        }
-        self.journal
-            .after(key.job, After::Seen(name.clone(), end.number));
-    }
-
-    fn done(&mut self, key: TaskKey, current: bool) {
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
-        };
-        let lasting = job.step(key).lasting;
-        let open = job.open();
-        if lasting && open {
-            if current {
-                self.free(key);
-            }
-            return;
-        }
-        let Some(task) = job.task_mut(key) else {
-            return;
-        };
-        if task.phase == Phase::Done {
-            return;
-        }
-        if current {
-            let name = self.placed.get(&key).cloned();
-            if let Some(worker) = name.and_then(|n| self.workers.get_mut(&n)) {
-                worker.failures = 0;
-            }
-            task.phase = Phase::Done;
-            self.free(key);
-        } else if open {
-            // An earlier run came through after all: its successor is not needed.
-            self.stop(key);
-            if let Some(task) = self.jobs.get_mut(&key.job).and_then(|j| j.task_mut(key)) {
-                task.phase = Phase::Done;
-            }
-            self.ready.remove(&key);
-        }
-        self.journal.touch(key.job);
-        self.failed_on.remove(&key);
-        let Some(job) = self.jobs.get(&key.job) else {
-            return;
-        };
-        if open && job.all_done() {
-            self.finish(key.job, Outcome::Completed);
-        } else {
-            self.release(key.job);
-        }
-    }
-
-    /// Takes in the end of a current run that has not done its work.
-    fn broken(&mut self, name: &Name, key: TaskKey, end: &Ended) {
-        let now = self.now.steady;
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
-        };
-        let lasting = job.step(key).lasting;
-        let attempts = job.row.queue.attempts;
-        let mut exhausted = false;
-        if let Some(task) = job.task_mut(key) {
-            if !end.saved.is_empty() {
-                task.saved = end.saved.clone();
-            }
-            if end.how == How::Failed {
-                task.failures += 1;
-                exhausted = !lasting && task.failures >= attempts;
-            }
-        }
-        if end.how == How::Failed {
-            self.failed_on.insert(key, name.clone());
-            if let Some(worker) = self.workers.get_mut(name) {
-                worker.failures += 1;
-                if worker.failures >= FAILURES {
-                    let doubled = (worker.failures - FAILURES).min(3);
-                    worker.barred = now + (REST << doubled);
-                    log::warn!(target: "worker", "worker={name} event=rests failures={}", worker.failures);
-                }
-            }
-        }
-        self.free(key);
-        if exhausted && self.jobs.get(&key.job).is_some_and(|j| j.open()) {
-            self.finish(key.job, Outcome::Failed);
-        }
-    }
 }
--- /dev/null
+++ b/src/sched/silence.rs
@@ -0,0 +1,79 @@
+//! Workers that have ended or fell silent, and the tasks that they held.
+
+use super::job::TaskKey;
+use super::owner::Owner;
+use super::worker::{Presence, Worker};
+use crate::utils::Name;
+
+impl Owner {
+    /// Ends everything that a life of a worker ran, which has certainly ended.
+    pub(super) fn life_ended(&mut self, name: &Name, reason: &str) {
+        log::info!(target: "worker", "worker={name} event=over reason={reason}");
+        self.clear(name);
+        self.workers.remove(name);
+    }
+
+    /// Takes all tasks off a worker.
+    fn clear(&mut self, name: &Name) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let keys: Vec<TaskKey> = worker.slots.keys().copied().collect();
+        for key in keys {
+            self.free(key);
+        }
+    }
+
+    /// Frees what ran on workers whose leases have certainly ended.
+    pub(super) fn lapse(&mut self) {
+        let now = self.now.steady;
+        let inherited = self.inherited;
+        let ended = |w: &Worker| now > w.lease_end().max(inherited);
+        let silent = |w: &&Worker| !w.answering(now) && ended(w) && w.misses > 0;
+        let ended: Vec<Name> = self
+            .workers
+            .values()
+            .filter(silent)
+            .filter(|w| !w.slots.is_empty() || w.presence == Presence::Removed)
+            .map(|w| w.listing.id.clone())
+            .collect();
+        for name in ended {
+            let worker = &self.workers[&name];
+            let (tasks, presence) = (worker.slots.len(), worker.presence);
+            log::info!(target: "worker", "worker={name} event=lapsed tasks={tasks} presence={presence:?}");
+            self.clear(&name);
+            if presence == Presence::Removed {
+                self.workers.remove(&name);
+            }
+        }
+        let drained = |w: &&Worker| {
+            w.presence == Presence::Removed && w.slots.is_empty() && w.pending.is_empty()
+        };
+        let drained: Vec<Name> = self
+            .workers
+            .values()
+            .filter(drained)
+            .map(|w| w.listing.id.clone())
+            .collect();
+        for name in drained {
+            self.workers.remove(&name);
+        }
+        self.lapse_unlisted();
+    }
+
+    /// Frees tasks of workers that were never listed here.
+    fn lapse_unlisted(&mut self) {
+        if self.now.steady <= self.inherited {
+            return;
+        }
+        let lost: Vec<TaskKey> = self
+            .placed
+            .iter()
+            .filter(|(_, name)| !self.workers.contains_key(*name))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in lost {
+            self.free(key);
+        }
+    }
+}
