Following the owner and becoming it stand apart in the daemon

takeover.rs and pings.rs come from member.rs; what earlier owners may still do is pure and stands with its test in sched/legacy.rs. Calls of the owner's task are made by one function; Lead::resigned was never read. No behaviour changes.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -7,7 +7,9 @@
 mod lead;
 mod member;
 mod peers;
+mod pings;
 mod shared;
+mod takeover;
 mod watch;
 
 use std::rc::Rc;
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -47,7 +47,6 @@
     next_ticket: Ticket,
     patience: Millis,
     commit_sent: Millis,
-    resigned: bool,
 }
 
 /// Runs until the process ends.
@@ -83,7 +82,8 @@
     Message::Event(lead.as_ref().map_or(0, |l| l.epoch), Event::Tick)
 }
 
-fn now() -> Now {
+/// Returns the clocks now.
+pub fn now() -> Now {
     Now {
         steady: clock::now(),
         wall: clock::wall(),
@@ -118,7 +118,6 @@
         }
         (Message::Bounds(bounds), Some(lead)) => lead.owner.rebound(bounds),
         (Message::Resign, Some(lead)) => {
-            lead.resigned = true;
             lead.owner.resign(now());
         }
         // Dropping a caller's side tells it that nobody will answer.
@@ -134,7 +133,6 @@
         next_ticket: 1,
         patience: *PATIENCE.start(),
         commit_sent: 0,
-        resigned: false,
     }
 }
 
@@ -185,8 +183,7 @@
     }
 
     fn act(&mut self, shared: &Rc<Shared>, action: Action) {
-        let (shared, epoch) = (shared.clone(), self.epoch);
-        let tell = move |shared: &Shared, event| shared.lead(Message::Event(epoch, event));
+        let epoch = self.epoch;
         match action {
             Action::Reply(ticket, answer) => {
                 if let Some(reply) = self.tickets.remove(&ticket) {
@@ -196,36 +193,27 @@
             }
             Action::Hold(hold) => {
                 let sent = clock::now();
-                monoio::spawn(async move {
+                tell(shared, epoch, async move |shared| {
                     let reply = shared.workers.hold(&hold).await;
-                    tell(&shared, Event::Held(hold.worker, sent, reply));
+                    Event::Held(hold.worker, sent, reply)
                 });
             }
             Action::Start(start) => {
-                monoio::spawn(async move {
+                tell(shared, epoch, async move |shared| {
                     let reply = shared.workers.start(&start).await;
-                    tell(
-                        &shared,
-                        Event::Started(start.key, start.run, start.worker, reply),
-                    );
+                    Event::Started(start.key, start.run, start.worker, reply)
                 });
             }
             Action::Stop(stop) => {
-                monoio::spawn(async move {
+                tell(shared, epoch, async move |shared| {
                     let reply = shared.workers.stop(&stop).await;
-                    tell(
-                        &shared,
-                        Event::Stopped(stop.key, stop.run, stop.worker, reply),
-                    );
+                    Event::Stopped(stop.key, stop.run, stop.worker, reply)
                 });
             }
             Action::Pace(pace) => {
-                monoio::spawn(async move {
+                tell(shared, epoch, async move |shared| {
                     let reply = shared.workers.pace(&pace).await;
-                    tell(
-                        &shared,
-                        Event::Paced(pace.key, pace.run, pace.percent, pace.worker, reply),
-                    );
+                    Event::Paced(pace.key, pace.run, pace.percent, pace.worker, reply)
                 });
             }
             Action::Commit {
@@ -235,11 +223,20 @@
             } => {
                 self.commit_sent = clock::now();
                 let patience = self.patience;
-                monoio::spawn(async move {
+                tell(shared, epoch, async move |shared| {
                     let written = commit_own(&shared, number, version, &writes, patience).await;
-                    tell(&shared, Event::Written(number, written));
+                    Event::Written(number, written)
                 });
             }
         }
     }
 }
+
+/// Makes a call in a task of its own, and tells the owner of `epoch` how it went.
+fn tell<C: AsyncFnOnce(Rc<Shared>) -> Event + 'static>(shared: &Rc<Shared>, epoch: u64, call: C) {
+    let shared = shared.clone();
+    monoio::spawn(async move {
+        let event = call(shared.clone()).await;
+        shared.lead(Message::Event(epoch, event));
+    });
+}
--- /dev/null
+++ b/src/daemon/pings.rs
@@ -0,0 +1,35 @@
+//! Pings of the owner, or of one that was it.
+
+use super::shared::Shared;
+use crate::proto::cluster_client::ClusterClient;
+use crate::proto::{PingReply, PingRequest};
+use crate::rpc::client::CallError;
+use crate::sched::journal::OwnerRow;
+use crate::utils::clock::Millis;
+
+/// Milliseconds for the answer to a ping: a hundred round trips.
+const PONG: Millis = 350;
+
+/// Asks the owner whether it still is.
+pub async fn ping(shared: &Shared, owner: &OwnerRow) -> Result<PingReply, CallError> {
+    call(shared, owner, request(shared, owner.epoch)).await
+}
+
+/// Returns a ping that says that an owner of this epoch is known.
+pub fn request(shared: &Shared, epoch: u64) -> PingRequest {
+    PingRequest {
+        name: shared.settings.name.to_string(),
+        epoch,
+        config: shared.queues().version(),
+    }
+}
+
+/// Sends a ping to the box that wrote an owner's row.
+pub async fn call(
+    shared: &Shared,
+    owner: &OwnerRow,
+    request: PingRequest,
+) -> Result<PingReply, CallError> {
+    let call = |c| async move { ClusterClient::new(c).ping(request).await };
+    shared.channel(owner.address).call(PONG, call).await
+}
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -12,6 +12,7 @@
 mod ends;
 pub mod job;
 pub mod journal;
+pub mod legacy;
 pub mod message;
 mod order;
 pub mod owner;
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -3,6 +3,7 @@
 mod directory;
 mod jobs;
 mod journal;
+mod legacy;
 mod order;
 mod pressure;
 mod random;
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -152,7 +152,7 @@
     }
 }
 
-fn owner_row(epoch: u64) -> OwnerRow {
+pub fn owner_row(epoch: u64) -> OwnerRow {
     OwnerRow {
         name: format!("box-{epoch}").into(),
         life: epoch,
