The fake world of the owner's tests stands in three files; Reply::map

The checks of fake workers are the same: a task that runs in two places or again after an acknowledged end is noted.

--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -44,7 +44,7 @@
             last_checkpoint: &start.saved,
         });
         let reply = self.order(start.address, "/run-start", body, &start.worker, 0);
-        map(reply.await, |r| r.clock_ms)
+        reply.await.map(|r| r.clock_ms)
     }
 
     /// Stops a run; the answer holds the worker's clock.
@@ -55,7 +55,7 @@
             fence: stop.epoch,
         });
         let reply = self.order(stop.address, "/run-stop", body, &stop.worker, 0);
-        map(reply.await, |r| r.clock_ms)
+        reply.await.map(|r| r.clock_ms)
     }
 
     /// Changes the pace of a run; the answer holds the worker's clock.
@@ -67,7 +67,7 @@
             fence: pace.epoch,
         });
         let reply = self.order(pace.address, "/pace", body, &pace.worker, 0);
-        map(reply.await, |r| r.clock_ms)
+        reply.await.map(|r| r.clock_ms)
     }
 
     /// Extends the lease of a worker and returns its report.
@@ -79,7 +79,7 @@
             wait_ms: hold.wait,
         });
         let reply = self.order(hold.address, "/hold", body, &hold.worker, hold.wait);
-        map(reply.await, report)
+        reply.await.map(report)
     }
 
     async fn order(
@@ -149,15 +149,6 @@
     }
 }
 
-fn map<T>(reply: Reply<OrderReply>, f: impl FnOnce(OrderReply) -> T) -> Reply<T> {
-    match reply {
-        Reply::Ok(body) => Reply::Ok(f(body)),
-        Reply::Refused(refusal) => Reply::Refused(refusal),
-        Reply::NotSent => Reply::NotSent,
-        Reply::Lost => Reply::Lost,
-    }
-}
-
 fn report(body: OrderReply) -> Report {
     let running = body
         .running
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -148,6 +148,18 @@
     Lost,
 }
 
+impl<T> Reply<T> {
+    /// Returns the same reply with another word of the worker.
+    pub fn map<U>(self, word: impl FnOnce(T) -> U) -> Reply<U> {
+        match self {
+            Self::Ok(value) => Reply::Ok(word(value)),
+            Self::Refused(refusal) => Reply::Refused(refusal),
+            Self::NotSent => Reply::NotSent,
+            Self::Lost => Reply::Lost,
+        }
+    }
+}
+
 /// How a commit ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Written {
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -1,15 +1,18 @@
 //! Fake workers and a fake store around an owner, in virtual time.
 
+mod calls;
+mod workers;
+
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
 
+pub use self::calls::Faults;
+use self::calls::{Call, Due};
+pub use self::workers::FakeWorker;
 use crate::sched::job::{JobRow, Queue, Shown};
 use crate::sched::journal::{JOB_TABLE, Journal, OWNER_KEY, OWNER_TABLE, OwnerRow, SPEC_TABLE};
-use crate::sched::message::{
-    Action, Answer, Ask, Ended, Event, Hold, How, Refusal, Reply, Report, Running, Start, Stop,
-    Write, Written,
-};
+use crate::sched::message::{Action, Answer, Ask, Event, How};
 use crate::sched::owner::{Bounds, Kept, Now, Owner};
 use crate::sched::spec::{JobSpec, Room, StepSpec};
 use crate::sched::worker::Listing;
@@ -18,11 +21,6 @@
 use crate::utils::clock::Millis;
 use crate::utils::random::Random;
 
-/// Milliseconds that a call takes each way.
-const HOP: Millis = 1;
-/// Milliseconds after which a call without an answer is given up.
-const GIVEN_UP: Millis = 700;
-
 pub const BOUNDS: Bounds = Bounds {
     lease: 4_000,
     unconfirmed: 10_000,
@@ -30,49 +28,7 @@
     remember: 60_000,
 };
 
-/// How likely faults are, from 0 to 1.
-#[derive(Clone, Copy, Default)]
-pub struct Faults {
-    /// An order is carried out and its answer is lost.
-    pub lost: f64,
-    /// An order is carried out seconds later, without an answer.
-    pub late: f64,
-    /// A commit is done and its answer is lost.
-    pub commit: f64,
-}
-
-#[derive(Clone, Debug)]
-struct Run {
-    run: u32,
-    ends: Millis,
-    how: How,
-}
-
-/// A worker that keeps the platform's rules.
-#[derive(Clone, Debug)]
-pub struct FakeWorker {
-    pub listing: Listing,
-    /// Takes no calls, and goes on with what it runs.
-    pub cut: bool,
-    epoch: u64,
-    lease: Millis,
-    running: BTreeMap<String, Run>,
-    barred: BTreeMap<String, u32>,
-    ended: Vec<Ended>,
-    /// When runs ended that have done their work, by number of their end.
-    done: BTreeMap<u64, (String, Millis)>,
-    /// When its lease had lapsed last.
-    lapsed: Millis,
-    next: u64,
-}
-
-enum Call {
-    Hold(Hold, Millis),
-    Start(Start),
-    Stop(Stop),
-    Commit(u64, u64, Vec<Write>),
-}
-
+/// An owner with its fake workers and store.
 pub struct World {
     pub now: Millis,
     pub owner: Owner,
@@ -98,11 +54,6 @@
     ticket: u64,
 }
 
-enum Due {
-    Call(Call, bool),
-    Event(u64, Event),
-}
-
 pub fn queue() -> Queue {
     Queue {
         name: "q".into(),
@@ -211,18 +162,7 @@
     }
 
     pub fn add_worker(&mut self, id: &str, port: u16) {
-        let worker = FakeWorker {
-            listing: listing(id, port),
-            cut: false,
-            epoch: 0,
-            lease: 0,
-            running: BTreeMap::new(),
-            barred: BTreeMap::new(),
-            ended: Vec::new(),
-            done: BTreeMap::new(),
-            lapsed: 0,
-            next: 1,
-        };
+        let worker = FakeWorker::new(listing(id, port));
         self.workers.insert(id.into(), worker);
     }
 
@@ -258,7 +198,7 @@
     pub fn running(&self) -> Vec<(String, Name)> {
         let on = |w: &FakeWorker| {
             let id = w.listing.id.clone();
-            let tasks: Vec<_> = w.running.keys().map(|t| (t.clone(), id.clone())).collect();
+            let tasks: Vec<_> = w.tasks().map(|t| (t.clone(), id.clone())).collect();
             tasks
         };
         self.workers.values().flat_map(on).collect()
@@ -341,249 +281,4 @@
             self.send(call);
         }
     }
-
-    fn later(&mut self, after: Millis, due: Due) {
-        self.serial += 1;
-        self.due.insert((self.now + after, self.serial), due);
-    }
-
-    fn send(&mut self, call: Call) {
-        let order = matches!(call, Call::Start(_) | Call::Stop(_) | Call::Hold(..));
-        let lost = match call {
-            Call::Commit(..) => self.random.chance(self.faults.commit),
-            _ => self.random.chance(self.faults.lost),
-        };
-        if order && self.random.chance(self.faults.late) {
-            let event = unanswered(&call);
-            let delay = 2_000 + self.random.below(10_000);
-            self.later(delay, Due::Call(call, false));
-            return self.later(GIVEN_UP, Due::Event(self.epoch, event));
-        }
-        if lost {
-            let event = unanswered(&call);
-            self.later(GIVEN_UP, Due::Event(self.epoch, event));
-        }
-        self.later(HOP, Due::Call(call, !lost));
-    }
-
-    /// A call reaches its worker or the store.
-    fn arrive(&mut self, call: Call, answered: bool) {
-        let event = match call {
-            Call::Commit(number, version, writes) => {
-                if self.store_down {
-                    return self.later(
-                        GIVEN_UP,
-                        Due::Event(self.epoch, Event::Written(number, Written::Unknown)),
-                    );
-                }
-                Event::Written(number, self.commit(version, writes))
-            }
-            Call::Hold(hold, sent) => match self.reach(&hold.worker) {
-                None => Event::Held(hold.worker, sent, Reply::Lost),
-                Some(_) => {
-                    let reply = self.hold(&hold);
-                    Event::Held(hold.worker, sent, reply)
-                }
-            },
-            Call::Start(start) => match self.reach(&start.worker) {
-                None => Event::Started(start.key, start.run, start.worker, Reply::Lost),
-                Some(_) => {
-                    let reply = self.start(&start);
-                    Event::Started(start.key, start.run, start.worker, reply)
-                }
-            },
-            Call::Stop(stop) => match self.reach(&stop.worker) {
-                None => Event::Stopped(stop.key, stop.run, stop.worker, Reply::Lost),
-                Some(_) => {
-                    let reply = self.stop(&stop);
-                    Event::Stopped(stop.key, stop.run, stop.worker, reply)
-                }
-            },
-        };
-        let silent = matches!(
-            event,
-            Event::Held(_, _, Reply::Lost)
-                | Event::Started(_, _, _, Reply::Lost)
-                | Event::Stopped(_, _, _, Reply::Lost)
-        );
-        if answered {
-            let after = if silent { GIVEN_UP } else { HOP };
-            self.later(after, Due::Event(self.epoch, event));
-        }
-    }
-
-    fn reach(&mut self, id: &str) -> Option<&mut FakeWorker> {
-        self.workers.get_mut(id).filter(|w| !w.cut)
-    }
-
-    fn commit(&mut self, version: u64, writes: Vec<Write>) -> Written {
-        if version != self.owner_version {
-            let row = self.rows[&(OWNER_TABLE, OWNER_KEY.into())].clone();
-            return Written::Conflict(Some((self.owner_version, row)));
-        }
-        self.version += 1;
-        self.owner_version = self.version;
-        for write in writes {
-            let key = (write.table, write.key);
-            match write.value {
-                Some(value) => drop(self.rows.insert(key, value)),
-                None => drop(self.rows.remove(&key)),
-            }
-        }
-        Written::Done(self.version)
-    }
-
-    fn hold(&mut self, hold: &Hold) -> Reply<Report> {
-        let now = self.now;
-        let Some(worker) = self.workers.get_mut(&hold.worker) else {
-            return Reply::Lost;
-        };
-        if hold.epoch < worker.epoch {
-            return Reply::Refused(Refusal::Fenced);
-        }
-        worker.epoch = hold.epoch;
-        worker.lease = worker.lease.max(hold.lease.unwrap_or(0));
-        worker.ended.retain(|e| e.number > hold.seen);
-        let later = worker.done.split_off(&(hold.seen + 1));
-        let noted = std::mem::replace(&mut worker.done, later);
-        let lapsed = worker.lapsed;
-        let running = worker.running.iter().map(|(task, run)| Running {
-            task: task.as_str().into(),
-            run: run.run,
-            saved: "".into(),
-            progress: 100,
-            gauge: 0,
-        });
-        let report = Report {
-            clock: now,
-            running: running.collect(),
-            ended: worker.ended.clone(),
-        };
-        for (task, at) in noted.into_values().filter(|(_, at)| *at > lapsed) {
-            let again = self.starts.iter().find(|s| s.0 == task && s.3 > at);
-            if let Some(start) = again {
-                let text = format!("{task} was done at {at} and run {} at {}", start.1, start.3);
-                self.doubles.push(text);
-            }
-        }
-        Reply::Ok(report)
-    }
-
-    fn start(&mut self, start: &Start) -> Reply<Millis> {
-        let (span, how) = (self.script)(&start.task, start.run);
-        let now = self.now;
-        let Some(worker) = self.workers.get_mut(&start.worker) else {
-            return Reply::Lost;
-        };
-        if start.epoch < worker.epoch {
-            return Reply::Refused(Refusal::Fenced);
-        }
-        worker.epoch = start.epoch;
-        if start.lease <= now {
-            return Reply::Refused(Refusal::Late);
-        }
-        worker.lease = worker.lease.max(start.lease);
-        if worker
-            .running
-            .get(&start.task)
-            .is_some_and(|r| r.run == start.run)
-        {
-            return Reply::Ok(now);
-        }
-        if worker
-            .barred
-            .get(&start.task)
-            .is_some_and(|r| start.run <= *r)
-        {
-            return Reply::Refused(Refusal::Old);
-        }
-        let run = Run {
-            run: start.run,
-            ends: now + span,
-            how,
-        };
-        worker.running.insert(start.task.clone(), run);
-        let id = start.worker.clone();
-        self.starts.push((start.task.clone(), start.run, id, now));
-        let places = self
-            .running()
-            .into_iter()
-            .filter(|(t, _)| *t == start.task)
-            .count();
-        if places > 1 {
-            self.doubles
-                .push(format!("{} run {} at {now}", start.task, start.run));
-        }
-        Reply::Ok(now)
-    }
-
-    fn stop(&mut self, stop: &Stop) -> Reply<Millis> {
-        let now = self.now;
-        let Some(worker) = self.workers.get_mut(&stop.worker) else {
-            return Reply::Lost;
-        };
-        if stop.epoch < worker.epoch {
-            return Reply::Refused(Refusal::Fenced);
-        }
-        let barred = worker.barred.entry(stop.task.clone()).or_insert(0);
-        *barred = stop.run.max(*barred);
-        if worker
-            .running
-            .get(&stop.task)
-            .is_some_and(|r| r.run == stop.run)
-        {
-            worker.end(&stop.task, How::Stopped, now);
-        }
-        Reply::Ok(now)
-    }
-
-    /// Ends runs whose time has come, and everything under a lapsed lease.
-    fn work(&mut self) {
-        let now = self.now;
-        for worker in self.workers.values_mut() {
-            let lapsed = now > worker.lease;
-            if lapsed {
-                worker.lapsed = now;
-            }
-            let ends: Vec<(String, How)> = worker
-                .running
-                .iter()
-                .filter(|(_, r)| lapsed || r.ends <= now)
-                .map(|(t, r)| (t.clone(), if r.ends <= now { r.how } else { How::Lapsed }))
-                .collect();
-            for (task, how) in ends {
-                worker.end(&task, how, now);
-            }
-        }
-    }
-}
-
-impl FakeWorker {
-    fn end(&mut self, task: &str, how: How, now: Millis) {
-        let Some(run) = self.running.remove(task) else {
-            return;
-        };
-        let barred = self.barred.entry(task.into()).or_insert(0);
-        *barred = run.run.max(*barred);
-        if how == How::Done {
-            self.done.insert(self.next, (task.into(), now));
-        }
-        self.ended.push(Ended {
-            number: self.next,
-            task: task.into(),
-            run: run.run,
-            how,
-            saved: "".into(),
-        });
-        self.next += 1;
-    }
-}
-
-fn unanswered(call: &Call) -> Event {
-    match call {
-        Call::Hold(hold, sent) => Event::Held(hold.worker.clone(), *sent, Reply::Lost),
-        Call::Start(s) => Event::Started(s.key, s.run, s.worker.clone(), Reply::Lost),
-        Call::Stop(s) => Event::Stopped(s.key, s.run, s.worker.clone(), Reply::Lost),
-        Call::Commit(number, _, _) => Event::Written(*number, Written::Unknown),
-    }
 }
--- /dev/null
+++ b/src/sched/tests/world/calls.rs
@@ -0,0 +1,136 @@
+//! The calls between the owner, its fake workers and the fake store, which may
+//! get lost or come late.
+
+use super::World;
+use crate::sched::journal::{OWNER_KEY, OWNER_TABLE};
+use crate::sched::message::{Event, Hold, Reply, Start, Stop, Write, Written};
+use crate::utils::clock::Millis;
+
+/// Milliseconds that a call takes each way.
+const HOP: Millis = 1;
+/// Milliseconds after which a call without an answer is given up.
+const GIVEN_UP: Millis = 700;
+
+/// How likely faults are, from 0 to 1.
+#[derive(Clone, Copy, Default)]
+pub struct Faults {
+    /// An order is carried out and its answer is lost.
+    pub lost: f64,
+    /// An order is carried out seconds later, without an answer.
+    pub late: f64,
+    /// A commit is done and its answer is lost.
+    pub commit: f64,
+}
+
+/// A call on its way.
+pub enum Call {
+    Hold(Hold, Millis),
+    Start(Start),
+    Stop(Stop),
+    Commit(u64, u64, Vec<Write>),
+}
+
+/// What happens at a later time.
+pub enum Due {
+    /// A call arrives; false when its answer is lost.
+    Call(Call, bool),
+    /// The owner of an epoch is told something.
+    Event(u64, Event),
+}
+
+impl World {
+    pub(super) fn send(&mut self, call: Call) {
+        let order = matches!(call, Call::Start(_) | Call::Stop(_) | Call::Hold(..));
+        let lost = match call {
+            Call::Commit(..) => self.random.chance(self.faults.commit),
+            _ => self.random.chance(self.faults.lost),
+        };
+        if order && self.random.chance(self.faults.late) {
+            let event = unanswered(&call);
+            let delay = 2_000 + self.random.below(10_000);
+            self.later(delay, Due::Call(call, false));
+            return self.later(GIVEN_UP, Due::Event(self.epoch, event));
+        }
+        if lost {
+            let event = unanswered(&call);
+            self.later(GIVEN_UP, Due::Event(self.epoch, event));
+        }
+        self.later(HOP, Due::Call(call, !lost));
+    }
+
+    /// A call reaches its worker or the store.
+    pub(super) fn arrive(&mut self, call: Call, answered: bool) {
+        let event = match call {
+            Call::Commit(number, version, writes) => {
+                if self.store_down {
+                    return self.later(
+                        GIVEN_UP,
+                        Due::Event(self.epoch, Event::Written(number, Written::Unknown)),
+                    );
+                }
+                Event::Written(number, self.commit(version, writes))
+            }
+            Call::Hold(hold, sent) => {
+                let reply = self.reach(&hold.worker, |world| world.hold(&hold));
+                Event::Held(hold.worker, sent, reply)
+            }
+            Call::Start(start) => {
+                let reply = self.reach(&start.worker, |world| world.start(&start));
+                Event::Started(start.key, start.run, start.worker, reply)
+            }
+            Call::Stop(stop) => {
+                let reply = self.reach(&stop.worker, |world| world.stop(&stop));
+                Event::Stopped(stop.key, stop.run, stop.worker, reply)
+            }
+        };
+        let silent = matches!(
+            event,
+            Event::Held(_, _, Reply::Lost)
+                | Event::Started(_, _, _, Reply::Lost)
+                | Event::Stopped(_, _, _, Reply::Lost)
+        );
+        if answered {
+            let after = if silent { GIVEN_UP } else { HOP };
+            self.later(after, Due::Event(self.epoch, event));
+        }
+    }
+
+    fn later(&mut self, after: Millis, due: Due) {
+        self.serial += 1;
+        self.due.insert((self.now + after, self.serial), due);
+    }
+
+    /// Carries an order out, unless its worker is cut off or gone.
+    fn reach<T>(&mut self, id: &str, order: impl FnOnce(&mut Self) -> Reply<T>) -> Reply<T> {
+        match self.workers.get(id).is_some_and(|w| !w.cut) {
+            true => order(self),
+            false => Reply::Lost,
+        }
+    }
+
+    fn commit(&mut self, version: u64, writes: Vec<Write>) -> Written {
+        if version != self.owner_version {
+            let row = self.rows[&(OWNER_TABLE, OWNER_KEY.into())].clone();
+            return Written::Conflict(Some((self.owner_version, row)));
+        }
+        self.version += 1;
+        self.owner_version = self.version;
+        for write in writes {
+            let key = (write.table, write.key);
+            match write.value {
+                Some(value) => drop(self.rows.insert(key, value)),
+                None => drop(self.rows.remove(&key)),
+            }
+        }
+        Written::Done(self.version)
+    }
+}
+
+fn unanswered(call: &Call) -> Event {
+    match call {
+        Call::Hold(hold, sent) => Event::Held(hold.worker.clone(), *sent, Reply::Lost),
+        Call::Start(s) => Event::Started(s.key, s.run, s.worker.clone(), Reply::Lost),
+        Call::Stop(s) => Event::Stopped(s.key, s.run, s.worker.clone(), Reply::Lost),
+        Call::Commit(number, _, _) => Event::Written(*number, Written::Unknown),
+    }
+}
--- /dev/null
+++ b/src/sched/tests/world/workers.rs
@@ -0,0 +1,202 @@
+//! Fake workers that keep the platform's rules, and watch that the owner does.
+
+use std::collections::BTreeMap;
+
+use super::World;
+use crate::sched::message::{Ended, Hold, How, Refusal, Reply, Report, Running, Start, Stop};
+use crate::sched::worker::Listing;
+use crate::utils::clock::Millis;
+
+#[derive(Clone, Debug)]
+struct Run {
+    run: u32,
+    ends: Millis,
+    how: How,
+}
+
+/// A worker that keeps the platform's rules.
+#[derive(Clone, Debug)]
+pub struct FakeWorker {
+    pub listing: Listing,
+    /// Takes no calls, and goes on with what it runs.
+    pub cut: bool,
+    epoch: u64,
+    lease: Millis,
+    running: BTreeMap<String, Run>,
+    barred: BTreeMap<String, u32>,
+    ended: Vec<Ended>,
+    /// When runs ended that have done their work, by number of their end.
+    done: BTreeMap<u64, (String, Millis)>,
+    /// When its lease had lapsed last.
+    lapsed: Millis,
+    next: u64,
+}
+
+impl FakeWorker {
+    /// Returns a worker that runs nothing and was told nothing.
+    pub fn new(listing: Listing) -> Self {
+        Self {
+            listing,
+            cut: false,
+            epoch: 0,
+            lease: 0,
+            running: BTreeMap::new(),
+            barred: BTreeMap::new(),
+            ended: Vec::new(),
+            done: BTreeMap::new(),
+            lapsed: 0,
+            next: 1,
+        }
+    }
+
+    /// Returns the names of the tasks that it runs.
+    pub fn tasks(&self) -> impl Iterator<Item = &String> {
+        self.running.keys()
+    }
+
+    fn end(&mut self, task: &str, how: How, now: Millis) {
+        let Some(run) = self.running.remove(task) else {
+            return;
+        };
+        let barred = self.barred.entry(task.into()).or_insert(0);
+        *barred = run.run.max(*barred);
+        if how == How::Done {
+            self.done.insert(self.next, (task.into(), now));
+        }
+        self.ended.push(Ended {
+            number: self.next,
+            task: task.into(),
+            run: run.run,
+            how,
+            saved: "".into(),
+        });
+        self.next += 1;
+    }
+}
+
+impl World {
+    pub(super) fn hold(&mut self, hold: &Hold) -> Reply<Report> {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&hold.worker) else {
+            return Reply::Lost;
+        };
+        if hold.epoch < worker.epoch {
+            return Reply::Refused(Refusal::Fenced);
+        }
+        worker.epoch = hold.epoch;
+        worker.lease = worker.lease.max(hold.lease.unwrap_or(0));
+        worker.ended.retain(|e| e.number > hold.seen);
+        let later = worker.done.split_off(&(hold.seen + 1));
+        let noted = std::mem::replace(&mut worker.done, later);
+        let lapsed = worker.lapsed;
+        let running = worker.running.iter().map(|(task, run)| Running {
+            task: task.as_str().into(),
+            run: run.run,
+            saved: "".into(),
+            progress: 100,
+            gauge: 0,
+        });
+        let report = Report {
+            clock: now,
+            running: running.collect(),
+            ended: worker.ended.clone(),
+        };
+        for (task, at) in noted.into_values().filter(|(_, at)| *at > lapsed) {
+            let again = self.starts.iter().find(|s| s.0 == task && s.3 > at);
+            if let Some(start) = again {
+                let text = format!("{task} was done at {at} and run {} at {}", start.1, start.3);
+                self.doubles.push(text);
+            }
+        }
+        Reply::Ok(report)
+    }
+
+    pub(super) fn start(&mut self, start: &Start) -> Reply<Millis> {
+        let (span, how) = (self.script)(&start.task, start.run);
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&start.worker) else {
+            return Reply::Lost;
+        };
+        if start.epoch < worker.epoch {
+            return Reply::Refused(Refusal::Fenced);
+        }
+        worker.epoch = start.epoch;
+        if start.lease <= now {
+            return Reply::Refused(Refusal::Late);
+        }
+        worker.lease = worker.lease.max(start.lease);
+        if worker
+            .running
+            .get(&start.task)
+            .is_some_and(|r| r.run == start.run)
+        {
+            return Reply::Ok(now);
+        }
+        if worker
+            .barred
+            .get(&start.task)
+            .is_some_and(|r| start.run <= *r)
+        {
+            return Reply::Refused(Refusal::Old);
+        }
+        let run = Run {
+            run: start.run,
+            ends: now + span,
+            how,
+        };
+        worker.running.insert(start.task.clone(), run);
+        let id = start.worker.clone();
+        self.starts.push((start.task.clone(), start.run, id, now));
+        self.note_double(start);
+        Reply::Ok(now)
+    }
+
+    /// Notes when a task that was just started runs in several places.
+    fn note_double(&mut self, start: &Start) {
+        let running = self.running().into_iter();
+        if running.filter(|(t, _)| *t == start.task).count() > 1 {
+            let text = format!("{} run {} at {}", start.task, start.run, self.now);
+            self.doubles.push(text);
+        }
+    }
+
+    pub(super) fn stop(&mut self, stop: &Stop) -> Reply<Millis> {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&stop.worker) else {
+            return Reply::Lost;
+        };
+        if stop.epoch < worker.epoch {
+            return Reply::Refused(Refusal::Fenced);
+        }
+        let barred = worker.barred.entry(stop.task.clone()).or_insert(0);
+        *barred = stop.run.max(*barred);
+        if worker
+            .running
+            .get(&stop.task)
+            .is_some_and(|r| r.run == stop.run)
+        {
+            worker.end(&stop.task, How::Stopped, now);
+        }
+        Reply::Ok(now)
+    }
+
+    /// Ends runs whose time has come, and everything under a lapsed lease.
+    pub(super) fn work(&mut self) {
+        let now = self.now;
+        for worker in self.workers.values_mut() {
+            let lapsed = now > worker.lease;
+            if lapsed {
+                worker.lapsed = now;
+            }
+            let ends: Vec<(String, How)> = worker
+                .running
+                .iter()
+                .filter(|(_, r)| lapsed || r.ends <= now)
+                .map(|(t, r)| (t.clone(), if r.ends <= now { r.how } else { How::Lapsed }))
+                .collect();
+            for (task, how) in ends {
+                worker.end(&task, how, now);
+            }
+        }
+    }
+}
