Slot is Placement; fields, bounds and spans are documented

Types of the owner that nobody else uses are pub(super). The defaults of the settings are named constants with the same values. No behaviour changes.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -26,9 +26,9 @@
 use crate::web;
 use shared::Shared;
 
-/// Milliseconds between two looks whether a planned stop was asked for.
+/// Time between two looks whether a planned stop was asked for.
 const LOOK: Duration = Duration::from_millis(50);
-/// Milliseconds from a planned stop until no connection is accepted any more:
+/// Time from a planned stop until no connection is accepted any more:
 /// the platform's balancer asks each second and leaves a box out after two
 /// refusals.
 const LEAVE: Duration = Duration::from_millis(2_600);
--- a/src/daemon/desk.rs
+++ b/src/daemon/desk.rs
@@ -21,7 +21,7 @@
 /// Longest that a request is held before it is given up, in milliseconds: a
 /// takeover, and under half of what callers wait.
 const HELD: Millis = 1_300;
-/// Milliseconds between two tries to reach the owner.
+/// Time between two tries to reach the owner.
 const PAUSE: Duration = Duration::from_millis(40);
 /// Longest that a request waits in all while the owner works on it, in
 /// milliseconds: two commits to a slow store, and under half of what callers wait.
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -43,6 +43,7 @@
 struct Lead {
     owner: Owner,
     epoch: u64,
+    /// Callers that wait for an answer.
     tickets: HashMap<Ticket, oneshot::Sender<Answer>>,
     next_ticket: Ticket,
     patience: Millis,
--- a/src/logs/sink.rs
+++ b/src/logs/sink.rs
@@ -16,9 +16,13 @@
 /// and says how many.
 pub struct Sink {
     fd: RawFd,
+    /// The line as far as it was gathered.
     line: Vec<u8>,
+    /// When the present span of counted lines began.
     began: Millis,
+    /// Lines in that span.
     lines: u32,
+    /// Lines dropped since that was last said.
     dropped: u64,
 }
 
@@ -46,6 +50,7 @@
         count == 1 && poll.revents & libc::POLLOUT != 0
     }
 
+    /// Counts a line; false when too many have come.
     fn allowed(&mut self) -> bool {
         let now = clock::now();
         if now >= self.began + SPAN {
@@ -56,6 +61,7 @@
         self.lines <= LINES
     }
 
+    /// Writes all of the bytes or fails.
     fn send(&self, bytes: &[u8]) -> bool {
         // SAFETY: `bytes` is valid for reading.
         let sent = unsafe { libc::write(self.fd, bytes.as_ptr().cast(), bytes.len()) };
--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -16,7 +16,19 @@
 const LEASE: Millis = 4_000;
 /// Milliseconds of the platform's grace that a planned stop leaves unused.
 const STOP_SLACK: Millis = 800;
+/// Milliseconds of an hour, the longest of any setting.
 const HOUR: Millis = 3_600_000;
+/// Milliseconds of the platform's grace for a planned stop, unless it is set.
+const GRACE: Millis = 6_000;
+/// Milliseconds that an owner extends leases without a commit, unless it is
+/// set: longer than the outages of the store that tasks should outlast.
+const UNCONFIRMED: Millis = 10_000;
+/// Least milliseconds that a worker serves on after its listing is gone,
+/// unless the platform's bound is set.
+const DRAIN: Millis = 2_000;
+/// Milliseconds for which the state of an ended job is told, unless the
+/// platform's bound is set.
+const REMEMBER: Millis = 120_000;
 
 /// Checked settings of a box on the platform.
 #[derive(Clone, Debug)]
@@ -54,7 +66,7 @@
 /// Checks the text of a settings file.
 pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Finding>> {
     let mut reader = Reader::new(file, text).map_err(|f| vec![f])?;
-    let grace = reader.duration("platform.grace", 6_000, 1_000..=HOUR);
+    let grace = reader.duration("platform.grace", GRACE, 1_000..=HOUR);
     let longest = reader.duration("platform.longest-lease", LEASE, 500..=HOUR);
     let settings = Settings {
         name: reader.name("box.name").into(),
@@ -68,9 +80,9 @@
             lease: reader
                 .duration("workers.lease", LEASE, 500..=HOUR)
                 .min(longest),
-            unconfirmed: reader.duration("workers.unconfirmed", 10_000, 500..=HOUR),
-            drain: reader.duration("platform.drain", 2_000, 0..=HOUR),
-            remember: reader.duration("jobs.remember", 120_000, 1_000..=HOUR),
+            unconfirmed: reader.duration("workers.unconfirmed", UNCONFIRMED, 500..=HOUR),
+            drain: reader.duration("platform.drain", DRAIN, 0..=HOUR),
+            remember: reader.duration("jobs.remember", REMEMBER, 1_000..=HOUR),
         },
         stop: grace - STOP_SLACK,
         limits: limits(&mut reader),
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -4,6 +4,7 @@
 //! `placing`, `choice`), started and stopped (`starts`), watched (`reports`),
 //! ended (`ends`), shown (`asks`). Workers come and go by `directory` and
 //! `silence`; `pressure` and `paces` keep fillers from slowing serving tasks.
+//! `legacy` tells what earlier owners may still do.
 //! Everything here is plain state without sockets and clocks.
 
 mod asks;
--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -104,7 +104,7 @@
 /// without any, and workers with none that they would slow.
 fn packing(worker: &Worker, step: &StepSpec, load: u64) -> u64 {
     let mixed = worker
-        .slots
+        .placements
         .values()
         .any(|s| s.serving && s.image != step.image);
     let opened = worker.serving == 0;
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -57,7 +57,7 @@
             }
             if listing.leaving && worker.leaves.is_none() {
                 worker.leaves = Some(now + listing.stays);
-                let tasks = worker.slots.len();
+                let tasks = worker.placements.len();
                 log::info!(target: "worker", "worker={id} event=leaving stays_ms={} tasks={tasks}", listing.stays);
             }
             worker.listing = listing;
@@ -94,7 +94,7 @@
             (before, _) => before,
         };
         if before != worker.presence {
-            let (presence, tasks) = (worker.presence, worker.slots.len());
+            let (presence, tasks) = (worker.presence, worker.placements.len());
             log::info!(target: "worker", "worker={id} event=unlisted presence={presence:?} tasks={tasks}");
         }
         if worker.presence != Presence::Removed {
@@ -134,13 +134,13 @@
             let Some(leaves) = worker.leaves else {
                 continue;
             };
-            for (key, slot) in &worker.slots {
+            for (key, placement) in &worker.placements {
                 let Some(job) = self.jobs.get(&key.job).filter(|j| j.open()) else {
                     continue;
                 };
                 let step = job.step(*key);
                 let last = step.saves && now + STOP_TIME >= leaves;
-                if matches!(slot.stage, Stage::Running(_)) && (step.lasting || last) {
+                if matches!(placement.stage, Stage::Running(_)) && (step.lasting || last) {
                     moved.push(*key);
                 }
             }
@@ -162,8 +162,8 @@
         };
         let at_work = |member: &TaskKey| {
             let worker = self.placed.get(member).and_then(|n| self.workers.get(n));
-            let slot = worker.and_then(|w| w.slots.get(member));
-            slot.is_some_and(|s| matches!(s.stage, Stage::Running(_)) && s.at_work)
+            let placement = worker.and_then(|w| w.placements.get(member));
+            placement.is_some_and(|s| matches!(s.stage, Stage::Running(_)) && s.at_work)
         };
         let members = self.members(key);
         let away = members.iter().filter(|m| **m != key && !at_work(m)).count();
@@ -177,16 +177,16 @@
             .iter()
             .filter(|(key, name)| {
                 let worker = self.workers.get(*name);
-                worker.is_some_and(|w| !w.slots.contains_key(key))
+                worker.is_some_and(|w| !w.placements.contains_key(key))
             })
             .map(|(key, name)| (*key, name.clone()))
             .collect();
         for (key, name) in placed {
             let run = self.jobs[&key.job].task(key).map_or(0, |t| t.run);
             // The owner before may have started it or not; any report tells.
-            let slot = self.slot(key, run, Stage::Stopped(0));
+            let placement = self.placement(key, run, Stage::Stopped(0));
             if let Some(worker) = self.workers.get_mut(&name) {
-                worker.put(key, slot);
+                worker.put(key, placement);
             }
         }
     }
--- a/src/sched/ends.rs
+++ b/src/sched/ends.rs
@@ -31,7 +31,7 @@
         };
         let Ended { task, run, how, .. } = end;
         log::info!(target: "task", "task={task} run={run} event=ended how={how:?} worker={name}");
-        let current = self.workers.get(name).and_then(|w| w.slots.get(&key));
+        let current = self.workers.get(name).and_then(|w| w.placements.get(&key));
         let current = current.is_some_and(|s| s.run == end.run);
         if end.how == How::Done {
             self.done(key, current);
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -48,27 +48,38 @@
 pub struct Owner {
     pub(super) bounds: Bounds,
     pub(super) journal: Journal,
+    /// Jobs by their number at this owner.
     pub(super) jobs: BTreeMap<u32, Job>,
+    /// Numbers of jobs by their id.
     pub(super) ids: HashMap<Name, u32>,
     /// Tasks that may start, and since when.
     pub(super) ready: BTreeMap<TaskKey, Millis>,
+    /// Workers by the id of their life.
     pub(super) workers: BTreeMap<Name, Worker>,
     /// Where each placed task is.
     pub(super) placed: HashMap<TaskKey, Name>,
     /// The worker on which a task failed last.
     pub(super) failed_on: HashMap<TaskKey, Name>,
+    /// What is to be done, until the event has been taken in.
     pub(super) actions: Vec<Action>,
+    /// The clocks at the present event.
     pub(super) now: Now,
     /// When leases given by earlier owners have certainly ended.
     pub(super) inherited: Millis,
+    /// True when nothing that waits found room, until something changes.
     pub(super) crowded: bool,
+    /// When tasks may be placed next.
     pub(super) next_place: Millis,
     pub(super) pressure: Pressure,
     /// When the store was last away, slow or silent.
     pub(super) store_trouble: Millis,
+    /// Number of the next job.
     next_job: u32,
+    /// When to look next at what has become due or too old.
     next_sweep: Millis,
+    /// When what was learned is written next.
     next_beliefs: Millis,
+    /// True once another box owns the cell.
     deposed: bool,
 }
 
@@ -315,6 +326,7 @@
         }
     }
 
+    /// Goes on with what has waited for a job's row to be in the store.
     fn kept(&mut self, number: u32, afters: Vec<After>) {
         if let Some(job) = self.jobs.get_mut(&number) {
             job.stored = true;
@@ -404,6 +416,8 @@
     }
 }
 
+/// Returns the writes that bring the rows of a job up to date, or remove them
+/// once its end has expired.
 fn rows(job: &mut Job, expired: bool) -> Vec<Write> {
     job.sent = job.row.outcome;
     let ended = job.kept != Outcome::Open;
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -82,12 +82,12 @@
             return mix.into();
         };
         let capacity = worker.listing.capacity.cpu.max(1) as f64;
-        for slot in worker.slots.values().filter(|s| s.filler) {
-            if matches!(slot.stage, Stage::Running(_) | Stage::Stopping(_)) {
-                let ran = (self.now.steady - slot.since).min(SPAN) as f64 / SPAN as f64;
-                let share =
-                    slot.cpu as f64 / capacity * f64::from(slot.pace) / f64::from(FULL_PACE);
-                *mix.entry(slot.image.clone()).or_insert(0.0) += share * ran;
+        for placement in worker.placements.values().filter(|s| s.filler) {
+            if matches!(placement.stage, Stage::Running(_) | Stage::Stopping(_)) {
+                let ran = (self.now.steady - placement.since).min(SPAN) as f64 / SPAN as f64;
+                let share = placement.cpu as f64 / capacity * f64::from(placement.pace)
+                    / f64::from(FULL_PACE);
+                *mix.entry(placement.image.clone()).or_insert(0.0) += share * ran;
             }
         }
         mix.into()
@@ -99,13 +99,13 @@
             return;
         };
         let capacity = worker.listing.capacity.cpu.max(1) as f64;
-        let fillers = worker.slots.iter().filter(|(_, s)| s.filler);
+        let fillers = worker.placements.iter().filter(|(_, s)| s.filler);
         let mut fillers: Vec<Filler> = fillers
             .filter(|(_, s)| matches!(s.stage, Stage::Running(_)))
-            .map(|(key, slot)| Filler {
+            .map(|(key, placement)| Filler {
                 key: *key,
-                image: slot.image_number,
-                share: slot.cpu as f64 / capacity,
+                image: placement.image_number,
+                share: placement.cpu as f64 / capacity,
                 wished: 1.0,
             })
             .collect();
@@ -130,28 +130,28 @@
     fn gauge(&mut self, name: &Name, run: &Running, mix: &Rc<Mix>) -> Option<(ImageNumber, Gauge)> {
         let key = self.find(&run.task)?;
         let now = self.now.steady;
-        let slot = self.workers.get_mut(name)?.slots.get_mut(&key)?;
-        if !slot.serving || slot.run != run.run {
+        let placement = self.workers.get_mut(name)?.placements.get_mut(&key)?;
+        if !placement.serving || placement.run != run.run {
             return None;
         }
-        let busy = busy_share(run.gauge, slot.target);
-        let image = slot.image.clone();
-        if let Some(before) = &slot.gauge
+        let busy = busy_share(run.gauge, placement.target);
+        let image = placement.image.clone();
+        if let Some(before) = &placement.gauge
             && COMPARED.contains(&(now - before.at))
         {
             self.pressure.learn(&image, before, busy, mix);
         }
         let own_load = (busy - self.pressure.pressed(&image, mix)).clamp(0.0, busy);
-        let before = slot.gauge.as_ref().and_then(|g| g.over_since);
+        let before = placement.gauge.as_ref().and_then(|g| g.over_since);
         let gauge = Gauge {
             at: now,
             busy,
-            over_since: (run.gauge > slot.target).then(|| before.unwrap_or(now)),
+            over_since: (run.gauge > placement.target).then(|| before.unwrap_or(now)),
             own_load,
             mix: mix.clone(),
         };
-        slot.gauge = Some(gauge.clone());
-        Some((slot.image_number, gauge))
+        placement.gauge = Some(gauge.clone());
+        Some((placement.image_number, gauge))
     }
 
     /// Orders the paces that fillers of a worker should have.
@@ -163,23 +163,23 @@
                 return;
             };
             let address = worker.listing.address;
-            let Some(slot) = worker.slots.get_mut(&filler.key) else {
+            let Some(placement) = worker.placements.get_mut(&filler.key) else {
                 continue;
             };
             // A pace is lowered only while a tail is high.
-            let changes = wished > slot.pace || (high && wished < slot.pace);
+            let changes = wished > placement.pace || (high && wished < placement.pace);
             let Some(job) = self
                 .jobs
                 .get(&filler.key.job)
-                .filter(|_| changes && !slot.pacing)
+                .filter(|_| changes && !placement.pacing)
             else {
                 continue;
             };
-            slot.pacing = true;
-            log::debug!(target: "task", "task={} run={} event=pace percent={wished}", job.task_name(filler.key), slot.run);
+            placement.pacing = true;
+            log::debug!(target: "task", "task={} run={} event=pace percent={wished}", job.task_name(filler.key), placement.run);
             self.actions.push(Action::Pace(Pace {
                 key: filler.key,
-                run: slot.run,
+                run: placement.run,
                 worker: name.clone(),
                 address,
                 task: job.task_name(filler.key),
@@ -198,16 +198,16 @@
         name: &Name,
         reply: Reply<Millis>,
     ) {
-        let slot = self
+        let placement = self
             .workers
             .get_mut(name)
-            .and_then(|w| w.slots.get_mut(&key));
-        let Some(slot) = slot.filter(|s| s.run == run) else {
+            .and_then(|w| w.placements.get_mut(&key));
+        let Some(placement) = placement.filter(|s| s.run == run) else {
             return;
         };
-        slot.pacing = false;
+        placement.pacing = false;
         if matches!(reply, Reply::Ok(_)) {
-            slot.pace = percent;
+            placement.pace = percent;
         }
     }
 }
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -8,7 +8,7 @@
 use super::owner::Owner;
 use super::paces::FULL_PACE;
 use super::spec::{Room, StepSpec};
-use super::worker::{Slot, Stage};
+use super::worker::{Placement, Stage};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -151,7 +151,7 @@
     /// Gives a task to a worker; the start is sent once the store holds it.
     fn assign(&mut self, key: TaskKey, run: u32, name: Name) {
         self.ready.remove(&key);
-        let slot = self.slot(key, run, Stage::Recording);
+        let placement = self.placement(key, run, Stage::Recording);
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
@@ -160,17 +160,17 @@
             task.phase = Phase::Placed(name.clone());
         }
         if let Some(worker) = self.workers.get_mut(&name) {
-            worker.put(key, slot);
+            worker.put(key, placement);
         }
         self.placed.insert(key, name);
         self.journal.after(key.job, After::Start(key, run));
     }
 
     /// Returns what a run of a task takes on its worker.
-    pub(super) fn slot(&mut self, key: TaskKey, run: u32, stage: Stage) -> Slot {
+    pub(super) fn placement(&mut self, key: TaskKey, run: u32, stage: Stage) -> Placement {
         let step = self.jobs[&key.job].step(key);
         let image_number = self.pressure.intern(&step.image);
-        Slot {
+        Placement {
             run,
             stage,
             room: step.reserved(),
--- a/src/sched/pressure.rs
+++ b/src/sched/pressure.rs
@@ -117,7 +117,7 @@
     pub fn excess_with(&self, worker: &Worker, step: &StepSpec, number: ImageNumber) -> f64 {
         let capacity = worker.listing.capacity.cpu;
         let fillers: Vec<(ImageNumber, u64)> = worker
-            .slots
+            .placements
             .values()
             .filter(|s| s.filler)
             .map(|s| (s.image_number, s.cpu))
@@ -130,7 +130,7 @@
         if !step.filler {
             return (PEAK + parts(number) - BORNE).max(0.0);
         }
-        let serving = worker.slots.values().filter(|s| s.serving);
+        let serving = worker.placements.values().filter(|s| s.serving);
         let over = serving.map(|victim| {
             let own = victim.gauge.as_ref().map_or(OWN, |g| g.own_load);
             let peak = (own + RISE).min(PEAK.max(own));
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -38,7 +38,7 @@
             }
             // An order without an answer may be carried out: a silent worker's
             // lease is left to end, so that its tasks can run elsewhere.
-            let extends = confirmed && worker.misses == 0 && !worker.slots.is_empty();
+            let extends = confirmed && worker.misses == 0 && !worker.placements.is_empty();
             let lease = match extends {
                 true => worker.grant(span, now),
                 false => None,
@@ -161,18 +161,18 @@
     /// Takes in that a run is listed; false when it should not be there.
     fn confirm(&mut self, name: &Name, key: TaskKey, run: &Running) -> bool {
         let now = self.now.steady;
-        let slot = self
+        let placement = self
             .workers
             .get_mut(name)
-            .and_then(|w| w.slots.get_mut(&key));
-        let Some(slot) = slot.filter(|s| s.run == run.run) else {
+            .and_then(|w| w.placements.get_mut(&key));
+        let Some(placement) = placement.filter(|s| s.run == run.run) else {
             return false;
         };
-        let inherited = slot.stage == Stage::Stopped(0);
-        if inherited || slot.stage == Stage::Starting {
-            slot.stage = Stage::Running(now);
+        let inherited = placement.stage == Stage::Stopped(0);
+        if inherited || placement.stage == Stage::Starting {
+            placement.stage = Stage::Running(now);
         }
-        slot.at_work = run.progress == FULL_PACE;
+        placement.at_work = run.progress == FULL_PACE;
         if let Some(job) = self.jobs.get_mut(&key.job) {
             let ended = !job.open();
             if let Some(task) = job.task_mut(key)
@@ -195,14 +195,14 @@
         };
         let mut free = Vec::new();
         let mut doubt = Vec::new();
-        for (key, slot) in &mut worker.slots {
+        for (key, placement) in &mut worker.placements {
             if listed.contains(key) {
                 continue;
             }
-            match slot.stage {
+            match placement.stage {
                 Stage::Stopped(at) if at <= sent => free.push(*key),
                 Stage::Running(at) if at <= sent => {
-                    slot.stage = Stage::Doubt;
+                    placement.stage = Stage::Doubt;
                     doubt.push(*key);
                 }
                 _ => {}
--- a/src/sched/silence.rs
+++ b/src/sched/silence.rs
@@ -18,7 +18,7 @@
         let Some(worker) = self.workers.get(name) else {
             return;
         };
-        let keys: Vec<TaskKey> = worker.slots.keys().copied().collect();
+        let keys: Vec<TaskKey> = worker.placements.keys().copied().collect();
         for key in keys {
             self.free(key);
         }
@@ -34,12 +34,12 @@
             .workers
             .values()
             .filter(silent)
-            .filter(|w| !w.slots.is_empty() || w.presence == Presence::Removed)
+            .filter(|w| !w.placements.is_empty() || w.presence == Presence::Removed)
             .map(|w| w.listing.id.clone())
             .collect();
         for name in ended {
             let worker = &self.workers[&name];
-            let (tasks, presence) = (worker.slots.len(), worker.presence);
+            let (tasks, presence) = (worker.placements.len(), worker.presence);
             log::info!(target: "worker", "worker={name} event=lapsed tasks={tasks} presence={presence:?}");
             self.clear(&name);
             if presence == Presence::Removed {
@@ -47,7 +47,7 @@
             }
         }
         let drained = |w: &&Worker| {
-            w.presence == Presence::Removed && w.slots.is_empty() && w.pending.is_empty()
+            w.presence == Presence::Removed && w.placements.is_empty() && w.pending.is_empty()
         };
         let drained: Vec<Name> = self
             .workers
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -28,7 +28,7 @@
         let Some(worker) = self.workers.get_mut(&name) else {
             return;
         };
-        let current = worker.slots.get(&key);
+        let current = worker.placements.get(&key);
         if current.is_none_or(|s| s.run != run || s.stage != Stage::Recording) {
             return;
         }
@@ -36,13 +36,13 @@
             true => worker.grant(span, now),
             false => None,
         };
-        let (Some(lease), Some(slot)) = (lease, worker.slots.get_mut(&key)) else {
+        let (Some(lease), Some(placement)) = (lease, worker.placements.get_mut(&key)) else {
             log::info!(target: "task", "task={} run={run} event=withdrawn worker={name}", job.task_name(key));
             self.free(key);
             return;
         };
-        slot.stage = Stage::Starting;
-        slot.since = now;
+        placement.stage = Stage::Starting;
+        placement.since = now;
         self.send_start(key, run, name, lease);
     }
 
@@ -80,15 +80,17 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        let Some(slot) = worker.slots.get_mut(&key).filter(|s| s.run == run) else {
+        let Some(placement) = worker.placements.get_mut(&key).filter(|s| s.run == run) else {
             return;
         };
         match reply {
-            Reply::Ok(_) if slot.stage == Stage::Starting => slot.stage = Stage::Running(now),
+            Reply::Ok(_) if placement.stage == Stage::Starting => {
+                placement.stage = Stage::Running(now)
+            }
             Reply::Ok(_) => {}
-            Reply::Lost if slot.stage == Stage::Starting => {
+            Reply::Lost if placement.stage == Stage::Starting => {
                 // It may be carried out seconds later, unless a stop of it is answered first.
-                slot.stage = Stage::Doubt;
+                placement.stage = Stage::Doubt;
                 self.stop(key);
             }
             Reply::Lost => {}
@@ -120,15 +122,15 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        let Some(slot) = worker.slots.get_mut(&key).filter(|s| s.run == run) else {
+        let Some(placement) = worker.placements.get_mut(&key).filter(|s| s.run == run) else {
             return;
         };
         match reply {
-            Reply::Ok(_) => slot.stage = Stage::Stopped(now),
+            Reply::Ok(_) => placement.stage = Stage::Stopped(now),
             // It is sent again while the worker answers.
-            Reply::Lost | Reply::NotSent => slot.stage = Stage::Stopping(now),
+            Reply::Lost | Reply::NotSent => placement.stage = Stage::Stopping(now),
             Reply::Refused(Refusal::Reborn) => self.life_ended(name, "another-life"),
-            Reply::Refused(_) => slot.stage = Stage::Stopping(now),
+            Reply::Refused(_) => placement.stage = Stage::Stopping(now),
         }
     }
 
@@ -141,12 +143,12 @@
                 continue;
             }
             let address = worker.listing.address;
-            for (key, slot) in &mut worker.slots {
-                if let Stage::Stopping(at) = slot.stage
+            for (key, placement) in &mut worker.placements {
+                if let Stage::Stopping(at) = placement.stage
                     && now >= at + STOP_AGAIN
                 {
-                    slot.stage = Stage::Stopping(now);
-                    again.push((*key, slot.run, name.clone(), address));
+                    placement.stage = Stage::Stopping(now);
+                    again.push((*key, placement.run, name.clone(), address));
                 }
             }
         }
@@ -176,20 +178,20 @@
             return;
         };
         let address = worker.listing.address;
-        let Some(slot) = worker.slots.get_mut(&key) else {
+        let Some(placement) = worker.placements.get_mut(&key) else {
             return;
         };
-        match slot.stage {
+        match placement.stage {
             Stage::Recording => {
                 self.free(key);
                 return;
             }
             Stage::Stopping(_) | Stage::Stopped(_) => return,
             Stage::Starting | Stage::Running(_) | Stage::Doubt => {
-                slot.stage = Stage::Stopping(now);
+                placement.stage = Stage::Stopping(now);
             }
         }
-        let run = slot.run;
+        let run = placement.run;
         self.send_stop(key, run, name, address, epoch);
     }
 
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -53,7 +53,7 @@
 
 /// How far a placed task is on its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
+pub(super) enum Stage {
     /// Its placement is not known to be in the store; nothing was sent.
     Recording,
     /// The start was sent and has no answer yet.
@@ -68,9 +68,9 @@
     Stopping(Millis),
 }
 
-/// A task on a worker.
+/// A task that was given to a worker.
 #[derive(Clone, Debug)]
-pub struct Slot {
+pub(super) struct Placement {
     /// Number of the run.
     pub run: u32,
     /// How far it is.
@@ -105,7 +105,7 @@
 
 /// How busy a serving task was, and what ran beside it.
 #[derive(Clone, Debug)]
-pub struct Gauge {
+pub(super) struct Gauge {
     /// When it was reported.
     pub at: Millis,
     /// Busy share of its server, from 0 to 1.
@@ -119,18 +119,20 @@
 }
 
 /// Processor shares of fillers by image.
-pub type Mix = BTreeMap<Name, f64>;
+pub(super) type Mix = BTreeMap<Name, f64>;
 
 /// A report of a worker's clock.
 #[derive(Clone, Copy, Debug)]
 struct Heard {
+    /// Milliseconds on the clock of the worker.
     clock: Millis,
+    /// When its report arrived.
     at: Millis,
 }
 
 /// The exchange with a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Contact {
+pub(super) enum Contact {
     /// The next exchange is due at this time.
     Due(Millis),
     /// An exchange sent at this time has no answer yet.
@@ -139,7 +141,7 @@
 
 /// Whether the directory lists a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Presence {
+pub(super) enum Presence {
     /// It is listed.
     Listed,
     /// Its listing lapsed at this time, around trouble of the store: it may
@@ -151,7 +153,7 @@
 
 /// A worker at the owner.
 #[derive(Clone, Debug)]
-pub struct Worker {
+pub(super) struct Worker {
     /// As listed last.
     pub listing: Listing,
     /// Whether the directory lists it.
@@ -159,7 +161,7 @@
     /// When it ends at the earliest, once it is known to leave.
     pub leaves: Option<Millis>,
     /// Tasks placed there.
-    pub slots: BTreeMap<TaskKey, Slot>,
+    pub placements: BTreeMap<TaskKey, Placement>,
     /// Room held by them.
     pub used: Room,
     /// Processor share that fillers there would like.
@@ -184,7 +186,9 @@
     pub barred: Millis,
     /// True when it runs something that is not known here.
     pub strangers: bool,
+    /// Its clock as reported last.
     heard: Option<Heard>,
+    /// When every lease given to it here has certainly ended.
     granted: Millis,
 }
 
@@ -195,7 +199,7 @@
             listing,
             presence: Presence::Listed,
             leaves: None,
-            slots: BTreeMap::new(),
+            placements: BTreeMap::new(),
             used: Room::default(),
             soft: 0,
             serving: 0,
@@ -214,33 +218,33 @@
     }
 
     /// Puts a task there.
-    pub fn put(&mut self, key: TaskKey, slot: Slot) {
-        self.used.cpu += slot.room.cpu;
-        self.used.memory += slot.room.memory;
-        self.used.gpu += slot.room.gpu;
-        self.soft += slot.soft;
-        self.serving += u32::from(slot.serving);
-        self.fillers += u32::from(slot.filler);
-        self.slots.insert(key, slot);
+    pub fn put(&mut self, key: TaskKey, placement: Placement) {
+        self.used.cpu += placement.room.cpu;
+        self.used.memory += placement.room.memory;
+        self.used.gpu += placement.room.gpu;
+        self.soft += placement.soft;
+        self.serving += u32::from(placement.serving);
+        self.fillers += u32::from(placement.filler);
+        self.placements.insert(key, placement);
     }
 
     /// Takes a task away.
     pub fn take(&mut self, key: TaskKey) {
-        let Some(slot) = self.slots.remove(&key) else {
+        let Some(placement) = self.placements.remove(&key) else {
             return;
         };
-        self.used.cpu -= slot.room.cpu;
-        self.used.memory -= slot.room.memory;
-        self.used.gpu -= slot.room.gpu;
-        self.soft -= slot.soft;
-        self.serving -= u32::from(slot.serving);
-        self.fillers -= u32::from(slot.filler);
+        self.used.cpu -= placement.room.cpu;
+        self.used.memory -= placement.room.memory;
+        self.used.gpu -= placement.room.gpu;
+        self.soft -= placement.soft;
+        self.serving -= u32::from(placement.serving);
+        self.fillers -= u32::from(placement.filler);
     }
 
     /// Returns the processor share that work other than fillers takes: serving
     /// tasks use about half of what they hold.
     pub fn taken(&self) -> u64 {
-        let serving = self.slots.values().filter(|s| s.serving);
+        let serving = self.placements.values().filter(|s| s.serving);
         let idle: u64 = serving.map(|s| s.room.cpu / 2).sum();
         self.used.cpu - idle
     }
