--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -62,6 +62,7 @@
     (!waits).then(|| id.clone())
 }
 
+/// Returns true when the task may run there at all.
 fn allowed(worker: &Worker, wish: &Wish<'_>, now: Millis) -> bool {
     let listing = &worker.listing;
     let step = wish.step;
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -48,6 +48,7 @@
         self.adopt_placed();
     }
 
+    /// Takes in a listing of a worker, known or new.
     fn list(&mut self, id: Name, listing: Listing) {
         let now = self.now.steady;
         if let Some(worker) = self.workers.get_mut(&id) {
@@ -81,6 +82,7 @@
         self.workers.insert(id, worker);
     }
 
+    /// Takes in that a listing is gone: lapsed or removed by the worker.
     fn unlist(&mut self, id: &Name) {
         let now = self.now.steady;
         let doubtful = now < self.store_trouble + TROUBLE;
@@ -140,7 +142,7 @@
                 };
                 let step = job.step(*key);
                 let last = step.saves && now + STOP_TIME >= leaves;
-                if matches!(placement.stage, Stage::Running(_)) && (step.lasting || last) {
+                if placement.running() && (step.lasting || last) {
                     moved.push(*key);
                 }
             }
@@ -163,7 +165,7 @@
         let at_work = |member: &TaskKey| {
             let worker = self.placed.get(member).and_then(|n| self.workers.get(n));
             let placement = worker.and_then(|w| w.placements.get(member));
-            placement.is_some_and(|s| matches!(s.stage, Stage::Running(_)) && s.at_work)
+            placement.is_some_and(|s| s.running() && s.at_work)
         };
         let members = self.members(key);
         let away = members.iter().filter(|m| **m != key && !at_work(m)).count();
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -42,6 +42,7 @@
     }
 }
 
+/// Returns what a round of a job can still earn, and when it is due.
 fn prospect(job: &Job, round: usize, wall: Millis) -> (Prospect, Millis) {
     let queue = &job.row.queue;
     let start = match job.spec.schedule {
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -101,7 +101,7 @@
         let capacity = worker.listing.capacity.cpu.max(1) as f64;
         let fillers = worker.placements.iter().filter(|(_, s)| s.filler);
         let mut fillers: Vec<Filler> = fillers
-            .filter(|(_, s)| matches!(s.stage, Stage::Running(_)))
+            .filter(|(_, s)| s.running())
             .map(|(key, placement)| Filler {
                 key: *key,
                 image: placement.image_number,
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -95,6 +95,7 @@
         }
     }
 
+    /// Takes in what a worker reports: ends first, then runs and gauges.
     fn report(&mut self, name: &Name, sent: Millis, report: Report) {
         let whole = report.ended.len() < REPORT_LIMIT;
         let mix = self.mix(name);
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -99,6 +99,7 @@
         }
     }
 
+    /// Takes in that a worker did not take a start.
     fn refused(&mut self, key: TaskKey, run: u32, name: &Name, refusal: Refusal) {
         let now = self.now.steady;
         log::info!(target: "task", "task={key:?} run={run} event=refused worker={name} reason={refusal:?}");
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -103,6 +103,13 @@
     pub gauge: Option<Gauge>,
 }
 
+impl Placement {
+    /// Returns true while its worker has confirmed it and no stop was sent.
+    pub fn running(&self) -> bool {
+        matches!(self.stage, Stage::Running(_))
+    }
+}
+
 /// How busy a serving task was, and what ran beside it.
 #[derive(Clone, Debug)]
 pub(super) struct Gauge {
