--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -3,7 +3,7 @@
 mod calls;
 mod workers;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 
@@ -44,6 +44,8 @@
     /// Breaches of the rules that a task runs once at a time, and not again
     /// after an end that was acknowledged.
     pub doubles: Vec<String>,
+    /// Tasks of which an end with its work done was acknowledged under a lease.
+    noted: BTreeSet<String>,
     pub rows: BTreeMap<(&'static str, Name), Bytes>,
     pub version: u64,
     pub owner_version: u64,
@@ -134,6 +136,7 @@
             script: |_, _| (1_000, How::Done),
             starts: Vec::new(),
             doubles: Vec::new(),
+            noted: BTreeSet::new(),
             rows: BTreeMap::new(),
             version: 1,
             owner_version: 1,
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -107,6 +107,7 @@
                 let text = format!("{task} was done at {at} and run {} at {}", start.1, start.3);
                 self.doubles.push(text);
             }
+            self.noted.insert(task);
         }
         Reply::Ok(report)
     }
@@ -151,8 +152,13 @@
         Reply::Ok(now)
     }
 
-    /// Notes when a task that was just started runs in several places.
+    /// Notes when a task that was just started runs in several places, or
+    /// again after its end was acknowledged.
     fn note_double(&mut self, start: &Start) {
+        if self.noted.contains(&start.task) {
+            let text = format!("{} again as run {} at {}", start.task, start.run, self.now);
+            self.doubles.push(text);
+        }
         let running = self.running().into_iter();
         if running.filter(|(t, _)| *t == start.task).count() > 1 {
             let text = format!("{} run {} at {}", start.task, start.run, self.now);
