A tail that stays just over its target halts what is beside it

Between the target (busy 0.80) and 0.83 the halt was wished but no pace was lowered. Change: a halt lowers in any case, from 0.95 of the target on; goal 0.80 -> 0.78, high 0.83 -> 0.80. Test fails without it.

--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -29,9 +29,13 @@
 const COMPARED: std::ops::RangeInclusive<Millis> = 250..=2_500;
 /// Busy share to which fillers are slowed. In trials of all standard days
 /// (mean worth of both sites) 0.70 gave 0.62, 0.76 gave 0.68, 0.80 gave 0.69.
-const GOAL: f64 = 0.80;
+const GOAL: f64 = 0.78;
 /// Busy share above which fillers are slowed at once.
-const HIGH: f64 = 0.83;
+const HIGH: f64 = 0.80;
+/// Part of its target, of a hundred, from which a serving task counts as over
+/// it: gauges are rough.
+const NEAR: Millis = 95;
+const WHOLE: Millis = 100;
 /// Milliseconds over its target after which everything beside a serving task
 /// is halted, whatever was learned; a third of what is borne.
 const HALT: Millis = 1_300;
@@ -120,6 +124,7 @@
                 .is_some_and(|since| self.now.steady >= since + HALT)
             {
                 fillers.iter_mut().for_each(|f| f.wished = 0.0);
+                high = true;
             }
             limit(&self.pressure, &mut fillers, victim, gauge.own_load);
         }
@@ -146,7 +151,8 @@
         let gauge = Gauge {
             at: now,
             busy,
-            over_since: (run.gauge > placement.target).then(|| before.unwrap_or(now)),
+            over_since: (run.gauge * WHOLE > placement.target * NEAR)
+                .then(|| before.unwrap_or(now)),
             own_load,
             mix: mix.clone(),
         };
--- a/src/sched/tests/pressure.rs
+++ b/src/sched/tests/pressure.rs
@@ -1,6 +1,7 @@
 //! Learned pressure between images.
 
 use super::world::{World, job, step};
+use crate::sched::message::{How, Running};
 use crate::sched::pressure::Pressure;
 use crate::sched::spec::StepSpec;
 use crate::sched::worker::{Gauge, Mix};
@@ -62,3 +63,37 @@
     world.run(3_000);
     assert_eq!(world.starts.len(), 3, "only memory bounds them");
 }
+
+#[test]
+fn everything_is_halted_beside_a_task_that_stays_just_over_its_target() {
+    let mut world = World::new(1);
+    world.script = |_, _| (1_000_000, How::Done);
+    let serving = StepSpec {
+        target: 100,
+        lasting: true,
+        image: "serving".into(),
+        ..step(1, 1_000)
+    };
+    let filler = StepSpec {
+        filler: true,
+        image: "filler".into(),
+        ..step(1, 1_000)
+    };
+    world.submit("serving", job(vec![serving]));
+    world.submit("filler", job(vec![filler]));
+    world.run(300);
+    let run = Running {
+        task: "serving.0.0.0".into(),
+        run: 1,
+        saved: "".into(),
+        progress: 100,
+        gauge: 104,
+    };
+    for _ in 0..5 {
+        let name = "w0".into();
+        let mix = world.owner.mix(&name);
+        world.owner.relieve(&name, mix, std::slice::from_ref(&run));
+        world.run(400);
+    }
+    assert_eq!(world.paces.last(), Some(&0));
+}
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -44,6 +44,8 @@
     /// Breaches of the rules that a task runs once at a time, and not again
     /// after an end that was acknowledged.
     pub doubles: Vec<String>,
+    /// Paces that were ordered, in percent.
+    pub paces: Vec<u32>,
     /// Tasks of which an end with its work done was acknowledged under a lease.
     noted: BTreeSet<String>,
     pub rows: BTreeMap<(&'static str, Name), Bytes>,
@@ -136,6 +138,7 @@
             script: |_, _| (1_000, How::Done),
             starts: Vec::new(),
             doubles: Vec::new(),
+            paces: Vec::new(),
             noted: BTreeSet::new(),
             rows: BTreeMap::new(),
             version: 1,
@@ -274,7 +277,10 @@
                 Action::Hold(hold) => Call::Hold(hold, self.now),
                 Action::Start(start) => Call::Start(start),
                 Action::Stop(stop) => Call::Stop(stop),
-                Action::Pace(_) => continue,
+                Action::Pace(pace) => {
+                    self.paces.push(pace.percent);
+                    continue;
+                }
                 Action::Commit {
                     number,
                     version,
