Gangs as a whole, overdue lasting tasks first, truthful count of waiting jobs

Ruled out: the order of commits, listings; the starts of a gang share a commit. Change: a gang is reserved as a whole before anything is recorded, stopped as a whole when it loses a member, shares its checkpoint and failures, and one end stands for all; lasting tasks that waited 2.5 s go first and have room kept on one in eight workers; vain tries are counted by label; a job has begun once a worker says so. Tests of processes: each run claims its ports; what a box writes is shown when it does not become ready.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -11,6 +11,7 @@
 mod choice;
 mod directory;
 mod ends;
+mod gang;
 pub mod job;
 pub mod journal;
 pub mod legacy;
--- a/src/sched/asks.rs
+++ b/src/sched/asks.rs
@@ -85,8 +85,9 @@
     }
 
     fn count(&mut self, ticket: Ticket, queue: &str) {
-        let waits =
-            |job: &&Job| job.stored && job.open() && &*job.row.queue.name == queue && job.unbegun();
+        let waits = |job: &&Job| {
+            job.stored && job.open() && !job.row.begun && &*job.row.queue.name == queue
+        };
         let count = self.jobs.values().filter(waits).count() as u64;
         self.reply(ticket, Answer::Waiting(count));
     }
--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -1,6 +1,6 @@
 //! Which worker suits a task best.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::pressure::{ImageNumber, Pressure};
 use super::spec::StepSpec;
@@ -51,6 +51,8 @@
     pub avoid: &'a str,
     /// Tasks of the step and round by worker.
     pub beside: &'a BTreeMap<Name, u32>,
+    /// Workers whose room is kept for a task that did not fit anywhere.
+    pub held: &'a BTreeSet<Name>,
 }
 
 /// Returns the worker on which the task does best, none when it fits nowhere.
@@ -62,11 +64,25 @@
     (!waits).then(|| id.clone())
 }
 
-/// Returns true when the task may run there at all.
+/// Returns the worker that has the most room left for a task that fits nowhere.
+pub fn roomiest(workers: &BTreeMap<Name, Worker>, wish: &Wish<'_>, now: Millis) -> Option<Name> {
+    let room = wish.step.reserved();
+    let large = |w: &&Worker| room.within(w.listing.capacity);
+    let able = workers.values().filter(|w| suits(w, wish, now));
+    let most = able.filter(large).max_by_key(|w| w.free(room));
+    most.map(|w| w.listing.id.clone())
+}
+
+/// Returns true when the task may run there now.
 fn allowed(worker: &Worker, wish: &Wish<'_>, now: Millis) -> bool {
+    worker.fits(wish.step.reserved()) && suits(worker, wish, now)
+}
+
+/// Returns true when the task may run there once there is room.
+fn suits(worker: &Worker, wish: &Wish<'_>, now: Millis) -> bool {
     let listing = &worker.listing;
     let step = wish.step;
-    if &*listing.service != wish.service || !worker.open(now) || !worker.fits(step.reserved()) {
+    if &*listing.service != wish.service || !worker.open(now) || wish.held.contains(&listing.id) {
         return false;
     }
     if !step.label.is_empty() && !listing.labels.contains(&step.label) {
--- a/src/sched/ends.rs
+++ b/src/sched/ends.rs
@@ -31,6 +31,7 @@
         };
         let Ended { task, run, how, .. } = end;
         log::info!(target: "task", "task={task} run={run} event=ended how={how:?} worker={name}");
+        self.begun(key);
         let current = self.workers.get(name).and_then(|w| w.placements.get(&key));
         let current = current.is_some_and(|s| s.run == end.run);
         if end.how == How::Done {
@@ -67,15 +68,17 @@
                 worker.failures = 0;
             }
             self.mark_done(key);
-            self.free(key);
+            for peer in self.peers(key) {
+                self.free(peer);
+            }
         } else if open {
             // An earlier run came through after all: its successor is not needed.
-            self.stop(key);
+            for peer in self.peers(key) {
+                self.stop(peer);
+            }
             self.mark_done(key);
-            self.ready.remove(&key);
         }
         self.journal.touch(key.job);
-        self.failed_on.remove(&key);
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
@@ -86,13 +89,6 @@
         }
     }
 
-    fn mark_done(&mut self, key: TaskKey) {
-        let job = self.jobs.get_mut(&key.job);
-        if let Some(task) = job.and_then(|j| j.task_mut(key)) {
-            task.phase = Phase::Done;
-        }
-    }
-
     /// Takes in the end of a current run that has not done its work.
     fn broken(&mut self, name: &Name, key: TaskKey, end: &Ended) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
@@ -100,20 +96,15 @@
         };
         let lasting = job.step(key).lasting;
         let attempts = job.row.queue.attempts;
-        let mut exhausted = false;
-        if let Some(task) = job.task_mut(key) {
-            if !end.saved.is_empty() {
-                task.saved = end.saved.clone();
-            }
-            if end.how == How::Failed {
-                task.failures += 1;
-                exhausted = !lasting && task.failures >= attempts;
-            }
-        }
-        if end.how == How::Failed {
+        if end.how == How::Failed
+            && let Some(task) = job.task_mut(key)
+        {
+            task.failures += 1;
             self.failed_on.insert(key, name.clone());
             self.count_failure(name);
         }
+        self.save(key, &end.saved);
+        let exhausted = !lasting && self.failures(key) >= attempts;
         self.free(key);
         if exhausted && self.jobs.get(&key.job).is_some_and(|j| j.open()) {
             self.finish(key.job, Outcome::Failed);
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -101,6 +101,9 @@
     pub outcome: Outcome,
     /// Milliseconds since the Unix epoch of its end; 0 while it is open.
     pub ended: Millis,
+    /// True once a worker has begun one of its tasks; written with the next change.
+    #[serde(default)]
+    pub begun: bool,
     /// Tasks by round, step and index.
     pub rounds: Vec<Vec<Vec<Task>>>,
 }
@@ -150,6 +153,7 @@
                 accepted,
                 outcome: Outcome::Open,
                 ended: 0,
+                begun: false,
                 rounds: Vec::new(),
             },
             kept: Outcome::Open,
@@ -279,20 +283,14 @@
         })
     }
 
-    /// Returns true when no task has begun.
-    pub fn unbegun(&self) -> bool {
-        let mut tasks = self.row.rounds.iter().flatten().flatten();
-        tasks.all(|t| t.run == 0)
-    }
-
     /// Returns what callers are shown, which is never ahead of the store.
     pub fn shown(&self) -> Shown {
         match self.kept {
             Outcome::Completed => Shown::Completed,
             Outcome::Failed => Shown::Failed,
             Outcome::Cancelled => Shown::Cancelled,
-            Outcome::Open if self.unbegun() => Shown::Queued,
-            Outcome::Open => Shown::Running,
+            Outcome::Open if self.row.begun => Shown::Running,
+            Outcome::Open => Shown::Queued,
         }
     }
 }
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -9,6 +9,10 @@
 /// A job that takes more than this many times its aim is worth nothing.
 const WORTHLESS: Millis = 3;
 
+/// Milliseconds after which a waiting task of a job that lasts goes before all
+/// others: the platform wants it back within 6 s, however full the workers are.
+pub(super) const LASTING_WAIT: Millis = 2_500;
+
 /// What a job can still earn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Prospect {
@@ -20,25 +24,27 @@
     Lost,
 }
 
-/// Place of a task in the order: the queue's priority, whether it lasts, what
-/// its job can still earn, and when that is due.
-type Rank = (u32, bool, Prospect, Millis, TaskKey);
+/// Place of a task in the order: whether it is not overdue, the queue's
+/// priority, whether it lasts, what its job can still earn, and when that is due.
+type Rank = (bool, u32, bool, Prospect, Millis, TaskKey);
 
 impl Owner {
     /// Returns the waiting tasks in the order in which they should start.
     pub(super) fn order(&self) -> Vec<TaskKey> {
         let mut known: HashMap<(u32, u32), (Prospect, Millis)> = HashMap::new();
-        let rank = |key: &TaskKey| -> Option<Rank> {
+        let rank = |(key, since): (&TaskKey, &Millis)| -> Option<Rank> {
             let job = self.jobs.get(&key.job)?;
             let round = key.round;
             let prospect = || prospect(job, round as usize, self.now.wall);
             let (prospect, due) = *known.entry((key.job, round)).or_insert_with(prospect);
             let lasting = job.step(*key).lasting;
-            Some((job.row.queue.priority, lasting, prospect, due, *key))
+            let patient = !lasting || self.now.steady < since + LASTING_WAIT;
+            let priority = job.row.queue.priority;
+            Some((patient, priority, lasting, prospect, due, *key))
         };
-        let mut ranks: Vec<Rank> = self.ready.keys().filter_map(rank).collect();
+        let mut ranks: Vec<Rank> = self.ready.iter().filter_map(rank).collect();
         ranks.sort_unstable();
-        ranks.into_iter().map(|rank| rank.4).collect()
+        ranks.into_iter().map(|rank| rank.5).collect()
     }
 }
 
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -1,6 +1,6 @@
 //! The owner of all jobs and workers of a cell: events in, actions out.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::job::{Job, JobRow, Outcome, Phase, TaskKey};
 use super::journal::{After, BELIEF_TABLE, JOB_TABLE, Journal, PRESSURE_KEY, SPEC_TABLE, Settled};
@@ -60,6 +60,8 @@
     pub(super) placed: HashMap<TaskKey, Name>,
     /// The worker on which a task failed last.
     pub(super) failed_on: HashMap<TaskKey, Name>,
+    /// Workers whose room is kept for overdue tasks in this go of placing.
+    pub(super) held: BTreeSet<Name>,
     /// What is to be done, until the event has been taken in.
     pub(super) actions: Vec<Action>,
     /// The clocks at the present event.
@@ -111,6 +113,7 @@
             workers: BTreeMap::new(),
             placed: HashMap::new(),
             failed_on: HashMap::new(),
+            held: BTreeSet::new(),
             actions: Vec::new(),
             now,
             inherited,
@@ -408,10 +411,14 @@
         if matches!(task.phase, Phase::Placed(_)) {
             task.phase = Phase::Waiting;
             let open = job.open();
+            let gang = job.step(key).gang;
             self.journal.touch(key.job);
             if open {
                 self.ready.insert(key, self.now.steady);
             }
+            if gang {
+                self.disband(key);
+            }
         }
     }
 }
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::choice::{Wish, choose};
+use super::choice::{Wish, choose, roomiest};
 use super::job::{Phase, TaskKey};
 use super::journal::After;
+use super::order::LASTING_WAIT;
 use super::owner::Owner;
 use super::paces::FULL_PACE;
 use super::spec::{Room, StepSpec};
@@ -16,9 +17,12 @@
 const PLACE_PAUSE: Millis = 10;
 /// Most tasks that are placed in one go, so that other events get their turn.
 const PLACED_AT_ONCE: usize = 200;
-/// Fillers that are tried in vain in one go: what one did not find, the next
-/// rarely does.
+/// Fillers of one service and label that are tried in vain in one go: what one
+/// did not find, the next rarely does.
 const FILLERS_TRIED: usize = 6;
+/// One in so many workers may be kept free for tasks that are overdue and fit
+/// nowhere; more would leave too much room idle.
+const HELD_PART: usize = 8;
 
 impl Owner {
     /// Places ready tasks in their order, as far as there is room.
@@ -28,8 +32,10 @@
             return;
         }
         self.next_place = now + PLACE_PAUSE;
-        let mut misfits: BTreeSet<(Name, Room, bool)> = BTreeSet::new();
-        let mut fillers_left = FILLERS_TRIED;
+        let mut misfits: BTreeSet<(Name, Room, Name)> = BTreeSet::new();
+        let mut vain: BTreeMap<(Name, Name), usize> = BTreeMap::new();
+        let mut gangs: BTreeSet<(u32, u32, u32)> = BTreeSet::new();
+        self.held.clear();
         let mut count = 0;
         for key in self.order() {
             if count >= PLACED_AT_ONCE {
@@ -40,10 +46,18 @@
             }
             let job = &self.jobs[&key.job];
             let step = job.step(key);
-            let shape = (job.row.queue.service.clone(), step.reserved(), step.filler);
-            let plain = step.label.is_empty() && step.spread == 0 && !step.filler;
+            let service = job.row.queue.service.clone();
+            let plain = step.spread == 0 && !step.filler && !step.gang;
+            let shape = (service.clone(), step.reserved(), step.label.clone());
+            if plain && misfits.contains(&shape) {
+                continue;
+            }
+            if step.gang && !gangs.insert((key.job, key.round, key.step)) {
+                continue;
+            }
             let filler = step.filler;
-            if misfits.contains(&shape) || (filler && fillers_left == 0) {
+            let tries = vain.entry((service, step.label.clone())).or_default();
+            if filler && *tries >= FILLERS_TRIED {
                 continue;
             }
             let placed = match step.gang {
@@ -51,8 +65,11 @@
                 false => self.place_one(key),
             };
             count += placed;
+            if placed == 0 && self.overdue(key) {
+                self.hold_room(key);
+            }
             if placed == 0 && filler {
-                fillers_left -= 1;
+                *tries += 1;
             }
             if placed == 0 && plain {
                 misfits.insert(shape);
@@ -61,6 +78,25 @@
         self.crowded = count == 0;
     }
 
+    /// Returns true when a waiting task of a job that lasts should have started.
+    fn overdue(&self, key: TaskKey) -> bool {
+        let since = self.ready.get(&key);
+        let late = since.is_some_and(|at| self.now.steady >= at + LASTING_WAIT);
+        late && self.jobs[&key.job].step(key).lasting
+    }
+
+    /// Keeps new tasks off the worker that has most room for a task that fits
+    /// nowhere, until there is enough.
+    fn hold_room(&mut self, key: TaskKey) {
+        if self.held.len() * HELD_PART >= self.workers.len() {
+            return;
+        }
+        let find = |wish: &Wish<'_>| roomiest(&self.workers, wish, self.now.steady);
+        if let Some(worker) = self.wished(key, "", find) {
+            self.held.insert(worker);
+        }
+    }
+
     fn place_one(&mut self, key: TaskKey) -> usize {
         let Some(worker) = self.pick(key, "") else {
             return 0;
@@ -81,7 +117,7 @@
         let run = tasks.iter().map(|t| t.run).max().unwrap_or(0) + 1;
         let one_rack = job.step(key).one_rack;
         let mut rack = Name::from("");
-        let mut done = Vec::new();
+        let mut reserved = Vec::new();
         for member in &members {
             let Some(worker) = self.pick(*member, &rack) else {
                 break;
@@ -89,31 +125,33 @@
             if one_rack && rack.is_empty() {
                 rack = self.workers[&worker].listing.rack().into();
             }
-            self.assign(*member, run, worker);
-            done.push(*member);
+            self.reserve(*member, run, worker.clone());
+            reserved.push((*member, worker));
         }
-        if done.len() == members.len() {
-            return done.len();
-        }
-        for member in done {
-            self.free(member);
-            if let Some(task) = self.jobs.get_mut(&key.job).and_then(|j| j.task_mut(member)) {
-                task.run = run - 1;
+        let whole = reserved.len() == members.len();
+        for (member, worker) in reserved {
+            match whole {
+                true => self.record(member, run, worker),
+                false => self.unreserve(member, &worker),
             }
         }
-        0
-    }
-
-    /// Returns all tasks of a task's step and round.
-    pub(super) fn members(&self, key: TaskKey) -> Vec<TaskKey> {
-        let count = self.jobs.get(&key.job).map_or(0, |j| j.step(key).count);
-        (0..count).map(|index| TaskKey { index, ..key }).collect()
+        if whole { members.len() } else { 0 }
     }
 
     /// Returns the worker for a task, on `rack` unless that is empty.
     fn pick(&self, key: TaskKey, rack: &str) -> Option<Name> {
+        let best = |wish: &Wish<'_>| choose(&self.workers, wish, self.now.steady);
+        self.wished(key, rack, best)
+    }
+
+    /// Returns the worker that `find` gives for what a task asks for.
+    fn wished(
+        &self,
+        key: TaskKey,
+        rack: &str,
+        find: impl FnOnce(&Wish<'_>) -> Option<Name>,
+    ) -> Option<Name> {
         let job = &self.jobs[&key.job];
-        let task = job.task(key)?;
         let step = job.step(key);
         let wanted;
         let step = match rack {
@@ -139,30 +177,47 @@
             waited: self.now.steady - since,
             service: &job.row.queue.service,
             step,
-            last_try: !step.lasting && task.failures + 1 >= job.row.queue.attempts,
+            last_try: !step.lasting && self.failures(key) + 1 >= job.row.queue.attempts,
             image: self.pressure.number_of(&step.image),
             pressure: &self.pressure,
             avoid: self.failed_on.get(&key).map_or("", |w| w),
             beside: &beside,
+            held: &self.held,
         };
-        choose(&self.workers, &wish, self.now.steady)
+        find(&wish)
     }
 
     /// Gives a task to a worker; the start is sent once the store holds it.
     fn assign(&mut self, key: TaskKey, run: u32, name: Name) {
-        self.ready.remove(&key);
+        self.reserve(key, run, name.clone());
+        self.record(key, run, name);
+    }
+
+    /// Takes room for a task on a worker.
+    fn reserve(&mut self, key: TaskKey, run: u32, name: Name) {
         let placement = self.placement(key, run, Stage::Recording);
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
-        };
-        if let Some(task) = job.task_mut(key) {
-            task.run = run;
-            task.phase = Phase::Placed(name.clone());
-        }
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.put(key, placement);
         }
         self.placed.insert(key, name);
+    }
+
+    /// Gives back the room of a task whose place was not recorded.
+    fn unreserve(&mut self, key: TaskKey, name: &Name) {
+        self.placed.remove(&key);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.take(key);
+        }
+    }
+
+    /// Has the place of a task kept, and then its start sent.
+    fn record(&mut self, key: TaskKey, run: u32, name: Name) {
+        self.ready.remove(&key);
+        let job = self.jobs.get_mut(&key.job);
+        if let Some(task) = job.and_then(|j| j.task_mut(key)) {
+            task.run = run;
+            task.phase = Phase::Placed(name);
+        }
         self.journal.after(key.job, After::Start(key, run));
     }
 
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -181,17 +181,16 @@
             placement.stage = Stage::Running(now);
         }
         placement.at_work = run.progress == FULL_PACE;
-        if let Some(job) = self.jobs.get_mut(&key.job) {
-            let ended = job.kept != Outcome::Open;
-            if let Some(task) = job.task_mut(key)
-                && task.saved != run.saved
-                && !run.saved.is_empty()
-            {
-                task.saved = run.saved.clone();
-            }
-            if inherited && ended {
-                self.stop(key);
-            }
+        self.begun(key);
+        let Some(job) = self.jobs.get(&key.job) else {
+            return true;
+        };
+        let ended = job.kept != Outcome::Open;
+        if job.task(key).is_some_and(|task| task.saved != run.saved) {
+            self.save(key, &run.saved);
+        }
+        if inherited && ended {
+            self.stop(key);
         }
         true
     }
--- a/src/sched/spec.rs
+++ b/src/sched/spec.rs
@@ -43,6 +43,13 @@
     pub gpu: u64,
 }
 
+impl Room {
+    /// Returns true when it is no larger than another in any part.
+    pub fn within(self, other: Self) -> bool {
+        self.cpu <= other.cpu && self.memory <= other.memory && self.gpu <= other.gpu
+    }
+}
+
 /// One step of a job.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -81,10 +81,12 @@
             return;
         };
         match reply {
-            Reply::Ok(_) if placement.stage == Stage::Starting => {
-                placement.stage = Stage::Running(now)
+            Reply::Ok(_) => {
+                if placement.stage == Stage::Starting {
+                    placement.stage = Stage::Running(now);
+                }
+                self.begun(key);
             }
-            Reply::Ok(_) => {}
             Reply::Lost if placement.stage == Stage::Starting => {
                 // It may be carried out seconds later, unless a stop of it is answered first.
                 placement.stage = Stage::Doubt;
@@ -96,6 +98,13 @@
         }
     }
 
+    /// Takes in that a worker has begun a task.
+    pub(super) fn begun(&mut self, key: TaskKey) {
+        if let Some(job) = self.jobs.get_mut(&key.job) {
+            job.row.begun = true;
+        }
+    }
+
     /// Takes in that a worker did not take a start.
     fn refused(&mut self, key: TaskKey, run: u32, name: &Name, refusal: Refusal) {
         let now = self.now.steady;
--- a/src/sched/tests/jobs.rs
+++ b/src/sched/tests/jobs.rs
@@ -153,3 +153,21 @@
     assert!(matches!(&world.answers[&none], Answer::Invalid(text) if text.contains("step")));
     assert!(matches!(&world.answers[&cycle], Answer::Invalid(text) if text.contains("; ")));
 }
+
+#[test]
+fn a_job_counts_as_waiting_until_a_worker_has_begun_it() {
+    let mut world = World::new(1);
+    world.workers.get_mut("w0").expect("worker").full = true;
+    world.submit("j1", job(vec![step(1, 1_000)]));
+    world.run(300);
+    // Its place was recorded, and its owner ends before the start.
+    world.take_over(0);
+    world.run(300);
+    let count = world.ask(Ask::Count("q".into()));
+    assert_eq!(world.answers[&count], Answer::Waiting(1));
+    assert_eq!(world.shown("j1"), Some(Shown::Queued));
+    world.workers.get_mut("w0").expect("worker").full = false;
+    world.run(1_200);
+    let count = world.ask(Ask::Count("q".into()));
+    assert_eq!(world.answers[&count], Answer::Waiting(0));
+}
--- a/src/sched/tests/order.rs
+++ b/src/sched/tests/order.rs
@@ -37,3 +37,41 @@
     let order: Vec<&str> = world.starts.iter().map(|s| &s.0[..4]).collect();
     assert_eq!(order, ["full", "ends", "last"]);
 }
+
+#[test]
+fn fillers_that_fit_nowhere_keep_no_others_from_starting() {
+    let mut world = World::new(2);
+    let filler = |label: &str| StepSpec {
+        filler: true,
+        label: label.into(),
+        ..step(8, 500)
+    };
+    world.submit("first", job(vec![filler("nowhere")]));
+    world.submit("second", job(vec![filler("")]));
+    world.run(300);
+    assert_eq!(world.running().len(), 8);
+}
+
+#[test]
+fn an_overdue_lasting_task_gets_room_among_tasks_that_come_and_go() {
+    let mut world = World::new(1);
+    world.script = |task, _| match task.starts_with("last") {
+        true => (60_000, crate::sched::message::How::Done),
+        false => (600, crate::sched::message::How::Done),
+    };
+    let lasting = StepSpec {
+        lasting: true,
+        ..step(1, 3_000)
+    };
+    world.submit("busy0", job(vec![step(4, 1_000)]));
+    world.run(50);
+    world.submit("last", job(vec![lasting]));
+    // Small tasks take each bit of room as it comes free.
+    for number in 1..60 {
+        world.submit(&format!("busy{number}"), job(vec![step(2, 1_000)]));
+        world.run(100);
+    }
+    let started = world.starts.iter().find(|s| s.0.starts_with("last"));
+    let (_, _, _, at) = started.expect("the lasting task runs");
+    assert!(*at < 1_000 + 5_000, "it started at {at}");
+}
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -41,6 +41,8 @@
     pub script: fn(&str, u32) -> (Millis, How),
     /// Starts that workers carried out: task, run, worker, time.
     pub starts: Vec<(String, u32, Name, Millis)>,
+    /// The checkpoint that the last start of each task brought.
+    pub resumed: BTreeMap<String, Name>,
     /// Breaches of the rules that a task runs once at a time, and not again
     /// after an end that was acknowledged.
     pub doubles: Vec<String>,
@@ -137,6 +139,7 @@
             store_down: false,
             script: |_, _| (1_000, How::Done),
             starts: Vec::new(),
+            resumed: BTreeMap::new(),
             doubles: Vec::new(),
             paces: Vec::new(),
             noted: BTreeSet::new(),
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -5,6 +5,7 @@
 use super::World;
 use crate::sched::message::{Ended, Hold, How, Refusal, Reply, Report, Running, Start, Stop};
 use crate::sched::worker::Listing;
+use crate::utils::Name;
 use crate::utils::clock::Millis;
 
 #[derive(Clone, Debug)]
@@ -20,6 +21,10 @@
     pub listing: Listing,
     /// Takes no calls, and goes on with what it runs.
     pub cut: bool,
+    /// Refuses starts for want of room.
+    pub full: bool,
+    /// Lists a checkpoint of its own for each run.
+    pub saves: bool,
     epoch: u64,
     lease: Millis,
     running: BTreeMap<String, Run>,
@@ -38,6 +43,8 @@
         Self {
             listing,
             cut: false,
+            full: false,
+            saves: false,
             epoch: 0,
             lease: 0,
             running: BTreeMap::new(),
@@ -54,6 +61,13 @@
         self.running.keys()
     }
 
+    fn checkpoint(&self, task: &str, run: u32) -> Name {
+        match self.saves {
+            true => format!("{task} run {run}").into(),
+            false => "".into(),
+        }
+    }
+
     fn end(&mut self, task: &str, how: How, now: Millis) {
         let Some(run) = self.running.remove(task) else {
             return;
@@ -68,7 +82,7 @@
             task: task.into(),
             run: run.run,
             how,
-            saved: "".into(),
+            saved: self.checkpoint(task, run.run),
         });
         self.next += 1;
     }
@@ -92,7 +106,7 @@
         let running = worker.running.iter().map(|(task, run)| Running {
             task: task.as_str().into(),
             run: run.run,
-            saved: "".into(),
+            saved: worker.checkpoint(task, run.run),
             progress: 100,
             gauge: 0,
         });
@@ -122,6 +136,9 @@
             return Reply::Refused(Refusal::Fenced);
         }
         worker.epoch = start.epoch;
+        if worker.full {
+            return Reply::Refused(Refusal::Full);
+        }
         if start.lease <= now {
             return Reply::Refused(Refusal::Late);
         }
@@ -148,6 +165,7 @@
         worker.running.insert(start.task.clone(), run);
         let id = start.worker.clone();
         self.starts.push((start.task.clone(), start.run, id, now));
+        self.resumed.insert(start.task.clone(), start.saved.clone());
         self.note_double(start);
         Reply::Ok(now)
     }
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -267,6 +267,18 @@
             && self.used.gpu + room.gpu <= all.gpu
     }
 
+    /// Returns how much of a room is free, in thousandths of its scarcest part.
+    pub fn free(&self, room: Room) -> u64 {
+        let all = self.listing.capacity;
+        let part = |all: u64, used: u64, wanted: u64| match wanted {
+            0 => u64::MAX,
+            wanted => all.saturating_sub(used) * 1_000 / wanted,
+        };
+        part(all.cpu, self.used.cpu, room.cpu)
+            .min(part(all.memory, self.used.memory, room.memory))
+            .min(part(all.gpu, self.used.gpu, room.gpu))
+    }
+
     /// Returns true when new tasks may be sent there.
     pub fn open(&self, now: Millis) -> bool {
         let offered = self.presence != Presence::Removed && self.leaves.is_none();
--- a/tests/processes/parts.rs
+++ b/tests/processes/parts.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::sync::LazyLock;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -62,7 +64,7 @@
     web: SocketAddr,
     rpc: SocketAddr,
     admin: SocketAddr,
-    settings: std::path::PathBuf,
+    settings: PathBuf,
     child: Child,
 }
 
@@ -74,7 +76,7 @@
     process: Child,
     workers: Vec<Worker>,
     nodes: Vec<Node>,
-    folder: std::path::PathBuf,
+    folder: PathBuf,
 }
 
 /// A request of which only a part is sent.
@@ -94,36 +96,71 @@
     }
 }
 
+/// A range of ports that only this run of the tests uses.
+struct Block {
+    first: u16,
+    /// Holds the first port, so that another run at once takes another block.
+    _claim: TcpListener,
+}
+
+impl Block {
+    fn claim() -> Self {
+        let start = std::process::id() % PORTS.1;
+        for number in 0..PORTS.1 {
+            let first = PORTS.0 + ((start + number) % PORTS.1) as u16 * PORTS.2;
+            if let Ok(claim) = TcpListener::bind(("127.0.0.1", first)) {
+                return Self {
+                    first,
+                    _claim: claim,
+                };
+            }
+        }
+        panic!("another run holds each block of ports");
+    }
+}
+
 /// Returns an address that nothing uses, below the ports that outgoing
-/// connections get, so that none of them takes it meanwhile. Two runs of the
-/// tests at once begin at different ports.
+/// connections get, so that none of them takes it meanwhile.
 fn free() -> SocketAddr {
-    static TAKEN: AtomicU16 = AtomicU16::new(0);
-    let first = PORTS.0 + (std::process::id() % PORTS.1) as u16 * PORTS.2;
+    static BLOCK: LazyLock<Block> = LazyLock::new(Block::claim);
+    static TAKEN: AtomicU16 = AtomicU16::new(1);
     loop {
-        let port = first + TAKEN.fetch_add(1, Ordering::Relaxed);
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let port = TAKEN.fetch_add(1, Ordering::Relaxed);
+        assert!(port < PORTS.2, "the block of ports is used up");
+        let address = SocketAddr::from(([127, 0, 0, 1], BLOCK.first + port));
         if TcpListener::bind(address).is_ok() {
             return address;
         }
     }
 }
 
-fn spawn(arguments: &[String]) -> Child {
+/// Starts the program; what it writes is kept in `output`.
+fn spawn(arguments: &[String], output: &Path) -> Child {
+    let file = std::fs::File::options()
+        .create(true)
+        .append(true)
+        .open(output)
+        .expect("a file for what the program writes");
+    let errors = file.try_clone().expect("the same file again");
     let mut command = Command::new(BINARY);
-    command
-        .args(arguments)
-        .stdout(Stdio::null())
-        .stderr(Stdio::null());
+    command.args(arguments).stdout(file).stderr(errors);
     command.spawn().expect("the program starts")
 }
 
-fn wait(what: &str, mut done: impl FnMut() -> bool) {
+/// Waits for something to be so; false when it was not within the bound.
+fn becomes(mut done: impl FnMut() -> bool) -> bool {
     let end = Instant::now() + PATIENCE;
     while !done() {
-        assert!(Instant::now() < end, "waited in vain: {what}");
+        if Instant::now() >= end {
+            return false;
+        }
         std::thread::sleep(PAUSE);
     }
+    true
+}
+
+fn wait(what: &str, done: impl FnMut() -> bool) {
+    assert!(becomes(done), "waited in vain: {what}");
 }
 
 pub fn command_at(address: &str, arguments: &[&str]) -> Printed {
@@ -148,7 +185,8 @@
         let name = format!("willowpoint-{}-{}", std::process::id(), platform.port());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("a folder");
-        let process = spawn(&words(&format!("stand-in platform --rpc {platform}")));
+        let line = format!("stand-in platform --rpc {platform}");
+        let process = spawn(&words(&line), &folder.join("platform.log"));
         let mut deployment = Self {
             platform,
             proxy: Proxy::start(platform),
@@ -177,7 +215,8 @@
             index % 2,
             self.platform
         );
-        let child = spawn(&words(&line));
+        let output = self.folder.join(format!("w{index}.log"));
+        let child = spawn(&words(&line), &output);
         let alive = true;
         self.workers.push(Worker { rpc, child, alive });
     }
@@ -200,7 +239,8 @@
             index % 2,
         );
         std::fs::write(&settings, text).expect("settings are written");
-        let child = spawn(&words(&format!("entry --config {}", settings.display())));
+        let line = format!("entry --config {}", settings.display());
+        let child = spawn(&words(&line), &settings.with_extension("log"));
         let node = Node {
             web,
             rpc,
@@ -215,15 +255,17 @@
     }
 
     pub fn wait_ready(&self, index: usize) {
-        let admin = self.nodes[index].admin;
-        wait("readiness", || {
+        let node = &self.nodes[index];
+        let ready = becomes(|| {
             exchange(
-                admin,
+                node.admin,
                 "GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n",
             )
             .is_ok_and(|text| text.starts_with("HTTP/1.1 200"))
         });
-        assert!(self.nodes[index].settings.exists());
+        let output = || std::fs::read_to_string(node.settings.with_extension("log"));
+        assert!(ready, "waited in vain: readiness; {:?}", output());
+        assert!(node.settings.exists());
     }
 
     pub fn create_service(&self) {
