Tasks that end get room from tasks that last; better priorities preempt worse ones

Ruled out: barred or silent workers (0 to 7), memory (3,400 of 4,500 GB), fragments (room for 0 to 8 tasks in all). Change: a waiting task that fits nowhere has the cheapest run stopped that gives it room: of a worse priority, or a lasting one of an equal; the room is promised to it; one in twelve lasting tasks may be away, each run is left alone for 3 s; steps that bear no disruption are left alone.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -1,7 +1,7 @@
 //! Jobs of steps on workers: one owner at a time decides for all of them.
 //!
 //! The way of a job: accepted (`asks`), kept (`journal`), placed (`order`,
-//! `placing`, `choice`), started and stopped (`starts`), watched (`reports`),
+//! `placing`, `choice`, `preempt`), started and stopped (`starts`), watched (`reports`),
 //! ended (`ends`), shown (`asks`). Workers come and go by `directory` and
 //! `silence`; `pressure` and `paces` keep fillers from slowing serving tasks.
 //! `legacy` tells what earlier owners may still do.
@@ -20,6 +20,7 @@
 pub mod owner;
 mod paces;
 mod placing;
+mod preempt;
 mod pressure;
 mod reports;
 mod silence;
--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::job::TaskKey;
 use super::pressure::{ImageNumber, Pressure};
 use super::spec::StepSpec;
 use super::worker::Worker;
@@ -35,6 +36,8 @@
 
 /// What is asked of a worker for one task.
 pub struct Wish<'a> {
+    /// The task.
+    pub key: TaskKey,
     /// Service whose workers may run it.
     pub service: &'a str,
     /// Step of the task.
@@ -67,15 +70,25 @@
 /// Returns the worker that has the most room left for a task that fits nowhere.
 pub fn roomiest(workers: &BTreeMap<Name, Worker>, wish: &Wish<'_>, now: Millis) -> Option<Name> {
     let room = wish.step.reserved();
-    let large = |w: &&Worker| room.within(w.listing.capacity);
-    let able = workers.values().filter(|w| suits(w, wish, now));
-    let most = able.filter(large).max_by_key(|w| w.free(room));
+    let most = able(workers, wish, now).max_by_key(|w| w.free(room));
     most.map(|w| w.listing.id.clone())
 }
 
+/// Returns the workers on which a task could run once there is room.
+pub fn able<'a>(
+    workers: &'a BTreeMap<Name, Worker>,
+    wish: &'a Wish<'_>,
+    now: Millis,
+) -> impl Iterator<Item = &'a Worker> {
+    let room = wish.step.reserved();
+    let large = move |w: &&Worker| room.within(w.listing.capacity);
+    let suited = workers.values().filter(move |w| suits(w, wish, now));
+    suited.filter(large)
+}
+
 /// Returns true when the task may run there now.
 fn allowed(worker: &Worker, wish: &Wish<'_>, now: Millis) -> bool {
-    worker.fits(wish.step.reserved()) && suits(worker, wish, now)
+    worker.spares(wish.key, wish.step.reserved()) && suits(worker, wish, now)
 }
 
 /// Returns true when the task may run there once there is room.
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -155,7 +155,7 @@
     }
 
     /// Returns true when the step of a task bears that it is away for a while.
-    fn may_move(&self, key: TaskKey) -> bool {
+    pub(super) fn may_move(&self, key: TaskKey) -> bool {
         let Some(job) = self.jobs.get(&key.job) else {
             return false;
         };
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -60,6 +60,8 @@
     pub(super) placed: HashMap<TaskKey, Name>,
     /// The worker on which a task failed last.
     pub(super) failed_on: HashMap<TaskKey, Name>,
+    /// Tasks that were stopped for others and do not run again yet.
+    pub(super) evicted: BTreeSet<TaskKey>,
     /// Workers whose room is kept for overdue tasks in this go of placing.
     pub(super) held: BTreeSet<Name>,
     /// What is to be done, until the event has been taken in.
@@ -113,6 +115,7 @@
             workers: BTreeMap::new(),
             placed: HashMap::new(),
             failed_on: HashMap::new(),
+            evicted: BTreeSet::new(),
             held: BTreeSet::new(),
             actions: Vec::new(),
             now,
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -2,12 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::choice::{Wish, choose, roomiest};
+use super::choice::{Wish, able, choose, roomiest};
 use super::job::{Phase, TaskKey};
 use super::journal::After;
 use super::order::LASTING_WAIT;
 use super::owner::Owner;
 use super::paces::FULL_PACE;
+use super::preempt::LOOKS;
 use super::spec::{Room, StepSpec};
 use super::worker::{Placement, Stage};
 use crate::utils::Name;
@@ -35,7 +36,9 @@
         let mut misfits: BTreeSet<(Name, Room, Name)> = BTreeSet::new();
         let mut vain: BTreeMap<(Name, Name), usize> = BTreeMap::new();
         let mut gangs: BTreeSet<(u32, u32, u32)> = BTreeSet::new();
+        let mut looks = LOOKS;
         self.held.clear();
+        self.settle_promises();
         let mut count = 0;
         for key in self.order() {
             if count >= PLACED_AT_ONCE {
@@ -50,6 +53,7 @@
             let plain = step.spread == 0 && !step.filler && !step.gang;
             let shape = (service.clone(), step.reserved(), step.label.clone());
             if plain && misfits.contains(&shape) {
+                self.make_room(key, &mut looks);
                 continue;
             }
             if step.gang && !gangs.insert((key.job, key.round, key.step)) {
@@ -68,6 +72,9 @@
             if placed == 0 && self.overdue(key) {
                 self.hold_room(key);
             }
+            if placed == 0 {
+                self.make_room(key, &mut looks);
+            }
             if placed == 0 && filler {
                 *tries += 1;
             }
@@ -85,6 +92,15 @@
         late && self.jobs[&key.job].step(key).lasting
     }
 
+    /// Returns the workers on which a task could run once there is room.
+    pub(super) fn able(&self, key: TaskKey) -> Vec<Name> {
+        let all = |wish: &Wish<'_>| {
+            let workers = able(&self.workers, wish, self.now.steady);
+            workers.map(|w| w.listing.id.clone()).collect()
+        };
+        self.wished(key, "", all)
+    }
+
     /// Keeps new tasks off the worker that has most room for a task that fits
     /// nowhere, until there is enough.
     fn hold_room(&mut self, key: TaskKey) {
@@ -145,12 +161,7 @@
     }
 
     /// Returns the worker that `find` gives for what a task asks for.
-    fn wished(
-        &self,
-        key: TaskKey,
-        rack: &str,
-        find: impl FnOnce(&Wish<'_>) -> Option<Name>,
-    ) -> Option<Name> {
+    fn wished<T>(&self, key: TaskKey, rack: &str, find: impl FnOnce(&Wish<'_>) -> T) -> T {
         let job = &self.jobs[&key.job];
         let step = job.step(key);
         let wanted;
@@ -174,6 +185,7 @@
         }
         let since = self.ready.get(&key).copied().unwrap_or(self.now.steady);
         let wish = Wish {
+            key,
             waited: self.now.steady - since,
             service: &job.row.queue.service,
             step,
@@ -232,6 +244,7 @@
             soft: if step.filler { step.room.cpu } else { 0 },
             serving: step.target > 0,
             filler: step.filler,
+            lasting: step.lasting,
             image: step.image.clone(),
             image_number,
             target: step.target,
--- /dev/null
+++ b/src/sched/preempt.rs
@@ -0,0 +1,126 @@
+//! Making room for tasks that fit nowhere, at the cost of others.
+//!
+//! Tasks of a worse priority give way, and among equals tasks that last: they
+//! lose only the time that they are away, while a task that ends loses all that
+//! it is worth with its due time.
+
+use super::job::TaskKey;
+use super::owner::Owner;
+use super::spec::Room;
+use super::worker::{Placement, Worker};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Milliseconds that a run is left alone: a stop and another start take about
+/// one second, which has to be worth it.
+const SPARED: Millis = 3_000;
+/// One in so many lasting tasks of all may be away for others at once: with 340
+/// of them on full workers, tasks that end lacked the room of 4 in 100.
+const AWAY_PART: usize = 12;
+/// Waiting tasks for which room is looked for in one go of placing, as each
+/// looks at all that runs.
+pub(super) const LOOKS: usize = 6;
+
+/// Room on a worker that is being made for a task.
+#[derive(Clone, Debug)]
+pub(super) struct Promise {
+    /// The task that it is for.
+    pub key: TaskKey,
+    /// What the task needs.
+    pub room: Room,
+}
+
+/// A run that could give way, and what that costs: lower is better.
+type Victim = (u64, TaskKey, Name);
+
+impl Owner {
+    /// Forgets promises to tasks that do not wait any more.
+    pub(super) fn settle_promises(&mut self) {
+        let ready = &self.ready;
+        for worker in self.workers.values_mut() {
+            worker.promise.take_if(|p| !ready.contains_key(&p.key));
+        }
+        let (workers, placed) = (&self.workers, &self.placed);
+        let back = |key: &TaskKey| {
+            let worker = placed.get(key).and_then(|name| workers.get(name));
+            let run = worker.and_then(|w| w.placements.get(key));
+            run.is_none_or(Placement::running)
+        };
+        self.evicted
+            .retain(|key| ready.contains_key(key) || !back(key));
+    }
+
+    /// Stops a run that takes the room of a waiting task which fits nowhere;
+    /// `looks` counts down.
+    pub(super) fn make_room(&mut self, key: TaskKey, looks: &mut usize) {
+        let step = self.jobs[&key.job].step(key);
+        let ends = !step.lasting && !step.filler && !step.gang;
+        let promised = |w: &Worker| w.promise.as_ref().is_some_and(|p| p.key == key);
+        if *looks == 0 || !ends || self.workers.values().any(promised) {
+            return;
+        }
+        *looks -= 1;
+        let room = step.reserved();
+        let Some((_, victim, name)) = self.victim(key, room) else {
+            return;
+        };
+        let (task, other) = (
+            self.jobs[&victim.job].task_name(victim),
+            self.jobs[&key.job].task_name(key),
+        );
+        log::info!(target: "task", "task={task} event=preempted worker={name} for={other}");
+        self.evicted.insert(victim);
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.promise = Some(Promise { key, room });
+        }
+        self.stop(victim);
+    }
+
+    /// Returns the run whose end makes room for a task at the least cost.
+    fn victim(&self, key: TaskKey, room: Room) -> Option<Victim> {
+        let now = self.now.steady;
+        let spare = self.spare_lasting();
+        let mut candidates: Vec<Victim> = Vec::new();
+        for name in self.able(key) {
+            let worker = &self.workers[&name];
+            let runs = worker.placements.iter();
+            for (victim, run) in runs.filter(|(_, run)| worker.fits_without(run, room)) {
+                let spared = now < run.since + SPARED;
+                if run.lasting && !spare {
+                    continue;
+                }
+                if let Some(cost) = self.cost(key, *victim, run).filter(|_| !spared) {
+                    candidates.push((cost, *victim, name.clone()));
+                }
+            }
+        }
+        candidates.sort_unstable();
+        candidates.into_iter().find(|c| self.may_move(c.1))
+    }
+
+    /// Returns what stopping a run for a task costs; none when it may not be.
+    fn cost(&self, key: TaskKey, victim: TaskKey, run: &Placement) -> Option<u64> {
+        let own = self.jobs.get(&key.job)?.row.queue.priority;
+        let job = self.jobs.get(&victim.job).filter(|j| j.open())?;
+        let step = job.step(victim);
+        if !run.running() || step.gang || step.filler {
+            return None;
+        }
+        let worse = job.row.queue.priority > own;
+        let equal = job.row.queue.priority == own;
+        if step.lasting && (worse || equal) {
+            // One that does badly where it is loses least.
+            let over = run.gauge.as_ref().is_some_and(|g| g.over_since.is_some());
+            return Some(if over { run.cpu / 2 } else { run.cpu });
+        }
+        let done = (self.now.steady - run.since) * run.cpu / 1_000;
+        let lost = if step.saves { run.cpu } else { run.cpu + done };
+        (worse && !step.lasting).then_some(lost)
+    }
+
+    /// Returns true when one more lasting task may be away for others.
+    fn spare_lasting(&self) -> bool {
+        let all: u32 = self.workers.values().map(|w| w.lasting).sum();
+        self.evicted.len() * AWAY_PART < all as usize
+    }
+}
--- a/src/sched/spec.rs
+++ b/src/sched/spec.rs
@@ -44,6 +44,15 @@
 }
 
 impl Room {
+    /// Returns the room of both.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu + other.cpu,
+            memory: self.memory + other.memory,
+            gpu: self.gpu + other.gpu,
+        }
+    }
+
     /// Returns true when it is no larger than another in any part.
     pub fn within(self, other: Self) -> bool {
         self.cpu <= other.cpu && self.memory <= other.memory && self.gpu <= other.gpu
--- a/src/sched/tests/order.rs
+++ b/src/sched/tests/order.rs
@@ -1,6 +1,8 @@
 //! The order of starts.
 
 use super::world::{World, job, step};
+use crate::sched::job::Shown;
+use crate::sched::message::How;
 use crate::sched::spec::StepSpec;
 
 #[test]
@@ -9,7 +11,7 @@
     // Fills the worker, so that the next two wait.
     world.script = |task, _| {
         let span = if task.starts_with("full") { 9_000 } else { 500 };
-        (span, crate::sched::message::How::Done)
+        (span, How::Done)
     };
     world.submit("full", job(vec![step(1, 4_000)]));
     world.run(100);
@@ -56,8 +58,8 @@
 fn an_overdue_lasting_task_gets_room_among_tasks_that_come_and_go() {
     let mut world = World::new(1);
     world.script = |task, _| match task.starts_with("last") {
-        true => (60_000, crate::sched::message::How::Done),
-        false => (600, crate::sched::message::How::Done),
+        true => (60_000, How::Done),
+        false => (600, How::Done),
     };
     let lasting = StepSpec {
         lasting: true,
@@ -75,3 +77,63 @@
     let (_, _, _, at) = started.expect("the lasting task runs");
     assert!(*at < 1_000 + 5_000, "it started at {at}");
 }
+
+#[test]
+fn a_task_that_ends_gets_the_room_of_one_that_lasts() {
+    let mut world = World::new(4);
+    world.script = |task, _| match task.starts_with("last") {
+        true => (600_000, How::Done),
+        false => (600, How::Done),
+    };
+    let lasting = StepSpec {
+        lasting: true,
+        ..step(16, 1_000)
+    };
+    world.submit("last", job(vec![lasting]));
+    world.run(4_000);
+    assert_eq!(world.running().len(), 16, "they fill all workers");
+    world.submit("ends", job(vec![step(1, 1_000)]));
+    world.run(1_000);
+    assert_eq!(world.shown("ends"), Some(Shown::Completed));
+    world.run(3_000);
+    assert_eq!(world.running().len(), 16, "all lasting tasks are back");
+}
+
+#[test]
+fn few_lasting_tasks_are_away_for_others_at_once() {
+    let mut world = World::new(6);
+    world.script = |task, _| match task.starts_with("last") {
+        true => (600_000, How::Done),
+        false => (4_000, How::Done),
+    };
+    let lasting = StepSpec {
+        lasting: true,
+        ..step(24, 1_000)
+    };
+    world.submit("last", job(vec![lasting]));
+    world.run(4_000);
+    world.submit("ends", job(vec![step(12, 1_000)]));
+    for _ in 0..30 {
+        world.run(100);
+        let running = world.running();
+        let lasting = running.iter().filter(|(t, _)| t.starts_with("last"));
+        assert!(lasting.count() >= 22, "one in twelve may be away");
+    }
+}
+
+#[test]
+fn a_task_of_a_better_priority_takes_the_room_of_a_worse_one() {
+    let mut world = World::new(1);
+    world.script = |task, _| match task.starts_with("worse") {
+        true => (20_000, How::Done),
+        false => (600, How::Done),
+    };
+    world.submit_with_priority("worse", job(vec![step(4, 1_000)]), 2);
+    world.run(4_000);
+    world.submit_with_priority("better", job(vec![step(1, 1_000)]), 0);
+    world.run(1_500);
+    assert_eq!(world.shown("better"), Some(Shown::Completed));
+    world.submit_with_priority("equal", job(vec![step(1, 1_000)]), 2);
+    world.run(1_500);
+    assert_eq!(world.shown("equal"), Some(Shown::Queued));
+}
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -188,10 +188,17 @@
     }
 
     pub fn submit(&mut self, id: &str, spec: JobSpec) -> u64 {
+        self.submit_with_priority(id, spec, 0)
+    }
+
+    pub fn submit_with_priority(&mut self, id: &str, spec: JobSpec, priority: u32) -> u64 {
         self.ask(Ask::Submit {
             id: id.into(),
             spec: Box::new(spec),
-            queue: queue(),
+            queue: Queue {
+                priority,
+                ..queue()
+            },
         })
     }
 
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use super::job::TaskKey;
+use super::preempt::Promise;
 use super::pressure::ImageNumber;
 use super::spec::Room;
 use crate::utils::Name;
@@ -86,6 +87,8 @@
     pub serving: bool,
     /// True when it takes what others leave.
     pub filler: bool,
+    /// True when it runs until its job is cancelled.
+    pub lasting: bool,
     /// Image that it runs; tasks of one image behave alike.
     pub image: Name,
     /// Number of that image.
@@ -180,6 +183,8 @@
     pub serving: u32,
     /// Fillers there.
     pub fillers: u32,
+    /// Lasting tasks there.
+    pub lasting: u32,
     /// The exchange with it.
     pub contact: Contact,
     /// Exchanges without an answer in a row.
@@ -196,6 +201,8 @@
     pub barred: Millis,
     /// True when it runs something that is not known here.
     pub strangers: bool,
+    /// Room that is being made there for a task.
+    pub promise: Option<Promise>,
     /// Its clock as reported last.
     heard: Option<Heard>,
     /// When every lease given to it here has certainly ended.
@@ -214,6 +221,7 @@
             soft: 0,
             serving: 0,
             fillers: 0,
+            lasting: 0,
             contact: Contact::Due(now),
             misses: 0,
             answered: 0,
@@ -222,6 +230,7 @@
             failures: 0,
             barred: 0,
             strangers: false,
+            promise: None,
             heard: None,
             granted: 0,
         }
@@ -235,6 +244,7 @@
         self.soft += placement.soft;
         self.serving += u32::from(placement.serving);
         self.fillers += u32::from(placement.filler);
+        self.lasting += u32::from(placement.lasting);
         self.placements.insert(key, placement);
     }
 
@@ -249,6 +259,7 @@
         self.soft -= placement.soft;
         self.serving -= u32::from(placement.serving);
         self.fillers -= u32::from(placement.filler);
+        self.lasting -= u32::from(placement.lasting);
     }
 
     /// Returns the processor share that work other than fillers takes: serving
@@ -261,10 +272,20 @@
 
     /// Returns true when a task of this room fits beside what is there.
     pub fn fits(&self, room: Room) -> bool {
-        let all = self.listing.capacity;
-        self.used.cpu + room.cpu <= all.cpu
-            && self.used.memory + room.memory <= all.memory
-            && self.used.gpu + room.gpu <= all.gpu
+        self.used.plus(room).within(self.listing.capacity)
+    }
+
+    /// Returns true when it fits beside that and what was promised to another.
+    pub fn spares(&self, key: TaskKey, room: Room) -> bool {
+        let other = self.promise.as_ref().filter(|p| p.key != key);
+        self.fits(other.map_or(room, |p| room.plus(p.room)))
+    }
+
+    /// Returns true when a task of this room would fit without a run that is
+    /// there, and nothing is promised to another.
+    pub fn fits_without(&self, run: &Placement, room: Room) -> bool {
+        let whole = self.used.plus(room);
+        self.promise.is_none() && whole.within(self.listing.capacity.plus(run.room))
     }
 
     /// Returns how much of a room is free, in thousandths of its scarcest part.
