Lasting tasks that gave way come back in turn

Change: a lasting task that ran before goes first after 1.5 s, takes another's turn after 2.5 s, and no other gives way while one is away longer; one that never ran waits up to 6 s.

--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -9,9 +9,13 @@
 /// A job that takes more than this many times its aim is worth nothing.
 const WORTHLESS: Millis = 3;
 
-/// Milliseconds after which a waiting task of a job that lasts goes before all
-/// others: the platform wants it back within 6 s, however full the workers are.
-pub(super) const LASTING_WAIT: Millis = 2_500;
+/// Milliseconds after which a lasting task that ran before goes before all
+/// others: the platform wants it to run again within 6 s of its last run, also
+/// while the workers are full, and a stop and a start take up to 1.5 s.
+const BACK_WAIT: Millis = 1_500;
+/// Milliseconds after which a lasting task that never ran goes before all others:
+/// what it is worth does not lapse, unlike that of tasks that are due.
+const FIRST_WAIT: Millis = 6_000;
 
 /// What a job can still earn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -38,7 +42,7 @@
             let prospect = || prospect(job, round as usize, self.now.wall);
             let (prospect, due) = *known.entry((key.job, round)).or_insert_with(prospect);
             let lasting = job.step(*key).lasting;
-            let patient = !lasting || self.now.steady < since + LASTING_WAIT;
+            let patient = !self.overdue(*key, *since);
             let priority = job.row.queue.priority;
             Some((patient, priority, lasting, prospect, due, *key))
         };
@@ -48,6 +52,17 @@
     }
 }
 
+impl Owner {
+    /// Returns true when a task that waits since then should have started,
+    /// whatever else waits: one of a job that lasts.
+    pub(super) fn overdue(&self, key: TaskKey, since: Millis) -> bool {
+        let job = &self.jobs[&key.job];
+        let ran = job.task(key).is_some_and(|t| t.run > 0);
+        let wait = if ran { BACK_WAIT } else { FIRST_WAIT };
+        job.step(key).lasting && self.now.steady >= since + wait
+    }
+}
+
 /// Returns what a round of a job can still earn, and when it is due.
 fn prospect(job: &Job, round: usize, wall: Millis) -> (Prospect, Millis) {
     let queue = &job.row.queue;
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -5,7 +5,6 @@
 use super::choice::{Wish, able, choose, roomiest};
 use super::job::{Phase, TaskKey};
 use super::journal::After;
-use super::order::LASTING_WAIT;
 use super::owner::Owner;
 use super::paces::FULL_PACE;
 use super::preempt::LOOKS;
@@ -69,9 +68,6 @@
                 false => self.place_one(key),
             };
             count += placed;
-            if placed == 0 && self.overdue(key) {
-                self.hold_room(key);
-            }
             if placed == 0 {
                 self.make_room(key, &mut looks);
             }
@@ -85,13 +81,6 @@
         self.crowded = count == 0;
     }
 
-    /// Returns true when a waiting task of a job that lasts should have started.
-    fn overdue(&self, key: TaskKey) -> bool {
-        let since = self.ready.get(&key);
-        let late = since.is_some_and(|at| self.now.steady >= at + LASTING_WAIT);
-        late && self.jobs[&key.job].step(key).lasting
-    }
-
     /// Returns the workers on which a task could run once there is room.
     pub(super) fn able(&self, key: TaskKey) -> Vec<Name> {
         let all = |wish: &Wish<'_>| {
@@ -101,9 +90,9 @@
         self.wished(key, "", all)
     }
 
-    /// Keeps new tasks off the worker that has most room for a task that fits
-    /// nowhere, until there is enough.
-    fn hold_room(&mut self, key: TaskKey) {
+    /// Keeps new tasks off the worker that has most room for an overdue task that
+    /// fits nowhere, until there is enough.
+    pub(super) fn hold_room(&mut self, key: TaskKey) {
         if self.held.len() * HELD_PART >= self.workers.len() {
             return;
         }
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -17,6 +17,9 @@
 /// One in so many lasting tasks of all may be away for others at once: with 340
 /// of them on full workers, tasks that end lacked the room of 4 in 100.
 const AWAY_PART: usize = 12;
+/// Milliseconds after which a lasting task that gave way takes the room of
+/// another, so that each is away for a short while only.
+const TURN: Millis = 2_500;
 /// Waiting tasks for which room is looked for in one go of placing, as each
 /// looks at all that runs.
 pub(super) const LOOKS: usize = 6;
@@ -50,16 +53,31 @@
             .retain(|key| ready.contains_key(key) || !back(key));
     }
 
-    /// Stops a run that takes the room of a waiting task which fits nowhere;
-    /// `looks` counts down.
+    /// Makes room for a waiting task that fits nowhere; `looks` counts down.
     pub(super) fn make_room(&mut self, key: TaskKey, looks: &mut usize) {
         let step = self.jobs[&key.job].step(key);
-        let ends = !step.lasting && !step.filler && !step.gang;
+        let since = self.ready.get(&key).copied().unwrap_or(self.now.steady);
         let promised = |w: &Worker| w.promise.as_ref().is_some_and(|p| p.key == key);
-        if *looks == 0 || !ends || self.workers.values().any(promised) {
+        if *looks == 0 || step.filler || step.gang || self.workers.values().any(promised) {
+            return;
+        }
+        if !step.lasting {
+            *looks -= 1;
+            return self.preempt(key);
+        }
+        if !self.overdue(key, since) {
             return;
         }
         *looks -= 1;
+        match self.evicted.contains(&key) && self.now.steady >= since + TURN {
+            true => self.preempt(key),
+            false => self.hold_room(key),
+        }
+    }
+
+    /// Stops the run that takes the room of a waiting task at the least cost.
+    fn preempt(&mut self, key: TaskKey) {
+        let step = self.jobs[&key.job].step(key);
         let room = step.reserved();
         let Some((_, victim, name)) = self.victim(key, room) else {
             return;
@@ -79,7 +97,7 @@
     /// Returns the run whose end makes room for a task at the least cost.
     fn victim(&self, key: TaskKey, room: Room) -> Option<Victim> {
         let now = self.now.steady;
-        let spare = self.spare_lasting();
+        let spare = self.spare_lasting() || self.evicted.contains(&key);
         let mut candidates: Vec<Victim> = Vec::new();
         for name in self.able(key) {
             let worker = &self.workers[&name];
@@ -118,8 +136,16 @@
         (worse && !step.lasting).then_some(lost)
     }
 
-    /// Returns true when one more lasting task may be away for others.
+    /// Returns true when one more lasting task may be away for others: few are,
+    /// and those come back in time.
     fn spare_lasting(&self) -> bool {
+        let long = |key: &TaskKey| {
+            let since = self.ready.get(key);
+            since.is_some_and(|at| self.now.steady >= at + TURN)
+        };
+        if self.evicted.iter().any(long) {
+            return false;
+        }
         let all: u32 = self.workers.values().map(|w| w.lasting).sum();
         self.evicted.len() * AWAY_PART < all as usize
     }
