--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -4,7 +4,7 @@
 
 use super::job::TaskKey;
 use super::owner::Owner;
-use super::worker::{Listing, Presence, Stage, Worker};
+use super::worker::{Listing, Placement, Presence, Stage, Worker};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -185,7 +185,11 @@
             .collect();
         for (key, name) in placed {
             let run = self.jobs[&key.job].task(key).map_or(0, |t| t.run);
-            let placement = self.placement(key, run, Stage::Inherited);
+            let placement = Placement {
+                // It began long ago, as far as is known.
+                since: 0,
+                ..self.placement(key, run, Stage::Inherited)
+            };
             if let Some(worker) = self.workers.get_mut(&name) {
                 worker.put(key, placement);
             }
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -57,8 +57,11 @@
     /// whatever else waits: one of a job that lasts.
     pub(super) fn overdue(&self, key: TaskKey, since: Millis) -> bool {
         let job = &self.jobs[&key.job];
-        let ran = job.task(key).is_some_and(|t| t.run > 0);
-        let wait = if ran { BACK_WAIT } else { FIRST_WAIT };
+        let wait = if self.away.contains(&key) {
+            BACK_WAIT
+        } else {
+            FIRST_WAIT
+        };
         job.step(key).lasting && self.now.steady >= since + wait
     }
 }
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -60,8 +60,8 @@
     pub(super) placed: HashMap<TaskKey, Name>,
     /// The worker on which a task failed last.
     pub(super) failed_on: HashMap<TaskKey, Name>,
-    /// Tasks that were stopped for others and do not run again yet.
-    pub(super) evicted: BTreeSet<TaskKey>,
+    /// Lasting tasks that ran, and are stopped or wait to run again.
+    pub(super) away: BTreeSet<TaskKey>,
     /// Workers whose room is kept for overdue tasks in this go of placing.
     pub(super) held: BTreeSet<Name>,
     /// What is to be done, until the event has been taken in.
@@ -115,7 +115,7 @@
             workers: BTreeMap::new(),
             placed: HashMap::new(),
             failed_on: HashMap::new(),
-            evicted: BTreeSet::new(),
+            away: BTreeSet::new(),
             held: BTreeSet::new(),
             actions: Vec::new(),
             now,
@@ -370,7 +370,8 @@
                     continue;
                 }
                 let tasks = job.row.rounds[round][step].iter().enumerate();
-                for (index, _) in tasks.filter(|(_, t)| t.phase == Phase::Waiting) {
+                let lasting = job.spec.steps[step].lasting;
+                for (index, task) in tasks.filter(|(_, t)| t.phase == Phase::Waiting) {
                     let key = TaskKey {
                         job: number,
                         round: round as u32,
@@ -378,6 +379,9 @@
                         index: index as u32,
                     };
                     self.ready.entry(key).or_insert(self.now.steady);
+                    if lasting && task.run > 0 {
+                        self.away.insert(key);
+                    }
                 }
             }
         }
@@ -414,11 +418,14 @@
         if matches!(task.phase, Phase::Placed(_)) {
             task.phase = Phase::Waiting;
             let open = job.open();
-            let gang = job.step(key).gang;
+            let (gang, lasting) = (job.step(key).gang, job.step(key).lasting);
             self.journal.touch(key.job);
             if open {
                 self.ready.insert(key, self.now.steady);
             }
+            if lasting {
+                self.away.insert(key);
+            }
             if gang {
                 self.disband(key);
             }
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -49,7 +49,7 @@
             let run = worker.and_then(|w| w.placements.get(key));
             run.is_none_or(Placement::running)
         };
-        self.evicted
+        self.away
             .retain(|key| ready.contains_key(key) || !back(key));
     }
 
@@ -69,7 +69,7 @@
             return;
         }
         *looks -= 1;
-        match self.evicted.contains(&key) && self.now.steady >= since + TURN {
+        match self.away.contains(&key) && self.now.steady >= since + TURN {
             true => self.preempt(key),
             false => self.hold_room(key),
         }
@@ -87,7 +87,7 @@
             self.jobs[&key.job].task_name(key),
         );
         log::info!(target: "task", "task={task} event=preempted worker={name} for={other}");
-        self.evicted.insert(victim);
+        self.away.insert(victim);
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.promise = Some(Promise { key, room });
         }
@@ -97,7 +97,7 @@
     /// Returns the run whose end makes room for a task at the least cost.
     fn victim(&self, key: TaskKey, room: Room) -> Option<Victim> {
         let now = self.now.steady;
-        let spare = self.spare_lasting() || self.evicted.contains(&key);
+        let spare = self.spare_lasting() || self.away.contains(&key);
         let mut candidates: Vec<Victim> = Vec::new();
         for name in self.able(key) {
             let worker = &self.workers[&name];
@@ -143,10 +143,10 @@
             let since = self.ready.get(key);
             since.is_some_and(|at| self.now.steady >= at + TURN)
         };
-        if self.evicted.iter().any(long) {
+        if self.away.iter().any(long) {
             return false;
         }
         let all: u32 = self.workers.values().map(|w| w.lasting).sum();
-        self.evicted.len() * AWAY_PART < all as usize
+        self.away.len() * AWAY_PART < all as usize
     }
 }
