Paces are lowered as soon as a target is expected to be passed

Cause: a filler that was just placed pressed at full pace until the next high reading, half a second later. Change: paces are lowered also when own load and known pressure at the present paces pass the limit.

--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -56,6 +56,8 @@
     image: ImageNumber,
     /// Share of the worker's processors at full pace.
     share: f64,
+    /// Present pace, as a fraction.
+    pace: f64,
     /// Pace it should have, as a fraction.
     wished: f64,
 }
@@ -116,6 +118,7 @@
                 key: *key,
                 image: placement.image_number,
                 share: placement.cpu as f64 / capacity,
+                pace: f64::from(placement.pace) / f64::from(FULL_PACE),
                 wished: 1.0,
             })
             .collect();
@@ -124,7 +127,9 @@
             let Some((victim, gauge)) = self.gauge(name, run, &mix) else {
                 continue;
             };
-            high |= gauge.busy > HIGH;
+            let part = |f: &Filler| self.pressure.factor(victim, f.image) * f.share * f.pace;
+            let expected = gauge.own_load + fillers.iter().map(part).sum::<f64>();
+            high |= gauge.busy > HIGH || expected > HIGH;
             if gauge
                 .over_since
                 .is_some_and(|since| self.now.steady >= since + HALT)
