Queues with an advisor: permits are asked for before placing and go with each start

Cause: a queue that asks for advice had every start rejected for its ticket; on such a queue nothing was served. Change: `sched/permits` asks for the permits of a step when it can start (30 workers a question, four questions at once, good ones remembered), places only where a permit holds, brings the ticket with the start and asks again once it has ended; `platform/advice` makes the call; the settings name the advisor. Tests: four against a fake advisor that checks tickets, one of the decoding.

--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -217,6 +217,12 @@
                     Event::Paced(pace.key, pace.run, pace.percent, pace.worker, reply)
                 });
             }
+            Action::Advise(question) => {
+                tell(shared, epoch, async move |shared| {
+                    let reply = shared.advisor.ask(&question).await;
+                    Event::Advised(question.step, question.workers, reply)
+                });
+            }
             Action::Commit {
                 number,
                 version,
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -9,6 +9,7 @@
 
 use super::lead;
 use crate::options::daemon::Settings;
+use crate::platform::advice::Advisor;
 use crate::platform::store::Store;
 use crate::platform::{config, worker::Workers};
 use crate::queues::Queues;
@@ -39,6 +40,8 @@
     pub store: Store,
     /// The workers.
     pub workers: Workers,
+    /// The advisor of services.
+    pub advisor: Advisor,
     lead: UnboundedSender<lead::Message>,
     nudge: UnboundedSender<()>,
     queues: RefCell<Rc<Queues>>,
@@ -62,6 +65,7 @@
         Self {
             store: Store::new(settings.store),
             workers: Workers::default(),
+            advisor: Advisor::new(settings.advisor),
             bounds: Cell::new(settings.bounds),
             settings,
             life,
--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -47,6 +47,8 @@
     pub metrics: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Address of the advisor that tells which workers may run a step.
+    pub advisor: Option<SocketAddr>,
     /// Bounds of decisions.
     pub bounds: Bounds,
     /// Milliseconds within which a planned stop is complete.
@@ -76,6 +78,7 @@
         admin: reader.address("box.admin"),
         metrics: reader.optional_address("box.metrics"),
         store: reader.address("platform.store"),
+        advisor: reader.optional_address("platform.advisor"),
         bounds: Bounds {
             lease: reader
                 .duration("workers.lease", LEASE, 500..=HOUR)
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -2,6 +2,7 @@
 //!
 //! Each name on the wire is decoded here, once, into the product's own types.
 
+pub mod advice;
 pub mod config;
 pub mod directory;
 pub mod ingress;
--- /dev/null
+++ b/src/platform/advice.rs
@@ -0,0 +1,81 @@
+//! The service that tells which workers may run a step.
+
+use std::net::SocketAddr;
+
+use http::{Method, StatusCode};
+
+use super::wire::{self, AdviceReply};
+use crate::sched::message::{Advice, Advise, Refusal, Reply};
+use crate::table::encode;
+use crate::utils::clock::Millis;
+use crate::web::WebError;
+use crate::web::client::Pool;
+
+/// Bytes of the largest answer, about a hundred workers.
+const REPLY_LIMIT: usize = 1 << 16;
+/// Milliseconds for an answer: several questions may wait their turn there.
+const LIMIT: Millis = 3_000;
+
+/// The client of the advisor.
+#[derive(Clone)]
+pub struct Advisor {
+    pool: Pool,
+    address: Option<SocketAddr>,
+}
+
+impl Advisor {
+    /// Returns the client of an advisor, or of none.
+    pub fn new(address: Option<SocketAddr>) -> Self {
+        Self {
+            pool: Pool::new(REPLY_LIMIT),
+            address,
+        }
+    }
+
+    /// Asks which of some workers may run a step.
+    pub async fn ask(&self, question: &Advise) -> Reply<Advice> {
+        let Some(address) = self.address else {
+            log::error!(target: "task", "step={} event=no-advisor", question.name);
+            return Reply::NotSent;
+        };
+        let body = encode(&wire::Advise {
+            step: &question.name,
+            workers: &question.workers,
+        });
+        let path = "/advise";
+        let call = wire::call(
+            &self.pool,
+            address,
+            Method::POST,
+            path,
+            Some(body),
+            None,
+            LIMIT,
+        );
+        match call.await {
+            Ok(reply) if reply.status == StatusCode::OK => decode(&reply.body),
+            Ok(reply) => {
+                log::info!(target: "task", "step={} event=advice-refused status={}", question.name, reply.status);
+                Reply::Refused(Refusal::Unwell)
+            }
+            Err(WebError::NotSent(_) | WebError::Held) => Reply::NotSent,
+            Err(e) => {
+                log::info!(target: "task", "step={} event=advice-lost cause=\"{e}\"", question.name);
+                Reply::Lost
+            }
+        }
+    }
+}
+
+fn decode(body: &[u8]) -> Reply<Advice> {
+    match serde_json::from_slice::<AdviceReply>(body) {
+        Ok(reply) => Reply::Ok(Advice {
+            good: reply.good,
+            valid: reply.valid_ms,
+        }),
+        Err(e) => {
+            log::error!(target: "task", "event=malformed-advice cause=\"{e}\"");
+            Reply::Lost
+        }
+    }
+}
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -23,6 +23,7 @@
             attempts: route.max_attempts.max(1),
             stretch: (route.stretch * 1_000.0) as u32,
             slack: route.target_latency_ms,
+            advised: route.advice.is_some(),
         },
     });
     Some(Queues::new(config.version, routes.collect()))
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -55,6 +55,19 @@
     assert!(queues.find("b.example", "/q/1").is_none());
 }
 
+#[test]
+fn a_queue_with_times_of_an_advisor_needs_permits() {
+    let text = CONFIG.replacen(
+        "\"stretch\":1.5",
+        "\"stretch\":1.5,\"advice\":{\"decide_ms\":40,\"each_ms\":2,\"valid_ms\":3000}",
+        1,
+    );
+    let queues = config::queues(&row(config::KEY, &text)).expect("decodes");
+    let advised = |path| queues.find("a.example", path).map(|(r, _)| r.queue.advised);
+    assert_eq!(advised("/q/x/1"), Some(true));
+    assert_eq!(advised("/q/1"), Some(false));
+}
+
 #[test]
 fn a_configuration_that_does_not_decode_is_not_taken() {
     assert!(config::queues(&row(config::KEY, "{\"version\":")).is_none());
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -72,6 +72,8 @@
     pub fence: u64,
     #[serde(skip_serializing_if = "str::is_empty")]
     pub last_checkpoint: &'a str,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    pub ticket: &'a str,
 }
 
 /// A stop order.
@@ -148,6 +150,23 @@
     pub gpu: u64,
 }
 
+/// A question which workers may run a step.
+#[derive(Serialize)]
+pub struct Advise<'a> {
+    pub step: &'a str,
+    pub workers: &'a [Name],
+}
+
+/// The answer to that.
+#[derive(Debug, Deserialize)]
+pub struct AdviceReply {
+    /// Worker and ticket.
+    #[serde(default)]
+    pub good: Vec<(Name, Name)>,
+    #[serde(rename = "valid_ms")]
+    pub valid_ms: Millis,
+}
+
 /// The operator's configuration.
 #[derive(Debug, Deserialize)]
 pub struct Config {
@@ -173,6 +192,9 @@
     pub max_attempts: u32,
     #[serde(default)]
     pub stretch: f64,
+    /// Times of the advisor, present where it has to be asked for each step.
+    #[serde(default)]
+    pub advice: Option<serde::de::IgnoredAny>,
 }
 
 /// A row of the store.
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -42,6 +42,7 @@
             deadline_ms: start.lease,
             fence: start.epoch,
             last_checkpoint: &start.saved,
+            ticket: &start.ticket,
         });
         let reply = self.order(start.address, "/run-start", body, &start.worker, 0);
         reply.await.map(|r| r.clock_ms)
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -19,6 +19,7 @@
 mod order;
 pub mod owner;
 mod paces;
+mod permits;
 mod placing;
 mod preempt;
 mod pressure;
--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::job::TaskKey;
+use super::permits::Permits;
 use super::pressure::{ImageNumber, Pressure};
 use super::spec::StepSpec;
 use super::worker::Worker;
@@ -54,6 +55,8 @@
     pub avoid: &'a str,
     /// Tasks of the step and round by worker.
     pub beside: &'a BTreeMap<Name, u32>,
+    /// Workers that may run it; none when all may.
+    pub permits: Option<&'a Permits>,
     /// Workers whose room is kept for a task that did not fit anywhere.
     pub held: &'a BTreeSet<Name>,
 }
@@ -70,7 +73,9 @@
 /// Returns the worker that has the most room left for a task that fits nowhere.
 pub fn roomiest(workers: &BTreeMap<Name, Worker>, wish: &Wish<'_>, now: Millis) -> Option<Name> {
     let room = wish.step.reserved();
-    let most = able(workers, wish, now).max_by_key(|w| w.free(room));
+    let permitted = |w: &&Worker| wish.permits.is_none_or(|p| p.allow(&w.listing.id, now));
+    let able = able(workers, wish, now).filter(permitted);
+    let most = able.max_by_key(|w| w.free(room));
     most.map(|w| w.listing.id.clone())
 }
 
@@ -88,7 +93,9 @@
 
 /// Returns true when the task may run there now.
 fn allowed(worker: &Worker, wish: &Wish<'_>, now: Millis) -> bool {
-    worker.spares(wish.key, wish.step.reserved()) && suits(worker, wish, now)
+    let id = &worker.listing.id;
+    let permitted = wish.permits.is_none_or(|p| p.allow(id, now));
+    permitted && worker.spares(wish.key, wish.step.reserved()) && suits(worker, wish, now)
 }
 
 /// Returns true when the task may run there once there is room.
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -21,6 +21,9 @@
     pub stretch: u32,
     /// Milliseconds beyond that which still count as on time.
     pub slack: Millis,
+    /// True when an advisor tells which workers may run a step.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub advised: bool,
 }
 
 /// One task of a job.
@@ -36,6 +39,28 @@
     pub index: u32,
 }
 
+impl TaskKey {
+    /// Returns the step and round that the task belongs to.
+    pub fn of_step(self) -> StepKey {
+        StepKey {
+            job: self.job,
+            round: self.round,
+            step: self.step,
+        }
+    }
+}
+
+/// One round of a step of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StepKey {
+    /// Number of the job at its present owner.
+    pub job: u32,
+    /// Round of a scheduled job; 0 otherwise.
+    pub round: u32,
+    /// Step.
+    pub step: u32,
+}
+
 /// How far a task is.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::job::{Queue, Shown, TaskKey};
+use super::job::{Queue, Shown, StepKey, TaskKey};
 use super::spec::JobSpec;
 use super::worker::Listing;
 use crate::utils::Name;
@@ -184,6 +184,26 @@
     pub value: Option<Bytes>,
 }
 
+/// Which workers may run a step.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Advice {
+    /// Ids of workers, with what a start there has to bring.
+    pub good: Vec<(Name, Name)>,
+    /// Milliseconds for which that holds.
+    pub valid: Millis,
+}
+
+/// A question to the advisor of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Advise {
+    /// The step.
+    pub step: StepKey,
+    /// Its name.
+    pub name: String,
+    /// Ids of the workers that it is about.
+    pub workers: Vec<Name>,
+}
+
 /// What the owner is told.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -201,6 +221,8 @@
     Stopped(TaskKey, u32, Name, Reply<Millis>),
     /// A change of pace ended.
     Paced(TaskKey, u32, u32, Name, Reply<Millis>),
+    /// A question about these workers to the advisor ended.
+    Advised(StepKey, Vec<Name>, Reply<Advice>),
     /// A commit ended.
     Written(u64, Written),
     /// Time passes.
@@ -245,6 +267,8 @@
     pub epoch: u64,
     /// Checkpoint to resume from; empty for none.
     pub saved: Name,
+    /// The advisor's word that it may run there; empty where none is needed.
+    pub ticket: Name,
 }
 
 /// A stop of a run.
@@ -296,6 +320,8 @@
     Stop(Stop),
     /// Change the pace of a run.
     Pace(Pace),
+    /// Ask the advisor.
+    Advise(Advise),
     /// Write rows, on the condition that the owner's row has this version.
     Commit {
         /// Number of the commit.
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::job::{Job, JobRow, Outcome, Phase, TaskKey};
+use super::job::{Job, JobRow, Outcome, Phase, StepKey, TaskKey};
 use super::journal::{After, BELIEF_TABLE, JOB_TABLE, Journal, PRESSURE_KEY, SPEC_TABLE, Settled};
 use super::message::{Action, Answer, Event, Ticket, Write, Written};
+use super::permits::Permits;
 use super::pressure::Pressure;
 use super::spec::JobSpec;
 use super::worker::{Contact, Worker, lease_span};
@@ -60,6 +61,8 @@
     pub(super) placed: HashMap<TaskKey, Name>,
     /// The worker on which a task failed last.
     pub(super) failed_on: HashMap<TaskKey, Name>,
+    /// What is known of the workers that may run a step.
+    pub(super) permits: BTreeMap<StepKey, Permits>,
     /// Lasting tasks that ran, and are stopped or wait to run again.
     pub(super) away: BTreeSet<TaskKey>,
     /// Workers whose room is kept for overdue tasks in this go of placing.
@@ -115,6 +118,7 @@
             workers: BTreeMap::new(),
             placed: HashMap::new(),
             failed_on: HashMap::new(),
+            permits: BTreeMap::new(),
             away: BTreeSet::new(),
             held: BTreeSet::new(),
             actions: Vec::new(),
@@ -223,6 +227,7 @@
             Event::Paced(key, run, percent, worker, reply) => {
                 self.paced(key, run, percent, &worker, reply);
             }
+            Event::Advised(step, asked, reply) => self.advice(step, asked, reply),
             Event::Written(number, written) => self.written(number, written),
             Event::Tick => {}
         }
@@ -398,6 +403,7 @@
         log::info!(target: "job", "job={} event=end outcome={outcome:?}", job.id);
         self.journal.touch(number);
         self.ready.retain(|key, _| key.job != number);
+        self.permits.retain(|step, _| step.job != number);
     }
 
     /// Takes a task off its worker; it waits for another start if its job goes on.
--- /dev/null
+++ b/src/sched/permits.rs
@@ -0,0 +1,165 @@
+//! Queues whose steps may run on some workers only, which an advisor of the
+//! service tells: permits are asked for before placing, and go with a start.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::job::{StepKey, TaskKey};
+use super::message::{Action, Advice, Advise, Reply};
+use super::owner::Owner;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Workers named in one question: each adds to the time of the answer, and
+/// the platform reckons with as many a step.
+const NAMED: usize = 30;
+/// Questions without an answer at once: the advisor takes a box's questions one
+/// after another and turns away more than 32.
+const OPEN_QUESTIONS: usize = 4;
+/// Milliseconds until a question that had no answer is asked again.
+const AGAIN: Millis = 300;
+/// Milliseconds before its end from which a permit is not used any more: the
+/// start has to be kept and sent within it.
+const MARGIN: Millis = 250;
+
+/// A worker's permit for the tasks of a step.
+#[derive(Clone, Debug)]
+struct Permit {
+    /// Goes with each start.
+    ticket: Name,
+    /// When it is not used any more.
+    until: Millis,
+}
+
+/// What the advisor said about a step; which workers are good does not change.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Permits {
+    good: BTreeMap<Name, Permit>,
+    bad: BTreeSet<Name>,
+    /// When the question that has no answer yet was asked.
+    asked: Option<Millis>,
+    /// When the next question may be asked.
+    next: Millis,
+}
+
+impl Permits {
+    /// Returns true when a worker may run the step now.
+    pub fn allow(&self, worker: &str, now: Millis) -> bool {
+        self.good.get(worker).is_some_and(|p| now < p.until)
+    }
+
+    fn any(&self, now: Millis) -> bool {
+        self.good.values().any(|p| now < p.until)
+    }
+}
+
+impl Owner {
+    /// Returns true when a task's queue needs permits.
+    fn advised(&self, key: TaskKey) -> bool {
+        self.jobs[&key.job].row.queue.advised
+    }
+
+    /// Returns true when a task may be placed: it needs no permit, or some
+    /// worker has one. Asks for permits otherwise.
+    pub(super) fn permitted(&mut self, key: TaskKey) -> bool {
+        if !self.advised(key) {
+            return true;
+        }
+        let step = key.of_step();
+        let now = self.now.steady;
+        if self.permits.entry(step).or_default().any(now) {
+            return true;
+        }
+        self.ask_permits(key);
+        false
+    }
+
+    /// Asks for more permits of a step whose good workers are full.
+    pub(super) fn more_permits(&mut self, key: TaskKey) {
+        if self.advised(key) {
+            self.ask_permits(key);
+        }
+    }
+
+    fn ask_permits(&mut self, key: TaskKey) {
+        let (step, now) = (key.of_step(), self.now.steady);
+        let open = self.permits.values().filter(|p| p.asked.is_some()).count();
+        let known = self.permits.entry(step).or_default();
+        if open >= OPEN_QUESTIONS || known.asked.is_some() || now < known.next {
+            return;
+        }
+        let workers = self.questioned(key);
+        if workers.is_empty() {
+            return;
+        }
+        let job = &self.jobs[&key.job];
+        let name = format!("{}.{}.{}", job.id, key.round, key.step);
+        log::info!(target: "task", "step={name} event=advice-asked workers={}", workers.len());
+        if let Some(known) = self.permits.get_mut(&step) {
+            known.asked = Some(now);
+        }
+        self.actions.push(Action::Advise(Advise {
+            step,
+            name,
+            workers,
+        }));
+    }
+
+    /// Returns the workers to ask about: good ones whose permits have ended,
+    /// then unknown ones, those with most room first.
+    fn questioned(&self, key: TaskKey) -> Vec<Name> {
+        let known = &self.permits[&key.of_step()];
+        let room = self.jobs[&key.job].step(key).reserved();
+        let now = self.now.steady;
+        let open = |name: &Name| !known.bad.contains(name) && !known.allow(name, now);
+        let able = self.able(key).into_iter().filter(open);
+        let mut able: Vec<Name> = able.collect();
+        able.sort_by_key(|name| {
+            let free = self.workers[name].free(room);
+            (!known.good.contains_key(name), std::cmp::Reverse(free))
+        });
+        able.truncate(NAMED);
+        able
+    }
+
+    /// Takes in what the advisor said about the workers that it was asked about.
+    pub(super) fn advice(&mut self, step: StepKey, asked: Vec<Name>, reply: Reply<Advice>) {
+        let now = self.now.steady;
+        let Some(known) = self.permits.get_mut(&step) else {
+            return;
+        };
+        let sent = known.asked.take().unwrap_or(now);
+        let Reply::Ok(advice) = reply else {
+            log::info!(target: "task", "step={step:?} event=advice-missing reply={reply:?}");
+            known.next = now + AGAIN;
+            return;
+        };
+        let until = (sent + advice.valid).saturating_sub(MARGIN);
+        let good = advice.good.len();
+        log::info!(target: "task", "step={step:?} event=advice good={good} asked={} valid_ms={}", asked.len(), advice.valid);
+        known.bad.extend(asked);
+        for (worker, ticket) in advice.good {
+            known.bad.remove(&worker);
+            known.good.insert(worker, Permit { ticket, until });
+        }
+        self.crowded = false;
+    }
+
+    /// Returns the ticket for a start on a worker; empty where none is needed,
+    /// none where the permit has ended.
+    pub(super) fn ticket(&self, key: TaskKey, worker: &str) -> Option<Name> {
+        if !self.advised(key) {
+            return Some("".into());
+        }
+        let now = self.now.steady;
+        let permit = self.permits.get(&key.of_step())?.good.get(worker)?;
+        (now < permit.until + MARGIN).then(|| permit.ticket.clone())
+    }
+
+    /// Takes in that a worker did not accept a permit.
+    pub(super) fn permit_refused(&mut self, key: TaskKey, worker: &str) {
+        let known = self.permits.get_mut(&key.of_step());
+        if let Some(permit) = known.and_then(|k| k.good.get_mut(worker)) {
+            permit.until = 0;
+        }
+    }
+}
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -70,12 +70,17 @@
             if filler && *tries >= FILLERS_TRIED {
                 continue;
             }
-            let placed = match step.gang {
+            let gang = step.gang;
+            if !self.permitted(key) {
+                continue;
+            }
+            let placed = match gang {
                 true => self.place_gang(key),
                 false => self.place_one(key),
             };
             count += placed;
             if placed == 0 {
+                self.more_permits(key);
                 self.make_room(key, &mut looks);
             }
             if placed == 0 && filler {
@@ -190,6 +195,7 @@
             pressure: &self.pressure,
             avoid: self.failed_on.get(&key).map_or("", |w| w),
             beside: &beside,
+            permits: self.permits.get(&key.of_step()),
             held: &self.held,
         };
         find(&wish)
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -99,7 +99,9 @@
         let now = self.now.steady;
         let spare = self.spare_lasting() || self.away.contains(&key);
         let mut candidates: Vec<Victim> = Vec::new();
-        for name in self.able(key) {
+        let permits = self.permits.get(&key.of_step());
+        let permitted = |name: &Name| permits.is_none_or(|p| p.allow(name, now));
+        for name in self.able(key).into_iter().filter(permitted) {
             let worker = &self.workers[&name];
             let runs = worker.placements.iter();
             for (victim, run) in runs.filter(|(_, run)| worker.fits_without(run, room)) {
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -25,6 +25,7 @@
             return;
         };
         let (now, span) = (self.now.steady, self.bounds.lease);
+        let ticket = self.ticket(key, &name);
         let Some(worker) = self.workers.get_mut(&name) else {
             return;
         };
@@ -36,18 +37,20 @@
             true => worker.grant(span, now),
             false => None,
         };
-        let (Some(lease), Some(placement)) = (lease, worker.placements.get_mut(&key)) else {
+        let (Some(lease), Some(ticket), Some(placement)) =
+            (lease, ticket, worker.placements.get_mut(&key))
+        else {
             log::info!(target: "task", "task={} run={run} event=withdrawn worker={name}", job.task_name(key));
             self.free(key);
             return;
         };
         placement.stage = Stage::Starting;
         placement.since = now;
-        self.send_start(key, run, name, lease);
+        self.send_start(key, run, name, lease, ticket);
     }
 
     /// Orders a worker to start a run.
-    fn send_start(&mut self, key: TaskKey, run: u32, worker: Name, lease: Millis) {
+    fn send_start(&mut self, key: TaskKey, run: u32, worker: Name, lease: Millis, ticket: Name) {
         let Some(address) = self.workers.get(&worker).map(|w| w.listing.address) else {
             return;
         };
@@ -71,6 +74,7 @@
             lease,
             epoch: self.journal.epoch(),
             saved: job.task(key).map(|t| t.saved.clone()).unwrap_or_default(),
+            ticket,
         }));
     }
 
@@ -111,12 +115,19 @@
         log::info!(target: "task", "task={key:?} run={run} event=refused worker={name} reason={refusal:?}");
         if let Some(worker) = self.workers.get_mut(name) {
             match refusal {
-                Refusal::Full | Refusal::Unwell | Refusal::Unfit | Refusal::Ticket => {
+                Refusal::Full | Refusal::Unwell | Refusal::Unfit => {
                     worker.barred = now + BARRED;
                 }
-                Refusal::Late | Refusal::Old | Refusal::Fenced | Refusal::Reborn => {}
+                Refusal::Ticket
+                | Refusal::Late
+                | Refusal::Old
+                | Refusal::Fenced
+                | Refusal::Reborn => {}
             }
         }
+        if refusal == Refusal::Ticket {
+            self.permit_refused(key, name);
+        }
         self.free(key);
         if refusal == Refusal::Reborn {
             self.life_ended(name, "another-life");
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -6,6 +6,7 @@
 mod journal;
 mod legacy;
 mod order;
+mod permits;
 mod pressure;
 mod random;
 mod takeover;
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -41,6 +41,10 @@
     pub script: fn(&str, u32) -> (Millis, How),
     /// Starts that workers carried out: task, run, worker, time.
     pub starts: Vec<(String, u32, Name, Millis)>,
+    /// Workers that may run the steps of advised queues.
+    pub good: BTreeSet<Name>,
+    /// Numbers of workers in each question to the advisor.
+    pub questions: Vec<usize>,
     /// The checkpoint that the last start of each task brought.
     pub resumed: BTreeMap<String, Name>,
     /// Breaches of the rules that a task runs once at a time, and not again
@@ -68,6 +72,7 @@
         attempts: 3,
         stretch: 2_000,
         slack: 500,
+        advised: false,
     }
 }
 
@@ -139,6 +144,8 @@
             store_down: false,
             script: |_, _| (1_000, How::Done),
             starts: Vec::new(),
+            good: BTreeSet::new(),
+            questions: Vec::new(),
             resumed: BTreeMap::new(),
             doubles: Vec::new(),
             paces: Vec::new(),
@@ -192,13 +199,18 @@
     }
 
     pub fn submit_with_priority(&mut self, id: &str, spec: JobSpec, priority: u32) -> u64 {
+        let queue = Queue {
+            priority,
+            ..queue()
+        };
+        self.submit_to(queue, id, spec)
+    }
+
+    pub fn submit_to(&mut self, queue: Queue, id: &str, spec: JobSpec) -> u64 {
         self.ask(Ask::Submit {
             id: id.into(),
             spec: Box::new(spec),
-            queue: Queue {
-                priority,
-                ..queue()
-            },
+            queue,
         })
     }
 
@@ -287,6 +299,10 @@
                 Action::Hold(hold) => Call::Hold(hold, self.now),
                 Action::Start(start) => Call::Start(start),
                 Action::Stop(stop) => Call::Stop(stop),
+                Action::Advise(question) => {
+                    self.answer_advice(question);
+                    continue;
+                }
                 Action::Pace(pace) => {
                     self.paces.push(pace.percent);
                     self.answer_pace(pace);
--- a/src/sched/tests/world/calls.rs
+++ b/src/sched/tests/world/calls.rs
@@ -3,7 +3,9 @@
 
 use super::World;
 use crate::sched::journal::{OWNER_KEY, OWNER_TABLE};
-use crate::sched::message::{Event, Hold, Pace, Reply, Start, Stop, Write, Written};
+use crate::sched::message::{
+    Advice, Advise, Event, Hold, Pace, Reply, Start, Stop, Write, Written,
+};
 use crate::utils::clock::Millis;
 
 /// Milliseconds that a call takes each way.
@@ -11,6 +13,10 @@
 /// Milliseconds after which a call without an answer is given up.
 const GIVEN_UP: Millis = 700;
 
+/// Milliseconds that the advisor takes, and for which its word holds.
+const ADVICE_TIME: Millis = 40;
+const ADVICE_VALID: Millis = 1_500;
+
 /// How likely faults are, from 0 to 1.
 #[derive(Clone, Copy, Default)]
 pub struct Faults {
@@ -102,6 +108,23 @@
         self.later(HOP, Due::Event(self.epoch, event));
     }
 
+    /// Answers a question to the advisor: workers in `good` may run each step.
+    pub(super) fn answer_advice(&mut self, question: Advise) {
+        self.questions.push(question.workers.len());
+        let ticket = |id: &crate::utils::Name| (id.clone(), self.ticket_of(id));
+        let named = question.workers.iter().filter(|w| self.good.contains(*w));
+        let good = named.map(ticket).collect();
+        let valid = ADVICE_VALID;
+        let done = Reply::Ok(Advice { good, valid });
+        let event = Event::Advised(question.step, question.workers, done);
+        self.later(ADVICE_TIME, Due::Event(self.epoch, event));
+    }
+
+    /// Returns the ticket of a worker that holds now.
+    pub(super) fn ticket_of(&self, worker: &str) -> crate::utils::Name {
+        format!("{worker} until {}", self.now + ADVICE_VALID).into()
+    }
+
     fn later(&mut self, after: Millis, due: Due) {
         self.serial += 1;
         self.due.insert((self.now + after, self.serial), due);
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -23,6 +23,8 @@
     pub cut: bool,
     /// Refuses starts for want of room.
     pub full: bool,
+    /// Takes starts with a ticket only.
+    pub advised: bool,
     /// Lists a checkpoint of its own for each run.
     pub saves: bool,
     epoch: u64,
@@ -44,6 +46,7 @@
             listing,
             cut: false,
             full: false,
+            advised: false,
             saves: false,
             epoch: 0,
             lease: 0,
@@ -139,6 +142,16 @@
         if worker.full {
             return Reply::Refused(Refusal::Full);
         }
+        if let Some(until) = start
+            .ticket
+            .strip_prefix(&format!("{} until ", start.worker))
+            && until.parse::<Millis>().is_ok_and(|until| until <= now)
+        {
+            return Reply::Refused(Refusal::Ticket);
+        }
+        if worker.advised && start.ticket.is_empty() {
+            return Reply::Refused(Refusal::Ticket);
+        }
         if start.lease <= now {
             return Reply::Refused(Refusal::Late);
         }
