check knows the settings of a box on the platform; the template is tested

Before: `check` read each file as one of `entry`, so every file of `serve` had findings, and settings that do not fit together were taken (same address twice, a lease longer than it is extended for, a grace below what a planned stop needs). Tests: findings together, the rendered template, the command; all failed before.

--- a/src/options.rs
+++ b/src/options.rs
@@ -20,6 +20,17 @@
 
 pub use reader::{Finding, is_name};
 
+/// Checks a settings file of either kind of daemon: one that names a store is
+/// for a box on the platform.
+pub fn check_file(path: &str) -> Result<(), Vec<Finding>> {
+    let text = file::text(path)?;
+    let mut reader = reader::Reader::new(path, &text).map_err(|f| vec![f])?;
+    match reader.has("platform.store") {
+        true => daemon::parse(path, &text).map(drop),
+        false => file::parse(path, &text).map(drop),
+    }
+}
+
 /// Checked settings of an entry box.
 #[derive(Clone, Debug)]
 pub struct Settings {
--- a/src/options/check.rs
+++ b/src/options/check.rs
@@ -1,7 +1,9 @@
 //! Checks that concern several settings at once.
 
-use super::Settings;
+use std::net::SocketAddr;
+
 use super::reader::Reader;
+use super::{Settings, daemon};
 
 /// Records a finding for each pair of settings that do not fit together.
 pub fn settings(settings: &Settings, reader: &mut Reader) {
@@ -50,6 +52,26 @@
     }
 }
 
+/// Records a finding for each pair of settings of a box on the platform that
+/// do not fit together.
+pub fn daemon(settings: &daemon::Settings, reader: &mut Reader) {
+    let mut all = vec![
+        ("box.web", settings.web),
+        ("box.rpc", settings.rpc),
+        ("box.admin", settings.admin),
+        ("platform.store", settings.store),
+    ];
+    all.extend(settings.metrics.map(|a| ("box.metrics", a)));
+    all.extend(settings.advisor.map(|a| ("platform.advisor", a)));
+    distinct(&all, reader);
+    reachable(&[all[1], all[3]], reader);
+    if settings.bounds.unconfirmed < settings.bounds.lease {
+        let wrong = "is below workers.lease";
+        let right = "make it longer, or the lease shorter";
+        reader.find("workers.unconfirmed", wrong, right);
+    }
+}
+
 fn addresses(settings: &Settings, reader: &mut Reader) {
     let all = [
         ("box.web", settings.web),
@@ -57,6 +79,12 @@
         ("box.admin", settings.admin),
         ("platform.rpc", settings.platform),
     ];
+    distinct(&all, reader);
+    reachable(&[all[1], all[3]], reader);
+}
+
+/// Records a finding for each address that stands twice or has no port.
+fn distinct(all: &[(&str, SocketAddr)], reader: &mut Reader) {
     for (i, (key, address)) in all.iter().enumerate() {
         if address.port() == 0 && !address.ip().is_unspecified() {
             reader.find(key, "has port 0", "give a port from 1 to 65535");
@@ -67,7 +95,11 @@
             reader.find(key, wrong, "give each its own address");
         }
     }
-    for (key, address) in [all[1], all[3]] {
+}
+
+/// Records a finding for each address that no other box can reach.
+fn reachable(all: &[(&str, SocketAddr)], reader: &mut Reader) {
+    for (key, address) in all {
         if address.ip().is_unspecified() && address.port() != 0 {
             let right = "give the number that other boxes can reach";
             reader.find(
--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::check;
 use super::file::{limits, logs};
 use super::reader::{Finding, Reader};
 use crate::logs::Logs;
@@ -16,6 +17,9 @@
 const LEASE: Millis = 4_000;
 /// Milliseconds of the platform's grace that a planned stop leaves unused.
 const STOP_SLACK: Millis = 800;
+/// Shortest grace, in milliseconds: the balancer needs most of it to send no
+/// more callers.
+const GRACE_LEAST: Millis = 3_500;
 /// Milliseconds of an hour, the longest of any setting.
 const HOUR: Millis = 3_600_000;
 /// Milliseconds of the platform's grace for a planned stop, unless it is set.
@@ -68,7 +72,7 @@
 /// Checks the text of a settings file.
 pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Finding>> {
     let mut reader = Reader::new(file, text).map_err(|f| vec![f])?;
-    let grace = reader.duration("platform.grace", GRACE, 1_000..=HOUR);
+    let grace = reader.duration("platform.grace", GRACE, GRACE_LEAST..=HOUR);
     let longest = reader.duration("platform.longest-lease", LEASE, 500..=HOUR);
     let settings = Settings {
         name: reader.name("box.name").into(),
@@ -91,6 +95,7 @@
         limits: limits(&mut reader),
         logs: logs(&mut reader),
     };
+    check::daemon(&settings, &mut reader);
     let findings = reader.finish();
     match findings.is_empty() {
         true => Ok(settings),
--- a/src/options/reader.rs
+++ b/src/options/reader.rs
@@ -122,6 +122,11 @@
         })
     }
 
+    /// Returns true when a key is there.
+    pub fn has(&mut self, key: &str) -> bool {
+        self.item(key).is_some()
+    }
+
     /// Returns a socket address when the key is there.
     pub fn optional_address(&mut self, key: &str) -> Option<SocketAddr> {
         self.item(key)?;
--- a/src/options/tests.rs
+++ b/src/options/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the settings file.
 
+use super::daemon;
 use super::file::parse;
 
 const GOOD: &str = r#"
@@ -54,3 +55,74 @@
     let findings = parse("d.toml", "[box\n").expect_err("findings");
     assert_eq!(findings[0].line, 1);
 }
+
+/// Settings of a box on the platform.
+const PLATFORM: &str = r#"
+[box]
+name = "e1"
+hall = "leon-1"
+web = "10.0.0.1:8001"
+admin = "10.0.0.1:8003"
+rpc = "10.0.0.1:8002"
+
+[platform]
+store = "10.0.9.1:8000"
+"#;
+
+/// Fills the gaps of the template in `deploy/` as the platform does.
+fn filled(advisor: &str) -> String {
+    let template = include_str!("../../deploy/settings.toml");
+    let values = [
+        ("node", "front-1"),
+        ("zone", "leon"),
+        ("listen.front", "10.0.0.1:8161"),
+        ("listen.ready", "10.0.0.1:8167"),
+        ("ip", "10.0.0.1"),
+        ("internalPorts.0", "7720"),
+        ("platform.address", "10.200.1.7:8169"),
+        ("bounds.drainMs", "2000"),
+        ("bounds.graceS", "6"),
+        ("bounds.maxHoldMs", "6000"),
+        ("bounds.status_s", "120"),
+        ("advice", advisor),
+    ];
+    let (before, rest) = template.split_once("{{#advice}}").expect("a section");
+    let (section, after) = rest.split_once("{{/advice}}").expect("its end");
+    let section = if advisor.is_empty() { "" } else { section };
+    let text = format!("{before}{section}{after}");
+    values.iter().fold(text, |text, (gap, value)| {
+        text.replace(&format!("{{{{{gap}}}}}"), value)
+    })
+}
+
+#[test]
+fn the_template_gives_settings_without_findings() {
+    for (advisor, port) in [("10.200.1.9:8169", Some(8169)), ("", None)] {
+        let text = filled(advisor);
+        assert!(!text.contains("{{"), "{text}");
+        let settings = daemon::parse("settings.conf", &text).expect("no findings");
+        assert_eq!(settings.advisor.map(|a| a.port()), port);
+        assert_eq!((&*settings.name, settings.bounds.lease), ("front-1", 4_000));
+    }
+}
+
+#[test]
+fn findings_on_a_box_of_the_platform_are_reported_together() {
+    let text = PLATFORM
+        .replace("10.0.0.1:8003", "10.0.0.1:8002")
+        .replace("10.0.9.1", "0.0.0.0")
+        + "grace = \"1s\"\n[workers]\nunconfirmed = \"1s\"\nleese = \"2s\"\n";
+    let findings = daemon::parse("c.toml", &text).expect_err("findings");
+    let keys: Vec<&str> = findings.iter().map(|f| f.key.as_str()).collect();
+    let wrong = [
+        "box.admin",
+        "platform.store",
+        "platform.grace",
+        "workers.unconfirmed",
+        "workers.leese",
+    ];
+    for key in wrong {
+        assert!(keys.contains(&key), "{key} in {keys:?}");
+    }
+    assert!(daemon::parse("c.toml", PLATFORM).is_ok());
+}
--- a/src/program.rs
+++ b/src/program.rs
@@ -51,8 +51,8 @@
 fn check(files: &[String]) -> ExitCode {
     let mut code = exit::DONE;
     for name in files {
-        match file::load(name) {
-            Ok(_) => println!("{name}: ok"),
+        match options::check_file(name) {
+            Ok(()) => println!("{name}: ok"),
             Err(findings) => {
                 code = exit::REFUSED;
                 findings.iter().for_each(|f| println!("{f}"));
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -38,6 +38,23 @@
     assert!(found.contains(":4: box.web:"), "{found}");
 }
 
+#[test]
+fn check_knows_the_settings_of_a_box_on_the_platform() {
+    let path = std::env::temp_dir().join(format!("willowpoint-{}-p.toml", std::process::id()));
+    let text = "[box]\nname = \"e1\"\nhall = \"h\"\nweb = \"10.0.0.1:1\"\nadmin = \"10.0.0.1:2\"\n\
+                rpc = \"10.0.0.1:3\"\n[platform]\nstore = \"10.0.0.9:1\"\n[workers]\nlease = 4\n";
+    std::fs::write(&path, text).expect("written");
+    let name = path.to_string_lossy().to_string();
+    let checked = run(&["check", &name]);
+    let refused = run(&["serve", "--config", &name]);
+    std::fs::remove_file(&path).expect("removed");
+    let codes = (checked.status.code(), refused.status.code());
+    assert_eq!(codes, (Some(2), Some(2)));
+    let found = String::from_utf8_lossy(&checked.stdout).to_string();
+    assert_eq!(found.lines().count(), 1, "{found}");
+    assert!(found.contains(":10: workers.lease:"), "{found}");
+}
+
 #[test]
 fn help_has_examples() {
     let output = run(&["job", "submit", "--help"]);
