A job whose rows can't be read is in doubt, not unknown; rack and deadline decoded in the adapter

A row that did not decode was left out at a takeover with a log line only: its job answered 410, and the same id could have been taken and run again. Now its id is kept and answered as in doubt; its rows are left alone. The place of the rack among the labels and an unreadable deadline header are the adapter's; the latter is logged.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,6 +12,9 @@
 mod takeover;
 mod watch;
 
+#[cfg(test)]
+mod tests;
+
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -22,14 +22,22 @@
 use crate::sched::message::{Write, Written};
 use crate::sched::owner::{Kept, Owner};
 use crate::sched::spec::JobSpec;
-use crate::table::{decode, encode};
+use crate::table::{Row, decode, encode};
+use crate::utils::Name;
 use crate::utils::clock::{self, Millis};
 
 /// Milliseconds for the commit that makes a box the owner.
 const ACQUIRE: Millis = 600;
 
-/// The jobs in the store and what owners learned.
-type Stored = (Vec<Kept>, Vec<Known>);
+/// What the store holds of earlier owners' work.
+#[derive(Default)]
+pub(super) struct Stored {
+    pub kept: Vec<Kept>,
+    /// Ids of jobs whose rows can't be read.
+    pub unreadable: Vec<Name>,
+    /// What they learned of pressure between images.
+    pub known: Vec<Known>,
+}
 
 /// Writes this box into the owner's row, if it is as it was seen.
 pub async fn acquire(shared: &Rc<Shared>, before: Option<Seen>) {
@@ -85,7 +93,7 @@
     before: Option<Seen>,
 ) {
     let epoch = row.epoch;
-    let Some((kept, known)) = load_until(shared, epoch, sent + UNCONFIRMED).await else {
+    let Some(stored) = load_until(shared, epoch, sent + UNCONFIRMED).await else {
         // Somebody else may be the owner by now.
         return shared.see(None);
     };
@@ -93,14 +101,15 @@
     let legacy = Legacy::of(before.as_ref().map(|b| &b.row), &row.name);
     let inherited = legacy.lease_end(&bounds, now.steady);
     let took = now.steady - sent;
-    log::info!(target: "owner", "event=owner-begins epoch={epoch} jobs={} load_ms={took}", kept.len());
+    log::info!(target: "owner", "event=owner-begins epoch={epoch} jobs={} unreadable={} load_ms={took}", stored.kept.len(), stored.unreadable.len());
     shared.see(Some(Seen {
         row: row.clone(),
         version,
     }));
     let journal = Journal::new(row, version, sent);
-    let mut owner = Owner::new(bounds, journal, kept, inherited, now);
-    owner.recall(known);
+    let mut owner = Owner::new(bounds, journal, stored.kept, inherited, now);
+    owner.distrust(stored.unreadable);
+    owner.recall(stored.known);
     shared.lead(Message::Begin(Box::new(owner), epoch));
     if let Some(before) = before.filter(|_| legacy == Legacy::Owner) {
         monoio::spawn(tell_predecessor(shared.clone(), before.row, epoch));
@@ -141,25 +150,30 @@
 async fn load(shared: &Shared) -> Result<Stored, StoreError> {
     let specs = shared.store.read(SPEC_TABLE, PART, READ).await?;
     let rows = shared.store.read(JOB_TABLE, PART, READ).await?;
-    let mut specs: HashMap<_, JobSpec> = specs
-        .rows
-        .iter()
-        .filter_map(|row| Some((row.key.clone(), decode(row)?)))
-        .collect();
-    let jobs = rows.rows.iter().filter_map(|row| {
-        let state: JobRow = decode(row)?;
-        let Some(spec) = specs.remove(&row.key) else {
-            log::error!(target: "owner", "job={} event=job-without-description", row.key);
-            return None;
-        };
-        Some(Kept {
-            id: row.key.clone(),
-            spec,
-            row: state,
-        })
-    });
-    let kept = jobs.collect();
     let beliefs = shared.store.read(BELIEF_TABLE, PART, READ).await?;
     let known = beliefs.rows.iter().find(|r| &*r.key == PRESSURE_KEY);
-    Ok((kept, known.and_then(decode).unwrap_or_default()))
+    Ok(Stored {
+        known: known.and_then(decode).unwrap_or_default(),
+        ..jobs(&specs.rows, &rows.rows)
+    })
+}
+
+/// Returns the jobs out of their rows, and the ids of those that can't be read.
+pub(super) fn jobs(specs: &[Row], rows: &[Row]) -> Stored {
+    let specs: HashMap<&Name, &Row> = specs.iter().map(|row| (&row.key, row)).collect();
+    let mut stored = Stored::default();
+    for row in rows {
+        let spec: Option<JobSpec> = specs.get(&row.key).and_then(|spec| decode(spec));
+        let state: Option<JobRow> = decode(row);
+        let id = row.key.clone();
+        match (spec, state) {
+            (Some(spec), Some(row)) => stored.kept.push(Kept { id, spec, row }),
+            (spec, state) => {
+                let (spec, state) = (spec.is_some(), state.is_some());
+                log::error!(target: "owner", "job={id} event=unreadable spec={spec} state={state}");
+                stored.unreadable.push(id);
+            }
+        }
+    }
+    stored
 }
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -10,6 +10,9 @@
 /// Table in which workers keep themselves.
 pub const TABLE: &str = "servers";
 
+/// Place of the rack among the labels.
+const RACK: usize = 1;
+
 /// Returns the listings of a page that decode, and `None` for each dropped one.
 pub fn listings(page: Page) -> Vec<(Name, Option<Listing>)> {
     let dropped = page.dropped.into_iter().map(|id| (id, None));
@@ -25,6 +28,8 @@
         service: beat.service,
         address: beat.address,
         hall: beat.zone,
+        // The platform lists the rack after the worker's kind.
+        rack: beat.labels.get(RACK).cloned().unwrap_or_default(),
         labels: beat.labels,
         capacity: Room {
             cpu: beat.capacity.cpu,
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -22,8 +22,14 @@
 /// Returns how long the client waits for its answer, in milliseconds.
 pub fn patience(request: &Request) -> Millis {
     let value = request.headers.get(wire::DEADLINE);
-    let text = value.and_then(|v| v.to_str().ok());
-    text.and_then(|t| t.parse().ok()).unwrap_or(PATIENCE)
+    let Some(value) = value else {
+        return PATIENCE;
+    };
+    let number = value.to_str().ok().and_then(|t| t.parse().ok());
+    number.unwrap_or_else(|| {
+        log::warn!(target: "desk", "event=bad-deadline value={value:?} taken_ms={PATIENCE}");
+        PATIENCE
+    })
 }
 
 /// Returns what a request asks for, or the answer to one that asks for nothing known.
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -144,7 +144,7 @@
     let worker = listings[1].1.as_ref().expect("a worker");
     assert!(worker.leaving);
     assert_eq!(
-        (worker.rack(), worker.stays, worker.capacity.cpu),
+        (&*worker.rack, worker.stays, worker.capacity.cpu),
         ("r1-3", 900, 16_000)
     );
 }
--- a/src/sched/asks.rs
+++ b/src/sched/asks.rs
@@ -21,6 +21,12 @@
 
 impl Owner {
     pub(super) fn ask(&mut self, ticket: Ticket, ask: Ask) {
+        if let Ask::Submit { id, .. } | Ask::Cancel(id) | Ask::Show(id) = &ask
+            && self.unreadable.contains(id)
+        {
+            log::warn!(target: "job", "job={id} event=in-doubt reason=unreadable-row");
+            return self.reply(ticket, Answer::InDoubt);
+        }
         match ask {
             Ask::Submit { id, spec, queue } => self.submit(ticket, id, *spec, queue),
             Ask::Cancel(id) => self.cancel(ticket, &id),
--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -126,7 +126,7 @@
         let excess = wish.pressure.excess_with(worker, step, wish.image);
         score += (excess * CLASH as f64) as u64;
     }
-    if !step.rack.is_empty() && worker.listing.rack() != &*step.rack {
+    if !step.rack.is_empty() && worker.listing.rack != step.rack {
         score += FAR;
     }
     let failures = u64::from(worker.failures.min(4));
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -53,6 +53,9 @@
     pub(super) jobs: BTreeMap<u32, Job>,
     /// Numbers of jobs by their id.
     pub(super) ids: HashMap<Name, u32>,
+    /// Jobs whose rows in the store can't be read: what became of them is not
+    /// known here, and their rows are left as they are.
+    pub(super) unreadable: BTreeSet<Name>,
     /// Tasks that may start, and since when.
     pub(super) ready: BTreeMap<TaskKey, Millis>,
     /// Workers by the id of their life.
@@ -114,6 +117,7 @@
             journal,
             jobs: BTreeMap::new(),
             ids: HashMap::new(),
+            unreadable: BTreeSet::new(),
             ready: BTreeMap::new(),
             workers: BTreeMap::new(),
             placed: HashMap::new(),
@@ -318,6 +322,11 @@
         })
     }
 
+    /// Takes in that the rows of some jobs can't be read.
+    pub fn distrust(&mut self, ids: Vec<Name>) {
+        self.unreadable.extend(ids);
+    }
+
     /// Goes on with what earlier owners learned of pressure between images.
     pub fn recall(&mut self, known: Vec<Known>) {
         self.pressure.import(known);
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -140,7 +140,7 @@
                 break;
             };
             if one_rack && rack.is_empty() {
-                rack = self.workers[&worker].listing.rack().into();
+                rack = self.workers[&worker].listing.rack.clone();
             }
             self.reserve(*member, run, worker.clone());
             reserved.push((*member, worker));
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -104,6 +104,7 @@
         address: ([127, 0, 0, 1], port).into(),
         hall: "h".into(),
         labels: vec!["a".into(), "r1".into()],
+        rack: "r1".into(),
         capacity: Room {
             cpu: 4_000,
             memory: 10_000,
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -37,6 +37,8 @@
     pub hall: Name,
     /// Labels, the rack among them.
     pub labels: Vec<Name>,
+    /// Rack in which it stands; empty when that is not known.
+    pub rack: Name,
     /// Its whole room.
     pub capacity: Room,
     /// True once it has said that it will leave.
@@ -45,13 +47,6 @@
     pub stays: Millis,
 }
 
-impl Listing {
-    /// Returns the rack; the platform lists it after the worker's kind.
-    pub fn rack(&self) -> &str {
-        self.labels.get(1).map_or("", |l| l)
-    }
-}
-
 /// How far a placed task is on its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
