Stand-ins of the platform's store and workers; tests of serve as processes; two faults that they found

The daemon on the platform had no test over sockets. tests/platform plays the published calls (conditions, feeds, forgotten history, lost answers, a silent, busy or slow store) to processes of `serve`: takeovers, planned stops, HUP, refusals.

Found, each failing first: - a box that was stopping no longer followed the owner, so requests on its open connections were held 1.3 s and then refused: it follows, and never takes over; - a store that resets connections was asked anew several times a millisecond: a commit in doubt is followed by the next after 60 ms at the earliest.

--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -35,7 +35,8 @@
 /// Runs until the process ends.
 pub async fn run(shared: Rc<Shared>, mut nudged: UnboundedReceiver<()>) {
     loop {
-        if shared.leading().is_none() && !shared.stopping() {
+        // A box that stops follows the owner for its open connections.
+        if shared.leading().is_none() {
             watch_owner(&shared).await;
         }
         let pause = Duration::from_millis(PING);
@@ -49,6 +50,7 @@
 async fn watch_owner(shared: &Rc<Shared>) {
     let Some(seen) = shared.owner() else {
         match read_owner(shared).await {
+            Ok(None) if shared.stopping() => {}
             Ok(None) => acquire(shared, None).await,
             Ok(seen) => adopt(shared, seen),
             Err(e) => store_failed(&e).await,
@@ -138,6 +140,9 @@
         return;
     }
     let stagger = stable(&[&shared.settings.name]) % STAGGER;
+    if shared.stopping() {
+        return;
+    }
     if still > 0 {
         sleep(Duration::from_millis(still + stagger)).await;
     }
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -36,7 +36,8 @@
 const BYTES_LIMIT: usize = 500_000;
 /// Milliseconds between two commits, to let changes gather.
 const PAUSE: Millis = 4;
-/// Milliseconds until a commit that had no effect is tried again.
+/// Milliseconds until a commit that had no effect is tried again, and between
+/// one that is in doubt and the next.
 const RETRY: Millis = 60;
 /// Milliseconds after which an idle owner confirms that it still is the owner.
 const CONFIRM: Millis = 300;
@@ -269,7 +270,8 @@
             Written::NotDone => self.next = now + RETRY,
             Written::Unknown => {
                 self.in_doubt = true;
-                self.next = now;
+                // A store that resets connections would be asked without a pause.
+                self.next = now.max(flight.sent + RETRY);
             }
         }
         self.restore(flight.jobs);
--- a/src/sched/tests/journal.rs
+++ b/src/sched/tests/journal.rs
@@ -65,3 +65,18 @@
     journal.settle(number, Written::Done(3), 22);
     assert!(journal.released());
 }
+
+#[test]
+fn commits_in_doubt_follow_each_other_with_a_pause() {
+    let mut journal = Journal::new(row("a", 1), 1, 0);
+    journal.touch(1);
+    let mut sent = 0;
+    for now in 10..1_010 {
+        if let Some((number, _, _)) = journal.build(now, |_| Vec::new()) {
+            sent += 1;
+            // The connection is reset at once.
+            journal.settle(number, Written::Unknown, now);
+        }
+    }
+    assert!((10..=20).contains(&sent), "{sent} commits in a second");
+}
--- /dev/null
+++ b/tests/platform/deployment.rs
@@ -0,0 +1,270 @@
+//! Boxes as processes of `willowpoint serve`, with the store and the workers of
+//! the platform as stand-ins in this process.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use willowpoint::program::block_on;
+use willowpoint::utils::drain::Drain;
+use willowpoint::utils::listen;
+use willowpoint::web::server::{Limits, serve};
+use willowpoint::web::{Reply, Request};
+
+use super::store::Store;
+use super::support::{becomes, exchange, finish, free, spawn, wait, words};
+use super::worker::{Record, Worker};
+
+/// Host and path of the queue that the configuration names.
+const HOST: &str = "shop.example";
+const PATH: &str = "/holds/";
+/// Service that runs its tasks.
+const SERVICE: &str = "stock";
+const LIMITS: Limits = Limits {
+    head: 16 << 10,
+    body: 1 << 20,
+    connections: 1_000,
+    idle: 600_000,
+};
+
+/// A box as a process.
+struct Node {
+    web: SocketAddr,
+    ready: SocketAddr,
+    settings: PathBuf,
+    child: Child,
+}
+
+/// A running deployment, whose processes end with this value.
+pub struct Deployment {
+    pub store: Store,
+    record: Arc<Mutex<Record>>,
+    nodes: Vec<Node>,
+    folder: PathBuf,
+    store_address: SocketAddr,
+}
+
+/// Serves calls on a thread of its own until the test process ends.
+fn host<F>(handle: impl Fn(Request) -> F + Clone + Send + 'static) -> SocketAddr
+where
+    F: Future<Output = Reply> + 'static,
+{
+    let address = free();
+    std::thread::spawn(move || {
+        block_on(async {
+            let listener = listen::bind(address).expect("a free port");
+            serve(listener, LIMITS, Drain::never(), handle).await;
+        })
+    });
+    address
+}
+
+impl Deployment {
+    /// Starts boxes and workers whose tasks run for `span`, and waits until
+    /// all boxes are ready.
+    pub fn start(boxes: usize, workers: usize, span: Duration) -> Self {
+        let store = Store::default();
+        let record: Arc<Mutex<Record>> = Arc::default();
+        let served = store.clone();
+        let store_address = host(move |request| served.clone().handle(request));
+        let folder = std::env::temp_dir().join(format!(
+            "willowpoint-p-{}-{}",
+            std::process::id(),
+            store_address.port()
+        ));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let mut deployment = Self {
+            store,
+            record,
+            nodes: Vec::new(),
+            folder,
+            store_address,
+        };
+        deployment.configure(1, &[PATH]);
+        for number in 0..workers {
+            deployment.add_worker(&format!("i-{number}"), span);
+        }
+        for number in 0..boxes {
+            let node = deployment.node(number);
+            deployment.nodes.push(node);
+        }
+        for number in 0..boxes {
+            deployment.wait_ready(number);
+        }
+        deployment
+    }
+
+    /// Puts a version of the configuration with these paths into the store.
+    pub fn configure(&self, version: u64, paths: &[&str]) {
+        let route = |path: &&str| {
+            json!({ "name": format!("r{path}"), "host": HOST, "pathPrefix": path,
+                "targetLatencyMs": 1000, "priority": 0, "service": SERVICE, "maxAttempts": 3,
+                "stretch": 2.0 })
+        };
+        let routes: Vec<Value> = paths.iter().map(route).collect();
+        let config = json!({ "version": version, "routes": routes });
+        self.store.put("op", "config", &config);
+    }
+
+    fn add_worker(&self, id: &str, span: Duration) {
+        let worker = Worker::new(id, span, self.record.clone());
+        let address = host(move |request| worker.clone().handle(request));
+        let listing = json!({ "service": SERVICE, "address": address, "zone": "h1",
+            "state": "ready", "labels": ["a", "r1"],
+            "capacity": { "cpu": 4000, "memMb": 8000, "gpu": 0 } });
+        self.store.put("servers", id, &listing);
+    }
+
+    fn node(&self, number: usize) -> Node {
+        let (web, ready, rpc) = (free(), free(), free());
+        let settings = self.folder.join(format!("e{number}.toml"));
+        let text = format!(
+            "[box]\nname = \"e{number}\"\nhall = \"h1\"\nweb = \"{web}\"\nadmin = \"{ready}\"\n\
+             rpc = \"{rpc}\"\n[platform]\nstore = \"{}\"\n",
+            self.store_address
+        );
+        std::fs::write(&settings, text).expect("settings are written");
+        let line = format!("serve --config {}", settings.display());
+        let child = spawn(&words(&line), &settings.with_extension("log"));
+        Node {
+            web,
+            ready,
+            settings,
+            child,
+        }
+    }
+
+    fn wait_ready(&self, number: usize) {
+        let node = &self.nodes[number];
+        let ask = "GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        let ready = || exchange(node.ready, ask).is_ok_and(|t| t.starts_with("HTTP/1.1 200"));
+        assert!(becomes(ready), "box {number} wrote {}", self.output(number));
+    }
+
+    /// Returns what a box has written so far.
+    pub fn output(&self, number: usize) -> String {
+        let path = self.nodes[number].settings.with_extension("log");
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// Returns what the workers ran.
+    pub fn record(&self) -> MutexGuard<'_, Record> {
+        self.record.lock().expect("no holder panicked")
+    }
+
+    /// Sends a request to a box; returns the status and the text of the answer.
+    pub fn call(&self, number: usize, method: &str, path: &str, body: &str) -> (u16, String) {
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nconnection: close\r\n\
+             x-deadline-ms: 3000\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        let Ok(text) = exchange(self.nodes[number].web, &(head + body)) else {
+            return (0, String::new());
+        };
+        let status = text.split(' ').nth(1).and_then(|s| s.parse().ok());
+        (status.unwrap_or(0), text)
+    }
+
+    /// Hands in a job of two steps with so many tasks each.
+    pub fn submit(&self, number: usize, id: &str, tasks: u32) -> (u16, String) {
+        let step = json!({ "count": tasks, "cpu": 1000, "memMb": 100, "estimateMs": 300 });
+        let mut second = step.clone();
+        second["after"] = json!([0]);
+        let job = json!({ "spec": "text", "steps": [step, second] });
+        self.call(number, "POST", &format!("{PATH}{id}"), &job.to_string())
+    }
+
+    /// Hands a job in until it is taken, through each box in turn, as callers do.
+    pub fn submit_until_taken(&self, id: &str, tasks: u32) {
+        let mut turn = 0;
+        wait("the job to be taken", || {
+            turn += 1;
+            let number = turn % self.nodes.len();
+            self.submit(number, id, tasks).0 == 200
+        });
+    }
+
+    /// Returns the state of a job as a box shows it; empty when it does not.
+    pub fn state(&self, number: usize, id: &str) -> String {
+        let (status, text) = self.call(number, "GET", &format!("{PATH}{id}"), "");
+        let body = text.split("\r\n\r\n").nth(1).unwrap_or_default();
+        let shown: Value = serde_json::from_str(body).unwrap_or(Value::Null);
+        match status {
+            200 => shown["state"].as_str().unwrap_or_default().into(),
+            _ => String::new(),
+        }
+    }
+
+    /// Waits until some box shows a job as completed.
+    pub fn wait_completed(&self, id: &str) {
+        let shown = || (0..self.nodes.len()).any(|n| self.state(n, id) == "completed");
+        let all = |n: usize| format!("box {n}:\n{}", self.output(n));
+        let wrote = || (0..self.nodes.len()).map(all).collect::<String>();
+        assert!(becomes(shown), "{id} does not complete; {}", wrote());
+    }
+
+    /// Returns the box that is the owner now, by the latest that has begun.
+    pub fn owner(&self) -> usize {
+        let epoch = |number: &usize| {
+            let text = self.output(*number);
+            let begun = text.lines().filter(|l| l.contains("event=owner-begins"));
+            let epochs = begun.filter_map(|l| l.split("epoch=").nth(1)?.split(' ').next());
+            epochs.filter_map(|e| e.parse::<u64>().ok()).max()
+        };
+        let mut numbers: Vec<usize> = (0..self.nodes.len()).collect();
+        numbers.sort_by_key(epoch);
+        numbers.pop().expect("a box")
+    }
+
+    /// Kills a box.
+    pub fn kill(&mut self, number: usize) {
+        let child = &mut self.nodes[number].child;
+        child.kill().expect("killed");
+        child.wait().expect("ended");
+    }
+
+    /// Sends a signal to a box.
+    pub fn signal(&self, number: usize, signal: libc::c_int) {
+        let id = self.nodes[number].child.id() as libc::pid_t;
+        // SAFETY: the child was started here and has not been waited for.
+        assert_eq!(unsafe { libc::kill(id, signal) }, 0);
+    }
+
+    /// Waits for the end of a box and returns its exit code.
+    pub fn wait_end(&mut self, number: usize) -> Option<i32> {
+        let child = &mut self.nodes[number].child;
+        let mut code = None;
+        wait("the end of a box", || {
+            let status = child.try_wait().expect("status");
+            code = status.and_then(|s| s.code());
+            status.is_some()
+        });
+        code
+    }
+
+    /// Opens a connection to a box; a request on it can be sent later.
+    pub fn connect(&self, number: usize) -> std::net::TcpStream {
+        std::net::TcpStream::connect(self.nodes[number].web).expect("connected")
+    }
+}
+
+/// Asks for a job on a connection that is already open.
+pub fn show_on(stream: std::net::TcpStream, id: &str) -> String {
+    let ask = format!("GET {PATH}{id} HTTP/1.1\r\nhost: {HOST}\r\nconnection: close\r\n\r\n");
+    finish(stream, &ask).unwrap_or_default()
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for node in &mut self.nodes {
+            let _ = node.child.kill();
+            let _ = node.child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- /dev/null
+++ b/tests/platform/main.rs
@@ -0,0 +1,219 @@
+//! `willowpoint serve` as separate processes against stand-ins of the platform's
+//! store and workers: takeovers, planned stops, and a store in trouble.
+
+mod deployment;
+mod store;
+#[path = "../support/mod.rs"]
+mod support;
+mod worker;
+
+use std::time::Duration;
+
+use deployment::{Deployment, show_on};
+use store::Mood;
+use support::wait;
+
+/// How long tasks run.
+const SPAN: Duration = Duration::from_millis(300);
+/// How long tasks run that should outlast a trouble.
+const LONG: Duration = Duration::from_millis(3_000);
+
+/// Asserts that each task of a job with two steps ran, and none twice at a time.
+fn assert_ran(deployment: &Deployment, id: &str, tasks: u32) {
+    let record = deployment.record();
+    let ran = record.starts.keys().filter(|t| t.starts_with(id)).count();
+    assert_eq!(ran as u32, tasks * 2, "{:?}", record.starts);
+    assert!(record.doubled.is_empty(), "{:?}", record.doubled);
+}
+
+/// Waits until new jobs are refused with the time to come back.
+fn wait_refused(deployment: &Deployment) {
+    let mut number = 0;
+    wait("a refusal", || {
+        number += 1;
+        let (status, text) = deployment.submit(0, &format!("ffff{number:012x}"), 1);
+        let back = text.to_ascii_lowercase().contains("retry-after");
+        status == 503 && back
+    });
+}
+
+#[test]
+fn a_job_runs_once_through_whichever_box_it_comes() {
+    let deployment = Deployment::start(3, 3, SPAN);
+    for number in 0..3 {
+        let id = format!("000000000000000{number}");
+        assert_eq!(deployment.submit(number, &id, 4).0, 200);
+        assert_eq!(
+            deployment.submit((number + 1) % 3, &id, 4).0,
+            200,
+            "handed in again"
+        );
+    }
+    for number in 0..3 {
+        let id = format!("000000000000000{number}");
+        deployment.wait_completed(&id);
+        assert_ran(&deployment, &id, 4);
+    }
+    let starts = deployment.record().starts.values().copied().max();
+    assert_eq!(starts, Some(1), "a calm day starts nothing twice");
+}
+
+#[test]
+fn bad_requests_are_told_what_is_wrong() {
+    let deployment = Deployment::start(1, 1, SPAN);
+    assert_eq!(deployment.call(0, "GET", "/elsewhere/1", "").0, 404);
+    assert_eq!(deployment.call(0, "POST", "/holds/short", "{}").0, 400);
+    assert_eq!(
+        deployment.call(0, "PUT", "/holds/0123456789abcdef", "").0,
+        405
+    );
+    let (status, text) = deployment.call(0, "POST", "/holds/0123456789abcdef", "{");
+    assert_eq!(status, 400, "{text}");
+    assert_eq!(
+        deployment.call(0, "GET", "/holds/0123456789abcdef", "").0,
+        410
+    );
+    assert_eq!(
+        deployment
+            .call(0, "DELETE", "/holds/0123456789abcdef", "")
+            .0,
+        410
+    );
+}
+
+#[test]
+fn a_job_outlives_the_kill_of_two_owners() {
+    let mut deployment = Deployment::start(3, 3, LONG);
+    deployment.submit_until_taken("00000000000000aa", 4);
+    wait("tasks to run", || !deployment.record().running.is_empty());
+    for _ in 0..2 {
+        let owner = deployment.owner();
+        deployment.kill(owner);
+        wait("another owner", || deployment.owner() != owner);
+    }
+    deployment.wait_completed("00000000000000aa");
+    assert_ran(&deployment, "00000000000000aa", 4);
+}
+
+#[test]
+fn a_planned_stop_of_the_owner_hands_over_and_answers_open_connections() {
+    let mut deployment = Deployment::start(2, 2, LONG);
+    deployment.submit_until_taken("00000000000000bb", 2);
+    let owner = deployment.owner();
+    let open = deployment.connect(owner);
+    deployment.signal(owner, libc::SIGTERM);
+    wait("another owner", || deployment.owner() != owner);
+    let told = show_on(open, "00000000000000bb");
+    assert!(told.starts_with("HTTP/1.1 200"), "{told}");
+    assert_eq!(deployment.wait_end(owner), Some(0));
+    deployment.wait_completed("00000000000000bb");
+    assert_ran(&deployment, "00000000000000bb", 2);
+    let starts = deployment.record().starts.values().copied().max();
+    assert_eq!(starts, Some(1), "a hand-over starts nothing again");
+}
+
+#[test]
+fn a_hangup_reads_the_settings_and_ends_nothing() {
+    let deployment = Deployment::start(1, 1, SPAN);
+    deployment.signal(0, libc::SIGHUP);
+    wait("the reload", || {
+        deployment.output(0).contains("event=reload ")
+    });
+    deployment.submit_until_taken("00000000000000cc", 1);
+    deployment.wait_completed("00000000000000cc");
+}
+
+#[test]
+fn what_runs_outlasts_a_silent_store_and_new_jobs_are_refused_at_once() {
+    let deployment = Deployment::start(2, 2, LONG);
+    deployment.submit_until_taken("00000000000000dd", 2);
+    wait("tasks to run", || deployment.record().running.len() == 2);
+    deployment.store.set(Mood::Silent);
+    wait_refused(&deployment);
+    let asked = std::time::Instant::now();
+    assert_eq!(deployment.submit(1, "00000000000000ee", 1).0, 503);
+    assert!(asked.elapsed() < LONG, "a refusal is not held back");
+    deployment.store.set(Mood::Well);
+    deployment.wait_completed("00000000000000dd");
+    assert_ran(&deployment, "00000000000000dd", 2);
+    let starts = deployment.record().starts.values().copied().max();
+    assert_eq!(starts, Some(1), "nothing was started again");
+    deployment.submit_until_taken("00000000000000ee", 1);
+    deployment.wait_completed("00000000000000ee");
+}
+
+#[test]
+fn commits_whose_answers_are_lost_are_found() {
+    let deployment = Deployment::start(2, 2, SPAN);
+    deployment.submit_until_taken("00000000000000f0", 1);
+    deployment.store.set(Mood::Mute);
+    deployment.submit_until_taken("00000000000000f1", 2);
+    deployment.wait_completed("00000000000000f1");
+    deployment.store.set(Mood::Well);
+    assert_ran(&deployment, "00000000000000f1", 2);
+    let found = (0..2).any(|n| deployment.output(n).contains("event=commit-found"));
+    assert!(found, "the row told of a commit");
+}
+
+#[test]
+fn jobs_go_on_while_the_store_is_slow() {
+    let deployment = Deployment::start(2, 2, SPAN);
+    deployment.store.slow(Duration::from_millis(300));
+    deployment.submit_until_taken("00000000000000f2", 2);
+    deployment.wait_completed("00000000000000f2");
+    assert_ran(&deployment, "00000000000000f2", 2);
+}
+
+#[test]
+fn a_configuration_arrives_after_the_history_was_forgotten() {
+    let deployment = Deployment::start(2, 1, SPAN);
+    assert_eq!(deployment.call(0, "GET", "/more/", "").0, 404);
+    deployment.store.forget();
+    deployment.configure(2, &["/holds/", "/more/"]);
+    for number in 0..2 {
+        wait("the queue", || {
+            deployment.call(number, "GET", "/more/", "").0 == 200
+        });
+    }
+    deployment.configure(1, &["/holds/"]);
+    deployment.submit_until_taken("00000000000000f3", 1);
+    deployment.wait_completed("00000000000000f3");
+    assert_eq!(
+        deployment.call(0, "GET", "/more/", "").0,
+        200,
+        "never an older one"
+    );
+}
+
+#[test]
+fn a_worker_that_is_dropped_from_the_directory_gets_nothing_new() {
+    let deployment = Deployment::start(1, 2, SPAN);
+    deployment.submit_until_taken("00000000000000f4", 8);
+    deployment.wait_completed("00000000000000f4");
+    deployment.store.drop_row("servers", "i-0");
+    wait("the news", || {
+        deployment.output(0).contains("worker=i-0 event=unlisted")
+    });
+    deployment.submit_until_taken("00000000000000f5", 8);
+    deployment.wait_completed("00000000000000f5");
+    let text = deployment.output(0);
+    let late = text
+        .lines()
+        .filter(|l| l.contains("task=00000000000000f5") && l.contains("event=start"));
+    assert!(late.clone().count() > 0, "starts are logged");
+    assert!(
+        late.clone().all(|l| l.contains("worker=i-1")),
+        "all on the other one"
+    );
+}
+
+#[test]
+fn a_store_that_turns_calls_away_is_waited_for() {
+    let deployment = Deployment::start(2, 1, SPAN);
+    deployment.store.set(Mood::Busy);
+    wait_refused(&deployment);
+    deployment.store.set(Mood::Well);
+    deployment.submit_until_taken("00000000000000f6", 1);
+    deployment.wait_completed("00000000000000f6");
+    assert_ran(&deployment, "00000000000000f6", 1);
+}
--- /dev/null
+++ b/tests/platform/worker.rs
@@ -0,0 +1,221 @@
+//! A stand-in of a worker: runs tasks for a time under a lease, and watches
+//! that no task of any worker runs twice.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use monoio::time::sleep;
+use serde_json::{Value, json};
+use willowpoint::web::{Reply, Request};
+
+/// Pause between two looks for an end that an exchange waits for.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// What all workers of a deployment ran.
+#[derive(Default)]
+pub struct Record {
+    /// Starts of each task.
+    pub starts: BTreeMap<String, u32>,
+    /// Tasks that run now.
+    pub running: BTreeSet<String>,
+    /// Tasks that ran in two places at once, or again after their end was forgotten.
+    pub doubled: Vec<String>,
+    /// Tasks whose end was acknowledged.
+    noted: BTreeSet<String>,
+}
+
+struct Run {
+    run: u64,
+    ends: Instant,
+}
+
+struct State {
+    began: Instant,
+    fence: u64,
+    /// End of the lease, in milliseconds on its clock.
+    lease: u64,
+    runs: BTreeMap<String, Run>,
+    barred: BTreeMap<String, u64>,
+    ended: Vec<(u64, String, u64, &'static str)>,
+    next: u64,
+}
+
+/// A worker; clones share it.
+#[derive(Clone)]
+pub struct Worker {
+    id: String,
+    /// How long each task runs.
+    span: Duration,
+    state: Arc<Mutex<State>>,
+    record: Arc<Mutex<Record>>,
+}
+
+impl Worker {
+    /// Returns a worker that runs nothing.
+    pub fn new(id: &str, span: Duration, record: Arc<Mutex<Record>>) -> Self {
+        let state = State {
+            began: Instant::now(),
+            fence: 0,
+            lease: 0,
+            runs: BTreeMap::new(),
+            barred: BTreeMap::new(),
+            ended: Vec::new(),
+            next: 1,
+        };
+        Self {
+            id: id.into(),
+            span,
+            state: Arc::new(Mutex::new(state)),
+            record,
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panicked")
+    }
+
+    fn record(&self) -> MutexGuard<'_, Record> {
+        self.record.lock().expect("no holder panicked")
+    }
+
+    /// Serves one call.
+    pub async fn handle(self, request: Request) -> Reply {
+        let life = request.headers.get("x-expect-instance");
+        if life.is_some_and(|l| l != self.id.as_str()) {
+            return Reply::text(StatusCode::MISDIRECTED_REQUEST, "");
+        }
+        let Ok(call) = serde_json::from_slice::<Value>(&request.body) else {
+            return Reply::text(StatusCode::BAD_REQUEST, "no JSON");
+        };
+        self.expire();
+        if let Some(reply) = self.fenced(&call) {
+            return reply;
+        }
+        match request.uri.path() {
+            "/run-start" => self.start(&call),
+            "/run-stop" => self.stop(&call),
+            "/hold" => self.hold(&call).await,
+            "/pace" => self.clock(StatusCode::OK, json!({})),
+            _ => Reply::text(StatusCode::NOT_FOUND, ""),
+        }
+    }
+
+    fn clock(&self, status: StatusCode, mut body: Value) -> Reply {
+        body["clockMs"] = json!(self.state().began.elapsed().as_millis() as u64);
+        Reply::text(status, body.to_string())
+    }
+
+    fn conflict(&self, reason: &str) -> Reply {
+        self.clock(StatusCode::CONFLICT, json!({ "reason": reason }))
+    }
+
+    /// Refuses an order of an earlier owner; keeps a later one's fence and lease.
+    fn fenced(&self, call: &Value) -> Option<Reply> {
+        let fence = call["fence"].as_u64().unwrap_or(0);
+        let known = self.state().fence;
+        if fence < known {
+            return Some(self.conflict("fence"));
+        }
+        let mut state = self.state();
+        state.fence = fence;
+        state.lease = state.lease.max(call["deadlineMs"].as_u64().unwrap_or(0));
+        None
+    }
+
+    fn start(&self, call: &Value) -> Reply {
+        let task = call["task"].as_str().unwrap_or_default().to_string();
+        let run = call["run"].as_u64().unwrap_or(0);
+        let known = self.state().runs.get(&task).map(|r| r.run);
+        if known == Some(run) {
+            return self.clock(StatusCode::OK, json!({}));
+        }
+        if self.state().barred.get(&task).is_some_and(|b| run <= *b) {
+            return self.conflict("old");
+        }
+        let ends = Instant::now() + self.span;
+        self.state().runs.insert(task.clone(), Run { run, ends });
+        let mut record = self.record();
+        *record.starts.entry(task.clone()).or_insert(0) += 1;
+        if record.noted.contains(&task) || !record.running.insert(task.clone()) {
+            record.doubled.push(task);
+        }
+        drop(record);
+        self.clock(StatusCode::OK, json!({}))
+    }
+
+    fn stop(&self, call: &Value) -> Reply {
+        let task = call["task"].as_str().unwrap_or_default();
+        let run = call["run"].as_u64().unwrap_or(0);
+        let known = self.state().runs.get(task).map(|r| r.run);
+        if known == Some(run) {
+            self.end(task, "stopped");
+        }
+        let mut state = self.state();
+        let barred = state.barred.entry(task.into()).or_insert(0);
+        *barred = run.max(*barred);
+        drop(state);
+        self.clock(StatusCode::OK, json!({}))
+    }
+
+    fn end(&self, task: &str, how: &'static str) {
+        let mut state = self.state();
+        let Some(run) = state.runs.remove(task) else {
+            return;
+        };
+        state.barred.insert(task.into(), run.run);
+        let number = state.next;
+        state.next += 1;
+        state.ended.push((number, task.into(), run.run, how));
+        drop(state);
+        self.record().running.remove(task);
+    }
+
+    /// Ends what has run its time, and everything once the lease is over.
+    fn expire(&self) {
+        let state = self.state();
+        let now = Instant::now();
+        let lapsed = state.began.elapsed().as_millis() as u64 > state.lease;
+        let due = state.runs.iter().filter(|(_, r)| lapsed || r.ends <= now);
+        let due: Vec<(String, bool)> = due.map(|(t, r)| (t.clone(), r.ends <= now)).collect();
+        drop(state);
+        for (task, done) in due {
+            self.end(&task, if done { "done" } else { "lapsed" });
+        }
+    }
+
+    async fn hold(&self, call: &Value) -> Reply {
+        self.forget(call["lastSeen"].as_u64().unwrap_or(0));
+        let wait = Duration::from_millis(call["waitMs"].as_u64().unwrap_or(0));
+        let end = Instant::now() + wait;
+        while self.state().ended.is_empty() && Instant::now() < end {
+            sleep(LOOK).await;
+            self.expire();
+        }
+        let state = self.state();
+        let running: Vec<Value> = state
+            .runs
+            .iter()
+            .map(|(task, run)| json!([task, run.run, "", 50, 0]))
+            .collect();
+        let finished: Vec<Value> = state
+            .ended
+            .iter()
+            .map(|(number, task, run, how)| json!([number, task, run, how, ""]))
+            .collect();
+        drop(state);
+        let lists = json!({ "running": running, "finished": finished });
+        self.clock(StatusCode::OK, lists)
+    }
+
+    /// Forgets ends that were acknowledged.
+    fn forget(&self, seen: u64) {
+        let mut state = self.state();
+        let noted = state.ended.iter().filter(|e| e.0 <= seen && e.3 == "done");
+        let noted: Vec<String> = noted.map(|e| e.1.clone()).collect();
+        state.ended.retain(|e| e.0 > seen);
+        drop(state);
+        self.record().noted.extend(noted);
+    }
+}
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -2,6 +2,8 @@
 
 mod parts;
 mod proxy;
+#[path = "../support/mod.rs"]
+mod support;
 
 use std::time::{Duration, Instant};
 
--- a/tests/processes/parts.rs
+++ b/tests/processes/parts.rs
@@ -2,15 +2,14 @@
 
 use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command};
-use std::sync::LazyLock;
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use super::proxy::Proxy;
+use super::support::{BINARY, PAUSE, becomes, exchange, finish, free, spawn, wait, words};
 use willowpoint::claim;
 use willowpoint::program::block_on;
 use willowpoint::proto;
@@ -19,13 +18,6 @@
 use willowpoint::proto::worker_faults_client::WorkerFaultsClient;
 use willowpoint::rpc::client::Channel;
 
-const BINARY: &str = env!("CARGO_BIN_EXE_willowpoint");
-/// Generous bound of every wait for an event.
-const PATIENCE: Duration = Duration::from_secs(60);
-/// First port of the tests, runs that begin at ports of their own, and ports of each.
-const PORTS: (u16, u32, u16) = (12_000, 60, 300);
-const PAUSE: Duration = Duration::from_millis(50);
-
 /// What a caller was told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Told {
@@ -96,73 +88,6 @@
     }
 }
 
-/// A range of ports that only this run of the tests uses.
-struct Block {
-    first: u16,
-    /// Holds the first port, so that another run at once takes another block.
-    _claim: TcpListener,
-}
-
-impl Block {
-    fn claim() -> Self {
-        let start = std::process::id() % PORTS.1;
-        for number in 0..PORTS.1 {
-            let first = PORTS.0 + ((start + number) % PORTS.1) as u16 * PORTS.2;
-            if let Ok(claim) = TcpListener::bind(("127.0.0.1", first)) {
-                return Self {
-                    first,
-                    _claim: claim,
-                };
-            }
-        }
-        panic!("another run holds each block of ports");
-    }
-}
-
-/// Returns an address that nothing uses, below the ports that outgoing
-/// connections get, so that none of them takes it meanwhile.
-fn free() -> SocketAddr {
-    static BLOCK: LazyLock<Block> = LazyLock::new(Block::claim);
-    static TAKEN: AtomicU16 = AtomicU16::new(1);
-    loop {
-        let port = TAKEN.fetch_add(1, Ordering::Relaxed);
-        assert!(port < PORTS.2, "the block of ports is used up");
-        let address = SocketAddr::from(([127, 0, 0, 1], BLOCK.first + port));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
-/// Starts the program; what it writes is kept in `output`.
-fn spawn(arguments: &[String], output: &Path) -> Child {
-    let file = std::fs::File::options()
-        .create(true)
-        .append(true)
-        .open(output)
-        .expect("a file for what the program writes");
-    let errors = file.try_clone().expect("the same file again");
-    let mut command = Command::new(BINARY);
-    command.args(arguments).stdout(file).stderr(errors);
-    command.spawn().expect("the program starts")
-}
-
-/// Waits for something to be so; false when it was not within the bound.
-fn becomes(mut done: impl FnMut() -> bool) -> bool {
-    let end = Instant::now() + PATIENCE;
-    while !done() {
-        if Instant::now() >= end {
-            return false;
-        }
-        std::thread::sleep(PAUSE);
-    }
-    true
-}
-
-fn wait(what: &str, done: impl FnMut() -> bool) {
-    assert!(becomes(done), "waited in vain: {what}");
-}
-
 pub fn command_at(address: &str, arguments: &[&str]) -> Printed {
     // The address comes after the command's first word.
     let mut all = vec![arguments[0], "--at", address, "--json"];
@@ -507,10 +432,6 @@
     }
 }
 
-fn words(line: &str) -> Vec<String> {
-    line.split_whitespace().map(str::to_string).collect()
-}
-
 impl Half {
     /// Sends the rest and returns what the caller is told.
     pub fn finish(self) -> Told {
@@ -518,18 +439,6 @@
     }
 }
 
-fn exchange(address: SocketAddr, message: &str) -> std::io::Result<String> {
-    finish(TcpStream::connect_timeout(&address, PATIENCE)?, message)
-}
-
-fn finish(mut stream: TcpStream, message: &str) -> std::io::Result<String> {
-    stream.set_read_timeout(Some(PATIENCE))?;
-    stream.write_all(message.as_bytes())?;
-    let mut text = String::new();
-    stream.read_to_string(&mut text)?;
-    Ok(text)
-}
-
 fn request(address: SocketAddr, id: &str, repeatable: bool) -> Told {
     told(exchange(address, &message(id, repeatable)))
 }
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,104 @@
+//! What the tests with real processes share: ports, processes and waits.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command};
+use std::sync::LazyLock;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+
+/// The program under test.
+pub const BINARY: &str = env!("CARGO_BIN_EXE_willowpoint");
+/// Generous bound of every wait for an event.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+/// First port of the tests, runs that begin at ports of their own, and ports of each.
+const PORTS: (u16, u32, u16) = (12_000, 60, 300);
+/// Time between two looks at what is waited for.
+pub const PAUSE: Duration = Duration::from_millis(50);
+
+/// A range of ports that only this run of the tests uses.
+struct Block {
+    first: u16,
+    /// Holds the first port, so that another run at once takes another block.
+    _claim: TcpListener,
+}
+
+impl Block {
+    fn claim() -> Self {
+        let start = std::process::id() % PORTS.1;
+        for number in 0..PORTS.1 {
+            let first = PORTS.0 + ((start + number) % PORTS.1) as u16 * PORTS.2;
+            if let Ok(claim) = TcpListener::bind(("127.0.0.1", first)) {
+                return Self {
+                    first,
+                    _claim: claim,
+                };
+            }
+        }
+        panic!("another run holds each block of ports");
+    }
+}
+
+/// Returns an address that nothing uses, below the ports that outgoing
+/// connections get, so that none of them takes it meanwhile.
+pub fn free() -> SocketAddr {
+    static BLOCK: LazyLock<Block> = LazyLock::new(Block::claim);
+    static TAKEN: AtomicU16 = AtomicU16::new(1);
+    loop {
+        let port = TAKEN.fetch_add(1, Ordering::Relaxed);
+        assert!(port < PORTS.2, "the block of ports is used up");
+        let address = SocketAddr::from(([127, 0, 0, 1], BLOCK.first + port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// Starts the program; what it writes is kept in `output`.
+pub fn spawn(arguments: &[String], output: &Path) -> Child {
+    let file = std::fs::File::options()
+        .create(true)
+        .append(true)
+        .open(output)
+        .expect("a file for what the program writes");
+    let errors = file.try_clone().expect("the same file again");
+    let mut command = Command::new(BINARY);
+    command.args(arguments).stdout(file).stderr(errors);
+    command.spawn().expect("the program starts")
+}
+
+/// Waits for something to be so; false when it was not within the bound.
+pub fn becomes(mut done: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + PATIENCE;
+    while !done() {
+        if Instant::now() >= end {
+            return false;
+        }
+        std::thread::sleep(PAUSE);
+    }
+    true
+}
+
+pub fn wait(what: &str, done: impl FnMut() -> bool) {
+    assert!(becomes(done), "waited in vain: {what}");
+}
+
+/// Returns the words of a command line.
+pub fn words(line: &str) -> Vec<String> {
+    line.split_whitespace().map(str::to_string).collect()
+}
+
+/// Sends a message on a connection of its own and returns the whole answer.
+pub fn exchange(address: SocketAddr, message: &str) -> std::io::Result<String> {
+    finish(TcpStream::connect_timeout(&address, PATIENCE)?, message)
+}
+
+/// Sends the rest of a message and returns the whole answer.
+pub fn finish(mut stream: TcpStream, message: &str) -> std::io::Result<String> {
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.write_all(message.as_bytes())?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    Ok(text)
+}
