--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -50,9 +50,7 @@
         ranks.sort_unstable();
         ranks.into_iter().map(|rank| rank.5).collect()
     }
-}
 
-impl Owner {
     /// Returns true when a task that waits since then should have started,
     /// whatever else waits: one of a job that lasts.
     pub(super) fn overdue(&self, key: TaskKey, since: Millis) -> bool {
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::choice::{Wish, able, choose, roomiest};
-use super::job::{Phase, TaskKey};
+use super::job::{Phase, StepKey, TaskKey};
 use super::journal::After;
 use super::owner::Owner;
 use super::paces::FULL_PACE;
@@ -24,6 +24,69 @@
 /// nowhere; more would leave too much room idle.
 const HELD_PART: usize = 8;
 
+/// What a task asks for, as far as it tells whether the next one finds room.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Demand {
+    /// Service whose workers may run it.
+    service: Name,
+    /// Room that it holds.
+    room: Room,
+    /// Label that its worker must have; empty for none.
+    label: Name,
+    /// True when few tasks of its step may share a worker.
+    spread: bool,
+    /// True when it takes what others leave.
+    filler: bool,
+    /// True when its step is placed as a whole.
+    gang: bool,
+}
+
+/// One go of placing: what was tried in vain, so that it is not tried again.
+struct Go {
+    /// Demands of single tasks that fit nowhere.
+    misfits: BTreeSet<Demand>,
+    /// Fillers that found nothing, by service and label.
+    fillers: BTreeMap<(Name, Name), usize>,
+    /// Gangs that had their turn.
+    gangs: BTreeSet<StepKey>,
+    /// Tasks for which room may still be made.
+    looks: usize,
+}
+
+impl Go {
+    fn new() -> Self {
+        Self {
+            misfits: BTreeSet::new(),
+            fillers: BTreeMap::new(),
+            gangs: BTreeSet::new(),
+            looks: LOOKS,
+        }
+    }
+
+    /// Returns true when a task has no turn any more: its gang had it, or the
+    /// like of it failed too often.
+    fn passes_over(&mut self, key: TaskKey, demand: &Demand) -> bool {
+        if demand.gang && !self.gangs.insert(key.of_step()) {
+            return true;
+        }
+        let family = (demand.service.clone(), demand.label.clone());
+        let tried = self.fillers.get(&family).copied().unwrap_or(0);
+        demand.filler && tried >= FILLERS_TRIED
+    }
+
+    /// Takes in that a task found no room.
+    fn failed(&mut self, demand: Demand) {
+        if demand.filler {
+            let family = (demand.service.clone(), demand.label.clone());
+            *self.fillers.entry(family).or_default() += 1;
+        }
+        // Where a member of a spread step fits depends on where the others are.
+        if !demand.spread && !demand.filler && !demand.gang {
+            self.misfits.insert(demand);
+        }
+    }
+}
+
 impl Owner {
     /// Places ready tasks in their order, as far as there is room.
     pub(super) fn place(&mut self) {
@@ -32,67 +95,69 @@
             return;
         }
         self.next_place = now + PLACE_PAUSE;
-        let mut misfits: BTreeSet<(Name, Room, Name)> = BTreeSet::new();
-        let mut vain: BTreeMap<(Name, Name), usize> = BTreeMap::new();
-        let mut gangs: BTreeSet<(u32, u32, u32)> = BTreeSet::new();
-        let mut looks = LOOKS;
         self.held.clear();
         self.settle_promises();
+        let mut go = Go::new();
         let mut count = 0;
-        // Room that was made for a task would lie idle while others go first.
-        let promised = self
-            .workers
-            .values()
-            .filter_map(|w| Some(w.promise.as_ref()?.key));
-        let mut order: Vec<TaskKey> = promised.collect();
-        order.extend(self.order());
-        for key in order {
+        for key in self.turns() {
             if count >= PLACED_AT_ONCE {
                 return;
             }
-            if !self.ready.contains_key(&key) {
-                continue;
-            }
-            let job = &self.jobs[&key.job];
-            let step = job.step(key);
-            let service = job.row.queue.service.clone();
-            let plain = step.spread == 0 && !step.filler && !step.gang;
-            let shape = (service.clone(), step.reserved(), step.label.clone());
-            if plain && misfits.contains(&shape) {
-                self.make_room(key, &mut looks);
-                continue;
-            }
-            if step.gang && !gangs.insert((key.job, key.round, key.step)) {
-                continue;
-            }
-            let filler = step.filler;
-            let tries = vain.entry((service, step.label.clone())).or_default();
-            if filler && *tries >= FILLERS_TRIED {
-                continue;
-            }
-            let gang = step.gang;
-            if !self.permitted(key) {
-                continue;
-            }
-            let placed = match gang {
-                true => self.place_gang(key),
-                false => self.place_one(key),
-            };
-            count += placed;
-            if placed == 0 {
-                self.more_permits(key);
-                self.make_room(key, &mut looks);
-            }
-            if placed == 0 && filler {
-                *tries += 1;
-            }
-            if placed == 0 && plain {
-                misfits.insert(shape);
+            if self.ready.contains_key(&key) {
+                count += self.attempt(key, &mut go);
             }
         }
         self.crowded = count == 0;
     }
 
+    /// Returns the tasks in the order of this go: room that was made for a task
+    /// would lie idle while others go first.
+    fn turns(&self) -> Vec<TaskKey> {
+        let promised = self
+            .workers
+            .values()
+            .filter_map(|w| Some(w.promise.as_ref()?.key));
+        let mut turns: Vec<TaskKey> = promised.collect();
+        turns.extend(self.order());
+        turns
+    }
+
+    /// Places a task, with its gang if it has one, unless the like of it was tried
+    /// in vain; returns how many tasks were placed.
+    fn attempt(&mut self, key: TaskKey, go: &mut Go) -> usize {
+        let demand = self.demand(key);
+        if go.misfits.contains(&demand) {
+            self.make_room(key, &mut go.looks);
+            return 0;
+        }
+        if go.passes_over(key, &demand) || !self.permitted(key) {
+            return 0;
+        }
+        let placed = match demand.gang {
+            true => self.place_gang(key),
+            false => self.place_one(key),
+        };
+        if placed == 0 {
+            self.more_permits(key);
+            self.make_room(key, &mut go.looks);
+            go.failed(demand);
+        }
+        placed
+    }
+
+    fn demand(&self, key: TaskKey) -> Demand {
+        let job = &self.jobs[&key.job];
+        let step = job.step(key);
+        Demand {
+            service: job.row.queue.service.clone(),
+            room: step.reserved(),
+            label: step.label.clone(),
+            spread: step.spread > 0,
+            filler: step.filler,
+            gang: step.gang,
+        }
+    }
+
     /// Returns the workers on which a task could run once there is room.
     pub(super) fn able(&self, key: TaskKey) -> Vec<Name> {
         let all = |wish: &Wish<'_>| {
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -82,10 +82,8 @@
         let Some((_, victim, name)) = self.victim(key, room) else {
             return;
         };
-        let (task, other) = (
-            self.jobs[&victim.job].task_name(victim),
-            self.jobs[&key.job].task_name(key),
-        );
+        let task = self.jobs[&victim.job].task_name(victim);
+        let other = self.jobs[&key.job].task_name(key);
         log::info!(target: "task", "task={task} event=preempted worker={name} for={other}");
         self.away.insert(victim);
         if let Some(worker) = self.workers.get_mut(&name) {
@@ -105,11 +103,10 @@
             let worker = &self.workers[&name];
             let runs = worker.placements.iter();
             for (victim, run) in runs.filter(|(_, run)| worker.fits_without(run, room)) {
-                let spared = now < run.since + SPARED;
-                if run.lasting && !spare {
+                if now < run.since + SPARED || run.lasting && !spare {
                     continue;
                 }
-                if let Some(cost) = self.cost(key, *victim, run).filter(|_| !spared) {
+                if let Some(cost) = self.cost(key, *victim, run) {
                     candidates.push((cost, *victim, name.clone()));
                 }
             }
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -111,22 +111,11 @@
 
     /// Takes in that a worker did not take a start.
     fn refused(&mut self, key: TaskKey, run: u32, name: &Name, refusal: Refusal) {
-        let now = self.now.steady;
         log::info!(target: "task", "task={key:?} run={run} event=refused worker={name} reason={refusal:?}");
-        if let Some(worker) = self.workers.get_mut(name) {
-            match refusal {
-                Refusal::Full | Refusal::Unwell | Refusal::Unfit => {
-                    worker.barred = now + BARRED;
-                }
-                Refusal::Ticket
-                | Refusal::Late
-                | Refusal::Old
-                | Refusal::Fenced
-                | Refusal::Reborn => {}
-            }
-        }
-        if refusal == Refusal::Ticket {
-            self.permit_refused(key, name);
+        match refusal {
+            Refusal::Full | Refusal::Unwell | Refusal::Unfit => self.bar(name),
+            Refusal::Ticket => self.permit_refused(key, name),
+            Refusal::Late | Refusal::Old | Refusal::Fenced | Refusal::Reborn => {}
         }
         self.free(key);
         if refusal == Refusal::Reborn {
@@ -134,6 +123,13 @@
         }
     }
 
+    /// Gives a worker nothing new for a while.
+    fn bar(&mut self, name: &Name) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.barred = self.now.steady + BARRED;
+        }
+    }
+
     /// Takes in how a stop went.
     pub(super) fn stopped(&mut self, key: TaskKey, run: u32, name: &Name, reply: Reply<Millis>) {
         let now = self.now.steady;
--- a/tests/processes/parts.rs
+++ b/tests/processes/parts.rs
@@ -1,12 +1,12 @@
 //! A deployment of separate processes on free ports.
 
 use std::collections::HashMap;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::thread::JoinHandle;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use super::proxy::Proxy;
 use super::support::{BINARY, PAUSE, becomes, exchange, finish, free, spawn, wait, words};
@@ -160,7 +160,7 @@
              admin = \"{admin}\"\n[platform]\nrpc = \"{platform}\"\npatience = \"500ms\"\n\
              [lease]\nlength = \"2s\"\nmargin = \"500ms\"\npromise = \"1500ms\"\n\
              [pace]\nheartbeat = \"300ms\"\npoll = \"300ms\"\nsync = \"300ms\"\ntask = \"2s\"\n\
-             stop = \"20s\"\n",
+             stop = \"20s\"\n[log]\nlevel = \"debug\"\n",
             index % 2,
         );
         std::fs::write(&settings, text).expect("settings are written");
