Tidy: the owner's commits in a file of their own; settings checked line by line

Change: commits.rs holds what the owner writes and what goes on once it is kept; the checks of pairs of settings are one call each; the overview of src/sched names the new modules. Moves only, no change of behaviour.

--- a/src/options/check.rs
+++ b/src/options/check.rs
@@ -8,48 +8,42 @@
 /// Records a finding for each pair of settings that do not fit together.
 pub fn settings(settings: &Settings, reader: &mut Reader) {
     addresses(settings, reader);
-    let terms = settings.terms;
-    let pace = settings.pace;
-    if terms.margin * 2 > terms.length {
-        let wrong = "is more than half of lease.length";
-        reader.find(
-            "lease.margin",
-            wrong,
-            "make it smaller, or the lease longer",
-        );
-    }
-    if terms.promise >= terms.length {
-        let wrong = "is not below lease.length";
-        reader.find(
-            "lease.promise",
-            wrong,
-            "make it smaller, or the lease longer",
-        );
-    }
-    if pace.heartbeat * 3 > terms.promise {
-        let wrong = "is more than a third of lease.promise";
-        reader.find(
-            "pace.heartbeat",
-            wrong,
-            "make it smaller, or the promise longer",
-        );
-    }
-    if pace.sync * 3 > pace.task {
-        let wrong = "is more than a third of pace.task";
-        reader.find(
-            "pace.sync",
-            wrong,
-            "make it smaller, or the task lease longer",
-        );
-    }
-    if settings.patience >= terms.length {
-        let wrong = "is not below lease.length";
-        reader.find(
-            "platform.patience",
-            wrong,
-            "make it smaller, or the lease longer",
-        );
-    }
+    let (terms, pace) = (settings.terms, settings.pace);
+    let mut check = |holds: bool, key: &str, wrong: &str, right: &str| {
+        if !holds {
+            reader.find(key, wrong, right);
+        }
+    };
+    check(
+        terms.margin * 2 <= terms.length,
+        "lease.margin",
+        "is more than half of lease.length",
+        "make it smaller, or the lease longer",
+    );
+    check(
+        terms.promise < terms.length,
+        "lease.promise",
+        "is not below lease.length",
+        "make it smaller, or the lease longer",
+    );
+    check(
+        pace.heartbeat * 3 <= terms.promise,
+        "pace.heartbeat",
+        "is more than a third of lease.promise",
+        "make it smaller, or the promise longer",
+    );
+    check(
+        pace.sync * 3 <= pace.task,
+        "pace.sync",
+        "is more than a third of pace.task",
+        "make it smaller, or the task lease longer",
+    );
+    check(
+        settings.patience < terms.length,
+        "platform.patience",
+        "is not below lease.length",
+        "make it smaller, or the lease longer",
+    );
 }
 
 /// Records a finding for each pair of settings of a box on the platform that
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -1,14 +1,16 @@
 //! Jobs of steps on workers: one owner at a time decides for all of them.
 //!
-//! The way of a job: accepted (`asks`), kept (`journal`), placed (`order`,
-//! `placing`, `choice`, `preempt`), started and stopped (`starts`), watched (`reports`),
-//! ended (`ends`), shown (`asks`). Workers come and go by `directory` and
-//! `silence`; `pressure` and `paces` keep fillers from slowing serving tasks.
-//! `legacy` tells what earlier owners may still do.
+//! The way of a job: accepted (`asks`), kept (`journal`, `commits`), placed
+//! (`order`, `placing`, `gang`, `choice`, `permits`, `preempt`), started and
+//! stopped (`starts`), watched (`reports`), ended (`ends`), shown (`asks`).
+//! Workers come and go by `directory` and `silence`; `pressure` and `paces` keep
+//! fillers from slowing serving tasks. `legacy` tells what earlier owners may
+//! still do.
 //! Everything here is plain state without sockets and clocks.
 
 mod asks;
 mod choice;
+mod commits;
 mod directory;
 mod ends;
 mod gang;
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::job::{Job, JobRow, Outcome, Phase, StepKey, TaskKey};
-use super::journal::{After, BELIEF_TABLE, JOB_TABLE, Journal, PRESSURE_KEY, SPEC_TABLE, Settled};
-use super::message::{Action, Answer, Event, Ticket, Write, Written};
+use super::journal::Journal;
+use super::message::{Action, Answer, Event, Ticket};
 use super::permits::Permits;
 use super::pressure::Pressure;
 use super::spec::JobSpec;
@@ -88,17 +88,14 @@
     /// When to look next at what has become due or too old.
     next_sweep: Millis,
     /// When what was learned is written next.
-    next_beliefs: Millis,
+    pub(super) next_beliefs: Millis,
     /// True once another box owns the cell.
-    deposed: bool,
+    pub(super) deposed: bool,
 }
 
 /// Milliseconds without a commit that tell of trouble of the store: an idle
 /// owner commits each 300.
 const SILENT_STORE: Millis = 900;
-/// Milliseconds between two writes of what was learned: it is learned anew
-/// within some seconds, at the cost of those.
-const BELIEFS: Millis = 3_000;
 /// Milliseconds between two looks at what has become due or too old.
 const SWEEP: Millis = 100;
 
@@ -276,52 +273,6 @@
         self.crowded = false;
     }
 
-    /// Marks jobs for removal whose state need not be told any more.
-    fn expire(&mut self) {
-        let (wall, remember) = (self.now.wall, self.bounds.remember);
-        let old = |job: &Job| job.kept != Outcome::Open && wall > job.row.ended + remember;
-        let expired: Vec<u32> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| old(job))
-            .map(|(number, _)| *number)
-            .collect();
-        for number in expired {
-            self.journal.touch(number);
-        }
-    }
-
-    fn commit(&mut self) {
-        let (wall, remember) = (self.now.wall, self.bounds.remember);
-        let jobs = &mut self.jobs;
-        let rows = |number| match jobs.get_mut(&number) {
-            Some(job) => rows(job, wall > job.row.ended.saturating_add(remember)),
-            None => Vec::new(),
-        };
-        if let Some((number, version, mut writes)) = self.journal.build(self.now.steady, rows) {
-            writes.extend(self.beliefs());
-            self.actions.push(Action::Commit {
-                number,
-                version,
-                writes,
-            });
-        }
-    }
-
-    /// Returns the row of what was learned, now and then.
-    fn beliefs(&mut self) -> Option<Write> {
-        if self.now.steady < self.next_beliefs {
-            return None;
-        }
-        self.next_beliefs = self.now.steady + BELIEFS;
-        let known = self.pressure.export()?;
-        Some(Write {
-            table: BELIEF_TABLE,
-            key: PRESSURE_KEY.into(),
-            value: Some(crate::table::encode(&known)),
-        })
-    }
-
     /// Takes in that the rows of some jobs can't be read.
     pub fn distrust(&mut self, ids: Vec<Name>) {
         self.unreadable.extend(ids);
@@ -332,44 +283,6 @@
         self.pressure.import(known);
     }
 
-    fn written(&mut self, number: u64, written: Written) {
-        match self.journal.settle(number, written, self.now.steady) {
-            Settled::Again => {}
-            Settled::Deposed => {
-                self.deposed = true;
-            }
-            Settled::Kept(jobs) => {
-                for (number, afters) in jobs {
-                    self.kept(number, afters);
-                }
-            }
-        }
-    }
-
-    /// Goes on with what has waited for a job's row to be in the store.
-    fn kept(&mut self, number: u32, afters: Vec<After>) {
-        if let Some(job) = self.jobs.get_mut(&number) {
-            job.stored = true;
-            job.kept = job.sent;
-            let removed = job.removed;
-            let ended = job.kept != Outcome::Open;
-            if removed {
-                let id = job.id.clone();
-                self.ids.remove(&id);
-                self.jobs.remove(&number);
-            } else if ended {
-                self.stop_all(number);
-            }
-        }
-        for after in afters {
-            match after {
-                After::Reply(ticket, answer) => self.reply(ticket, answer),
-                After::Start(key, run) => self.start(key, run),
-                After::Seen(worker, end) => self.end_stored(&worker, end),
-            }
-        }
-    }
-
     /// Puts the tasks of a job that may start now among the ready ones.
     pub(super) fn release(&mut self, number: u32) {
         let Some(job) = self.jobs.get(&number) else {
@@ -447,24 +360,3 @@
         }
     }
 }
-
-/// Returns the writes that bring the rows of a job up to date, or remove them
-/// once its end has expired.
-fn rows(job: &mut Job, expired: bool) -> Vec<Write> {
-    job.sent = job.row.outcome;
-    let ended = job.kept != Outcome::Open;
-    let write = |table, value| Write {
-        table,
-        key: job.id.clone(),
-        value,
-    };
-    if ended && expired {
-        job.removed = true;
-        return vec![write(JOB_TABLE, None), write(SPEC_TABLE, None)];
-    }
-    let mut rows = vec![write(JOB_TABLE, Some(crate::table::encode(&job.row)))];
-    if !job.stored {
-        rows.push(write(SPEC_TABLE, Some(crate::table::encode(&*job.spec))));
-    }
-    rows
-}
