Tidy: the engine's state split by duty

Cause: src/engine/state.rs had 746 lines: the state, the lease and claims, the running of cells and the calls to the table. Change: owning.rs, cells.rs and storing.rs hold the last three; moves only.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -4,11 +4,14 @@
 //! go in, actions come out. The tasks around it carry the actions out and
 //! bring back how they ended. Randomised runs drive the same code.
 
+mod cells;
 mod configs;
 mod flights;
 mod journal;
+mod owning;
 mod peers;
 mod state;
+mod storing;
 mod views;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/src/engine/cells.rs
@@ -0,0 +1,204 @@
+//! Running the owned cells: the workers listed for them, their ticks and what they
+//! ask for.
+
+use super::state::Engine;
+use super::{Action, Now, Reported, flights};
+use crate::cell::{self, Place, Reason};
+use crate::invariant::{self, Rule};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Milliseconds between two scans for lots that no hint told of.
+const RESCAN: Millis = 10_000;
+
+impl Engine {
+    pub(super) fn run_cells(&mut self, now: Now, out: &mut Vec<Action>) {
+        let names: Vec<Name> = self.cells.keys().cloned().collect();
+        for name in names {
+            let leaving = self.claims.mine().get(&name).is_none_or(|m| m.leaving);
+            let Some(cell) = self.cells.get_mut(&name) else {
+                continue;
+            };
+            cell.leaving = leaving;
+            let mut actions = Vec::new();
+            if leaving {
+                actions.extend(cell.refuse_all(Reason::Stopping));
+            }
+            actions.extend(cell.tick(now.millis, now.micros));
+            let epoch = cell.epoch;
+            let idle = cell.idle();
+            for action in actions {
+                self.cell_action(now, &name, epoch, action, out);
+            }
+            if leaving && idle {
+                self.release(now, &name, out);
+            }
+        }
+        for guard in self.guards.values_mut() {
+            guard.tick(now.wall);
+        }
+        self.release_guards(now, out);
+    }
+
+    /// Refuses what waits while the lease has lapsed.
+    pub(super) fn rest(&mut self, now: Now, out: &mut Vec<Action>) {
+        let names: Vec<Name> = self.cells.keys().cloned().collect();
+        for name in names {
+            let Some(cell) = self.cells.get_mut(&name) else {
+                continue;
+            };
+            let epoch = cell.epoch;
+            let refused = cell.refuse_all(Reason::Lapsed);
+            for action in refused {
+                self.cell_action(now, &name, epoch, action, out);
+            }
+        }
+    }
+
+    /// Returns true when this box may act for a cell under an epoch.
+    fn rules(&self, now: Now, cell: &Name, epoch: u64) -> bool {
+        let owned = self.claims.mine().get(cell);
+        let rules = self.lease.acts(now.millis) && owned.is_some_and(|m| m.epoch == epoch);
+        let detail = || format!("{} acts for {cell} under epoch {epoch}", self.id());
+        invariant::check(rules, Rule::Owner, detail)
+    }
+
+    /// Carries out what a cell asks for.
+    pub(super) fn cell_action(
+        &mut self,
+        now: Now,
+        cell: &Name,
+        epoch: u64,
+        action: cell::Action,
+        out: &mut Vec<Action>,
+    ) {
+        match action {
+            // A lapsed lease ends sends here, and once more right before the socket.
+            cell::Action::Send { ticket, .. } if !self.lease.acts(now.millis) => {
+                self.unsent(now, cell, ticket, out);
+            }
+            cell::Action::Send { ticket, http, .. } => {
+                if !self.rules(now, cell, epoch) {
+                    return self.unsent(now, cell, ticket, out);
+                }
+                if !self.depart(ticket) {
+                    return self.finish(ticket, flights::RESENT, out);
+                }
+                let left = self.flights.get(&ticket).map_or(0, |f| f.left(now.millis));
+                out.push(Action::Send {
+                    ticket,
+                    cell: cell.clone(),
+                    epoch,
+                    http,
+                    left,
+                });
+            }
+            cell::Action::Refuse {
+                ticket,
+                reason,
+                after,
+            } => self.refused(now, ticket, reason, after, out),
+            cell::Action::Start { worker, run, .. } if !self.rules(now, cell, epoch) => {
+                let reported = Reported::Started(run.id, cell::Called::Refused);
+                self.worker(now, cell, epoch, &worker, reported, out);
+            }
+            other => out.push(Action::Worker {
+                cell: cell.clone(),
+                epoch,
+                action: other,
+            }),
+        }
+    }
+
+    pub(super) fn worker(
+        &mut self,
+        now: Now,
+        name: &Name,
+        epoch: u64,
+        worker: &Name,
+        reported: Reported,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(cell) = self.cells.get_mut(name).filter(|c| c.epoch == epoch) else {
+            return;
+        };
+        let (millis, micros) = (now.millis, now.micros);
+        let actions = match reported {
+            Reported::Synced {
+                sent,
+                round,
+                acks,
+                exchange,
+            } => {
+                let (outranked, actions) = cell.synced(
+                    millis,
+                    micros,
+                    worker,
+                    cell::Asked { sent, round, acks },
+                    exchange,
+                );
+                if outranked {
+                    log::warn!(target: "claim", "{worker} knows a higher epoch of {name}");
+                }
+                actions
+            }
+            Reported::Started(run, called) => cell.started(millis, worker, run, called),
+            Reported::Stopped(run, called) => cell.stopped(millis, micros, worker, run, called),
+            Reported::Throttled(run, share, called) => {
+                cell.throttled(millis, micros, worker, run, share, called)
+            }
+        };
+        for action in actions {
+            self.cell_action(now, name, epoch, action, out);
+        }
+    }
+
+    pub(super) fn directory(&mut self, now: Now, out: &mut Vec<Action>) {
+        let interval = self.setup.pace.poll;
+        let due = self.listed.is_none_or(|at| now.millis >= at + interval);
+        if due && !self.listing {
+            self.listing = true;
+            self.listed = Some(now.millis);
+            out.push(Action::List);
+        }
+    }
+
+    pub(super) fn list(&mut self, places: Option<Vec<Place>>) {
+        self.listing = false;
+        let Some(places) = places else {
+            return;
+        };
+        if places == self.places {
+            return;
+        }
+        self.places = places;
+        self.refresh();
+    }
+
+    /// Tells cells their workers, quotas and drains.
+    pub(super) fn refresh(&mut self) {
+        let total = self.places.len().max(1) as f64;
+        for cell in self.cells.values_mut() {
+            cell.places(&self.places, self.config.drained());
+            cell.quotas = self.config.quotas().clone();
+            cell.part = cell.workers.len() as f64 / total;
+        }
+    }
+
+    /// Reads the lots of cells again whose last scan is long ago.
+    pub(super) fn rescan(&mut self, now: Now, out: &mut Vec<Action>) {
+        let due: Vec<Name> = self
+            .cells
+            .keys()
+            .filter(|c| {
+                let at = self.scanned.get(*c).copied();
+                at.is_some_and(|at| now.millis >= at + RESCAN)
+            })
+            .cloned()
+            .collect();
+        for cell in due {
+            self.scanned.insert(cell.clone(), now.millis);
+            self.scan_lots(&cell, out);
+        }
+    }
+}
--- a/src/engine/configs.rs
+++ b/src/engine/configs.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use super::state::{Engine, Purpose, rows};
+use super::state::Engine;
+use super::storing::{Purpose, rows};
 use super::{Action, Now};
 use crate::config::{self, ChangeRow, Config, EntryRow, Head, change_key};
 use crate::table::{Call, Outcome, decode};
--- a/src/engine/flights.rs
+++ b/src/engine/flights.rs
@@ -1,6 +1,7 @@
 //! Requests on their way through this box.
 
-use super::state::{Engine, guard_name};
+use super::owning::guard_name;
+use super::state::Engine;
 use super::{Action, Handed, Now, Verdict};
 use crate::cell::{Ask, Reason, Sent};
 use crate::constants::GUARDS;
--- a/src/engine/journal.rs
+++ b/src/engine/journal.rs
@@ -1,6 +1,8 @@
 //! Lots: how they are read, written in groups and cancelled.
 
-use super::state::{Engine, Purpose, cell_key, rows};
+use super::owning::cell_key;
+use super::state::Engine;
+use super::storing::{Purpose, rows};
 use super::{Action, Now};
 use crate::cell::Action as CellAction;
 use crate::job::{self, JobRow, Versioned};
--- /dev/null
+++ b/src/engine/owning.rs
@@ -0,0 +1,218 @@
+//! The lease of the box and the cells that it owns under it.
+
+use std::collections::BTreeSet;
+
+use super::state::{Engine, incarnation};
+use super::storing::Purpose;
+use super::{Action, Now};
+use crate::cell::{Cell, Reason, Times};
+use crate::claim::{self, Claims, GUARD, Host};
+use crate::constants::GUARDS;
+use crate::guard::Guard;
+use crate::lease::{self, BoxRow, Lease};
+use crate::table::{Call, Expect, Op};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+impl Engine {
+    pub(super) fn leases(&mut self, now: Now, out: &mut Vec<Action>) {
+        let actions = self.lease.tick(now.millis, self.setup.pace.heartbeat);
+        self.lease_actions(now, actions, out);
+    }
+
+    pub(super) fn lease_actions(
+        &mut self,
+        now: Now,
+        actions: Vec<lease::Action>,
+        out: &mut Vec<Action>,
+    ) {
+        for action in actions {
+            match action {
+                lease::Action::Read => {
+                    self.store(Purpose::Boxes, Call::Scan(lease::PREFIX.into()), out);
+                }
+                lease::Action::Renew { expect, row } => {
+                    let key = box_key(&row.id);
+                    let op = Op::put(key, Expect::Version(expect), &row);
+                    self.store(Purpose::Renew(row.beat), Call::Commit(vec![op]), out);
+                }
+                lease::Action::Declare { owner, version } => {
+                    log::warn!(target: "lease", "{owner} is taken to be dead");
+                    let op = Op::delete(box_key(&owner), Expect::Version(version));
+                    self.store(Purpose::Declare(owner), Call::Commit(vec![op]), out);
+                }
+                lease::Action::Deposed => self.reborn(now, out),
+            }
+        }
+    }
+
+    /// Starts again as a new incarnation that owns nothing.
+    fn reborn(&mut self, now: Now, out: &mut Vec<Action>) {
+        log::error!(target: "lease", "{} was taken to be dead; starting again", self.id());
+        let cells: Vec<Name> = self.cells.keys().cloned().collect();
+        for cell in cells {
+            self.give_up(now, &cell, Reason::Lapsed, out);
+        }
+        self.guards.clear();
+        self.setup.boot += 1;
+        let mut me = self.lease.me().clone();
+        me.id = incarnation(&self.setup.name, self.setup.boot);
+        me.beat = 0;
+        me.successors = Vec::new();
+        self.router.drop_owner(&self.lease.id().clone());
+        self.claims = Claims::new(me.id.clone());
+        self.lease = Lease::new(self.setup.terms, me);
+        self.ops
+            .retain(|_, p| matches!(p, Purpose::Head | Purpose::Entries(_) | Purpose::Changes));
+        if self.stopping.is_some() {
+            self.claims.stop();
+        }
+    }
+
+    pub(super) fn claim(&mut self, now: Now, out: &mut Vec<Action>) {
+        if !self.lease.registered() {
+            return;
+        }
+        let (cells, hosts) = (self.cell_names(), self.hosts(now.millis));
+        self.claims.observe(now.millis, cells, hosts);
+        let lease = &self.lease;
+        let me = lease.id().clone();
+        let gone = |owner: &Name| *owner != me && lease.other(owner).is_none();
+        let interval = self.setup.pace.poll;
+        let actions = self.claims.tick(now.millis, interval, gone);
+        for action in actions {
+            self.claim_action(now, action, out);
+        }
+    }
+
+    /// Returns the names of all cells: racks by the list of workers, racks
+    /// that have an owner, and the guard shards.
+    fn cell_names(&self) -> BTreeSet<Name> {
+        let mut names: BTreeSet<Name> = self.places.iter().map(|p| p.cell.clone()).collect();
+        names.extend((0..GUARDS).map(guard_name));
+        names
+    }
+
+    fn hosts(&self, now: Millis) -> Vec<Host> {
+        let stays = |b: &&BoxRow| self.lease.fresh(&b.id, now) && !self.leavers.contains(&b.id);
+        let others = self.lease.others().filter(stays);
+        let mut hosts: Vec<Host> = others.map(host).collect();
+        if self.stopping.is_none() {
+            hosts.push(host(self.lease.me()));
+        }
+        hosts
+    }
+
+    pub(super) fn claim_action(&mut self, now: Now, action: claim::Action, out: &mut Vec<Action>) {
+        match action {
+            claim::Action::Read => {
+                self.store(Purpose::Cells, Call::Scan(claim::PREFIX.into()), out);
+            }
+            claim::Action::Claim {
+                cell,
+                expect,
+                old,
+                row,
+            } => {
+                let mut ops = vec![
+                    Op::put(cell_key(&cell), Expect::Version(expect), &row),
+                    Op::keep(box_key(self.lease.id()), Expect::Present),
+                ];
+                if let Some(old) = old {
+                    ops.push(Op::keep(box_key(&old), Expect::Absent));
+                }
+                self.store(Purpose::Claim(cell, expect, row), Call::Commit(ops), out);
+            }
+            claim::Action::Release { cell, expect, row } => {
+                let op = Op::put(cell_key(&cell), Expect::Version(expect), &row);
+                self.store(
+                    Purpose::Release(cell, expect, row),
+                    Call::Commit(vec![op]),
+                    out,
+                );
+            }
+            claim::Action::Won { cell, epoch } => self.win(now, cell, epoch, out),
+            claim::Action::Lost { cell } => self.give_up(now, &cell, Reason::NotOwner, out),
+        }
+    }
+
+    fn win(&mut self, now: Now, cell: Name, epoch: u64, out: &mut Vec<Action>) {
+        log::info!(target: "claim", "{cell} is owned under epoch {epoch}");
+        if cell.starts_with(GUARD) {
+            let guard = Guard::new(epoch, now.wall, self.setup.memory);
+            self.guards.insert(cell, guard);
+            return;
+        }
+        let pace = self.setup.pace;
+        let times = Times {
+            task: pace.task,
+            margin: self.setup.terms.margin,
+            sync: pace.sync,
+        };
+        let policy = self.setup.policy.clone();
+        let mut won = Cell::new(cell.clone(), epoch, now.millis, policy, times);
+        won.places(&self.places, self.config.drained());
+        self.cells.insert(cell.clone(), won);
+        self.refresh();
+        self.scan_lots(&cell, out);
+    }
+
+    /// Stops acting for a cell that is no longer owned.
+    pub(super) fn give_up(&mut self, now: Now, cell: &Name, reason: Reason, out: &mut Vec<Action>) {
+        self.guards.remove(cell);
+        self.scanned.remove(cell);
+        let Some(mut old) = self.cells.remove(cell) else {
+            return;
+        };
+        log::info!(target: "claim", "{cell} is given up ({})", reason.word());
+        let endpoints = old.workers.values().map(|w| w.http).collect();
+        let refused = old.refuse_all(reason);
+        for action in refused {
+            self.cell_action(now, cell, old.epoch, action, out);
+        }
+        out.push(Action::Disconnect(endpoints));
+    }
+
+    pub(super) fn release_guards(&mut self, now: Now, out: &mut Vec<Action>) {
+        let leaving: Vec<Name> = self
+            .claims
+            .mine()
+            .iter()
+            .filter(|(cell, mine)| mine.leaving && cell.starts_with(GUARD))
+            .map(|(cell, _)| cell.clone())
+            .collect();
+        for shard in leaving {
+            let busy = self.flights.values().any(|f| f.guarded_by(&shard));
+            if !busy {
+                self.release(now, &shard, out);
+            }
+        }
+    }
+
+    pub(super) fn release(&mut self, now: Now, cell: &Name, out: &mut Vec<Action>) {
+        for action in self.claims.release(cell) {
+            self.claim_action(now, action, out);
+        }
+    }
+}
+
+/// Returns the name of a guard shard.
+pub(super) fn guard_name(shard: u64) -> Name {
+    format!("{GUARD}{shard:02}").into()
+}
+
+fn box_key(id: &str) -> Name {
+    format!("{}{id}", lease::PREFIX).into()
+}
+
+pub(super) fn cell_key(cell: &str) -> Name {
+    format!("{}{cell}", claim::PREFIX).into()
+}
+
+fn host(row: &BoxRow) -> Host {
+    Host {
+        id: row.id.clone(),
+        name: row.name.clone(),
+        hall: row.hall.clone(),
+    }
+}
