Tidy: operators' calls and the sends of requests in files of their own

Change: jobs.rs and listings.rs hold the calls on jobs and the views, sends.rs the sends to endpoints and other boxes; moves, doc comments and visibility only.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,8 +3,11 @@
 mod admin;
 mod callers;
 mod convert;
+mod jobs;
+mod listings;
 mod operators;
 mod peers;
+mod sends;
 mod shell;
 mod store;
 mod workers;
--- /dev/null
+++ b/src/entry/jobs.rs
@@ -0,0 +1,246 @@
+//! Operators' calls on jobs.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tonic::Status;
+
+use super::listings::all_tasks;
+use super::operators::{PAGE, read, stopping};
+use super::peers;
+use super::shell::{Context, Message};
+use crate::cell::Size;
+use crate::engine::{Event, Query, View};
+use crate::job::{self, JobRow, LotRow, Site, Spec};
+use crate::lease::Written;
+use crate::proto;
+use crate::table::{Call, Expect, Op, Outcome, decode};
+use crate::utils::Name;
+use crate::utils::clock;
+
+/// Tries at a commit that other writers spoil.
+const TRIES: u32 = 8;
+
+/// Spreads a job over the cells and keeps it.
+pub(super) async fn submit(
+    context: Rc<Context>,
+    spec: proto::JobSpec,
+) -> Result<proto::JobReply, Status> {
+    let spec = Spec {
+        id: spec.id.into(),
+        team: spec.team.into(),
+        kind: spec.kind.into(),
+        tasks: spec.tasks,
+        size: Size {
+            cores: spec.cores,
+            memory: spec.memory,
+            accelerators: spec.accelerators,
+        },
+        work: spec.work,
+        urgent: spec.urgent,
+    };
+    let findings = job::validate(&spec);
+    if !findings.is_empty() {
+        return Err(Status::invalid_argument(findings.join("; ")));
+    }
+    let Some(View::Sites(sites)) = context.query(Query::Sites).await else {
+        return Err(stopping());
+    };
+    let owners: BTreeMap<Name, Option<SocketAddr>> = sites
+        .iter()
+        .map(|(s, rpc)| (s.cell.clone(), *rpc))
+        .collect();
+    let sites: Vec<Site> = sites.into_iter().map(|(site, _)| site).collect();
+    if sites.is_empty() {
+        return Err(Status::unavailable(
+            "no cell has an owner yet; nothing was submitted",
+        ));
+    }
+    let (row, lots) = job::spread(&spec, &sites, clock::wall())
+        .map_err(|refusal| Status::failed_precondition(refusal.to_string()))?;
+    let mut ops = vec![Op::put(job::key(&spec.id), Expect::Absent, &row)];
+    for (key, lot) in row.lots.iter().zip(&lots) {
+        ops.push(Op::put(key.clone(), Expect::Absent, lot));
+    }
+    match commit(&context, ops).await {
+        Written::Committed => {}
+        Written::Conflict => return submitted_before(&context, &spec).await,
+        Written::NotSent => {
+            return Err(Status::unavailable(
+                "the table is not reached; nothing was submitted",
+            ));
+        }
+        // The row by the job's id tells whether the commit took effect.
+        Written::Unknown => return submitted_before(&context, &spec).await,
+    }
+    hint_owners(&context, &row, &owners);
+    Ok(reply(&row, &lots))
+}
+
+async fn commit(context: &Context, ops: Vec<Op>) -> Written {
+    match context.store.call(Call::Commit(ops)).await {
+        Outcome::Written(written) => written,
+        _ => Written::Unknown,
+    }
+}
+
+/// Answers a submission whose job may be there already.
+async fn submitted_before(context: &Context, spec: &Spec) -> Result<proto::JobReply, Status> {
+    let doubt = |_| Status::unknown("the table did not answer; the job may be submitted");
+    let (row, _) = match load(context, &spec.id).await {
+        Err(status) if status.code() == tonic::Code::NotFound => {
+            return Err(Status::unknown(
+                "no answer from the table; submit again with the same id",
+            ));
+        }
+        other => other.map_err(doubt)?,
+    };
+    if row.spec != *spec {
+        return Err(Status::already_exists(
+            "a job with this id and another content exists",
+        ));
+    }
+    let lots = lots(context, &row).await?;
+    Ok(reply(&row, &lots))
+}
+
+fn hint_owners(context: &Rc<Context>, row: &JobRow, owners: &BTreeMap<Name, Option<SocketAddr>>) {
+    let mut hints: BTreeMap<Option<SocketAddr>, Vec<Name>> = BTreeMap::new();
+    for cell in row.lots.iter().filter_map(|key| job::lot_cell(key)) {
+        if let Some(owner) = owners.get(cell) {
+            hints.entry(*owner).or_default().push(cell.into());
+        }
+    }
+    for (owner, cells) in hints {
+        hint(context, owner, cells, Vec::new());
+    }
+}
+
+fn hint(context: &Rc<Context>, owner: Option<SocketAddr>, cells: Vec<Name>, cancelled: Vec<Name>) {
+    let Some(rpc) = owner else {
+        context.send(Message::Event(Event::Hint { cells, cancelled }));
+        return;
+    };
+    let context = context.clone();
+    monoio::spawn(async move { peers::hint(&context, rpc, cells, cancelled).await });
+}
+
+async fn load(context: &Context, id: &str) -> Result<(JobRow, u64), Status> {
+    let rows = read(context, vec![job::key(id).into()]).await?;
+    let Some(row) = rows.first() else {
+        return Err(Status::not_found(format!("no job `{id}`")));
+    };
+    match decode(row) {
+        Some(job) => Ok((job, row.version)),
+        None => Err(Status::data_loss(format!(
+            "the row of job `{id}` does not decode"
+        ))),
+    }
+}
+
+async fn lots(context: &Context, row: &JobRow) -> Result<Vec<LotRow>, Status> {
+    let rows = read(context, row.lots.clone()).await?;
+    Ok(rows.iter().filter_map(decode).collect())
+}
+
+fn reply(row: &JobRow, lots: &[LotRow]) -> proto::JobReply {
+    let summary = job::summarize(row, lots);
+    let spec = &row.spec;
+    proto::JobReply {
+        spec: Some(proto::JobSpec {
+            id: spec.id.to_string(),
+            team: spec.team.to_string(),
+            kind: spec.kind.to_string(),
+            tasks: spec.tasks,
+            cores: spec.size.cores,
+            memory: spec.size.memory,
+            accelerators: spec.size.accelerators,
+            work: spec.work,
+            urgent: spec.urgent,
+        }),
+        state: summary.state.into(),
+        reason: String::new(),
+        done: summary.done,
+        failed: summary.failed,
+        running: 0,
+        evictions: summary.evictions,
+    }
+}
+
+/// Returns the state of a job, with the tasks that run now.
+pub(super) async fn show(context: Rc<Context>, id: String) -> Result<proto::JobReply, Status> {
+    let (row, _) = load(&context, &id).await?;
+    let lots = lots(&context, &row).await?;
+    let mut reply = reply(&row, &lots);
+    let (tasks, _) = all_tasks(&context, Some(id.as_str().into()), false).await?;
+    reply.running = tasks.iter().filter(|t| t.state == "running").count() as u32;
+    Ok(reply)
+}
+
+/// Returns a page of all jobs, in the order of their ids.
+pub(super) async fn list_jobs(
+    context: Rc<Context>,
+    request: proto::ListJobsRequest,
+) -> Result<proto::ListJobsReply, Status> {
+    let Outcome::Rows(rows) = context.store.call(Call::Scan(job::PREFIX.into())).await else {
+        return Err(Status::unavailable("the table does not answer"));
+    };
+    let after = job::key(&request.after);
+    let limit = match request.limit {
+        0 => PAGE,
+        limit => (limit as usize).min(PAGE),
+    };
+    let mut rest = rows
+        .iter()
+        .filter(|r| request.after.is_empty() || *r.key > *after);
+    let mut jobs = Vec::new();
+    for row in rest.by_ref().take(limit) {
+        let Some(row) = decode::<JobRow>(row) else {
+            continue;
+        };
+        let lots = lots(&context, &row).await?;
+        jobs.push(reply(&row, &lots));
+    }
+    Ok(proto::ListJobsReply {
+        jobs,
+        more: rest.next().is_some(),
+    })
+}
+
+/// Cancels a job.
+pub(super) async fn cancel(context: Rc<Context>, id: String) -> Result<proto::JobReply, Status> {
+    for _ in 0..TRIES {
+        let (mut row, version) = load(&context, &id).await?;
+        if row.cancelled {
+            return cancelled(&context, row).await;
+        }
+        row.cancelled = true;
+        let op = Op::put(job::key(&id), Expect::Version(version), &row);
+        match commit(&context, vec![op]).await {
+            Written::Committed => return cancelled(&context, row).await,
+            // After a lost answer the next read tells.
+            Written::Conflict | Written::Unknown => {}
+            Written::NotSent => {
+                return Err(Status::unavailable(
+                    "the table is not reached; nothing was cancelled",
+                ));
+            }
+        }
+    }
+    Err(Status::unknown(
+        "the table did not answer; the job may be cancelled",
+    ))
+}
+
+async fn cancelled(context: &Rc<Context>, row: JobRow) -> Result<proto::JobReply, Status> {
+    let ids = vec![row.spec.id.clone()];
+    if let Some(View::Boxes(boxes)) = context.query(Query::Boxes).await {
+        for rpc in boxes.iter().filter_map(|b| b.rpc.parse().ok()) {
+            let own = rpc == context.settings.rpc;
+            hint(context, (!own).then_some(rpc), Vec::new(), ids.clone());
+        }
+    }
+    let lots = lots(context, &row).await?;
+    Ok(reply(&row, &lots))
+}
--- /dev/null
+++ b/src/entry/listings.rs
@@ -0,0 +1,153 @@
+//! Operators' views of boxes, workers and tasks.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tonic::Status;
+
+use super::convert;
+use super::operators::stopping;
+use super::shell::Context;
+use crate::engine::{Query, TaskView, View, WorkerView};
+use crate::invariant;
+use crate::proto::{self, operator_client::OperatorClient};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Bound of one call to another box in milliseconds.
+const PATIENCE: Millis = 2_000;
+
+/// Returns the boxes that this box knows.
+pub(super) async fn list_boxes(context: Rc<Context>) -> Result<proto::ListBoxesReply, Status> {
+    let Some(View::Boxes(boxes)) = context.query(Query::Boxes).await else {
+        return Err(stopping());
+    };
+    let info = |b: crate::engine::BoxView| proto::BoxInfo {
+        id: b.id.to_string(),
+        address: b.rpc.to_string(),
+        hall: b.hall.to_string(),
+        cells: b.cells as u32,
+        stopping: b.stopping,
+    };
+    Ok(proto::ListBoxesReply {
+        boxes: boxes.into_iter().map(info).collect(),
+    })
+}
+
+/// Returns the addresses of the other boxes.
+async fn others(context: &Context) -> Result<Vec<(Name, SocketAddr)>, Status> {
+    let Some(View::Boxes(boxes)) = context.query(Query::Boxes).await else {
+        return Err(stopping());
+    };
+    let own = context.settings.rpc;
+    let parsed = boxes
+        .into_iter()
+        .filter_map(|b| Some((b.id, b.rpc.parse().ok()?)));
+    Ok(parsed.filter(|(_, rpc)| *rpc != own).collect())
+}
+
+/// Returns the workers of this box, and those of all boxes unless `local`.
+pub(super) async fn list_workers(
+    context: Rc<Context>,
+    local: bool,
+) -> Result<proto::ListWorkersReply, Status> {
+    let Some(View::Workers(views)) = context.query(Query::Workers).await else {
+        return Err(stopping());
+    };
+    let owner = &context.settings.name;
+    let mut workers: Vec<_> = views.into_iter().map(|w| worker(w, owner)).collect();
+    let mut missing = Vec::new();
+    if !local {
+        for (id, rpc) in others(&context).await? {
+            let request = proto::ListWorkersRequest { local: true };
+            let call = |c| async move { OperatorClient::new(c).list_workers(request).await };
+            match context.channel(rpc).call(PATIENCE, call).await {
+                Ok(reply) => workers.extend(reply.workers),
+                Err(_) => missing.push(id.to_string()),
+            }
+        }
+    }
+    workers.sort_by(|a, b| (&a.cell, &a.name).cmp(&(&b.cell, &b.name)));
+    Ok(proto::ListWorkersReply { workers, missing })
+}
+
+fn worker(view: WorkerView, owner: &str) -> proto::WorkerInfo {
+    proto::WorkerInfo {
+        name: view.name.to_string(),
+        cell: view.cell.to_string(),
+        state: view.state.into(),
+        slots: view.shape.slots,
+        busy: view.busy,
+        cores: view.shape.cores,
+        free: view.free,
+        runs: view.runs as u32,
+        owner: owner.into(),
+    }
+}
+
+/// Returns the tasks at this box, and those at all boxes unless `local` is asked for.
+pub(super) async fn list_tasks(
+    context: Rc<Context>,
+    request: proto::ListTasksRequest,
+) -> Result<proto::ListTasksReply, Status> {
+    let job = convert::optional(request.job);
+    let (tasks, missing) = all_tasks(&context, job, request.local).await?;
+    Ok(proto::ListTasksReply { tasks, missing })
+}
+
+/// Returns tasks, of one job if it is given, and the boxes that did not answer.
+pub(super) async fn all_tasks(
+    context: &Rc<Context>,
+    job: Option<Name>,
+    local: bool,
+) -> Result<(Vec<proto::TaskInfo>, Vec<String>), Status> {
+    let Some(View::Tasks(views)) = context.query(Query::Tasks(job.clone())).await else {
+        return Err(stopping());
+    };
+    let mut tasks: Vec<_> = views.into_iter().map(task).collect();
+    let mut missing = Vec::new();
+    if !local {
+        for (id, rpc) in others(context).await? {
+            let request = proto::ListTasksRequest {
+                job: job.as_ref().map(|j| j.to_string()).unwrap_or_default(),
+                local: true,
+            };
+            let call = |c| async move { OperatorClient::new(c).list_tasks(request).await };
+            match context.channel(rpc).call(PATIENCE, call).await {
+                Ok(reply) => tasks.extend(reply.tasks),
+                Err(_) => missing.push(id.to_string()),
+            }
+        }
+    }
+    tasks.sort_by(|a, b| (&a.job, a.task).cmp(&(&b.job, b.task)));
+    Ok((tasks, missing))
+}
+
+fn task(view: TaskView) -> proto::TaskInfo {
+    proto::TaskInfo {
+        job: view.job.to_string(),
+        task: view.task,
+        state: view.state.into(),
+        worker: view.worker.to_string(),
+        progress: view.progress,
+        evictions: view.evictions,
+    }
+}
+
+/// Returns the state of this box.
+pub(super) async fn status(context: Rc<Context>) -> Result<proto::StatusReply, Status> {
+    let Some(View::Status(view)) = context.query(Query::Status).await else {
+        return Err(stopping());
+    };
+    Ok(proto::StatusReply {
+        id: view.id.to_string(),
+        hall: view.hall.to_string(),
+        ready: view.ready,
+        config: view.config,
+        cells: view.cells as u32,
+        boxes: view.boxes as u32,
+        lease: view.lease,
+        store: view.store,
+        violations: invariant::violated(),
+    })
+}
--- a/src/entry/shell.rs
+++ b/src/entry/shell.rs
@@ -5,14 +5,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use futures::StreamExt;
 use futures::channel::{mpsc, oneshot};
-use http::{HeaderMap, HeaderValue};
 
+use super::sends::{Send, forward, send_to_worker};
 use super::{peers, store, workers};
-use crate::constants;
-use crate::engine::{Action, Engine, Event, Greeting, Handed, Now, Query, Verdict, View};
+use crate::engine::{Action, Engine, Event, Greeting, Now, Query, Verdict, View};
 use crate::options::Settings;
 use crate::request::Meta;
 use crate::rpc::client::Channel;
@@ -21,7 +19,7 @@
 use crate::utils::clock::{self, Millis};
 use crate::utils::drain::Trigger;
 use crate::web::client::Pool;
-use crate::web::{self, Reply, WebError};
+use crate::web::{self, Reply};
 
 /// What a request came to.
 #[derive(Clone, Debug)]
@@ -401,130 +399,3 @@
         let _ = parked.reply.send(outcome);
     }
 }
-
-struct Send {
-    ticket: u64,
-    cell: Name,
-    epoch: u64,
-    http: SocketAddr,
-    left: Millis,
-}
-
-/// Sends a request to an endpoint and tells how that ended.
-async fn send_to_worker(context: Rc<Context>, load: Rc<Load>, send: Send) {
-    use crate::cell::Sent;
-    let ticket = send.ticket;
-    let hop = load.trace.next();
-    let start = clock::micros();
-    let request = for_worker(&context, &load, &hop, &send);
-    let check = || context.acts();
-    let result = context
-        .pool
-        .call(send.http, request, send.left, check)
-        .await;
-    let until = clock::now() + send.left;
-    let (sent, reply) = match result {
-        Ok(reply) if refused(&reply) => (Sent::NotRun, None),
-        Ok(reply) => (Sent::Answered, Some(reply)),
-        Err(WebError::Held) => (Sent::Unsent, None),
-        Err(WebError::NotSent(e)) => {
-            log::debug!(target: "entry", "{} not reached: {e}", send.http);
-            (Sent::NotRun, None)
-        }
-        Err(e) => {
-            log::debug!(target: "entry", "{}: {e}", send.http);
-            (Sent::Unknown { until }, None)
-        }
-    };
-    let verdict = match sent {
-        Sent::Answered => "answer",
-        Sent::NotRun | Sent::Unsent => "not-run",
-        Sent::Unknown { .. } => "unknown",
-    };
-    hop.end("endpoint", clock::micros() - start, verdict);
-    let event = Event::Sent { ticket, sent };
-    match reply {
-        Some(reply) => context.send(Message::Answered {
-            ticket,
-            reply,
-            event,
-        }),
-        None => context.send(Message::Event(event)),
-    };
-}
-
-fn refused(reply: &Reply) -> bool {
-    let verdict = reply.headers.get(constants::VERDICT);
-    verdict.is_some_and(|v| v == "not-run")
-}
-
-fn for_worker(context: &Context, load: &Load, hop: &trace::Context, send: &Send) -> web::Request {
-    let mut request = load.request.clone();
-    let wait = send.left.min(context.left());
-    let not_after = clock::wall() + wait;
-    let headers = &mut request.headers;
-    set(headers, constants::CELL, &send.cell);
-    set_number(headers, constants::EPOCH, send.epoch);
-    set_number(headers, constants::TICKET, send.ticket);
-    set_number(headers, constants::NOT_AFTER, not_after);
-    set_number(headers, constants::DEADLINE, send.left);
-    set(headers, constants::TRACEPARENT, &hop.header());
-    request
-}
-
-/// Sets a header to a text that is known to be valid in one.
-pub fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(name, value);
-    }
-}
-
-fn set_number(headers: &mut HeaderMap, name: &'static str, value: u64) {
-    headers.insert(name, HeaderValue::from(value));
-}
-
-/// Hands a request to another box and tells how that ended.
-async fn forward(
-    context: Rc<Context>,
-    load: Rc<Load>,
-    ticket: u64,
-    to: SocketAddr,
-    meta: Meta,
-    target: peers::Target,
-) {
-    let hop = load.trace.next();
-    let start = clock::micros();
-    let guarded = target.guard.is_some();
-    // A guard whose lease has lapsed must not let a request through.
-    let own = guarded && target.cell.is_some();
-    let (handed, reply) = match own && !context.acts() {
-        true => (peers::lapsed(&meta), None),
-        false => peers::forward(&context, to, &load.request, &hop, &meta, target).await,
-    };
-    let verdict = match handed {
-        Handed::Answered => "answer",
-        Handed::NotRun { .. } => "not-run",
-        Handed::Unknown => "unknown",
-    };
-    hop.end("forward", clock::micros() - start, verdict);
-    let event = Event::Handed { ticket, handed };
-    match reply {
-        Some(reply) => context.send(Message::Answered {
-            ticket,
-            reply,
-            event,
-        }),
-        None => context.send(Message::Event(event)),
-    };
-}
-
-/// Returns the headers of an answer as pairs for another box.
-pub fn pairs(headers: &HeaderMap) -> Vec<crate::proto::Header> {
-    headers
-        .iter()
-        .map(|(name, value)| crate::proto::Header {
-            name: name.to_string(),
-            value: Bytes::copy_from_slice(value.as_bytes()),
-        })
-        .collect()
-}
