--- a/src/platform/advice.rs
+++ b/src/platform/advice.rs
@@ -42,12 +42,11 @@
             step: &question.name,
             workers: &question.workers,
         });
-        let path = "/advise";
         let call = wire::call(
             &self.pool,
             address,
             Method::POST,
-            path,
+            "/advise",
             Some(body),
             None,
             LIMIT,
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -163,7 +163,7 @@
     /// Worker and ticket.
     #[serde(default)]
     pub good: Vec<(Name, Name)>,
-    #[serde(rename = "valid_ms")]
+    /// Milliseconds for which the tickets are good, from when they were asked for.
     pub valid_ms: Millis,
 }
 
--- a/src/sched/tests/directory.rs
+++ b/src/sched/tests/directory.rs
@@ -1,17 +1,10 @@
 //! Workers that leave, vanish and come back.
 
-use super::world::{World, job, step};
+use super::world::{World, job, lasting, step};
 use crate::sched::job::Shown;
 use crate::sched::message::{Event, How};
 use crate::sched::spec::StepSpec;
 
-fn lasting(count: u32) -> StepSpec {
-    StepSpec {
-        lasting: true,
-        ..step(count, 1_000)
-    }
-}
-
 fn leave(world: &mut World, id: &str, stays: u64) {
     let worker = world.workers.get_mut(id).expect("worker");
     worker.listing.leaving = true;
@@ -24,7 +17,7 @@
 fn lasting_tasks_leave_a_draining_worker_at_once() {
     let mut world = World::new(2);
     world.script = |_, _| (1_000_000, How::Done);
-    world.submit("j1", job(vec![lasting(3)]));
+    world.submit("j1", job(vec![lasting(3, 1_000)]));
     world.run(200);
     leave(&mut world, "w0", 5_000);
     world.run(1_500);
@@ -39,7 +32,7 @@
     let step = StepSpec {
         disruptions: Some(1),
         spread: 2,
-        ..lasting(4)
+        ..lasting(4, 1_000)
     };
     world.submit("j1", job(vec![step]));
     world.run(1_500);
@@ -59,7 +52,7 @@
 fn a_silent_worker_is_left_to_its_lease_and_then_replaced() {
     let mut world = World::new(2);
     world.script = |_, _| (1_000_000, How::Done);
-    world.submit("j1", job(vec![lasting(2)]));
+    world.submit("j1", job(vec![lasting(2, 1_000)]));
     world.run(200);
     let lost = world.running().iter().filter(|(_, w)| &**w == "w0").count();
     assert!(lost > 0);
@@ -77,7 +70,7 @@
 fn a_listing_that_lapses_with_the_store_away_is_no_news_of_a_worker() {
     let mut world = World::new(2);
     world.script = |_, _| (1_000_000, How::Done);
-    world.submit("j1", job(vec![lasting(2)]));
+    world.submit("j1", job(vec![lasting(2, 1_000)]));
     world.run(200);
     world.store_down = true;
     world.run(3_000);
@@ -93,7 +86,7 @@
 fn another_life_at_the_same_address_ends_the_one_before() {
     let mut world = World::new(2);
     world.script = |_, _| (1_000_000, How::Done);
-    world.submit("j1", job(vec![lasting(2)]));
+    world.submit("j1", job(vec![lasting(2, 1_000)]));
     world.run(200);
     world.workers.remove("w0");
     world.add_worker("w9", 100);
@@ -108,7 +101,7 @@
 fn a_worker_that_is_listed_again_takes_tasks_again() {
     let mut world = World::new(1);
     world.script = |_, _| (1_000_000, How::Done);
-    world.submit("j0", job(vec![lasting(1)]));
+    world.submit("j0", job(vec![lasting(1, 1_000)]));
     world.run(6_000);
     world.step(Event::Listed(vec![("w0".into(), None)]));
     world.submit("j1", job(vec![step(1, 1_000)]));
--- a/src/sched/tests/order.rs
+++ b/src/sched/tests/order.rs
@@ -1,6 +1,6 @@
 //! The order of starts.
 
-use super::world::{World, job, step};
+use super::world::{World, job, lasting, step};
 use crate::sched::job::Shown;
 use crate::sched::message::How;
 use crate::sched::spec::StepSpec;
@@ -28,11 +28,7 @@
     let mut world = World::new(1);
     world.submit("full", job(vec![step(1, 4_000)]));
     world.run(100);
-    let lasting = StepSpec {
-        lasting: true,
-        ..step(1, 4_000)
-    };
-    world.submit("last", job(vec![lasting]));
+    world.submit("last", job(vec![lasting(1, 4_000)]));
     world.run(50);
     world.submit("ends", job(vec![step(1, 4_000)]));
     world.run(2_500);
@@ -62,11 +58,7 @@
         (true, _) => (60_000, How::Done),
         _ => (600, How::Done),
     };
-    let lasting = StepSpec {
-        lasting: true,
-        ..step(1, 3_000)
-    };
-    world.submit("last", job(vec![lasting]));
+    world.submit("last", job(vec![lasting(1, 3_000)]));
     // Small tasks take each bit of room as it comes free.
     for number in 0..60 {
         world.submit(&format!("busy{number}"), job(vec![step(2, 1_000)]));
@@ -87,11 +79,7 @@
         true => (600_000, How::Done),
         false => (600, How::Done),
     };
-    let lasting = StepSpec {
-        lasting: true,
-        ..step(16, 1_000)
-    };
-    world.submit("last", job(vec![lasting]));
+    world.submit("last", job(vec![lasting(16, 1_000)]));
     world.run(4_000);
     assert_eq!(world.running().len(), 16, "they fill all workers");
     world.submit("ends", job(vec![step(1, 1_000)]));
@@ -108,11 +96,7 @@
         true => (600_000, How::Done),
         false => (700, How::Done),
     };
-    let lasting = StepSpec {
-        lasting: true,
-        ..step(24, 1_000)
-    };
-    world.submit("last", job(vec![lasting]));
+    world.submit("last", job(vec![lasting(24, 1_000)]));
     world.run(4_000);
     let mut away: std::collections::BTreeMap<String, u64> = Default::default();
     for number in 0..200 {
@@ -138,11 +122,7 @@
         true => (600_000, How::Done),
         false => (4_000, How::Done),
     };
-    let lasting = StepSpec {
-        lasting: true,
-        ..step(24, 1_000)
-    };
-    world.submit("last", job(vec![lasting]));
+    world.submit("last", job(vec![lasting(24, 1_000)]));
     world.run(4_000);
     world.submit("ends", job(vec![step(12, 1_000)]));
     for _ in 0..30 {
--- a/src/sched/tests/permits.rs
+++ b/src/sched/tests/permits.rs
@@ -2,7 +2,6 @@
 
 use super::world::{World, job, queue, step};
 use crate::sched::job::{Queue, Shown};
-use crate::sched::spec::StepSpec;
 
 fn advised() -> Queue {
     Queue {
@@ -55,8 +54,7 @@
 #[test]
 fn more_workers_are_asked_about_in_turn_until_some_are_good() {
     let mut world = world(70, &["w69"]);
-    let whole = StepSpec { ..step(1, 1_000) };
-    world.submit_to(advised(), "j1", job(vec![whole]));
+    world.submit_to(advised(), "j1", job(vec![step(1, 1_000)]));
     world.run(2_000);
     assert_eq!(world.shown("j1"), Some(Shown::Completed));
     assert!(
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -89,6 +89,14 @@
     }
 }
 
+/// Returns a step whose tasks run until their job is cancelled.
+pub fn lasting(count: u32, cpu: u64) -> StepSpec {
+    StepSpec {
+        lasting: true,
+        ..step(count, cpu)
+    }
+}
+
 pub fn job(steps: Vec<StepSpec>) -> JobSpec {
     JobSpec {
         text: "text".into(),
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -71,6 +71,15 @@
         }
     }
 
+    /// Returns true when a start with this ticket may be taken.
+    fn accepts(&self, ticket: &str, now: Millis) -> bool {
+        let until = ticket.strip_prefix(&format!("{} until ", self.listing.id));
+        let until = until.and_then(|until| until.parse::<Millis>().ok());
+        let ended = until.is_some_and(|until| until <= now);
+        let missing = self.advised && ticket.is_empty();
+        !ended && !missing
+    }
+
     fn end(&mut self, task: &str, how: How, now: Millis) {
         let Some(run) = self.running.remove(task) else {
             return;
@@ -142,32 +151,19 @@
         if worker.full {
             return Reply::Refused(Refusal::Full);
         }
-        if let Some(until) = start
-            .ticket
-            .strip_prefix(&format!("{} until ", start.worker))
-            && until.parse::<Millis>().is_ok_and(|until| until <= now)
-        {
-            return Reply::Refused(Refusal::Ticket);
-        }
-        if worker.advised && start.ticket.is_empty() {
+        if !worker.accepts(&start.ticket, now) {
             return Reply::Refused(Refusal::Ticket);
         }
         if start.lease <= now {
             return Reply::Refused(Refusal::Late);
         }
         worker.lease = worker.lease.max(start.lease);
-        if worker
-            .running
-            .get(&start.task)
-            .is_some_and(|r| r.run == start.run)
-        {
+        let present = worker.running.get(&start.task);
+        if present.is_some_and(|r| r.run == start.run) {
             return Reply::Ok(now);
         }
-        if worker
-            .barred
-            .get(&start.task)
-            .is_some_and(|r| start.run <= *r)
-        {
+        let barred = worker.barred.get(&start.task);
+        if barred.is_some_and(|r| start.run <= *r) {
             return Reply::Refused(Refusal::Old);
         }
         let run = Run {
