--- a/src/engine.rs
+++ b/src/engine.rs
@@ -6,8 +6,10 @@
 
 mod cells;
 mod configs;
+mod flight;
 mod flights;
 mod journal;
+mod outcomes;
 mod owning;
 mod peers;
 mod state;
--- a/src/engine/cells.rs
+++ b/src/engine/cells.rs
@@ -1,8 +1,9 @@
 //! Running the owned cells: the workers listed for them, their ticks and what they
 //! ask for.
 
+use super::flight::RESENT;
 use super::state::Engine;
-use super::{Action, Now, Reported, flights};
+use super::{Action, Now, Reported};
 use crate::cell::{self, Place, Reason};
 use crate::invariant::{self, Rule};
 use crate::utils::Name;
@@ -82,7 +83,7 @@
                     return self.unsent(now, cell, ticket, out);
                 }
                 if !self.depart(ticket) {
-                    return self.finish(ticket, flights::RESENT, out);
+                    return self.finish(ticket, RESENT, out);
                 }
                 let left = self.flights.get(&ticket).map_or(0, |f| f.left(now.millis));
                 out.push(Action::Send {
--- /dev/null
+++ b/src/engine/flight.rs
@@ -0,0 +1,86 @@
+//! A request on its way, and what may be told of it.
+
+use super::Verdict;
+use crate::invariant::{self, Rule};
+use crate::request::Meta;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// What is told of a request that was sent before and may have run.
+pub(super) const RESENT: Verdict = Verdict::Unknown { reason: "retried" };
+
+/// Who asked this box.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// A caller.
+    Caller,
+    /// A box that wants this one to be the guard of the id.
+    ForGuard,
+    /// A box that has chosen a cell of this one.
+    ForCell,
+}
+
+/// Where a request is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// Not yet anywhere.
+    New,
+    /// At the box that owns the guard shard.
+    Guard,
+    /// Waiting for an owner of the guard shard, or of any cell, to be known.
+    Backoff(Millis),
+    /// In an own cell.
+    Local(Name),
+    /// At the owner of another cell.
+    Remote(Name),
+}
+
+/// A request on its way.
+#[derive(Clone, Debug)]
+pub(super) struct Flight {
+    /// What it says of itself.
+    pub meta: Meta,
+    /// When its caller does not wait any more, in milliseconds.
+    pub deadline: Millis,
+    /// Who asked this box.
+    pub origin: Origin,
+    /// Where it is.
+    pub stage: Stage,
+    /// Cells that were tried.
+    pub tried: Vec<Name>,
+    /// The guard shard that let it through, and the epoch.
+    pub guard: Option<(Name, u64)>,
+    /// Sends that are left to it.
+    pub retries: u32,
+    /// True while a send of it has no outcome.
+    pub sending: bool,
+    /// True once a send of it may have run.
+    pub doubtful: bool,
+}
+
+impl Flight {
+    /// Returns the milliseconds until its deadline.
+    pub fn left(&self, now: Millis) -> Millis {
+        self.deadline.saturating_sub(now)
+    }
+
+    /// Returns the verdict, or unknown in place of a denial that is not proved.
+    pub fn provable(&self, ticket: u64, verdict: Verdict) -> Verdict {
+        let Verdict::NotRun { reason, .. } = verdict else {
+            return verdict;
+        };
+        let proved = !self.sending && !self.doubtful;
+        let detail = || format!("{ticket} is denied ({}) and may run", reason.word());
+        match invariant::check(proved, Rule::NotRun, detail) {
+            true => verdict,
+            false => RESENT,
+        }
+    }
+
+    /// Returns true when an own guard shard let it through.
+    pub fn guarded_by(&self, shard: &str) -> bool {
+        self.guard
+            .as_ref()
+            .is_some_and(|(name, _)| &**name == shard)
+    }
+}
--- a/src/engine/flights.rs
+++ b/src/engine/flights.rs
@@ -1,9 +1,10 @@
 //! Requests on their way through this box.
 
+use super::flight::{Flight, Origin, RESENT, Stage};
 use super::owning::guard_name;
 use super::state::Engine;
-use super::{Action, Handed, Now, Verdict};
-use crate::cell::{Ask, Reason, Sent};
+use super::{Action, Now, Verdict};
+use crate::cell::{Ask, Reason};
 use crate::constants::GUARDS;
 use crate::guard::Admission;
 use crate::invariant::{self, Rule};
@@ -17,85 +18,9 @@
 /// Part of a retry that each request adds.
 const EARNED: f64 = 0.1;
 /// Milliseconds after which to come back when nothing better is known.
-const COME_BACK: Millis = 200;
+pub(super) const COME_BACK: Millis = 200;
 /// Milliseconds after which another owner of a guard shard or a cell is looked for.
 const BACKOFF: Millis = 100;
-/// Milliseconds by which that time varies, so that callers do not come together.
-const JITTER: u64 = 200;
-
-/// What is told of a request that was sent before and may have run.
-pub(super) const RESENT: Verdict = Verdict::Unknown { reason: "retried" };
-
-/// Who asked this box.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Origin {
-    /// A caller.
-    Caller,
-    /// A box that wants this one to be the guard of the id.
-    ForGuard,
-    /// A box that has chosen a cell of this one.
-    ForCell,
-}
-
-/// Where a request is.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum Stage {
-    /// Not yet anywhere.
-    New,
-    /// At the box that owns the guard shard.
-    Guard,
-    /// Waiting for an owner of the guard shard, or of any cell, to be known.
-    Backoff(Millis),
-    /// In an own cell.
-    Local(Name),
-    /// At the owner of another cell.
-    Remote(Name),
-}
-
-/// A request on its way.
-#[derive(Clone, Debug)]
-pub(super) struct Flight {
-    meta: Meta,
-    deadline: Millis,
-    origin: Origin,
-    stage: Stage,
-    tried: Vec<Name>,
-    /// The guard shard that let it through, and the epoch.
-    guard: Option<(Name, u64)>,
-    retries: u32,
-    /// True while a send of it has no outcome.
-    sending: bool,
-    /// True once a send of it may have run.
-    doubtful: bool,
-}
-
-impl Flight {
-    /// Returns the milliseconds until its deadline.
-    pub(super) fn left(&self, now: Millis) -> Millis {
-        self.deadline.saturating_sub(now)
-    }
-
-    /// Returns the verdict, or unknown in place of a denial that is not proved.
-    fn provable(&self, ticket: u64, verdict: Verdict) -> Verdict {
-        let Verdict::NotRun { reason, .. } = verdict else {
-            return verdict;
-        };
-        let proved = !self.sending && !self.doubtful;
-        let detail = || format!("{ticket} is denied ({}) and may run", reason.word());
-        match invariant::check(proved, Rule::NotRun, detail) {
-            true => verdict,
-            false => RESENT,
-        }
-    }
-
-    /// Returns true when an own guard shard let it through.
-    pub(super) fn guarded_by(&self, shard: &str) -> bool {
-        self.guard
-            .as_ref()
-            .is_some_and(|(name, _)| &**name == shard)
-    }
-}
-
 impl Engine {
     pub(super) fn request(&mut self, now: Now, ticket: u64, meta: Meta, out: &mut Vec<Action>) {
         self.budget = (self.budget + EARNED).min(BUDGET);
@@ -217,7 +142,13 @@
 
     /// Waits a little for a guard shard or the cells to get other owners, if
     /// the request has time and sends left.
-    fn back_off(&mut self, now: Now, ticket: u64, reason: Reason, out: &mut Vec<Action>) {
+    pub(super) fn back_off(
+        &mut self,
+        now: Now,
+        ticket: u64,
+        reason: Reason,
+        out: &mut Vec<Action>,
+    ) {
         let jitter = crate::utils::hash::mix(ticket) % BACKOFF;
         let until = now.millis + BACKOFF + jitter;
         let flight = self.flights.get(&ticket);
@@ -269,7 +200,7 @@
     }
 
     /// Chooses a cell for a request and hands it there.
-    fn route(&mut self, now: Now, ticket: u64, out: &mut Vec<Action>) {
+    pub(super) fn route(&mut self, now: Now, ticket: u64, out: &mut Vec<Action>) {
         let Some(flight) = self.flights.get_mut(&ticket) else {
             return;
         };
@@ -337,178 +268,4 @@
             self.cell_action(now, &name, epoch, action, out);
         }
     }
-
-    /// Takes in that an own cell refused a request; another one may be tried.
-    pub(super) fn refused(
-        &mut self,
-        now: Now,
-        ticket: u64,
-        reason: Reason,
-        after: Millis,
-        out: &mut Vec<Action>,
-    ) {
-        let cell = self.left_cell(ticket);
-        // Idle as it looks, it would draw request after request.
-        if let Some(cell) = cell.filter(|_| reason == Reason::NotOwner) {
-            self.router.drop_cell(&cell);
-        }
-        if self.may_retry(now, ticket) {
-            return self.route(now, ticket, out);
-        }
-        self.not_run(now, ticket, reason, after, out);
-    }
-
-    /// Takes in that a request could not be sent, as the lease has lapsed.
-    pub(super) fn unsent(&mut self, now: Now, cell: &Name, ticket: u64, out: &mut Vec<Action>) {
-        if let Some(cell) = self.cells.get_mut(cell) {
-            // What the freed room would let through can't be sent either.
-            let actions = cell.ended(now.millis, now.micros, ticket, Sent::Unsent);
-            debug_assert!(actions.is_empty());
-        }
-        self.arrive(ticket);
-        self.refused(now, ticket, Reason::Lapsed, COME_BACK, out);
-    }
-
-    /// Notes that the last send of a request has an outcome.
-    fn arrive(&mut self, ticket: u64) {
-        if let Some(flight) = self.flights.get_mut(&ticket) {
-            flight.sending = false;
-        }
-    }
-
-    /// Takes a request out of the cell where it is; returns that cell.
-    fn left_cell(&mut self, ticket: u64) -> Option<Name> {
-        let flight = self.flights.get_mut(&ticket)?;
-        let stage = std::mem::replace(&mut flight.stage, Stage::New);
-        let (Stage::Local(cell) | Stage::Remote(cell)) = stage else {
-            return None;
-        };
-        self.router.done(&cell);
-        Some(cell)
-    }
-
-    /// Returns true, and pays for it, when a request may be sent once more.
-    fn may_retry(&mut self, now: Now, ticket: u64) -> bool {
-        let Some(flight) = self.flights.get_mut(&ticket) else {
-            return false;
-        };
-        let allowed = flight.origin != Origin::ForCell
-            && flight.retries > 0
-            && flight.left(now.millis) > 0
-            && self.budget >= 1.0;
-        if allowed {
-            flight.retries -= 1;
-            self.budget -= 1.0;
-        }
-        allowed
-    }
-
-    pub(super) fn sent(&mut self, now: Now, ticket: u64, sent: Sent, out: &mut Vec<Action>) {
-        self.arrive(ticket);
-        let stage = self.flights.get(&ticket).map(|f| f.stage.clone());
-        if let Some(Stage::Local(name)) = stage
-            && let Some(cell) = self.cells.get_mut(&name)
-        {
-            let epoch = cell.epoch;
-            for action in cell.ended(now.millis, now.micros, ticket, sent) {
-                self.cell_action(now, &name, epoch, action, out);
-            }
-        }
-        match sent {
-            Sent::Answered => {
-                self.left_cell(ticket);
-                self.finish(ticket, Verdict::Answer, out);
-            }
-            Sent::NotRun => self.refused(now, ticket, Reason::Refused, COME_BACK, out),
-            Sent::Unsent => self.refused(now, ticket, Reason::Lapsed, COME_BACK, out),
-            Sent::Unknown { .. } => self.doubted(now, ticket, "endpoint", out),
-        }
-    }
-
-    pub(super) fn handed(&mut self, now: Now, ticket: u64, handed: Handed, out: &mut Vec<Action>) {
-        self.arrive(ticket);
-        let Some(flight) = self.flights.get_mut(&ticket) else {
-            return;
-        };
-        let at_guard = flight.stage == Stage::Guard;
-        match handed {
-            Handed::Answered => {
-                self.left_cell(ticket);
-                self.finish(ticket, Verdict::Answer, out);
-            }
-            Handed::NotRun {
-                reason,
-                after,
-                retries,
-            } => {
-                flight.retries = flight.retries.min(retries);
-                if !at_guard {
-                    return self.refused(now, ticket, reason, after, out);
-                }
-                // Only the guard itself may try cells; another guard may be found.
-                let moved = matches!(reason, Reason::NotOwner | Reason::Unreachable);
-                match moved {
-                    true => self.back_off(now, ticket, reason, out),
-                    false => self.not_run(now, ticket, reason, after, out),
-                }
-            }
-            Handed::Unknown => self.doubted(now, ticket, "peer", out),
-        }
-    }
-
-    /// Goes on with a request that may have run: only a repeatable one is
-    /// sent again.
-    fn doubted(&mut self, now: Now, ticket: u64, reason: &'static str, out: &mut Vec<Action>) {
-        self.left_cell(ticket);
-        let Some(flight) = self.flights.get_mut(&ticket) else {
-            return;
-        };
-        flight.doubtful = true;
-        if flight.meta.repeatable && self.may_retry(now, ticket) {
-            return self.route(now, ticket, out);
-        }
-        self.finish(ticket, Verdict::Unknown { reason }, out);
-    }
-
-    pub(super) fn not_run(
-        &mut self,
-        now: Now,
-        ticket: u64,
-        reason: Reason,
-        after: Millis,
-        out: &mut Vec<Action>,
-    ) {
-        let jitter = crate::utils::hash::mix(ticket ^ now.micros) % JITTER;
-        let after = after + after * jitter / JITTER;
-        // An earlier send that may have run forbids to say that it did not.
-        let doubtful = self.flights.get(&ticket).is_some_and(|f| f.doubtful);
-        let verdict = match doubtful {
-            true => RESENT,
-            false => Verdict::NotRun { reason, after },
-        };
-        self.finish(ticket, verdict, out);
-    }
-
-    pub(super) fn finish(&mut self, ticket: u64, verdict: Verdict, out: &mut Vec<Action>) {
-        let flight = self.flights.remove(&ticket);
-        let twice = || format!("{ticket} answered twice");
-        invariant::check(flight.is_some(), Rule::Answer, twice);
-        let Some(flight) = flight else {
-            return;
-        };
-        let verdict = flight.provable(ticket, verdict);
-        if let Some((shard, epoch)) = &flight.guard
-            && let Some(guard) = self.guards.get_mut(shard).filter(|g| g.epoch == *epoch)
-        {
-            match verdict {
-                Verdict::NotRun { .. } => guard.not_run(&flight.meta.id),
-                _ => guard.ran(&flight.meta.id),
-            }
-        }
-        out.push(Action::Finish {
-            ticket,
-            verdict,
-            retries: flight.retries,
-        });
-    }
 }
--- /dev/null
+++ b/src/engine/outcomes.rs
@@ -0,0 +1,194 @@
+//! What the sends of requests came to: another try or an answer.
+
+use super::flight::{Origin, RESENT, Stage};
+use super::flights::COME_BACK;
+use super::state::Engine;
+use super::{Action, Handed, Now, Verdict};
+use crate::cell::{Reason, Sent};
+use crate::invariant::{self, Rule};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Steps in which the time to come back varies, up to twice as long, so that
+/// callers do not come together.
+const JITTER: u64 = 200;
+
+impl Engine {
+    /// Takes in that an own cell refused a request; another one may be tried.
+    pub(super) fn refused(
+        &mut self,
+        now: Now,
+        ticket: u64,
+        reason: Reason,
+        after: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        let cell = self.left_cell(ticket);
+        // Idle as it looks, it would draw request after request.
+        if let Some(cell) = cell.filter(|_| reason == Reason::NotOwner) {
+            self.router.drop_cell(&cell);
+        }
+        if self.may_retry(now, ticket) {
+            return self.route(now, ticket, out);
+        }
+        self.not_run(now, ticket, reason, after, out);
+    }
+
+    /// Takes in that a request could not be sent, as the lease has lapsed.
+    pub(super) fn unsent(&mut self, now: Now, cell: &Name, ticket: u64, out: &mut Vec<Action>) {
+        if let Some(cell) = self.cells.get_mut(cell) {
+            // What the freed room would let through can't be sent either.
+            let actions = cell.ended(now.millis, now.micros, ticket, Sent::Unsent);
+            debug_assert!(actions.is_empty());
+        }
+        self.arrive(ticket);
+        self.refused(now, ticket, Reason::Lapsed, COME_BACK, out);
+    }
+
+    /// Notes that the last send of a request has an outcome.
+    fn arrive(&mut self, ticket: u64) {
+        if let Some(flight) = self.flights.get_mut(&ticket) {
+            flight.sending = false;
+        }
+    }
+
+    /// Takes a request out of the cell where it is; returns that cell.
+    fn left_cell(&mut self, ticket: u64) -> Option<Name> {
+        let flight = self.flights.get_mut(&ticket)?;
+        let stage = std::mem::replace(&mut flight.stage, Stage::New);
+        let (Stage::Local(cell) | Stage::Remote(cell)) = stage else {
+            return None;
+        };
+        self.router.done(&cell);
+        Some(cell)
+    }
+
+    /// Returns true, and pays for it, when a request may be sent once more.
+    pub(super) fn may_retry(&mut self, now: Now, ticket: u64) -> bool {
+        let Some(flight) = self.flights.get_mut(&ticket) else {
+            return false;
+        };
+        let allowed = flight.origin != Origin::ForCell
+            && flight.retries > 0
+            && flight.left(now.millis) > 0
+            && self.budget >= 1.0;
+        if allowed {
+            flight.retries -= 1;
+            self.budget -= 1.0;
+        }
+        allowed
+    }
+
+    /// Takes in how a send to an endpoint went.
+    pub(super) fn sent(&mut self, now: Now, ticket: u64, sent: Sent, out: &mut Vec<Action>) {
+        self.arrive(ticket);
+        let stage = self.flights.get(&ticket).map(|f| f.stage.clone());
+        if let Some(Stage::Local(name)) = stage
+            && let Some(cell) = self.cells.get_mut(&name)
+        {
+            let epoch = cell.epoch;
+            for action in cell.ended(now.millis, now.micros, ticket, sent) {
+                self.cell_action(now, &name, epoch, action, out);
+            }
+        }
+        match sent {
+            Sent::Answered => {
+                self.left_cell(ticket);
+                self.finish(ticket, Verdict::Answer, out);
+            }
+            Sent::NotRun => self.refused(now, ticket, Reason::Refused, COME_BACK, out),
+            Sent::Unsent => self.refused(now, ticket, Reason::Lapsed, COME_BACK, out),
+            Sent::Unknown { .. } => self.doubted(now, ticket, "endpoint", out),
+        }
+    }
+
+    /// Takes in how handing a request to another box went.
+    pub(super) fn handed(&mut self, now: Now, ticket: u64, handed: Handed, out: &mut Vec<Action>) {
+        self.arrive(ticket);
+        let Some(flight) = self.flights.get_mut(&ticket) else {
+            return;
+        };
+        let at_guard = flight.stage == Stage::Guard;
+        match handed {
+            Handed::Answered => {
+                self.left_cell(ticket);
+                self.finish(ticket, Verdict::Answer, out);
+            }
+            Handed::NotRun {
+                reason,
+                after,
+                retries,
+            } => {
+                flight.retries = flight.retries.min(retries);
+                if !at_guard {
+                    return self.refused(now, ticket, reason, after, out);
+                }
+                // Only the guard itself may try cells; another guard may be found.
+                let moved = matches!(reason, Reason::NotOwner | Reason::Unreachable);
+                match moved {
+                    true => self.back_off(now, ticket, reason, out),
+                    false => self.not_run(now, ticket, reason, after, out),
+                }
+            }
+            Handed::Unknown => self.doubted(now, ticket, "peer", out),
+        }
+    }
+
+    /// Goes on with a request that may have run: only a repeatable one is
+    /// sent again.
+    fn doubted(&mut self, now: Now, ticket: u64, reason: &'static str, out: &mut Vec<Action>) {
+        self.left_cell(ticket);
+        let Some(flight) = self.flights.get_mut(&ticket) else {
+            return;
+        };
+        flight.doubtful = true;
+        if flight.meta.repeatable && self.may_retry(now, ticket) {
+            return self.route(now, ticket, out);
+        }
+        self.finish(ticket, Verdict::Unknown { reason }, out);
+    }
+
+    /// Tells the caller that a request did not run, if that is certain.
+    pub(super) fn not_run(
+        &mut self,
+        now: Now,
+        ticket: u64,
+        reason: Reason,
+        after: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        let jitter = crate::utils::hash::mix(ticket ^ now.micros) % JITTER;
+        let after = after + after * jitter / JITTER;
+        // An earlier send that may have run forbids to say that it did not.
+        let doubtful = self.flights.get(&ticket).is_some_and(|f| f.doubtful);
+        let verdict = match doubtful {
+            true => RESENT,
+            false => Verdict::NotRun { reason, after },
+        };
+        self.finish(ticket, verdict, out);
+    }
+
+    /// Answers a request, once.
+    pub(super) fn finish(&mut self, ticket: u64, verdict: Verdict, out: &mut Vec<Action>) {
+        let flight = self.flights.remove(&ticket);
+        let twice = || format!("{ticket} answered twice");
+        invariant::check(flight.is_some(), Rule::Answer, twice);
+        let Some(flight) = flight else {
+            return;
+        };
+        let verdict = flight.provable(ticket, verdict);
+        if let Some((shard, epoch)) = &flight.guard
+            && let Some(guard) = self.guards.get_mut(shard).filter(|g| g.epoch == *epoch)
+        {
+            match verdict {
+                Verdict::NotRun { .. } => guard.not_run(&flight.meta.id),
+                _ => guard.ran(&flight.meta.id),
+            }
+        }
+        out.push(Action::Finish {
+            ticket,
+            verdict,
+            retries: flight.retries,
+        });
+    }
+}
--- a/src/engine/state.rs
+++ b/src/engine/state.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::flights::{self, Flight};
+use super::flight::Flight;
+use super::flights::BUDGET;
 use super::storing::Purpose;
 use super::{Action, Event, Now, Setup};
 use crate::cell::{Cell, Place};
@@ -86,7 +87,7 @@
             flights: BTreeMap::new(),
             ops: BTreeMap::new(),
             next_op: 0,
-            budget: flights::BUDGET,
+            budget: BUDGET,
             stopping: None,
             listed: None,
             listing: false,
