--- a/src/utils.rs
+++ b/src/utils.rs
@@ -7,6 +7,9 @@
 pub mod random;
 pub mod signals;
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 
 /// A shared immutable name.
--- a/src/utils/listen.rs
+++ b/src/utils/listen.rs
@@ -1,5 +1,6 @@
 //! Listening sockets and what they accept.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::os::fd::{AsRawFd, BorrowedFd};
 use std::time::Duration;
@@ -13,8 +14,24 @@
 /// Pause after a failed accept, for descriptors to become free.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Binds a listener on an address.
+/// Tries to bind an address that is in use, and the pause between two: the
+/// sockets of a process that was just killed may linger for some of that.
+const TRIES: (u32, Duration) = (40, Duration::from_millis(50));
+
+/// Binds a listener on an address; waits up to 2 s for one that is in use.
+///
+/// It blocks the thread, as nothing runs before a process listens.
 pub fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    let (most, pause) = TRIES;
+    for number in 1..most {
+        match TcpListener::bind(address) {
+            Err(e) if e.kind() == ErrorKind::AddrInUse => {
+                log::warn!(target: "listen", "{address} is in use, try {number} of {most}");
+                std::thread::sleep(pause);
+            }
+            outcome => return outcome.wrap_err_with(|| format!("cannot listen on {address}")),
+        }
+    }
     TcpListener::bind(address).wrap_err_with(|| format!("cannot listen on {address}"))
 }
 
