--- a/src/entry/sends.rs
+++ b/src/entry/sends.rs
@@ -63,14 +63,20 @@
     };
     hop.end("endpoint", clock::micros() - start, verdict);
     let event = Event::Sent { ticket, sent };
-    match reply {
-        Some(reply) => context.send(Message::Answered {
+    tell(&context, ticket, reply, event);
+}
+
+/// Tells the task of the decisions how a send ended, with the answer if there is one.
+fn tell(context: &Context, ticket: u64, reply: Option<Reply>, event: Event) {
+    let message = match reply {
+        Some(reply) => Message::Answered {
             ticket,
             reply,
             event,
-        }),
-        None => context.send(Message::Event(event)),
+        },
+        None => Message::Event(event),
     };
+    context.send(message);
 }
 
 fn refused(reply: &Reply) -> bool {
@@ -128,14 +134,7 @@
     };
     hop.end("forward", clock::micros() - start, verdict);
     let event = Event::Handed { ticket, handed };
-    match reply {
-        Some(reply) => context.send(Message::Answered {
-            ticket,
-            reply,
-            event,
-        }),
-        None => context.send(Message::Event(event)),
-    };
+    tell(&context, ticket, reply, event);
 }
 
 /// Returns the headers of an answer as pairs for another box.
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -11,7 +11,7 @@
 use super::message::{Action, Pace, Reply, Running};
 use super::owner::Owner;
 use super::pressure::{ImageNumber, Pressure};
-use super::worker::{Gauge, Mix, Stage};
+use super::worker::{Gauge, Mix, Stage, Worker};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -86,6 +86,22 @@
     }
 }
 
+/// Returns the running fillers of a worker, all wished at full pace.
+fn fillers(worker: &Worker) -> Vec<Filler> {
+    let capacity = worker.listing.capacity.cpu.max(1) as f64;
+    let fillers = worker.placements.iter().filter(|(_, s)| s.filler);
+    fillers
+        .filter(|(_, s)| s.running())
+        .map(|(key, placement)| Filler {
+            key: *key,
+            image: placement.image_number,
+            share: placement.cpu as f64 / capacity,
+            pace: f64::from(placement.pace) / f64::from(FULL_PACE),
+            wished: 1.0,
+        })
+        .collect()
+}
+
 impl Owner {
     /// Returns what fillers a worker has run in the last half second.
     pub(super) fn mix(&self, name: &Name) -> Rc<Mix> {
@@ -110,18 +126,7 @@
         let Some(worker) = self.workers.get(name) else {
             return;
         };
-        let capacity = worker.listing.capacity.cpu.max(1) as f64;
-        let fillers = worker.placements.iter().filter(|(_, s)| s.filler);
-        let mut fillers: Vec<Filler> = fillers
-            .filter(|(_, s)| s.running())
-            .map(|(key, placement)| Filler {
-                key: *key,
-                image: placement.image_number,
-                share: placement.cpu as f64 / capacity,
-                pace: f64::from(placement.pace) / f64::from(FULL_PACE),
-                wished: 1.0,
-            })
-            .collect();
+        let mut fillers = fillers(worker);
         let mut high = false;
         for run in running.iter().filter(|r| r.gauge > 0) {
             let Some((victim, gauge)) = self.gauge(name, run, &mix) else {
