A step whose good workers are full keeps no others from starting

Found reading: a task on an advised queue whose permitted workers were full counted as one that fits nowhere, and all others of its shape were passed over. Its tries count for its step only.

--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -35,18 +35,29 @@
     label: Name,
     /// True when few tasks of its step may share a worker.
     spread: bool,
+    /// The step, where an advisor tells which workers may run it.
+    advised: Option<StepKey>,
     /// True when it takes what others leave.
     filler: bool,
     /// True when its step is placed as a whole.
     gang: bool,
 }
 
+/// Demands that the same workers could meet: their service, label and advised step.
+type Family = (Name, Name, Option<StepKey>);
+
+impl Demand {
+    fn family(&self) -> Family {
+        (self.service.clone(), self.label.clone(), self.advised)
+    }
+}
+
 /// One go of placing: what was tried in vain, so that it is not tried again.
 struct Go {
     /// Demands of single tasks that fit nowhere.
     misfits: BTreeSet<Demand>,
-    /// Fillers that found nothing, by service and label.
-    fillers: BTreeMap<(Name, Name), usize>,
+    /// Fillers that found nothing, by family.
+    fillers: BTreeMap<Family, usize>,
     /// Gangs that had their turn.
     gangs: BTreeSet<StepKey>,
     /// Tasks for which room may still be made.
@@ -69,7 +80,7 @@
         if demand.gang && !self.gangs.insert(key.of_step()) {
             return true;
         }
-        let family = (demand.service.clone(), demand.label.clone());
+        let family = demand.family();
         let tried = self.fillers.get(&family).copied().unwrap_or(0);
         demand.filler && tried >= FILLERS_TRIED
     }
@@ -77,7 +88,7 @@
     /// Takes in that a task found no room.
     fn failed(&mut self, demand: Demand) {
         if demand.filler {
-            let family = (demand.service.clone(), demand.label.clone());
+            let family = demand.family();
             *self.fillers.entry(family).or_default() += 1;
         }
         // Where a member of a spread step fits depends on where the others are.
@@ -153,6 +164,7 @@
             room: step.reserved(),
             label: step.label.clone(),
             spread: step.spread > 0,
+            advised: job.row.queue.advised.then(|| key.of_step()),
             filler: step.filler,
             gang: step.gang,
         }
--- a/src/sched/tests/permits.rs
+++ b/src/sched/tests/permits.rs
@@ -63,3 +63,19 @@
         world.questions
     );
 }
+
+#[test]
+fn a_step_whose_good_workers_are_full_keeps_no_others_from_starting() {
+    let mut world = world(2, &["w0"]);
+    world.script = |_, _| (20_000, crate::sched::message::How::Done);
+    world.submit_to(advised(), "first", job(vec![step(4, 1_000)]));
+    world.run(1_000);
+    assert_eq!(world.running().len(), 4, "w0 is full");
+    world.submit_to(advised(), "waits", job(vec![step(1, 1_000)]));
+    world.run(300);
+    world.workers.values_mut().for_each(|w| w.advised = false);
+    world.submit("plain", job(vec![step(1, 1_000)]));
+    world.run(300);
+    let plain = world.starts.iter().find(|s| s.0.starts_with("plain"));
+    assert!(plain.is_some_and(|s| &*s.2 == "w1"), "{:?}", world.starts);
+}
--- a/src/utils/listen.rs
+++ b/src/utils/listen.rs
@@ -70,7 +70,7 @@
                 stream.set_nonblocking(true)?;
                 serve(TcpStream::from_std(stream)?);
             }
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return Ok(()),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
             Err(e) => return Err(e),
         }
     }
