--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -67,6 +67,7 @@
             if !reply.owner || reply.epoch != seen.row.epoch {
                 refresh(shared).await;
             } else if reply.confirmed > UNCONFIRMED {
+                log::info!(target: "member", "event=owner-unconfirmed owner={} epoch={} silent_ms={}", seen.row.name, reply.epoch, reply.confirmed);
                 replace(shared, &seen, STILL).await;
             }
         }
