--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -85,7 +85,9 @@
         let task = self.jobs[&victim.job].task_name(victim);
         let other = self.jobs[&key.job].task_name(key);
         log::info!(target: "task", "task={task} event=preempted worker={name} for={other}");
-        self.away.insert(victim);
+        if self.jobs[&victim.job].step(victim).lasting {
+            self.away.insert(victim);
+        }
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.promise = Some(Promise { key, room });
         }
