Mendings of a last reading: names in log lines, one order of urgency, one way to stop

Lines on refused starts and on advice named tasks and steps by internal numbers, so that no search by id found them; a change of pace that failed and an end whose job was removed left no line. Tasks with promised room stood twice in the order, on top of it: the order has a rank for them now. Unknown runs are stopped by the same function as known ones. A permit holds its end rather than a time before it, and is no ticket, which is what callers' requests have. Room is added and taken in one place.

--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -42,7 +42,7 @@
             deadline_ms: start.lease,
             fence: start.epoch,
             last_checkpoint: &start.saved,
-            ticket: &start.ticket,
+            ticket: &start.permit,
         });
         let reply = self.order(start.address, "/run-start", body, &start.worker, 0);
         reply.await.map(|r| r.clock_ms)
@@ -142,7 +142,7 @@
         "old" => Refusal::Old,
         "late" => Refusal::Late,
         "room" => Refusal::Full,
-        "ticket" => Refusal::Ticket,
+        "ticket" => Refusal::NoPermit,
         other => {
             log::warn!(target: "worker", "call={path} event=refused reason=\"{other}\"");
             Refusal::Unfit
--- a/src/sched/ends.rs
+++ b/src/sched/ends.rs
@@ -26,10 +26,12 @@
             return;
         }
         worker.top = end.number;
-        let Some(key) = self.find(&end.task) else {
+        let Ended { task, run, how, .. } = end;
+        let Some(key) = self.find(task) else {
+            // Its job was removed: nothing is to be kept before the worker forgets it.
+            log::info!(target: "task", "task={task} run={run} event=unknown-end how={how:?} worker={name}");
             return;
         };
-        let Ended { task, run, how, .. } = end;
         log::info!(target: "task", "task={task} run={run} event=ended how={how:?} worker={name}");
         self.begun(key);
         let current = self.workers.get(name).and_then(|w| w.placements.get(&key));
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -125,8 +125,8 @@
     Late,
     /// The task does not fit.
     Full,
-    /// The advice that the order carried does not hold.
-    Ticket,
+    /// It needs a permit, and the one that the order brought does not hold.
+    NoPermit,
     /// It does not take the order, for another reason.
     Unfit,
     /// It is unhealthy and did nothing.
@@ -187,7 +187,7 @@
 /// Which workers may run a step.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Advice {
-    /// Ids of workers, with what a start there has to bring.
+    /// Ids of workers, each with the permit that a start there has to bring.
     pub good: Vec<(Name, Name)>,
     /// Milliseconds for which that holds.
     pub valid: Millis,
@@ -267,8 +267,8 @@
     pub epoch: u64,
     /// Checkpoint to resume from; empty for none.
     pub saved: Name,
-    /// The advisor's word that it may run there; empty where none is needed.
-    pub ticket: Name,
+    /// Permit of the advisor to run it there; empty where none is needed.
+    pub permit: Name,
 }
 
 /// A stop of a run.
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -1,6 +1,6 @@
 //! The order in which waiting tasks are placed.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use super::job::{Job, Phase, TaskKey};
 use super::owner::Owner;
@@ -28,23 +28,39 @@
     Lost,
 }
 
-/// Place of a task in the order: whether it is not overdue, the queue's
-/// priority, whether it lasts, what its job can still earn, and when that is due.
-type Rank = (bool, u32, bool, Prospect, Millis, TaskKey);
+/// Whether a task goes before others whatever its queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// Room was made for it, which would lie idle while others go first.
+    Promised,
+    /// It should have started.
+    Overdue,
+    /// It waits its turn.
+    Usual,
+}
+
+/// Place of a task in the order: its urgency, the queue's priority, whether it
+/// lasts, what its job can still earn, and when that is due.
+type Rank = (Urgency, u32, bool, Prospect, Millis, TaskKey);
 
 impl Owner {
     /// Returns the waiting tasks in the order in which they should start.
     pub(super) fn order(&self) -> Vec<TaskKey> {
         let mut known: HashMap<(u32, u32), (Prospect, Millis)> = HashMap::new();
+        let promised: BTreeSet<TaskKey> = self.promised().collect();
         let rank = |(key, since): (&TaskKey, &Millis)| -> Option<Rank> {
             let job = self.jobs.get(&key.job)?;
             let round = key.round;
             let prospect = || prospect(job, round as usize, self.now.wall);
             let (prospect, due) = *known.entry((key.job, round)).or_insert_with(prospect);
             let lasting = job.step(*key).lasting;
-            let patient = !self.overdue(*key, *since);
+            let urgency = match promised.contains(key) {
+                true => Urgency::Promised,
+                false if self.overdue(*key, *since) => Urgency::Overdue,
+                false => Urgency::Usual,
+            };
             let priority = job.row.queue.priority;
-            Some((patient, priority, lasting, prospect, due, *key))
+            Some((urgency, priority, lasting, prospect, due, *key))
         };
         let mut ranks: Vec<Rank> = self.ready.iter().filter_map(rank).collect();
         ranks.sort_unstable();
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -68,7 +68,7 @@
     pub(super) permits: BTreeMap<StepKey, Permits>,
     /// Lasting tasks that ran, and are stopped or wait to run again.
     pub(super) away: BTreeSet<TaskKey>,
-    /// Workers whose room is kept for overdue tasks in this go of placing.
+    /// Workers whose room is kept for overdue tasks in this pass of placing.
     pub(super) held: BTreeSet<Name>,
     /// What is to be done, until the event has been taken in.
     pub(super) actions: Vec<Action>,
@@ -328,6 +328,13 @@
         self.permits.retain(|step, _| step.job != number);
     }
 
+    /// Returns the name of a task on its workers, for log lines; empty once its
+    /// job was removed.
+    pub(super) fn task_name(&self, key: TaskKey) -> String {
+        let job = self.jobs.get(&key.job);
+        job.map(|j| j.task_name(key)).unwrap_or_default()
+    }
+
     /// Takes a task off its worker; it waits for another start if its job goes on.
     pub(super) fn free(&mut self, key: TaskKey) {
         let Some(name) = self.placed.remove(&key) else {
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -229,8 +229,12 @@
             return;
         };
         placement.pacing = false;
-        if matches!(reply, Reply::Ok(_)) {
-            placement.pace = percent;
+        match reply {
+            Reply::Ok(_) => placement.pace = percent,
+            // The next report asks for it again.
+            reply => {
+                log::info!(target: "task", "task={} run={run} event=pace-missed percent={percent} worker={name} reply={reply:?}", self.task_name(key));
+            }
         }
     }
 }
--- a/src/sched/permits.rs
+++ b/src/sched/permits.rs
@@ -17,17 +17,17 @@
 const OPEN_QUESTIONS: usize = 4;
 /// Milliseconds until a question that had no answer is asked again.
 const AGAIN: Millis = 300;
-/// Milliseconds before its end from which a permit is not used any more: the
-/// start has to be kept and sent within it.
+/// Milliseconds before its end from which nothing is placed by a permit any
+/// more: the start has to be kept and sent before it ends.
 const MARGIN: Millis = 250;
 
 /// A worker's permit for the tasks of a step.
 #[derive(Clone, Debug)]
 struct Permit {
     /// Goes with each start.
-    ticket: Name,
-    /// When it is not used any more.
-    until: Millis,
+    token: Name,
+    /// When it ends.
+    end: Millis,
 }
 
 /// What the advisor said about a step; which workers are good does not change.
@@ -44,11 +44,11 @@
 impl Permits {
     /// Returns true when a worker may run the step now.
     pub fn allow(&self, worker: &str, now: Millis) -> bool {
-        self.good.get(worker).is_some_and(|p| now < p.until)
+        self.good.get(worker).is_some_and(|p| now + MARGIN < p.end)
     }
 
     fn any(&self, now: Millis) -> bool {
-        self.good.values().any(|p| now < p.until)
+        self.good.values().any(|p| now + MARGIN < p.end)
     }
 }
 
@@ -91,8 +91,7 @@
         if workers.is_empty() {
             return;
         }
-        let job = &self.jobs[&key.job];
-        let name = format!("{}.{}.{}", job.id, key.round, key.step);
+        let name = self.step_name(step);
         log::info!(target: "task", "step={name} event=advice-asked workers={}", workers.len());
         if let Some(known) = self.permits.get_mut(&step) {
             known.asked = Some(now);
@@ -124,42 +123,50 @@
     /// Takes in what the advisor said about the workers that it was asked about.
     pub(super) fn advice(&mut self, step: StepKey, asked: Vec<Name>, reply: Reply<Advice>) {
         let now = self.now.steady;
+        let name = self.step_name(step);
+        // Without it, the job is over.
         let Some(known) = self.permits.get_mut(&step) else {
             return;
         };
         let sent = known.asked.take().unwrap_or(now);
         let Reply::Ok(advice) = reply else {
-            log::info!(target: "task", "step={step:?} event=advice-missing reply={reply:?}");
+            log::info!(target: "task", "step={name} event=advice-missing reply={reply:?}");
             known.next = now + AGAIN;
             return;
         };
-        let until = (sent + advice.valid).saturating_sub(MARGIN);
+        let end = sent + advice.valid;
         let good = advice.good.len();
-        log::info!(target: "task", "step={step:?} event=advice good={good} asked={} valid_ms={}", asked.len(), advice.valid);
+        log::info!(target: "task", "step={name} event=advice good={good} asked={} valid_ms={}", asked.len(), advice.valid);
         known.bad.extend(asked);
-        for (worker, ticket) in advice.good {
+        for (worker, token) in advice.good {
             known.bad.remove(&worker);
-            known.good.insert(worker, Permit { ticket, until });
+            known.good.insert(worker, Permit { token, end });
         }
         self.crowded = false;
     }
 
-    /// Returns the ticket for a start on a worker; empty where none is needed,
-    /// none where the permit has ended.
-    pub(super) fn ticket(&self, key: TaskKey, worker: &str) -> Option<Name> {
+    /// Returns the name of a step as the advisor knows it.
+    fn step_name(&self, step: StepKey) -> String {
+        let id = self.jobs.get(&step.job).map_or("", |job| &job.id);
+        format!("{id}.{}.{}", step.round, step.step)
+    }
+
+    /// Returns the permit for a start on a worker; empty where none is needed,
+    /// none where it has ended.
+    pub(super) fn permit(&self, key: TaskKey, worker: &str) -> Option<Name> {
         if !self.advised(key) {
             return Some("".into());
         }
         let now = self.now.steady;
         let permit = self.permits.get(&key.of_step())?.good.get(worker)?;
-        (now < permit.until + MARGIN).then(|| permit.ticket.clone())
+        (now < permit.end).then(|| permit.token.clone())
     }
 
     /// Takes in that a worker did not accept a permit.
     pub(super) fn permit_refused(&mut self, key: TaskKey, worker: &str) {
         let known = self.permits.get_mut(&key.of_step());
         if let Some(permit) = known.and_then(|k| k.good.get_mut(worker)) {
-            permit.until = 0;
+            permit.end = 0;
         }
     }
 }
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -13,11 +13,11 @@
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
-/// Milliseconds between two goes, as one looks at all that waits.
+/// Milliseconds between two passes, as one looks at all that waits.
 const PLACE_PAUSE: Millis = 10;
-/// Most tasks that are placed in one go, so that other events get their turn.
+/// Most tasks that are placed in one pass, so that other events get their turn.
 const PLACED_AT_ONCE: usize = 200;
-/// Fillers of one service and label that are tried in vain in one go: what one
+/// Fillers of one service and label that are tried in vain in one pass: what one
 /// did not find, the next rarely does.
 const FILLERS_TRIED: usize = 6;
 /// One in so many workers may be kept free for tasks that are overdue and fit
@@ -52,8 +52,8 @@
     }
 }
 
-/// One go of placing: what was tried in vain, so that it is not tried again.
-struct Go {
+/// One pass of placing: what was tried in vain, so that it is not tried again.
+struct Pass {
     /// Demands of single tasks that fit nowhere.
     misfits: BTreeSet<Demand>,
     /// Fillers that found nothing, by family.
@@ -64,7 +64,7 @@
     looks: usize,
 }
 
-impl Go {
+impl Pass {
     fn new() -> Self {
         Self {
             misfits: BTreeSet::new(),
@@ -76,7 +76,7 @@
 
     /// Returns true when a task has no turn any more: its gang had it, or the
     /// like of it failed too often.
-    fn passes_over(&mut self, key: TaskKey, demand: &Demand) -> bool {
+    fn skips(&mut self, key: TaskKey, demand: &Demand) -> bool {
         if demand.gang && !self.gangs.insert(key.of_step()) {
             return true;
         }
@@ -108,40 +108,28 @@
         self.next_place = now + PLACE_PAUSE;
         self.held.clear();
         self.settle_promises();
-        let mut go = Go::new();
+        let mut pass = Pass::new();
         let mut count = 0;
-        for key in self.turns() {
+        for key in self.order() {
             if count >= PLACED_AT_ONCE {
                 return;
             }
             if self.ready.contains_key(&key) {
-                count += self.attempt(key, &mut go);
+                count += self.attempt(key, &mut pass);
             }
         }
         self.crowded = count == 0;
     }
 
-    /// Returns the tasks in the order of this go: room that was made for a task
-    /// would lie idle while others go first.
-    fn turns(&self) -> Vec<TaskKey> {
-        let promised = self
-            .workers
-            .values()
-            .filter_map(|w| Some(w.promise.as_ref()?.key));
-        let mut turns: Vec<TaskKey> = promised.collect();
-        turns.extend(self.order());
-        turns
-    }
-
     /// Places a task, with its gang if it has one, unless the like of it was tried
     /// in vain; returns how many tasks were placed.
-    fn attempt(&mut self, key: TaskKey, go: &mut Go) -> usize {
+    fn attempt(&mut self, key: TaskKey, pass: &mut Pass) -> usize {
         let demand = self.demand(key);
-        if go.misfits.contains(&demand) {
-            self.make_room(key, &mut go.looks);
+        if pass.misfits.contains(&demand) {
+            self.make_room(key, &mut pass.looks);
             return 0;
         }
-        if go.passes_over(key, &demand) || !self.permitted(key) {
+        if pass.skips(key, &demand) || !self.permitted(key) {
             return 0;
         }
         let placed = match demand.gang {
@@ -150,8 +138,8 @@
         };
         if placed == 0 {
             self.more_permits(key);
-            self.make_room(key, &mut go.looks);
-            go.failed(demand);
+            self.make_room(key, &mut pass.looks);
+            pass.failed(demand);
         }
         placed
     }
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -7,7 +7,7 @@
 use super::job::TaskKey;
 use super::owner::Owner;
 use super::spec::Room;
-use super::worker::{Placement, Worker};
+use super::worker::Placement;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -20,7 +20,7 @@
 /// Milliseconds after which a lasting task that gave way takes the room of
 /// another, so that each is away for a short while only.
 const TURN: Millis = 2_500;
-/// Waiting tasks for which room is looked for in one go of placing, as each
+/// Waiting tasks for which room is looked for in one pass of placing, as each
 /// looks at all that runs.
 pub(super) const LOOKS: usize = 6;
 
@@ -37,7 +37,8 @@
 type Victim = (u64, TaskKey, Name);
 
 impl Owner {
-    /// Forgets promises to tasks that do not wait any more.
+    /// Forgets promises to tasks that do not wait any more, and which lasting
+    /// tasks were away that run again.
     pub(super) fn settle_promises(&mut self) {
         let ready = &self.ready;
         for worker in self.workers.values_mut() {
@@ -53,12 +54,17 @@
             .retain(|key| ready.contains_key(key) || !back(key));
     }
 
+    /// Returns the tasks for which room is being made.
+    pub(super) fn promised(&self) -> impl Iterator<Item = TaskKey> {
+        let promises = self.workers.values().filter_map(|w| w.promise.as_ref());
+        promises.map(|p| p.key)
+    }
+
     /// Makes room for a waiting task that fits nowhere; `looks` counts down.
     pub(super) fn make_room(&mut self, key: TaskKey, looks: &mut usize) {
         let step = self.jobs[&key.job].step(key);
         let since = self.ready.get(&key).copied().unwrap_or(self.now.steady);
-        let promised = |w: &Worker| w.promise.as_ref().is_some_and(|p| p.key == key);
-        if *looks == 0 || step.filler || step.gang || self.workers.values().any(promised) {
+        if *looks == 0 || step.filler || step.gang || self.promised().any(|p| p == key) {
             return;
         }
         if !step.lasting {
@@ -82,8 +88,7 @@
         let Some((_, victim, name)) = self.victim(key, room) else {
             return;
         };
-        let task = self.jobs[&victim.job].task_name(victim);
-        let other = self.jobs[&key.job].task_name(key);
+        let (task, other) = (self.task_name(victim), self.task_name(key));
         log::info!(target: "task", "task={task} event=preempted worker={name} for={other}");
         if self.jobs[&victim.job].step(victim).lasting {
             self.away.insert(victim);
@@ -125,16 +130,17 @@
         if !run.running() || step.gang || step.filler {
             return None;
         }
-        let worse = job.row.queue.priority > own;
-        let equal = job.row.queue.priority == own;
-        if step.lasting && (worse || equal) {
+        let other = job.row.queue.priority;
+        if other < own || (other == own && !step.lasting) {
+            return None;
+        }
+        if step.lasting {
             // One that does badly where it is loses least.
             let over = run.gauge.as_ref().is_some_and(|g| g.over_since.is_some());
             return Some(if over { run.cpu / 2 } else { run.cpu });
         }
         let done = (self.now.steady - run.since) * run.cpu / 1_000;
-        let lost = if step.saves { run.cpu } else { run.cpu + done };
-        (worse && !step.lasting).then_some(lost)
+        Some(if step.saves { run.cpu } else { run.cpu + done })
     }
 
     /// Returns true when one more lasting task may be away for others: few are,
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::job::{Outcome, TaskKey, parse_task};
-use super::message::{Action, Hold, Refusal, Reply, Report, Running, Stop};
+use super::message::{Action, Hold, Refusal, Reply, Report, Running};
 use super::owner::Owner;
 use super::paces::FULL_PACE;
 use super::worker::{Contact, Placement, Stage};
@@ -133,14 +133,7 @@
             let (Some(key), Some(address)) = (found, address) else {
                 continue;
             };
-            self.actions.push(Action::Stop(Stop {
-                key,
-                run: run.run,
-                worker: name.clone(),
-                address,
-                task: run.task.to_string(),
-                epoch: self.journal.epoch(),
-            }));
+            self.send_stop(key, run.run, name.clone(), address, self.journal.epoch());
         }
         if whole {
             self.missing(name, sent, &listed);
--- a/src/sched/spec.rs
+++ b/src/sched/spec.rs
@@ -53,6 +53,15 @@
         }
     }
 
+    /// Returns what is left without another, which is part of it.
+    pub fn minus(self, part: Self) -> Self {
+        Self {
+            cpu: self.cpu - part.cpu,
+            memory: self.memory - part.memory,
+            gpu: self.gpu - part.gpu,
+        }
+    }
+
     /// Returns true when it is no larger than another in any part.
     pub fn within(self, other: Self) -> bool {
         self.cpu <= other.cpu && self.memory <= other.memory && self.gpu <= other.gpu
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -25,7 +25,7 @@
             return;
         };
         let (now, span) = (self.now.steady, self.bounds.lease);
-        let ticket = self.ticket(key, &name);
+        let permit = self.permit(key, &name);
         let Some(worker) = self.workers.get_mut(&name) else {
             return;
         };
@@ -37,8 +37,8 @@
             true => worker.grant(span, now),
             false => None,
         };
-        let (Some(lease), Some(ticket), Some(placement)) =
-            (lease, ticket, worker.placements.get_mut(&key))
+        let (Some(lease), Some(permit), Some(placement)) =
+            (lease, permit, worker.placements.get_mut(&key))
         else {
             log::info!(target: "task", "task={} run={run} event=withdrawn worker={name}", job.task_name(key));
             self.free(key);
@@ -46,11 +46,11 @@
         };
         placement.stage = Stage::Starting;
         placement.since = now;
-        self.send_start(key, run, name, lease, ticket);
+        self.send_start(key, run, name, lease, permit);
     }
 
     /// Orders a worker to start a run.
-    fn send_start(&mut self, key: TaskKey, run: u32, worker: Name, lease: Millis, ticket: Name) {
+    fn send_start(&mut self, key: TaskKey, run: u32, worker: Name, lease: Millis, permit: Name) {
         let Some(address) = self.workers.get(&worker).map(|w| w.listing.address) else {
             return;
         };
@@ -74,7 +74,7 @@
             lease,
             epoch: self.journal.epoch(),
             saved: job.task(key).map(|t| t.saved.clone()).unwrap_or_default(),
-            ticket,
+            permit,
         }));
     }
 
@@ -111,10 +111,11 @@
 
     /// Takes in that a worker did not take a start.
     fn refused(&mut self, key: TaskKey, run: u32, name: &Name, refusal: Refusal) {
-        log::info!(target: "task", "task={key:?} run={run} event=refused worker={name} reason={refusal:?}");
+        let task = self.task_name(key);
+        log::info!(target: "task", "task={task} run={run} event=refused worker={name} reason={refusal:?}");
         match refusal {
             Refusal::Full | Refusal::Unwell | Refusal::Unfit => self.bar(name),
-            Refusal::Ticket => self.permit_refused(key, name),
+            Refusal::NoPermit => self.permit_refused(key, name),
             Refusal::Late | Refusal::Old | Refusal::Fenced | Refusal::Reborn => {}
         }
         self.free(key);
@@ -207,7 +208,14 @@
     }
 
     /// Orders a worker to stop a run.
-    fn send_stop(&mut self, key: TaskKey, run: u32, worker: Name, address: SocketAddr, epoch: u64) {
+    pub(super) fn send_stop(
+        &mut self,
+        key: TaskKey,
+        run: u32,
+        worker: Name,
+        address: SocketAddr,
+        epoch: u64,
+    ) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -151,8 +151,8 @@
         if worker.full {
             return Reply::Refused(Refusal::Full);
         }
-        if !worker.accepts(&start.ticket, now) {
-            return Reply::Refused(Refusal::Ticket);
+        if !worker.accepts(&start.permit, now) {
+            return Reply::Refused(Refusal::NoPermit);
         }
         if start.lease <= now {
             return Reply::Refused(Refusal::Late);
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -233,9 +233,7 @@
 
     /// Puts a task there.
     pub fn put(&mut self, key: TaskKey, placement: Placement) {
-        self.used.cpu += placement.room.cpu;
-        self.used.memory += placement.room.memory;
-        self.used.gpu += placement.room.gpu;
+        self.used = self.used.plus(placement.room);
         self.soft += placement.soft;
         self.serving += u32::from(placement.serving);
         self.fillers += u32::from(placement.filler);
@@ -248,9 +246,7 @@
         let Some(placement) = self.placements.remove(&key) else {
             return;
         };
-        self.used.cpu -= placement.room.cpu;
-        self.used.memory -= placement.room.memory;
-        self.used.gpu -= placement.room.gpu;
+        self.used = self.used.minus(placement.room);
         self.soft -= placement.soft;
         self.serving -= u32::from(placement.serving);
         self.fillers -= u32::from(placement.filler);
--- a/src/utils/listen.rs
+++ b/src/utils/listen.rs
@@ -14,25 +14,27 @@
 /// Pause after a failed accept, for descriptors to become free.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Tries to bind an address that is in use, and the pause between two: the
-/// sockets of a process that was just killed may linger for some of that.
-const TRIES: (u32, Duration) = (40, Duration::from_millis(50));
+/// Tries to bind an address that is in use, 2 s in all: the sockets of a process
+/// that was just killed may linger.
+const TRIES: u32 = 40;
+/// Pause between two of them.
+const IN_USE: Duration = Duration::from_millis(50);
 
 /// Binds a listener on an address; waits up to 2 s for one that is in use.
 ///
 /// It blocks the thread, as nothing runs before a process listens.
 pub fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
-    let (most, pause) = TRIES;
-    for number in 1..most {
+    let mut tries = 1;
+    loop {
         match TcpListener::bind(address) {
-            Err(e) if e.kind() == ErrorKind::AddrInUse => {
-                log::warn!(target: "listen", "{address} is in use, try {number} of {most}");
-                std::thread::sleep(pause);
+            Err(e) if e.kind() == ErrorKind::AddrInUse && tries < TRIES => {
+                log::warn!(target: "listen", "{address} is in use, try {tries} of {TRIES}");
+                std::thread::sleep(IN_USE);
+                tries += 1;
             }
             outcome => return outcome.wrap_err_with(|| format!("cannot listen on {address}")),
         }
     }
-    TcpListener::bind(address).wrap_err_with(|| format!("cannot listen on {address}"))
 }
 
 /// Hands each accepted connection to `serve`, until `drain` has begun.
