Boxes with more cores own the cell

Cause: on the grown site 23 of 29 boxes have 0.12 cores and a link of 10 Mbit/s; any of them took the place of an owner that was lost, and was starved at once. Change: settings tell a box's cores; a box with fewer than the last owner had waits 300 ms more before it takes its place, and an owner makes way for a box with more cores that the store serves, 3 s after it began. Sites whose boxes are alike behave as before.

--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -128,6 +128,7 @@
             seq: 0,
             settled: true,
             released: false,
+            cores: 0,
         };
         let bounds = Bounds {
             lease: 4_000,
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -13,6 +13,7 @@
 use super::watch;
 use crate::sched::message::{Action, Answer, Ask, Event, Ticket, Written};
 use crate::sched::owner::{Bounds, Now, Owner};
+use crate::sched::succession;
 use crate::utils::clock::{self, Millis};
 
 /// Shortest and longest wait for a commit's answer, in milliseconds, before
@@ -35,6 +36,8 @@
     Superseded(u64),
     /// The settings have changed.
     Bounds(Bounds),
+    /// A box with more cores, in thousandths, could be the owner.
+    Stronger(u32),
     /// Give the cell up.
     Resign,
 }
@@ -43,6 +46,7 @@
 struct Lead {
     owner: Owner,
     epoch: u64,
+    began: Millis,
     /// Callers that wait for an answer.
     tickets: HashMap<Ticket, oneshot::Sender<Answer>>,
     next_ticket: Ticket,
@@ -118,6 +122,7 @@
             end(shared, lead, "superseded");
         }
         (Message::Bounds(bounds), Some(lead)) => lead.owner.rebound(bounds),
+        (Message::Stronger(cores), Some(lead)) => lead.make_way(shared.settings.cores, cores),
         (Message::Resign, Some(lead)) => {
             lead.owner.resign(now());
         }
@@ -130,6 +135,7 @@
     Lead {
         owner,
         epoch,
+        began: clock::now(),
         tickets: HashMap::new(),
         next_ticket: 1,
         patience: *PATIENCE.start(),
@@ -171,6 +177,15 @@
         }
     }
 
+    /// Makes way for a box with more cores, once this owner has settled.
+    fn make_way(&mut self, own: u32, other: u32) {
+        if self.owner.gives_up() || !succession::makes_way(own, other, self.began, clock::now()) {
+            return;
+        }
+        log::info!(target: "owner", "event=makes-way epoch={} cores={own} for_cores={other}", self.epoch);
+        self.owner.make_way(other, now());
+    }
+
     /// Waits longer for the next commit while the store is slow.
     fn pace_commits(&mut self, written: &Written) {
         let took = clock::now() - self.commit_sent;
--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -15,6 +15,7 @@
 use crate::platform::store::StoreError;
 use crate::proto::PingReply;
 use crate::sched::journal::{OWNER_KEY, OWNER_TABLE};
+use crate::sched::succession;
 use crate::table::{Row, decode};
 use crate::utils::clock::Millis;
 use crate::utils::hash::stable;
@@ -140,12 +141,17 @@
     if (still == 0 && !vacant) || (still > 0 && !unchanged) {
         return;
     }
-    let stagger = stable(&[&shared.settings.name]) % STAGGER;
     if shared.stopping() {
         return;
     }
-    if still > 0 {
-        sleep(Duration::from_millis(still + stagger)).await;
+    let stagger = match still {
+        0 => 0,
+        _ => stable(&[&shared.settings.name]) % STAGGER,
+    };
+    let weaker = succession::wait(shared.settings.cores, &first.row);
+    let pause = still + stagger + weaker;
+    if pause > 0 {
+        sleep(Duration::from_millis(pause)).await;
     }
     let current = shared.owner();
     let same = current.is_some_and(|c| c.row.epoch == first.row.epoch);
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -53,6 +53,9 @@
         shared.lead(Message::Superseded(ping.epoch));
         shared.nudge();
     }
+    if shared.leading().is_some() && ping.cores > shared.settings.cores {
+        shared.lead(Message::Stronger(ping.cores));
+    }
     let newer = ping.config < shared.queues().version();
     let config = shared.config().filter(|_| newer);
     PingReply {
--- a/src/daemon/pings.rs
+++ b/src/daemon/pings.rs
@@ -21,6 +21,10 @@
         name: shared.settings.name.to_string(),
         epoch,
         config: shared.queues().version(),
+        cores: match shared.store_serves() {
+            true => shared.settings.cores,
+            false => 0,
+        },
     }
 }
 
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -17,10 +17,15 @@
 use crate::sched::journal::OwnerRow;
 use crate::sched::owner::Bounds;
 use crate::table::Row;
+use crate::utils::clock::{self, Millis};
 
 /// Part of the store in which the owner keeps everything.
 pub const PART: &str = "main";
 
+/// Milliseconds after an answer of the store to a feed in which it counts as
+/// serving this box: the wait of a feed and half of one more.
+const SERVED: Millis = 1_200;
+
 /// The owner as last seen.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -49,6 +54,7 @@
     owner: RefCell<Option<Seen>>,
     leading: Cell<Option<u64>>,
     confirmed: Cell<u64>,
+    served: Cell<Millis>,
     bounds: Cell<Bounds>,
     stopping: Cell<bool>,
     channels: RefCell<HashMap<SocketAddr, Channel>>,
@@ -76,6 +82,7 @@
             owner: RefCell::default(),
             leading: Cell::new(None),
             confirmed: Cell::new(0),
+            served: Cell::new(0),
             stopping: Cell::new(false),
             channels: RefCell::default(),
         }
@@ -154,6 +161,16 @@
         self.confirmed.set(at);
     }
 
+    /// Takes in that the store has just answered a feed.
+    pub fn set_served(&self) {
+        self.served.set(clock::now());
+    }
+
+    /// Returns true while the store serves this box.
+    pub fn store_serves(&self) -> bool {
+        clock::now() < self.served.get() + SERVED
+    }
+
     /// Returns the bounds of decisions in force.
     pub fn bounds(&self) -> Bounds {
         self.bounds.get()
--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -50,6 +50,7 @@
         seq: 0,
         settled: Legacy::of(before.as_ref().map(|b| &b.row), &settings.name).settled(),
         released: false,
+        cores: settings.cores,
     };
     let write = Write {
         table: OWNER_TABLE,
--- a/src/daemon/watch.rs
+++ b/src/daemon/watch.rs
@@ -57,6 +57,7 @@
         };
         match read {
             Ok(page) => {
+                shared.set_served();
                 if !healthy {
                     log::info!(target: "store", "event=feed-regained table={table}");
                     healthy = true;
--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -34,6 +34,11 @@
 /// platform's bound is set.
 const REMEMBER: Millis = 120_000;
 
+/// Most cores of one box.
+const CORES_MOST: f64 = 1_024.0;
+/// Thousandths of a core.
+const CORE: f64 = 1_000.0;
+
 /// Checked settings of a box on the platform.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -41,6 +46,8 @@
     pub name: Name,
     /// Hall in which it stands.
     pub hall: Name,
+    /// Thousandths of cores that it may use; boxes with more of them own the cell.
+    pub cores: u32,
     /// Address for callers.
     pub web: SocketAddr,
     /// Address for other boxes.
@@ -77,6 +84,7 @@
     let settings = Settings {
         name: reader.name("box.name").into(),
         hall: reader.name("box.hall").into(),
+        cores: (reader.number("box.cores", 1.0, 0.0..=CORES_MOST) * CORE) as u32,
         web: reader.address("box.web"),
         rpc: reader.address("box.rpc"),
         admin: reader.address("box.admin"),
--- a/src/options/reader.rs
+++ b/src/options/reader.rs
@@ -176,14 +176,20 @@
 
     /// Returns a fraction from 0 to 1.
     pub fn fraction(&mut self, key: &str, default: f64) -> f64 {
+        self.number(key, default, 0.0..=1.0)
+    }
+
+    /// Returns a number in a range.
+    pub fn number(&mut self, key: &str, default: f64, range: RangeInclusive<f64>) -> f64 {
         let Some(item) = self.item(key) else {
             return default;
         };
         let whole = item.as_integer().map(|n| n as f64);
         match item.as_float().or(whole) {
-            Some(value) if (0.0..=1.0).contains(&value) => value,
+            Some(value) if range.contains(&value) => value,
             _ => {
-                self.find(key, "is no fraction", "write a number from 0.0 to 1.0");
+                let right = format!("write a number from {} to {}", range.start(), range.end());
+                self.find(key, "is no number in range", right);
                 default
             }
         }
--- a/src/options/tests.rs
+++ b/src/options/tests.rs
@@ -75,6 +75,7 @@
     let values = [
         ("node", "front-1"),
         ("zone", "leon"),
+        ("limits.cpuShare", "0.25"),
         ("listen.front", "10.0.0.1:8161"),
         ("listen.ready", "10.0.0.1:8167"),
         ("ip", "10.0.0.1"),
@@ -86,10 +87,14 @@
         ("bounds.status_s", "120"),
         ("advice", advisor),
     ];
-    let (before, rest) = template.split_once("{{#advice}}").expect("a section");
-    let (section, after) = rest.split_once("{{/advice}}").expect("its end");
-    let section = if advisor.is_empty() { "" } else { section };
-    let text = format!("{before}{section}{after}");
+    let section = |text: &str, name: &str, given: bool| {
+        let (open, close) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
+        let (before, rest) = text.split_once(&open).expect("a section");
+        let (inner, after) = rest.split_once(&close).expect("its end");
+        format!("{before}{}{after}", if given { inner } else { "" })
+    };
+    let text = section(template, "advice", !advisor.is_empty());
+    let text = section(&text, "limits.cpuShare", !advisor.is_empty());
     values.iter().fold(text, |text, (gap, value)| {
         text.replace(&format!("{{{{{gap}}}}}"), value)
     })
@@ -103,6 +108,7 @@
         let settings = daemon::parse("settings.conf", &text).expect("no findings");
         assert_eq!(settings.advisor.map(|a| a.port()), port);
         assert_eq!((&*settings.name, settings.bounds.lease), ("front-1", 4_000));
+        assert_eq!(settings.cores, if port.is_some() { 250 } else { 1_000 });
     }
 }
 
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -30,6 +30,7 @@
 mod silence;
 pub mod spec;
 mod starts;
+pub mod succession;
 pub mod worker;
 
 pub use asks::COME_BACK;
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -61,6 +61,10 @@
     /// True once it has given the cell up.
     #[serde(default)]
     pub released: bool,
+    /// Thousandths of cores of the owning box; once it has given the cell up,
+    /// those that the next one should have.
+    #[serde(default)]
+    pub cores: u32,
 }
 
 impl OwnerRow {
@@ -189,6 +193,17 @@
         self.next = now;
     }
 
+    /// Gives the cell up to a box with so many thousandths of cores.
+    pub fn make_way(&mut self, cores: u32, now: Millis) {
+        self.row.cores = cores;
+        self.release(now);
+    }
+
+    /// Returns true once the cell is to be given up.
+    pub fn gives_up(&self) -> bool {
+        self.row.released
+    }
+
     /// Returns true once the store holds everything and the release.
     pub fn released(&self) -> bool {
         self.left && self.order.is_empty() && self.flight.is_none()
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -214,6 +214,16 @@
         self.journal.release(now.steady);
     }
 
+    /// Returns true once it is to give the cell up.
+    pub fn gives_up(&self) -> bool {
+        self.journal.gives_up()
+    }
+
+    /// Gives the cell up to a box with more cores.
+    pub fn make_way(&mut self, cores: u32, now: Now) {
+        self.journal.make_way(cores, now.steady);
+    }
+
     /// Takes in that the owner before extends no lease any more.
     pub fn predecessor_ended(&mut self, now: Now) {
         let end = now.steady + lease_span(self.bounds.lease);
--- /dev/null
+++ b/src/sched/succession.rs
@@ -0,0 +1,30 @@
+//! Which box should own the cell: one with as many cores as there are.
+//!
+//! The owner's work grows with workers and tasks, and boxes are uneven. On a box
+//! of 0.12 cores an owner of 490 workers answered no pings any more within a
+//! second, and 7 owners followed each other on a calm day.
+
+use super::journal::OwnerRow;
+use crate::utils::clock::Millis;
+
+/// Milliseconds that a box with fewer cores than the owner had leaves to others
+/// before it takes the owner's place: their commit, and what spreads their tries.
+const WEAKER: Millis = 300;
+/// Milliseconds that an owner stays before it makes way for a box with more
+/// cores, so that a box that comes and goes does not move the cell each time.
+const SETTLE: Millis = 3_000;
+
+/// Returns the milliseconds that a box with this many thousandths of cores waits
+/// longer than others before it takes the place of an owner.
+pub fn wait(cores: u32, before: &OwnerRow) -> Millis {
+    match cores < before.cores {
+        true => WEAKER,
+        false => 0,
+    }
+}
+
+/// Returns true when an owner that began at `began` makes way for a box with
+/// more cores that the store serves.
+pub fn makes_way(own: u32, other: u32, began: Millis, now: Millis) -> bool {
+    other > own && now >= began + SETTLE
+}
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -9,5 +9,6 @@
 mod permits;
 mod pressure;
 mod random;
+mod succession;
 mod takeover;
 mod world;
--- a/src/sched/tests/journal.rs
+++ b/src/sched/tests/journal.rs
@@ -13,6 +13,7 @@
         seq: 0,
         settled: true,
         released: false,
+        cores: 0,
     }
 }
 
--- /dev/null
+++ b/src/sched/tests/succession.rs
@@ -0,0 +1,24 @@
+//! Which box takes the place of an owner.
+
+use super::world::owner_row;
+use crate::sched::journal::OwnerRow;
+use crate::sched::succession::{makes_way, wait};
+
+#[test]
+fn boxes_with_fewer_cores_leave_an_owners_place_to_others() {
+    let before = OwnerRow {
+        cores: 500,
+        ..owner_row(1)
+    };
+    assert_eq!(wait(500, &before), 0);
+    assert_eq!(wait(1_000, &before), 0);
+    assert!(wait(120, &before) > 0);
+}
+
+#[test]
+fn an_owner_makes_way_for_more_cores_once_it_has_settled() {
+    assert!(!makes_way(500, 500, 1_000, 60_000));
+    assert!(!makes_way(500, 0, 1_000, 60_000));
+    assert!(!makes_way(120, 500, 1_000, 1_500));
+    assert!(makes_way(120, 500, 1_000, 6_000));
+}
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -132,6 +132,7 @@
         seq: 0,
         settled: true,
         released: false,
+        cores: 0,
     }
 }
 
