Exchanges, pings and passes of placing no longer grow with the workers and what waits

Cause: beside 490 workers, nearly all of which run fillers beside serving tasks, each was asked for its tails every 400 ms; 28 boxes pinged the owner five times a second; every pass of placing ordered all that waits.

--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -22,6 +22,9 @@
 
 /// Milliseconds between two pings of the owner.
 pub const PING: Millis = 200;
+/// Milliseconds between two pings of a box that has fewer cores than the owner:
+/// others take the owner's place before it, and each ping is work for the owner.
+const PING_WEAKER: Millis = 600;
 /// Milliseconds during which the owner's row must stand still before a box
 /// that can't reach the owner takes its place; the owner writes it each 300.
 const STILL: Millis = 420;
@@ -40,13 +43,22 @@
         if shared.leading().is_none() {
             watch_owner(&shared).await;
         }
-        let pause = Duration::from_millis(PING);
+        let pause = Duration::from_millis(pause(&shared));
         // Time passing is as good a reason to look as a nudge.
         let _ = timeout(pause, nudged.next()).await;
         while nudged.try_recv().is_ok() {}
     }
 }
 
+/// Returns the milliseconds until the next look.
+fn pause(shared: &Shared) -> Millis {
+    let weaker = |seen: Seen| succession::wait(shared.settings.cores, &seen.row) > 0;
+    match shared.owner().is_some_and(weaker) {
+        true => PING_WEAKER,
+        false => PING,
+    }
+}
+
 /// Looks once whether the owner is there; takes its place when it is not.
 async fn watch_owner(shared: &Rc<Shared>) {
     let Some(seen) = shared.owner() else {
--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -1,6 +1,6 @@
 //! Which worker suits a task best.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::job::{StepKey, TaskKey};
 use super::permits::Permits;
@@ -69,34 +69,42 @@
 pub struct Ranking {
     /// The step.
     pub step: StepKey,
-    scores: BTreeMap<Name, u64>,
+    scores: HashMap<Name, u64>,
+    /// The same, the best first.
+    order: BTreeSet<(u64, Name)>,
 }
 
 impl Ranking {
     /// Scores all workers for a task.
     pub fn new(workers: &BTreeMap<Name, Worker>, wish: &Wish<'_>, now: Millis) -> Self {
         let fitting = workers.values().filter(|w| allowed(w, wish, now));
-        let scores = fitting.map(|w| (w.listing.id.clone(), score(w, wish)));
+        let scored = fitting.map(|w| (score(w, wish), w.listing.id.clone()));
+        let order: BTreeSet<(u64, Name)> = scored.collect();
+        let scores = order.iter().map(|(score, id)| (id.clone(), *score));
         Self {
             step: wish.key.of_step(),
             scores: scores.collect(),
+            order,
         }
     }
 
     /// Scores one worker anew.
     pub fn update(&mut self, worker: &Worker, wish: &Wish<'_>, now: Millis) {
         let id = &worker.listing.id;
+        if let Some(score) = self.scores.remove(id) {
+            self.order.remove(&(score, id.clone()));
+        }
         if allowed(worker, wish, now) {
-            self.scores.insert(id.clone(), score(worker, wish));
-        } else {
-            self.scores.remove(id);
+            let score = score(worker, wish);
+            self.scores.insert(id.clone(), score);
+            self.order.insert((score, id.clone()));
         }
     }
 
     /// Returns the worker on which a task does best, none when it fits nowhere or
     /// had better wait.
     pub fn best(&self, wish: &Wish<'_>) -> Option<Name> {
-        let (id, score) = self.scores.iter().min_by_key(|(_, score)| **score)?;
+        let (score, id) = self.order.first()?;
         let waits = wish.step.filler && *score > UNHELPFUL && wish.waited < PATIENCE;
         (!waits).then(|| id.clone())
     }
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -15,6 +15,9 @@
 
 /// Milliseconds between two passes, as one looks at all that waits.
 const PLACE_PAUSE: Millis = 10;
+/// Waiting tasks for each of which that pause is one millisecond longer, as a pass
+/// orders them all.
+const WAITING: u64 = 40;
 /// Most tasks that are placed in one pass, so that other events get their turn.
 const PLACED_AT_ONCE: usize = 200;
 /// Fillers of one service and label that are tried in vain in one pass: what one
@@ -105,7 +108,7 @@
         if self.crowded || now < self.next_place || self.journal.doubtful() {
             return;
         }
-        self.next_place = now + PLACE_PAUSE;
+        self.next_place = now + PLACE_PAUSE + self.ready.len() as u64 / WAITING;
         self.ranking = None;
         self.held.clear();
         self.settle_promises();
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -15,6 +15,10 @@
 /// Milliseconds of that wait where fillers run beside serving tasks: their
 /// tails are measured over half a second.
 const WATCH: Millis = 400;
+/// Workers that are watched at that pace; with more of them each is watched less
+/// often, so that the owner's work does not grow with their number. At 490 workers
+/// exchanges were 2,800 of 4,200 calls to workers a second.
+const WATCHED: u64 = 200;
 /// Milliseconds until the next exchange after one that had no answer.
 const MISS_PAUSE: Millis = 250;
 /// Longest that the next exchange waits for ends to be written, in
@@ -29,6 +33,7 @@
         let now = self.now.steady;
         let confirmed = now < self.journal.confirmed() + self.bounds.unconfirmed;
         let (span, epoch) = (self.bounds.lease, self.journal.epoch());
+        let watch = WATCH * (self.workers.len() as u64).max(WATCHED) / WATCHED;
         for name in self.due_contacts() {
             let Some(worker) = self.workers.get_mut(&name) else {
                 continue;
@@ -51,7 +56,7 @@
                 seen: worker.seen(),
                 wait: match (known, mixed) {
                     (false, _) => 0,
-                    (true, true) => WATCH,
+                    (true, true) => watch.min(WAIT),
                     (true, false) => WAIT,
                 },
             }));
