Connections that fall silent for good are found and replaced

Cause: a call that timed out gave up its own connection only; the next one took another that had fallen silent with it. Calls to the owner in another box waited 1.45 s, and a call that timed out also gave up the connection that had replaced its own. Idle connections cut without a word stayed open for ever. The proxy of the tests is shared.

--- a/src/daemon/commits.rs
+++ b/src/daemon/commits.rs
@@ -48,6 +48,8 @@
         if let Either::Left((written, _)) = select(commit.as_mut(), pause).await {
             return written;
         }
+        // A connection that fell silent tells nothing of the store.
+        shared.store.reconnect();
         let asked = clock::now();
         let seen = match select(commit.as_mut(), pin!(read_owner(shared))).await {
             Either::Left((written, _)) => return written,
--- a/src/daemon/desk.rs
+++ b/src/daemon/desk.rs
@@ -26,6 +26,10 @@
 /// Longest that a request waits in all while the owner works on it, in
 /// milliseconds: two commits to a slow store, and under half of what callers wait.
 const ANSWER: Millis = 1_450;
+/// Longest that one try waits for the owner in another box, in milliseconds: the
+/// connection may have fallen silent, and the owner knows the request when it
+/// comes again.
+const TRY: Millis = 700;
 /// Milliseconds of the caller's patience kept for the way back.
 const WAY_BACK: Millis = 100;
 
@@ -125,6 +129,7 @@
     if owner.row.address == shared.settings.rpc {
         return Err(Failure::NotThere);
     }
+    let left = left.min(TRY);
     let message = AskRequest {
         ask: crate::table::encode(ask),
         left,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -78,6 +78,12 @@
         }
     }
 
+    /// Has the next calls open new connections: those that are open may have
+    /// fallen silent.
+    pub fn reconnect(&self) {
+        self.pool.clear(Some(self.address));
+    }
+
     /// Applies all writes to a part of the store, or none.
     pub async fn commit(
         &self,
--- a/src/rpc/client.rs
+++ b/src/rpc/client.rs
@@ -17,6 +17,7 @@
 use tower_service::Service;
 
 use crate::utils::clock::Millis;
+use crate::utils::sockets;
 
 /// Why a call has no reply.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -77,7 +78,15 @@
 #[derive(Clone)]
 pub struct Channel {
     address: SocketAddr,
-    sender: Rc<RefCell<Option<SendRequest<Body>>>>,
+    connection: Rc<RefCell<Connection>>,
+}
+
+/// The connection of a channel.
+#[derive(Default)]
+struct Connection {
+    sender: Option<SendRequest<Body>>,
+    /// Counts the connections before it.
+    number: u64,
 }
 
 impl Channel {
@@ -85,15 +94,16 @@
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            sender: Rc::new(RefCell::new(None)),
+            connection: Rc::default(),
         }
     }
 
     /// Connects when there is no open connection; an error is proof of nothing sent.
     pub async fn connect(&self, limit: Millis) -> Result<(), CallError> {
         let open = self
-            .sender
+            .connection
             .borrow()
+            .sender
             .as_ref()
             .is_some_and(|s| !s.is_closed());
         if open {
@@ -105,7 +115,9 @@
             Ok(Err(e)) => return Err(CallError::NotSent(e.to_string())),
             Err(_) => return Err(CallError::NotSent("connect timed out".into())),
         };
-        *self.sender.borrow_mut() = Some(sender);
+        let mut connection = self.connection.borrow_mut();
+        connection.sender = Some(sender);
+        connection.number += 1;
         Ok(())
     }
 
@@ -119,20 +131,29 @@
         F: Future<Output = Result<tonic::Response<T>, tonic::Status>>,
     {
         self.connect(limit).await?;
+        let number = self.connection.borrow().number;
         match timeout(Duration::from_millis(limit), call(self.clone())).await {
             Ok(Ok(reply)) => Ok(reply.into_inner()),
-            Ok(Err(status)) => Err(self.failure(status)),
+            Ok(Err(status)) => Err(self.failure(status, number)),
             Err(_) => {
                 // A connection that stays silent may be cut; the next call opens another.
-                self.sender.borrow_mut().take();
+                self.disconnect(number);
                 Err(CallError::Lost("timed out".into()))
             }
         }
     }
 
-    fn failure(&self, status: tonic::Status) -> CallError {
+    /// Gives up the connection of this number, not one that came after it.
+    fn disconnect(&self, number: u64) {
+        let mut connection = self.connection.borrow_mut();
+        if connection.number == number {
+            connection.sender.take();
+        }
+    }
+
+    fn failure(&self, status: tonic::Status, number: u64) -> CallError {
         if let Some(cause) = std::error::Error::source(&status) {
-            self.sender.borrow_mut().take();
+            self.disconnect(number);
             return match unsent(cause) {
                 true => CallError::NotSent(status.to_string()),
                 false => CallError::Lost(status.to_string()),
@@ -144,6 +165,7 @@
     async fn open(&self) -> eyre::Result<SendRequest<Body>> {
         let stream = TcpStream::connect(self.address).await?;
         stream.set_nodelay(true)?;
+        sockets::probe(&stream);
         let io = MonoioIo::new(stream.into_poll_io()?);
         let (sender, connection) = handshake(MonoioExecutor, io).await?;
         monoio::spawn(async move {
@@ -165,7 +187,7 @@
     }
 
     fn call(&mut self, mut request: http::Request<Body>) -> Self::Future {
-        let sender = self.sender.borrow().clone();
+        let sender = self.connection.borrow().sender.clone();
         let path = request.uri().path().to_string();
         let address = self.address;
         Box::pin(async move {
--- a/src/utils.rs
+++ b/src/utils.rs
@@ -6,6 +6,7 @@
 pub mod listen;
 pub mod random;
 pub mod signals;
+pub mod sockets;
 
 #[cfg(test)]
 mod tests;
--- a/src/utils/listen.rs
+++ b/src/utils/listen.rs
@@ -10,6 +10,7 @@
 use monoio::net::{TcpListener, TcpStream};
 
 use super::drain::Drain;
+use super::sockets;
 
 /// Pause after a failed accept, for descriptors to become free.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -49,7 +50,10 @@
             Either::Right(_) => break,
         };
         match accepted {
-            Ok((stream, _)) => serve(stream),
+            Ok((stream, _)) => {
+                sockets::probe(&stream);
+                serve(stream);
+            }
             Err(e) => {
                 log::warn!(target: "listen", "accept failed: {e}");
                 monoio::time::sleep(PAUSE).await;
--- a/src/web/client.rs
+++ b/src/web/client.rs
@@ -20,6 +20,7 @@
 use super::limit::{Allowance, Limited};
 use super::{Reply, Request, WebError, keeps_alive, length, payload, strip, whole};
 use crate::utils::clock::Millis;
+use crate::utils::sockets;
 
 /// Idle connections by address, and the largest answer that is read.
 #[derive(Clone)]
@@ -77,6 +78,8 @@
         }
         let result = timeout(span, exchange(connection, request, self.limit)).await;
         let Ok(result) = result else {
+            // What silenced this connection may have silenced all of its age.
+            self.clear(Some(address));
             return Err(WebError::Lost("timed out".into()));
         };
         let (reply, connection) = result?;
@@ -116,6 +119,7 @@
 async fn open(address: SocketAddr, limit: usize) -> std::io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
+    sockets::probe(&stream);
     let fd = stream.as_raw_fd();
     let left = Allowance::new(limit);
     let (reader, writer) = Limited::new(stream, left.clone()).into_split();
--- a/src/web/tests.rs
+++ b/src/web/tests.rs
@@ -1,8 +1,11 @@
 //! Tests of message lengths.
 
+use std::io::{Read, Write};
+
 use http::HeaderMap;
 
-use super::length;
+use super::client::Pool;
+use super::{Request, WebError, length};
 
 fn headers(lines: &[(&'static str, &'static str)]) -> HeaderMap {
     let mut map = HeaderMap::new();
@@ -25,3 +28,48 @@
     );
     assert_eq!(length(&headers(&[])).unwrap(), None);
 }
+
+/// Accepts connections on a thread; each answers `answers` requests, then falls
+/// silent and stays open.
+fn falls_silent(answers: usize) -> std::net::SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || serve_some(stream, answers));
+        }
+    });
+    address
+}
+
+fn serve_some(mut stream: std::net::TcpStream, answers: usize) {
+    let mut buffer = [0; 1_024];
+    let mut served = 0;
+    while stream.read(&mut buffer).is_ok_and(|n| n > 0) {
+        if served < answers {
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+            stream.write_all(answer).unwrap();
+        }
+        served += 1;
+    }
+}
+
+#[test]
+fn connections_as_old_as_a_silent_one_are_not_used_again() {
+    let address = falls_silent(1);
+    let request = || Request {
+        method: http::Method::GET,
+        uri: "/".parse().unwrap(),
+        headers: headers(&[("host", "x")]),
+        body: bytes::Bytes::new(),
+    };
+    let pool = Pool::new(1 << 10);
+    let call = async |limit| pool.call(address, request(), limit, || true).await;
+    crate::program::block_on(async {
+        let (one, two) = futures::join!(call(1_000), call(1_000));
+        assert!(one.is_ok() && two.is_ok(), "two connections are kept");
+        assert!(matches!(call(100).await, Err(WebError::Lost(_))));
+        assert!(call(1_000).await.is_ok(), "a new connection is opened");
+    })
+    .unwrap();
+}
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::process::Child;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use willowpoint::program::block_on;
@@ -15,6 +15,7 @@
 use willowpoint::web::server::{Limits, serve};
 use willowpoint::web::{Reply, Request};
 
+use super::proxy;
 use super::store::Store;
 use super::support::{becomes, exchange, finish, free, spawn, wait, words};
 use super::worker::{Record, Worker};
@@ -45,7 +46,10 @@
     record: Arc<Mutex<Record>>,
     nodes: Vec<Node>,
     folder: PathBuf,
-    store_address: SocketAddr,
+    /// Between the boxes and the store.
+    proxy: SocketAddr,
+    /// When the connections through it fell silent that were open then.
+    silenced: Arc<Mutex<Option<Instant>>>,
 }
 
 /// Serves calls on a thread of its own until the test process ends.
@@ -77,12 +81,18 @@
             store_address.port()
         ));
         std::fs::create_dir_all(&folder).expect("a folder");
+        let silenced: Arc<Mutex<Option<Instant>>> = Arc::default();
+        let seen = silenced.clone();
         let mut deployment = Self {
             store,
             record,
             nodes: Vec::new(),
             folder,
-            store_address,
+            proxy: proxy::start(store_address, move |_, opened| {
+                let silenced = *seen.lock().expect("no holder panicked");
+                silenced.is_some_and(|at| opened < at)
+            }),
+            silenced,
         };
         deployment.configure(1, &[PATH]);
         for number in 0..workers {
@@ -125,7 +135,7 @@
         let text = format!(
             "[box]\nname = \"e{number}\"\nhall = \"h1\"\nweb = \"{web}\"\nadmin = \"{ready}\"\n\
              rpc = \"{rpc}\"\n[platform]\nstore = \"{}\"\n",
-            self.store_address
+            self.proxy
         );
         std::fs::write(&settings, text).expect("settings are written");
         let line = format!("serve --config {}", settings.display());
@@ -145,6 +155,12 @@
         assert!(becomes(ready), "box {number} wrote {}", self.output(number));
     }
 
+    /// Silences all open connections to the store for good; new ones work.
+    pub fn silence_store(&self) {
+        let now = Some(Instant::now());
+        *self.silenced.lock().expect("no holder panicked") = now;
+    }
+
     /// Returns what a box has written so far.
     pub fn output(&self, number: usize) -> String {
         let path = self.nodes[number].settings.with_extension("log");
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,8 @@
 //! store and workers: takeovers, planned stops, and a store in trouble.
 
 mod deployment;
+#[path = "../support/proxy.rs"]
+mod proxy;
 mod store;
 #[path = "../support/mod.rs"]
 mod support;
@@ -217,3 +219,20 @@
     deployment.wait_completed("00000000000000f6");
     assert_ran(&deployment, "00000000000000f6", 1);
 }
+
+#[test]
+fn connections_to_the_store_that_fell_silent_are_replaced() {
+    let deployment = Deployment::start(2, 2, SPAN);
+    deployment.submit_until_taken("0000000000000001", 2);
+    deployment.wait_completed("0000000000000001");
+    deployment.silence_store();
+    deployment.submit_until_taken("0000000000000002", 2);
+    deployment.wait_completed("0000000000000002");
+    assert_ran(&deployment, "0000000000000002", 2);
+    let owner = deployment.output(deployment.owner());
+    let found = |line: &&str| line.contains("event=commit-in-doubt number=");
+    assert!(
+        owner.lines().any(|l| found(&l)),
+        "the store is asked over a new connection what became of a commit:\n{owner}"
+    );
+}
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! The parts as separate processes: killed, frozen, stopped and replaced.
 
 mod parts;
+#[path = "../support/proxy.rs"]
 mod proxy;
 #[path = "../support/mod.rs"]
 mod support;
--- a/tests/processes/parts.rs
+++ b/tests/processes/parts.rs
@@ -5,10 +5,12 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use super::proxy::Proxy;
+use super::proxy::{self, Way};
 use super::support::{BINARY, PAUSE, becomes, exchange, finish, free, spawn, wait, words};
 use willowpoint::claim;
 use willowpoint::program::block_on;
@@ -64,7 +66,9 @@
 pub struct Deployment {
     platform: SocketAddr,
     /// Between the first box and the platform.
-    proxy: Proxy,
+    proxy: SocketAddr,
+    /// True while the proxy passes no answers on.
+    deaf: Arc<AtomicBool>,
     process: Child,
     workers: Vec<Worker>,
     nodes: Vec<Node>,
@@ -112,9 +116,14 @@
         std::fs::create_dir_all(&folder).expect("a folder");
         let line = format!("stand-in platform --rpc {platform}");
         let process = spawn(&words(&line), &folder.join("platform.log"));
+        let deaf: Arc<AtomicBool> = Arc::default();
+        let held = deaf.clone();
         let mut deployment = Self {
             platform,
-            proxy: Proxy::start(platform),
+            proxy: proxy::start(platform, move |way, _| {
+                way == Way::Back && held.load(Ordering::Relaxed)
+            }),
+            deaf,
             process,
             workers: Vec::new(),
             nodes: Vec::new(),
@@ -152,7 +161,7 @@
         let (web, rpc, admin) = known.unwrap_or_else(|| (free(), free(), free()));
         let settings = self.folder.join(format!("e{index}.toml"));
         let platform = match index {
-            0 => self.proxy.address(),
+            0 => self.proxy,
             _ => self.platform,
         };
         let text = format!(
@@ -356,7 +365,7 @@
 
     /// Holds up all answers of the platform to the first box, or lets them go on.
     pub fn cut_answers(&self, cut: bool) {
-        self.proxy.cut_answers(cut);
+        self.deaf.store(cut, Ordering::Relaxed);
     }
 
     pub fn platform_down(&self, millis: u64) {
