Own loads are estimated from all tasks of a step, and pressure from what is beyond

Logged gauges showed that tasks of one step share their load (spread 0.05 while it moves from 0.23 to 0.68), and that factors were learned from differences in which own loads, starts and ends are mixed: -0.5 to 2.7 where least squares on levels gives 0 or 1.5 to 2.5. Fillers squeezed by a full worker used two thirds of what was assumed. Change: own loads come from all tasks of a step, weighted by how sure each is; factors are learned from the level beyond; the shares of fillers are those that workers report, with those that ended within the half second.

--- a/src/harm.rs
+++ b/src/harm.rs
@@ -125,6 +125,30 @@
         others: &[(Name, f64)],
         suffered: f64,
         busy: bool,
+    ) {
+        self.update(victim, others, suffered, busy, self.model.noise);
+    }
+
+    /// Takes in what a kind suffered beside others, known with a variance beyond
+    /// the noise of one measurement.
+    pub fn learn_noisy(
+        &mut self,
+        victim: &Name,
+        others: &[(Name, f64)],
+        suffered: f64,
+        variance: f64,
+    ) {
+        let noise = self.model.noise + variance;
+        self.update(victim, others, suffered, false, noise);
+    }
+
+    fn update(
+        &mut self,
+        victim: &Name,
+        others: &[(Name, f64)],
+        suffered: f64,
+        busy: bool,
+        noise: f64,
     ) {
         let victim = self.kind(victim);
         let pairs: Vec<(Pair, f64)> = others
@@ -146,7 +170,7 @@
         let error = suffered - expected;
         for (pair, weight) in pairs {
             let estimate = self.pairs.entry(pair).or_insert(unseen);
-            let gain = weight * estimate.variance / (spread + self.model.noise);
+            let gain = weight * estimate.variance / (spread + noise);
             estimate.mean += gain * error;
             estimate.variance = estimate.variance * (1.0 - gain * weight) + self.model.drift;
         }
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -6,6 +6,7 @@
 use super::choice::Ranking;
 use super::job::{Job, JobRow, Outcome, Phase, StepKey, TaskKey};
 use super::journal::Journal;
+use super::loads::Loads;
 use super::message::{Action, Answer, Event, Ticket};
 use super::permits::Permits;
 use super::pressure::Pressure;
@@ -87,6 +88,8 @@
     /// When tasks may be placed next.
     pub(super) next_place: Millis,
     pub(super) pressure: Pressure,
+    /// Own loads of serving tasks.
+    pub(super) loads: Loads,
     /// When the store was last away, slow or silent.
     pub(super) store_trouble: Millis,
     /// Number of the next job.
@@ -136,6 +139,7 @@
             crowded: false,
             next_place: 0,
             pressure: Pressure::default(),
+            loads: Loads::default(),
             store_trouble: 0,
             next_job: 0,
             next_sweep: 0,
@@ -286,6 +290,7 @@
             self.release(number);
         }
         self.expire();
+        self.loads.forget_old(self.now.steady);
         self.crowded = false;
     }
 
@@ -357,7 +362,7 @@
             return;
         };
         if let Some(worker) = self.workers.get_mut(&name) {
-            worker.take(key);
+            worker.take(key, self.now.steady);
         }
         self.crowded = false;
         let Some(job) = self.jobs.get_mut(&key.job) else {
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -5,13 +5,11 @@
 //! are at a goal; when a tail stays over its target, they are halted whatever
 //! was learned.
 
-use std::rc::Rc;
-
 use super::job::TaskKey;
 use super::message::{Action, Pace, Reply, Running};
 use super::owner::Owner;
 use super::pressure::{ImageNumber, Pressure};
-use super::worker::{Gauge, Mix, Stage, Worker};
+use super::worker::{Gauge, Mix, Worker};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -23,15 +21,6 @@
 const IDLE: f64 = 0.2;
 /// Highest busy share that a tail can tell of; above it the queue only grows.
 const BUSIEST: f64 = 0.98;
-/// Milliseconds over which a worker measures its gauges.
-const SPAN: Millis = 500;
-/// Milliseconds between two reports that are compared.
-const COMPARED: std::ops::RangeInclusive<Millis> = 250..=2_500;
-/// Part of a new measurement in the own load of a serving task: one reading is
-/// off by 0.05 (played day), while own loads move by 0.04 between two.
-const GAIN: f64 = 0.5;
-/// Milliseconds after which an own load says nothing of the present one.
-const MEMORY: Millis = 2_500;
 /// Busy share to which fillers are slowed. In trials of all standard days
 /// (mean worth of both sites) 0.70 gave 0.62, 0.76 gave 0.68, 0.80 gave 0.69;
 /// just under the target, so that tails do not settle on it.
@@ -103,26 +92,31 @@
 }
 
 impl Owner {
-    /// Returns what fillers a worker has run in the last half second.
-    pub(super) fn mix(&self, name: &Name) -> Rc<Mix> {
+    /// Takes in what running fillers of a worker use, and returns what fillers have
+    /// used there over the last half second.
+    fn mix(&mut self, name: &Name, running: &[Running]) -> Mix {
+        let keys: Vec<Option<TaskKey>> = running.iter().map(|r| self.find(&r.task)).collect();
         let mut mix = Mix::new();
-        let Some(worker) = self.workers.get(name).filter(|w| w.serving > 0) else {
-            return mix.into();
+        let Some(worker) = self.workers.get_mut(name).filter(|w| w.serving > 0) else {
+            return mix;
         };
+        worker.recent.add_to(&mut mix, self.now.steady);
         let capacity = worker.listing.capacity.cpu.max(1) as f64;
-        for placement in worker.placements.values().filter(|s| s.filler) {
-            if matches!(placement.stage, Stage::Running(_) | Stage::Stopping(_)) {
-                let ran = (self.now.steady - placement.since).min(SPAN) as f64 / SPAN as f64;
-                let share = placement.cpu as f64 / capacity * f64::from(placement.pace)
-                    / f64::from(FULL_PACE);
-                *mix.entry(placement.image.clone()).or_insert(0.0) += share * ran;
-            }
+        for (run, key) in running.iter().zip(keys) {
+            let placement = key.and_then(|k| worker.placements.get_mut(&k));
+            let Some(placement) = placement.filter(|p| p.filler && p.run == run.run) else {
+                continue;
+            };
+            placement.in_use = Some(run.gauge);
+            let share = run.gauge as f64 / capacity;
+            *mix.entry(placement.image.clone()).or_insert(0.0) += share;
         }
-        mix.into()
+        mix
     }
 
     /// Takes in the gauges of a worker's tasks, and slows or speeds up its fillers.
-    pub(super) fn relieve(&mut self, name: &Name, mix: Rc<Mix>, running: &[Running]) {
+    pub(super) fn relieve(&mut self, name: &Name, running: &[Running]) {
+        let mix = self.mix(name, running);
         let Some(worker) = self.workers.get(name) else {
             return;
         };
@@ -148,7 +142,7 @@
     }
 
     /// Takes in the gauge of a serving task and returns it with the number of its image.
-    fn gauge(&mut self, name: &Name, run: &Running, mix: &Rc<Mix>) -> Option<(ImageNumber, Gauge)> {
+    fn gauge(&mut self, name: &Name, run: &Running, mix: &Mix) -> Option<(ImageNumber, Gauge)> {
         let key = self.find(&run.task)?;
         let now = self.now.steady;
         let placement = self.workers.get_mut(name)?.placements.get_mut(&key)?;
@@ -157,25 +151,23 @@
         }
         let busy = busy_share(run.gauge, placement.target);
         let image = placement.image.clone();
-        if let Some(before) = &placement.gauge
-            && COMPARED.contains(&(now - before.at))
+        let step = key.of_step();
+        if busy < BUSIEST
+            && let Some(others) = self.loads.of_others(step, key.index, now)
         {
-            self.pressure.learn(&image, before, busy, mix);
+            let taken = busy - others.load;
+            self.pressure.learn(&image, mix, taken, others.variance);
         }
-        let measured = (busy - self.pressure.pressed(&image, mix)).clamp(0.0, busy);
-        let recent = placement.gauge.as_ref().filter(|g| now - g.at <= MEMORY);
-        let own_load = match recent {
-            Some(g) => g.own_load + (measured - g.own_load) * GAIN,
-            None => measured,
-        };
+        let (pressed, variance) = self.pressure.pressed(&image, mix);
+        let measured = (busy - pressed).clamp(0.0, busy);
+        self.loads.note(step, key.index, measured, variance, now);
+        let own_load = self.loads.of(step, key.index, now).load.clamp(0.0, busy);
         let before = placement.gauge.as_ref().and_then(|g| g.over_since);
         let gauge = Gauge {
-            at: now,
             busy,
             over_since: (run.gauge * WHOLE > placement.target * NEAR)
                 .then(|| before.unwrap_or(now)),
             own_load,
-            mix: mix.clone(),
         };
         placement.gauge = Some(gauge.clone());
         Some((placement.image_number, gauge))
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -312,7 +312,7 @@
         self.ranking = None;
         self.placed.remove(&key);
         if let Some(worker) = self.workers.get_mut(name) {
-            worker.take(key);
+            worker.take(key, self.now.steady);
         }
     }
 
@@ -347,6 +347,7 @@
             pacing: false,
             at_work: false,
             gauge: None,
+            in_use: None,
             since: self.now.steady,
         }
     }
--- a/src/sched/pressure.rs
+++ b/src/sched/pressure.rs
@@ -5,25 +5,24 @@
 //! tails are turned into such shares, which add up: the task's own load and a
 //! part for each filler, its processor share times what its image presses on
 //! the serving image. These factors are learned for each pair of images, from
-//! differences between reports: own loads swing over many seconds, while
-//! fillers come and go at once.
+//! what a task shows beyond the own load that the others of its step tell of.
 
 use std::collections::HashMap;
 
 use super::spec::StepSpec;
-use super::worker::{Gauge, Mix, Worker};
+use super::worker::{Mix, Worker};
 use crate::harm::{Harm, Known, Model};
 use crate::utils::Name;
 
 /// Own load of a serving task that was not measured yet.
 const OWN: f64 = 0.5;
-/// Factor of a pair of images before any was measured, and the noise: between
-/// two reports own loads move by about a twentieth.
+/// Factor of a pair of images before any was measured, and the noise of one report:
+/// shares and tails are rough.
 const MODEL: Model = Model {
     prior: 1.0,
     variance: 4.0,
-    noise: 0.01,
-    drift: 0.002,
+    noise: 0.004,
+    drift: 0.0005,
     caution: 0.3,
 };
 /// How far the own load of a serving task may rise while a filler that is
@@ -34,6 +33,8 @@
 const PEAK: f64 = 0.72;
 /// Busy share at which a tail is at its target of five idle tails.
 const BORNE: f64 = 0.8;
+/// Share of a worker's processors below which a filler tells nothing.
+const SLIGHT: f64 = 0.005;
 /// What is known of how fillers slow serving tasks.
 pub struct Pressure {
     harm: Harm,
@@ -142,26 +143,27 @@
     }
 
     /// Returns the part of a serving image's server that a mix of fillers takes,
-    /// without caution.
-    pub(super) fn pressed(&self, victim: &str, mix: &Mix) -> f64 {
-        let part =
-            |(image, share): (&Name, &f64)| self.harm.estimated(victim, image, false).0 * share;
-        mix.iter().map(part).sum()
+    /// without caution, and the variance of that.
+    pub(super) fn pressed(&self, victim: &str, mix: &Mix) -> (f64, f64) {
+        let (mut part, mut variance) = (0.0, 0.0);
+        for (image, share) in mix {
+            let (mean, spread) = self.harm.estimated(victim, image, false);
+            part += mean * share;
+            variance += spread * share * share;
+        }
+        (part.max(0.0), variance)
     }
 
-    /// Learns from how a serving task's busy share moved with its neighbours.
-    pub(super) fn learn(&mut self, victim: &Name, before: &Gauge, busy: f64, mix: &Mix) {
-        let images = before.mix.keys().chain(mix.keys());
-        let mut moved = Mix::new();
-        for image in images {
-            let share = |m: &Mix| m.get(image).copied().unwrap_or(0.0);
-            moved.insert(image.clone(), share(mix) - share(&before.mix));
-        }
-        let moved: Vec<(Name, f64)> = moved.into_iter().filter(|(_, m)| m.abs() > 0.005).collect();
-        if !moved.is_empty() {
-            self.harm
-                .learn_weighted(victim, &moved, busy - before.busy, false);
-            moved.iter().for_each(|(image, _)| self.note(victim, image));
+    /// Learns from the part of a serving task's server that fillers took, which is
+    /// known with a variance.
+    pub(super) fn learn(&mut self, victim: &Name, mix: &Mix, taken: f64, variance: f64) {
+        let shares = mix.iter().filter(|(_, share)| **share > SLIGHT);
+        let shares: Vec<(Name, f64)> = shares.map(|(i, s)| (i.clone(), *s)).collect();
+        if !shares.is_empty() {
+            self.harm.learn_noisy(victim, &shares, taken, variance);
+            shares
+                .iter()
+                .for_each(|(image, _)| self.note(victim, image));
             self.learned = true;
         }
     }
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -99,12 +99,11 @@
     /// Takes in what a worker reports: ends first, then runs and gauges.
     fn report(&mut self, name: &Name, sent: Millis, report: Report) {
         let whole = report.ended.len() < REPORT_LIMIT;
-        let mix = self.mix(name);
         for end in &report.ended {
             self.end(name, end);
         }
         self.runs(name, sent, &report.running, whole);
-        self.relieve(name, mix, &report.running);
+        self.relieve(name, &report.running);
         let worker = self.workers.get(name);
         let pause = match worker.is_some_and(|w| !w.pending.is_empty()) {
             true => ENDS_PAUSE,
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -5,6 +5,7 @@
 mod jobs;
 mod journal;
 mod legacy;
+mod loads;
 mod order;
 mod permits;
 mod pressure;
--- a/src/sched/tests/pressure.rs
+++ b/src/sched/tests/pressure.rs
@@ -4,40 +4,29 @@
 use crate::sched::message::{How, Running};
 use crate::sched::pressure::Pressure;
 use crate::sched::spec::StepSpec;
-use crate::sched::worker::{Gauge, Mix};
+use crate::sched::worker::Mix;
 
-fn gauge(busy: f64, mix: &[(&str, f64)]) -> (Gauge, Mix) {
-    let mix: Mix = mix.iter().map(|(i, s)| ((*i).into(), *s)).collect();
-    let gauge = Gauge {
-        at: 0,
-        busy,
-        over_since: None,
-        own_load: busy,
-        mix: mix.clone().into(),
-    };
-    (gauge, mix)
+fn mix(shares: &[(&str, f64)]) -> Mix {
+    shares.iter().map(|(i, s)| ((*i).into(), *s)).collect()
 }
 
 fn learned() -> Pressure {
     let mut pressure = Pressure::default();
     for _ in 0..40 {
-        let (calm, nothing) = gauge(0.4, &[]);
-        let (pressed, loud) = gauge(0.6, &[("loud", 0.1)]);
-        let (_, soft) = gauge(0.4, &[("soft", 0.1)]);
-        pressure.learn(&"serving".into(), &calm, 0.6, &loud);
-        pressure.learn(&"serving".into(), &pressed, 0.4, &nothing);
-        pressure.learn(&"serving".into(), &calm, 0.4, &soft);
+        pressure.learn(&"serving".into(), &mix(&[("loud", 0.1)]), 0.2, 0.0);
+        pressure.learn(&"serving".into(), &mix(&[("soft", 0.1)]), 0.0, 0.0);
+        let both = mix(&[("loud", 0.1), ("soft", 0.1)]);
+        pressure.learn(&"serving".into(), &both, 0.2, 0.0);
     }
     pressure
 }
 
 fn factor(pressure: &Pressure, image: &str) -> f64 {
-    let mix: Mix = [(image.into(), 1.0)].into();
-    pressure.pressed("serving", &mix)
+    pressure.pressed("serving", &mix(&[(image, 1.0)])).0
 }
 
 #[test]
-fn factors_are_learned_from_what_comes_and_goes() {
+fn factors_are_learned_from_what_fillers_take() {
     let pressure = learned();
     assert!((factor(&pressure, "loud") - 2.0).abs() < 0.2);
     assert!(factor(&pressure, "soft").abs() < 0.2);
@@ -92,8 +81,7 @@
     };
     for _ in 0..5 {
         let name = "w0".into();
-        let mix = world.owner.mix(&name);
-        world.owner.relieve(&name, mix, std::slice::from_ref(&run));
+        world.owner.relieve(&name, std::slice::from_ref(&run));
         world.run(400);
     }
     assert!(world.paces.contains(&0), "{:?}", world.paces);
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -2,11 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::rc::Rc;
 
 use super::job::TaskKey;
 use super::preempt::Promise;
 use super::pressure::ImageNumber;
+use super::recent::Recent;
 use super::spec::Room;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -102,6 +102,8 @@
     pub at_work: bool,
     /// Last gauge of a serving task.
     pub gauge: Option<Gauge>,
+    /// Processor share in use as reported last; of a filler.
+    pub in_use: Option<u64>,
 }
 
 impl Placement {
@@ -111,19 +113,15 @@
     }
 }
 
-/// How busy a serving task was, and what ran beside it.
+/// How busy a serving task was.
 #[derive(Clone, Debug)]
 pub(super) struct Gauge {
-    /// When it was reported.
-    pub at: Millis,
     /// Busy share of its server, from 0 to 1.
     pub busy: f64,
     /// Since when it was over its target; none while it is not.
     pub over_since: Option<Millis>,
     /// The part of it that is its own load, as estimated.
     pub own_load: f64,
-    /// Fillers beside it in the half second before.
-    pub mix: Rc<Mix>,
 }
 
 /// Processor shares of fillers by image.
@@ -198,6 +196,8 @@
     pub strangers: bool,
     /// Room that is being made there for a task.
     pub promise: Option<Promise>,
+    /// Fillers that have just ended there.
+    pub recent: Recent,
     /// Its clock as reported last.
     heard: Option<Heard>,
     /// When every lease given to it here has certainly ended.
@@ -226,6 +226,7 @@
             barred: 0,
             strangers: false,
             promise: None,
+            recent: Recent::default(),
             heard: None,
             granted: 0,
         }
@@ -242,10 +243,15 @@
     }
 
     /// Takes a task away.
-    pub fn take(&mut self, key: TaskKey) {
+    pub fn take(&mut self, key: TaskKey, now: Millis) {
         let Some(placement) = self.placements.remove(&key) else {
             return;
         };
+        if placement.filler {
+            let share = self.share(&placement);
+            self.recent
+                .end(&placement.image, share, placement.since, now);
+        }
         self.used = self.used.minus(placement.room);
         self.soft -= placement.soft;
         self.serving -= u32::from(placement.serving);
@@ -253,6 +259,12 @@
         self.lasting -= u32::from(placement.lasting);
     }
 
+    /// Returns the share of the worker's processors that a run there uses.
+    pub fn share(&self, run: &Placement) -> f64 {
+        let paced = || run.cpu * u64::from(run.pace) / 100;
+        run.in_use.unwrap_or_else(paced) as f64 / self.listing.capacity.cpu.max(1) as f64
+    }
+
     /// Returns the processor share that work other than fillers takes: serving
     /// tasks use about half of what they hold.
     pub fn taken(&self) -> u64 {
