Serving tasks exchange places while fillers wait

Change: while 20 fillers wait, tasks that stand among tasks unlike them change places with others by their learned distance: both are stopped, and the place of each is promised to the other. Bounds on disruptions hold; a run is left alone for 3 s.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -14,6 +14,7 @@
 mod commits;
 mod directory;
 mod ends;
+mod exchange;
 mod gang;
 pub mod job;
 pub mod journal;
--- /dev/null
+++ b/src/sched/exchange.rs
@@ -0,0 +1,179 @@
+//! Exchanging the places of serving tasks, so that those which the same fillers
+//! slow share their workers.
+//!
+//! A filler has to suit all serving tasks beside it. Where a task that bears a
+//! filler stands among tasks that do not, the room beside it is of no use.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::job::TaskKey;
+use super::owner::Owner;
+use super::preempt::{Promise, SPARED};
+use super::pressure::ImageNumber;
+use super::worker::{Placement, Worker};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Milliseconds between two looks.
+const LOOK: Millis = 500;
+/// Fillers that have to wait before places are exchanged: else there is room enough.
+const WAITING: usize = 20;
+/// Least gain of an exchange, in distances between two images: that of one pair
+/// which differs by a whole in the pressure of two fillers.
+const GAIN: f64 = 2.0;
+/// Exchanges that are begun at one look.
+const AT_ONCE: usize = 4;
+/// Tasks that are looked at, those that fit worst: all pairs of them are compared.
+const LOOKED_AT: usize = 80;
+
+/// A serving task that stands among tasks unlike it.
+struct Misfit {
+    key: TaskKey,
+    worker: Name,
+    image: ImageNumber,
+    /// Sum of its distances to the other tasks of its worker.
+    distance: f64,
+}
+
+/// Serving tasks of a worker by image.
+type Images = HashMap<ImageNumber, f64>;
+
+fn images(worker: &Worker) -> Images {
+    let mut images = Images::new();
+    for run in worker.placements.values().filter(|p| p.serving) {
+        *images.entry(run.image_number).or_default() += 1.0;
+    }
+    images
+}
+
+impl Owner {
+    /// Begins exchanges that make more room for waiting fillers.
+    pub(super) fn exchange_places(&mut self) {
+        let now = self.now.steady;
+        if now < self.next_exchange {
+            return;
+        }
+        self.next_exchange = now + LOOK;
+        let waits = |key: &&TaskKey| self.jobs[&key.job].step(**key).filler;
+        if self.ready.keys().filter(waits).count() < WAITING {
+            return;
+        }
+        let mut misfits = self.misfits();
+        for _ in 0..AT_ONCE {
+            let Some((a, b)) = self.best_exchange(&misfits) else {
+                return;
+            };
+            self.exchange(a, b);
+            let workers = [a.worker.clone(), b.worker.clone()];
+            misfits.retain(|m| !workers.contains(&m.worker));
+        }
+    }
+
+    /// Returns the tasks that are most unlike the others of their workers, for each
+    /// worker one of each image at most.
+    fn misfits(&self) -> Vec<Misfit> {
+        let open = |w: &&Worker| w.promise.is_none() && w.open(self.now.steady);
+        let workers = self.workers.values().filter(open);
+        let mut misfits: Vec<Misfit> = workers.flat_map(|w| self.misfits_of(w)).collect();
+        misfits.sort_by(|a, b| b.distance.total_cmp(&a.distance));
+        misfits.truncate(LOOKED_AT);
+        misfits
+    }
+
+    fn misfits_of(&self, worker: &Worker) -> Vec<Misfit> {
+        let images = images(worker);
+        if images.len() < 2 {
+            return Vec::new();
+        }
+        let rested = |run: &Placement| self.now.steady >= run.since + SPARED;
+        let movable = |run: &Placement| run.serving && run.lasting && run.running() && rested(run);
+        let mut misfits: BTreeMap<ImageNumber, Misfit> = BTreeMap::new();
+        for (key, run) in worker.placements.iter().filter(|(_, run)| movable(run)) {
+            if misfits.contains_key(&run.image_number) || !self.may_move(*key) {
+                continue;
+            }
+            let misfit = Misfit {
+                key: *key,
+                worker: worker.listing.id.clone(),
+                image: run.image_number,
+                distance: self.distance_to(run.image_number, &images),
+            };
+            misfits.insert(run.image_number, misfit);
+        }
+        misfits.into_values().collect()
+    }
+
+    /// Returns the sum of the distances of an image to those of a worker.
+    fn distance_to(&self, image: ImageNumber, images: &Images) -> f64 {
+        let distances = images
+            .iter()
+            .map(|(other, count)| self.pressure.distance(image, *other) * count);
+        distances.sum()
+    }
+
+    /// Returns the two tasks whose exchange brings most, if it brings enough.
+    fn best_exchange<'a>(&self, misfits: &'a [Misfit]) -> Option<(&'a Misfit, &'a Misfit)> {
+        let mut best = GAIN;
+        let mut pair = None;
+        for (place, a) in misfits.iter().enumerate() {
+            for b in &misfits[place + 1..] {
+                // Exchanging can't gain more than both tasks lose where they are.
+                if a.distance + b.distance <= best {
+                    break;
+                }
+                if a.image == b.image || a.worker == b.worker {
+                    continue;
+                }
+                let gain = self.gain(a, b);
+                if gain > best && self.fit_exchanged(a, b) {
+                    best = gain;
+                    pair = Some((a, b));
+                }
+            }
+        }
+        pair
+    }
+
+    fn gain(&self, a: &Misfit, b: &Misfit) -> f64 {
+        let (there, here) = (&self.workers[&b.worker], &self.workers[&a.worker]);
+        // Each takes the place of the other, which is not beside it then.
+        let apart = self.pressure.distance(a.image, b.image);
+        let after = self.distance_to(a.image, &images(there)) - apart
+            + self.distance_to(b.image, &images(here))
+            - apart;
+        a.distance + b.distance - after
+    }
+
+    /// Returns true when each fits in the place of the other.
+    fn fit_exchanged(&self, a: &Misfit, b: &Misfit) -> bool {
+        let (here, there) = (&self.workers[&a.worker], &self.workers[&b.worker]);
+        let (Some(x), Some(y)) = (here.placements.get(&a.key), there.placements.get(&b.key)) else {
+            return false;
+        };
+        let fits = here.fits_without(x, y.room) && there.fits_without(y, x.room);
+        fits && self.suits_worker(a.key, &b.worker) && self.suits_worker(b.key, &a.worker)
+    }
+
+    /// Returns true when a task may run on a worker once there is room.
+    fn suits_worker(&self, key: TaskKey, worker: &Name) -> bool {
+        self.able(key).contains(worker)
+    }
+
+    /// Stops both tasks, and keeps the place of each for the other.
+    fn exchange(&mut self, a: &Misfit, b: &Misfit) {
+        for (one, other) in [(a, b), (b, a)] {
+            let task = self.task_name(one.key);
+            log::info!(target: "task", "task={task} event=exchanged worker={} with={}", one.worker, other.worker);
+            let room = self.jobs[&other.key.job].step(other.key).reserved();
+            if let Some(worker) = self.workers.get_mut(&one.worker) {
+                worker.promise = Some(Promise {
+                    key: other.key,
+                    room,
+                });
+            }
+            self.away.insert(one.key);
+        }
+        self.stop(a.key);
+        self.stop(b.key);
+    }
+}
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -92,6 +92,8 @@
     pub(super) loads: Loads,
     /// When the store was last away, slow or silent.
     pub(super) store_trouble: Millis,
+    /// When exchanges of places are looked for next.
+    pub(super) next_exchange: Millis,
     /// Number of the next job.
     next_job: u32,
     /// When to look next at what has become due or too old.
@@ -141,6 +143,7 @@
             pressure: Pressure::default(),
             loads: Loads::default(),
             store_trouble: 0,
+            next_exchange: 0,
             next_job: 0,
             next_sweep: 0,
             next_beliefs: 0,
@@ -258,6 +261,8 @@
         }
         if !self.deposed {
             self.place();
+            self.exchange_places();
+
             self.contact();
             self.commit();
         }
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -4,16 +4,18 @@
 //! lose only the time that they are away, while a task that ends loses all that
 //! it is worth with its due time.
 
+use std::collections::BTreeMap;
+
 use super::job::TaskKey;
 use super::owner::Owner;
 use super::spec::Room;
-use super::worker::Placement;
+use super::worker::{Placement, Stage, Worker};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
 /// Milliseconds that a run is left alone: a stop and another start take about
 /// one second, which has to be worth it.
-const SPARED: Millis = 3_000;
+pub(super) const SPARED: Millis = 3_000;
 /// One in so many lasting tasks of all may be away for others at once: with 340
 /// of them on full workers, tasks that end lacked the room of 4 in 100.
 const AWAY_PART: usize = 12;
@@ -40,9 +42,26 @@
     /// Forgets promises to tasks that do not wait any more, and which lasting
     /// tasks were away that run again.
     pub(super) fn settle_promises(&mut self) {
-        let ready = &self.ready;
-        for worker in self.workers.values_mut() {
-            worker.promise.take_if(|p| !ready.contains_key(&p.key));
+        let (ready, placed) = (&self.ready, &self.placed);
+        let stops = |key: &TaskKey, workers: &BTreeMap<Name, Worker>| {
+            let worker = placed.get(key).and_then(|name| workers.get(name));
+            let run = worker.and_then(|w| w.placements.get(key));
+            run.is_some_and(|r| matches!(r.stage, Stage::Stopping(_) | Stage::Stopped(_)))
+        };
+        let over: Vec<Name> = self
+            .workers
+            .values()
+            .filter(|w| {
+                let promise = w.promise.as_ref();
+                promise
+                    .is_some_and(|p| !ready.contains_key(&p.key) && !stops(&p.key, &self.workers))
+            })
+            .map(|w| w.listing.id.clone())
+            .collect();
+        for name in over {
+            if let Some(worker) = self.workers.get_mut(&name) {
+                worker.promise = None;
+            }
         }
         let (workers, placed) = (&self.workers, &self.placed);
         let back = |key: &TaskKey| {
--- a/src/sched/pressure.rs
+++ b/src/sched/pressure.rs
@@ -108,6 +108,17 @@
             .unwrap_or(MODEL.prior)
     }
 
+    /// Returns how differently fillers press on two serving images.
+    pub fn distance(&self, one: ImageNumber, other: ImageNumber) -> f64 {
+        if one == other {
+            return 0.0;
+        }
+        let (Some(one), Some(other)) = (self.factors.get(one), self.factors.get(other)) else {
+            return 0.0;
+        };
+        one.iter().zip(other).map(|(a, b)| (a - b).abs()).sum()
+    }
+
     /// Returns the part of a serving image's server that a filler takes at full pace.
     fn part(&self, victim: ImageNumber, culprit: ImageNumber, cpu: u64, capacity: u64) -> f64 {
         self.factor(victim, culprit) * cpu as f64 / capacity.max(1) as f64
--- /dev/null
+++ b/src/sched/tests/exchange.rs
@@ -0,0 +1,86 @@
+//! Exchanges of places between serving tasks.
+
+use super::world::{World, job, lasting, step};
+use crate::sched::message::How;
+use crate::sched::spec::{JobSpec, Room, StepSpec};
+use crate::sched::worker::Mix;
+
+/// Returns a job of one serving task of an image; two of them fill a worker.
+fn serving(image: &str) -> JobSpec {
+    job(vec![StepSpec {
+        image: image.into(),
+        target: 100,
+        ..lasting(1, 1_900)
+    }])
+}
+
+/// Returns a job of more fillers than there is memory for.
+fn fillers() -> JobSpec {
+    let room = Room {
+        cpu: 100,
+        memory: 4_000,
+        gpu: 0,
+    };
+    job(vec![StepSpec {
+        filler: true,
+        image: "filler".into(),
+        room,
+        ..step(40, 100)
+    }])
+}
+
+/// Returns two workers with a task of each of two images on both; a filler
+/// presses on the images by these factors, and many fillers wait.
+fn mixed(factors: [f64; 2]) -> World {
+    let mut world = World::new(2);
+    world.script = |task, _| match task.starts_with("blocker") {
+        true => (500, How::Done),
+        false => (1_000_000, How::Done),
+    };
+    world.submit("blocker", job(vec![step(1, 4_000)]));
+    world.run(100);
+    world.submit("even1", serving("even"));
+    world.submit("odd1", serving("odd"));
+    world.run(1_000);
+    world.submit("even2", serving("even"));
+    world.submit("odd2", serving("odd"));
+    world.run(200);
+    let mix: Mix = [("filler".into(), 0.2)].into();
+    for _ in 0..50 {
+        for (image, factor) in ["even", "odd"].into_iter().zip(factors) {
+            let pressure = &mut world.owner.pressure;
+            pressure.learn(&image.into(), &mix, factor * 0.2, 0.0);
+        }
+    }
+    assert_eq!(mixes(&world), 2);
+    world.submit("fillers", fillers());
+    world
+}
+
+/// Returns how many workers run serving tasks of both images.
+fn mixes(world: &World) -> usize {
+    let runs = |prefix: &str, tasks: &[&String]| tasks.iter().any(|t| t.starts_with(prefix));
+    let tasks = world.workers.values().map(|w| w.tasks().collect());
+    let mixed = |tasks: &Vec<&String>| runs("even", tasks) && runs("odd", tasks);
+    tasks.filter(mixed).count()
+}
+
+#[test]
+fn tasks_that_bear_a_filler_are_brought_together_while_fillers_wait() {
+    let mut world = mixed([0.0, 4.0]);
+    world.run(8_000);
+    assert_eq!(mixes(&world), 0);
+    let serving = world.running().len();
+    assert!(serving >= 4, "all serve again: {:?}", world.running());
+    assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+}
+
+#[test]
+fn tasks_that_bear_fillers_alike_stay_where_they_are() {
+    let mut world = mixed([4.0, 4.0]);
+    let before = world.starts.iter().filter(|s| !s.0.starts_with("fill"));
+    let before = before.count();
+    world.run(8_000);
+    let after = world.starts.iter().filter(|s| !s.0.starts_with("fill"));
+    assert_eq!(after.count(), before);
+}
