--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -14,6 +14,7 @@
 };
 use willowpoint::sched::owner::{Bounds, Now, Owner};
 use willowpoint::sched::spec::{JobSpec, Room, StepSpec};
+use willowpoint::sched::switches::Switches;
 use willowpoint::sched::worker::Listing;
 use willowpoint::utils::Name;
 use willowpoint::utils::random::Random;
@@ -135,6 +136,7 @@
             unconfirmed: 10_000,
             drain: 2_000,
             remember: 120_000,
+            switches: Switches::ON,
         };
         let now = Now {
             steady: 1,
--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -7,6 +7,7 @@
 use super::reader::{Finding, Reader};
 use crate::logs::Logs;
 use crate::sched::owner::Bounds;
+use crate::sched::switches::Switches;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 use crate::web::server::Limits;
@@ -76,6 +77,19 @@
     parse(path, &text)
 }
 
+/// Reads which mechanisms are on; all are unless they are switched off.
+fn switches(reader: &mut Reader<'_>) -> Switches {
+    Switches {
+        preempt: reader.flag("mechanisms.preempt", true),
+        hold: reader.flag("mechanisms.hold", true),
+        rest: reader.flag("mechanisms.rest", true),
+        pace: reader.flag("mechanisms.pace", true),
+        pressure: reader.flag("mechanisms.pressure", true),
+        exchange: reader.flag("mechanisms.exchange", true),
+        recall: reader.flag("mechanisms.recall", true),
+    }
+}
+
 /// Checks the text of a settings file.
 pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Finding>> {
     let mut reader = Reader::new(file, text).map_err(|f| vec![f])?;
@@ -98,6 +112,7 @@
             unconfirmed: reader.duration("workers.unconfirmed", UNCONFIRMED, 500..=HOUR),
             drain: reader.duration("platform.drain", DRAIN, 0..=HOUR),
             remember: reader.duration("jobs.remember", REMEMBER, 1_000..=HOUR),
+            switches: switches(&mut reader),
         },
         stop: grace - STOP_SLACK,
         limits: limits(&mut reader),
--- a/src/options/reader.rs
+++ b/src/options/reader.rs
@@ -174,6 +174,17 @@
         }
     }
 
+    /// Returns true or false.
+    pub fn flag(&mut self, key: &str, default: bool) -> bool {
+        let Some(item) = self.item(key) else {
+            return default;
+        };
+        item.as_bool().unwrap_or_else(|| {
+            self.find(key, "is neither true nor false", "write true or false");
+            default
+        })
+    }
+
     /// Returns a fraction from 0 to 1.
     pub fn fraction(&mut self, key: &str, default: f64) -> f64 {
         self.number(key, default, 0.0..=1.0)
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -34,6 +34,7 @@
 pub mod spec;
 mod starts;
 pub mod succession;
+pub mod switches;
 pub mod worker;
 
 pub use asks::COME_BACK;
--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -49,8 +49,8 @@
     pub waited: Millis,
     /// Number of the step's image.
     pub image: ImageNumber,
-    /// What is known of how fillers slow serving tasks.
-    pub pressure: &'a Pressure,
+    /// What is known of how fillers slow serving tasks; none when it does not count.
+    pub pressure: Option<&'a Pressure>,
     /// True when one more failure ends the job.
     pub last_try: bool,
     /// Worker on which it failed last; empty for none.
@@ -164,8 +164,10 @@
         (_, true) => crowding(load(worker.taken() + worker.soft + step.room.cpu)),
         _ => load(worker.used.cpu + worker.soft + step.room.cpu),
     };
-    if step.target > 0 || step.filler {
-        let excess = wish.pressure.excess_with(worker, step, wish.image);
+    if (step.target > 0 || step.filler)
+        && let Some(pressure) = wish.pressure
+    {
+        let excess = pressure.excess_with(worker, step, wish.image);
         score += (excess * CLASH as f64) as u64;
     }
     if !step.rack.is_empty() && worker.listing.rack != step.rack {
--- a/src/sched/ends.rs
+++ b/src/sched/ends.rs
@@ -118,6 +118,9 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
+        if !self.bounds.switches.rest {
+            return;
+        }
         worker.failures += 1;
         if worker.failures >= FAILURES {
             let doubled = (worker.failures - FAILURES).min(3);
--- a/src/sched/exchange.rs
+++ b/src/sched/exchange.rs
@@ -50,7 +50,7 @@
     /// Begins exchanges that make more room for waiting fillers.
     pub(super) fn exchange_places(&mut self) {
         let now = self.now.steady;
-        if now < self.next_exchange {
+        if now < self.next_exchange || !self.bounds.switches.exchange {
             return;
         }
         self.next_exchange = now + LOOK;
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -11,6 +11,7 @@
 use super::permits::Permits;
 use super::pressure::Pressure;
 use super::spec::JobSpec;
+use super::switches::Switches;
 use super::worker::{Worker, lease_span};
 use crate::harm::Known;
 use crate::utils::Name;
@@ -27,6 +28,8 @@
     pub drain: Millis,
     /// Milliseconds for which the state of an ended job is told.
     pub remember: Millis,
+    /// Mechanisms that are on.
+    pub switches: Switches,
 }
 
 /// The clocks at the time of an event.
@@ -306,7 +309,9 @@
 
     /// Goes on with what earlier owners learned of pressure between images.
     pub fn recall(&mut self, known: Vec<Known>) {
-        self.pressure.import(known);
+        if self.bounds.switches.recall {
+            self.pressure.import(known);
+        }
     }
 
     /// Puts the tasks of a job that may start now among the ready ones.
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -136,6 +136,9 @@
                 fillers.iter_mut().for_each(|f| f.wished = 0.0);
                 high = true;
             }
+            if !self.bounds.switches.pace {
+                continue;
+            }
             limit(&self.pressure, &mut fillers, victim, gauge.own_load);
         }
         self.order_paces(name, &fillers, high);
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -174,7 +174,8 @@
     /// Keeps new tasks off the worker that has most room for an overdue task that
     /// fits nowhere, until there is enough.
     pub(super) fn hold_room(&mut self, key: TaskKey) {
-        if self.held.len() * HELD_PART >= self.workers.len() {
+        let full = self.held.len() * HELD_PART >= self.workers.len();
+        if full || !self.bounds.switches.hold {
             return;
         }
         let find = |wish: &Wish<'_>| roomiest(&self.workers, wish, self.now.steady);
@@ -282,7 +283,7 @@
             step,
             last_try: !step.lasting && self.failures(key) + 1 >= job.row.queue.attempts,
             image: self.pressure.number_of(&step.image),
-            pressure: &self.pressure,
+            pressure: self.bounds.switches.pressure.then_some(&self.pressure),
             avoid: self.failed_on.get(&key).map_or("", |w| w),
             beside: &beside,
             permits: self.permits.get(&key.of_step()),
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -102,6 +102,9 @@
 
     /// Stops the run that takes the room of a waiting task at the least cost.
     fn preempt(&mut self, key: TaskKey) {
+        if !self.bounds.switches.preempt {
+            return;
+        }
         let step = self.jobs[&key.job].step(key);
         let room = step.reserved();
         let Some((_, victim, name)) = self.victim(key, room) else {
--- /dev/null
+++ b/src/sched/switches.rs
@@ -0,0 +1,33 @@
+//! Mechanisms that can be switched off, to measure what each is worth.
+
+/// Which mechanisms are on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Switches {
+    /// Runs give way to tasks that fit nowhere.
+    pub preempt: bool,
+    /// Room is kept for lasting tasks that are overdue.
+    pub hold: bool,
+    /// Workers rest after several failed runs, and count as worse before.
+    pub rest: bool,
+    /// Fillers are slowed before serving tasks pass their targets.
+    pub pace: bool,
+    /// Fillers and serving tasks are placed by learned pressure.
+    pub pressure: bool,
+    /// Serving tasks exchange places while fillers wait.
+    pub exchange: bool,
+    /// Owners go on with what earlier ones learned.
+    pub recall: bool,
+}
+
+impl Switches {
+    /// All mechanisms.
+    pub const ON: Self = Self {
+        preempt: true,
+        hold: true,
+        rest: true,
+        pace: true,
+        pressure: true,
+        exchange: true,
+        recall: true,
+    };
+}
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -15,6 +15,7 @@
 use crate::sched::message::{Action, Answer, Ask, Event, How};
 use crate::sched::owner::{Bounds, Kept, Now, Owner};
 use crate::sched::spec::{JobSpec, Room, StepSpec};
+use crate::sched::switches::Switches;
 use crate::sched::worker::Listing;
 use crate::table::encode;
 use crate::utils::Name;
@@ -26,6 +27,7 @@
     unconfirmed: 10_000,
     drain: 2_000,
     remember: 60_000,
+    switches: Switches::ON,
 };
 
 /// An owner with its fake workers and store.
