--- a/src/options/tests.rs
+++ b/src/options/tests.rs
@@ -2,6 +2,7 @@
 
 use super::daemon;
 use super::file::parse;
+use crate::sched::switches::Switches;
 
 const GOOD: &str = r#"
 [box]
@@ -132,3 +133,24 @@
     }
     assert!(daemon::parse("c.toml", PLATFORM).is_ok());
 }
+
+#[test]
+fn cores_and_mechanisms_are_read_and_checked() {
+    let text = PLATFORM.replace("hall =", "cores = 0.12\nhall =");
+    let settings = daemon::parse("c.toml", &text).expect("no findings");
+    assert_eq!(settings.cores, 120);
+    assert_eq!(settings.bounds.switches, Switches::ON);
+    let text = format!("{text}[mechanisms]\nexchange = false\n");
+    let settings = daemon::parse("c.toml", &text).expect("no findings");
+    let expected = Switches {
+        exchange: false,
+        ..Switches::ON
+    };
+    assert_eq!(settings.bounds.switches, expected);
+    let text = text.replace("0.12", "-1") + "pace = \"off\"\nspeed = true\n";
+    let findings = daemon::parse("c.toml", &text).expect_err("findings");
+    let keys: Vec<&str> = findings.iter().map(|f| f.key.as_str()).collect();
+    for key in ["box.cores", "mechanisms.pace", "mechanisms.speed"] {
+        assert!(keys.contains(&key), "{key} in {keys:?}");
+    }
+}
--- a/src/sched/pressure.rs
+++ b/src/sched/pressure.rs
@@ -9,13 +9,12 @@
 
 use std::collections::HashMap;
 
+use super::loads::UNMEASURED;
 use super::spec::StepSpec;
 use super::worker::{Mix, Worker};
 use crate::harm::{Harm, Known, Model};
 use crate::utils::Name;
 
-/// Own load of a serving task that was not measured yet.
-const OWN: f64 = 0.5;
 /// Factor of a pair of images before any was measured, and the noise of one report:
 /// shares and tails are rough.
 const MODEL: Model = Model {
@@ -144,7 +143,7 @@
         }
         let serving = worker.placements.values().filter(|s| s.serving);
         let over = serving.map(|victim| {
-            let own = victim.gauge.as_ref().map_or(OWN, |g| g.own_load);
+            let own = victim.gauge.as_ref().map_or(UNMEASURED, |g| g.own_load);
             let peak = (own + RISE).min(PEAK.max(own));
             let added = self.part(victim.image_number, number, step.room.cpu, capacity);
             let before = peak + parts(victim.image_number) - BORNE;
