--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -81,7 +81,6 @@
 fn switches(reader: &mut Reader<'_>) -> Switches {
     Switches {
         preempt: reader.flag("mechanisms.preempt", true),
-        hold: reader.flag("mechanisms.hold", true),
         rest: reader.flag("mechanisms.rest", true),
         pace: reader.flag("mechanisms.pace", true),
         pressure: reader.flag("mechanisms.pressure", true),
--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -59,8 +59,6 @@
     pub beside: &'a BTreeMap<Name, u32>,
     /// Workers that may run it; none when all may.
     pub permits: Option<&'a Permits>,
-    /// Workers whose room is kept for a task that did not fit anywhere.
-    pub held: &'a BTreeSet<Name>,
 }
 
 /// The workers on which tasks of one step fit, with their scores.
@@ -112,15 +110,6 @@
     }
 }
 
-/// Returns the worker that has the most room left for a task that fits nowhere.
-pub fn roomiest(workers: &BTreeMap<Name, Worker>, wish: &Wish<'_>, now: Millis) -> Option<Name> {
-    let room = wish.step.reserved();
-    let permitted = |w: &&Worker| wish.permits.is_none_or(|p| p.allow(&w.listing.id, now));
-    let able = able(workers, wish, now).filter(permitted);
-    let most = able.max_by_key(|w| w.free(room));
-    most.map(|w| w.listing.id.clone())
-}
-
 /// Returns the workers on which a task could run once there is room.
 pub fn able<'a>(
     workers: &'a BTreeMap<Name, Worker>,
@@ -144,7 +133,7 @@
 fn suits(worker: &Worker, wish: &Wish<'_>, now: Millis) -> bool {
     let listing = &worker.listing;
     let step = wish.step;
-    if &*listing.service != wish.service || !worker.open(now) || wish.held.contains(&listing.id) {
+    if &*listing.service != wish.service || !worker.open(now) {
         return false;
     }
     if !step.label.is_empty() && !listing.labels.contains(&step.label) {
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -78,8 +78,6 @@
     pub(super) away: BTreeSet<TaskKey>,
     /// Scores of the workers for the step placed last in this pass of placing.
     pub(super) ranking: Option<Ranking>,
-    /// Workers whose room is kept for overdue tasks in this pass of placing.
-    pub(super) held: BTreeSet<Name>,
     /// What is to be done, until the event has been taken in.
     pub(super) actions: Vec<Action>,
     /// The clocks at the present event.
@@ -137,7 +135,6 @@
             permits: BTreeMap::new(),
             away: BTreeSet::new(),
             ranking: None,
-            held: BTreeSet::new(),
             actions: Vec::new(),
             now,
             inherited,
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::choice::{Ranking, Wish, able, roomiest};
+use super::choice::{Ranking, Wish, able};
 use super::job::{Phase, StepKey, TaskKey};
 use super::journal::After;
 use super::owner::Owner;
@@ -23,9 +23,6 @@
 /// Fillers of one service and label that are tried in vain in one pass: what one
 /// did not find, the next rarely does.
 const FILLERS_TRIED: usize = 6;
-/// One in so many workers may be kept free for tasks that are overdue and fit
-/// nowhere; more would leave too much room idle.
-const HELD_PART: usize = 8;
 
 /// What a task asks for, as far as it tells whether the next one finds room.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -110,7 +107,6 @@
         }
         self.next_place = now + PLACE_PAUSE + self.ready.len() as u64 / WAITING;
         self.ranking = None;
-        self.held.clear();
         self.settle_promises();
         let mut pass = Pass::new();
         let mut count = 0;
@@ -171,20 +167,6 @@
         self.wished(key, "", all)
     }
 
-    /// Keeps new tasks off the worker that has most room for an overdue task that
-    /// fits nowhere, until there is enough.
-    pub(super) fn hold_room(&mut self, key: TaskKey) {
-        let full = self.held.len() * HELD_PART >= self.workers.len();
-        if full || !self.bounds.switches.hold {
-            return;
-        }
-        let find = |wish: &Wish<'_>| roomiest(&self.workers, wish, self.now.steady);
-        if let Some(worker) = self.wished(key, "", find) {
-            self.ranking = None;
-            self.held.insert(worker);
-        }
-    }
-
     fn place_one(&mut self, key: TaskKey) -> usize {
         let Some(worker) = self.pick(key, "") else {
             return 0;
@@ -287,7 +269,6 @@
             avoid: self.failed_on.get(&key).map_or("", |w| w),
             beside: &beside,
             permits: self.permits.get(&key.of_step()),
-            held: &self.held,
         };
         find(&wish)
     }
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -90,13 +90,9 @@
             *looks -= 1;
             return self.preempt(key);
         }
-        if !self.overdue(key, since) {
-            return;
-        }
-        *looks -= 1;
-        match self.away.contains(&key) && self.now.steady >= since + TURN {
-            true => self.preempt(key),
-            false => self.hold_room(key),
+        if self.overdue(key, since) && self.away.contains(&key) && self.now.steady >= since + TURN {
+            *looks -= 1;
+            self.preempt(key);
         }
     }
 
--- a/src/sched/switches.rs
+++ b/src/sched/switches.rs
@@ -5,8 +5,6 @@
 pub struct Switches {
     /// Runs give way to tasks that fit nowhere.
     pub preempt: bool,
-    /// Room is kept for lasting tasks that are overdue.
-    pub hold: bool,
     /// Workers rest after several failed runs, and count as worse before.
     pub rest: bool,
     /// Fillers are slowed before serving tasks pass their targets.
@@ -23,7 +21,6 @@
     /// All mechanisms.
     pub const ON: Self = Self {
         preempt: true,
-        hold: true,
         rest: true,
         pace: true,
         pressure: true,
