--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -116,10 +116,12 @@
     wish: &'a Wish<'_>,
     now: Millis,
 ) -> impl Iterator<Item = &'a Worker> {
-    let room = wish.step.reserved();
-    let large = move |w: &&Worker| room.within(w.listing.capacity);
-    let suited = workers.values().filter(move |w| suits(w, wish, now));
-    suited.filter(large)
+    workers.values().filter(move |w| could_run(w, wish, now))
+}
+
+/// Returns true when a task could run on a worker once there is room.
+pub fn could_run(worker: &Worker, wish: &Wish<'_>, now: Millis) -> bool {
+    wish.step.reserved().within(worker.listing.capacity) && suits(worker, wish, now)
 }
 
 /// Returns true when the task may run there now.
--- a/src/sched/exchange.rs
+++ b/src/sched/exchange.rs
@@ -151,12 +151,7 @@
             return false;
         };
         let fits = here.fits_without(x, y.room) && there.fits_without(y, x.room);
-        fits && self.suits_worker(a.key, &b.worker) && self.suits_worker(b.key, &a.worker)
-    }
-
-    /// Returns true when a task may run on a worker once there is room.
-    fn suits_worker(&self, key: TaskKey, worker: &Name) -> bool {
-        self.able(key).contains(worker)
+        fits && self.could_run_on(a.key, there) && self.could_run_on(b.key, here)
     }
 
     /// Stops both tasks, and keeps the place of each for the other.
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -2,14 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::choice::{Ranking, Wish, able};
+use super::choice::{Ranking, Wish, able, could_run};
 use super::job::{Phase, StepKey, TaskKey};
 use super::journal::After;
 use super::owner::Owner;
 use super::paces::FULL_PACE;
 use super::preempt::LOOKS;
 use super::spec::{Room, StepSpec};
-use super::worker::{Placement, Stage};
+use super::worker::{Placement, Stage, Worker};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -167,6 +167,11 @@
         self.wished(key, "", all)
     }
 
+    /// Returns true when a task could run on a worker once there is room.
+    pub(super) fn could_run_on(&self, key: TaskKey, worker: &Worker) -> bool {
+        self.wished(key, "", |wish| could_run(worker, wish, self.now.steady))
+    }
+
     fn place_one(&mut self, key: TaskKey) -> usize {
         let Some(worker) = self.pick(key, "") else {
             return 0;
