--- a/src/sched.rs
+++ b/src/sched.rs
@@ -3,9 +3,11 @@
 //! The way of a job: accepted (`asks`), kept (`journal`, `commits`), placed
 //! (`order`, `placing`, `gang`, `choice`, `permits`, `preempt`), started and
 //! stopped (`starts`), watched (`reports`), ended (`ends`), shown (`asks`).
-//! Workers come and go by `directory` and `silence`; `pressure` and `paces` keep
-//! fillers from slowing serving tasks. `legacy` tells what earlier owners may
-//! still do.
+//! Workers come and go by `directory` and `silence`, and are asked in turn by
+//! `agenda`. What they report of their load is taken in by `gauges` (with `recent`
+//! and `loads`) and becomes what `pressure` knows; `paces` and `exchange` keep fillers
+//! from slowing serving tasks by it. `legacy` tells what earlier owners may still
+//! do, `succession` which box comes next; `switches` turns mechanisms off.
 //! Everything here is plain state without sockets and clocks.
 
 mod agenda;
@@ -16,6 +18,7 @@
 mod ends;
 mod exchange;
 mod gang;
+mod gauges;
 pub mod job;
 pub mod journal;
 pub mod legacy;
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -164,9 +164,8 @@
             return true;
         };
         let at_work = |member: &TaskKey| {
-            let worker = self.placed.get(member).and_then(|n| self.workers.get(n));
-            let placement = worker.and_then(|w| w.placements.get(member));
-            placement.is_some_and(|s| s.running() && s.at_work)
+            let run = self.run_of(*member);
+            run.is_some_and(|r| r.running() && r.at_work)
         };
         let members = self.members(key);
         let away = members.iter().filter(|m| **m != key && !at_work(m)).count();
--- /dev/null
+++ b/src/sched/gauges.rs
@@ -0,0 +1,88 @@
+//! What workers report of their load: the tails of serving tasks, and what fillers
+//! use beside them.
+
+use super::job::TaskKey;
+use super::message::Running;
+use super::owner::Owner;
+use super::pressure::ImageNumber;
+use super::worker::{Gauge, Mix};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Tail of an idle server as a part of the target. Targets are set at several
+/// times the idle tail.
+const IDLE: f64 = 0.2;
+/// Highest busy share that a tail can tell of; above it the queue only grows.
+const BUSIEST: f64 = 0.98;
+/// Part of its target, of a hundred, from which a serving task counts as over
+/// it: gauges are rough.
+const NEAR: Millis = 95;
+/// Whole of such a part.
+const WHOLE: Millis = 100;
+
+/// Returns the busy share that a measured tail tells of.
+fn busy_share(tail: Millis, target: Millis) -> f64 {
+    let idle = IDLE * target as f64;
+    (1.0 - idle / (tail as f64).max(idle)).min(BUSIEST)
+}
+
+impl Owner {
+    /// Takes in what running fillers of a worker use, and returns what fillers have
+    /// used there over the last half second.
+    pub(super) fn mix(&mut self, name: &Name, running: &[Running]) -> Mix {
+        let keys: Vec<Option<TaskKey>> = running.iter().map(|r| self.find(&r.task)).collect();
+        let mut mix = Mix::new();
+        let Some(worker) = self.workers.get_mut(name).filter(|w| w.serving > 0) else {
+            return mix;
+        };
+        worker.recent.add_to(&mut mix, self.now.steady);
+        let capacity = worker.listing.capacity.cpu.max(1) as f64;
+        for (run, key) in running.iter().zip(keys) {
+            let placement = key.and_then(|k| worker.placements.get_mut(&k));
+            let Some(placement) = placement.filter(|p| p.filler && p.run == run.run) else {
+                continue;
+            };
+            placement.in_use = Some(run.gauge);
+            let share = run.gauge as f64 / capacity;
+            *mix.entry(placement.image.clone()).or_insert(0.0) += share;
+        }
+        mix
+    }
+
+    /// Takes in the gauge of a serving task and returns it with the number of its image.
+    pub(super) fn gauge(
+        &mut self,
+        name: &Name,
+        run: &Running,
+        mix: &Mix,
+    ) -> Option<(ImageNumber, Gauge)> {
+        let key = self.find(&run.task)?;
+        let now = self.now.steady;
+        let placement = self.workers.get_mut(name)?.placements.get_mut(&key)?;
+        if !placement.serving || placement.run != run.run {
+            return None;
+        }
+        let busy = busy_share(run.gauge, placement.target);
+        let image = placement.image.clone();
+        let step = key.of_step();
+        if busy < BUSIEST
+            && let Some(others) = self.loads.of_others(step, key.index, now)
+        {
+            let taken = busy - others.load;
+            self.pressure.learn(&image, mix, taken, others.variance);
+        }
+        let (pressed, variance) = self.pressure.pressed(&image, mix);
+        let measured = (busy - pressed).clamp(0.0, busy);
+        self.loads.note(step, key.index, measured, variance, now);
+        let own_load = self.loads.of(step, key.index, now).load.clamp(0.0, busy);
+        let before = placement.gauge.as_ref().and_then(|g| g.over_since);
+        let gauge = Gauge {
+            busy,
+            over_since: (run.gauge * WHOLE > placement.target * NEAR)
+                .then(|| before.unwrap_or(now)),
+            own_load,
+        };
+        placement.gauge = Some(gauge.clone());
+        Some((placement.image_number, gauge))
+    }
+}
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -12,7 +12,7 @@
 use super::pressure::Pressure;
 use super::spec::JobSpec;
 use super::switches::Switches;
-use super::worker::{Worker, lease_span};
+use super::worker::{Placement, Worker, lease_span};
 use crate::harm::Known;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -356,6 +356,12 @@
         self.permits.retain(|step, _| step.job != number);
     }
 
+    /// Returns what the worker of a placed task holds of it.
+    pub(super) fn run_of(&self, key: TaskKey) -> Option<&Placement> {
+        let worker = self.workers.get(self.placed.get(&key)?)?;
+        worker.placements.get(&key)
+    }
+
     /// Returns the name of a task on its workers, for log lines; empty once its
     /// job was removed.
     pub(super) fn task_name(&self, key: TaskKey) -> String {
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -1,36 +1,26 @@
 //! The paces of fillers beside serving tasks, out of the tails that workers report.
 //!
-//! Each report is turned into the busy share of a serving task's server and
-//! the task's own part of it. Fillers are slowed until own load and pressure
-//! are at a goal; when a tail stays over its target, they are halted whatever
+//! Fillers are slowed until the own load of each serving task and the pressure on
+//! it are at a goal; when a tail stays over its target, they are halted whatever
 //! was learned.
 
 use super::job::TaskKey;
 use super::message::{Action, Pace, Reply, Running};
 use super::owner::Owner;
 use super::pressure::{ImageNumber, Pressure};
-use super::worker::{Gauge, Mix, Worker};
+use super::worker::Worker;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
 /// Pace of a run that is not slowed, in percent.
 pub const FULL_PACE: u32 = 100;
 
-/// Tail of an idle server as a part of the target. Targets are set at several
-/// times the idle tail.
-const IDLE: f64 = 0.2;
-/// Highest busy share that a tail can tell of; above it the queue only grows.
-const BUSIEST: f64 = 0.98;
 /// Busy share to which fillers are slowed. In trials of all standard days
 /// (mean worth of both sites) 0.70 gave 0.62, 0.76 gave 0.68, 0.80 gave 0.69;
 /// just under the target, so that tails do not settle on it.
 const GOAL: f64 = 0.78;
 /// Busy share above which fillers are slowed at once.
 const HIGH: f64 = 0.80;
-/// Part of its target, of a hundred, from which a serving task counts as over
-/// it: gauges are rough.
-const NEAR: Millis = 95;
-const WHOLE: Millis = 100;
 /// Milliseconds over its target after which everything beside a serving task
 /// is halted, whatever was learned; a third of what is borne.
 const HALT: Millis = 1_300;
@@ -51,12 +41,6 @@
     wished: f64,
 }
 
-/// Returns the busy share that a measured tail tells of.
-fn busy_share(tail: Millis, target: Millis) -> f64 {
-    let idle = IDLE * target as f64;
-    (1.0 - idle / (tail as f64).max(idle)).min(BUSIEST)
-}
-
 /// Lowers the wished paces until a victim of this own load would be at its
 /// goal, those that press most first.
 fn limit(pressure: &Pressure, fillers: &mut [Filler], victim: ImageNumber, own: f64) {
@@ -92,28 +76,6 @@
 }
 
 impl Owner {
-    /// Takes in what running fillers of a worker use, and returns what fillers have
-    /// used there over the last half second.
-    fn mix(&mut self, name: &Name, running: &[Running]) -> Mix {
-        let keys: Vec<Option<TaskKey>> = running.iter().map(|r| self.find(&r.task)).collect();
-        let mut mix = Mix::new();
-        let Some(worker) = self.workers.get_mut(name).filter(|w| w.serving > 0) else {
-            return mix;
-        };
-        worker.recent.add_to(&mut mix, self.now.steady);
-        let capacity = worker.listing.capacity.cpu.max(1) as f64;
-        for (run, key) in running.iter().zip(keys) {
-            let placement = key.and_then(|k| worker.placements.get_mut(&k));
-            let Some(placement) = placement.filter(|p| p.filler && p.run == run.run) else {
-                continue;
-            };
-            placement.in_use = Some(run.gauge);
-            let share = run.gauge as f64 / capacity;
-            *mix.entry(placement.image.clone()).or_insert(0.0) += share;
-        }
-        mix
-    }
-
     /// Takes in the gauges of a worker's tasks, and slows or speeds up its fillers.
     pub(super) fn relieve(&mut self, name: &Name, running: &[Running]) {
         let mix = self.mix(name, running);
@@ -144,38 +106,6 @@
         self.order_paces(name, &fillers, high);
     }
 
-    /// Takes in the gauge of a serving task and returns it with the number of its image.
-    fn gauge(&mut self, name: &Name, run: &Running, mix: &Mix) -> Option<(ImageNumber, Gauge)> {
-        let key = self.find(&run.task)?;
-        let now = self.now.steady;
-        let placement = self.workers.get_mut(name)?.placements.get_mut(&key)?;
-        if !placement.serving || placement.run != run.run {
-            return None;
-        }
-        let busy = busy_share(run.gauge, placement.target);
-        let image = placement.image.clone();
-        let step = key.of_step();
-        if busy < BUSIEST
-            && let Some(others) = self.loads.of_others(step, key.index, now)
-        {
-            let taken = busy - others.load;
-            self.pressure.learn(&image, mix, taken, others.variance);
-        }
-        let (pressed, variance) = self.pressure.pressed(&image, mix);
-        let measured = (busy - pressed).clamp(0.0, busy);
-        self.loads.note(step, key.index, measured, variance, now);
-        let own_load = self.loads.of(step, key.index, now).load.clamp(0.0, busy);
-        let before = placement.gauge.as_ref().and_then(|g| g.over_since);
-        let gauge = Gauge {
-            busy,
-            over_since: (run.gauge * WHOLE > placement.target * NEAR)
-                .then(|| before.unwrap_or(now)),
-            own_load,
-        };
-        placement.gauge = Some(gauge.clone());
-        Some((placement.image_number, gauge))
-    }
-
     /// Orders the paces that fillers of a worker should have.
     fn order_paces(&mut self, name: &Name, fillers: &[Filler], high: bool) {
         let epoch = self.journal.epoch();
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -4,8 +4,6 @@
 //! lose only the time that they are away, while a task that ends loses all that
 //! it is worth with its due time.
 
-use std::collections::BTreeMap;
-
 use super::job::TaskKey;
 use super::owner::Owner;
 use super::spec::Room;
@@ -42,35 +40,25 @@
     /// Forgets promises to tasks that do not wait any more, and which lasting
     /// tasks were away that run again.
     pub(super) fn settle_promises(&mut self) {
-        let (ready, placed) = (&self.ready, &self.placed);
-        let stops = |key: &TaskKey, workers: &BTreeMap<Name, Worker>| {
-            let worker = placed.get(key).and_then(|name| workers.get(name));
-            let run = worker.and_then(|w| w.placements.get(key));
-            run.is_some_and(|r| matches!(r.stage, Stage::Stopping(_) | Stage::Stopped(_)))
+        let stops = |key| {
+            let stage = self.run_of(key).map(|run| run.stage);
+            matches!(stage, Some(Stage::Stopping(_) | Stage::Stopped(_)))
         };
-        let over: Vec<Name> = self
-            .workers
-            .values()
-            .filter(|w| {
-                let promise = w.promise.as_ref();
-                promise
-                    .is_some_and(|p| !ready.contains_key(&p.key) && !stops(&p.key, &self.workers))
-            })
-            .map(|w| w.listing.id.clone())
-            .collect();
-        for name in over {
+        let waits = |p: &Promise| self.ready.contains_key(&p.key) || stops(p.key);
+        let kept_in_vain = |w: &&Worker| w.promise.as_ref().is_some_and(|p| !waits(p));
+        let workers = self.workers.values().filter(kept_in_vain);
+        let settled: Vec<Name> = workers.map(|w| w.listing.id.clone()).collect();
+        let runs = |key: &TaskKey| self.run_of(*key).is_none_or(Placement::running);
+        let back = |key: &&TaskKey| !self.ready.contains_key(*key) && runs(key);
+        let returned: Vec<TaskKey> = self.away.iter().filter(back).copied().collect();
+        for name in settled {
             if let Some(worker) = self.workers.get_mut(&name) {
                 worker.promise = None;
             }
         }
-        let (workers, placed) = (&self.workers, &self.placed);
-        let back = |key: &TaskKey| {
-            let worker = placed.get(key).and_then(|name| workers.get(name));
-            let run = worker.and_then(|w| w.placements.get(key));
-            run.is_none_or(Placement::running)
-        };
-        self.away
-            .retain(|key| ready.contains_key(key) || !back(key));
+        for key in returned {
+            self.away.remove(&key);
+        }
     }
 
     /// Returns the tasks for which room is being made.
