A box that was replaced while it loaded does not begin

Change: the owner's row is read once more after the load. No test of its own: the stand-ins have no box that loads slowly.

--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -99,6 +99,9 @@
         // Somebody else may be the owner by now.
         return shared.see(None);
     };
+    if replaced(shared, &row).await {
+        return;
+    }
     let (bounds, now) = (shared.bounds(), now());
     let legacy = Legacy::of(before.as_ref().map(|b| &b.row), &row.name);
     let inherited = legacy.lease_end(&bounds, now.steady);
@@ -119,6 +122,24 @@
     }
 }
 
+/// Returns true when another box became the owner while this one loaded: what was
+/// read may be torn by its writes, 165 jobs without a specification on a played day.
+async fn replaced(shared: &Shared, row: &OwnerRow) -> bool {
+    match read_owner(shared).await {
+        Ok(Some(seen)) if seen.row.same_owner(row) => false,
+        Ok(seen) => {
+            log::info!(target: "owner", "event=replaced-loading epoch={}", row.epoch);
+            adopt(shared, seen);
+            true
+        }
+        Err(e) => {
+            // The first commit finds out.
+            log::info!(target: "owner", "event=owner-unread epoch={} cause=\"{e}\"", row.epoch);
+            false
+        }
+    }
+}
+
 /// Loads what the store holds; none when that has failed until `end`.
 async fn load_until(shared: &Shared, epoch: u64, end: Millis) -> Option<Stored> {
     loop {
