--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -17,6 +17,11 @@
 
 /// How long tasks run.
 const SPAN: Duration = Duration::from_millis(300);
+/// How long an owner has served that counts as settled: longer than any box would
+/// let another load.
+const SETTLED: Duration = Duration::from_secs(5);
+/// Time that each answer of a slow store takes.
+const SLOW: Duration = Duration::from_millis(300);
 /// How long tasks run that should outlast a trouble.
 const LONG: Duration = Duration::from_millis(3_000);
 
@@ -114,6 +119,46 @@
     assert_eq!(starts, Some(1), "a hand-over starts nothing again");
 }
 
+/// Boxes of a large deployment were stopped in turn, and little was served for a
+/// second or two after each owner's stop, until none served and lasting tasks were
+/// lost. Followers took an owner that had just given the cell up for one that never
+/// began to serve, since they counted from when they had first seen it
+/// (`event=owner-loads cores=500 waited_ms=38413`): strong boxes waited for 0.4 s more
+/// in vain, and a weak one came first, which needs seconds to load the jobs.
+#[test]
+fn a_planned_stop_is_not_taken_for_an_owner_that_never_served() {
+    let mut deployment = Deployment::start(3, 1, SPAN);
+    std::thread::sleep(SETTLED);
+    let owner = deployment.owner();
+    deployment.signal(owner, libc::SIGTERM);
+    wait("another owner", || deployment.owner() != owner);
+    for number in 0..3 {
+        let text = deployment.output(number);
+        let late = text.lines().find(|l| l.contains("event=owner-loads"));
+        assert_eq!(late, None, "box {number}");
+    }
+}
+
+/// When only weak boxes were left, each needed 3.4 to 5 s to load what the store held
+/// and was replaced meanwhile or right after (`event=owner-begins epoch=10 jobs=1493
+/// load_ms=3475`, 1.6 s later `event=owner-ends reason=deposed`), ten times in a row, so
+/// nobody served and no lease was extended. How long a load may take was a constant, and
+/// loads grow with the jobs. Here the store is slow and a load takes 8 s.
+#[test]
+fn an_owner_that_loads_for_long_is_left_to_it_while_it_goes_on() {
+    let mut deployment = Deployment::start(3, 1, SPAN);
+    deployment.store.fill("spec", "main", 2_400);
+    deployment.store.slow(SLOW);
+    let owner = deployment.owner();
+    deployment.kill(owner);
+    wait("another owner", || deployment.owner() != owner);
+    deployment.store.slow(Duration::ZERO);
+    deployment.submit_until_taken("00000000000000b1", 1);
+    deployment.wait_completed("00000000000000b1");
+    let outputs: String = (0..3).map(|n| deployment.output(n)).collect();
+    assert!(!outputs.contains("event=replaced-loading"), "{outputs}");
+}
+
 #[test]
 fn a_hangup_reads_the_settings_and_ends_nothing() {
     let deployment = Deployment::start(1, 1, SPAN);
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -87,6 +87,18 @@
         state.rows.insert(place, Stored { value, version });
     }
 
+    /// Writes so many small rows as the boxes do, into a part of a table.
+    pub fn fill(&self, table: &str, part: &str, count: usize) {
+        let mut state = self.state();
+        state.version += 1;
+        let version = state.version;
+        for number in 0..count {
+            let place = (table.into(), part.into(), format!("z{number:05}"));
+            let value = Some("e30=".into());
+            state.rows.insert(place, Stored { value, version });
+        }
+    }
+
     /// Removes a row as a worker does.
     pub fn drop_row(&self, table: &str, key: &str) {
         let mut state = self.state();
