A course of stops of uneven boxes in virtual time

By the decisions of succession alone: forty boxes of which eight are strong, one stopped each 0.4 s; weak boxes by themselves; a strong box that comes back.

--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -10,6 +10,7 @@
 mod permits;
 mod pressure;
 mod random;
+mod rolling;
 mod succession;
 mod swaps;
 mod takeover;
