Metrics: calls without an answer on an open connection are counted

Cause: an address that can't be reached and a connection that fell silent looked alike in the metrics; only owner-silent's cause told them apart, and only between boxes. Ruled out: a line at info for each, as a cut link has hundreds a second; it is at debug. Conclusion: silent connections have a row of their own.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -27,6 +27,13 @@
     pub reason: &'static str,
 }
 
+/// Label of a call between programs.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct Call {
+    /// `http` to store, workers and advisor, `grpc` to boxes.
+    pub by: &'static str,
+}
+
 /// Label of an invariant.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct RuleLabel {
@@ -64,6 +71,8 @@
     pub waiting: Gauge<i64, AtomicI64>,
     /// Milliseconds since the store confirmed the owner in this process.
     pub unconfirmed: Gauge<i64, AtomicI64>,
+    /// Calls without an answer in time, though the connection was open.
+    pub unanswered: Family<Call, Counter>,
     /// Log lines that were dropped.
     pub dropped: Counter,
     /// Calls to the table.
@@ -88,6 +97,11 @@
     METRICS.undecoded.inc();
 }
 
+/// Counts a call without an answer in time on an open connection.
+pub fn unanswered(by: &'static str) {
+    METRICS.unanswered.get_or_create(&Call { by }).inc();
+}
+
 impl Metrics {
     fn new() -> Self {
         let mut registry = Registry::with_prefix("willowpoint");
@@ -107,6 +121,7 @@
             workers: Gauge::default(),
             waiting: Gauge::default(),
             unconfirmed: Gauge::default(),
+            unanswered: Family::default(),
             dropped: Counter::default(),
             calls: Counter::default(),
             evictions: Gauge::default(),
--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -31,6 +31,11 @@
         "Milliseconds since the store confirmed the owner",
         m.unconfirmed.clone(),
     );
+    registry.register(
+        "calls_unanswered",
+        "Calls without an answer in time on an open connection",
+        m.unanswered.clone(),
+    );
     registry.register(
         "tasks_waiting",
         "Tasks that wait for a worker",
--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -1,13 +1,14 @@
 //! Tests of the text of metrics.
 
-use super::Metrics;
+use super::{Call, Metrics};
 
 /// Bytes of an answer that a collector keeps in any case.
 const KEPT: usize = 3_500;
 /// Rows that tell the owner and how it fares.
-const OWNER: [&str; 8] = [
+const OWNER: [&str; 9] = [
     "takeovers_total",
     "unconfirmed_ms",
+    "calls_unanswered_total",
     "tasks_waiting",
     "jobs",
     "workers",
@@ -30,6 +31,10 @@
     for gauge in [&metrics.unconfirmed, &metrics.jobs, &metrics.waiting] {
         gauge.set(99_999_999);
     }
+    for by in ["http", "grpc"] {
+        let calls = metrics.unanswered.get_or_create(&Call { by });
+        calls.inc_by(99_999_999);
+    }
     let text = metrics.text();
     for name in OWNER {
         let end = end_of(&text, name);
--- a/src/rpc/client.rs
+++ b/src/rpc/client.rs
@@ -136,6 +136,8 @@
             Ok(Ok(reply)) => Ok(reply.into_inner()),
             Ok(Err(status)) => Err(self.failure(status, number)),
             Err(_) => {
+                log::debug!(target: "rpc", "event=unanswered address={} limit_ms={limit}", self.address);
+                crate::metrics::unanswered("grpc");
                 // A connection that stays silent may be cut; the next call opens another.
                 self.disconnect(number);
                 Err(CallError::Lost("timed out".into()))
--- a/src/rpc/tests.rs
+++ b/src/rpc/tests.rs
@@ -9,6 +9,7 @@
 
 use super::client::{CallError, Channel};
 use super::server;
+use crate::metrics::{self, Call};
 use crate::program::block_on;
 use crate::proto::{self, peer_client::PeerClient};
 use crate::utils::drain::Drain;
@@ -71,3 +72,24 @@
     };
     block_on(run).unwrap();
 }
+
+/// Accepts connections on a thread and answers nothing; returns the address.
+fn silent() -> std::net::SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || listener.incoming().collect::<Vec<_>>());
+    address
+}
+
+#[test]
+fn a_call_without_an_answer_on_an_open_connection_is_counted() {
+    let channel = Channel::new(silent());
+    let calls = metrics::get();
+    let count = || calls.unanswered.get_or_create(&Call { by: "grpc" }).get();
+    let before = count();
+    let request = proto::HintRequest::default();
+    let call = |c| async move { PeerClient::new(c).hint(request).await };
+    let result = block_on(channel.call(100, call)).unwrap();
+    assert!(matches!(result, Err(CallError::Lost(_))), "{result:?}");
+    assert!(count() > before);
+}
--- a/src/web/tests.rs
+++ b/src/web/tests.rs
@@ -6,6 +6,7 @@
 
 use super::client::Pool;
 use super::{Request, WebError, length};
+use crate::metrics::{self, Call};
 
 fn headers(lines: &[(&'static str, &'static str)]) -> HeaderMap {
     let mut map = HeaderMap::new();
@@ -57,6 +58,11 @@
     }
 }
 
+/// Returns how many calls have had no answer in time on an open connection.
+fn unanswered(by: &'static str) -> u64 {
+    metrics::get().unanswered.get_or_create(&Call { by }).get()
+}
+
 #[test]
 fn connections_as_old_as_a_silent_one_are_not_used_again() {
     let address = falls_silent(1);
@@ -67,11 +73,14 @@
         body: bytes::Bytes::new(),
     };
     let pool = Pool::new(1 << 10);
+    let count = || unanswered("http");
+    let before = count();
     let call = async |limit| pool.call(address, request(), limit, || true).await;
     crate::program::block_on(async {
         let (one, two) = futures::join!(call(PATIENCE), call(PATIENCE));
         assert!(one.is_ok() && two.is_ok(), "two connections are kept");
         assert!(matches!(call(100).await, Err(WebError::Lost(_))));
+        assert!(count() > before, "it is counted");
         assert!(call(PATIENCE).await.is_ok(), "a new connection is opened");
     })
     .unwrap();
