Metrics: runs freed as their lease had ended are counted

Cause: leases that lapse showed only as lines worker: event=lapsed, which are lost where few lines of a box are kept. Conclusion: a cell that nobody holds shows as runs that lapse under the next owner.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -71,6 +71,8 @@
     pub waiting: Gauge<i64, AtomicI64>,
     /// Milliseconds since the store confirmed the owner in this process.
     pub unconfirmed: Gauge<i64, AtomicI64>,
+    /// Runs freed as the lease of their worker had ended.
+    pub lapsed: Counter,
     /// Calls without an answer in time, though the connection was open.
     pub unanswered: Family<Call, Counter>,
     /// Log lines that were dropped.
@@ -121,6 +123,7 @@
             workers: Gauge::default(),
             waiting: Gauge::default(),
             unconfirmed: Gauge::default(),
+            lapsed: Counter::default(),
             unanswered: Family::default(),
             dropped: Counter::default(),
             calls: Counter::default(),
--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -31,6 +31,11 @@
         "Milliseconds since the store confirmed the owner",
         m.unconfirmed.clone(),
     );
+    registry.register(
+        "runs_lapsed",
+        "Runs freed as their lease had ended",
+        m.lapsed.clone(),
+    );
     registry.register(
         "calls_unanswered",
         "Calls without an answer in time on an open connection",
--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -5,9 +5,10 @@
 /// Bytes of an answer that a collector keeps in any case.
 const KEPT: usize = 3_500;
 /// Rows that tell the owner and how it fares.
-const OWNER: [&str; 9] = [
+const OWNER: [&str; 10] = [
     "takeovers_total",
     "unconfirmed_ms",
+    "runs_lapsed_total",
     "calls_unanswered_total",
     "tasks_waiting",
     "jobs",
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -101,6 +101,8 @@
     next_sweep: Millis,
     /// When what was learned is written next.
     pub(super) next_beliefs: Millis,
+    /// Runs freed as the lease of their worker had ended.
+    pub(super) lapsed: u64,
     /// True once another box owns the cell.
     pub(super) deposed: bool,
 }
@@ -147,6 +149,7 @@
             next_job: 0,
             next_sweep: 0,
             next_beliefs: 0,
+            lapsed: 0,
             deposed: false,
         };
         for job in kept {
@@ -183,6 +186,11 @@
         (self.jobs.len(), self.workers.len(), self.ready.len())
     }
 
+    /// Returns how many runs were freed as the lease of their worker had ended.
+    pub fn lapsed(&self) -> u64 {
+        self.lapsed
+    }
+
     /// Returns when the last commit that took effect was sent.
     pub fn confirmed(&self) -> Millis {
         self.journal.confirmed()
--- a/src/sched/silence.rs
+++ b/src/sched/silence.rs
@@ -41,6 +41,7 @@
             let worker = &self.workers[&name];
             let (tasks, presence) = (worker.placements.len(), worker.presence);
             log::info!(target: "worker", "worker={name} event=lapsed tasks={tasks} presence={presence:?}");
+            self.count_lapsed(tasks);
             self.clear(&name);
             if presence == Presence::Removed {
                 self.workers.remove(&name);
@@ -72,8 +73,15 @@
             .filter(|(_, name)| !self.workers.contains_key(*name))
             .map(|(key, _)| *key)
             .collect();
+        self.count_lapsed(lost.len());
         for key in lost {
             self.free(key);
         }
     }
+
+    /// Counts runs whose lease has ended without a word of their worker.
+    fn count_lapsed(&mut self, runs: usize) {
+        self.lapsed += runs as u64;
+        crate::metrics::get().lapsed.inc_by(runs as u64);
+    }
 }
--- a/src/sched/tests/directory.rs
+++ b/src/sched/tests/directory.rs
@@ -63,6 +63,7 @@
         here, 2,
         "unanswered exchanges must not count as leases for ever"
     );
+    assert_eq!(world.owner.lapsed(), lost as u64, "each run counts once");
     assert!(world.doubles.is_empty(), "{:?}", world.doubles);
 }
 
