An owner's gauges end with it, and its last line tells its reign

Cause: tasks_waiting, unconfirmed_ms, jobs and workers of a box that was once the owner kept their last values, so two boxes looked like the owner. The line owner-begins is lost where only the last lines of a box are kept. Nothing told a starved owner from others. Ruled out: removing the rows while there is no owner, as collectors take a missing row for a box that is away. Change: daemon::reign holds what is told of an owner. owner_epoch, owner_late_ms (highest of the last 5 to 10 s, so that a collector that comes each 5 s misses none), load_ms, owner_ends{reason}; all gauges but load_ms are 0 without an owner. owner-ends carries began, served_ms, load_ms, jobs, workers, waiting, lapsed, late_ms. Costs two reads of the clock and five stores a round of the owner's loop. Conclusion: one box looks like the owner, and one line tells how it fared.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,6 +8,7 @@
 mod member;
 mod peers;
 mod pings;
+mod reign;
 mod shared;
 mod takeover;
 mod watch;
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -9,6 +9,7 @@
 use monoio::time::timeout;
 
 use super::commits::commit_own;
+use super::reign::Reign;
 use super::shared::Shared;
 use super::watch;
 use crate::sched::message::{Action, Answer, Ask, Event, Ticket, Written};
@@ -45,8 +46,7 @@
 /// An owner in this process.
 struct Lead {
     owner: Owner,
-    epoch: u64,
-    began: Millis,
+    reign: Reign,
     /// Callers that wait for an answer.
     tickets: HashMap<Ticket, oneshot::Sender<Answer>>,
     next_ticket: Ticket,
@@ -57,9 +57,16 @@
 /// Runs until the process ends.
 pub async fn run(shared: Rc<Shared>, mut receiver: mpsc::UnboundedReceiver<Message>) {
     let mut lead: Option<Lead> = None;
+    let mut woke = clock::now();
     loop {
         let wait = lead.as_ref().map_or(1_000, |l| l.owner.wait(now()));
         let message = timeout(Duration::from_millis(wait), receiver.next()).await;
+        let due = woke + wait;
+        woke = clock::now();
+        if let Some(lead) = &mut lead {
+            // What the last round took counts as well: a starved owner is starved there.
+            lead.reign.late(woke.saturating_sub(due), woke);
+        }
         let mut next = match message {
             Ok(Some(message)) => Some(message),
             Ok(None) => return,
@@ -73,18 +80,8 @@
     }
 }
 
-fn gauges(owner: &Owner) {
-    let metrics = crate::metrics::get();
-    let (jobs, workers, waiting) = owner.sizes();
-    metrics.jobs.set(jobs as i64);
-    metrics.workers.set(workers as i64);
-    metrics.waiting.set(waiting as i64);
-    let age = clock::now().saturating_sub(owner.confirmed());
-    metrics.unconfirmed.set(age as i64);
-}
-
 fn tick(lead: &Option<Lead>) -> Message {
-    Message::Event(lead.as_ref().map_or(0, |l| l.epoch), Event::Tick)
+    Message::Event(lead.as_ref().map_or(0, |l| l.reign.epoch), Event::Tick)
 }
 
 /// Returns the clocks now.
@@ -99,7 +96,6 @@
     match (message, lead.as_mut()) {
         (Message::Begin(owner, epoch), _) => {
             *lead = Some(begin(*owner, epoch));
-            crate::metrics::get().takeovers.inc();
             shared.set_leading(Some(epoch));
             monoio::spawn(watch::directory(shared.clone(), epoch));
             if shared.stopping() {
@@ -112,13 +108,13 @@
             lead.tickets.insert(ticket, reply);
             lead.step(shared, Event::Ask(ticket, ask));
         }
-        (Message::Event(epoch, event), Some(lead)) if epoch == lead.epoch => {
+        (Message::Event(epoch, event), Some(lead)) if epoch == lead.reign.epoch => {
             lead.step(shared, event);
         }
-        (Message::PredecessorEnded(epoch), Some(lead)) if epoch == lead.epoch => {
+        (Message::PredecessorEnded(epoch), Some(lead)) if epoch == lead.reign.epoch => {
             lead.owner.predecessor_ended(now());
         }
-        (Message::Superseded(epoch), Some(held)) if epoch > held.epoch => {
+        (Message::Superseded(epoch), Some(held)) if epoch > held.reign.epoch => {
             end(shared, lead, "superseded");
         }
         (Message::Bounds(bounds), Some(lead)) => lead.owner.rebound(bounds),
@@ -133,9 +129,8 @@
 
 fn begin(owner: Owner, epoch: u64) -> Lead {
     Lead {
+        reign: Reign::begin(epoch, &owner, clock::now()),
         owner,
-        epoch,
-        began: clock::now(),
         tickets: HashMap::new(),
         next_ticket: 1,
         patience: *PATIENCE.start(),
@@ -143,9 +138,9 @@
     }
 }
 
-fn end(shared: &Shared, lead: &mut Option<Lead>, reason: &str) {
-    if let Some(lead) = lead.take() {
-        log::info!(target: "owner", "event=owner-ends epoch={} reason={reason}", lead.epoch);
+fn end(shared: &Shared, lead: &mut Option<Lead>, reason: &'static str) {
+    if let Some(Lead { owner, reign, .. }) = lead.take() {
+        reign.end(&owner, reason, clock::now());
     }
     shared.set_leading(None);
     shared.nudge();
@@ -157,12 +152,12 @@
         return;
     };
     shared.set_confirmed(held.owner.confirmed());
-    gauges(&held.owner);
+    held.reign.show(&held.owner, clock::now());
     if held.owner.deposed() {
         end(shared, lead, "deposed");
     } else if held.owner.released() {
         end(shared, lead, "released");
-    } else if shared.leading() != Some(held.epoch) {
+    } else if shared.leading() != Some(held.reign.epoch) {
         end(shared, lead, "superseded");
     }
 }
@@ -179,10 +174,12 @@
 
     /// Makes way for a box with more cores, once this owner has settled.
     fn make_way(&mut self, own: u32, other: u32) {
-        if self.owner.gives_up() || !succession::makes_way(own, other, self.began, clock::now()) {
+        if self.owner.gives_up()
+            || !succession::makes_way(own, other, self.reign.began, clock::now())
+        {
             return;
         }
-        log::info!(target: "owner", "event=makes-way epoch={} cores={own} for_cores={other}", self.epoch);
+        log::info!(target: "owner", "event=makes-way epoch={} cores={own} for_cores={other}", self.reign.epoch);
         self.owner.make_way(other, now());
     }
 
@@ -199,7 +196,7 @@
     }
 
     fn act(&mut self, shared: &Rc<Shared>, action: Action) {
-        let epoch = self.epoch;
+        let epoch = self.reign.epoch;
         match action {
             Action::Reply(ticket, answer) => {
                 if let Some(reply) = self.tickets.remove(&ticket) {
--- /dev/null
+++ b/src/daemon/reign.rs
@@ -0,0 +1,68 @@
+//! What is told of an owner in this process: gauges while it lasts, a summary in
+//! the log when it ends.
+//!
+//! Of a box that ran for long, only the last lines are kept: the one of an owner's
+//! end has to tell what the one of its beginning did.
+
+use crate::metrics::{self, End};
+use crate::sched::owner::Owner;
+use crate::utils::clock::{self, Millis};
+use crate::utils::peak::Peak;
+
+/// The time of an owner in this process.
+pub struct Reign {
+    /// Epoch of the owner.
+    pub epoch: u64,
+    /// When it began to serve.
+    pub began: Millis,
+    /// Milliseconds from its first commit until it served.
+    load: Millis,
+    late: Peak,
+}
+
+impl Reign {
+    /// Begins the time of an owner that nothing has happened to yet.
+    pub fn begin(epoch: u64, owner: &Owner, now: Millis) -> Self {
+        let metrics = metrics::get();
+        // The commit that made it the owner is all that confirmed it so far.
+        let load = now.saturating_sub(owner.confirmed());
+        metrics.takeovers.inc();
+        metrics.epoch.set(epoch as i64);
+        metrics.load.set(load as i64);
+        Self {
+            epoch,
+            began: now,
+            load,
+            late: Peak::default(),
+        }
+    }
+
+    /// Takes in by how many milliseconds the owner's loop was late.
+    pub fn late(&mut self, by: Millis, now: Millis) {
+        self.late.note(by, now);
+    }
+
+    /// Sets the gauges of the owner.
+    pub fn show(&self, owner: &Owner, now: Millis) {
+        let metrics = metrics::get();
+        let (jobs, workers, waiting) = owner.sizes();
+        metrics.jobs.set(jobs as i64);
+        metrics.workers.set(workers as i64);
+        metrics.waiting.set(waiting as i64);
+        let age = now.saturating_sub(owner.confirmed());
+        metrics.unconfirmed.set(age as i64);
+        metrics.late.set(self.late.late() as i64);
+    }
+
+    /// Ends it, and leaves no gauge that would make this box look like the owner.
+    pub fn end(self, owner: &Owner, reason: &'static str, now: Millis) {
+        let metrics = metrics::get();
+        metrics.ends.get_or_create(&End { reason }).inc();
+        let served = now.saturating_sub(self.began);
+        let began = clock::wall().saturating_sub(served);
+        let (jobs, workers, waiting) = owner.sizes();
+        let lapsed = owner.lapsed();
+        log::info!(target: "owner", "event=owner-ends epoch={} reason={reason} began={began} served_ms={served} load_ms={} jobs={jobs} workers={workers} waiting={waiting} lapsed={lapsed} late_ms={}", self.epoch, self.load, self.late.highest());
+        metrics.no_owner();
+    }
+}
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -1,8 +1,13 @@
 //! Tests of the daemon's parts that need no sockets.
 
+use super::reign::Reign;
 use super::takeover::jobs;
+use crate::metrics::{self, End};
 use crate::sched::job::{Job, Queue};
+use crate::sched::journal::{Journal, OwnerRow};
+use crate::sched::owner::{Bounds, Kept, Now, Owner};
 use crate::sched::spec::{JobSpec, StepSpec};
+use crate::sched::switches::Switches;
 use crate::table::{Row, encode};
 
 fn row(key: &str, value: bytes::Bytes) -> Row {
@@ -13,6 +18,18 @@
     }
 }
 
+fn queue() -> Queue {
+    Queue {
+        name: "q".into(),
+        service: "s".into(),
+        priority: 0,
+        attempts: 1,
+        stretch: 1_000,
+        slack: 0,
+        advised: false,
+    }
+}
+
 #[test]
 fn a_job_whose_rows_cannot_be_read_is_told_apart_from_an_unknown_one() {
     let spec = JobSpec {
@@ -22,16 +39,7 @@
         }],
         ..JobSpec::default()
     };
-    let queue = Queue {
-        name: "q".into(),
-        service: "s".into(),
-        priority: 0,
-        attempts: 1,
-        stretch: 1_000,
-        slack: 0,
-        advised: false,
-    };
-    let job = Job::new("good".into(), spec.clone(), queue, 5);
+    let job = Job::new("good".into(), spec.clone(), queue(), 5);
     let state = encode(&job.row);
     let specs = [row("good", encode(&spec)), row("torn", encode(&spec))];
     let rows = [
@@ -44,3 +52,65 @@
     assert_eq!(ids, ["good"]);
     assert_eq!(stored.unreadable, ["torn".into(), "alone".into()]);
 }
+
+/// Returns an owner of one job whose row was written at `now`.
+fn owner(now: u64) -> Owner {
+    let row = OwnerRow {
+        name: "a".into(),
+        life: 1,
+        address: ([127, 0, 0, 1], 1).into(),
+        epoch: 7,
+        seq: 0,
+        settled: true,
+        released: false,
+        cores: 0,
+    };
+    let bounds = Bounds {
+        lease: 4_000,
+        unconfirmed: 10_000,
+        drain: 2_000,
+        remember: 60_000,
+        switches: Switches::ON,
+    };
+    let spec = JobSpec {
+        steps: vec![StepSpec {
+            count: 1,
+            ..StepSpec::default()
+        }],
+        ..JobSpec::default()
+    };
+    let kept = Kept {
+        id: "j".into(),
+        row: Job::new("j".into(), spec.clone(), queue(), 5).row,
+        spec,
+    };
+    let at = Now {
+        steady: now,
+        wall: now,
+    };
+    Owner::new(bounds, Journal::new(row, 1, now), vec![kept], now, at)
+}
+
+#[test]
+fn the_gauges_of_an_owner_end_with_it() {
+    let owner = owner(1_000);
+    let mut reign = Reign::begin(7, &owner, 1_300);
+    reign.late(250, 1_400);
+    reign.show(&owner, 3_000);
+    let metrics = metrics::get();
+    let gauges = || {
+        [
+            metrics.epoch.get(),
+            metrics.jobs.get(),
+            metrics.waiting.get(),
+            metrics.unconfirmed.get(),
+            metrics.late.get(),
+        ]
+    };
+    assert_eq!(gauges(), [7, 1, 1, 2_000, 250]);
+    reign.end(&owner, "deposed", 3_100);
+    assert_eq!(gauges(), [0; 5]);
+    assert_eq!(metrics.load.get(), 300, "the last load stays");
+    let ends = metrics.ends.get_or_create(&End { reason: "deposed" });
+    assert_eq!(ends.get(), 1);
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -27,6 +27,13 @@
     pub reason: &'static str,
 }
 
+/// Label of an owner's end in this process.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct End {
+    /// `released`, `deposed` or `superseded`.
+    pub reason: &'static str,
+}
+
 /// Label of a call between programs.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct Call {
@@ -61,6 +68,14 @@
     pub commit_seconds: Histogram,
     /// Seconds from a job's acceptance to its first start.
     pub start_seconds: Histogram,
+    /// Epoch of the owner in this process, 0 for none.
+    pub epoch: Gauge<i64, AtomicI64>,
+    /// Milliseconds by which the owner's loop was late, the highest of late.
+    pub late: Gauge<i64, AtomicI64>,
+    /// Milliseconds from the last commit that made this box the owner until it served.
+    pub load: Gauge<i64, AtomicI64>,
+    /// Owners that ended in this process.
+    pub ends: Family<End, Counter>,
     /// Times that this box became the owner.
     pub takeovers: Counter,
     /// Jobs held by the owner in this process.
@@ -118,6 +133,10 @@
             config: Gauge::default(),
             commit_seconds: Histogram::new(rows::COMMIT_SPANS),
             start_seconds: Histogram::new(rows::START_SPANS),
+            epoch: Gauge::default(),
+            late: Gauge::default(),
+            load: Gauge::default(),
+            ends: Family::default(),
             takeovers: Counter::default(),
             jobs: Gauge::default(),
             workers: Gauge::default(),
@@ -141,6 +160,22 @@
         }
     }
 
+    /// Sets the gauges of an owner to 0: kept, they would make a box that was the
+    /// owner once look like a second one.
+    pub fn no_owner(&self) {
+        let gauges = [
+            &self.epoch,
+            &self.late,
+            &self.unconfirmed,
+            &self.waiting,
+            &self.jobs,
+            &self.workers,
+        ];
+        for gauge in gauges {
+            gauge.set(0);
+        }
+    }
+
     /// Returns all metrics as text.
     pub fn text(&self) -> String {
         for rule in RULES {
--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -21,6 +21,11 @@
 
 /// Registers what tells the owner, and how it fares.
 pub(super) fn owner(registry: &mut Registry, m: &Metrics) {
+    registry.register(
+        "owner_epoch",
+        "Epoch of the owner in this process, 0 for none",
+        m.epoch.clone(),
+    );
     registry.register(
         "takeovers",
         "Times that it became the owner",
@@ -41,6 +46,17 @@
         "Calls without an answer in time on an open connection",
         m.unanswered.clone(),
     );
+    registry.register(
+        "owner_late_ms",
+        "Milliseconds that the owner was late, the most of 5 s",
+        m.late.clone(),
+    );
+    registry.register("load_ms", "Milliseconds of the last load", m.load.clone());
+    registry.register(
+        "owner_ends",
+        "Owners that ended in this process",
+        m.ends.clone(),
+    );
     registry.register(
         "tasks_waiting",
         "Tasks that wait for a worker",
--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -1,11 +1,15 @@
 //! Tests of the text of metrics.
 
-use super::{Call, Metrics};
+use super::{Call, End, Metrics};
 
 /// Bytes of an answer that a collector keeps in any case.
 const KEPT: usize = 3_500;
 /// Rows that tell the owner and how it fares.
-const OWNER: [&str; 10] = [
+const OWNER: [&str; 14] = [
+    "owner_epoch",
+    "owner_late_ms",
+    "load_ms",
+    "owner_ends_total",
     "takeovers_total",
     "unconfirmed_ms",
     "runs_lapsed_total",
@@ -36,6 +40,10 @@
         let calls = metrics.unanswered.get_or_create(&Call { by });
         calls.inc_by(99_999_999);
     }
+    for reason in ["released", "deposed", "superseded"] {
+        let ends = metrics.ends.get_or_create(&End { reason });
+        ends.inc_by(9_999);
+    }
     let text = metrics.text();
     for name in OWNER {
         let end = end_of(&text, name);
--- a/src/utils/tests.rs
+++ b/src/utils/tests.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::listen;
+use super::peak::Peak;
 use crate::program::block_on;
 
 #[test]
@@ -27,3 +28,24 @@
     let text = format!("{:#}", bound.expect("a runtime").expect_err("in use"));
     assert!(text.contains("cannot listen on 127.0.0.1"), "{text}");
 }
+
+#[test]
+fn a_peak_is_told_for_at_least_5_s_and_at_most_10() {
+    let mut peak = Peak::default();
+    peak.note(700, 9_000);
+    for now in (9_100..=14_000).step_by(100) {
+        peak.note(1, now);
+        assert_eq!(peak.late(), 700, "at {now}");
+    }
+    peak.note(1, 19_100);
+    assert_eq!(peak.late(), 1);
+    assert_eq!(peak.highest(), 700);
+}
+
+#[test]
+fn a_peak_before_a_long_pause_is_not_told() {
+    let mut peak = Peak::default();
+    peak.note(700, 9_000);
+    peak.note(3, 60_000);
+    assert_eq!(peak.late(), 3);
+}
