Each box tells whom it follows and for how long no owner served it

Cause: from the outside nothing told which owner a box followed, nor whether that owner answered it as one: a weak box that loads answers pings and does not serve. Ruled out: counting from the failed ping; the time counts from the last answer of an owner as the owner, whichever owner that was, or from the start of the process. Change: followed_epoch; owner_unserved_ms, worked out when metrics are fetched; the line member: event=owner carries unserved_ms. Set in daemon::pings::ping, through which all of daemon::member's pings go, and when an owner begins or ends in the process. Conclusion: boxes that wait for an owner show so, each by itself.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The daemon of an entry box on the platform: sockets and tasks around the
 //! decisions of `sched`.
 
+mod absence;
 mod admin;
 mod commits;
 mod desk;
--- a/src/daemon/admin.rs
+++ b/src/daemon/admin.rs
@@ -24,11 +24,18 @@
     match request.uri.path() {
         "/ready" if ready(shared) => Reply::text(StatusCode::OK, "ready\n"),
         "/ready" => Reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-        "/metrics" => Reply::text(StatusCode::OK, metrics::get().text()),
+        "/metrics" => Reply::text(StatusCode::OK, text(shared)),
         _ => Reply::text(StatusCode::NOT_FOUND, "try /ready or /metrics\n"),
     }
 }
 
+/// Returns all metrics as text, with what grows while nothing happens.
+fn text(shared: &Shared) -> String {
+    let metrics = metrics::get();
+    metrics.unserved.set(shared.unserved() as i64);
+    metrics.text()
+}
+
 /// A box is ready with a configuration, unless it is stopping.
 fn ready(shared: &Shared) -> bool {
     shared.queues().version() > 0 && !shared.stopping()
--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -142,7 +142,7 @@
             Some(before) => seen.since = before.since,
             None => {
                 let row = &seen.row;
-                log::info!(target: "member", "event=owner owner={} epoch={} version={}", row.name, row.epoch, seen.version);
+                log::info!(target: "member", "event=owner owner={} epoch={} version={} unserved_ms={}", row.name, row.epoch, seen.version, shared.unserved());
             }
         }
     }
--- a/src/daemon/pings.rs
+++ b/src/daemon/pings.rs
@@ -10,9 +10,12 @@
 /// Milliseconds for the answer to a ping: a hundred round trips.
 const PONG: Millis = 350;
 
-/// Asks the owner whether it still is.
+/// Asks the owner whether it still is, and takes in whether it serves.
 pub async fn ping(shared: &Shared, owner: &OwnerRow) -> Result<PingReply, CallError> {
-    call(shared, owner, request(shared, owner.epoch)).await
+    let reply = call(shared, owner, request(shared, owner.epoch)).await;
+    let serves = |r: &PingReply| r.owner && r.epoch == owner.epoch;
+    shared.set_owned(reply.as_ref().is_ok_and(serves));
+    reply
 }
 
 /// Returns a ping that says that an owner of this epoch is known.
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -7,6 +7,7 @@
 
 use futures::channel::mpsc::UnboundedSender;
 
+use super::absence::Absence;
 use super::lead;
 use crate::options::daemon::Settings;
 use crate::platform::advice::Advisor;
@@ -55,6 +56,7 @@
     config: RefCell<Option<Row>>,
     owner: RefCell<Option<Seen>>,
     leading: Cell<Option<u64>>,
+    absence: Absence,
     confirmed: Cell<u64>,
     served: Cell<Millis>,
     bounds: Cell<Bounds>,
@@ -83,6 +85,7 @@
             config: RefCell::default(),
             owner: RefCell::default(),
             leading: Cell::new(None),
+            absence: Absence::new(clock::now()),
             confirmed: Cell::new(0),
             served: Cell::new(0),
             stopping: Cell::new(false),
@@ -135,6 +138,8 @@
 
     /// Sets the owner as last seen.
     pub fn see(&self, seen: Option<Seen>) {
+        let epoch = seen.as_ref().map_or(0, |s| s.row.epoch);
+        crate::metrics::get().followed.set(epoch as i64);
         *self.owner.borrow_mut() = seen;
     }
 
@@ -150,9 +155,24 @@
 
     /// Sets the epoch of the owner in this process.
     pub fn set_leading(&self, epoch: Option<u64>) {
+        if self.leading() != epoch {
+            // An owner that ends here has served until now.
+            self.set_owned(true);
+            self.set_owned(epoch.is_some());
+        }
         self.leading.set(epoch);
     }
 
+    /// Takes in whether an owner serves this box now.
+    pub fn set_owned(&self, served: bool) {
+        self.absence.note(served, clock::now());
+    }
+
+    /// Returns the milliseconds since an owner last served this box; 0 while one does.
+    pub fn unserved(&self) -> Millis {
+        self.absence.span(clock::now())
+    }
+
     /// Returns when the store confirmed the owner in this process.
     pub fn confirmed(&self) -> u64 {
         self.confirmed.get()
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the daemon's parts that need no sockets.
 
+use super::absence::Absence;
 use super::reign::Reign;
 use super::takeover::jobs;
 use crate::metrics::{self, End};
@@ -114,3 +115,16 @@
     let ends = metrics.ends.get_or_create(&End { reason: "deposed" });
     assert_eq!(ends.get(), 1);
 }
+
+#[test]
+fn the_time_without_an_owner_counts_from_the_last_answer_of_one() {
+    let absence = Absence::new(1_000);
+    assert_eq!(absence.span(1_400), 400, "none is known at the start");
+    absence.note(true, 1_500);
+    assert_eq!(absence.span(1_700), 0);
+    absence.note(false, 1_750);
+    absence.note(false, 2_000);
+    assert_eq!(absence.span(2_100), 600);
+    absence.note(true, 2_200);
+    assert_eq!(absence.span(2_300), 0);
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -70,6 +70,10 @@
     pub start_seconds: Histogram,
     /// Epoch of the owner in this process, 0 for none.
     pub epoch: Gauge<i64, AtomicI64>,
+    /// Epoch of the owner that this box follows, 0 for none.
+    pub followed: Gauge<i64, AtomicI64>,
+    /// Milliseconds since an owner last served this box, 0 while one does.
+    pub unserved: Gauge<i64, AtomicI64>,
     /// Milliseconds by which the owner's loop was late, the highest of late.
     pub late: Gauge<i64, AtomicI64>,
     /// Milliseconds from the last commit that made this box the owner until it served.
@@ -134,6 +138,8 @@
             commit_seconds: Histogram::new(rows::COMMIT_SPANS),
             start_seconds: Histogram::new(rows::START_SPANS),
             epoch: Gauge::default(),
+            followed: Gauge::default(),
+            unserved: Gauge::default(),
             late: Gauge::default(),
             load: Gauge::default(),
             ends: Family::default(),
--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -26,6 +26,16 @@
         "Epoch of the owner in this process, 0 for none",
         m.epoch.clone(),
     );
+    registry.register(
+        "followed_epoch",
+        "Epoch of the owner that it follows, 0 for none",
+        m.followed.clone(),
+    );
+    registry.register(
+        "owner_unserved_ms",
+        "Milliseconds without an owner that answers as one",
+        m.unserved.clone(),
+    );
     registry.register(
         "takeovers",
         "Times that it became the owner",
