An owner that gives the cell up tells for how long

Cause: an owner that gives the cell up starts nothing and extends no lease, and still answers pings as the owner, so that a held cell looked like a served one. Change: owner_leaving_ms, and leaving_ms in owner-ends. Conclusion: a cell that is held without being served shows at the box that holds it.

--- a/src/daemon/reign.rs
+++ b/src/daemon/reign.rs
@@ -18,6 +18,8 @@
     /// Milliseconds from its first commit until it served.
     load: Millis,
     late: Peak,
+    /// When it was first seen to give the cell up.
+    leaves: Option<Millis>,
 }
 
 impl Reign {
@@ -34,6 +36,7 @@
             began: now,
             load,
             late: Peak::default(),
+            leaves: None,
         }
     }
 
@@ -42,8 +45,17 @@
         self.late.note(by, now);
     }
 
+    /// Returns for how long it has been giving the cell up: it starts and extends
+    /// nothing meanwhile, and no other box may.
+    fn leaving(&self, now: Millis) -> Millis {
+        self.leaves.map_or(0, |at| now.saturating_sub(at))
+    }
+
     /// Sets the gauges of the owner.
-    pub fn show(&self, owner: &Owner, now: Millis) {
+    pub fn show(&mut self, owner: &Owner, now: Millis) {
+        if owner.gives_up() {
+            self.leaves.get_or_insert(now);
+        }
         let metrics = metrics::get();
         let (jobs, workers, waiting) = owner.sizes();
         metrics.jobs.set(jobs as i64);
@@ -52,6 +64,7 @@
         let age = now.saturating_sub(owner.confirmed());
         metrics.unconfirmed.set(age as i64);
         metrics.late.set(self.late.late() as i64);
+        metrics.leaving.set(self.leaving(now) as i64);
     }
 
     /// Ends it, and leaves no gauge that would make this box look like the owner.
@@ -61,8 +74,8 @@
         let served = now.saturating_sub(self.began);
         let began = clock::wall().saturating_sub(served);
         let (jobs, workers, waiting) = owner.sizes();
-        let lapsed = owner.lapsed();
-        log::info!(target: "owner", "event=owner-ends epoch={} reason={reason} began={began} served_ms={served} load_ms={} jobs={jobs} workers={workers} waiting={waiting} lapsed={lapsed} late_ms={}", self.epoch, self.load, self.late.highest());
+        let (lapsed, leaving) = (owner.lapsed(), self.leaving(now));
+        log::info!(target: "owner", "event=owner-ends epoch={} reason={reason} began={began} served_ms={served} load_ms={} jobs={jobs} workers={workers} waiting={waiting} lapsed={lapsed} leaving_ms={leaving} late_ms={}", self.epoch, self.load, self.late.highest());
         metrics.no_owner();
     }
 }
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -94,9 +94,14 @@
 
 #[test]
 fn the_gauges_of_an_owner_end_with_it() {
-    let owner = owner(1_000);
+    let mut owner = owner(1_000);
     let mut reign = Reign::begin(7, &owner, 1_300);
     reign.late(250, 1_400);
+    owner.resign(Now {
+        steady: 2_400,
+        wall: 2_400,
+    });
+    reign.show(&owner, 2_500);
     reign.show(&owner, 3_000);
     let metrics = metrics::get();
     let gauges = || {
@@ -106,11 +111,12 @@
             metrics.waiting.get(),
             metrics.unconfirmed.get(),
             metrics.late.get(),
+            metrics.leaving.get(),
         ]
     };
-    assert_eq!(gauges(), [7, 1, 1, 2_000, 250]);
+    assert_eq!(gauges(), [7, 1, 1, 2_000, 250, 500]);
     reign.end(&owner, "deposed", 3_100);
-    assert_eq!(gauges(), [0; 5]);
+    assert_eq!(gauges(), [0; 6]);
     assert_eq!(metrics.load.get(), 300, "the last load stays");
     let ends = metrics.ends.get_or_create(&End { reason: "deposed" });
     assert_eq!(ends.get(), 1);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -76,6 +76,8 @@
     pub unserved: Gauge<i64, AtomicI64>,
     /// Milliseconds by which the owner's loop was late, the highest of late.
     pub late: Gauge<i64, AtomicI64>,
+    /// Milliseconds since the owner was told to give the cell up, 0 before.
+    pub leaving: Gauge<i64, AtomicI64>,
     /// Milliseconds from the last commit that made this box the owner until it served.
     pub load: Gauge<i64, AtomicI64>,
     /// Owners that ended in this process.
@@ -141,6 +143,7 @@
             followed: Gauge::default(),
             unserved: Gauge::default(),
             late: Gauge::default(),
+            leaving: Gauge::default(),
             load: Gauge::default(),
             ends: Family::default(),
             takeovers: Counter::default(),
@@ -172,6 +175,7 @@
         let gauges = [
             &self.epoch,
             &self.late,
+            &self.leaving,
             &self.unconfirmed,
             &self.waiting,
             &self.jobs,
--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -61,6 +61,11 @@
         "Milliseconds that the owner was late, the most of 5 s",
         m.late.clone(),
     );
+    registry.register(
+        "owner_leaving_ms",
+        "Milliseconds that it gives the cell up, 0 before",
+        m.leaving.clone(),
+    );
     registry.register("load_ms", "Milliseconds of the last load", m.load.clone());
     registry.register(
         "owner_ends",
--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -5,11 +5,12 @@
 /// Bytes of an answer that a collector keeps in any case.
 const KEPT: usize = 3_500;
 /// Rows that tell the owner and how it fares.
-const OWNER: [&str; 16] = [
+const OWNER: [&str; 17] = [
     "owner_epoch",
     "followed_epoch",
     "owner_unserved_ms",
     "owner_late_ms",
+    "owner_leaving_ms",
     "load_ms",
     "owner_ends_total",
     "takeovers_total",
