Operations: metrics in a table, and which cause of a lost cell shows as what

Cause: the page named metrics only where alerts use them, and did not tell weak owners, a starved one, a held cell and silent connections apart. Change: the tables of metrics, of causes and of alerts; a test keeps the table of metrics and the rows before the histograms alike.

--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the text of metrics.
 
+use std::collections::BTreeSet;
+
 use super::{Call, End, Metrics};
 
 /// Bytes of an answer that a collector keeps in any case.
@@ -53,3 +55,29 @@
         assert!(end.is_some_and(|e| e < KEPT), "{name} ends at {end:?}");
     }
 }
+
+/// Returns the names in the page's table of metrics.
+fn listed() -> BTreeSet<&'static str> {
+    let page = include_str!("../../docs/OPERATIONS.md");
+    let (_, rest) = page.split_once("### Metrics").expect("the table");
+    let (table, _) = rest.split_once("### ").expect("its end");
+    let rows = table.lines().filter_map(|l| l.strip_prefix("| `"));
+    let cells = rows.filter_map(|l| l.split_once("` |"));
+    cells.flat_map(|(names, _)| names.split("`, `")).collect()
+}
+
+#[test]
+fn the_page_and_the_rows_before_the_histograms_are_alike() {
+    let metrics = Metrics::new();
+    metrics.ends.get_or_create(&End { reason: "deposed" }).inc();
+    metrics.unanswered.get_or_create(&Call { by: "http" }).inc();
+    let text = metrics.text();
+    let types = text
+        .lines()
+        .filter_map(|l| l.strip_prefix("# TYPE willowpoint_"));
+    let named = types.filter_map(|l| l.split_once(' '));
+    let first = named.take_while(|(_, kind)| *kind != "histogram");
+    let names: BTreeSet<&str> = first.map(|(name, _)| name).collect();
+    assert_eq!(names, listed());
+    assert_eq!(names.len(), OWNER.len(), "all of them are looked for");
+}
