A test of processes: metrics and log tell who is the owner and how one ended

Cause: the gauges and the summary were only tested apart from sockets and a real stop. Change: two boxes and a planned stop of the owner; the test reads both boxes' metrics and the line owner-ends.

--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -155,6 +155,16 @@
         assert!(becomes(ready), "box {number} wrote {}", self.output(number));
     }
 
+    /// Returns the value of a row without labels in a box's metrics; none when the
+    /// box does not answer.
+    pub fn gauge(&self, number: usize, name: &str) -> Option<u64> {
+        let ask = "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        let text = exchange(self.nodes[number].ready, ask).ok()?;
+        let row = format!("willowpoint_{name} ");
+        let value = text.lines().find_map(|l| l.strip_prefix(&row));
+        value?.trim().parse().ok()
+    }
+
     /// Silences all open connections to the store for good; new ones work.
     pub fn silence_store(&self) {
         let now = Some(Instant::now());
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -114,6 +114,41 @@
     assert_eq!(starts, Some(1), "a hand-over starts nothing again");
 }
 
+#[test]
+fn metrics_and_log_tell_who_is_the_owner_and_how_one_ended() {
+    let mut deployment = Deployment::start(2, 1, SPAN);
+    deployment.submit_until_taken("00000000000000ab", 1);
+    let owner = deployment.owner();
+    let other = 1 - owner;
+    let epoch = deployment.gauge(owner, "owner_epoch").expect("an answer");
+    assert!(epoch > 0);
+    assert_eq!(deployment.gauge(other, "owner_epoch"), Some(0));
+    wait("the other box to follow", || {
+        let served = deployment.gauge(other, "owner_unserved_ms") == Some(0);
+        served && deployment.gauge(other, "followed_epoch") == Some(epoch)
+    });
+    deployment.signal(owner, libc::SIGTERM);
+    wait("the next owner", || {
+        deployment.gauge(other, "owner_epoch") > Some(epoch)
+    });
+    for name in ["owner_epoch", "jobs", "workers", "unconfirmed_ms"] {
+        // The box that stops may be gone already.
+        let left = deployment.gauge(owner, name).unwrap_or(0);
+        assert_eq!(left, 0, "{name} of a box that is no owner");
+    }
+    assert_eq!(deployment.wait_end(owner), Some(0));
+    let text = deployment.output(owner);
+    let end = text.lines().find(|l| l.contains("event=owner-ends"));
+    let end = end.expect("the line of the owner's end");
+    assert!(
+        end.contains(&format!("epoch={epoch} reason=released")),
+        "{end}"
+    );
+    for name in ["served_ms=", "load_ms=", "leaving_ms=", "late_ms="] {
+        assert!(end.contains(name), "{name} in {end}");
+    }
+}
+
 #[test]
 fn a_hangup_reads_the_settings_and_ends_nothing() {
     let deployment = Deployment::start(1, 1, SPAN);
