--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The daemon of an entry box on the platform: sockets and tasks around the
 //! decisions of `sched`.
 
+mod absence;
 mod admin;
 mod commits;
 mod desk;
@@ -8,6 +9,7 @@
 mod member;
 mod peers;
 mod pings;
+mod reign;
 mod shared;
 mod takeover;
 mod watch;
--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -147,7 +147,7 @@
             Some(before) => seen.life = before.life,
             None => {
                 let row = &seen.row;
-                log::info!(target: "member", "event=owner owner={} epoch={} version={}", row.name, row.epoch, seen.version);
+                log::info!(target: "member", "event=owner owner={} epoch={} version={} unserved_ms={}", row.name, row.epoch, seen.version, shared.unserved());
             }
         }
     }
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -7,6 +7,7 @@
 
 use futures::channel::mpsc::UnboundedSender;
 
+use super::absence::Absence;
 use super::lead;
 use crate::options::daemon::Settings;
 use crate::platform::advice::Advisor;
@@ -57,6 +58,7 @@
     owner: RefCell<Option<Seen>>,
     leading: Cell<Option<u64>>,
     loading: Cell<u64>,
+    absence: Absence,
     confirmed: Cell<u64>,
     served: Cell<Millis>,
     bounds: Cell<Bounds>,
@@ -86,6 +88,7 @@
             owner: RefCell::default(),
             leading: Cell::new(None),
             loading: Cell::new(0),
+            absence: Absence::new(clock::now()),
             confirmed: Cell::new(0),
             served: Cell::new(0),
             stopping: Cell::new(false),
@@ -138,6 +141,8 @@
 
     /// Sets the owner as last seen.
     pub fn see(&self, seen: Option<Seen>) {
+        let epoch = seen.as_ref().map_or(0, |s| s.row.epoch);
+        crate::metrics::get().followed.set(epoch as i64);
         *self.owner.borrow_mut() = seen;
     }
 
@@ -161,6 +166,11 @@
 
     /// Sets the epoch of the owner in this process.
     pub fn set_leading(&self, epoch: Option<u64>) {
+        if self.leading() != epoch {
+            // An owner that ends here has served until now.
+            self.set_owned(true);
+            self.set_owned(epoch.is_some());
+        }
         self.leading.set(epoch);
     }
 
@@ -175,6 +185,16 @@
         self.loading.set(epoch);
     }
 
+    /// Takes in whether an owner serves this box now.
+    pub fn set_owned(&self, served: bool) {
+        self.absence.note(served, clock::now());
+    }
+
+    /// Returns the milliseconds since an owner last served this box; 0 while one does.
+    pub fn unserved(&self) -> Millis {
+        self.absence.span(clock::now())
+    }
+
     /// Returns when the store confirmed the owner in this process.
     pub fn confirmed(&self) -> u64 {
         self.confirmed.get()
--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -134,7 +134,7 @@
     let mut owner = Owner::new(bounds, journal, stored.kept, inherited, now);
     owner.distrust(stored.unreadable);
     owner.recall(stored.known);
-    shared.lead(Message::Begin(Box::new(owner), epoch));
+    shared.lead(Message::Begin(Box::new(owner), epoch, took));
     if let Some(before) = before.filter(|_| legacy == Legacy::Owner) {
         monoio::spawn(tell_predecessor(shared.clone(), before.row, epoch));
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,5 +1,10 @@
 //! Counters and gauges in the text format of Prometheus.
 
+mod rows;
+
+#[cfg(test)]
+mod tests;
+
 use std::sync::LazyLock;
 use std::sync::atomic::{AtomicI64, AtomicU64};
 
@@ -8,7 +13,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
 use crate::invariant::{RULES, checks, violations};
@@ -22,6 +27,20 @@
     pub reason: &'static str,
 }
 
+/// Label of an owner's end in this process.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct End {
+    /// `released`, `deposed` or `superseded`.
+    pub reason: &'static str,
+}
+
+/// Label of a call between programs.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct Call {
+    /// `http` to store, workers and advisor, `grpc` to boxes.
+    pub by: &'static str,
+}
+
 /// Label of an invariant.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct RuleLabel {
@@ -49,6 +68,20 @@
     pub commit_seconds: Histogram,
     /// Seconds from a job's acceptance to its first start.
     pub start_seconds: Histogram,
+    /// Epoch of the owner in this process, 0 for none.
+    pub epoch: Gauge<i64, AtomicI64>,
+    /// Epoch of the owner that this box follows, 0 for none.
+    pub followed: Gauge<i64, AtomicI64>,
+    /// Milliseconds since an owner last served this box, 0 while one does.
+    pub unserved: Gauge<i64, AtomicI64>,
+    /// Milliseconds by which the owner's loop was late, the highest of late.
+    pub late: Gauge<i64, AtomicI64>,
+    /// Milliseconds since the owner was told to give the cell up, 0 before.
+    pub leaving: Gauge<i64, AtomicI64>,
+    /// Milliseconds from the last commit that made this box the owner until it served.
+    pub load: Gauge<i64, AtomicI64>,
+    /// Owners that ended in this process.
+    pub ends: Family<End, Counter>,
     /// Times that this box became the owner.
     pub takeovers: Counter,
     /// Jobs held by the owner in this process.
@@ -59,6 +92,10 @@
     pub waiting: Gauge<i64, AtomicI64>,
     /// Milliseconds since the store confirmed the owner in this process.
     pub unconfirmed: Gauge<i64, AtomicI64>,
+    /// Runs freed as the lease of their worker had ended.
+    pub lapsed: Counter,
+    /// Calls without an answer in time, though the connection was open.
+    pub unanswered: Family<Call, Counter>,
     /// Log lines that were dropped.
     pub dropped: Counter,
     /// Calls to the table.
@@ -83,25 +120,39 @@
     METRICS.undecoded.inc();
 }
 
+/// Counts a call without an answer in time on an open connection.
+pub fn unanswered(by: &'static str) {
+    METRICS.unanswered.get_or_create(&Call { by }).inc();
+}
+
 impl Metrics {
     fn new() -> Self {
         let mut registry = Registry::with_prefix("willowpoint");
         let metrics = Self {
             registry: Registry::default(),
             answers: Family::default(),
-            seconds: Histogram::new(exponential_buckets(0.000_1, 2.0, 18)),
+            seconds: Histogram::new(rows::REQUEST_SPANS),
             forwards: Counter::default(),
             undecoded: Counter::default(),
             malformed: Counter::default(),
             cells: Gauge::default(),
             config: Gauge::default(),
-            commit_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
-            start_seconds: Histogram::new(exponential_buckets(0.005, 2.0, 14)),
+            commit_seconds: Histogram::new(rows::COMMIT_SPANS),
+            start_seconds: Histogram::new(rows::START_SPANS),
+            epoch: Gauge::default(),
+            followed: Gauge::default(),
+            unserved: Gauge::default(),
+            late: Gauge::default(),
+            leaving: Gauge::default(),
+            load: Gauge::default(),
+            ends: Family::default(),
             takeovers: Counter::default(),
             jobs: Gauge::default(),
             workers: Gauge::default(),
             waiting: Gauge::default(),
             unconfirmed: Gauge::default(),
+            lapsed: Counter::default(),
+            unanswered: Family::default(),
             dropped: Counter::default(),
             calls: Counter::default(),
             evictions: Gauge::default(),
@@ -109,46 +160,32 @@
             checks: Family::default(),
             violations: Family::default(),
         };
-        let m = &metrics;
-        registry.register("answers", "Answers to callers", m.answers.clone());
-        registry.register("request_seconds", "Time to the answer", m.seconds.clone());
-        registry.register(
-            "forwards",
-            "Requests handed to other boxes",
-            m.forwards.clone(),
-        );
-        registry.register(
-            "rows_undecoded",
-            "Rows that did not decode",
-            m.undecoded.clone(),
-        );
-        registry.register("malformed", "Malformed messages", m.malformed.clone());
-        registry.register("cells", "Cells owned", m.cells.clone());
-        registry.register("config_version", "Configuration in force", m.config.clone());
-        register_owner(&mut registry, m);
-        registry.register("table_calls", "Calls to the table", m.calls.clone());
-        registry.register(
-            "tasks_evicted",
-            "Tasks evicted by present owners",
-            m.evictions.clone(),
-        );
-        registry.register(
-            "tasks_finished",
-            "Tasks finished under present owners",
-            m.finished.clone(),
-        );
-        registry.register("invariant_checks", "Checks of invariants", m.checks.clone());
-        registry.register(
-            "invariant_violations",
-            "Violations of invariants",
-            m.violations.clone(),
-        );
+        rows::owner(&mut registry, &metrics);
+        rows::spans(&mut registry, &metrics);
+        rows::older(&mut registry, &metrics);
         Self {
             registry,
             ..metrics
         }
     }
 
+    /// Sets the gauges of an owner to 0: kept, they would make a box that was the
+    /// owner once look like a second one.
+    pub fn no_owner(&self) {
+        let gauges = [
+            &self.epoch,
+            &self.late,
+            &self.leaving,
+            &self.unconfirmed,
+            &self.waiting,
+            &self.jobs,
+            &self.workers,
+        ];
+        for gauge in gauges {
+            gauge.set(0);
+        }
+    }
+
     /// Returns all metrics as text.
     pub fn text(&self) -> String {
         for rule in RULES {
@@ -166,35 +203,3 @@
         text
     }
 }
-
-/// Registers what the owner of jobs counts.
-fn register_owner(registry: &mut Registry, m: &Metrics) {
-    registry.register(
-        "commit_seconds",
-        "Time of a commit",
-        m.commit_seconds.clone(),
-    );
-    registry.register(
-        "first_start_seconds",
-        "Time from acceptance to the first start",
-        m.start_seconds.clone(),
-    );
-    registry.register(
-        "takeovers",
-        "Times that it became the owner",
-        m.takeovers.clone(),
-    );
-    registry.register("jobs", "Jobs held by the owner", m.jobs.clone());
-    registry.register("workers", "Workers known to the owner", m.workers.clone());
-    registry.register(
-        "tasks_waiting",
-        "Tasks that wait for a worker",
-        m.waiting.clone(),
-    );
-    registry.register(
-        "unconfirmed_ms",
-        "Milliseconds since the store confirmed the owner",
-        m.unconfirmed.clone(),
-    );
-    registry.register("log_dropped", "Log lines dropped", m.dropped.clone());
-}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -164,6 +164,40 @@
     assert!(!outputs.contains("event=replaced-loading"), "{outputs}");
 }
 
+#[test]
+fn metrics_and_log_tell_who_is_the_owner_and_how_one_ended() {
+    let mut deployment = Deployment::start(2, 1, SPAN);
+    deployment.submit_until_taken("00000000000000ab", 1);
+    let owner = deployment.owner();
+    let other = 1 - owner;
+    let epoch = deployment.gauge(owner, "owner_epoch").expect("an answer");
+    assert!(epoch > 0);
+    assert_eq!(deployment.gauge(other, "owner_epoch"), Some(0));
+    wait("the other box to follow", || {
+        let served = deployment.gauge(other, "owner_unserved_ms") == Some(0);
+        served && deployment.gauge(other, "followed_epoch") == Some(epoch)
+    });
+    deployment.signal(owner, libc::SIGTERM);
+    wait("the next owner", || {
+        deployment.gauge(other, "owner_epoch") > Some(epoch)
+    });
+    for name in ["owner_epoch", "jobs", "workers", "unconfirmed_ms"] {
+        // It ends once the answer to its last commit is in, or is gone by then.
+        wait(name, || deployment.gauge(owner, name).unwrap_or(0) == 0);
+    }
+    assert_eq!(deployment.wait_end(owner), Some(0));
+    let text = deployment.output(owner);
+    let end = text.lines().find(|l| l.contains("event=owner-ends"));
+    let end = end.expect("the line of the owner's end");
+    assert!(
+        end.contains(&format!("epoch={epoch} reason=released")),
+        "{end}"
+    );
+    for name in ["served_ms=", "load_ms=", "leaving_ms=", "late_ms="] {
+        assert!(end.contains(name), "{name} in {end}");
+    }
+}
+
 #[test]
 fn a_hangup_reads_the_settings_and_ends_nothing() {
     let deployment = Deployment::start(1, 1, SPAN);
