A wait for readiness that is in vain tells what the box was doing

`a_planned_stop_cuts_off_no_request` failed once as a restarted box wrote only its start for 60 s. It was not shown again, and the failure told too little: whether the box lived, ran or waited, whether its platform answered, or whether the machine stood still.

Ruled out by reading: a blocked log (the test's reader is a file, and the sink waits for no pipe); a wait in listen::bind (it warns); ports of other runs (a block each, below those of outgoing connections); a task that wakes itself for ever (none in the crates used); lost wake-ups of timers and accepts (none found in the runtime).

Change: the failure tells the longest look and pause, the box and the platform by /proc, whether the platform is reached directly and by the proxy, and both logs; a request without an answer tells the error and after how long.

Found beside: a box whose platform refuses connections reads lots again without a pause; noted as open.

--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -3,6 +3,8 @@
 mod parts;
 #[path = "../support/proxy.rs"]
 mod proxy;
+#[path = "../support/sight.rs"]
+mod sight;
 #[path = "../support/mod.rs"]
 mod support;
 
--- a/tests/processes/parts.rs
+++ b/tests/processes/parts.rs
@@ -8,9 +8,10 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use super::proxy::{self, Way};
+use super::sight::{Looks, doing};
 use super::support::{BINARY, PAUSE, becomes, exchange, finish, free, spawn, wait, words};
 use willowpoint::claim;
 use willowpoint::program::block_on;
@@ -190,18 +191,41 @@
 
     pub fn wait_ready(&self, index: usize) {
         let node = &self.nodes[index];
+        let mut looks = Looks::new();
         let ready = becomes(|| {
-            exchange(
-                node.admin,
-                "GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n",
-            )
-            .is_ok_and(|text| text.starts_with("HTTP/1.1 200"))
+            let answer = looks.look(|| {
+                exchange(
+                    node.admin,
+                    "GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n",
+                )
+            });
+            answer.is_ok_and(|text| text.starts_with("HTTP/1.1 200"))
         });
-        let output = || std::fs::read_to_string(node.settings.with_extension("log"));
-        assert!(ready, "waited in vain: readiness; {:?}", output());
+        assert!(
+            ready,
+            "waited in vain: readiness of e{index}; {looks}; {}",
+            self.sight(index)
+        );
         assert!(node.settings.exists());
     }
 
+    /// Tells what a box and what it depends on are doing, and what they wrote.
+    fn sight(&self, index: usize) -> String {
+        let node = &self.nodes[index];
+        let reached = |address: SocketAddr| TcpStream::connect(address).map(drop);
+        let text = |path: PathBuf| std::fs::read_to_string(path);
+        format!(
+            "the box: {}; its log: {:?}; platform: {}, reached {:?}, by the proxy {:?}; \
+             its log: {:?}",
+            doing(&node.child),
+            text(node.settings.with_extension("log")),
+            doing(&self.process),
+            reached(self.platform),
+            reached(self.proxy),
+            text(self.folder.join("platform.log")),
+        )
+    }
+
     pub fn create_service(&self) {
         self.operate(&["service", "create", "stock", "--team", "pharmacy"]);
         // In force at every box.
@@ -449,7 +473,15 @@
 }
 
 fn request(address: SocketAddr, id: &str, repeatable: bool) -> Told {
-    told(exchange(address, &message(id, repeatable)))
+    let began = Instant::now();
+    let result = exchange(address, &message(id, repeatable));
+    let seen = format!("{result:?}");
+    let told = told(result);
+    if matches!(told, Told::Lost | Told::Unknown) {
+        // Shown with a test that fails.
+        println!("{id} at {address} after {:?}: {seen}", began.elapsed());
+    }
+    told
 }
 
 fn message(id: &str, repeatable: bool) -> String {
