--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -94,9 +94,11 @@
 
 fn take(shared: &Rc<Shared>, lead: &mut Option<Lead>, message: Message) {
     match (message, lead.as_mut()) {
-        (Message::Begin(owner, epoch, load), _) => {
+        // One whose load was ended meanwhile, by word of a later owner, never acts.
+        (Message::Begin(owner, epoch, load), _) if shared.loads(epoch) => {
             *lead = Some(begin(*owner, epoch, load));
             shared.set_leading(Some(epoch));
+            shared.set_loading(None);
             monoio::spawn(watch::directory(shared.clone(), epoch));
             if shared.stopping() {
                 shared.lead(Message::Resign);
--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -38,8 +38,12 @@
             watch_owner(&shared).await;
         }
         let pause = Duration::from_millis(pause(&shared));
-        // Time passing is as good a reason to look as a nudge.
-        let _ = timeout(pause, nudged.next()).await;
+        match shared.owner().is_some_and(|s| s.life.pages.is_some()) {
+            // Callers that wait nudge each 40 ms, and each ping slows a load.
+            true => sleep(pause).await,
+            // Time passing is as good a reason to look as a nudge.
+            false => drop(timeout(pause, nudged.next()).await),
+        }
         while nudged.try_recv().is_ok() {}
     }
 }
@@ -80,8 +84,10 @@
     let (cores, epoch, now) = (shared.settings.cores, seen.row.epoch, clock::now());
     match succession::judge(cores, epoch, seen.life, pong, now) {
         Verdict::Follow(life) => shared.heard(epoch, life),
-        Verdict::Wait => {}
-        Verdict::Look => look(shared).await,
+        Verdict::Look(life) => {
+            shared.heard(epoch, life);
+            look(shared).await;
+        }
         Verdict::Replace(cause) => {
             let quiet = now.saturating_sub(seen.life.at);
             log::info!(target: "member", "event=owner-suspected owner={} epoch={epoch} cause={cause:?} pong={pong:?} quiet_ms={quiet}", seen.row.name);
@@ -99,7 +105,9 @@
 /// Reads the row of an owner that does not serve, and takes its place if it has given
 /// the cell up.
 async fn look(shared: &Rc<Shared>) {
-    refresh(shared).await;
+    if !refresh(shared).await {
+        return;
+    }
     if let Some(seen) = shared.owner().filter(|s| vacant(shared, &s.row)) {
         succeed(shared, seen).await;
     }
@@ -133,7 +141,7 @@
             version: row.version,
             life: Life {
                 at: clock::now(),
-                pages: 0,
+                pages: None,
             },
         })
     }))
@@ -154,17 +162,25 @@
     shared.see(seen);
 }
 
-/// Reads the owner's row again.
-async fn refresh(shared: &Shared) {
+/// Reads the owner's row again; false when the store did not answer.
+async fn refresh(shared: &Shared) -> bool {
     match read_owner(shared).await {
-        Ok(seen) => adopt(shared, seen),
-        Err(e) => store_failed(&e).await,
+        Ok(seen) => {
+            adopt(shared, seen);
+            true
+        }
+        Err(e) => {
+            store_failed(&e).await;
+            false
+        }
     }
 }
 
 /// Takes the place of an owner, unless another box has done so.
 async fn replace(shared: &Rc<Shared>, before: &Seen) {
-    refresh(shared).await;
+    if !refresh(shared).await {
+        return;
+    }
     let same = |s: &Seen| s.row.epoch == before.row.epoch;
     if let Some(seen) = shared.owner().filter(|s| vacant(shared, &s.row) || same(s)) {
         succeed(shared, seen).await;
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -53,9 +53,14 @@
         shared.lead(Message::Superseded(ping.epoch));
         shared.nudge();
     }
+    if shared.loading().is_some_and(|l| ping.epoch > l.epoch) {
+        // What this box loads is not its own any more, and it must not begin with it.
+        shared.set_loading(None);
+    }
     if shared.leading().is_some() && ping.cores > shared.settings.cores {
         shared.lead(Message::Stronger(ping.cores));
     }
+    let loading = shared.loading();
     let newer = ping.config < shared.queues().version();
     let config = shared.config().filter(|_| newer);
     PingReply {
@@ -65,8 +70,8 @@
         config_row: config.as_ref().map_or(0, |c| c.version),
         config: config.map(|c| c.value).unwrap_or_default(),
         cores: shared.settings.cores,
-        loading: shared.loading(),
-        pages: shared.store.pages(),
+        loading: loading.map_or(0, |l| l.epoch),
+        pages: loading.map_or(0, |l| l.pages),
     }
 }
 
--- a/src/daemon/pings.rs
+++ b/src/daemon/pings.rs
@@ -5,7 +5,7 @@
 use crate::proto::{PingReply, PingRequest};
 use crate::rpc::client::CallError;
 use crate::sched::journal::OwnerRow;
-use crate::sched::succession::Pong;
+use crate::sched::succession::{self, Pong};
 use crate::utils::clock::Millis;
 
 /// Milliseconds for the answer to a ping: a hundred round trips.
@@ -25,11 +25,11 @@
         name: shared.settings.name.to_string(),
         epoch,
         config: shared.queues().version(),
-        // An owner that makes way for a box which stops gives the cell to nobody.
-        cores: match shared.store_serves() && !shared.stopping() {
-            true => shared.settings.cores,
-            false => 0,
-        },
+        cores: succession::offered(
+            shared.settings.cores,
+            shared.store_serves(),
+            shared.stopping(),
+        ),
     }
 }
 
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -39,6 +39,15 @@
     pub life: Life,
 }
 
+/// How far a box that has become the owner is with loading what the store holds.
+#[derive(Clone, Copy, Debug)]
+pub struct Loading {
+    /// Its epoch.
+    pub epoch: u64,
+    /// Pages read so far.
+    pub pages: u64,
+}
+
 /// State and clients that the tasks of a box share.
 pub struct Shared {
     /// Checked settings.
@@ -57,7 +66,7 @@
     config: RefCell<Option<Row>>,
     owner: RefCell<Option<Seen>>,
     leading: Cell<Option<u64>>,
-    loading: Cell<u64>,
+    loading: Cell<Option<Loading>>,
     absence: Absence,
     confirmed: Cell<u64>,
     served: Cell<Millis>,
@@ -87,7 +96,7 @@
             config: RefCell::default(),
             owner: RefCell::default(),
             leading: Cell::new(None),
-            loading: Cell::new(0),
+            loading: Cell::new(None),
             absence: Absence::new(clock::now()),
             confirmed: Cell::new(0),
             served: Cell::new(0),
@@ -174,15 +183,20 @@
         self.leading.set(epoch);
     }
 
-    /// Returns the epoch as the owner of which this box loads what the store holds;
-    /// 0 for none.
-    pub fn loading(&self) -> u64 {
+    /// Returns how far this box is with loading what the store holds, if it does.
+    pub fn loading(&self) -> Option<Loading> {
         self.loading.get()
     }
 
-    /// Sets that epoch.
-    pub fn set_loading(&self, epoch: u64) {
-        self.loading.set(epoch);
+    /// Sets that.
+    pub fn set_loading(&self, loading: Option<Loading>) {
+        self.loading.set(loading);
+    }
+
+    /// Returns true while this box loads as the owner of an epoch, and no later one is
+    /// known.
+    pub fn loads(&self, epoch: u64) -> bool {
+        self.loading().is_some_and(|l| l.epoch == epoch)
     }
 
     /// Takes in whether an owner serves this box now.
--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -10,7 +10,7 @@
 use super::lead::{Message, now};
 use super::member::{PING, STORE_PAUSE, adopt, read_owner, store_failed};
 use super::pings;
-use super::shared::{PART, Seen, Shared};
+use super::shared::{Loading, PART, Seen, Shared};
 use super::watch::READ;
 use crate::harm::Known;
 use crate::platform::store::{Page, StoreError};
@@ -56,14 +56,9 @@
         released: false,
         cores: succession::wanted(settings.cores, before.as_ref().map(|b| &b.row)),
     };
-    let write = Write {
-        table: OWNER_TABLE,
-        key: OWNER_KEY.into(),
-        value: Some(encode(&row)),
-    };
     let version = before.as_ref().map_or(0, |b| b.version);
     let sent = clock::now();
-    match commit(shared, version, &[write], ACQUIRE).await {
+    match commit(shared, version, &[write(&row)], ACQUIRE).await {
         Written::Done(version) => take_over(shared, row, version, sent, before).await,
         written => {
             log::info!(target: "member", "event=not-acquired epoch={} outcome={}", row.epoch, label(&written));
@@ -98,22 +93,24 @@
     before: Option<Seen>,
 ) {
     let epoch = row.epoch;
-    shared.set_loading(epoch);
-    let stored = load(shared, epoch).await;
-    shared.set_loading(0);
-    let Some(stored) = stored else {
+    shared.set_loading(Some(Loading { epoch, pages: 0 }));
+    let Some(stored) = load(shared, epoch).await else {
+        if shared.stopping() && shared.loads(epoch) {
+            give_up(shared, row, version).await;
+        }
+        shared.set_loading(None);
         // Somebody else may be the owner by now.
         return shared.see(None);
     };
     let asked = clock::now();
     let confirmed = match holds(shared, &row).await {
         Ok(true) => asked,
-        Ok(false) => return,
         // The first commit finds out.
-        Err(e) => {
+        Err(e) if shared.loads(epoch) => {
             log::info!(target: "owner", "event=owner-unread epoch={epoch} cause=\"{e}\"");
             sent
         }
+        _ => return shared.set_loading(None),
     };
     let (bounds, now) = (shared.bounds(), now());
     let legacy = Legacy::of(before.as_ref().map(|b| &b.row), &row.name);
@@ -125,7 +122,7 @@
         version,
         life: Life {
             at: now.steady,
-            pages: 0,
+            pages: None,
         },
     }));
     // By the commit that made it the owner, one that loaded for long would be taken for
@@ -135,8 +132,29 @@
     owner.distrust(stored.unreadable);
     owner.recall(stored.known);
     shared.lead(Message::Begin(Box::new(owner), epoch, took));
-    if let Some(before) = before.filter(|_| legacy == Legacy::Owner) {
-        monoio::spawn(tell_predecessor(shared.clone(), before.row, epoch));
+    if let Some(before) = before.filter(|_| legacy >= Legacy::Owner) {
+        let last = legacy == Legacy::Owner;
+        monoio::spawn(tell_predecessor(shared.clone(), before.row, epoch, last));
+    }
+}
+
+/// Gives the cell up without having served, so that others need not wait for a load
+/// that is in vain.
+async fn give_up(shared: &Shared, row: OwnerRow, version: u64) {
+    let released = OwnerRow {
+        released: true,
+        ..row
+    };
+    let written = commit(shared, version, &[write(&released)], ACQUIRE).await;
+    log::info!(target: "owner", "event=stops-loading epoch={} outcome={}", released.epoch, label(&written));
+}
+
+/// Returns the write of an owner's row.
+fn write(row: &OwnerRow) -> Write {
+    Write {
+        table: OWNER_TABLE,
+        key: OWNER_KEY.into(),
+        value: Some(encode(row)),
     }
 }
 
@@ -145,7 +163,7 @@
 /// a played day.
 async fn holds(shared: &Shared, row: &OwnerRow) -> Result<bool, StoreError> {
     let seen = read_owner(shared).await?;
-    if seen.as_ref().is_some_and(|s| s.row.same_owner(row)) {
+    if shared.loads(row.epoch) && seen.as_ref().is_some_and(|s| s.row.same_owner(row)) {
         return Ok(true);
     }
     log::info!(target: "owner", "event=replaced-loading epoch={}", row.epoch);
@@ -153,21 +171,26 @@
     Ok(false)
 }
 
-/// Tells the owner before that it has ended, until it has answered so.
-async fn tell_predecessor(shared: Rc<Shared>, before: OwnerRow, epoch: u64) {
+/// Tells the owner before that it has ended, until it has answered so; no owner before
+/// `epoch` acts any more then if it was the `last` that could.
+async fn tell_predecessor(shared: Rc<Shared>, before: OwnerRow, epoch: u64, last: bool) {
     while shared.leading().is_none_or(|e| e == epoch) {
         let request = pings::request(&shared, epoch);
         if let Ok(reply) = pings::call(&shared, &before, request).await
             && (!reply.owner || reply.epoch >= epoch)
         {
-            log::info!(target: "owner", "event=predecessor-ended epoch={epoch} owner={}", before.name);
-            return shared.lead(Message::PredecessorEnded(epoch));
+            log::info!(target: "owner", "event=predecessor-ended epoch={epoch} owner={} last={last}", before.name);
+            if last {
+                shared.lead(Message::PredecessorEnded(epoch));
+            }
+            return;
         }
         sleep(Duration::from_millis(PING)).await;
     }
 }
 
-/// Reads the jobs and what owners learned; none when the store does not serve this box.
+/// Reads the jobs and what owners learned; none when the store does not serve this box,
+/// it stops, or a later owner is known.
 async fn load(shared: &Shared, epoch: u64) -> Option<Stored> {
     let specs = read(shared, epoch, SPEC_TABLE).await?;
     let rows = read(shared, epoch, JOB_TABLE).await?;
@@ -186,6 +209,8 @@
     let mut next = Some(String::new());
     while let Some(from) = next {
         let page = page(shared, epoch, table, &from).await?;
+        let pages = shared.loading().filter(|l| l.epoch == epoch)?.pages + 1;
+        shared.set_loading(Some(Loading { epoch, pages }));
         rows.extend(page.rows);
         next = page.next;
     }
@@ -195,7 +220,7 @@
 /// Reads a page of a table; none once tries have failed for [`FAILING`].
 async fn page(shared: &Shared, epoch: u64, table: &str, from: &str) -> Option<Page> {
     let since = clock::now();
-    while clock::now() <= since + FAILING {
+    while clock::now() <= since + FAILING && shared.loads(epoch) && !shared.stopping() {
         match shared.store.page(table, PART, from, READ).await {
             Ok(page) => return Some(page),
             Err(e) => {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,8 +1,6 @@
 //! The platform's transactional store of rows.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -72,8 +70,6 @@
 pub struct Store {
     pool: Pool,
     address: SocketAddr,
-    /// Pages that were read.
-    pages: Rc<Cell<u64>>,
 }
 
 impl Store {
@@ -82,15 +78,9 @@
         Self {
             pool: Pool::new(ANSWER_LIMIT),
             address,
-            pages: Rc::default(),
         }
     }
 
-    /// Returns how many pages were read, which tells that a long read goes on.
-    pub fn pages(&self) -> u64 {
-        self.pages.get()
-    }
-
     /// Has the next calls open new connections: those that are open may have
     /// fallen silent.
     pub fn reconnect(&self) {
@@ -158,7 +148,6 @@
     ) -> Result<Page, StoreError> {
         let path = format!("/rows-get?table={table}&part={part}&from={from}&limit={PAGE}");
         let rows = self.get(&path, limit).await?;
-        self.pages.update(|pages| pages + 1);
         let (version, more) = (rows.ver, rows.more);
         let mut page = Page {
             version,
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -123,8 +123,12 @@
     flight: Option<Flight>,
     /// When the next commit may be sent.
     next: Millis,
-    /// When the last commit that took effect was sent.
+    /// When the store last confirmed that this is the owner: when a commit that took
+    /// effect was sent, or the read after the load.
     confirmed: Millis,
+    /// When an idle owner confirms it again. A new one does so at once: its row has not
+    /// changed while it loaded, and others may wait for that.
+    idle: Millis,
     /// Milliseconds that the last commit took.
     took: Millis,
     /// True while the outcome of a commit is not known.
@@ -136,8 +140,8 @@
 }
 
 impl Journal {
-    /// Returns the journal of an owner whose row was written as `version` by a
-    /// commit sent at `now`.
+    /// Returns the journal of an owner whose row was written as `version`, and which the
+    /// store confirmed by a call sent at `now`.
     pub fn new(row: OwnerRow, version: u64, now: Millis) -> Self {
         Self {
             row,
@@ -147,6 +151,7 @@
             flight: None,
             next: now,
             confirmed: now,
+            idle: now,
             took: 0,
             in_doubt: false,
             leaving: None,
@@ -221,7 +226,7 @@
     /// Returns when the next commit is due, unless one is on its way.
     pub fn due(&self) -> Option<Millis> {
         let idle = match self.order.is_empty() && !self.gives_up() {
-            true => self.confirmed + CONFIRM,
+            true => self.idle,
             false => 0,
         };
         self.flight.is_none().then_some(self.next.max(idle))
@@ -233,7 +238,7 @@
         now: Millis,
         mut rows: impl FnMut(u32) -> Vec<Write>,
     ) -> Option<(u64, u64, Vec<Write>)> {
-        let idle = now >= self.confirmed + CONFIRM || self.gives_up();
+        let idle = now >= self.idle || self.gives_up();
         let waits = self.flight.is_some() || now < self.next || self.left;
         if waits || (self.order.is_empty() && !idle) {
             return None;
@@ -283,6 +288,7 @@
             Written::Done(version) => {
                 self.version = version;
                 self.confirmed = flight.sent;
+                self.idle = flight.sent + CONFIRM;
                 self.took = now - flight.sent;
                 self.in_doubt = false;
                 self.left = flight.released;
--- a/src/sched/succession.rs
+++ b/src/sched/succession.rs
@@ -14,10 +14,15 @@
 /// cores, so that a box that comes and goes does not move the cell each time.
 const SETTLE: Millis = 3_000;
 
-/// Milliseconds without a sign of life after which an owner that answers and does not
-/// serve is replaced: the longest that it waits for one page of what it loads, and some
-/// more.
-const STUCK: Millis = 2_000;
+/// Milliseconds without one more page after which an owner that loads is replaced: one
+/// page that is lost and read again, 1,500 each, and the pause between.
+const STUCK: Millis = 3_500;
+/// Milliseconds without an answer after which an owner that loads is replaced. It writes
+/// no row meanwhile, so that one lost ping would end its load.
+const QUIET: Millis = 1_000;
+/// Milliseconds after which an owner that served and answers that it is none is
+/// replaced, where its row does not tell that it gave the cell up.
+const GONE: Millis = 2_000;
 /// Milliseconds without a commit after which an owner that can be reached is
 /// replaced, when the store serves another box.
 const UNCONFIRMED: Millis = 1_500;
@@ -53,8 +58,8 @@
 pub struct Life {
     /// When it was first seen, last served, or last came closer to it.
     pub at: Millis,
-    /// Pages that it had loaded then.
-    pub pages: u64,
+    /// Pages that it had loaded then; none when it did not load.
+    pub pages: Option<u64>,
 }
 
 /// Why an owner is replaced.
@@ -75,10 +80,9 @@
 pub enum Verdict {
     /// It is well, with this sign of life.
     Follow(Life),
-    /// It loads, and nothing has changed yet.
-    Wait,
-    /// It does not serve: its row tells whether it gave the cell up.
-    Look,
+    /// It does not serve, with this last sign of life: its row tells whether it gave the
+    /// cell up, or another box has taken its place.
+    Look(Life),
     /// Its place is to be taken.
     Replace(Cause),
 }
@@ -86,28 +90,56 @@
 /// Returns what a box with `own` thousandths of cores does about the owner of `epoch`
 /// that answered a ping so, none for no answer.
 pub fn judge(own: u32, epoch: u64, last: Life, pong: Option<Pong>, now: Millis) -> Verdict {
-    let stuck = now > last.at + STUCK;
+    let quiet = now.saturating_sub(last.at);
     match pong {
-        None => Verdict::Replace(Cause::Silent),
         Some(Pong::Serves {
             epoch: served,
             confirmed,
-        }) if served == epoch => match confirmed > UNCONFIRMED {
-            true => Verdict::Replace(Cause::Unconfirmed),
-            false => Verdict::Follow(Life { at: now, ..last }),
-        },
+        }) if served == epoch => serves(confirmed, now),
         Some(Pong::Loads {
             epoch: loaded,
             pages,
             cores,
-        }) if loaded == epoch => match pages != last.pages {
-            _ if own > cores => Verdict::Replace(Cause::Weaker),
-            true => Verdict::Follow(Life { at: now, pages }),
-            false if stuck => Verdict::Replace(Cause::Stuck),
-            false => Verdict::Wait,
-        },
-        Some(_) if stuck => Verdict::Replace(Cause::Stuck),
-        Some(_) => Verdict::Look,
+        }) if loaded == epoch => loads(own > cores, pages, last, now),
+        None if last.pages.is_some() && quiet <= QUIET => Verdict::Look(last),
+        None => Verdict::Replace(Cause::Silent),
+        Some(_) if quiet > GONE => Verdict::Replace(Cause::Stuck),
+        Some(_) => Verdict::Look(last),
+    }
+}
+
+fn serves(confirmed: Millis, now: Millis) -> Verdict {
+    if confirmed > UNCONFIRMED {
+        return Verdict::Replace(Cause::Unconfirmed);
+    }
+    Verdict::Follow(Life {
+        at: now,
+        pages: None,
+    })
+}
+
+fn loads(weaker: bool, pages: u64, last: Life, now: Millis) -> Verdict {
+    if weaker {
+        return Verdict::Replace(Cause::Weaker);
+    }
+    if last.pages != Some(pages) {
+        return Verdict::Look(Life {
+            at: now,
+            pages: Some(pages),
+        });
+    }
+    match now > last.at + STUCK {
+        true => Verdict::Replace(Cause::Stuck),
+        false => Verdict::Look(last),
+    }
+}
+
+/// Returns the thousandths of cores with which a box offers itself to a weaker owner: an
+/// owner that made way for one that stops would give the cell to nobody.
+pub fn offered(cores: u32, served: bool, stopping: bool) -> u32 {
+    match served && !stopping {
+        true => cores,
+        false => 0,
     }
 }
 
