Store: pages of a size that the caller chooses

Cause: `read` takes pages of 100 rows, since rows of jobs are large and a page of a megabyte takes 0.8 s over 10 Mbit/s; tables with small rows want larger pages, and their reader wants to go on with each page as it comes. Change: `Store::page` reads one page and tells where the next begins; `read` is made of it. No change of what `read` asks for.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -126,23 +126,38 @@
 
     /// Reads all rows of a part of a table from a key on.
     pub async fn read(&self, table: &str, part: &str, limit: Millis) -> Result<Page, StoreError> {
-        let mut page = Page::default();
-        let mut from = String::new();
-        loop {
-            let path = format!("/rows-get?table={table}&part={part}&from={from}&limit={PAGE}");
-            let rows = self.get(&path, limit).await?;
-            // Changes between two pages are found by a feed from the first one on.
-            if from.is_empty() {
-                page.version = rows.ver;
-            }
-            let more = rows.more;
-            page.add(rows)?;
-            match page.rows.last() {
-                // The smallest key after the last one: URL code of a zero byte.
-                Some(last) if more => from = format!("{}%00", last.key),
-                _ => return Ok(page),
-            }
+        // Changes between two pages are found by a feed from the first one on.
+        let (mut page, mut next) = self.page(table, part, "", PAGE, limit).await?;
+        while let Some(from) = next {
+            let (later, after) = self.page(table, part, &from, PAGE, limit).await?;
+            page.rows.extend(later.rows);
+            next = after;
         }
+        Ok(page)
+    }
+
+    /// Reads up to `count` rows of a part of a table from a key on, and returns where
+    /// the next page begins if there are more.
+    pub async fn page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        count: usize,
+        limit: Millis,
+    ) -> Result<(Page, Option<String>), StoreError> {
+        let path = format!("/rows-get?table={table}&part={part}&from={from}&limit={count}");
+        let rows = self.get(&path, limit).await?;
+        let more = rows.more;
+        let mut page = Page {
+            version: rows.ver,
+            ..Page::default()
+        };
+        page.add(rows)?;
+        let last = page.rows.last().filter(|_| more);
+        // The smallest key after the last one: URL code of a zero byte.
+        let next = last.map(|row| format!("{}%00", row.key));
+        Ok((page, next))
     }
 
     /// Waits for changes of a table after a version.
