--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -9,6 +9,7 @@
 use monoio::time::timeout;
 
 use super::commits::commit_own;
+use super::past;
 use super::reign::Reign;
 use super::shared::Shared;
 use super::watch;
@@ -100,6 +101,7 @@
             shared.set_leading(Some(epoch));
             shared.set_loading(None);
             monoio::spawn(watch::directory(shared.clone(), epoch));
+            monoio::spawn(past::read(shared.clone(), epoch));
             if shared.stopping() {
                 shared.lead(Message::Resign);
             }
--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -13,7 +13,7 @@
 use super::shared::{Loading, PART, Seen, Shared};
 use super::watch::READ;
 use crate::harm::Known;
-use crate::platform::store::{Page, StoreError};
+use crate::platform::store::{PAGE, Page, StoreError};
 use crate::sched::job::JobRow;
 use crate::sched::journal::{
     BELIEF_TABLE, JOB_TABLE, Journal, OWNER_KEY, OWNER_TABLE, OwnerRow, PRESSURE_KEY, SPEC_TABLE,
@@ -221,7 +221,7 @@
 async fn page(shared: &Shared, epoch: u64, table: &str, from: &str) -> Option<Page> {
     let since = clock::now();
     while clock::now() <= since + FAILING && shared.loads(epoch) && !shared.stopping() {
-        match shared.store.page(table, PART, from, READ).await {
+        match shared.store.page(table, PART, from, PAGE, READ).await {
             Ok(page) => return Some(page),
             Err(e) => {
                 log::warn!(target: "owner", "event=load-failed epoch={epoch} table={table} cause=\"{e}\"");
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -1,12 +1,14 @@
 //! Tests of the daemon's parts that need no sockets.
 
 use super::absence::Absence;
+use super::past::page;
 use super::reign::Reign;
 use super::takeover::jobs;
 use crate::metrics::{self, End};
-use crate::sched::job::{Job, Queue};
+use crate::sched::job::{Job, Outcome, Queue};
 use crate::sched::journal::{Journal, OwnerRow};
 use crate::sched::owner::{Bounds, Kept, Now, Owner};
+use crate::sched::past::PastRow;
 use crate::sched::spec::{JobSpec, StepSpec};
 use crate::sched::switches::Switches;
 use crate::table::{Row, encode};
@@ -134,3 +136,17 @@
     absence.note(true, 2_200);
     assert_eq!(absence.span(2_300), 0);
 }
+
+#[test]
+fn a_job_that_is_over_and_whose_row_cannot_be_read_is_told_apart() {
+    let past = |outcome| PastRow { outcome, ended: 5 };
+    let rows = [
+        row("good", encode(&past(Outcome::Failed))),
+        row("open", encode(&past(Outcome::Open))),
+        row("torn", "{\"o\":".into()),
+    ];
+    let page = page(&rows, true);
+    assert_eq!(page.rows, [("good".into(), past(Outcome::Failed))]);
+    assert_eq!(page.unreadable, ["open".into(), "torn".into()]);
+    assert!(page.last);
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -19,7 +19,7 @@
 const ANSWER_LIMIT: usize = 4 << 20;
 /// Rows of one page; the platform would give five times as many, up to a megabyte,
 /// which takes 0.8 s over a link of 10 Mbit/s that carries nothing else.
-const PAGE: usize = 100;
+pub const PAGE: usize = 100;
 /// Milliseconds beyond its wait that the answer of a feed is waited for.
 const FEED_SLACK: Millis = 600;
 
@@ -128,25 +128,26 @@
 
     /// Reads all rows of a part of a table.
     pub async fn read(&self, table: &str, part: &str, limit: Millis) -> Result<Page, StoreError> {
-        let mut whole = self.page(table, part, "", limit).await?;
+        let mut whole = self.page(table, part, "", PAGE, limit).await?;
         // Changes between two pages are found by a feed from the first one on.
         while let Some(from) = whole.next.take() {
-            let page = self.page(table, part, &from, limit).await?;
+            let page = self.page(table, part, &from, PAGE, limit).await?;
             whole.rows.extend(page.rows);
             whole.next = page.next;
         }
         Ok(whole)
     }
 
-    /// Reads some rows of a part of a table from a key on.
+    /// Reads up to `count` rows of a part of a table from a key on.
     pub async fn page(
         &self,
         table: &str,
         part: &str,
         from: &str,
+        count: usize,
         limit: Millis,
     ) -> Result<Page, StoreError> {
-        let path = format!("/rows-get?table={table}&part={part}&from={from}&limit={PAGE}");
+        let path = format!("/rows-get?table={table}&part={part}&from={from}&limit={count}");
         let rows = self.get(&path, limit).await?;
         let (version, more) = (rows.ver, rows.more);
         let mut page = Page {
