--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -13,7 +13,7 @@
 use super::shared::{Loading, PART, Seen, Shared};
 use super::watch::READ;
 use crate::harm::Known;
-use crate::platform::store::{PAGE, Page, StoreError};
+use crate::platform::store::{PAGE, Page};
 use crate::sched::job::JobRow;
 use crate::sched::journal::{
     BELIEF_TABLE, JOB_TABLE, Journal, OWNER_KEY, OWNER_TABLE, OwnerRow, PRESSURE_KEY, SPEC_TABLE,
@@ -102,15 +102,8 @@
         // Somebody else may be the owner by now.
         return shared.see(None);
     };
-    let asked = clock::now();
-    let confirmed = match holds(shared, &row).await {
-        Ok(true) => asked,
-        // The first commit finds out.
-        Err(e) if shared.loads(epoch) => {
-            log::info!(target: "owner", "event=owner-unread epoch={epoch} cause=\"{e}\"");
-            sent
-        }
-        _ => return shared.set_loading(None),
+    let Some(confirmed) = holds(shared, &row).await else {
+        return shared.set_loading(None);
     };
     let (bounds, now) = (shared.bounds(), now());
     let legacy = Legacy::of(before.as_ref().map(|b| &b.row), &row.name);
@@ -158,17 +151,33 @@
     }
 }
 
-/// Returns true when this box still is the owner; if another became it while this one
-/// loaded, what was read may be torn by its writes: 165 jobs without a specification on
-/// a played day.
-async fn holds(shared: &Shared, row: &OwnerRow) -> Result<bool, StoreError> {
-    let seen = read_owner(shared).await?;
-    if shared.loads(row.epoch) && seen.as_ref().is_some_and(|s| s.row.same_owner(row)) {
-        return Ok(true);
+/// Returns when the store confirmed that this box still is the owner; none if another
+/// became it while this one loaded, or that can't be read.
+///
+/// What was read may be torn by the other's writes, 165 jobs without a specification on
+/// a played day, and a box that was told of a later owner must not extend leases.
+async fn holds(shared: &Shared, row: &OwnerRow) -> Option<Millis> {
+    let since = clock::now();
+    while clock::now() <= since + FAILING {
+        let asked = clock::now();
+        match read_owner(shared).await {
+            Ok(seen) => {
+                let own = seen.as_ref().is_some_and(|s| s.row.same_owner(row));
+                if own && shared.loads(row.epoch) {
+                    return Some(asked);
+                }
+                log::info!(target: "owner", "event=replaced-loading epoch={}", row.epoch);
+                adopt(shared, seen);
+                return None;
+            }
+            Err(e) => {
+                log::info!(target: "owner", "event=owner-unread epoch={} cause=\"{e}\"", row.epoch);
+                sleep(Duration::from_millis(STORE_PAUSE)).await;
+            }
+        }
     }
-    log::info!(target: "owner", "event=replaced-loading epoch={}", row.epoch);
-    adopt(shared, seen);
-    Ok(false)
+    shared.see(None);
+    None
 }
 
 /// Tells the owner before that it has ended, until it has answered so; no owner before
