Requests about jobs that may be over wait until that is known, as submissions do

Cause: beside load, a test of requests got 504 in place of 410 for a job that nobody handed in: those that are over had not been read yet, 0.1 s after the owner began. Callers are better served by the answer a little later. Change: looks and cancels are parked like submissions, refused with them when the store goes away, and bounded with them.

--- a/src/daemon/desk.rs
+++ b/src/daemon/desk.rs
@@ -63,12 +63,13 @@
 }
 
 fn name(ask: &Ask) -> (&'static str, &str) {
-    match ask {
-        Ask::Submit { id, .. } => ("submit", id),
-        Ask::Cancel(id) => ("cancel", id),
-        Ask::Show(id) => ("show", id),
-        Ask::Count(queue) => ("count", queue),
-    }
+    let what = match ask {
+        Ask::Submit { .. } => "submit",
+        Ask::Cancel(_) => "cancel",
+        Ask::Show(_) => "show",
+        Ask::Count(_) => "count",
+    };
+    (what, ask.subject())
 }
 
 /// Asks the owner, and its successor when it is replaced meanwhile.
--- a/src/sched/asks.rs
+++ b/src/sched/asks.rs
@@ -53,12 +53,7 @@
             return self.reply(ticket, Answer::Refused(COME_BACK));
         }
         if !self.past.whole() {
-            let ask = Ask::Submit {
-                id: id.clone(),
-                spec,
-                queue,
-            };
-            return self.park(ticket, &id, ask);
+            return self.park(ticket, Ask::Submit { id, spec, queue });
         }
         let steps = spec.steps.len();
         log::info!(target: "job", "job={id} event=accept queue={} steps={steps}", queue.name);
@@ -88,11 +83,10 @@
 
     fn cancel(&mut self, ticket: Ticket, id: &Name) {
         let Some(number) = self.ids.get(id).copied() else {
-            let answer = match self.past.get(id) {
-                Some(_) => Answer::Cancelled,
-                None => self.not_found(id),
+            return match self.past.get(id) {
+                Some(_) => self.reply(ticket, Answer::Cancelled),
+                None => self.not_found(ticket, Ask::Cancel(id.clone())),
             };
-            return self.reply(ticket, answer);
         };
         if self.jobs[&number].open() {
             self.finish(number, Outcome::Cancelled);
@@ -108,20 +102,19 @@
             Some(_) => Answer::InDoubt,
             None => match self.past.get(id) {
                 Some(past) => Answer::State(past.outcome.shown(true)),
-                None => self.not_found(id),
+                None => return self.not_found(ticket, Ask::Show(id.clone())),
             },
         };
         self.reply(ticket, answer);
     }
 
-    /// Returns the answer about a job that is not known: until all that are over
-    /// were read, it may be one of them.
-    fn not_found(&self, id: &Name) -> Answer {
-        if self.past.whole() {
-            return Answer::Unknown;
+    /// Answers about a job that is not known, once all that are over were read: it may be
+    /// one of them.
+    fn not_found(&mut self, ticket: Ticket, ask: Ask) {
+        match self.past.whole() {
+            true => self.reply(ticket, Answer::Unknown),
+            false => self.park(ticket, ask),
         }
-        log::info!(target: "job", "job={id} event=in-doubt reason=past-unread");
-        Answer::InDoubt
     }
 
     fn count(&mut self, ticket: Ticket, queue: &str) {
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -35,6 +35,16 @@
     Count(Name),
 }
 
+impl Ask {
+    /// Returns the id of the job or the name of the queue that is asked about.
+    pub fn subject(&self) -> &Name {
+        match self {
+            Self::Submit { id, .. } => id,
+            Self::Cancel(name) | Self::Show(name) | Self::Count(name) => name,
+        }
+    }
+}
+
 /// The answer to a caller's request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
--- a/src/sched/past.rs
+++ b/src/sched/past.rs
@@ -15,8 +15,8 @@
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
-/// Jobs handed in that may wait until all that are over are known: five times those
-/// of the 1.45 s that a caller's box waits, at 28 jobs a second.
+/// Requests that may wait until all jobs that are over are known: five times the jobs
+/// handed in during the 1.45 s that a caller's box waits, at 28 a second.
 const PARKED: usize = 200;
 
 /// Names no task: for runs of jobs that are over.
@@ -61,7 +61,7 @@
     removed: HashSet<Name>,
     /// True once all rows were read.
     whole: bool,
-    /// Jobs handed in until then that may be over already.
+    /// Requests until then about jobs that may be over already.
     parked: Vec<(Ticket, Ask)>,
 }
 
@@ -109,7 +109,7 @@
         }
     }
 
-    /// Takes in that there are no more rows; returns the jobs that waited for that.
+    /// Takes in that there are no more rows; returns the requests that waited for that.
     fn complete(&mut self) -> Vec<(Ticket, Ask)> {
         self.whole = true;
         self.removed = HashSet::new();
@@ -137,17 +137,17 @@
         }
     }
 
-    /// Has a job that was handed in wait until it is known not to be over.
-    pub(super) fn park(&mut self, ticket: Ticket, id: &Name, ask: Ask) {
+    /// Has a request wait until it is known whether its job is over.
+    pub(super) fn park(&mut self, ticket: Ticket, ask: Ask) {
         if self.past.parked.len() >= PARKED {
-            log::info!(target: "job", "job={id} event=refused reason=too-many-parked");
+            log::info!(target: "job", "job={} event=refused reason=too-many-parked", ask.subject());
             return self.reply(ticket, Answer::Refused(COME_BACK));
         }
-        log::info!(target: "job", "job={id} event=parked");
+        log::info!(target: "job", "job={} event=parked", ask.subject());
         self.past.parked.push((ticket, ask));
     }
 
-    /// Refuses the jobs that wait, as others are, while the store is away.
+    /// Refuses the requests that wait, as new jobs are, while the store is away.
     pub(super) fn refuse_parked(&mut self) {
         if self.past.parked.is_empty() {
             return;
