--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -234,17 +234,24 @@
         assert!(becomes(shown), "{id} does not complete; {}", wrote());
     }
 
-    /// Returns the box that is the owner now, by the latest that has begun.
+    /// Returns the box that is the owner now, by the latest that has begun; waits for
+    /// one, since lines come a little late and boxes are ready before there is an owner.
     pub fn owner(&self) -> usize {
-        let epoch = |number: &usize| {
-            let text = self.output(*number);
-            let begun = text.lines().filter(|l| l.contains("event=owner-begins"));
-            let epochs = begun.filter_map(|l| l.split("epoch=").nth(1)?.split(' ').next());
-            epochs.filter_map(|e| e.parse::<u64>().ok()).max()
-        };
-        let mut numbers: Vec<usize> = (0..self.nodes.len()).collect();
-        numbers.sort_by_key(epoch);
-        numbers.pop().expect("a box")
+        let mut latest = None;
+        wait("an owner", || {
+            let epochs = (0..self.nodes.len()).map(|n| self.epoch(n).map(|e| (e, n)));
+            latest = epochs.flatten().max();
+            latest.is_some()
+        });
+        latest.expect("an owner").1
+    }
+
+    /// Returns the highest epoch as the owner of which a box has begun.
+    fn epoch(&self, number: usize) -> Option<u64> {
+        let text = self.output(number);
+        let begun = text.lines().filter(|l| l.contains("event=owner-begins"));
+        let epochs = begun.filter_map(|l| l.split("epoch=").nth(1)?.split(' ').next());
+        epochs.filter_map(|e| e.parse().ok()).max()
     }
 
     /// Returns the jobs that a box loaded when it became the owner last.
