--- a/src/sched/tests/rolling.rs
+++ b/src/sched/tests/rolling.rs
@@ -294,8 +294,8 @@
 
 /// Forty boxes of a large deployment, eight of them strong, were stopped in turn, one
 /// each 0.4 s. A weak box became the owner, needed 4.7 s to load 1,481 jobs
-/// (`event=owner-begins jobs=1481 load_ms=4698`) and was replaced by the next weak one
-/// 2.8 s later, ten times in a row; nobody extended leases, and lasting tasks did not run.
+/// (`event=owner-begins jobs=1481 load_ms=4698`) and was deposed 2.8 s later; ten weak ones
+/// followed each other so, nobody extended leases, and lasting tasks did not run.
 #[test]
 fn while_boxes_are_stopped_in_turn_a_strong_one_serves() {
     let mut course = Course::new(&boxes(8, 32));
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -184,11 +184,11 @@
     }
 }
 
-/// When only weak boxes were left, each needed 3.4 to 5 s to load what the store held
-/// and was replaced meanwhile or right after (`event=owner-begins epoch=10 jobs=1493
-/// load_ms=3475`, 1.6 s later `event=owner-ends reason=deposed`), ten times in a row, so
-/// nobody served and no lease was extended. How long a load may take was a constant, and
-/// loads grow with the jobs. Here the store is slow and a load takes 8 s.
+/// When only weak boxes were left, each needed 3.4 to 5 s to load what the store held and
+/// was replaced meanwhile or right after (`event=owner-begins epoch=10 jobs=1493
+/// load_ms=3475`, 1.6 s later `event=owner-ends reason=deposed`): ten owners followed each
+/// other so, nobody served and no lease was extended. How long a load may take was a
+/// constant, and loads grow with the jobs. Here the store is slow and a load takes 8 s.
 #[test]
 fn an_owner_that_loads_for_long_is_left_to_it_while_it_goes_on() {
     let mut deployment = Deployment::start(3, 1, SPAN);
