Directory: an entry of another writer names no worker and hides no other

Cause: a row whose bytes were not base64 failed its whole page, so the feed of the directory ended in a loop; an entry of a known worker that turned unreadable left the listing before in use; any state but draining counted as ready, a missing capacity as room of 0, a service that no configuration names as one to hold. Change: such an entry is unusable: a known worker gets nothing new and keeps what it runs, an unknown one is passed over; a value that is not base64 decodes as nothing. Services that the configuration names are known to the adapter; when they change, the directory is read whole. Ruled out: ending what runs on a worker whose entry turned unreadable (the worker itself said nothing); services by their routes alone (a job keeps its service when its route goes).

--- a/src/daemon/watch.rs
+++ b/src/daemon/watch.rs
@@ -35,15 +35,20 @@
 /// Follows the directory while the owner of `epoch` is in this process.
 pub async fn directory(shared: Rc<Shared>, epoch: u64) {
     let take = |page: Page, whole: bool| {
-        let listings = directory::listings(page);
+        let entries = directory::entries(page, &shared.queues());
         let event = match whole {
-            true => Event::Directory(listings.into_iter().filter_map(|(_, l)| l).collect()),
-            false => Event::Listed(listings),
+            true => Event::Directory(entries),
+            false => Event::Listed(entries),
         };
         shared.lead(Message::Event(epoch, event));
     };
     let leading = || shared.leading() == Some(epoch);
-    follow(&shared, directory::TABLE, take, leading).await;
+    while leading() {
+        // Entries of a service that was not named when they were read were passed over.
+        let read = shared.queues().services().clone();
+        let go_on = || leading() && *shared.queues().services() == read;
+        follow(&shared, directory::TABLE, take, go_on).await;
+    }
 }
 
 /// Reads a table, then takes in its changes in their order.
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -13,6 +13,7 @@
 /// Returns the queues of a configuration, or `None` when it does not decode.
 pub fn queues(row: &Row) -> Option<Queues> {
     let config: Config = decode(row)?;
+    let services = config.services.into_iter().map(|service| service.name);
     let routes = config.routes.into_iter().map(|route| Route {
         host: route.host,
         prefix: route.path_prefix,
@@ -26,5 +27,6 @@
             advised: route.advice.is_some(),
         },
     });
-    Some(Queues::new(config.version, routes.collect()))
+    let queues = Queues::new(config.version, routes.collect());
+    Some(queues.with_services(services))
 }
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -2,6 +2,8 @@
 
 use super::store::Page;
 use super::wire::Beat;
+use crate::queues::Queues;
+use crate::sched::message::Entry;
 use crate::sched::spec::Room;
 use crate::sched::worker::Listing;
 use crate::table::{Row, decode};
@@ -13,17 +15,61 @@
 /// Place of the rack among the labels.
 const RACK: usize = 1;
 
-/// Returns the listings of a page that decode, and `None` for each dropped one.
-pub fn listings(page: Page) -> Vec<(Name, Option<Listing>)> {
-    let dropped = page.dropped.into_iter().map(|id| (id, None));
-    let rows = page.rows.iter().filter_map(listing);
-    let listed = rows.map(|l| (l.id.clone(), Some(l)));
-    dropped.chain(listed).collect()
+/// State of a worker that takes tasks.
+const READY: &str = "ready";
+/// State of a worker that has said that it will leave.
+const DRAINING: &str = "draining";
+
+/// Why an entry names no worker to use.
+enum Flaw {
+    /// It does not decode.
+    Unreadable,
+    /// It has a state of another name.
+    State(Name),
+    /// No configuration in force names its service.
+    Service(Name),
+}
+
+/// Returns what the entries of a page say.
+pub fn entries(page: Page, queues: &Queues) -> Vec<(Name, Entry)> {
+    let dropped = page.dropped.into_iter().map(|id| (id, Entry::Gone));
+    let rows = page.rows.iter().map(|row| {
+        let id = row.key.clone();
+        match listing(row, queues) {
+            Ok(listing) => (id, Entry::Listed(listing)),
+            Err(flaw) => {
+                tell(&id, &flaw);
+                (id, Entry::Unusable)
+            }
+        }
+    });
+    dropped.chain(rows).collect()
+}
+
+fn tell(id: &str, flaw: &Flaw) {
+    match flaw {
+        // Told where it was decoded.
+        Flaw::Unreadable => {}
+        Flaw::State(state) => {
+            log::warn!(target: "directory", "worker={id} event=passed-over reason=state state=\"{state}\"");
+        }
+        Flaw::Service(service) => {
+            log::info!(target: "directory", "worker={id} event=passed-over reason=service service=\"{service}\"");
+        }
+    }
 }
 
-fn listing(row: &Row) -> Option<Listing> {
-    let beat: Beat = decode(row)?;
-    Some(Listing {
+fn listing(row: &Row, queues: &Queues) -> Result<Listing, Flaw> {
+    let beat: Beat = decode(row).ok_or(Flaw::Unreadable)?;
+    let leaving = match &*beat.state {
+        READY => false,
+        DRAINING => true,
+        _ => return Err(Flaw::State(beat.state)),
+    };
+    if !queues.names_service(&beat.service) {
+        return Err(Flaw::Service(beat.service));
+    }
+    Ok(Listing {
         id: row.key.clone(),
         service: beat.service,
         address: beat.address,
@@ -36,7 +82,7 @@
             memory: beat.capacity.mem_mb,
             gpu: beat.capacity.gpu,
         },
-        leaving: &*beat.state == "draining",
+        leaving,
         stays: beat.remaining_ms,
     })
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,7 +4,6 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use bytes::Bytes;
 use http::{Method, StatusCode};
 
 use super::wire::{self, Row, RowRef, Rows, Transaction};
@@ -154,7 +153,7 @@
             version,
             ..Page::default()
         };
-        page.add(rows)?;
+        page.add(rows);
         // The smallest key after the last one: URL code of a zero byte.
         let last = page.rows.last().filter(|_| more);
         page.next = last.map(|row| format!("{}%00", row.key));
@@ -169,7 +168,7 @@
             version: rows.ver.max(after),
             ..Page::default()
         };
-        page.add(rows)?;
+        page.add(rows);
         Ok(page)
     }
 
@@ -193,27 +192,28 @@
 }
 
 impl Page {
-    fn add(&mut self, rows: Rows) -> Result<(), StoreError> {
+    fn add(&mut self, rows: Rows) {
         for row in rows.rows {
-            if row.gone {
-                self.dropped.push(row.key);
-            } else {
-                self.rows.push(plain(row)?);
+            match row.gone {
+                true => self.dropped.push(row.key),
+                false => self.rows.push(plain(row)),
             }
         }
-        Ok(())
     }
 }
 
-fn plain(row: Row) -> Result<table::Row, StoreError> {
-    let value = STANDARD
-        .decode(&row.value)
-        .map_err(|e| StoreError::Malformed(format!("row {}: {e}", row.key)))?;
-    Ok(table::Row {
+/// Returns a row with its value's bytes; none when they can't be read, which decodes as
+/// nothing: one such row must not hide the others of its page.
+fn plain(row: Row) -> table::Row {
+    let value = STANDARD.decode(&row.value).unwrap_or_else(|e| {
+        log::warn!(target: "store", "event=unreadable-row key={} cause=\"{e}\"", row.key);
+        Vec::new()
+    });
+    table::Row {
         key: row.key,
         version: row.ver,
         value: value.into(),
-    })
+    }
 }
 
 fn decode(reply: &Reply) -> Result<Rows, StoreError> {
@@ -256,11 +256,6 @@
         }
     };
     let row = rows.rows.into_iter().find(|r| !r.gone && r.ver > 0);
-    match row.map(plain).transpose() {
-        Ok(row) => Written::Conflict(row.map(|r| (r.version, Bytes::clone(&r.value)))),
-        Err(e) => {
-            log::error!(target: "store", "event=conflict-unread cause=\"{e}\"");
-            Written::Conflict(None)
-        }
-    }
+    let row = row.map(plain);
+    Written::Conflict(row.map(|r| (r.version, r.value)))
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -5,8 +5,9 @@
 use super::store::Page;
 use super::{config, directory, ingress};
 use crate::queues::Queues;
-use crate::sched::message::{Answer, Ask};
+use crate::sched::message::{Answer, Ask, Entry};
 use crate::table::Row;
+use crate::utils::Name;
 use crate::web::{Reply, Request};
 
 const CONFIG: &str = r#"{"version":7,"routes":[
@@ -130,22 +131,91 @@
     );
 }
 
-#[test]
-fn the_directory_is_decoded_and_malformed_entries_are_left_out() {
-    let beat = r#"{"service":"s1","address":"10.1.0.9:80","zone":"z","version":"v1","slots":8,"state":"draining","remainingMs":900,"capacity":{"cpu":16000,"memMb":100},"labels":["a","r1-3"],"seq":4}"#;
+const BEAT: &str = r#"{"service":"s1","address":"10.1.0.9:80","zone":"z","version":"v1","slots":8,"state":"draining","remainingMs":900,"capacity":{"cpu":16000,"memMb":100},"labels":["a","r1-3"],"seq":4}"#;
+
+fn entries(rows: Vec<Row>) -> Vec<(Name, Entry)> {
     let page = Page {
-        rows: vec![row("i-1", beat), row("i-2", "{}")],
-        dropped: vec!["i-3".into()],
+        rows,
+        dropped: vec!["i-gone".into()],
         version: 9,
         next: None,
     };
-    let listings = directory::listings(page);
-    assert_eq!(listings.len(), 2);
-    assert!(listings[0].1.is_none());
-    let worker = listings[1].1.as_ref().expect("a worker");
+    directory::entries(page, &queues())
+}
+
+#[test]
+fn the_directory_is_decoded() {
+    let entries = entries(vec![row("i-1", BEAT)]);
+    assert_eq!(entries[0], ("i-gone".into(), Entry::Gone));
+    let Entry::Listed(worker) = &entries[1].1 else {
+        panic!("a worker");
+    };
     assert!(worker.leaving);
     assert_eq!(
         (&*worker.rack, worker.stays, worker.capacity.cpu),
         ("r1-3", 900, 16_000)
     );
 }
+
+#[test]
+fn entries_of_other_writers_name_no_worker_and_hide_none() {
+    let changed = |from: &str, to: &str| {
+        let text = BEAT.replacen(from, to, 1);
+        assert_ne!(text, BEAT, "{from}");
+        text
+    };
+    let flawed = [
+        "".into(),
+        "{}".into(),
+        "null".into(),
+        "[[[[".into(),
+        BEAT[..BEAT.len() / 2].into(),
+        changed("\"service\":\"s1\",", ""),
+        changed("\"state\":\"draining\",", ""),
+        changed("\"address\":\"10.1.0.9:80\",", ""),
+        changed("\"capacity\":{\"cpu\":16000,\"memMb\":100},", ""),
+        changed("\"cpu\":16000,", ""),
+        changed("\"s1\"", "7"),
+        changed("\"draining\"", "[\"ready\"]"),
+        changed("\"draining\"", "\"resting\""),
+        changed("\"s1\"", "\"s9\""),
+        changed("\"10.1.0.9:80\"", "\"somewhere\""),
+        changed("16000", "\"16000\""),
+        changed("16000", "99999999999999999999999999"),
+        changed("16000", "-1"),
+        changed("900", "{}"),
+    ];
+    for text in flawed {
+        let entries = entries(vec![row("i-0", BEAT), row("i-1", &text), row("i-2", BEAT)]);
+        let sound = |entry: &Entry| matches!(entry, Entry::Listed(_));
+        assert_eq!(entries.len(), 4, "{text}");
+        assert!(sound(&entries[1].1) && sound(&entries[3].1), "{text}");
+        assert_eq!(entries[2], ("i-1".into(), Entry::Unusable), "{text}");
+    }
+    let bytes = Row {
+        value: vec![0xff, 0xfe, 0x00, b'{'].into(),
+        ..row("i-1", "")
+    };
+    let entries = entries(vec![bytes, row("i-2", BEAT)]);
+    assert_eq!(entries[1].1, Entry::Unusable);
+    assert!(matches!(entries[2].1, Entry::Listed(_)));
+}
+
+#[test]
+fn a_service_without_a_queue_is_named_all_the_same() {
+    let named = CONFIG.replacen("{\"name\":\"s1\"}", "{\"name\":\"s3\"}", 1);
+    let queues = config::queues(&row(config::KEY, &named)).expect("decodes");
+    assert!(["s1", "s2", "s3"].iter().all(|s| queues.names_service(s)));
+    assert!(!queues.names_service("s4"));
+}
+
+quickcheck::quickcheck! {
+    /// Any bytes in the place of an entry decode to none to use, and hide no other.
+    fn bytes_of_any_kind_hide_no_entry(bytes: Vec<u8>, length: usize) -> bool {
+        let cut = BEAT.as_bytes()[..length % BEAT.len()].to_vec();
+        let value = |bytes: Vec<u8>| Row { value: bytes.into(), ..row("i-1", "") };
+        let entries = entries(vec![value(bytes), value(cut), row("i-2", BEAT)]);
+        let flawed = entries[1..3].iter().all(|e| e.1 == Entry::Unusable);
+        flawed && matches!(entries[3].1, Entry::Listed(_))
+    }
+}
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -131,7 +131,6 @@
     pub service: Name,
     pub address: SocketAddr,
     pub zone: Name,
-    #[serde(default)]
     pub state: Name,
     /// Least time until a draining worker ends; not of its tasks.
     #[serde(default)]
@@ -142,11 +141,12 @@
 }
 
 /// The whole room of a worker.
-#[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "camelCase", default)]
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
 pub struct Capacity {
     pub cpu: u64,
     pub mem_mb: u64,
+    #[serde(default)]
     pub gpu: u64,
 }
 
@@ -173,6 +173,14 @@
     pub version: u64,
     #[serde(default)]
     pub routes: Vec<Route>,
+    #[serde(default)]
+    pub services: Vec<Service>,
+}
+
+/// A service whose workers may run tasks.
+#[derive(Debug, Deserialize)]
+pub struct Service {
+    pub name: Name,
 }
 
 /// A queue and the requests that belong to it.
--- a/src/queues.rs
+++ b/src/queues.rs
@@ -1,5 +1,7 @@
 //! The queues in force and how a request finds its own.
 
+use std::collections::BTreeSet;
+
 use crate::sched::job::Queue;
 use crate::utils::Name;
 
@@ -20,13 +22,37 @@
     version: u64,
     /// By length of prefix, longest first.
     routes: Vec<Route>,
+    /// Names of all services, of which some may have no queue.
+    services: BTreeSet<Name>,
 }
 
 impl Queues {
     /// Returns the queues of a version.
     pub fn new(version: u64, mut routes: Vec<Route>) -> Self {
         routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
-        Self { version, routes }
+        let services = routes.iter().map(|r| r.queue.service.clone()).collect();
+        Self {
+            version,
+            routes,
+            services,
+        }
+    }
+
+    /// Returns the same queues with services beside those of the queues.
+    pub fn with_services(mut self, services: impl IntoIterator<Item = Name>) -> Self {
+        self.services.extend(services);
+        self
+    }
+
+    /// Returns the names of all services.
+    pub fn services(&self) -> &BTreeSet<Name> {
+        &self.services
+    }
+
+    /// Returns true when the configuration names a service. A job keeps its service when
+    /// its queue is dropped, so services without a queue count.
+    pub fn names_service(&self, service: &str) -> bool {
+        self.services.contains(service)
     }
 
     /// Returns the version; 0 before any was read.
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::job::TaskKey;
+use super::message::Entry;
 use super::owner::Owner;
 use super::worker::{Listing, Placement, Presence, Stage, Worker};
 use crate::utils::Name;
@@ -22,27 +23,22 @@
 
 impl Owner {
     /// Takes in the whole directory.
-    pub(super) fn directory(&mut self, listings: Vec<Listing>) {
-        let named: BTreeSet<Name> = listings.iter().map(|l| l.id.clone()).collect();
-        let gone: Vec<Name> = self
-            .workers
-            .keys()
-            .filter(|id| !named.contains(*id))
-            .cloned()
-            .collect();
-        let mut changes: Vec<(Name, Option<Listing>)> =
-            gone.into_iter().map(|id| (id, None)).collect();
-        changes.extend(listings.into_iter().map(|l| (l.id.clone(), Some(l))));
-        self.listed(changes);
+    pub(super) fn directory(&mut self, entries: Vec<(Name, Entry)>) {
+        let named: BTreeSet<&Name> = entries.iter().map(|(id, _)| id).collect();
+        let gone = self.workers.keys().filter(|id| !named.contains(id));
+        let gone = gone.map(|id| (id.clone(), Entry::Gone));
+        let changes = gone.collect::<Vec<_>>().into_iter().chain(entries);
+        self.listed(changes.collect());
     }
 
     /// Takes in changes of the directory.
-    pub(super) fn listed(&mut self, changes: Vec<(Name, Option<Listing>)>) {
+    pub(super) fn listed(&mut self, changes: Vec<(Name, Entry)>) {
         self.crowded = false;
-        for (id, listing) in changes {
-            match listing {
-                Some(listing) => self.list(id, listing),
-                None => self.unlist(&id),
+        for (id, entry) in changes {
+            match entry {
+                Entry::Listed(listing) => self.list(id, listing),
+                Entry::Unusable => self.disuse(&id),
+                Entry::Gone => self.unlist(&id),
             }
         }
         self.adopt_placed();
@@ -83,6 +79,19 @@
         self.schedule(&id, now);
     }
 
+    /// Takes in that the entry of a worker names none to use any more. It gets nothing
+    /// new; what it runs goes on, since the worker itself has said nothing.
+    fn disuse(&mut self, id: &Name) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.presence != Presence::Unusable {
+            let (presence, tasks) = (worker.presence, worker.placements.len());
+            log::warn!(target: "worker", "worker={id} event=unusable presence={presence:?} tasks={tasks}");
+        }
+        worker.presence = Presence::Unusable;
+    }
+
     /// Takes in that a listing is gone: lapsed or removed by the worker.
     fn unlist(&mut self, id: &Name) {
         let now = self.now.steady;
@@ -92,8 +101,8 @@
         };
         let before = worker.presence;
         worker.presence = match (before, doubtful) {
-            (Presence::Listed, true) => Presence::Lapsed(now),
-            (Presence::Listed, false) => Presence::Removed,
+            (Presence::Listed | Presence::Unusable, true) => Presence::Lapsed(now),
+            (Presence::Listed | Presence::Unusable, false) => Presence::Removed,
             (before, _) => before,
         };
         if before != worker.presence {
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -215,15 +215,26 @@
     pub workers: Vec<Name>,
 }
 
+/// What the directory says under the id of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Entry {
+    /// A worker that may be used.
+    Listed(Listing),
+    /// Something that names no worker to use, as another writer may leave it.
+    Unusable,
+    /// Nothing any more.
+    Gone,
+}
+
 /// What the owner is told.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// A caller asks.
     Ask(Ticket, Ask),
     /// The whole directory was read.
-    Directory(Vec<Listing>),
-    /// Listings changed; none stands for a removed one.
-    Listed(Vec<(Name, Option<Listing>)>),
+    Directory(Vec<(Name, Entry)>),
+    /// Entries of the directory changed.
+    Listed(Vec<(Name, Entry)>),
     /// An exchange that was sent at this time ended.
     Held(Name, Millis, Reply<Report>),
     /// A start ended.
--- a/src/sched/silence.rs
+++ b/src/sched/silence.rs
@@ -34,7 +34,7 @@
             .workers
             .values()
             .filter(silent)
-            .filter(|w| !w.placements.is_empty() || w.presence == Presence::Removed)
+            .filter(|w| !w.placements.is_empty() || forgettable(w.presence))
             .map(|w| w.listing.id.clone())
             .collect();
         for name in ended {
@@ -43,7 +43,7 @@
             log::info!(target: "worker", "worker={name} event=lapsed tasks={tasks} presence={presence:?}");
             self.count_lapsed(tasks);
             self.clear(&name);
-            if presence == Presence::Removed {
+            if forgettable(presence) {
                 self.workers.remove(&name);
             }
         }
@@ -85,3 +85,9 @@
         crate::metrics::get().lapsed.inc_by(runs as u64);
     }
 }
+
+/// Returns true when a silent worker need not be kept in mind: an entry of another writer
+/// may stay for ever, and a worker that comes back is listed anew.
+fn forgettable(presence: Presence) -> bool {
+    matches!(presence, Presence::Removed | Presence::Unusable)
+}
--- a/src/sched/tests/directory.rs
+++ b/src/sched/tests/directory.rs
@@ -2,7 +2,7 @@
 
 use super::world::{World, job, lasting, step};
 use crate::sched::job::Shown;
-use crate::sched::message::{Event, How};
+use crate::sched::message::{Entry, Event, How};
 use crate::sched::spec::StepSpec;
 
 fn leave(world: &mut World, id: &str, stays: u64) {
@@ -10,7 +10,7 @@
     worker.listing.leaving = true;
     worker.listing.stays = stays;
     let listing = worker.listing.clone();
-    world.step(Event::Listed(vec![(id.into(), Some(listing))]));
+    world.step(Event::Listed(vec![(id.into(), Entry::Listed(listing))]));
 }
 
 #[test]
@@ -92,7 +92,7 @@
     world.workers.remove("w0");
     world.add_worker("w9", 100);
     let listing = world.workers["w9"].listing.clone();
-    world.step(Event::Listed(vec![("w9".into(), Some(listing))]));
+    world.step(Event::Listed(vec![("w9".into(), Entry::Listed(listing))]));
     world.run(300);
     assert_eq!(world.running().len(), 2);
     assert_eq!(world.shown("j1"), Some(Shown::Running));
@@ -104,7 +104,7 @@
     world.script = |_, _| (1_000_000, How::Done);
     world.submit("j0", job(vec![lasting(1, 1_000)]));
     world.run(6_000);
-    world.step(Event::Listed(vec![("w0".into(), None)]));
+    world.step(Event::Listed(vec![("w0".into(), Entry::Gone)]));
     world.submit("j1", job(vec![step(1, 1_000)]));
     world.run(1_000);
     let begun = world.starts.len();
@@ -117,3 +117,52 @@
     assert!(world.starts.len() > begun);
     assert!(world.starts.iter().any(|s| s.0.starts_with("j1")));
 }
+
+#[test]
+fn an_entry_that_names_no_worker_to_use_takes_nothing_with_it() {
+    let mut world = World::new(2);
+    world.script = |_, _| (1_000_000, How::Done);
+    world.submit("j0", job(vec![lasting(2, 1_000)]));
+    world.run(300);
+    let begun = world.starts.len();
+    world.step(Event::Listed(vec![("w0".into(), Entry::Unusable)]));
+    world.submit("j1", job(vec![step(2, 1_000)]));
+    world.run(500);
+    let new = &world.starts[begun..];
+    assert_eq!(new.len(), 2, "the other worker takes all");
+    assert!(new.iter().all(|s| &*s.2 == "w1"));
+    world.run(12_000);
+    let held = world.running();
+    assert!(held.iter().any(|(_, w)| &**w == "w0"), "what ran goes on");
+    assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+    world.list();
+    let begun = world.starts.len();
+    world.submit("j2", job(vec![step(2, 1_000)]));
+    world.run(500);
+    assert!(world.starts[begun..].iter().any(|s| &*s.2 == "w0"));
+}
+
+#[test]
+fn an_unusable_entry_of_no_worker_is_passed_over_for_ever() {
+    let mut world = World::new(1);
+    world.step(Event::Listed(vec![("w7".into(), Entry::Unusable)]));
+    world.submit("j0", job(vec![step(2, 1_000)]));
+    world.run(500);
+    assert!(world.starts.iter().all(|s| &*s.2 == "w0"));
+    assert_eq!(world.owner.sizes().1, 1);
+}
+
+#[test]
+fn a_silent_worker_with_an_unusable_entry_is_forgotten_and_its_tasks_run_elsewhere() {
+    let mut world = World::new(2);
+    world.script = |_, _| (1_000_000, How::Done);
+    world.submit("j1", job(vec![lasting(2, 1_000)]));
+    world.run(200);
+    world.workers.get_mut("w0").expect("worker").cut = true;
+    world.step(Event::Listed(vec![("w0".into(), Entry::Unusable)]));
+    world.run(12_000);
+    let here = world.running().iter().filter(|(_, w)| &**w == "w1").count();
+    assert_eq!(here, 2);
+    assert_eq!(world.owner.sizes().1, 1);
+    assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+}
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -12,7 +12,7 @@
 pub use self::workers::FakeWorker;
 use crate::sched::job::{JobRow, Queue, Shown};
 use crate::sched::journal::{JOB_TABLE, Journal, OWNER_KEY, OWNER_TABLE, OwnerRow, SPEC_TABLE};
-use crate::sched::message::{Action, Answer, Ask, Event, How};
+use crate::sched::message::{Action, Answer, Ask, Entry, Event, How};
 use crate::sched::owner::{Bounds, Kept, Now, Owner};
 use crate::sched::spec::{JobSpec, Room, StepSpec};
 use crate::sched::switches::Switches;
@@ -202,8 +202,9 @@
 
     /// Tells the owner the whole directory.
     pub fn list(&mut self) {
-        let listings = self.workers.values().map(|w| w.listing.clone()).collect();
-        self.step(Event::Directory(listings));
+        let listings = self.workers.values().map(|w| w.listing.clone());
+        let entries = listings.map(|l| (l.id.clone(), Entry::Listed(l)));
+        self.step(Event::Directory(entries.collect()));
     }
 
     pub fn ask(&mut self, ask: Ask) -> u64 {
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -160,6 +160,8 @@
     /// Its listing lapsed at this time, around trouble of the store: it may
     /// come back.
     Lapsed(Millis),
+    /// Its entry names no worker to use: another may have written it.
+    Unusable,
     /// Its listing was removed.
     Removed,
 }
@@ -312,8 +314,12 @@
 
     /// Returns true when new tasks may be sent there.
     pub fn open(&self, now: Millis) -> bool {
-        let offered = self.presence != Presence::Removed && self.leaves.is_none();
-        offered && self.answering(now) && now >= self.barred && !self.strangers
+        let offered = !matches!(self.presence, Presence::Removed | Presence::Unusable);
+        offered
+            && self.leaves.is_none()
+            && self.answering(now)
+            && now >= self.barred
+            && !self.strangers
     }
 
     /// Returns true while it answers.
