--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -1,7 +1,7 @@
 //! Processor time of one owner, in virtual time.
 //!
 //! `cargo bench --bench owner` drives an owner with stand-in workers that answer
-//! at once and run every task to its end, at 66 and at 490 workers, and prints
+//! at once and run every task to its end, at 66, 490 and 890 workers, and prints
 //! the share of one core that the owner's decisions take, by kind of event.
 
 use std::collections::{BTreeMap, HashMap};
@@ -10,7 +10,7 @@
 use willowpoint::sched::job::{Queue, TaskKey};
 use willowpoint::sched::journal::{Journal, OwnerRow};
 use willowpoint::sched::message::{
-    Action, Ask, Ended, Event, Hold, How, Reply, Report, Running, Start, Written,
+    Action, Ask, Ended, Entry, Event, Hold, How, Reply, Report, Running, Start, Written,
 };
 use willowpoint::sched::owner::{Bounds, Now, Owner};
 use willowpoint::sched::past::PastPage;
@@ -37,15 +37,18 @@
     width: u32,
     checks: f64,
     settles: f64,
+    /// Tasks of a step of a settle.
+    settle_width: u32,
 }
 
-const LOADS: [Load; 2] = [
+const LOADS: [Load; 3] = [
     Load {
         workers: 66,
         lasting: 51,
         width: 6,
         checks: 5.1,
         settles: 8.8,
+        settle_width: 20,
     },
     Load {
         workers: 490,
@@ -53,6 +56,15 @@
         width: 14,
         checks: 13.7,
         settles: 26.1,
+        settle_width: 20,
+    },
+    Load {
+        workers: 890,
+        lasting: 173,
+        width: 24,
+        checks: 13.0,
+        settles: 14.9,
+        settle_width: 39,
     },
 ];
 
@@ -77,6 +89,7 @@
     serial: u64,
     ticket: u64,
     random: Random,
+    settle_width: u32,
     spent: BTreeMap<&'static str, (u64, Duration)>,
 }
 
@@ -155,9 +168,12 @@
             serial: 0,
             ticket: 0,
             random: Random::new(SEED),
+            settle_width: load.settle_width,
             spent: BTreeMap::new(),
         };
-        world.at(1, Due::Tell(Event::Directory(listings)));
+        let entries = listings.into_iter();
+        let entries = entries.map(|l| (l.id.clone(), Entry::Listed(l)));
+        world.at(1, Due::Tell(Event::Directory(entries.collect())));
         let past = PastPage {
             last: true,
             ..PastPage::default()
@@ -223,7 +239,7 @@
             Due::Tell(event) => self.step(event),
             Due::End(worker, task, run) => self.end(worker, task, run),
             Due::Submit(name, rate) => {
-                let (spec, priority) = job(name, &mut self.random);
+                let (spec, priority) = job(name, self.settle_width, &mut self.random);
                 self.submit(self.now, spec, priority);
                 let gap = self.random.exponential(1_000.0 / rate) as u64;
                 self.at(self.now + gap, Due::Submit(name, rate));
@@ -388,9 +404,9 @@
     }
 }
 
-fn job(name: &'static str, random: &mut Random) -> (JobSpec, u32) {
+fn job(name: &'static str, settle_width: u32, random: &mut Random) -> (JobSpec, u32) {
     let fills = name == "settle";
-    let width = if fills { 20 } else { 10 };
+    let width = if fills { settle_width } else { 10 };
     let step = |after: Vec<usize>, image: u64| StepSpec {
         count: width,
         room: Room {
