Test of heartbeats: what it asserts holds only with the change

The flag that it looked at before was set again within the same step; the time of the next pass tells whether one was made.

--- a/src/sched/tests/directory.rs
+++ b/src/sched/tests/directory.rs
@@ -174,13 +174,14 @@
     world.submit("j0", job(vec![lasting(2, 1_000)]));
     world.submit("j1", job(vec![step(40, 1_000)]));
     world.run(3_000);
-    while !world.owner.crowded {
+    while !world.owner.crowded || world.now <= world.owner.next_place {
         world.run(1);
     }
+    let next = world.owner.next_place;
     world.list();
-    assert!(world.owner.crowded, "what waits is not looked at again");
+    assert_eq!(world.owner.next_place, next, "what waits is not looked at");
     let mut grown = world.workers["w0"].listing.clone();
     grown.capacity.cpu *= 2;
     world.step(Event::Listed(vec![("w0".into(), Entry::Listed(grown))]));
-    assert!(!world.owner.crowded, "a change is");
+    assert_ne!(world.owner.next_place, next, "a change has it looked at");
 }
