Scores look at what workers' tasks are to each other alone; all workers are looked at again

Change: both limits are gone. Scores read serving tasks and fillers of a worker from two short lists in place of its placements, a ranking is a heap, and the runs of a report are found by name once, not three times.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -13,6 +13,7 @@
 
 mod agenda;
 mod asks;
+mod beside;
 mod choice;
 mod commits;
 mod directory;
--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -1,6 +1,7 @@
 //! Which worker suits a task best.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
 
 use super::job::{StepKey, TaskKey};
 use super::permits::Permits;
@@ -34,10 +35,6 @@
 /// Milliseconds that a filler waits for a better worker; a job that could run
 /// must not idle for 3 s.
 const PATIENCE: Millis = 1_800;
-/// Workers on which a task fits among which the best is chosen; with more, the next step
-/// looks at others. Scores of all 890 for each step took a fifth of the owner's decisions
-/// (profile of `cargo bench --bench owner`).
-const ENOUGH: usize = 200;
 /// Whole of a load share.
 const WHOLE: u64 = 1_000;
 
@@ -65,91 +62,54 @@
     pub permits: Option<&'a Permits>,
 }
 
-/// Workers on which tasks of one step fit, with their scores.
+/// The workers on which tasks of one step fit, with their scores.
 ///
 /// The tasks of a step are placed one after the other, and only the worker that
-/// took the last one scores differently for the next: scoring all anew for each
-/// task took 4 % of a core at 490 workers (`cargo bench --bench owner`).
+/// took the last one, the best, scores differently for the next: scoring all anew for
+/// each task took 4 % of a core at 490 workers (`cargo bench --bench owner`).
 pub struct Ranking {
     /// The step.
     pub step: StepKey,
-    /// The worker from which the next ranking looks on; none when this one looked at all.
-    pub next: Option<Name>,
-    scores: HashMap<Name, u64>,
-    /// The same, the best first.
-    order: BTreeSet<(u64, Name)>,
+    /// Scores and workers, the best on top.
+    order: BinaryHeap<Reverse<(u64, Name)>>,
 }
 
 impl Ranking {
-    /// Scores workers for a task, from one of them on, until enough were found. Where data
-    /// lies on a rack, all are looked at, since few stand there.
-    pub fn new(
-        workers: &BTreeMap<Name, Worker>,
-        wish: &Wish<'_>,
-        from: &Name,
-        now: Millis,
-    ) -> Self {
-        let enough = match wish.step.rack.is_empty() {
-            true => ENOUGH,
-            false => usize::MAX,
-        };
-        let mut order = BTreeSet::new();
-        let mut next = None;
-        for worker in round(workers, from) {
-            if order.len() >= enough {
-                next = Some(worker.listing.id.clone());
-                break;
-            }
-            if allowed(worker, wish, now) {
-                order.insert((score(worker, wish), worker.listing.id.clone()));
-            }
-        }
-        let scores = order.iter().map(|(score, id)| (id.clone(), *score));
+    /// Scores all workers for a task.
+    pub fn new(workers: &BTreeMap<Name, Worker>, wish: &Wish<'_>, now: Millis) -> Self {
+        let fitting = workers.values().filter(|w| allowed(w, wish, now));
+        let scored = fitting.map(|w| Reverse((score(w, wish), w.listing.id.clone())));
+        let scored: Vec<_> = scored.collect();
         Self {
             step: wish.key.of_step(),
-            next,
-            scores: scores.collect(),
-            order,
+            order: scored.into(),
         }
     }
 
-    /// Returns true when no worker that it looked at takes a task any more, while others may.
-    pub fn spent(&self) -> bool {
-        self.order.is_empty() && self.next.is_some()
-    }
-
-    /// Scores one worker anew.
+    /// Scores the best worker anew, which took a task.
     pub fn update(&mut self, worker: &Worker, wish: &Wish<'_>, now: Millis) {
         let id = &worker.listing.id;
-        if let Some(score) = self.scores.remove(id) {
-            self.order.remove(&(score, id.clone()));
+        let best = self
+            .order
+            .peek()
+            .is_some_and(|Reverse((_, best))| best == id);
+        if best {
+            self.order.pop();
         }
-        if allowed(worker, wish, now) {
-            let score = score(worker, wish);
-            self.scores.insert(id.clone(), score);
-            self.order.insert((score, id.clone()));
+        if best && allowed(worker, wish, now) {
+            self.order.push(Reverse((score(worker, wish), id.clone())));
         }
     }
 
     /// Returns the worker on which a task does best, none when it fits nowhere or
     /// had better wait.
     pub fn best(&self, wish: &Wish<'_>) -> Option<Name> {
-        let (score, id) = self.order.first()?;
+        let Reverse((score, id)) = self.order.peek()?;
         let waits = wish.step.filler && *score > UNHELPFUL && wish.waited < PATIENCE;
         (!waits).then(|| id.clone())
     }
 }
 
-/// Returns all workers, from one of them on.
-pub fn round<'a>(
-    workers: &'a BTreeMap<Name, Worker>,
-    from: &Name,
-) -> impl Iterator<Item = &'a Worker> {
-    let rest = workers.range(from.clone()..);
-    let first = workers.range(..from.clone());
-    rest.chain(first).map(|(_, worker)| worker)
-}
-
 /// Returns true when a task could run on a worker once there is room.
 pub fn could_run(worker: &Worker, wish: &Wish<'_>, now: Millis) -> bool {
     wish.step.reserved().within(worker.listing.capacity) && suits(worker, wish, now)
@@ -182,7 +142,7 @@
     let all = worker.listing.capacity;
     let load = |cpu: u64| cpu * WHOLE / all.cpu.max(1);
     let mut score = match (step.target > 0, step.filler) {
-        (true, _) => packing(worker, step, load(worker.used.cpu + step.room.cpu)),
+        (true, _) => packing(worker, wish.image, load(worker.used.cpu + step.room.cpu)),
         (_, true) => crowding(load(worker.taken() + worker.soft + step.room.cpu)),
         _ => load(worker.used.cpu + worker.soft + step.room.cpu),
     };
@@ -205,12 +165,9 @@
 
 /// Serving tasks are packed, each image by itself: so fillers find workers
 /// without any, and workers with none that they would slow.
-fn packing(worker: &Worker, step: &StepSpec, load: u64) -> u64 {
-    let mixed = worker
-        .placements
-        .values()
-        .any(|s| s.serving && s.image != step.image);
-    let opened = worker.serving == 0;
+fn packing(worker: &Worker, image: ImageNumber, load: u64) -> u64 {
+    let mixed = worker.beside.serving.iter().any(|s| s.image != image);
+    let opened = worker.beside.serving.is_empty();
     let mut score = WHOLE.saturating_sub(load);
     if mixed {
         score += MIXED;
--- a/src/sched/gauges.rs
+++ b/src/sched/gauges.rs
@@ -1,10 +1,9 @@
 //! What workers report of their load: the tails of serving tasks, and what fillers
 //! use beside them.
 
-use super::job::TaskKey;
-use super::message::Running;
 use super::owner::Owner;
 use super::pressure::ImageNumber;
+use super::reports::Listed;
 use super::worker::{Gauge, Mix};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -29,15 +28,18 @@
 impl Owner {
     /// Takes in what running fillers of a worker use, and returns what fillers have
     /// used there over the last half second.
-    pub(super) fn mix(&mut self, name: &Name, running: &[Running]) -> Mix {
-        let keys: Vec<Option<TaskKey>> = running.iter().map(|r| self.find(&r.task)).collect();
+    pub(super) fn mix(&mut self, name: &Name, running: &[Listed<'_>]) -> Mix {
         let mut mix = Mix::new();
-        let Some(worker) = self.workers.get_mut(name).filter(|w| w.serving > 0) else {
+        let Some(worker) = self
+            .workers
+            .get_mut(name)
+            .filter(|w| !w.beside.serving.is_empty())
+        else {
             return mix;
         };
         worker.recent.add_to(&mut mix, self.now.steady);
         let capacity = worker.listing.capacity.cpu.max(1) as f64;
-        for (run, key) in running.iter().zip(keys) {
+        for Listed { key, run } in running {
             let placement = key.and_then(|k| worker.placements.get_mut(&k));
             let Some(placement) = placement.filter(|p| p.filler && p.run == run.run) else {
                 continue;
@@ -53,12 +55,14 @@
     pub(super) fn gauge(
         &mut self,
         name: &Name,
-        run: &Running,
+        run: &Listed<'_>,
         mix: &Mix,
     ) -> Option<(ImageNumber, Gauge)> {
-        let key = self.find(&run.task)?;
+        let Listed { key, run } = run;
+        let key = (*key)?;
         let now = self.now.steady;
-        let placement = self.workers.get_mut(name)?.placements.get_mut(&key)?;
+        let worker = self.workers.get_mut(name)?;
+        let placement = worker.placements.get(&key)?;
         if !placement.serving || placement.run != run.run {
             return None;
         }
@@ -82,7 +86,8 @@
                 .then(|| before.unwrap_or(now)),
             own_load,
         };
-        placement.gauge = Some(gauge.clone());
-        Some((placement.image_number, gauge))
+        let number = placement.image_number;
+        worker.measure(key, gauge.clone());
+        Some((number, gauge))
     }
 }
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -85,8 +85,6 @@
     pub(super) ranking: Option<Ranking>,
     /// Tasks for which room is being made, and the worker on which.
     pub(super) promises: BTreeMap<TaskKey, Name>,
-    /// The worker from which the next ones are looked at.
-    pub(super) next_look: Name,
     /// What is to be done, until the event has been taken in.
     pub(super) actions: Vec<Action>,
     /// The clocks at the present event.
@@ -149,7 +147,6 @@
             away: BTreeSet::new(),
             ranking: None,
             promises: BTreeMap::new(),
-            next_look: "".into(),
             actions: Vec::new(),
             now,
             inherited,
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -5,9 +5,10 @@
 //! was learned.
 
 use super::job::TaskKey;
-use super::message::{Action, Pace, Reply, Running};
+use super::message::{Action, Pace, Reply};
 use super::owner::Owner;
 use super::pressure::{ImageNumber, Pressure};
+use super::reports::Listed;
 use super::worker::Worker;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -77,14 +78,14 @@
 
 impl Owner {
     /// Takes in the gauges of a worker's tasks, and slows or speeds up its fillers.
-    pub(super) fn relieve(&mut self, name: &Name, running: &[Running]) {
+    pub(super) fn relieve(&mut self, name: &Name, running: &[Listed<'_>]) {
         let mix = self.mix(name, running);
         let Some(worker) = self.workers.get(name) else {
             return;
         };
         let mut fillers = fillers(worker);
         let mut high = false;
-        for run in running.iter().filter(|r| r.gauge > 0) {
+        for run in running.iter().filter(|r| r.run.gauge > 0) {
             let Some((victim, gauge)) = self.gauge(name, run, &mix) else {
                 continue;
             };
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -219,16 +219,11 @@
         let now = self.now.steady;
         let alike = rack.is_empty() && self.failures(key) == 0;
         let known = self.ranking.take_if(|r| alike && r.step == key.of_step());
-        let from = &self.next_look;
         let ranked = |wish: &Wish<'_>| {
-            let rank = || Ranking::new(&self.workers, wish, from, now);
-            let ranking = known.filter(|r| !r.spent()).unwrap_or_else(rank);
+            let ranking = known.unwrap_or_else(|| Ranking::new(&self.workers, wish, now));
             (ranking.best(wish), ranking)
         };
         let (best, ranking) = self.wished(key, rack, ranked);
-        if let Some(next) = &ranking.next {
-            self.next_look = next.clone();
-        }
         self.ranking = alike.then_some(ranking);
         best
     }
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -4,7 +4,7 @@
 //! lose only the time that they are away, while a task that ends loses all that
 //! it is worth with its due time.
 
-use super::choice::{could_run, round};
+use super::choice::could_run;
 use super::job::TaskKey;
 use super::owner::Owner;
 use super::spec::Room;
@@ -25,11 +25,6 @@
 /// looks at all that runs.
 pub(super) const LOOKS: usize = 6;
 
-/// Workers among whose runs one is chosen to give way; the next task looks at others. The
-/// owner's decisions took 13.1 % of a core at 890 nearly full workers with looks at all of
-/// them here, in rankings and for promises, and 6.5 % without (`cargo bench --bench owner`).
-const VICTIMS_OF: usize = 200;
-
 /// Room on a worker that is being made for a task.
 #[derive(Clone, Debug)]
 pub(super) struct Promise {
@@ -115,22 +110,14 @@
     }
 
     /// Returns the run whose end makes room for a task at the least cost.
-    fn victim(&mut self, key: TaskKey, room: Room) -> Option<Victim> {
+    fn victim(&self, key: TaskKey, room: Room) -> Option<Victim> {
         let spare = self.spare_lasting() || self.away.contains(&key);
-        let mut candidates = Vec::new();
-        let mut looked = Vec::new();
-        self.wished(key, "", |wish| {
+        let mut candidates: Vec<Victim> = self.wished(key, "", |wish| {
             let able = |w: &&Worker| could_run(w, wish, self.now.steady);
-            let workers = round(&self.workers, &self.next_look).filter(able);
-            for worker in workers.take(VICTIMS_OF) {
-                candidates.extend(self.victims_on(worker, key, room, spare));
-                looked.push(worker.listing.id.clone());
-            }
+            let workers = self.workers.values().filter(able);
+            let victims = workers.flat_map(|w| self.victims_on(w, key, room, spare));
+            victims.collect()
         });
-        // The next task looks at others.
-        if let Some(last) = looked.pop() {
-            self.next_look = last;
-        }
         candidates.sort_unstable();
         candidates.into_iter().find(|c| self.may_move(c.1))
     }
--- a/src/sched/pressure.rs
+++ b/src/sched/pressure.rs
@@ -9,6 +9,7 @@
 
 use std::collections::HashMap;
 
+use super::beside::Filling;
 use super::loads::UNMEASURED;
 use super::spec::StepSpec;
 use super::worker::{Mix, Worker};
@@ -127,26 +128,19 @@
     /// with one more task of a step there; `number` is that of its image.
     pub fn excess_with(&self, worker: &Worker, step: &StepSpec, number: ImageNumber) -> f64 {
         let capacity = worker.listing.capacity.cpu;
-        let fillers: Vec<(ImageNumber, u64)> = worker
-            .placements
-            .values()
-            .filter(|s| s.filler)
-            .map(|s| (s.image_number, s.cpu))
-            .collect();
+        let beside = &worker.beside;
         let parts = |victim: ImageNumber| -> f64 {
-            let part =
-                |(number, cpu): &(ImageNumber, u64)| self.part(victim, *number, *cpu, capacity);
-            fillers.iter().map(part).sum()
+            let part = |f: &Filling| self.part(victim, f.image, f.cpu, capacity);
+            beside.fillers.iter().map(part).sum()
         };
         if !step.filler {
             return (PEAK + parts(number) - BORNE).max(0.0);
         }
-        let serving = worker.placements.values().filter(|s| s.serving);
-        let over = serving.map(|victim| {
-            let own = victim.gauge.as_ref().map_or(UNMEASURED, |g| g.own_load);
+        let over = beside.serving.iter().map(|victim| {
+            let own = victim.own_load.unwrap_or(UNMEASURED);
             let peak = (own + RISE).min(PEAK.max(own));
-            let added = self.part(victim.image_number, number, step.room.cpu, capacity);
-            let before = peak + parts(victim.image_number) - BORNE;
+            let added = self.part(victim.image, number, step.room.cpu, capacity);
+            let before = peak + parts(victim.image) - BORNE;
             (before + added).max(0.0) - before.max(0.0)
         });
         over.sum()
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -28,6 +28,15 @@
 /// Ends in one report; with so many there may be more.
 const REPORT_LIMIT: usize = 500;
 
+/// A run that a worker lists.
+#[derive(Clone, Copy)]
+pub(super) struct Listed<'a> {
+    /// Its task; none when no open job has it.
+    pub key: Option<TaskKey>,
+    /// What the worker tells of it.
+    pub run: &'a Running,
+}
+
 impl Owner {
     /// Starts the exchanges that are due.
     pub(super) fn contact(&mut self) {
@@ -47,7 +56,7 @@
                 false => None,
             };
             let known = worker.answered > 0 && worker.misses == 0;
-            let mixed = worker.serving > 0 && worker.fillers > 0;
+            let mixed = worker.beside.mixed();
             worker.contact = Contact::Open(now);
             self.actions.push(Action::Hold(Hold {
                 worker: worker.listing.id.clone(),
@@ -103,8 +112,9 @@
         for end in &report.ended {
             self.end(name, end);
         }
-        self.runs(name, sent, &report.running, whole);
-        self.relieve(name, &report.running);
+        let running: Vec<Listed<'_>> = report.running.iter().map(|r| self.listed_run(r)).collect();
+        self.runs(name, sent, &running, whole);
+        self.relieve(name, &running);
         let worker = self.workers.get(name);
         let pause = match worker.is_some_and(|w| !w.pending.is_empty()) {
             true => ENDS_PAUSE,
@@ -114,15 +124,15 @@
     }
 
     /// Compares the runs that a worker lists with those that are known there.
-    fn runs(&mut self, name: &Name, sent: Millis, running: &[Running], whole: bool) {
+    fn runs(&mut self, name: &Name, sent: Millis, running: &[Listed<'_>], whole: bool) {
         let mut listed = BTreeSet::new();
         let mut strangers = Vec::new();
-        for run in running {
-            match self.find(&run.task) {
-                Some(key) if self.confirm(name, key, run) => {
-                    listed.insert(key);
+        for Listed { key, run } in running {
+            match key {
+                Some(key) if self.confirm(name, *key, run) => {
+                    listed.insert(*key);
                 }
-                found => strangers.push((found, run)),
+                found => strangers.push((*found, run)),
             }
         }
         let address = self.workers.get(name).map(|w| w.listing.address);
@@ -143,6 +153,12 @@
         }
     }
 
+    /// Returns a run that a worker lists, with its task.
+    fn listed_run<'a>(&self, run: &'a Running) -> Listed<'a> {
+        let key = self.find(&run.task);
+        Listed { key, run }
+    }
+
     /// Finds a task by its name.
     pub(super) fn find(&self, name: &str) -> Option<TaskKey> {
         let (id, round, step, index) = parse_task(name)?;
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use super::beside::Beside;
 use super::job::TaskKey;
 use super::paces::FULL_PACE;
 use super::preempt::Promise;
@@ -181,10 +182,8 @@
     pub used: Room,
     /// Processor share that fillers there would like.
     pub soft: u64,
-    /// Tasks there that serve under a target.
-    pub serving: u32,
-    /// Fillers there.
-    pub fillers: u32,
+    /// Its serving tasks and fillers, as they count for each other.
+    pub beside: Beside,
     /// Lasting tasks there.
     pub lasting: u32,
     /// The exchange with it.
@@ -223,8 +222,7 @@
             placements: BTreeMap::new(),
             used: Room::default(),
             soft: 0,
-            serving: 0,
-            fillers: 0,
+            beside: Beside::default(),
             lasting: 0,
             contact: Contact::Due(now),
             misses: 0,
@@ -245,9 +243,8 @@
     pub fn put(&mut self, key: TaskKey, placement: Placement) {
         self.used = self.used.plus(placement.room);
         self.soft += placement.soft;
-        self.serving += u32::from(placement.serving);
-        self.fillers += u32::from(placement.filler);
         self.lasting += u32::from(placement.lasting);
+        self.beside.put(key, &placement);
         self.placements.insert(key, placement);
     }
 
@@ -256,6 +253,7 @@
         let Some(placement) = self.placements.remove(&key) else {
             return;
         };
+        self.beside.take(key, &placement);
         if placement.filler && placement.has_run() {
             let share = self.share(&placement);
             self.recent
@@ -263,8 +261,6 @@
         }
         self.used = self.used.minus(placement.room);
         self.soft -= placement.soft;
-        self.serving -= u32::from(placement.serving);
-        self.fillers -= u32::from(placement.filler);
         self.lasting -= u32::from(placement.lasting);
     }
 
@@ -274,12 +270,17 @@
         run.in_use.unwrap_or_else(paced) as f64 / self.listing.capacity.cpu.max(1) as f64
     }
 
-    /// Returns the processor share that work other than fillers takes: serving
-    /// tasks use about half of what they hold.
+    /// Takes in how busy a serving task was.
+    pub fn measure(&mut self, key: TaskKey, gauge: Gauge) {
+        self.beside.measure(key, gauge.own_load);
+        if let Some(placement) = self.placements.get_mut(&key) {
+            placement.gauge = Some(gauge);
+        }
+    }
+
+    /// Returns the processor share that work other than fillers takes.
     pub fn taken(&self) -> u64 {
-        let serving = self.placements.values().filter(|s| s.serving);
-        let idle: u64 = serving.map(|s| s.room.cpu / 2).sum();
-        self.used.cpu - idle
+        self.used.cpu - self.beside.idle
     }
 
     /// Returns true when a task of this room fits beside what is there.
