--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -154,7 +154,7 @@
     }
 
     /// Returns a run that a worker lists, with its task.
-    fn listed_run<'a>(&self, run: &'a Running) -> Listed<'a> {
+    pub(super) fn listed_run<'a>(&self, run: &'a Running) -> Listed<'a> {
         let key = self.find(&run.task);
         Listed { key, run }
     }
--- a/src/sched/tests/pressure.rs
+++ b/src/sched/tests/pressure.rs
@@ -81,7 +81,8 @@
     };
     for _ in 0..5 {
         let name = "w0".into();
-        world.owner.relieve(&name, std::slice::from_ref(&run));
+        let run = world.owner.listed_run(&run);
+        world.owner.relieve(&name, &[run]);
         world.run(400);
     }
     assert!(world.paces.contains(&0), "{:?}", world.paces);
