A job that no worker could hold is refused at once

Cause: a job was taken whenever the store answered; one with a step wider than every worker, or with a label that none has, was accepted, ranked in each pass and never ran. Change: sched/admission.rs decides whether a job is taken: not while the store is away (as before), not when no known worker of its service could hold a task of one of its steps, were it empty; its caller is told so at once, and to come back after 5 s. Without any worker known, nothing is known and it is taken. Ruled out: refusing what has to wait (room comes back within seconds; the caller knows what the wait is worth). Tests: four, of which the first two fail without; in a test of fillers that fit nowhere the label now belongs to a worker that leaves, as strict as before.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -11,6 +11,7 @@
 //! do, `succession` which box comes next; `switches` turns mechanisms off.
 //! Everything here is plain state without sockets and clocks.
 
+mod admission;
 mod agenda;
 mod asks;
 mod beside;
@@ -43,7 +44,7 @@
 pub mod switches;
 pub mod worker;
 
-pub use asks::COME_BACK;
+pub use admission::COME_BACK;
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/sched/admission.rs
@@ -0,0 +1,83 @@
+//! Whether a job is taken.
+//!
+//! Load patterns: jobs that come while the store is away, and jobs that ask for more than
+//! any worker has. Both would be held in vain, so their callers are told at once, and that
+//! nothing has run. A job that merely has to wait is taken: its tasks find room within
+//! seconds on full workers, and only the caller knows how long it is worth the wait.
+
+use super::owner::Owner;
+use super::spec::{JobSpec, StepSpec};
+use super::worker::{Presence, Worker};
+use crate::utils::clock::Millis;
+
+/// Milliseconds without a confirmed commit after which new jobs are refused:
+/// several times the store's usual answer, also when it is slow.
+const STORE_AWAY: Millis = 1_000;
+/// While commits are slow, so many of them may pass unconfirmed.
+const SLOW_COMMITS: Millis = 3;
+/// Longest such span, in milliseconds.
+const STORE_AWAY_MOST: Millis = 2_500;
+/// Milliseconds after which a caller of a job that no worker could hold should come back:
+/// what takes workers away or brings larger ones takes some seconds, and until then each
+/// try is in vain.
+const LARGER_WORKERS: Millis = 5_000;
+/// Milliseconds after which a refused caller should come back; about what a
+/// takeover or a short outage takes.
+pub const COME_BACK: Millis = 500;
+
+/// Why a job is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Obstacle {
+    /// The store has confirmed nothing for so many milliseconds.
+    StoreAway(Millis),
+    /// No worker of its service could hold a task of this step.
+    Unservable(usize),
+}
+
+impl Obstacle {
+    /// Returns the milliseconds after which the caller should come back.
+    pub fn come_back(self) -> Millis {
+        match self {
+            Self::StoreAway(_) => COME_BACK,
+            Self::Unservable(_) => LARGER_WORKERS,
+        }
+    }
+}
+
+impl Owner {
+    /// Returns why a job can't be taken now.
+    pub(super) fn obstacle(&self, spec: &JobSpec, service: &str) -> Option<Obstacle> {
+        let away = self.store_away().map(Obstacle::StoreAway);
+        away.or_else(|| self.unservable(spec, service).map(Obstacle::Unservable))
+    }
+
+    /// Returns the milliseconds since the last confirmed commit when they are too
+    /// many to take new jobs.
+    pub(super) fn store_away(&self) -> Option<Millis> {
+        let silent = self.now.steady - self.journal.confirmed();
+        let slow = (self.journal.took() * SLOW_COMMITS).min(STORE_AWAY_MOST);
+        (silent > STORE_AWAY.max(slow)).then_some(silent)
+    }
+
+    /// Returns a step of which no worker of the service could hold a task, were it empty.
+    /// Without any worker of the service nothing is known, as the directory may not be
+    /// read yet.
+    fn unservable(&self, spec: &JobSpec, service: &str) -> Option<usize> {
+        let known = |w: &&Worker| {
+            let there = !matches!(w.presence, Presence::Removed | Presence::Unusable);
+            there && &*w.listing.service == service
+        };
+        let holds = |step: &StepSpec| {
+            let mut workers = self.workers.values().filter(known);
+            workers.any(|w| could_hold(w, step))
+        };
+        self.workers.values().find(known)?;
+        spec.steps.iter().position(|step| !holds(step))
+    }
+}
+
+/// Returns true when a worker could hold a task of a step, were it empty.
+fn could_hold(worker: &Worker, step: &StepSpec) -> bool {
+    let labelled = step.label.is_empty() || worker.listing.labels.contains(&step.label);
+    labelled && step.reserved().within(worker.listing.capacity)
+}
--- a/src/sched/asks.rs
+++ b/src/sched/asks.rs
@@ -6,18 +6,6 @@
 use super::owner::Owner;
 use super::spec::JobSpec;
 use crate::utils::Name;
-use crate::utils::clock::Millis;
-
-/// Milliseconds without a confirmed commit after which new jobs are refused:
-/// several times the store's usual answer, also when it is slow.
-const STORE_AWAY: Millis = 1_000;
-/// While commits are slow, so many of them may pass unconfirmed.
-const SLOW_COMMITS: Millis = 3;
-/// Longest such span, in milliseconds.
-const STORE_AWAY_MOST: Millis = 2_500;
-/// Milliseconds after which a refused caller should come back; about what a
-/// takeover or a short outage takes.
-pub const COME_BACK: Millis = 500;
 
 impl Owner {
     pub(super) fn ask(&mut self, ticket: Ticket, ask: Ask) {
@@ -48,9 +36,10 @@
             log::warn!(target: "job", "job={id} event=invalid findings={findings:?}");
             return self.reply(ticket, Answer::Invalid(findings.join("; ")));
         }
-        if let Some(silent) = self.store_away() {
-            log::info!(target: "job", "job={id} event=refused reason=store-away silent_ms={silent}");
-            return self.reply(ticket, Answer::Refused(COME_BACK));
+        if let Some(obstacle) = self.obstacle(&spec, &queue.service) {
+            let workers = self.workers.len();
+            log::info!(target: "job", "job={id} event=refused reason={obstacle:?} workers={workers}");
+            return self.reply(ticket, Answer::Refused(obstacle.come_back()));
         }
         if !self.past.whole() {
             return self.park(ticket, Ask::Submit { id, spec, queue });
@@ -64,14 +53,6 @@
         self.release(number);
     }
 
-    /// Returns the milliseconds since the last confirmed commit when they are too
-    /// many to take new jobs.
-    pub(super) fn store_away(&self) -> Option<Millis> {
-        let silent = self.now.steady - self.journal.confirmed();
-        let slow = (self.journal.took() * SLOW_COMMITS).min(STORE_AWAY_MOST);
-        (silent > STORE_AWAY.max(slow)).then_some(silent)
-    }
-
     /// Answers once the store holds the job as it is now.
     fn answer_kept(&mut self, ticket: Ticket, number: u32, answer: Answer) {
         let job = &self.jobs[&number];
--- a/src/sched/past.rs
+++ b/src/sched/past.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::asks::COME_BACK;
+use super::admission::COME_BACK;
 use super::job::{Outcome, TaskKey, parse_task};
 use super::message::{Answer, Ask, Ticket};
 use super::owner::Owner;
--- /dev/null
+++ b/src/sched/tests/admission.rs
@@ -0,0 +1,60 @@
+//! Jobs that are refused at once, and those that are not.
+
+use super::world::{World, job, lasting, step};
+use crate::sched::message::Answer;
+use crate::sched::spec::StepSpec;
+
+fn labelled(label: &str) -> StepSpec {
+    StepSpec {
+        label: label.into(),
+        ..step(1, 1_000)
+    }
+}
+
+fn refused(world: &World, ticket: u64) -> bool {
+    matches!(world.answers.get(&ticket), Some(Answer::Refused(_)))
+}
+
+#[test]
+fn a_job_that_no_worker_could_hold_is_refused_at_once() {
+    let mut world = World::new(3);
+    let wide = world.submit("wide", job(vec![step(1, 1_000), step(1, 4_001)]));
+    let label = world.submit("label", job(vec![labelled("nowhere")]));
+    assert!(refused(&world, wide) && refused(&world, label));
+    world.run(5_000);
+    assert!(world.starts.is_empty(), "it has not run");
+}
+
+#[test]
+fn it_is_taken_once_a_worker_could_hold_it() {
+    let mut world = World::new(1);
+    world.add_worker("large", 200);
+    let large = &mut world.workers.get_mut("large").expect("worker").listing;
+    large.capacity.cpu = 8_000;
+    large.labels.push("fast".into());
+    world.list();
+    world.run(50);
+    let wide = world.submit("wide", job(vec![step(1, 8_000)]));
+    let label = world.submit("label", job(vec![labelled("fast")]));
+    world.run(3_000);
+    assert!(!refused(&world, wide) && !refused(&world, label));
+    assert_eq!(world.starts.len(), 2);
+}
+
+#[test]
+fn a_job_that_has_to_wait_for_room_is_taken() {
+    let mut world = World::new(1);
+    world.submit("full", job(vec![lasting(1, 4_000)]));
+    world.run(100);
+    let waits = world.submit("waits", job(vec![step(1, 4_000)]));
+    world.run(100);
+    assert_eq!(world.answers.get(&waits), Some(&Answer::Accepted));
+}
+
+#[test]
+fn without_any_worker_nothing_is_known_to_be_too_large() {
+    let mut world = World::new(0);
+    let ticket = world.submit("early", job(vec![step(1, 99_000)]));
+    world.run(100);
+    assert_eq!(world.answers.get(&ticket), Some(&Answer::Accepted));
+}
--- a/src/sched/tests/order.rs
+++ b/src/sched/tests/order.rs
@@ -44,6 +44,13 @@
         label: label.into(),
         ..step(8, 500)
     };
+    // It has the label and will leave, so it takes nothing new.
+    world.add_worker("w9", 190);
+    let listing = &mut world.workers.get_mut("w9").expect("worker").listing;
+    listing.labels.push("nowhere".into());
+    listing.leaving = true;
+    listing.stays = 60_000;
+    world.list();
     world.submit("first", job(vec![filler("nowhere")]));
     world.submit("second", job(vec![filler("")]));
     world.run(300);
