Metrics: time of the owner's decisions by kind of event

The owner's processor time was found by a trial that logged it; now a counter tells it, added to once a second. Names of kinds of events stand once, the benchmark used its own.

--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -114,21 +114,6 @@
     Beat(Listing),
 }
 
-fn kind(event: &Event) -> &'static str {
-    match event {
-        Event::Ask(..) => "ask",
-        Event::Directory(_) | Event::Listed(_) => "directory",
-        Event::Held(..) => "held",
-        Event::Started(..) => "started",
-        Event::Stopped(..) => "stopped",
-        Event::Paced(..) => "paced",
-        Event::Advised(..) => "advised",
-        Event::Written(..) => "written",
-        Event::Past(_) => "past",
-        Event::Tick => "tick",
-    }
-}
-
 fn listing(place: usize) -> Listing {
     Listing {
         id: format!("w{place:04}").into(),
@@ -277,7 +262,7 @@
             steady: self.now,
             wall: 1_000_000 + self.now,
         };
-        let kind = kind(&event);
+        let kind = event.kind();
         let start = Instant::now();
         let actions = self.owner.step(event, now);
         let took = start.elapsed();
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -171,7 +171,11 @@
         if let Event::Written(_, written) = &event {
             self.pace_commits(written);
         }
-        for action in self.owner.step(event, now()) {
+        let (kind, begun) = (event.kind(), clock::micros());
+        let actions = self.owner.step(event, now());
+        let ended = clock::micros();
+        self.reign.spent(kind, ended - begun, ended / 1_000);
+        for action in actions {
             self.act(shared, action);
         }
     }
--- a/src/daemon/reign.rs
+++ b/src/daemon/reign.rs
@@ -4,11 +4,16 @@
 //! Of a box that ran for long, only the last lines are kept: the one of an owner's
 //! end has to tell what the one of its beginning did.
 
-use crate::metrics::{self, End};
+use std::collections::BTreeMap;
+
+use crate::metrics::{self, End, Spent};
 use crate::sched::owner::Owner;
 use crate::utils::clock::{self, Millis};
 use crate::utils::peak::Peak;
 
+/// Milliseconds between two additions to the counters of time.
+const COUNT: Millis = 1_000;
+
 /// The time of an owner in this process.
 pub struct Reign {
     /// Epoch of the owner.
@@ -18,6 +23,10 @@
     /// Milliseconds from the commit that made it the owner until it served.
     load: Millis,
     late: Peak,
+    /// Microseconds of decisions by kind of event that the counters do not have yet.
+    spent: BTreeMap<&'static str, u64>,
+    /// When the counters had all.
+    counted: Millis,
     /// When it was first seen to give the cell up.
     leaves: Option<Millis>,
 }
@@ -34,6 +43,8 @@
             began: now,
             load,
             late: Peak::default(),
+            spent: BTreeMap::new(),
+            counted: now,
             leaves: None,
         }
     }
@@ -43,6 +54,20 @@
         self.late.note(by, now);
     }
 
+    /// Takes in how many microseconds the decisions about an event took. The counters have
+    /// them once a second, as there are thousands of events in one.
+    pub fn spent(&mut self, event: &'static str, micros: u64, now: Millis) {
+        *self.spent.entry(event).or_default() += micros;
+        if now < self.counted + COUNT {
+            return;
+        }
+        self.counted = now;
+        for (event, micros) in std::mem::take(&mut self.spent) {
+            let counter = metrics::get().spent.get_or_create(&Spent { event });
+            counter.inc_by(micros);
+        }
+    }
+
     /// Returns for how long it has been giving the cell up: it starts and extends
     /// nothing meanwhile, and no other box may.
     fn leaving(&self, now: Millis) -> Millis {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -34,6 +34,13 @@
     pub reason: &'static str,
 }
 
+/// Label of the time that the owner's decisions took.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct Spent {
+    /// Kind of the event that they took in.
+    pub event: &'static str,
+}
+
 /// Label of a call between programs.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct Call {
@@ -80,6 +87,8 @@
     pub leaving: Gauge<i64, AtomicI64>,
     /// Milliseconds from the last commit that made this box the owner until it served.
     pub load: Gauge<i64, AtomicI64>,
+    /// Microseconds that the owner's decisions took, by kind of event.
+    pub spent: Family<Spent, Counter>,
     /// Owners that ended in this process.
     pub ends: Family<End, Counter>,
     /// Times that this box became the owner.
@@ -145,6 +154,7 @@
             late: Gauge::default(),
             leaving: Gauge::default(),
             load: Gauge::default(),
+            spent: Family::default(),
             ends: Family::default(),
             takeovers: Counter::default(),
             jobs: Gauge::default(),
--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -101,6 +101,11 @@
         m.start_seconds.clone(),
     );
     registry.register("request_seconds", "Time to the answer", m.seconds.clone());
+    registry.register(
+        "owner_spent_us",
+        "Microseconds that the owner's decisions took",
+        m.spent.clone(),
+    );
 }
 
 /// Registers what the older design counts for the most part.
--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{Call, End, Metrics};
+use super::{Call, End, Metrics, Spent};
 
 /// Bytes of an answer that a collector keeps in any case.
 const KEPT: usize = 3_500;
@@ -81,3 +81,13 @@
     assert_eq!(names, listed());
     assert_eq!(names.len(), OWNER.len(), "all of them are looked for");
 }
+
+#[test]
+fn the_time_of_decisions_is_told_by_event() {
+    let metrics = Metrics::new();
+    let spent = metrics.spent.get_or_create(&Spent { event: "held" });
+    spent.inc_by(1_234);
+    drop(spent);
+    let row = "willowpoint_owner_spent_us_total{event=\"held\"} 1234";
+    assert!(metrics.text().contains(row));
+}
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -253,6 +253,24 @@
     Tick,
 }
 
+impl Event {
+    /// Returns the name of its kind.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Ask(..) => "ask",
+            Self::Directory(_) | Self::Listed(_) => "directory",
+            Self::Held(..) => "held",
+            Self::Started(..) => "started",
+            Self::Stopped(..) => "stopped",
+            Self::Paced(..) => "paced",
+            Self::Advised(..) => "advised",
+            Self::Written(..) => "written",
+            Self::Past(_) => "past",
+            Self::Tick => "tick",
+        }
+    }
+}
+
 /// An exchange with a worker: extends its lease and asks for its report.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Hold {
