New jobs are refused 0.45 s after the last commit once one has failed

Cause: while the store resets connections, its failure is known at once, but jobs were taken for 1 s after the last commit, and their callers held until the answer was given up. Change: once the last commit that ended has failed, 0.45 s without one that took effect are enough; slow answers and single lost ones are no failure. The test fails before.

--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -13,6 +13,10 @@
 /// Milliseconds without a confirmed commit after which new jobs are refused:
 /// several times the store's usual answer, also when it is slow.
 const STORE_AWAY: Millis = 1_000;
+/// The same once a commit has failed: a store that resets connections or answers 503 tells
+/// so at once. Longer than an idle owner's pause between commits and than two answers lost
+/// in a row take to be found, which are no outage.
+const STORE_FAILING: Millis = 450;
 /// While commits are slow, so many of them may pass unconfirmed.
 const SLOW_COMMITS: Millis = 3;
 /// Longest such span, in milliseconds.
@@ -55,8 +59,12 @@
     /// many to take new jobs.
     pub(super) fn store_away(&self) -> Option<Millis> {
         let silent = self.now.steady - self.journal.confirmed();
+        let usual = match self.journal.failing() {
+            true => STORE_FAILING,
+            false => STORE_AWAY,
+        };
         let slow = (self.journal.took() * SLOW_COMMITS).min(STORE_AWAY_MOST);
-        (silent > STORE_AWAY.max(slow)).then_some(silent)
+        (silent > usual.max(slow)).then_some(silent)
     }
 
     /// Returns a step of which no worker of the service could hold a task, were it empty.
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -145,6 +145,8 @@
     took: Millis,
     /// True while the outcome of a commit is not known.
     in_doubt: bool,
+    /// True when the last commit that ended is not known to have taken effect.
+    failed: bool,
     /// Since when the cell is to be given up.
     leaving: Option<Millis>,
     /// True once the store holds that the cell was given up.
@@ -166,6 +168,7 @@
             idle: now,
             took: 0,
             in_doubt: false,
+            failed: false,
             leaving: None,
             left: false,
         }
@@ -191,6 +194,11 @@
         self.in_doubt
     }
 
+    /// Returns true when the last commit that ended is not known to have taken effect.
+    pub fn failing(&self) -> bool {
+        self.failed
+    }
+
     /// Marks a job as changed.
     pub fn touch(&mut self, job: u32) {
         if let Entry::Vacant(entry) = self.waiting.entry(job) {
@@ -297,6 +305,7 @@
         let Some(flight) = self.flight.take_if(|f| f.number == number) else {
             return Settled::Again;
         };
+        self.failed = matches!(written, Written::NotDone | Written::Unknown);
         match written {
             Written::Done(version) => {
                 self.version = version;
--- a/src/sched/tests/admission.rs
+++ b/src/sched/tests/admission.rs
@@ -58,3 +58,21 @@
     world.run(100);
     assert_eq!(world.answers.get(&ticket), Some(&Answer::Accepted));
 }
+
+#[test]
+fn a_store_that_has_failed_a_commit_is_not_waited_for() {
+    let mut world = World::new(1);
+    world.submit("j0", job(vec![step(1, 1_000)]));
+    world.run(30);
+    world.store_down = true;
+    world.submit("j1", job(vec![step(1, 1_000)]));
+    world.run(740);
+    let late = world.submit("j2", job(vec![step(1, 1_000)]));
+    assert!(refused(&world, late), "0.8 s after the last commit");
+    world.store_down = false;
+    world.run(1_000);
+    let back = world.submit("j3", job(vec![step(1, 1_000)]));
+    world.run(100);
+    assert_eq!(world.answers.get(&back), Some(&Answer::Accepted));
+    assert!(world.starts.iter().all(|s| !s.0.starts_with("j2")));
+}
