--- a/benches/orders.rs
+++ b/benches/orders.rs
@@ -79,7 +79,7 @@
         .enable_timer()
         .build()?;
     let (whole, took) = runtime.block_on(async move {
-        let workers = Workers::default();
+        let workers = Workers::new(AT_ONCE);
         exchange(&workers, address, 100).await;
         let start = thread_seconds();
         let each = ROUNDS / AT_ONCE;
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -85,7 +85,7 @@
     ) -> Self {
         Self {
             store: Store::new(settings.store),
-            workers: Workers::default(),
+            workers: Workers::new(settings.idle),
             advisor: Advisor::new(settings.advisor),
             bounds: Cell::new(settings.bounds),
             settings,
--- a/src/entry/shell.rs
+++ b/src/entry/shell.rs
@@ -365,7 +365,7 @@
             }
             Action::Disconnect(endpoints) => {
                 for endpoint in endpoints {
-                    context.pool.clear(Some(endpoint));
+                    context.pool.clear(endpoint);
                 }
             }
             Action::Exit { within } => self.drain(within),
--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -40,6 +40,16 @@
 /// Thousandths of a core.
 const CORE: f64 = 1_000.0;
 
+/// Descriptors of a box, unless they are set.
+const DESCRIPTORS: f64 = 4_096.0;
+/// Least and most that make sense: those of a box that never is the owner, and those of
+/// the largest machine.
+const DESCRIPTORS_RANGE: std::ops::RangeInclusive<f64> = 64.0..=4_000_000.0;
+/// Share of them for idle connections to workers. Each worker has one more for its open
+/// exchange and one idle one in any case, so 890 workers and their orders fit into 4,096;
+/// without a bound 998 workers took 4,304 (busiest box of a played day).
+const IDLE_SHARE: f64 = 0.375;
+
 /// Checked settings of a box on the platform.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -49,6 +59,8 @@
     pub hall: Name,
     /// Thousandths of cores that it may use; boxes with more of them own the cell.
     pub cores: u32,
+    /// Idle connections to workers that it may keep.
+    pub idle: usize,
     /// Address for callers.
     pub web: SocketAddr,
     /// Address for other boxes.
@@ -98,6 +110,8 @@
         name: reader.name("box.name").into(),
         hall: reader.name("box.hall").into(),
         cores: (reader.number("box.cores", 1.0, 0.0..=CORES_MOST) * CORE) as u32,
+        idle: (reader.number("box.descriptors", DESCRIPTORS, DESCRIPTORS_RANGE) * IDLE_SHARE)
+            as usize,
         web: reader.address("box.web"),
         rpc: reader.address("box.rpc"),
         admin: reader.address("box.admin"),
--- a/src/options/tests.rs
+++ b/src/options/tests.rs
@@ -77,6 +77,7 @@
         ("node", "front-1"),
         ("zone", "leon"),
         ("limits.cpuShare", "0.25"),
+        ("limits.maxFds", "8192"),
         ("listen.front", "10.0.0.1:8161"),
         ("listen.ready", "10.0.0.1:8167"),
         ("ip", "10.0.0.1"),
@@ -96,6 +97,7 @@
     };
     let text = section(template, "advice", !advisor.is_empty());
     let text = section(&text, "limits.cpuShare", !advisor.is_empty());
+    let text = section(&text, "limits.maxFds", !advisor.is_empty());
     values.iter().fold(text, |text, (gap, value)| {
         text.replace(&format!("{{{{{gap}}}}}"), value)
     })
@@ -110,6 +112,7 @@
         assert_eq!(settings.advisor.map(|a| a.port()), port);
         assert_eq!((&*settings.name, settings.bounds.lease), ("front-1", 4_000));
         assert_eq!(settings.cores, if port.is_some() { 250 } else { 1_000 });
+        assert_eq!(settings.idle, if port.is_some() { 3_072 } else { 1_536 });
     }
 }
 
@@ -147,10 +150,11 @@
         ..Switches::ON
     };
     assert_eq!(settings.bounds.switches, expected);
-    let text = text.replace("0.12", "-1") + "pace = \"off\"\nspeed = true\n";
+    let text = text.replace("0.12", "-1\ndescriptors = 0") + "pace = \"off\"\nspeed = true\n";
     let findings = daemon::parse("c.toml", &text).expect_err("findings");
     let keys: Vec<&str> = findings.iter().map(|f| f.key.as_str()).collect();
-    for key in ["box.cores", "mechanisms.pace", "mechanisms.speed"] {
-        assert!(keys.contains(&key), "{key} in {keys:?}");
+    let keyed = ["box.cores", "box.descriptors"];
+    for key in keyed.iter().chain(&["mechanisms.pace", "mechanisms.speed"]) {
+        assert!(keys.contains(key), "{key} in {keys:?}");
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -83,7 +83,7 @@
     /// Has the next calls open new connections: those that are open may have
     /// fallen silent.
     pub fn reconnect(&self) {
-        self.pool.clear(Some(self.address));
+        self.pool.clear(self.address);
     }
 
     /// Applies all writes to a part of the store, or none.
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -24,15 +24,15 @@
     pool: Pool,
 }
 
-impl Default for Workers {
-    fn default() -> Self {
+impl Workers {
+    /// Returns a client that keeps so many idle connections at most, but for one to each
+    /// worker.
+    pub fn new(idle: usize) -> Self {
         Self {
-            pool: Pool::new(REPORT_LIMIT),
+            pool: Pool::new(REPORT_LIMIT).keeping(idle),
         }
     }
-}
 
-impl Workers {
     /// Starts a run; the answer holds the worker's clock.
     pub async fn start(&self, start: &Start) -> Reply<Millis> {
         let body = encode(&RunStart {
--- a/src/web/client.rs
+++ b/src/web/client.rs
@@ -25,10 +25,40 @@
 /// Idle connections by address, and the largest answer that is read.
 #[derive(Clone)]
 pub struct Pool {
-    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>,
+    idle: Rc<RefCell<Idle>>,
     limit: usize,
 }
 
+/// Connections that wait for their next call.
+struct Idle {
+    by_address: HashMap<SocketAddr, Vec<Connection>>,
+    /// Connections in all.
+    count: usize,
+    /// So many in all, a second one to an address is not kept.
+    most: usize,
+}
+
+impl Idle {
+    fn put(&mut self, address: SocketAddr, connection: Connection) {
+        let kept = self.by_address.entry(address).or_default();
+        if kept.is_empty() || self.count < self.most {
+            kept.push(connection);
+            self.count += 1;
+        }
+    }
+
+    fn pop(&mut self, address: SocketAddr) -> Option<Connection> {
+        let connection = self.by_address.get_mut(&address)?.pop()?;
+        self.count -= 1;
+        Some(connection)
+    }
+
+    fn clear(&mut self, address: SocketAddr) {
+        let gone = self.by_address.remove(&address);
+        self.count -= gone.map_or(0, |connections| connections.len());
+    }
+}
+
 struct Connection {
     fd: i32,
     left: Allowance,
@@ -39,18 +69,31 @@
 impl Pool {
     /// Returns an empty pool whose answers may have `limit` bytes each.
     pub fn new(limit: usize) -> Self {
+        let idle = Idle {
+            by_address: HashMap::new(),
+            count: 0,
+            most: usize::MAX,
+        };
         Self {
-            idle: Rc::default(),
+            idle: Rc::new(RefCell::new(idle)),
             limit,
         }
     }
 
-    /// Closes idle connections to an address, or all of them.
-    pub fn clear(&self, address: Option<SocketAddr>) {
-        match address {
-            Some(address) => drop(self.idle.borrow_mut().remove(&address)),
-            None => self.idle.borrow_mut().clear(),
-        }
+    /// Keeps so many idle connections at most, but for one to each address.
+    pub fn keeping(self, most: usize) -> Self {
+        self.idle.borrow_mut().most = most;
+        self
+    }
+
+    /// Returns the number of idle connections.
+    pub fn idle(&self) -> usize {
+        self.idle.borrow().count
+    }
+
+    /// Closes idle connections to an address.
+    pub fn clear(&self, address: SocketAddr) {
+        self.idle.borrow_mut().clear(address);
     }
 
     /// Sends a request and reads the whole answer within `limit` milliseconds.
@@ -81,7 +124,7 @@
             log::debug!(target: "web", "event=unanswered address={address} limit_ms={limit}");
             crate::metrics::unanswered("http");
             // What silenced this connection may have silenced all of its age.
-            self.clear(Some(address));
+            self.clear(address);
             return Err(WebError::Lost("timed out".into()));
         };
         let (reply, connection) = result?;
@@ -93,7 +136,7 @@
 
     async fn take(&self, address: SocketAddr) -> std::io::Result<Connection> {
         loop {
-            let kept = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop);
+            let kept = self.idle.borrow_mut().pop(address);
             match kept {
                 Some(connection) if usable(connection.fd) => return Ok(connection),
                 Some(_) => continue,
@@ -103,8 +146,7 @@
     }
 
     fn put(&self, address: SocketAddr, connection: Connection) {
-        let mut idle = self.idle.borrow_mut();
-        idle.entry(address).or_default().push(connection);
+        self.idle.borrow_mut().put(address, connection);
     }
 }
 
--- a/src/web/tests.rs
+++ b/src/web/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of message lengths.
 
 use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 
 use http::HeaderMap;
 
@@ -35,8 +36,8 @@
 
 /// Accepts connections on a thread; each answers `answers` requests, then falls
 /// silent and stays open.
-fn falls_silent(answers: usize) -> std::net::SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+fn falls_silent(answers: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -85,3 +86,52 @@
     })
     .unwrap();
 }
+
+/// Answers each request on each of its connections, until the test ends.
+fn answers() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else {
+                return;
+            };
+            std::thread::spawn(move || {
+                let mut buffer = [0; 1_024];
+                let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+                while stream.read(&mut buffer).is_ok_and(|n| n > 0) {
+                    if stream.write_all(answer).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+#[test]
+fn a_pool_keeps_no_more_idle_connections_than_it_may_but_one_to_each_address() {
+    let (one, two) = (answers(), answers());
+    let request = || Request {
+        method: http::Method::GET,
+        uri: "/".parse().unwrap(),
+        headers: headers(&[("host", "x")]),
+        body: bytes::Bytes::new(),
+    };
+    let pool = Pool::new(1 << 10).keeping(3);
+    let call = async |address| pool.call(address, request(), PATIENCE, || true).await;
+    crate::program::block_on(async {
+        let calls = futures::future::join_all((0..8).map(|_| call(one)));
+        assert!(calls.await.iter().all(Result::is_ok));
+        assert_eq!(pool.idle(), 3);
+        let calls = futures::future::join_all((0..8).map(|_| call(two)));
+        assert!(calls.await.iter().all(Result::is_ok));
+        assert_eq!(pool.idle(), 4, "one to the other address");
+        assert!(call(one).await.is_ok() && call(two).await.is_ok());
+        assert_eq!(pool.idle(), 3, "what is above goes with its next use");
+        pool.clear(one);
+        assert_eq!(pool.idle(), 1);
+    })
+    .unwrap();
+}
