A lasting filler hides no run that could give way

Cause: the count of runs that never give way, by which workers are left out of the search for one, counted a filler that lasts twice; on its worker another run was passed over while no lasting task could be spared. Found by reading; no site has such fillers. Change: it counts once. The test fails before.

--- a/src/sched/beside.rs
+++ b/src/sched/beside.rs
@@ -34,6 +34,8 @@
     pub image: ImageNumber,
     /// Processor share at full pace.
     pub cpu: u64,
+    /// True when it runs until its job is cancelled.
+    pub lasting: bool,
 }
 
 impl Beside {
@@ -54,8 +56,12 @@
             });
         }
         if placement.filler {
-            let cpu = placement.cpu;
-            self.fillers.push(Filling { key, image, cpu });
+            self.fillers.push(Filling {
+                key,
+                image,
+                cpu: placement.cpu,
+                lasting: placement.lasting,
+            });
         }
     }
 
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -179,8 +179,8 @@
         let now = self.now.steady;
         let name = &worker.listing.id;
         let permits = self.permits.get(&key.of_step());
-        let kept = worker.beside.fillers.len() + if spare { 0 } else { worker.lasting as usize };
-        if worker.placements.len() <= kept || permits.is_some_and(|p| !p.allow(name, now)) {
+        let able = worker.placements.len() > worker.staying(spare);
+        if !able || permits.is_some_and(|p| !p.allow(name, now)) {
             return Vec::new();
         }
         let rested = |run: &Placement| now >= run.since + SPARED && (spare || !run.lasting);
--- a/src/sched/tests/order.rs
+++ b/src/sched/tests/order.rs
@@ -156,3 +156,23 @@
     world.run(1_500);
     assert_eq!(world.shown("equal"), Some(Shown::Queued));
 }
+
+#[test]
+fn a_filler_that_lasts_hides_no_run_that_could_give_way() {
+    let mut world = World::new(1);
+    world.script = |_, _| (60_000, How::Done);
+    let filler = StepSpec {
+        filler: true,
+        ..lasting(1, 500)
+    };
+    world.submit("filler", job(vec![filler]));
+    world.submit_with_priority("low", job(vec![step(1, 4_000)]), 5);
+    world.run(3_500);
+    // Another lasting task is away, so none that lasts may give way.
+    world.submit_with_priority("away", job(vec![lasting(1, 4_000)]), 9);
+    let waits: Vec<_> = world.owner.ready.keys().copied().collect();
+    world.owner.away.extend(waits);
+    world.submit("high", job(vec![step(1, 4_000)]));
+    world.run(1_500);
+    assert!(world.starts.iter().any(|s| s.0.starts_with("high")));
+}
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -294,6 +294,17 @@
         self.fits(other.map_or(room, |p| room.plus(p.room)))
     }
 
+    /// Returns how many runs there never give way: fillers, and those that last unless
+    /// some of these can be spared.
+    pub fn staying(&self, spare: bool) -> usize {
+        let fillers = self.beside.fillers.len();
+        let both = self.beside.fillers.iter().filter(|f| f.lasting).count();
+        match spare {
+            true => fillers,
+            false => fillers + self.lasting as usize - both,
+        }
+    }
+
     /// Returns the task for which room is kept there.
     pub fn promised(&self) -> Option<TaskKey> {
         self.promise.as_ref().map(|p| p.key)
