What a worker could hold stands once; names and a comment of a last reading

No behaviour changed: admission and placing share the test of room and label; the count of workers looked at no longer shares its name with the looks that a pass has left.

--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -5,6 +5,7 @@
 //! nothing has run. A job that merely has to wait is taken: its tasks find room within
 //! seconds on full workers, and only the caller knows how long it is worth the wait.
 
+use super::choice::could_hold;
 use super::owner::Owner;
 use super::spec::{JobSpec, StepSpec};
 use super::worker::{Presence, Worker};
@@ -22,8 +23,7 @@
 /// Longest such span, in milliseconds.
 const STORE_AWAY_MOST: Millis = 2_500;
 /// Milliseconds after which a caller of a job that no worker could hold should come back:
-/// what takes workers away or brings larger ones takes some seconds, and until then each
-/// try is in vain.
+/// larger workers are added within some seconds, if at all, and each try before is in vain.
 const LARGER_WORKERS: Millis = 5_000;
 /// Milliseconds after which a refused caller should come back; about what a
 /// takeover or a short outage takes.
@@ -83,9 +83,3 @@
         spec.steps.iter().position(|step| !holds(step))
     }
 }
-
-/// Returns true when a worker could hold a task of a step, were it empty.
-fn could_hold(worker: &Worker, step: &StepSpec) -> bool {
-    let labelled = step.label.is_empty() || worker.listing.labels.contains(&step.label);
-    labelled && step.reserved().within(worker.listing.capacity)
-}
--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -112,7 +112,17 @@
 
 /// Returns true when a task could run on a worker once there is room.
 pub fn could_run(worker: &Worker, wish: &Wish<'_>, now: Millis) -> bool {
-    wish.step.reserved().within(worker.listing.capacity) && suits(worker, wish, now)
+    could_hold(worker, wish.step) && suits(worker, wish, now)
+}
+
+/// Returns true when a worker could hold a task of a step, were it empty.
+pub fn could_hold(worker: &Worker, step: &StepSpec) -> bool {
+    step.reserved().within(worker.listing.capacity) && labelled(worker, step)
+}
+
+/// Returns true when a worker has the label that a step asks for.
+fn labelled(worker: &Worker, step: &StepSpec) -> bool {
+    step.label.is_empty() || worker.listing.labels.contains(&step.label)
 }
 
 /// Returns true when the task may run there now.
@@ -129,7 +139,7 @@
     if &*listing.service != wish.service || !worker.open(now) {
         return false;
     }
-    if !step.label.is_empty() && !listing.labels.contains(&step.label) {
+    if !labelled(worker, step) {
         return false;
     }
     let beside = wish.beside.get(&listing.id).copied().unwrap_or(0);
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -86,7 +86,7 @@
     /// Tasks for which room is being made, and the worker on which.
     pub(super) promises: BTreeMap<TaskKey, Name>,
     /// Workers looked at to place tasks, counted each time.
-    pub(super) looks: u64,
+    pub(super) looked: u64,
     /// What is to be done, until the event has been taken in.
     pub(super) actions: Vec<Action>,
     /// The clocks at the present event.
@@ -149,7 +149,7 @@
             away: BTreeSet::new(),
             ranking: None,
             promises: BTreeMap::new(),
-            looks: 0,
+            looked: 0,
             actions: Vec::new(),
             now,
             inherited,
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -237,7 +237,7 @@
         let alike = rack.is_empty() && self.failures(key) == 0;
         let known = self.ranking.take_if(|r| alike && r.step == key.of_step());
         if known.is_none() {
-            self.looks += self.workers.len() as u64;
+            self.looked += self.workers.len() as u64;
         }
         let ranked = |wish: &Wish<'_>| {
             let ranking = known.unwrap_or_else(|| Ranking::new(&self.workers, wish, now));
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -128,7 +128,7 @@
         if search.kind != Some(kind) {
             search.kind = Some(kind);
             search.victims = self.victims(key, room, spare);
-            self.looks += self.workers.len() as u64;
+            self.looked += self.workers.len() as u64;
         }
         let Some((_, victim, name)) = self.next_victim(search, room) else {
             return;
