--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -103,6 +103,8 @@
     pub unconfirmed: Gauge<i64, AtomicI64>,
     /// Runs freed as the lease of their worker had ended.
     pub lapsed: Counter,
+    /// Runs that went with the life of their worker, without an end.
+    pub orphaned: Counter,
     /// Calls without an answer in time, though the connection was open.
     pub unanswered: Family<Call, Counter>,
     /// Log lines that were dropped.
@@ -162,6 +164,7 @@
             waiting: Gauge::default(),
             unconfirmed: Gauge::default(),
             lapsed: Counter::default(),
+            orphaned: Counter::default(),
             unanswered: Family::default(),
             dropped: Counter::default(),
             calls: Counter::default(),
--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -51,6 +51,11 @@
         "Runs freed as their lease had ended",
         m.lapsed.clone(),
     );
+    registry.register(
+        "runs_orphaned",
+        "Runs that went with their worker",
+        m.orphaned.clone(),
+    );
     registry.register(
         "calls_unanswered",
         "Calls without an answer in time on an open connection",
--- a/src/sched/silence.rs
+++ b/src/sched/silence.rs
@@ -8,11 +8,29 @@
 impl Owner {
     /// Ends everything that a life of a worker ran, which has certainly ended.
     pub(super) fn life_ended(&mut self, name: &Name, reason: &str) {
-        log::info!(target: "worker", "worker={name} event=over reason={reason}");
+        self.tell_over(name, reason);
         self.clear(name);
         self.workers.remove(name);
     }
 
+    /// Tells that a life of a worker is over, and of each run that went with it how old it
+    /// was at the worker's last word: runs begun since then may have ended it.
+    fn tell_over(&self, name: &Name, reason: &str) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let (tasks, presence) = (worker.placements.len(), worker.presence);
+        let silent = self.now.steady - worker.answered;
+        log::info!(target: "worker", "worker={name} event=over reason={reason} tasks={tasks} presence={presence:?} silent_ms={silent}");
+        crate::metrics::get().orphaned.inc_by(tasks as u64);
+        for (key, run) in &worker.placements {
+            let task = self.task_name(*key);
+            let age = worker.answered.saturating_sub(run.since);
+            let (run, stage) = (run.run, run.stage);
+            log::info!(target: "task", "task={task} run={run} event=orphaned worker={name} stage={stage:?} age_ms={age}");
+        }
+    }
+
     /// Takes all tasks off a worker.
     fn clear(&mut self, name: &Name) {
         let Some(worker) = self.workers.get(name) else {
