--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -7,7 +7,7 @@
 /// Bytes of an answer that a collector keeps in any case.
 const KEPT: usize = 3_500;
 /// Rows that tell the owner and how it fares.
-const OWNER: [&str; 17] = [
+const OWNER: [&str; 18] = [
     "owner_epoch",
     "followed_epoch",
     "owner_unserved_ms",
@@ -18,6 +18,7 @@
     "takeovers_total",
     "unconfirmed_ms",
     "runs_lapsed_total",
+    "runs_orphaned_total",
     "calls_unanswered_total",
     "tasks_waiting",
     "jobs",
