--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the owner against fake workers and a fake store, in virtual time.
 
 mod admission;
+mod crashes;
 mod directory;
 mod full;
 mod gang;
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -1,6 +1,7 @@
 //! Fake workers and a fake store around an owner, in virtual time.
 
 mod calls;
+mod crashes;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -9,6 +10,7 @@
 
 pub use self::calls::Faults;
 use self::calls::{Call, Due};
+pub use self::crashes::Crashes;
 pub use self::workers::FakeWorker;
 use crate::sched::job::{JobRow, Queue, Shown};
 use crate::sched::journal::{JOB_TABLE, Journal, OWNER_KEY, OWNER_TABLE, OwnerRow, SPEC_TABLE};
@@ -44,6 +46,8 @@
     pub bounds: Bounds,
     /// How long each run takes and how it ends, by task name and run.
     pub script: fn(&str, u32) -> (Millis, How),
+    /// What crashes workers, and those that have crashed.
+    pub crashes: Crashes,
     /// Starts that workers carried out: task, run, worker, time.
     pub starts: Vec<(String, u32, Name, Millis)>,
     /// Workers that may run the steps of advised queues.
@@ -160,6 +164,7 @@
             past_held: false,
             bounds: BOUNDS,
             script: |_, _| (1_000, How::Done),
+            crashes: Crashes::default(),
             starts: Vec::new(),
             good: BTreeSet::new(),
             questions: Vec::new(),
@@ -298,6 +303,7 @@
         while self.now < end {
             self.now += 1;
             self.work();
+            self.crash_due();
             while let Some(entry) = self.due.first_entry().filter(|e| e.key().0 <= self.now) {
                 match entry.remove() {
                     Due::Call(call, answered) => self.arrive(call, answered),
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -11,6 +11,7 @@
 #[derive(Clone, Debug)]
 struct Run {
     run: u32,
+    began: Millis,
     ends: Millis,
     how: How,
 }
@@ -64,6 +65,11 @@
         self.running.keys()
     }
 
+    /// Returns the tasks that it runs, and when each began.
+    pub(super) fn began(&self) -> impl Iterator<Item = (&String, Millis)> {
+        self.running.iter().map(|(task, run)| (task, run.began))
+    }
+
     fn checkpoint(&self, task: &str, run: u32) -> Name {
         match self.saves {
             true => format!("{task} run {run}").into(),
@@ -168,6 +174,7 @@
         }
         let run = Run {
             run: start.run,
+            began: now,
             ends: now + span,
             how,
         };
@@ -186,6 +193,7 @@
         worker.lease = now + span;
         let run = Run {
             run: 9,
+            began: now,
             ends: now + span,
             how: How::Done,
         };
