Tasks that crash their workers are given up after two; those beside them go on

Cause: only ends that a worker reports were counted, and a worker that a task has brought down reports none, so the task was given the next one without bound. Ruled out: counts lost with an owner (one owner throughout, and there was no count), crashes by another cause (fake workers that crash by nothing else show the same). Change: the end of a worker without a word is laid to the runs begun shortly before it; they start again where nothing else is started until they have lasted 0.3 s, so that the second crash tells which of them it is.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -103,6 +103,10 @@
     pub unconfirmed: Gauge<i64, AtomicI64>,
     /// Runs freed as the lease of their worker had ended.
     pub lapsed: Counter,
+    /// Workers that crashed, as far as the owner can tell.
+    pub crashes: Counter,
+    /// Tasks given up after crashes of their workers.
+    pub given_up: Counter,
     /// Runs that went with the life of their worker, without an end.
     pub orphaned: Counter,
     /// Calls without an answer in time, though the connection was open.
@@ -165,6 +169,8 @@
             unconfirmed: Gauge::default(),
             lapsed: Counter::default(),
             orphaned: Counter::default(),
+            crashes: Counter::default(),
+            given_up: Counter::default(),
             unanswered: Family::default(),
             dropped: Counter::default(),
             calls: Counter::default(),
--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -56,6 +56,12 @@
         "Runs that went with their worker",
         m.orphaned.clone(),
     );
+    registry.register("worker_crashes", "Workers that crashed", m.crashes.clone());
+    registry.register(
+        "tasks_given_up",
+        "Tasks given up after crashes",
+        m.given_up.clone(),
+    );
     registry.register(
         "calls_unanswered",
         "Calls without an answer in time on an open connection",
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -17,6 +17,7 @@
 mod beside;
 mod choice;
 mod commits;
+mod crashes;
 mod directory;
 mod ends;
 mod gang;
--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -35,6 +35,8 @@
 /// Milliseconds that a filler waits for a better worker; a job that could run
 /// must not idle for 3 s.
 const PATIENCE: Millis = 1_800;
+/// Weight of the load of a worker that a suspect may crash, as all of it would be lost.
+const AT_RISK: u64 = 4;
 /// Whole of a load share.
 const WHOLE: u64 = 1_000;
 
@@ -48,6 +50,8 @@
     pub step: &'a StepSpec,
     /// Milliseconds that the task has waited.
     pub waited: Millis,
+    /// True when it may have crashed a worker.
+    pub suspect: bool,
     /// Number of the step's image.
     pub image: ImageNumber,
     /// What is known of how fillers slow serving tasks; none when it does not count.
@@ -129,7 +133,10 @@
 fn allowed(worker: &Worker, wish: &Wish<'_>, now: Millis) -> bool {
     let id = &worker.listing.id;
     let permitted = wish.permits.is_none_or(|p| p.allow(id, now));
-    permitted && worker.spares(wish.key, wish.step.reserved()) && suits(worker, wish, now)
+    permitted
+        && worker.admits(wish.key, wish.suspect)
+        && worker.spares(wish.key, wish.step.reserved())
+        && suits(worker, wish, now)
 }
 
 /// Returns true when the task may run there once there is room.
@@ -170,6 +177,9 @@
     if &*worker.listing.id == wish.avoid {
         score += FAR;
     }
+    if wish.suspect {
+        score += load(worker.used.cpu) * AT_RISK;
+    }
     score
 }
 
--- /dev/null
+++ b/src/sched/crashes.rs
@@ -0,0 +1,188 @@
+//! Workers that crash, and the tasks that may have brought them down.
+//!
+//! A run that goes with its worker has no end that a report could tell, so it is laid here
+//! to the runs that may have caused it: those begun shortly before the worker's last word
+//! or after it. They are suspects. A suspect starts on a worker that nothing else is
+//! started on until it has run for a while; a crash there is its own. So a task that
+//! crashes its workers is found at the second one, and those that merely stood beside it
+//! go on. Counts are kept with the task, so that the next owner goes on with them.
+
+use super::job::{Outcome, TaskKey};
+use super::owner::Owner;
+use super::worker::{Placement, Stage, Worker};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Milliseconds for which a worker lists a run before a crash is not laid to its start:
+/// thirty times what a task that crashes its worker takes, with a report's way.
+const FRESH: Millis = 300;
+/// Milliseconds after which a run has nothing to do with a crash: as many short runs that
+/// all end with their workers are no accident, one of them may be.
+const PROVEN: Millis = 10_000;
+/// Crashes after which a task is given up that alone may have caused the last one.
+const CRASHES: u32 = 2;
+/// Crashes after which a task is given up that stood beside others each time: no start
+/// follows that would be the third after the third crash.
+const CRASHES_BESIDE: u32 = 4;
+/// One in so many workers may have a suspect on trial, those that it has taken down and
+/// that are not back yet among them: the rest is left to other work.
+const TRIED_PART: usize = 4;
+
+/// How a life of a worker ended without a word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Crash {
+    /// Another life is there in its place.
+    Replaced,
+    /// It fell silent until its lease had ended; it may run on somewhere out of reach.
+    Silent,
+}
+
+/// What a crash says of a run that went with the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Blame {
+    /// No other job's run may have caused it.
+    Alone,
+    /// It may have caused it, as may others.
+    Shared,
+    /// It had run for some seconds.
+    Beside,
+    /// It had run for long.
+    None,
+}
+
+impl Blame {
+    /// Returns the crashes after which a task is given up.
+    fn limit(self) -> u32 {
+        match self {
+            Self::Alone => CRASHES,
+            _ => CRASHES_BESIDE,
+        }
+    }
+
+    /// Returns true when the task may have caused the crash by its start.
+    fn suspects(self) -> bool {
+        matches!(self, Self::Alone | Self::Shared)
+    }
+}
+
+/// Returns the milliseconds for which a worker had listed a run at its last word.
+fn age(worker: &Worker, run: &Placement) -> Millis {
+    match run.stage {
+        Stage::Running(at) => worker.answered.saturating_sub(at),
+        Stage::Stopping(_) | Stage::Stopped(_) => worker.answered.saturating_sub(run.since),
+        Stage::Inherited | Stage::Recording | Stage::Starting | Stage::Doubt => 0,
+    }
+}
+
+/// Returns what the crash of a worker says of the runs that it took along.
+fn blames(worker: &Worker) -> Vec<(TaskKey, Blame)> {
+    let sent = |run: &Placement| run.stage != Stage::Recording;
+    let runs = || worker.placements.iter().filter(|(_, run)| sent(run));
+    let tried = runs().find(|(_, run)| run.suspect).map(|(key, _)| key.job);
+    let fresh = |key: &TaskKey, run: &Placement| {
+        age(worker, run) < FRESH && tried.is_none_or(|job| job == key.job)
+    };
+    let mut jobs = runs()
+        .filter(|(key, run)| fresh(key, run))
+        .map(|(k, _)| k.job);
+    let first = jobs.next();
+    let alone = jobs.all(|job| Some(job) == first);
+    let blame = |key: &TaskKey, run: &Placement| match fresh(key, run) {
+        true if alone => Blame::Alone,
+        true => Blame::Shared,
+        // What a suspect on trial has done is not laid to others.
+        false if tried.is_some() || age(worker, run) >= PROVEN => Blame::None,
+        false => Blame::Beside,
+    };
+    runs().map(|(key, run)| (*key, blame(key, run))).collect()
+}
+
+impl Owner {
+    /// Lays the crash of a worker to the runs that it took along, and gives up tasks under
+    /// which too many have crashed. One that had said that it would leave has not crashed.
+    pub(super) fn crashed(&mut self, name: &Name, crash: Crash) {
+        let Some(worker) = self.workers.get(name).filter(|w| !w.listing.leaving) else {
+            return;
+        };
+        let mut blames = blames(worker);
+        if crash == Crash::Silent {
+            // It may only be out of reach, with what it runs.
+            blames.retain(|(_, blame)| blame.suspects());
+        }
+        let suspects = blames.iter().filter(|(_, blame)| blame.suspects()).count();
+        let tasks = worker.placements.len();
+        crate::metrics::get().crashes.inc();
+        log::info!(target: "worker", "worker={name} event=crashed how={crash:?} tasks={tasks} suspects={suspects}");
+        for (key, blame) in blames {
+            self.charge(key, blame, name);
+        }
+    }
+
+    /// Counts a crash for a task.
+    fn charge(&mut self, key: TaskKey, blame: Blame, name: &Name) {
+        let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.open()) else {
+            return;
+        };
+        let Some(task) = job.task_mut(key) else {
+            return;
+        };
+        task.suspect = blame.suspects();
+        task.crashes = match blame {
+            Blame::None => return,
+            _ => task.crashes + 1,
+        };
+        let (crashes, run) = (task.crashes, task.run);
+        self.journal.touch(key.job);
+        let task = self.task_name(key);
+        log::info!(target: "task", "task={task} run={run} event=crash-counted worker={name} blame={blame:?} crashes={crashes}");
+        if crashes >= blame.limit() {
+            crate::metrics::get().given_up.inc();
+            log::warn!(target: "task", "task={task} run={run} event=given-up crashes={crashes} blame={blame:?}");
+            self.finish(key.job, Outcome::Failed);
+        }
+    }
+
+    /// Counts a crash for a task whose worker was gone before this owner knew it: with an
+    /// owner lost after each crash, none would be counted otherwise.
+    pub(super) fn gone_unseen(&mut self, key: TaskKey, name: &Name) {
+        self.charge(key, Blame::Shared, name);
+    }
+
+    /// Returns true when a task may have caused the last crash under it.
+    pub(super) fn suspected(&self, key: TaskKey) -> bool {
+        let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
+        task.is_some_and(|task| task.suspect)
+    }
+
+    /// Returns how many suspects may go on trial beside those that are.
+    pub(super) fn trials_left(&self) -> usize {
+        let tried = self.workers.values().filter(|w| w.trial.is_some()).count();
+        (self.workers.len() / TRIED_PART)
+            .max(1)
+            .saturating_sub(tried)
+    }
+
+    /// Clears the suspects that a worker has listed for long enough.
+    pub(super) fn clear_suspects(&mut self, name: &Name) {
+        let Some(worker) = self.workers.get_mut(name).filter(|w| w.trial.is_some()) else {
+            return;
+        };
+        let word = worker.answered;
+        let lasted = |run: &Placement| match run.stage {
+            Stage::Running(at) => word >= at + FRESH,
+            _ => false,
+        };
+        let cleared = worker.acquit(lasted);
+        if !cleared.is_empty() {
+            self.crowded = false;
+        }
+        for key in cleared {
+            let task = self.task_name(key);
+            log::info!(target: "task", "task={task} event=cleared worker={name}");
+            let job = self.jobs.get_mut(&key.job);
+            if let Some(task) = job.and_then(|job| job.task_mut(key)) {
+                task.suspect = false;
+            }
+        }
+    }
+}
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -5,6 +5,7 @@
 use super::job::TaskKey;
 use super::message::Entry;
 use super::owner::Owner;
+use super::silence::Ending;
 use super::worker::{Listing, Placement, Presence, Stage, Worker};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -77,7 +78,7 @@
             .map(|w| w.listing.id.clone())
             .collect();
         for old in before {
-            self.life_ended(&old, "another-life");
+            self.life_ended(&old, Ending::Replaced);
         }
         log::info!(target: "worker", "worker={id} event=new leaving={}", listing.leaving);
         let mut worker = Worker::new(listing, now);
@@ -127,7 +128,7 @@
         // by the worker at its end.
         let silent = now - worker.answered.min(now);
         if worker.leaves.is_some() && worker.misses > 0 && silent < LEFT {
-            return self.life_ended(id, "has-left");
+            return self.life_ended(id, Ending::Left);
         }
         worker.leaves.get_or_insert(now + self.bounds.drain);
     }
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -91,6 +91,12 @@
     /// Last checkpoint; empty for none.
     #[serde(rename = "s", default, skip_serializing_if = "is_empty")]
     pub saved: Name,
+    /// Workers that have crashed under it.
+    #[serde(rename = "c", default, skip_serializing_if = "is_zero")]
+    pub crashes: u32,
+    /// True when it may have caused the last of these crashes.
+    #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
+    pub suspect: bool,
 }
 
 fn is_zero(value: &u32) -> bool {
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -65,16 +65,19 @@
     search: Search,
     /// What the step of the last task asks for.
     asked: Option<(StepKey, Rc<Demand>)>,
+    /// Suspects that may still go on trial.
+    trials: usize,
 }
 
 impl Pass {
-    fn new() -> Self {
+    fn new(trials: usize) -> Self {
         Self {
             misfits: BTreeSet::new(),
             fillers: BTreeMap::new(),
             gangs: BTreeSet::new(),
             search: Search::new(),
             asked: None,
+            trials,
         }
     }
 
@@ -112,7 +115,7 @@
         self.next_place = now + PLACE_PAUSE + self.ready.len() as u64 / WAITING;
         self.ranking = None;
         self.settle_promises();
-        let mut pass = Pass::new();
+        let mut pass = Pass::new(self.trials_left());
         let mut count = 0;
         for key in self.order() {
             if count >= PLACED_AT_ONCE {
@@ -136,10 +139,17 @@
         if pass.skips(key, &demand) || !self.permitted(key) {
             return 0;
         }
+        let suspect = self.suspected(key);
+        if suspect && pass.trials == 0 && !demand.gang {
+            return 0;
+        }
         let placed = match demand.gang {
             true => self.place_gang(key),
             false => self.place_one(key),
         };
+        if placed > 0 && suspect {
+            pass.trials = pass.trials.saturating_sub(1);
+        }
         if placed == 0 {
             self.more_permits(key);
             self.make_room(key, &mut pass.search);
@@ -234,7 +244,7 @@
     /// Returns the worker for a task, on `rack` unless that is empty.
     fn pick(&mut self, key: TaskKey, rack: &str) -> Option<Name> {
         let now = self.now.steady;
-        let alike = rack.is_empty() && self.failures(key) == 0;
+        let alike = rack.is_empty() && self.failures(key) == 0 && !self.suspected(key);
         let known = self.ranking.take_if(|r| alike && r.step == key.of_step());
         if known.is_none() {
             self.looked += self.workers.len() as u64;
@@ -292,6 +302,7 @@
         let wish = Wish {
             key,
             waited: self.now.steady - since,
+            suspect: self.suspected(key),
             service: &job.row.queue.service,
             step,
             last_try: !step.lasting && self.failures(key) + 1 >= job.row.queue.attempts,
@@ -342,10 +353,12 @@
 
     /// Returns what a run of a task takes on its worker.
     pub(super) fn placement(&mut self, key: TaskKey, run: u32, stage: Stage) -> Placement {
+        let suspect = self.suspected(key);
         let step = self.jobs[&key.job].step(key);
         let image_number = self.pressure.intern(&step.image);
         Placement {
             run,
+            suspect,
             stage,
             room: step.reserved(),
             soft: if step.filler { step.room.cpu } else { 0 },
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -7,12 +7,15 @@
 use super::owner::Owner;
 use super::paces::FULL_PACE;
 use super::past::NO_TASK;
+use super::silence::Ending;
 use super::worker::{Contact, Placement, Stage};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
 /// Milliseconds that an exchange may wait for an end.
 const WAIT: Millis = 1_000;
+/// Milliseconds of that wait while a task is on trial there, which is to be over soon.
+const TRIAL: Millis = 200;
 /// Milliseconds of that wait where fillers run beside serving tasks: their
 /// tails are measured over half a second.
 const WATCH: Millis = 400;
@@ -56,6 +59,10 @@
                 false => None,
             };
             let known = worker.answered > 0 && worker.misses == 0;
+            let longest = match worker.trial {
+                Some(_) => TRIAL,
+                None => WAIT,
+            };
             let mixed = worker.beside.mixed();
             worker.contact = Contact::Open(now);
             self.actions.push(Action::Hold(Hold {
@@ -66,8 +73,8 @@
                 seen: worker.seen(),
                 wait: match (known, mixed) {
                     (false, _) => 0,
-                    (true, true) => watch.min(WAIT),
-                    (true, false) => WAIT,
+                    (true, true) => watch.min(longest),
+                    (true, false) => longest,
                 },
             }));
         }
@@ -89,7 +96,7 @@
                 worker.hear(report.clock, now);
                 self.report(name, sent, report);
             }
-            Reply::Refused(Refusal::Reborn) => self.life_ended(name, "another-life"),
+            Reply::Refused(Refusal::Reborn) => self.life_ended(name, Ending::Replaced),
             Reply::Refused(Refusal::Fenced) => {
                 // Only an owner with a higher epoch can have been there; the
                 // next commit finds out.
@@ -114,6 +121,7 @@
         }
         let running: Vec<Listed<'_>> = report.running.iter().map(|r| self.listed_run(r)).collect();
         self.runs(name, sent, &running, whole);
+        self.clear_suspects(name);
         self.relieve(name, &running);
         let worker = self.workers.get(name);
         let pause = match worker.is_some_and(|w| !w.pending.is_empty()) {
--- a/src/sched/silence.rs
+++ b/src/sched/silence.rs
@@ -1,27 +1,52 @@
 //! Workers that have ended or fell silent, and the tasks that they held.
 
+use super::crashes::Crash;
 use super::job::TaskKey;
 use super::owner::Owner;
 use super::worker::{Presence, Worker};
 use crate::utils::Name;
 
+/// How the life of a worker was seen to end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Ending {
+    /// Another life is there in its place.
+    Replaced,
+    /// It went as it had said.
+    Left,
+}
+
+impl Ending {
+    /// Returns its word in log lines.
+    fn word(self) -> &'static str {
+        match self {
+            Self::Replaced => "another-life",
+            Self::Left => "has-left",
+        }
+    }
+}
+
 impl Owner {
     /// Ends everything that a life of a worker ran, which has certainly ended.
-    pub(super) fn life_ended(&mut self, name: &Name, reason: &str) {
-        self.tell_over(name, reason);
+    pub(super) fn life_ended(&mut self, name: &Name, ending: Ending) {
+        self.tell_over(name, ending);
+        if ending == Ending::Replaced {
+            // What runs down with a worker has no end to count: restarted uncounted, one
+            // task took a worker each 3 s for as long as its job was open.
+            self.crashed(name, Crash::Replaced);
+        }
         self.clear(name);
         self.workers.remove(name);
     }
 
     /// Tells that a life of a worker is over, and of each run that went with it how old it
     /// was at the worker's last word: runs begun since then may have ended it.
-    fn tell_over(&self, name: &Name, reason: &str) {
+    fn tell_over(&self, name: &Name, ending: Ending) {
         let Some(worker) = self.workers.get(name) else {
             return;
         };
         let (tasks, presence) = (worker.placements.len(), worker.presence);
         let silent = self.now.steady - worker.answered;
-        log::info!(target: "worker", "worker={name} event=over reason={reason} tasks={tasks} presence={presence:?} silent_ms={silent}");
+        log::info!(target: "worker", "worker={name} event=over reason={} tasks={tasks} presence={presence:?} silent_ms={silent}", ending.word());
         crate::metrics::get().orphaned.inc_by(tasks as u64);
         for (key, run) in &worker.placements {
             let task = self.task_name(*key);
@@ -60,6 +85,7 @@
             let (tasks, presence) = (worker.placements.len(), worker.presence);
             log::info!(target: "worker", "worker={name} event=lapsed tasks={tasks} presence={presence:?}");
             self.count_lapsed(tasks);
+            self.crashed(&name, Crash::Silent);
             self.clear(&name);
             if forgettable(presence) {
                 self.workers.remove(&name);
@@ -86,14 +112,14 @@
             return;
         }
         let unadopted = std::mem::take(&mut self.unadopted);
-        let placed = |(name, keys): (Name, Vec<TaskKey>)| {
+        for (name, keys) in unadopted {
             let held = |key: &TaskKey| self.placed.get(key) == Some(&name);
-            keys.into_iter().filter(held).collect::<Vec<_>>()
-        };
-        let lost: Vec<TaskKey> = unadopted.into_iter().flat_map(placed).collect();
-        self.count_lapsed(lost.len());
-        for key in lost {
-            self.free(key);
+            let lost: Vec<TaskKey> = keys.into_iter().filter(held).collect();
+            self.count_lapsed(lost.len());
+            for key in lost {
+                self.gone_unseen(key, &name);
+                self.free(key);
+            }
         }
     }
 
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -5,6 +5,7 @@
 use super::job::TaskKey;
 use super::message::{Action, Refusal, Reply, Start, Stop};
 use super::owner::Owner;
+use super::silence::Ending;
 use super::worker::Stage;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -121,7 +122,7 @@
         }
         self.free(key);
         if refusal == Refusal::Reborn {
-            self.life_ended(name, "another-life");
+            self.life_ended(name, Ending::Replaced);
         }
     }
 
@@ -142,7 +143,7 @@
             Reply::Ok(_) => placement.stage = Stage::Stopped(now),
             // It is sent again while the worker answers.
             Reply::Lost | Reply::NotSent => placement.stage = Stage::Stopping(now),
-            Reply::Refused(Refusal::Reborn) => self.life_ended(name, "another-life"),
+            Reply::Refused(Refusal::Reborn) => self.life_ended(name, Ending::Replaced),
             Reply::Refused(_) => placement.stage = Stage::Stopping(now),
         }
     }
--- a/src/sched/tests/crashes.rs
+++ b/src/sched/tests/crashes.rs
@@ -17,6 +17,8 @@
 use super::world::{World, job, lasting, step};
 use crate::sched::job::Shown;
 use crate::sched::message::How;
+use crate::sched::message::{Entry, Event};
+use crate::sched::spec::StepSpec;
 use crate::utils::clock::Millis;
 
 /// Milliseconds after its start at which a task of the played day crashed its worker.
@@ -50,3 +52,148 @@
     assert_eq!(world.shown("beside"), Some(Shown::Running));
     assert_eq!(world.running().len(), 12, "all of the other job is at work");
 }
+
+#[test]
+fn tasks_begun_beside_it_go_on() {
+    let mut world = world(AT_ONCE);
+    for number in 0..6 {
+        world.submit(&format!("good-{number}"), job(vec![step(4, 300)]));
+    }
+    world.run(40_000);
+    assert_eq!(world.shown("bad"), Some(Shown::Failed));
+    for number in 0..6 {
+        let id = format!("good-{number}");
+        assert_eq!(world.shown(&id), Some(Shown::Completed), "{id}");
+    }
+    assert_eq!(world.running().len(), 12);
+    assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+}
+
+/// A worker may be back only after its lease has ended, or not at all.
+#[test]
+fn a_crash_counts_when_no_other_life_comes_in_time() {
+    for back in [9_000, 600_000] {
+        let mut world = world(AT_ONCE);
+        world.crashes.back = back;
+        world.run(60_000);
+        assert_eq!(world.crashes.under("bad.0.0.0"), 2, "back after {back}");
+        assert_eq!(world.shown("bad"), Some(Shown::Failed), "back after {back}");
+    }
+}
+
+#[test]
+fn a_task_that_crashes_its_workers_after_some_seconds_is_given_up() {
+    let mut world = world(5_000);
+    world.script = |_, _| (600_000, How::Done);
+    world.run(60_000);
+    let crashes = world.crashes.under("bad.0.0.0");
+    assert!(crashes <= 5, "two starts after the third crash: {crashes}");
+    assert_eq!(world.shown("bad"), Some(Shown::Failed));
+}
+
+#[test]
+fn counts_outlast_the_owner() {
+    let mut world = world(AT_ONCE);
+    for _ in 0..4 {
+        world.run(5_000);
+        world.take_over(0);
+    }
+    world.run(20_000);
+    let crashes = world.crashes.under("bad.0.0.0");
+    assert!(crashes <= 3, "{:?}", world.crashes.all);
+    assert_eq!(world.shown("bad"), Some(Shown::Failed));
+    assert_eq!(world.shown("beside"), Some(Shown::Running));
+}
+
+/// Each owner ends while the worker is away, so that none sees it crash.
+#[test]
+fn crashes_that_no_owner_has_seen_count_as_well() {
+    let mut world = world(AT_ONCE);
+    let mut owners = 1;
+    while world.shown("bad") != Some(Shown::Failed) {
+        if world.crashes.under("bad.0.0.0") >= owners {
+            world.take_over(0);
+            owners += 1;
+        }
+        world.run(50);
+        assert!(world.now < 60_000, "it is given up in the end");
+    }
+    let crashes = world.crashes.under("bad.0.0.0");
+    assert!(crashes <= 5, "two starts after the third crash: {crashes}");
+}
+
+#[test]
+fn a_task_is_not_given_up_for_crashes_that_it_has_nothing_to_do_with() {
+    let mut world = World::new(3);
+    world.script = |_, _| (600_000, How::Done);
+    world.submit("long", job(vec![lasting(6, 500)]));
+    for _ in 0..8 {
+        world.run(14_000);
+        let worker = world.workers.keys().next().expect("a worker").clone();
+        world.crash(&worker);
+    }
+    world.run(8_000);
+    assert_eq!(world.shown("long"), Some(Shown::Running));
+    assert_eq!(world.running().len(), 6);
+}
+
+#[test]
+fn a_worker_that_leaves_as_it_said_has_not_crashed() {
+    let mut world = World::new(2);
+    world.script = |_, _| (600_000, How::Done);
+    world.submit("j", job(vec![step(2, 500)]));
+    world.run(500);
+    for _ in 0..5 {
+        let on = world.running()[0].1.clone();
+        let worker = world.workers.get_mut(&on).expect("worker");
+        worker.listing.leaving = true;
+        let entry = Entry::Listed(worker.listing.clone());
+        world.step(Event::Listed(vec![(on.clone(), entry)]));
+        world.crash(&on);
+        world.run(6_000);
+    }
+    assert_eq!(world.shown("j"), Some(Shown::Running));
+}
+
+#[test]
+fn a_gang_one_of_whose_members_crashes_its_workers_is_given_up() {
+    let mut world = World::new(6);
+    world.script = |_, _| (60_000, How::Done);
+    world.crashes.by_task.insert("g.0.0.1".into(), AT_ONCE);
+    let gang = StepSpec {
+        gang: true,
+        ..step(4, 2_000)
+    };
+    world.submit("g", job(vec![gang]));
+    world.run(30_000);
+    assert_eq!(world.crashes.all.len(), 2, "{:?}", world.crashes.all);
+    assert_eq!(world.shown("g"), Some(Shown::Failed));
+}
+
+/// Suspects take a quarter of the workers at most; other work goes on.
+#[test]
+fn many_suspects_are_tried_a_few_at_a_time() {
+    let mut world = World::new(8);
+    for number in 0..8 {
+        let id = format!("bad-{number}");
+        world.crashes.by_task.insert(format!("{id}.0.0.0"), AT_ONCE);
+        world.submit(&id, job(vec![step(1, 2_500)]));
+    }
+    world.run(3_300);
+    assert_eq!(
+        world.crashes.all.len(),
+        8,
+        "each worker started one of them"
+    );
+    world.run(200);
+    while world.crashes.all.len() < 16 {
+        world.run(10);
+        assert!(world.workers.len() >= 6, "two of eight are away at most");
+        assert!(world.now < 60_000, "all are tried in the end");
+    }
+    world.run(5_000);
+    for number in 0..8 {
+        let id = format!("bad-{number}");
+        assert_eq!(world.shown(&id), Some(Shown::Failed), "{id}");
+    }
+}
--- a/src/sched/tests/world/crashes.rs
+++ b/src/sched/tests/world/crashes.rs
@@ -13,16 +13,8 @@
 /// Milliseconds until another life is back, unless a test says otherwise.
 const BACK: Millis = 3_400;
 
-/// A worker that has crashed.
-#[derive(Clone, Debug)]
-pub struct Crash {
-    /// Id of the life that ended.
-    pub worker: Name,
-    /// Tasks that ran there.
-    pub tasks: Vec<String>,
-    /// When it was.
-    pub at: Millis,
-}
+/// Tasks that ran on a worker when it crashed.
+type Victims = Vec<String>;
 
 /// What crashes workers, and what has become of them.
 pub struct Crashes {
@@ -31,7 +23,7 @@
     /// Milliseconds until another life is back.
     pub back: Millis,
     /// All crashes so far.
-    pub all: Vec<Crash>,
+    pub all: Vec<Victims>,
     /// Entries that change, in the order of their times.
     due: VecDeque<(Millis, Name, Entry)>,
 }
@@ -50,7 +42,7 @@
 impl Crashes {
     /// Returns how many workers have crashed under a task.
     pub fn under(&self, task: &str) -> usize {
-        let under = |c: &&Crash| c.tasks.iter().any(|t| t == task);
+        let under = |tasks: &&Victims| tasks.iter().any(|t| t == task);
         self.all.iter().filter(under).count()
     }
 
@@ -65,12 +57,7 @@
     /// Has a worker crash, with all that it runs; another life comes back later.
     pub fn crash(&mut self, id: &str) {
         let worker = self.workers.remove(id).expect("worker");
-        let crash = Crash {
-            worker: id.into(),
-            tasks: worker.tasks().cloned().collect(),
-            at: self.now,
-        };
-        self.crashes.all.push(crash);
+        self.crashes.all.push(worker.tasks().cloned().collect());
         let lives = self.crashes.all.len();
         let port = worker.listing.address.port();
         let next = listing(&format!("{id}-{lives}"), port);
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -106,6 +106,8 @@
     pub gauge: Option<Gauge>,
     /// Processor share in use as reported last; of a filler.
     pub in_use: Option<u64>,
+    /// True while a crash of the worker would be laid to it alone.
+    pub suspect: bool,
 }
 
 impl Placement {
@@ -204,6 +206,9 @@
     pub strangers: bool,
     /// Room that is being made there for a task.
     pub promise: Option<Promise>,
+    /// Job of the tasks on trial there, which may crash it: no others are started
+    /// meanwhile, as they would go with it and hide whose fault it was.
+    pub trial: Option<u32>,
     /// Fillers that have just ended there.
     pub recent: Recent,
     /// Its clock as reported last.
@@ -233,6 +238,7 @@
             barred: 0,
             strangers: false,
             promise: None,
+            trial: None,
             recent: Recent::default(),
             heard: None,
             granted: 0,
@@ -245,6 +251,9 @@
         self.soft += placement.soft;
         self.lasting += u32::from(placement.lasting);
         self.beside.put(key, &placement);
+        if placement.suspect {
+            self.trial = Some(key.job);
+        }
         self.placements.insert(key, placement);
     }
 
@@ -254,6 +263,7 @@
             return;
         };
         self.beside.take(key, &placement);
+        self.settle_trial();
         if placement.filler && placement.has_run() {
             let share = self.share(&placement);
             self.recent
@@ -264,6 +274,32 @@
         self.lasting -= u32::from(placement.lasting);
     }
 
+    /// Ends the trial once no suspect is there.
+    fn settle_trial(&mut self) {
+        if self.trial.is_some() {
+            let mut suspects = self.placements.iter().filter(|(_, run)| run.suspect);
+            self.trial = suspects.next().map(|(key, _)| key.job);
+        }
+    }
+
+    /// Clears the suspects for which `lasted` is true, and returns them.
+    pub fn acquit(&mut self, lasted: impl Fn(&Placement) -> bool) -> Vec<TaskKey> {
+        let mut cleared = Vec::new();
+        for (key, run) in &mut self.placements {
+            if run.suspect && lasted(run) {
+                run.suspect = false;
+                cleared.push(*key);
+            }
+        }
+        self.settle_trial();
+        cleared
+    }
+
+    /// Returns true when a task, a suspect or not, may start beside what is on trial there.
+    pub fn admits(&self, key: TaskKey, suspect: bool) -> bool {
+        self.trial.is_none_or(|job| suspect && job == key.job)
+    }
+
     /// Returns the share of the worker's processors that a run there uses.
     pub fn share(&self, run: &Placement) -> f64 {
         let paced = || run.cpu * u64::from(run.pace) / u64::from(FULL_PACE);
