Rooms of workers that shrink and grow: starts that do not fit any more are withdrawn

Cause: the room of a worker was checked when a task was placed, and the start went out once the store held the placement, whatever the worker had said meanwhile. A job that fitted no worker at the moment was refused as unservable. Change: a start is withdrawn where its worker's room has shrunk below what is used; 'unservable' goes by the most room that a worker has had; changes of a room are told.

--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -5,7 +5,7 @@
 //! nothing has run. A job that merely has to wait is taken: its tasks find room within
 //! seconds on full workers, and only the caller knows how long it is worth the wait.
 
-use super::choice::could_hold;
+use super::choice::might_hold;
 use super::owner::Owner;
 use super::spec::{JobSpec, StepSpec};
 use super::worker::{Presence, Worker};
@@ -67,7 +67,8 @@
         (silent > usual.max(slow)).then_some(silent)
     }
 
-    /// Returns a step of which no worker of the service could hold a task, were it empty.
+    /// Returns a step of which no worker of the service could hold a task, were it empty
+    /// and its room as large as it has been: one that has shrunk may grow again.
     /// Without any worker of the service nothing is known, as the directory may not be
     /// read yet.
     fn unservable(&self, spec: &JobSpec, service: &str) -> Option<usize> {
@@ -77,7 +78,7 @@
         };
         let holds = |step: &StepSpec| {
             let mut workers = self.workers.values().filter(known);
-            workers.any(|w| could_hold(w, step))
+            workers.any(|w| might_hold(w, step))
         };
         self.workers.values().find(known)?;
         spec.steps.iter().position(|step| !holds(step))
--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -120,10 +120,16 @@
 }
 
 /// Returns true when a worker could hold a task of a step, were it empty.
-pub fn could_hold(worker: &Worker, step: &StepSpec) -> bool {
+fn could_hold(worker: &Worker, step: &StepSpec) -> bool {
     step.reserved().within(worker.listing.capacity) && labelled(worker, step)
 }
 
+/// Returns true when a worker could hold a task of a step, were it empty and had the most
+/// room that it has had.
+pub fn might_hold(worker: &Worker, step: &StepSpec) -> bool {
+    step.reserved().within(worker.most) && labelled(worker, step)
+}
+
 /// Returns true when a worker has the label that a step asks for.
 fn labelled(worker: &Worker, step: &StepSpec) -> bool {
     step.label.is_empty() || worker.listing.labels.contains(&step.label)
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -67,6 +67,11 @@
                 let tasks = worker.placements.len();
                 log::info!(target: "worker", "worker={id} event=leaving stays_ms={} tasks={tasks}", listing.stays);
             }
+            if worker.listing.capacity != listing.capacity {
+                let (before, room, used) = (worker.listing.capacity, listing.capacity, worker.used);
+                log::info!(target: "worker", "worker={id} event=room now={room} before={before} used={used}");
+                worker.most = worker.most.max(room);
+            }
             worker.listing = listing;
             return;
         }
--- a/src/sched/spec.rs
+++ b/src/sched/spec.rs
@@ -43,6 +43,13 @@
     pub gpu: u64,
 }
 
+impl std::fmt::Display for Room {
+    /// Writes the parts in their order, in one word.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}/{}/{}", self.cpu, self.memory, self.gpu)
+    }
+}
+
 impl Room {
     /// Returns the room of both.
     pub fn plus(self, other: Self) -> Self {
@@ -62,6 +69,15 @@
         }
     }
 
+    /// Returns the larger of both in each part.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
     /// Returns true when it is no larger than another in any part.
     pub fn within(self, other: Self) -> bool {
         self.cpu <= other.cpu && self.memory <= other.memory && self.gpu <= other.gpu
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -6,6 +6,7 @@
 use super::message::{Action, Refusal, Reply, Start, Stop};
 use super::owner::Owner;
 use super::silence::Ending;
+use super::spec::Room;
 use super::worker::Stage;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -35,14 +36,17 @@
         if current.is_none_or(|s| s.run != run || s.stage != Stage::Recording) {
             return;
         }
-        let lease = match worker.open(now) && !gives_up {
+        // Its room may have shrunk since the task was placed: sent all the same, the start
+        // would bring a worker that does not guard its room over it.
+        let fits = worker.fits(Room::default());
+        let lease = match worker.open(now) && fits && !gives_up {
             true => worker.grant(span, now),
             false => None,
         };
         let (Some(lease), Some(permit), Some(placement)) =
             (lease, permit, worker.placements.get_mut(&key))
         else {
-            log::info!(target: "task", "task={} run={run} event=withdrawn worker={name}", job.task_name(key));
+            log::info!(target: "task", "task={} run={run} event=withdrawn worker={name} fits={fits}", job.task_name(key));
             self.free(key);
             return;
         };
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -15,6 +15,7 @@
 mod pressure;
 mod random;
 mod rolling;
+mod rooms;
 mod succession;
 mod swaps;
 mod takeover;
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -59,6 +59,8 @@
     /// Breaches of the rules that a task runs once at a time, and not again
     /// after an end that was acknowledged.
     pub doubles: Vec<String>,
+    /// Starts that brought a worker over its room.
+    pub excesses: Vec<String>,
     /// Paces that were ordered, in percent.
     pub paces: Vec<u32>,
     /// Tasks of which an end with its work done was acknowledged under a lease.
@@ -170,6 +172,7 @@
             questions: Vec::new(),
             resumed: BTreeMap::new(),
             doubles: Vec::new(),
+            excesses: Vec::new(),
             paces: Vec::new(),
             noted: BTreeSet::new(),
             rows: BTreeMap::new(),
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -3,11 +3,19 @@
 use std::collections::BTreeMap;
 
 use super::World;
-use crate::sched::message::{Ended, Hold, How, Refusal, Reply, Report, Running, Start, Stop};
+use crate::sched::job::parse_task;
+use crate::sched::journal::SPEC_TABLE;
+use crate::sched::message::{
+    Ended, Entry, Event, Hold, How, Refusal, Reply, Report, Running, Start, Stop,
+};
+use crate::sched::spec::{JobSpec, Room};
 use crate::sched::worker::Listing;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
+/// Milliseconds that a start may have been on its way when its worker's room shrank.
+const ON_ITS_WAY: Millis = 2;
+
 #[derive(Clone, Debug)]
 struct Run {
     run: u32,
@@ -28,6 +36,8 @@
     pub advised: bool,
     /// Lists a checkpoint of its own for each run.
     pub saves: bool,
+    /// When its room shrank last.
+    pub shrank: Millis,
     epoch: u64,
     lease: Millis,
     running: BTreeMap<String, Run>,
@@ -49,6 +59,7 @@
             full: false,
             advised: false,
             saves: false,
+            shrank: 0,
             epoch: 0,
             lease: 0,
             running: BTreeMap::new(),
@@ -183,6 +194,7 @@
         self.starts.push((start.task.clone(), start.run, id, now));
         self.resumed.insert(start.task.clone(), start.saved.clone());
         self.note_double(start);
+        self.note_excess(start);
         Reply::Ok(now)
     }
 
@@ -200,6 +212,38 @@
         worker.running.insert(task.into(), run);
     }
 
+    /// Gives a worker another room, which its entry tells.
+    pub fn resize(&mut self, id: &str, room: Room) {
+        let now = self.now;
+        let worker = self.workers.get_mut(id).expect("worker");
+        if !worker.listing.capacity.within(room) {
+            worker.shrank = now;
+        }
+        worker.listing.capacity = room;
+        let entry = Entry::Listed(worker.listing.clone());
+        self.step(Event::Listed(vec![(id.into(), entry)]));
+    }
+
+    /// Notes when a start brings its worker over its room, though the owner knew of it.
+    fn note_excess(&mut self, start: &Start) {
+        let worker = &self.workers[&start.worker];
+        let rooms = worker.tasks().filter_map(|task| self.room_of(task));
+        let used = rooms.fold(Room::default(), Room::plus);
+        let told = self.now > worker.shrank + ON_ITS_WAY;
+        if told && !used.within(worker.listing.capacity) {
+            let text = format!("{} on {} at {}", start.task, start.worker, self.now);
+            self.excesses.push(text);
+        }
+    }
+
+    /// Returns the room that a task takes, by what the store holds of its job.
+    fn room_of(&self, task: &str) -> Option<Room> {
+        let (id, _, step, _) = parse_task(task)?;
+        let row = self.rows.get(&(SPEC_TABLE, id.into()))?;
+        let spec: JobSpec = serde_json::from_slice(row).expect("spec");
+        Some(spec.steps[step as usize].reserved())
+    }
+
     /// Notes when a task that was just started runs in several places, or
     /// again after its end was acknowledged.
     fn note_double(&mut self, start: &Start) {
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -174,6 +174,8 @@
 pub(super) struct Worker {
     /// As listed last.
     pub listing: Listing,
+    /// The most room that it has had: what has shrunk may grow again.
+    pub most: Room,
     /// Whether the directory lists it.
     pub presence: Presence,
     /// When it ends at the earliest, once it is known to leave.
@@ -221,6 +223,7 @@
     /// Returns a worker that was just listed.
     pub fn new(listing: Listing, now: Millis) -> Self {
         Self {
+            most: listing.capacity,
             listing,
             presence: Presence::Listed,
             leaves: None,
