Suspended machines are told and counted; tests bring them about

The clock of decisions counted suspensions already; now a test holds it to that, fake boxes can be suspended (timers stand, time and workers go on), and a box tells for how long its machine was. No decision changes: an owner that wakes extends and starts nothing on an old confirmation, what lapsed runs again once.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -28,6 +28,7 @@
 use crate::rpc::bridge::Bridge;
 use crate::utils::clock::{self, Millis};
 use crate::utils::drain::Drain;
+use crate::utils::suspension::Suspension;
 use crate::utils::{listen, signals};
 use crate::{logs, web};
 use shared::Shared;
@@ -65,7 +66,9 @@
     monoio::spawn(watch::config(shared.clone()));
     monoio::spawn(lead::run(shared.clone(), receiver));
     monoio::spawn(member::run(shared.clone(), nudged));
+    let mut suspension = Suspension::begin();
     while !signals::asked() {
+        note_suspension(&mut suspension, &shared);
         if signals::reload_asked() {
             reload(&shared, file);
         }
@@ -80,6 +83,17 @@
     Ok(())
 }
 
+/// Tells that the machine was suspended: what comes after it looks like a box that was
+/// frozen, and timers have not counted that time.
+fn note_suspension(suspension: &mut Suspension, shared: &Shared) {
+    let Some(span) = suspension.note(clock::now(), clock::awake()) else {
+        return;
+    };
+    let (leading, unserved) = (shared.leading().is_some(), shared.unserved());
+    log::warn!(target: "daemon", "event=suspended span_ms={span} leading={leading} unserved_ms={unserved}");
+    crate::metrics::get().suspended.inc_by(span);
+}
+
 /// Writes log lines that wait until the process ends.
 async fn flush_logs() {
     loop {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -111,6 +111,8 @@
     pub orphaned: Counter,
     /// Calls without an answer in time, though the connection was open.
     pub unanswered: Family<Call, Counter>,
+    /// Milliseconds for which the machine was suspended.
+    pub suspended: Counter,
     /// Log lines that were dropped.
     pub dropped: Counter,
     /// Calls to the table.
@@ -172,6 +174,7 @@
             crashes: Counter::default(),
             given_up: Counter::default(),
             unanswered: Family::default(),
+            suspended: Counter::default(),
             dropped: Counter::default(),
             calls: Counter::default(),
             evictions: Gauge::default(),
--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -90,6 +90,11 @@
     );
     registry.register("jobs", "Jobs held by the owner", m.jobs.clone());
     registry.register("workers", "Workers known to the owner", m.workers.clone());
+    registry.register(
+        "suspended_ms",
+        "Milliseconds that the machine was suspended",
+        m.suspended.clone(),
+    );
     registry.register("log_dropped", "Log lines dropped", m.dropped.clone());
     registry.register("config_version", "Configuration in force", m.config.clone());
     registry.register(
--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -7,7 +7,7 @@
 /// Bytes of an answer that a collector keeps in any case.
 const KEPT: usize = 3_500;
 /// Rows that tell the owner and how it fares.
-const OWNER: [&str; 20] = [
+const OWNER: [&str; 21] = [
     "owner_epoch",
     "followed_epoch",
     "owner_unserved_ms",
@@ -25,6 +25,7 @@
     "tasks_waiting",
     "jobs",
     "workers",
+    "suspended_ms_total",
     "log_dropped_total",
     "config_version",
     "rows_undecoded_total",
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -17,6 +17,7 @@
 mod rolling;
 mod rooms;
 mod succession;
+mod suspension;
 mod swaps;
 mod takeover;
 mod world;
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -68,6 +68,8 @@
     pub rows: BTreeMap<(&'static str, Name), Bytes>,
     pub version: u64,
     pub owner_version: u64,
+    /// Until when the machine of the box is suspended.
+    suspended: Millis,
     epoch: u64,
     random: Random,
     due: BTreeMap<(Millis, u64), Due>,
@@ -178,6 +180,7 @@
             rows: BTreeMap::new(),
             version: 1,
             owner_version: 1,
+            suspended: 0,
             epoch: 1,
             random: Random::new(7),
             due: BTreeMap::new(),
@@ -261,6 +264,7 @@
 
     /// Puts another owner in the place of this one, as a takeover does.
     pub fn take_over(&mut self, inherited: Millis) {
+        self.suspended = 0;
         self.epoch += 1;
         self.version += 1;
         self.owner_version = self.version;
@@ -315,7 +319,7 @@
                     Due::Past(epoch, from) => self.read_past(epoch, from),
                 }
             }
-            if self.now.is_multiple_of(5) {
+            if self.now.is_multiple_of(5) && self.now >= self.suspended {
                 self.step(Event::Tick);
             }
         }
--- a/src/sched/tests/world/calls.rs
+++ b/src/sched/tests/world/calls.rs
@@ -101,12 +101,7 @@
                 Event::Stopped(stop.key, stop.run, stop.worker, reply)
             }
         };
-        let silent = matches!(
-            event,
-            Event::Held(_, _, Reply::Lost)
-                | Event::Started(_, _, _, Reply::Lost)
-                | Event::Stopped(_, _, _, Reply::Lost)
-        );
+        let silent = timed_out(&event);
         if answered {
             let after = if silent { GIVEN_UP } else { HOP };
             self.later(after, Due::Event(self.epoch, event));
@@ -137,9 +132,31 @@
         format!("{worker} until {}", self.now + ADVICE_VALID).into()
     }
 
-    fn later(&mut self, after: Millis, due: Due) {
+    pub(super) fn later(&mut self, after: Millis, due: Due) {
         self.serial += 1;
-        self.due.insert((self.now + after, self.serial), due);
+        let mut at = self.now + after;
+        if !matches!(due, Due::Call(..)) {
+            // Nothing is taken in by a box that is suspended.
+            at = at.max(self.suspended);
+        }
+        self.due.insert((at, self.serial), due);
+    }
+
+    /// Suspends the machine of the box. What was sent arrives, and answers wait; timers
+    /// stand meanwhile.
+    pub fn suspend(&mut self, span: Millis) {
+        self.suspended = self.now + span;
+        let wakes = self.suspended;
+        let shifted = std::mem::take(&mut self.due).into_iter();
+        let shift = |((at, serial), due): ((Millis, u64), Due)| {
+            let at = match &due {
+                Due::Call(..) => at,
+                Due::Event(_, event) if timed_out(event) => at + span,
+                Due::Event(..) | Due::Past(..) => at.max(wakes),
+            };
+            ((at, serial), due)
+        };
+        self.due = shifted.map(shift).collect();
     }
 
     /// Carries an order out, unless its worker is cut off or gone.
@@ -200,6 +217,17 @@
     }
 }
 
+/// Returns true for what a timer of the box tells.
+fn timed_out(event: &Event) -> bool {
+    matches!(
+        event,
+        Event::Held(_, _, Reply::Lost)
+            | Event::Started(_, _, _, Reply::Lost)
+            | Event::Stopped(_, _, _, Reply::Lost)
+            | Event::Written(_, Written::Unknown)
+    )
+}
+
 fn unanswered(call: &Call) -> Event {
     match call {
         Call::Hold(hold, sent) => Event::Held(hold.worker.clone(), *sent, Reply::Lost),
--- a/src/sched/tests/world/crashes.rs
+++ b/src/sched/tests/world/crashes.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use super::calls::Due;
 use super::{FakeWorker, World, listing};
 use crate::sched::message::{Entry, Event};
 use crate::utils::Name;
@@ -88,7 +89,8 @@
                 let worker = FakeWorker::new(listing.clone());
                 self.workers.insert(id.clone(), worker);
             }
-            self.step(Event::Listed(vec![(id, entry)]));
+            let news = Event::Listed(vec![(id, entry)]);
+            self.later(0, Due::Event(self.epoch, news));
         }
     }
 }
--- a/src/utils.rs
+++ b/src/utils.rs
@@ -8,6 +8,7 @@
 pub mod random;
 pub mod signals;
 pub mod sockets;
+pub mod suspension;
 
 #[cfg(test)]
 mod tests;
--- a/src/utils/tests.rs
+++ b/src/utils/tests.rs
@@ -7,11 +7,42 @@
 
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 
+use super::clock;
 use super::drain::Drain;
 use super::listen;
 use super::peak::Peak;
+use super::suspension::Suspension;
 use crate::program::block_on;
 
+#[test]
+fn a_suspension_is_told_once_and_a_frozen_process_is_none() {
+    let mut suspension = Suspension::at(1_000, 900);
+    assert_eq!(suspension.note(1_200, 1_100), None);
+    // Frozen for 5 s: both clocks go on.
+    assert_eq!(suspension.note(6_200, 6_100), None);
+    // Suspended for 3 s.
+    assert_eq!(suspension.note(9_300, 6_200), Some(3_000));
+    assert_eq!(suspension.note(9_400, 6_300), None);
+    // Two clocks are not read at the same moment.
+    assert_eq!(suspension.note(9_520, 6_401), None);
+    assert_eq!(suspension.note(19_520, 6_401), Some(10_019));
+}
+
+#[test]
+fn time_goes_on_by_the_clock_that_counts_suspensions() {
+    let read = || {
+        let mut spec = libc::timespec {
+            tv_sec: 0,
+            tv_nsec: 0,
+        };
+        // SAFETY: `spec` is valid for writing.
+        unsafe { libc::clock_gettime(libc::CLOCK_BOOTTIME, &mut spec) };
+        spec.tv_sec as u64 * 1_000 + spec.tv_nsec as u64 / 1_000_000
+    };
+    let (before, now, after) = (read(), clock::now(), read());
+    assert!((before..=after).contains(&now), "{before} {now} {after}");
+}
+
 #[test]
 fn an_address_that_is_in_use_is_waited_for() {
     let held = TcpListener::bind("127.0.0.1:0").expect("a free port");
