Tests of processes: a task that crashes workers, a room that shrinks, all boxes without power

Found by the first: a run whose start had no answer was taken for one that had lasted, as its stop was on its way (3 crashes in place of 2). What counts is now for how long the worker has told of a run. The stand-in of a worker learns to crash, to come back under another id and to change its room; boxes can be killed at once and started again.

--- a/src/sched/crashes.rs
+++ b/src/sched/crashes.rs
@@ -65,13 +65,11 @@
     }
 }
 
-/// Returns the milliseconds for which a worker had listed a run at its last word.
-fn age(worker: &Worker, run: &Placement) -> Millis {
-    match run.stage {
-        Stage::Running(at) => worker.answered.saturating_sub(at),
-        Stage::Stopping(_) | Stage::Stopped(_) => worker.answered.saturating_sub(run.since),
-        Stage::Inherited | Stage::Recording | Stage::Starting | Stage::Doubt => 0,
-    }
+/// Returns the milliseconds for which a worker had known of a run at its last word; 0 when
+/// it never told of it, as its start may have been carried out after that.
+pub(super) fn age(worker: &Worker, run: &Placement) -> Millis {
+    let age = |at| worker.answered.saturating_sub(at);
+    run.told.map_or(0, age)
 }
 
 /// Returns what the crash of a worker says of the runs that it took along.
@@ -137,7 +135,7 @@
         log::info!(target: "task", "task={task} run={run} event=crash-counted worker={name} blame={blame:?} crashes={crashes}");
         if crashes >= blame.limit() {
             crate::metrics::get().given_up.inc();
-            log::warn!(target: "task", "task={task} run={run} event=given-up crashes={crashes} blame={blame:?}");
+            log::warn!(target: "task", "task={task} run={run} event=abandoned crashes={crashes} blame={blame:?}");
             self.finish(key.job, Outcome::Failed);
         }
     }
@@ -168,10 +166,7 @@
             return;
         };
         let word = worker.answered;
-        let lasted = |run: &Placement| match run.stage {
-            Stage::Running(at) => word >= at + FRESH,
-            _ => false,
-        };
+        let lasted = |run: &Placement| run.told.is_some_and(|at| word >= at + FRESH);
         let cleared = worker.acquit(lasted);
         if !cleared.is_empty() {
             self.crowded = false;
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -375,6 +375,7 @@
             gauge: None,
             in_use: None,
             since: self.now.steady,
+            told: None,
         }
     }
 }
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -197,9 +197,7 @@
             return false;
         };
         let inherited = placement.stage == Stage::Inherited;
-        if inherited || placement.stage == Stage::Starting {
-            placement.stage = Stage::Running(now);
-        }
+        placement.confirm(now);
         placement.at_work = run.progress == FULL_PACE;
         self.begun(key);
         let Some(job) = self.jobs.get(&key.job) else {
--- a/src/sched/silence.rs
+++ b/src/sched/silence.rs
@@ -1,6 +1,6 @@
 //! Workers that have ended or fell silent, and the tasks that they held.
 
-use super::crashes::Crash;
+use super::crashes::{Crash, age};
 use super::job::TaskKey;
 use super::owner::Owner;
 use super::worker::{Presence, Worker};
@@ -38,8 +38,8 @@
         self.workers.remove(name);
     }
 
-    /// Tells that a life of a worker is over, and of each run that went with it how old it
-    /// was at the worker's last word: runs begun since then may have ended it.
+    /// Tells that a life of a worker is over, and of each run that went with it for how
+    /// long the worker had told of it: a younger one may have ended it.
     fn tell_over(&self, name: &Name, ending: Ending) {
         let Some(worker) = self.workers.get(name) else {
             return;
@@ -50,7 +50,7 @@
         crate::metrics::get().orphaned.inc_by(tasks as u64);
         for (key, run) in &worker.placements {
             let task = self.task_name(*key);
-            let age = worker.answered.saturating_sub(run.since);
+            let age = age(worker, run);
             let (run, stage) = (run.run, run.stage);
             log::info!(target: "task", "task={task} run={run} event=orphaned worker={name} stage={stage:?} age_ms={age}");
         }
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -92,9 +92,7 @@
         };
         match reply {
             Reply::Ok(_) => {
-                if placement.stage == Stage::Starting {
-                    placement.stage = Stage::Running(now);
-                }
+                placement.confirm(now);
                 self.begun(key);
             }
             Reply::Lost if placement.stage == Stage::Starting => {
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -100,6 +100,8 @@
     pub pacing: bool,
     /// When it was placed.
     pub since: Millis,
+    /// When its worker first told that it runs.
+    pub told: Option<Millis>,
     /// True once a lasting task is at work.
     pub at_work: bool,
     /// Last gauge of a serving task.
@@ -111,6 +113,14 @@
 }
 
 impl Placement {
+    /// Takes in that its worker tells that it runs.
+    pub fn confirm(&mut self, now: Millis) {
+        self.told.get_or_insert(now);
+        if matches!(self.stage, Stage::Inherited | Stage::Starting) {
+            self.stage = Stage::Running(now);
+        }
+    }
+
     /// Returns true once its worker has confirmed it.
     pub fn has_run(&self) -> bool {
         use Stage::{Running, Stopped, Stopping};
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -44,6 +44,8 @@
 pub struct Deployment {
     pub store: Store,
     record: Arc<Mutex<Record>>,
+    /// Stand-ins of the workers, in their order.
+    pub workers: Vec<Worker>,
     nodes: Vec<Node>,
     folder: PathBuf,
     /// Between the boxes and the store.
@@ -86,6 +88,7 @@
         let mut deployment = Self {
             store,
             record,
+            workers: Vec::new(),
             nodes: Vec::new(),
             folder,
             proxy: proxy::start(store_address, move |_, opened| {
@@ -120,13 +123,15 @@
         self.store.put("op", "config", &config);
     }
 
-    fn add_worker(&self, id: &str, span: Duration) {
-        let worker = Worker::new(id, span, self.record.clone());
-        let address = host(move |request| worker.clone().handle(request));
+    fn add_worker(&mut self, id: &str, span: Duration) {
+        let worker = Worker::new(id, span, self.record.clone(), self.store.clone());
+        let served = worker.clone();
+        let address = host(move |request| served.clone().handle(request));
         let listing = json!({ "service": SERVICE, "address": address, "zone": "h1",
             "state": "ready", "labels": ["a", "r1"],
             "capacity": { "cpu": 4000, "memMb": 8000, "gpu": 0 } });
-        self.store.put("servers", id, &listing);
+        worker.list(listing);
+        self.workers.push(worker);
     }
 
     fn node(&self, number: usize) -> Node {
@@ -228,10 +233,15 @@
 
     /// Waits until some box shows a job as completed.
     pub fn wait_completed(&self, id: &str) {
-        let shown = || (0..self.nodes.len()).any(|n| self.state(n, id) == "completed");
+        self.wait_state(id, "completed");
+    }
+
+    /// Waits until some box shows a job in a state.
+    pub fn wait_state(&self, id: &str, state: &str) {
+        let shown = || (0..self.nodes.len()).any(|n| self.state(n, id) == state);
         let all = |n: usize| format!("box {n}:\n{}", self.output(n));
         let wrote = || (0..self.nodes.len()).map(all).collect::<String>();
-        assert!(becomes(shown), "{id} does not complete; {}", wrote());
+        assert!(becomes(shown), "{id} is not {state}; {}", wrote());
     }
 
     /// Returns the box that is the owner now, by the latest that has begun; waits for
@@ -269,6 +279,23 @@
         child.wait().expect("ended");
     }
 
+    /// Has all boxes lose power at the same moment.
+    pub fn kill_all(&mut self) {
+        for node in &mut self.nodes {
+            node.child.kill().expect("killed");
+        }
+        for node in &mut self.nodes {
+            node.child.wait().expect("ended");
+        }
+    }
+
+    /// Starts a box again that has ended, with the same settings.
+    pub fn restart(&mut self, number: usize) {
+        let node = &mut self.nodes[number];
+        let line = format!("serve --config {}", node.settings.display());
+        node.child = spawn(&words(&line), &node.settings.with_extension("log"));
+    }
+
     /// Sends a signal to a box.
     pub fn signal(&self, number: usize, signal: libc::c_int) {
         let id = self.nodes[number].child.id() as libc::pid_t;
--- /dev/null
+++ b/tests/platform/news.rs
@@ -0,0 +1,74 @@
+//! What workers and boxes may do besides ending well: crash by a task, change their room,
+//! lose power all at once.
+
+use std::time::Duration;
+
+use super::support::{becomes, wait};
+use super::{Deployment, LONG, SPAN, assert_ran};
+
+#[test]
+fn a_task_that_crashes_its_workers_is_given_up_and_told() {
+    let deployment = Deployment::start(2, 4, SPAN);
+    deployment.record().fatal = Some("00000000000000c0.0.0.0".into());
+    for id in ["00000000000000c0", "00000000000000c1", "00000000000000c2"] {
+        deployment.submit_until_taken(id, 3);
+    }
+    deployment.wait_state("00000000000000c0", "failed");
+    deployment.wait_completed("00000000000000c1");
+    deployment.wait_completed("00000000000000c2");
+    let crashes = deployment.record().crashes["00000000000000c0.0.0.0"];
+    assert_eq!(crashes, 2, "{}", deployment.output(deployment.owner()));
+    assert!(deployment.record().doubled.is_empty());
+    let owner = deployment.owner();
+    assert_eq!(deployment.gauge(owner, "worker_crashes_total"), Some(2));
+    assert_eq!(deployment.gauge(owner, "tasks_given_up_total"), Some(1));
+    let told = |event: &str| {
+        let text = deployment.output(owner);
+        let mut lines = text.lines();
+        lines.any(|l| l.contains("task=00000000000000c0.0.0.0") && l.contains(event))
+    };
+    for event in ["orphaned", "crash-counted", "abandoned"] {
+        wait(event, || told(&format!("event={event}")));
+    }
+}
+
+#[test]
+fn a_worker_whose_room_shrinks_gets_what_fits_it() {
+    let deployment = Deployment::start(1, 1, SPAN);
+    let worker = &deployment.workers[0];
+    worker.resize(1_000);
+    wait("word of the room", || {
+        deployment.output(0).contains("worker=i-0 event=room")
+    });
+    deployment.submit_until_taken("00000000000000d0", 2);
+    let mut most = 0;
+    let done = becomes(|| {
+        most = most.max(deployment.record().running.len());
+        deployment.state(0, "00000000000000d0") == "completed"
+    });
+    assert!(done, "{}", deployment.output(0));
+    assert_eq!(most, 1, "one fits at a time");
+    worker.resize(4_000);
+    deployment.submit_until_taken("00000000000000d1", 4);
+    wait("all of a step at once", || {
+        deployment.record().running.len() == 4
+    });
+}
+
+/// All boxes lose power right after a job was accepted; nothing but the store knows of it.
+#[test]
+fn a_job_outlasts_the_loss_of_power_of_all_boxes() {
+    let mut deployment = Deployment::start(3, 3, LONG);
+    deployment.submit_until_taken("00000000000000e0", 2);
+    wait("tasks to run", || deployment.record().running.len() == 2);
+    deployment.submit_until_taken("00000000000000e1", 2);
+    deployment.kill_all();
+    std::thread::sleep(Duration::from_millis(1_000));
+    for number in 0..3 {
+        deployment.restart(number);
+    }
+    for id in ["00000000000000e0", "00000000000000e1"] {
+        deployment.wait_completed(id);
+        assert_ran(&deployment, id, 2);
+    }
+}
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -10,6 +10,10 @@
 use serde_json::{Value, json};
 use willowpoint::web::{Reply, Request};
 
+use super::store::Store;
+
+/// Time until another life of a worker that crashed is back: longer than any call waits.
+const AWAY: Duration = Duration::from_millis(1_500);
 /// Pause between two looks for an end that an exchange waits for.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -22,6 +26,10 @@
     pub running: BTreeSet<String>,
     /// Tasks that ran in two places at once, or again after their end was forgotten.
     pub doubled: Vec<String>,
+    /// Start of the names of tasks that crash their workers; none for none.
+    pub fatal: Option<String>,
+    /// Workers that have crashed under each of these.
+    pub crashes: BTreeMap<String, u32>,
     /// Tasks whose end was acknowledged.
     noted: BTreeSet<String>,
 }
@@ -40,12 +48,34 @@
     barred: BTreeMap<String, u64>,
     ended: Vec<(u64, String, u64, &'static str)>,
     next: u64,
+    /// True after a crash until the next life is there.
+    away: bool,
+}
+
+impl State {
+    /// Returns the state of a life that begins.
+    fn begin() -> Self {
+        Self {
+            began: Instant::now(),
+            fence: 0,
+            lease: 0,
+            runs: BTreeMap::new(),
+            barred: BTreeMap::new(),
+            ended: Vec::new(),
+            next: 1,
+            away: false,
+        }
+    }
 }
 
 /// A worker; clones share it.
 #[derive(Clone)]
 pub struct Worker {
-    id: String,
+    /// Id of its present life.
+    id: Arc<Mutex<String>>,
+    /// Its entry in the store, and the store.
+    listing: Arc<Mutex<Value>>,
+    store: Store,
     /// How long each task runs.
     span: Duration,
     state: Arc<Mutex<State>>,
@@ -54,24 +84,55 @@
 
 impl Worker {
     /// Returns a worker that runs nothing.
-    pub fn new(id: &str, span: Duration, record: Arc<Mutex<Record>>) -> Self {
-        let state = State {
-            began: Instant::now(),
-            fence: 0,
-            lease: 0,
-            runs: BTreeMap::new(),
-            barred: BTreeMap::new(),
-            ended: Vec::new(),
-            next: 1,
-        };
+    pub fn new(id: &str, span: Duration, record: Arc<Mutex<Record>>, store: Store) -> Self {
         Self {
-            id: id.into(),
+            id: Arc::new(Mutex::new(id.into())),
+            listing: Arc::default(),
+            store,
             span,
-            state: Arc::new(Mutex::new(state)),
+            state: Arc::new(Mutex::new(State::begin())),
             record,
         }
     }
 
+    /// Puts its entry into the store.
+    pub fn list(&self, listing: Value) {
+        self.store.put("servers", &self.id(), &listing);
+        *self.listing.lock().expect("no holder panicked") = listing;
+    }
+
+    /// Gives it another room, in thousandths of cores, which its entry tells.
+    pub fn resize(&self, cpu: u64) {
+        let mut listing = self.listing.lock().expect("no holder panicked").clone();
+        listing["capacity"]["cpu"] = json!(cpu);
+        self.list(listing);
+    }
+
+    fn id(&self) -> String {
+        self.id.lock().expect("no holder panicked").clone()
+    }
+
+    /// Ends this life, with all that runs. The next one is back later, under another id.
+    async fn crash(&self, task: &str) -> Reply {
+        let before = self.id();
+        let lost = std::mem::replace(&mut *self.state(), State::begin());
+        {
+            let mut record = self.record();
+            for name in lost.runs.keys() {
+                record.running.remove(name);
+            }
+            *record.crashes.entry(task.into()).or_insert(0) += 1;
+        }
+        self.state().away = true;
+        sleep(AWAY).await;
+        *self.id.lock().expect("no holder panicked") = format!("{before}-next");
+        self.state().away = false;
+        self.store.drop_row("servers", &before);
+        let listing = self.listing.lock().expect("no holder panicked").clone();
+        self.list(listing);
+        Reply::text(StatusCode::MISDIRECTED_REQUEST, "")
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder panicked")
     }
@@ -82,8 +143,11 @@
 
     /// Serves one call.
     pub async fn handle(self, request: Request) -> Reply {
+        while self.state().away {
+            sleep(LOOK).await;
+        }
         let life = request.headers.get("x-expect-instance");
-        if life.is_some_and(|l| l != self.id.as_str()) {
+        if life.is_some_and(|l| l != self.id().as_str()) {
             return Reply::text(StatusCode::MISDIRECTED_REQUEST, "");
         }
         let Ok(call) = serde_json::from_slice::<Value>(&request.body) else {
@@ -94,7 +158,10 @@
             return reply;
         }
         match request.uri.path() {
-            "/run-start" => self.start(&call),
+            "/run-start" => match self.fatal(&call) {
+                Some(task) => self.crash(&task).await,
+                None => self.start(&call),
+            },
             "/run-stop" => self.stop(&call),
             "/hold" => self.hold(&call).await,
             "/pace" => self.clock(StatusCode::OK, json!({})),
@@ -124,6 +191,14 @@
         None
     }
 
+    /// Returns the task of a start if it crashes the worker.
+    fn fatal(&self, call: &Value) -> Option<String> {
+        let task = call["task"].as_str().unwrap_or_default();
+        let record = self.record();
+        let fatal = record.fatal.as_ref()?;
+        task.starts_with(fatal).then(|| task.to_string())
+    }
+
     fn start(&self, call: &Value) -> Reply {
         let task = call["task"].as_str().unwrap_or_default().to_string();
         let run = call["run"].as_u64().unwrap_or(0);
@@ -189,10 +264,17 @@
         self.forget(call["lastSeen"].as_u64().unwrap_or(0));
         let wait = Duration::from_millis(call["waitMs"].as_u64().unwrap_or(0));
         let end = Instant::now() + wait;
+        let life = self.id();
         while self.state().ended.is_empty() && Instant::now() < end {
             sleep(LOOK).await;
             self.expire();
         }
+        while self.state().away {
+            sleep(LOOK).await;
+        }
+        if self.id() != life {
+            return Reply::text(StatusCode::MISDIRECTED_REQUEST, "");
+        }
         let state = self.state();
         let running: Vec<Value> = state
             .runs
