--- a/src/sched/tests/random.rs
+++ b/src/sched/tests/random.rs
@@ -4,7 +4,8 @@
 use crate::sched::job::Shown;
 use crate::sched::journal::{JOB_TABLE, PAST_TABLE, SPEC_TABLE};
 use crate::sched::message::{Answer, Ask, How};
-use crate::sched::spec::{JobSpec, StepSpec};
+use crate::sched::spec::{JobSpec, Room, StepSpec};
+use crate::utils::Name;
 use crate::utils::random::Random;
 
 /// Milliseconds between two random changes.
@@ -13,6 +14,10 @@
 const CHANGES: u64 = 40;
 /// Milliseconds after the faults in which everything comes to its end.
 const CALM: u64 = 40_000;
+/// A task that crashes its workers, and the most that may crash under it: a start that is
+/// the third after the third crash is one too many.
+const FATAL: &str = "job-1.0.0.0";
+const CRASHES: usize = 5;
 /// Jobs in one course.
 const JOBS: u64 = 6;
 /// Milliseconds for which the state of an ended job is told, and those after it was
@@ -99,12 +104,19 @@
     job(vec![step(1 + random.below(4) as u32, 1_000), second])
 }
 
+/// Returns a worker by its place among those that are there.
+fn worker(world: &World, random: &mut Random) -> Option<Name> {
+    let place = random.below(4) as usize;
+    world.workers.keys().nth(place).cloned()
+}
+
 fn change(world: &mut World, random: &mut Random) {
-    let id = format!("w{}", random.below(4));
+    let worker = worker(world, random);
     match random.below(8) {
         0 | 1 => {
-            let worker = world.workers.get_mut(&*id).expect("worker");
-            worker.cut = !worker.cut;
+            if let Some(worker) = worker.and_then(|id| world.workers.get_mut(&id)) {
+                worker.cut = !worker.cut;
+            }
         }
         2 => world.store_down = !world.store_down,
         3 => world.take_over(14_500),
@@ -119,12 +131,57 @@
     }
 }
 
-fn course(seed: u64) -> bool {
+/// Crashes a worker, gives it another room or suspends the box.
+fn change_machines(world: &mut World, random: &mut Random) {
+    let worker = worker(world, random);
+    match (random.below(4), worker) {
+        (0, Some(id)) => world.crash(&id),
+        (1, Some(id)) => {
+            let capacity = world.workers[&id].listing.capacity;
+            let cpu = [1_000, 2_500, 4_000][random.below(3) as usize];
+            world.resize(&id, Room { cpu, ..capacity });
+        }
+        (2, _) => world.suspend(100 + random.below(5_000)),
+        _ => {}
+    }
+}
+
+/// Gives all workers their whole room.
+fn restore_rooms(world: &mut World) {
+    let ids: Vec<Name> = world.workers.keys().cloned().collect();
+    for id in ids {
+        let capacity = world.workers[&id].listing.capacity;
+        world.resize(
+            &id,
+            Room {
+                cpu: 4_000,
+                ..capacity
+            },
+        );
+    }
+}
+
+/// Returns what is wrong with how workers were treated.
+fn machines_wrong(world: &World) -> Vec<String> {
+    let mut wrong = world.excesses.clone();
+    let crashes = world.crashes.under(FATAL);
+    if crashes > CRASHES {
+        wrong.push(format!("{crashes} workers crashed under {FATAL}"));
+    }
+    wrong
+}
+
+/// Runs jobs through changes that a seed draws; those of the machines are among them
+/// where `machines` is true, and a task that crashes its workers.
+fn course(seed: u64, machines: bool) -> bool {
     let mut random = Random::new(seed);
     let mut world = World::new(4);
     world.seed(seed ^ 1);
     world.bounds.remember = REMEMBER;
     world.owner.rebound(world.bounds);
+    if machines {
+        world.crashes.by_task.insert(FATAL.into(), 10);
+    }
     let (mut jobs, mut looks) = (Vec::new(), Vec::new());
     world.script = |task, run| {
         let failed = (task.len() as u32 + run).is_multiple_of(5);
@@ -137,6 +194,9 @@
     }
     for number in 0..CHANGES {
         change(&mut world, &mut random);
+        if machines {
+            change_machines(&mut world, &mut random);
+        }
         if number % 3 == 0 {
             let spec = spec(&mut random);
             jobs.push(hand_in(&mut world, format!("late-{number}"), spec));
@@ -148,10 +208,15 @@
     world.faults = Faults::default();
     world.store_down = false;
     world.workers.values_mut().for_each(|w| w.cut = false);
+    if machines {
+        world.run(CALM / 4);
+        restore_rooms(&mut world);
+    }
     world.list();
     world.run(CALM);
     let mut wrong: Vec<String> = looks.iter().filter_map(|l| l.wrong(&world)).collect();
     wrong.append(&mut world.doubles);
+    wrong.extend(machines_wrong(&world));
     wrong.extend(world.running().into_iter().map(|r| format!("{r:?} runs")));
     for table in [JOB_TABLE, SPEC_TABLE, PAST_TABLE] {
         let left = world.ids(table).into_iter();
@@ -174,6 +239,12 @@
 
 #[test]
 fn no_task_runs_twice_at_a_time_and_all_end_and_are_forgotten() {
-    let failed: Vec<u64> = seeds().filter(|seed| !course(*seed)).collect();
+    let failed: Vec<u64> = seeds().filter(|seed| !course(*seed, false)).collect();
+    assert!(failed.is_empty(), "seeds {failed:?}");
+}
+
+#[test]
+fn the_same_holds_where_workers_crash_and_shrink_and_boxes_are_suspended() {
+    let failed: Vec<u64> = seeds().filter(|seed| !course(*seed, true)).collect();
     assert!(failed.is_empty(), "seeds {failed:?}");
 }
