A task that its job does not have ends no owner

Before: 'index out of bounds: the len is 1 but the index is 3' in the test; after: the run is stopped, its end is acknowledged.

--- a/src/sched/past.rs
+++ b/src/sched/past.rs
@@ -19,7 +19,7 @@
 /// handed in during the 1.45 s that a caller's box waits, at 28 a second.
 const PARKED: usize = 200;
 
-/// Names no task: for runs of jobs that are over.
+/// Names no task: for runs of jobs that are over, or that no job has.
 pub(super) const NO_TASK: TaskKey = TaskKey {
     job: u32::MAX,
     round: 0,
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -149,8 +149,8 @@
         }
         for (found, run) in strangers {
             log::warn!(target: "task", "task={} run={} event=unknown-run worker={name}", run.task, run.run);
-            let past = || self.is_past(&run.task).then_some(NO_TASK);
-            let (Some(key), Some(address)) = (found.or_else(past), address) else {
+            let stray = || self.is_stray(&run.task).then_some(NO_TASK);
+            let (Some(key), Some(address)) = (found.or_else(stray), address) else {
                 continue;
             };
             let task = run.task.to_string();
@@ -167,16 +167,26 @@
         Listed { key, run }
     }
 
-    /// Finds a task by its name.
+    /// Finds a task by its name; none when its job has no such task. Workers may list any
+    /// name, and one looked up in vain would end this owner and each that follows it.
     pub(super) fn find(&self, name: &str) -> Option<TaskKey> {
         let (id, round, step, index) = parse_task(name)?;
-        let job = *self.ids.get(id)?;
-        Some(TaskKey {
-            job,
+        let number = *self.ids.get(id)?;
+        let key = TaskKey {
+            job: number,
             round,
             step,
             index,
-        })
+        };
+        self.jobs.get(&number)?.task(key)?;
+        Some(key)
+    }
+
+    /// Returns true when a name is that of no task that could run: of a job that is over, or
+    /// one that its job does not have.
+    fn is_stray(&self, task: &str) -> bool {
+        let known = parse_task(task).is_some_and(|(id, ..)| self.ids.contains_key(id));
+        known || self.is_past(task)
     }
 
     /// Returns what a worker holds of a task, if it is for this run.
--- a/src/sched/tests/crashes.rs
+++ b/src/sched/tests/crashes.rs
@@ -155,6 +155,24 @@
     assert_eq!(world.shown("j"), Some(Shown::Running));
 }
 
+/// A worker may list a task that its job does not have: one of an earlier job with the same
+/// id, say. An owner that ends by that is followed by another that reads the same.
+#[test]
+fn a_task_that_its_job_does_not_have_ends_no_owner() {
+    let mut world = World::new(1);
+    world.script = |_, _| (5_000, How::Done);
+    world.submit("j", job(vec![step(1, 500)]));
+    world.run(500);
+    for task in ["j.0.0.7", "j.0.3.0", "j.4.0.0"] {
+        world.sneak("w0", task, 2);
+        world.run(100);
+        world.sneak("w0", task, 5_000);
+    }
+    world.run(20_000);
+    assert!(world.running().is_empty(), "{:?}", world.running());
+    assert_eq!(world.shown("j"), Some(Shown::Completed));
+}
+
 #[test]
 fn a_gang_one_of_whose_members_crashes_its_workers_is_given_up() {
     let mut world = World::new(6);
