--- a/src/cell/lot.rs
+++ b/src/cell/lot.rs
@@ -67,6 +67,8 @@
     pub(super) acks: Vec<(Name, RunId)>,
     /// Worker of the last failed run of each task.
     pub(super) shunned: BTreeMap<usize, Name>,
+    /// Young runs of each task that went without a word under this owner.
+    pub(super) vanished: BTreeMap<usize, u32>,
 }
 
 impl Lot {
@@ -88,6 +90,7 @@
             reread: false,
             acks: Vec::new(),
             shunned: BTreeMap::new(),
+            vanished: BTreeMap::new(),
         }
     }
 
--- a/src/cell/outcome.rs
+++ b/src/cell/outcome.rs
@@ -17,6 +17,12 @@
 /// Doublings of a quarantine at most.
 const BACKOFF: u32 = 4;
 
+/// Milliseconds within which a run that goes without a word may have brought its worker
+/// down.
+const YOUNG: Millis = 10_000;
+/// Such runs after which a task has failed: more than starts that were lost by chance.
+const VANISHED: u32 = 8;
+
 impl Cell {
     /// Takes in how a start ended.
     pub fn started(&mut self, now: Millis, name: &Name, id: RunId, called: Called) -> Vec<Action> {
@@ -325,6 +331,27 @@
             RunPhase::Doubt | RunPhase::Starting => self.unstarted(&run),
             _ => self.end(now, name, &run, RunState::Stopped, run.saved),
         }
+        if run.phase != RunPhase::Stopping && now < run.since + YOUNG {
+            self.count_vanished(&run);
+        }
+    }
+
+    /// Counts a young run that went without a word. A task that brings its workers down
+    /// reports no failure, and would take one after the other.
+    fn count_vanished(&mut self, run: &Run) {
+        let Some((lot, index)) = self.task(&run.job, run.task) else {
+            return;
+        };
+        let count = lot.vanished.entry(index).or_insert(0);
+        *count += 1;
+        let task = &mut lot.row.tasks[index];
+        if *count < VANISHED || task.phase != Phase::Open {
+            return;
+        }
+        log::warn!(target: "cell", "{} {} is given up: {count} young runs went with their workers", run.job, run.task);
+        task.phase = Phase::Failed;
+        lot.live[index] = Live::Ended;
+        lot.dirty = true;
     }
 }
 
--- a/src/cell/tests.rs
+++ b/src/cell/tests.rs
@@ -229,6 +229,37 @@
     assert_ne!(again[0].1.id, run.id);
 }
 
+/// Runs the one task of a cell until it is not started again: each time its worker comes
+/// back without it. Returns how often it was started.
+fn lose_runs(answered: Called) -> usize {
+    let mut cell = cell(2);
+    cell.offer(0, lot("j", 1, 1_000));
+    let mut count = 0;
+    for now in (100..60_000).step_by(100) {
+        for (worker, run) in starts(&cell.tick(now, now * 1_000)) {
+            count += 1;
+            cell.started(now, &worker, run.id, answered);
+        }
+        for action in cell.flush() {
+            if let Action::Write { key, .. } = action {
+                cell.written(&key, Written::Committed);
+            }
+        }
+        for worker in 0..2 {
+            answer(&mut cell, now + 50, worker, shaped());
+        }
+    }
+    count
+}
+
+/// A worker that a task brings down reports no failure of it, so nothing bounded how many
+/// workers one task could take: it was started 300 times in 60 s.
+#[test]
+fn a_task_whose_runs_go_with_their_workers_is_given_up() {
+    assert_eq!(lose_runs(Called::Done(0)), 8);
+    assert_eq!(lose_runs(Called::Lost), 8);
+}
+
 #[test]
 fn a_write_in_doubt_is_settled_by_reading_the_row() {
     let mut cell = cell(1);
