Only proven crashes count as such: a worker out of reach may run on

Cause, found in reading: a worker that fell silent until its lease ended counted as crashed under what had just been started there, so two cuts could have failed a job that ran well. Change: a crash counts when the worker had told of the run and another life is in its place; else it is a loss, and four of both give a task up. Also: a test asked for a room to shrink before the box knew the worker (failed once in four: a box is ready before it is the owner); it waits for that now.

--- a/src/sched/crashes.rs
+++ b/src/sched/crashes.rs
@@ -1,11 +1,15 @@
 //! Workers that crash, and the tasks that may have brought them down.
 //!
-//! A run that goes with its worker has no end that a report could tell, so it is laid here
-//! to the runs that may have caused it: those begun shortly before the worker's last word
-//! or after it. They are suspects. A suspect starts on a worker that nothing else is
+//! A run that goes with its worker has no end that a report could tell, so the crash is laid
+//! here to the runs that may have caused it: those begun shortly before the worker's last
+//! word or after it. They are suspects. A suspect starts on a worker that nothing else is
 //! started on until it has run for a while; a crash there is its own. So a task that
 //! crashes its workers is found at the second one, and those that merely stood beside it
 //! go on. Counts are kept with the task, so that the next owner goes on with them.
+//!
+//! A crash counts as one under a task when the worker had told of its run and another life
+//! has taken the worker's place. Otherwise the worker may be out of reach, or the run may
+//! never have begun: that counts as a loss, of which it takes more.
 
 use super::job::{Outcome, TaskKey};
 use super::owner::Owner;
@@ -21,9 +25,9 @@
 const PROVEN: Millis = 10_000;
 /// Crashes after which a task is given up that alone may have caused the last one.
 const CRASHES: u32 = 2;
-/// Crashes after which a task is given up that stood beside others each time: no start
-/// follows that would be the third after the third crash.
-const CRASHES_BESIDE: u32 = 4;
+/// Crashes and losses together after which any task is given up: no start follows that
+/// would be the third after the third crash.
+const LOSSES: u32 = 4;
 /// One in so many workers may have a suspect on trial, those that it has taken down and
 /// that are not back yet among them: the rest is left to other work.
 const TRIED_PART: usize = 4;
@@ -50,15 +54,15 @@
     None,
 }
 
-impl Blame {
-    /// Returns the crashes after which a task is given up.
-    fn limit(self) -> u32 {
-        match self {
-            Self::Alone => CRASHES,
-            _ => CRASHES_BESIDE,
-        }
-    }
+/// A crash as it counts for one task.
+struct Charge {
+    key: TaskKey,
+    blame: Blame,
+    /// True when the worker has certainly crashed, and under this task.
+    proven: bool,
+}
 
+impl Blame {
     /// Returns true when the task may have caused the crash by its start.
     fn suspects(self) -> bool {
         matches!(self, Self::Alone | Self::Shared)
@@ -73,7 +77,7 @@
 }
 
 /// Returns what the crash of a worker says of the runs that it took along.
-fn blames(worker: &Worker) -> Vec<(TaskKey, Blame)> {
+fn charges(worker: &Worker, crash: Crash) -> Vec<Charge> {
     let sent = |run: &Placement| run.stage != Stage::Recording;
     let runs = || worker.placements.iter().filter(|(_, run)| sent(run));
     let tried = runs().find(|(_, run)| run.suspect).map(|(key, _)| key.job);
@@ -92,7 +96,12 @@
         false if tried.is_some() || age(worker, run) >= PROVEN => Blame::None,
         false => Blame::Beside,
     };
-    runs().map(|(key, run)| (*key, blame(key, run))).collect()
+    let charge = |(key, run): (&TaskKey, &Placement)| Charge {
+        key: *key,
+        blame: blame(key, run),
+        proven: crash == Crash::Replaced && run.told.is_some(),
+    };
+    runs().map(charge).collect()
 }
 
 impl Owner {
@@ -102,22 +111,20 @@
         let Some(worker) = self.workers.get(name).filter(|w| !w.listing.leaving) else {
             return;
         };
-        let mut blames = blames(worker);
-        if crash == Crash::Silent {
-            // It may only be out of reach, with what it runs.
-            blames.retain(|(_, blame)| blame.suspects());
-        }
-        let suspects = blames.iter().filter(|(_, blame)| blame.suspects()).count();
+        let mut charges = charges(worker, crash);
+        charges.retain(|charge| charge.proven || charge.blame.suspects());
+        let suspects = charges.iter().filter(|c| c.blame.suspects()).count();
         let tasks = worker.placements.len();
         crate::metrics::get().crashes.inc();
         log::info!(target: "worker", "worker={name} event=crashed how={crash:?} tasks={tasks} suspects={suspects}");
-        for (key, blame) in blames {
-            self.charge(key, blame, name);
+        for charge in charges {
+            self.charge(&charge, name);
         }
     }
 
-    /// Counts a crash for a task.
-    fn charge(&mut self, key: TaskKey, blame: Blame, name: &Name) {
+    /// Counts a crash or a loss for a task.
+    fn charge(&mut self, charge: &Charge, name: &Name) {
+        let &Charge { key, blame, proven } = charge;
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.open()) else {
             return;
         };
@@ -125,25 +132,32 @@
             return;
         };
         task.suspect = blame.suspects();
-        task.crashes = match blame {
-            Blame::None => return,
-            _ => task.crashes + 1,
-        };
-        let (crashes, run) = (task.crashes, task.run);
+        match (blame, proven) {
+            (Blame::None, _) => return,
+            (_, true) => task.crashes += 1,
+            (_, false) => task.losses += 1,
+        }
+        let (crashes, losses, run) = (task.crashes, task.losses, task.run);
         self.journal.touch(key.job);
         let task = self.task_name(key);
-        log::info!(target: "task", "task={task} run={run} event=crash-counted worker={name} blame={blame:?} crashes={crashes}");
-        if crashes >= blame.limit() {
+        log::info!(target: "task", "task={task} run={run} event=crash-counted worker={name} blame={blame:?} proven={proven} crashes={crashes} losses={losses}");
+        let found = proven && blame == Blame::Alone && crashes >= CRASHES;
+        if found || crashes + losses >= LOSSES {
             crate::metrics::get().given_up.inc();
-            log::warn!(target: "task", "task={task} run={run} event=abandoned crashes={crashes} blame={blame:?}");
+            log::warn!(target: "task", "task={task} run={run} event=abandoned crashes={crashes} losses={losses} blame={blame:?}");
             self.finish(key.job, Outcome::Failed);
         }
     }
 
-    /// Counts a crash for a task whose worker was gone before this owner knew it: with an
-    /// owner lost after each crash, none would be counted otherwise.
+    /// Counts a loss for a task whose worker was gone before this owner knew it: with an
+    /// owner lost after each crash, nothing would be counted otherwise.
     pub(super) fn gone_unseen(&mut self, key: TaskKey, name: &Name) {
-        self.charge(key, Blame::Shared, name);
+        let charge = Charge {
+            key,
+            blame: Blame::Shared,
+            proven: false,
+        };
+        self.charge(&charge, name);
     }
 
     /// Returns true when a task may have caused the last crash under it.
@@ -155,9 +169,8 @@
     /// Returns how many suspects may go on trial beside those that are.
     pub(super) fn trials_left(&self) -> usize {
         let tried = self.workers.values().filter(|w| w.trial.is_some()).count();
-        (self.workers.len() / TRIED_PART)
-            .max(1)
-            .saturating_sub(tried)
+        let most = (self.workers.len() / TRIED_PART).max(1);
+        most.saturating_sub(tried)
     }
 
     /// Clears the suspects that a worker has listed for long enough.
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -91,10 +91,13 @@
     /// Last checkpoint; empty for none.
     #[serde(rename = "s", default, skip_serializing_if = "is_empty")]
     pub saved: Name,
-    /// Workers that have crashed under it.
+    /// Workers that have certainly crashed under it.
     #[serde(rename = "c", default, skip_serializing_if = "is_zero")]
     pub crashes: u32,
-    /// True when it may have caused the last of these crashes.
+    /// Workers that may have crashed under it, by its start.
+    #[serde(rename = "l", default, skip_serializing_if = "is_zero")]
+    pub losses: u32,
+    /// True when it may have caused the last of these.
     #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
     pub suspect: bool,
 }
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -65,19 +65,19 @@
     search: Search,
     /// What the step of the last task asks for.
     asked: Option<(StepKey, Rc<Demand>)>,
-    /// Suspects that may still go on trial.
-    trials: usize,
+    /// Suspects that may still go on trial; none before the first one.
+    trials: Option<usize>,
 }
 
 impl Pass {
-    fn new(trials: usize) -> Self {
+    fn new() -> Self {
         Self {
             misfits: BTreeSet::new(),
             fillers: BTreeMap::new(),
             gangs: BTreeSet::new(),
             search: Search::new(),
             asked: None,
-            trials,
+            trials: None,
         }
     }
 
@@ -115,7 +115,7 @@
         self.next_place = now + PLACE_PAUSE + self.ready.len() as u64 / WAITING;
         self.ranking = None;
         self.settle_promises();
-        let mut pass = Pass::new(self.trials_left());
+        let mut pass = Pass::new();
         let mut count = 0;
         for key in self.order() {
             if count >= PLACED_AT_ONCE {
@@ -139,16 +139,17 @@
         if pass.skips(key, &demand) || self.waits(key) || !self.permitted(key) {
             return 0;
         }
-        let suspect = self.suspected(key);
-        if suspect && pass.trials == 0 && !demand.gang {
+        // A gang needs all its places at once, so it does not wait for a trial.
+        let tried = self.suspected(key) && !demand.gang;
+        if tried && *pass.trials.get_or_insert_with(|| self.trials_left()) == 0 {
             return 0;
         }
         let placed = match demand.gang {
             true => self.place_gang(key),
             false => self.place_one(key),
         };
-        if placed > 0 && suspect {
-            pass.trials = pass.trials.saturating_sub(1);
+        if placed > 0 && tried {
+            pass.trials = pass.trials.map(|left| left - 1);
         }
         if placed == 0 {
             self.more_permits(key);
--- a/tests/platform/news.rs
+++ b/tests/platform/news.rs
@@ -36,6 +36,10 @@
 fn a_worker_whose_room_shrinks_gets_what_fits_it() {
     let deployment = Deployment::start(1, 1, SPAN);
     let worker = &deployment.workers[0];
+    // A box is ready before it is the owner and knows a worker.
+    wait("the worker to be known", || {
+        deployment.output(0).contains("worker=i-0 event=answers")
+    });
     worker.resize(1_000);
     wait("word of the room", || {
         deployment.output(0).contains("worker=i-0 event=room")
