--- a/src/sched.rs
+++ b/src/sched.rs
@@ -32,6 +32,7 @@
 mod paces;
 pub mod past;
 mod permits;
+mod placement;
 mod placing;
 mod preempt;
 mod pressure;
--- a/src/sched/crashes.rs
+++ b/src/sched/crashes.rs
@@ -13,7 +13,8 @@
 
 use super::job::{Outcome, TaskKey};
 use super::owner::Owner;
-use super::worker::{Placement, Stage, Worker};
+use super::placement::{Placement, Stage};
+use super::worker::Worker;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -28,9 +29,9 @@
 /// Crashes and losses together after which any task is given up: no start follows that
 /// would be the third after the third crash.
 const LOSSES: u32 = 4;
-/// One in so many workers may have a suspect on trial, those that it has taken down and
+/// One in so many workers may be isolated for a suspect, those that it has taken down and
 /// that are not back yet among them: the rest is left to other work.
-const TRIED_PART: usize = 4;
+const ISOLATED_PART: usize = 4;
 
 /// How a life of a worker ended without a word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,29 +44,37 @@
 
 /// What a crash says of a run that went with the worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Blame {
+enum Cause {
     /// No other job's run may have caused it.
-    Alone,
+    Sole,
     /// It may have caused it, as may others.
     Shared,
     /// It had run for some seconds.
-    Beside,
-    /// It had run for long.
-    None,
+    Unlikely,
+    /// It had run for long, or another was isolated there.
+    Excluded,
 }
 
 /// A crash as it counts for one task.
-struct Charge {
+struct Attribution {
     key: TaskKey,
-    blame: Blame,
+    cause: Cause,
     /// True when the worker has certainly crashed, and under this task.
     proven: bool,
 }
 
-impl Blame {
+impl Attribution {
+    /// Returns true when its task is given up, with these crashes and losses so far.
+    fn gives_up(&self, crashes: u32, losses: u32) -> bool {
+        let found = self.proven && self.cause == Cause::Sole && crashes >= CRASHES;
+        found || crashes + losses >= LOSSES
+    }
+}
+
+impl Cause {
     /// Returns true when the task may have caused the crash by its start.
     fn suspects(self) -> bool {
-        matches!(self, Self::Alone | Self::Shared)
+        matches!(self, Self::Sole | Self::Shared)
     }
 }
 
@@ -77,31 +86,31 @@
 }
 
 /// Returns what the crash of a worker says of the runs that it took along.
-fn charges(worker: &Worker, crash: Crash) -> Vec<Charge> {
+fn attributions(worker: &Worker, crash: Crash) -> Vec<Attribution> {
     let sent = |run: &Placement| run.stage != Stage::Recording;
     let runs = || worker.placements.iter().filter(|(_, run)| sent(run));
-    let tried = runs().find(|(_, run)| run.suspect).map(|(key, _)| key.job);
+    let isolated = runs().find(|(_, run)| run.suspect).map(|(key, _)| key.job);
     let fresh = |key: &TaskKey, run: &Placement| {
-        age(worker, run) < FRESH && tried.is_none_or(|job| job == key.job)
+        age(worker, run) < FRESH && isolated.is_none_or(|job| job == key.job)
     };
     let mut jobs = runs()
         .filter(|(key, run)| fresh(key, run))
         .map(|(k, _)| k.job);
     let first = jobs.next();
     let alone = jobs.all(|job| Some(job) == first);
-    let blame = |key: &TaskKey, run: &Placement| match fresh(key, run) {
-        true if alone => Blame::Alone,
-        true => Blame::Shared,
-        // What a suspect on trial has done is not laid to others.
-        false if tried.is_some() || age(worker, run) >= PROVEN => Blame::None,
-        false => Blame::Beside,
+    let cause = |key: &TaskKey, run: &Placement| match fresh(key, run) {
+        true if alone => Cause::Sole,
+        true => Cause::Shared,
+        // What an isolated suspect has done is not laid to others.
+        false if isolated.is_some() || age(worker, run) >= PROVEN => Cause::Excluded,
+        false => Cause::Unlikely,
     };
-    let charge = |(key, run): (&TaskKey, &Placement)| Charge {
+    let attribution = |(key, run): (&TaskKey, &Placement)| Attribution {
         key: *key,
-        blame: blame(key, run),
+        cause: cause(key, run),
         proven: crash == Crash::Replaced && run.told.is_some(),
     };
-    runs().map(charge).collect()
+    runs().map(attribution).collect()
 }
 
 impl Owner {
@@ -111,40 +120,39 @@
         let Some(worker) = self.workers.get(name).filter(|w| !w.listing.leaving) else {
             return;
         };
-        let mut charges = charges(worker, crash);
-        charges.retain(|charge| charge.proven || charge.blame.suspects());
-        let suspects = charges.iter().filter(|c| c.blame.suspects()).count();
+        let mut attributions = attributions(worker, crash);
+        attributions.retain(|a| a.proven || a.cause.suspects());
+        let suspects = attributions.iter().filter(|a| a.cause.suspects()).count();
         let tasks = worker.placements.len();
         crate::metrics::get().crashes.inc();
         log::info!(target: "worker", "worker={name} event=crashed how={crash:?} tasks={tasks} suspects={suspects}");
-        for charge in charges {
-            self.charge(&charge, name);
+        for attribution in attributions {
+            self.count_crash(&attribution, name);
         }
     }
 
     /// Counts a crash or a loss for a task.
-    fn charge(&mut self, charge: &Charge, name: &Name) {
-        let &Charge { key, blame, proven } = charge;
+    fn count_crash(&mut self, attribution: &Attribution, name: &Name) {
+        let &Attribution { key, cause, proven } = attribution;
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.open()) else {
             return;
         };
         let Some(task) = job.task_mut(key) else {
             return;
         };
-        task.suspect = blame.suspects();
-        match (blame, proven) {
-            (Blame::None, _) => return,
+        task.suspect = cause.suspects();
+        match (cause, proven) {
+            (Cause::Excluded, _) => return,
             (_, true) => task.crashes += 1,
             (_, false) => task.losses += 1,
         }
         let (crashes, losses, run) = (task.crashes, task.losses, task.run);
         self.journal.touch(key.job);
         let task = self.task_name(key);
-        log::info!(target: "task", "task={task} run={run} event=crash-counted worker={name} blame={blame:?} proven={proven} crashes={crashes} losses={losses}");
-        let found = proven && blame == Blame::Alone && crashes >= CRASHES;
-        if found || crashes + losses >= LOSSES {
+        log::info!(target: "task", "task={task} run={run} event=crash-counted worker={name} cause={cause:?} proven={proven} crashes={crashes} losses={losses}");
+        if attribution.gives_up(crashes, losses) {
             crate::metrics::get().given_up.inc();
-            log::warn!(target: "task", "task={task} run={run} event=abandoned crashes={crashes} losses={losses} blame={blame:?}");
+            log::warn!(target: "task", "task={task} run={run} event=abandoned crashes={crashes} losses={losses} cause={cause:?}");
             self.finish(key.job, Outcome::Failed);
         }
     }
@@ -152,12 +160,12 @@
     /// Counts a loss for a task whose worker was gone before this owner knew it: with an
     /// owner lost after each crash, nothing would be counted otherwise.
     pub(super) fn gone_unseen(&mut self, key: TaskKey, name: &Name) {
-        let charge = Charge {
+        let attribution = Attribution {
             key,
-            blame: Blame::Shared,
+            cause: Cause::Shared,
             proven: false,
         };
-        self.charge(&charge, name);
+        self.count_crash(&attribution, name);
     }
 
     /// Returns true when a task may have caused the last crash under it.
@@ -166,21 +174,25 @@
         task.is_some_and(|task| task.suspect)
     }
 
-    /// Returns how many suspects may go on trial beside those that are.
-    pub(super) fn trials_left(&self) -> usize {
-        let tried = self.workers.values().filter(|w| w.trial.is_some()).count();
-        let most = (self.workers.len() / TRIED_PART).max(1);
-        most.saturating_sub(tried)
+    /// Returns for how many more suspects a worker may be isolated.
+    pub(super) fn isolations_left(&self) -> usize {
+        let isolated = self
+            .workers
+            .values()
+            .filter(|w| w.isolated.is_some())
+            .count();
+        let most = (self.workers.len() / ISOLATED_PART).max(1);
+        most.saturating_sub(isolated)
     }
 
     /// Clears the suspects that a worker has listed for long enough.
     pub(super) fn clear_suspects(&mut self, name: &Name) {
-        let Some(worker) = self.workers.get_mut(name).filter(|w| w.trial.is_some()) else {
+        let Some(worker) = self.workers.get_mut(name).filter(|w| w.isolated.is_some()) else {
             return;
         };
         let word = worker.answered;
         let lasted = |run: &Placement| run.told.is_some_and(|at| word >= at + FRESH);
-        let cleared = worker.acquit(lasted);
+        let cleared = worker.clear(lasted);
         if !cleared.is_empty() {
             self.crowded = false;
         }
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -5,8 +5,9 @@
 use super::job::TaskKey;
 use super::message::Entry;
 use super::owner::Owner;
+use super::placement::{Placement, Stage};
 use super::silence::Ending;
-use super::worker::{Listing, Placement, Presence, Stage, Worker};
+use super::worker::{Listing, Presence, Worker};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
--- a/src/sched/gauges.rs
+++ b/src/sched/gauges.rs
@@ -2,9 +2,10 @@
 //! use beside them.
 
 use super::owner::Owner;
+use super::placement::Gauge;
 use super::pressure::ImageNumber;
 use super::reports::Listed;
-use super::worker::{Gauge, Mix};
+use super::worker::Mix;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
--- /dev/null
+++ b/src/sched/placement.rs
@@ -0,0 +1,101 @@
+//! A task that was given to a worker, and how far it is there.
+
+use super::pressure::ImageNumber;
+use super::spec::Room;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// How far a placed task is on its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// The owner before placed it, and may have started it or not: any report
+    /// of the worker tells.
+    Inherited,
+    /// Its placement is not known to be in the store; nothing was sent.
+    Recording,
+    /// The start was sent and has no answer yet.
+    Starting,
+    /// The worker confirmed it at this time.
+    Running(Millis),
+    /// It may be running or be started late: a stop is needed to know.
+    Doubt,
+    /// A stop was answered at this time; a later report tells how it ended.
+    Stopped(Millis),
+    /// A stop of a running task was sent at this time.
+    Stopping(Millis),
+}
+
+/// A task that was given to a worker.
+#[derive(Clone, Debug)]
+pub(super) struct Placement {
+    /// Number of the run.
+    pub run: u32,
+    /// How far it is.
+    pub stage: Stage,
+    /// Room that it holds.
+    pub room: Room,
+    /// Processor share that it would like beyond what it holds.
+    pub soft: u64,
+    /// True when it serves users under a latency target.
+    pub serving: bool,
+    /// True when it takes what others leave.
+    pub filler: bool,
+    /// True when it runs until its job is cancelled.
+    pub lasting: bool,
+    /// Image that it runs; tasks of one image behave alike.
+    pub image: Name,
+    /// Number of that image.
+    pub image_number: ImageNumber,
+    /// Latency that a serving task must stay under, in milliseconds.
+    pub target: Millis,
+    /// Processor share at full pace.
+    pub cpu: u64,
+    /// Pace last ordered, in percent.
+    pub pace: u32,
+    /// True while a change of the pace has no answer.
+    pub pacing: bool,
+    /// When it was placed.
+    pub since: Millis,
+    /// When its worker first told that it runs.
+    pub told: Option<Millis>,
+    /// True once a lasting task is at work.
+    pub at_work: bool,
+    /// Last gauge of a serving task.
+    pub gauge: Option<Gauge>,
+    /// Processor share in use as reported last; of a filler.
+    pub in_use: Option<u64>,
+    /// True while a crash of the worker would be laid to it alone.
+    pub suspect: bool,
+}
+
+impl Placement {
+    /// Takes in that its worker tells that it runs.
+    pub fn confirm(&mut self, now: Millis) {
+        self.told.get_or_insert(now);
+        if matches!(self.stage, Stage::Inherited | Stage::Starting) {
+            self.stage = Stage::Running(now);
+        }
+    }
+
+    /// Returns true once its worker has confirmed it.
+    pub fn has_run(&self) -> bool {
+        use Stage::{Running, Stopped, Stopping};
+        matches!(self.stage, Running(_) | Stopping(_) | Stopped(_))
+    }
+
+    /// Returns true while its worker has confirmed it and no stop was sent.
+    pub fn running(&self) -> bool {
+        matches!(self.stage, Stage::Running(_))
+    }
+}
+
+/// How busy a serving task was.
+#[derive(Clone, Debug)]
+pub(super) struct Gauge {
+    /// Busy share of its server, from 0 to 1.
+    pub busy: f64,
+    /// Since when it was over its target; none while it is not.
+    pub over_since: Option<Millis>,
+    /// The part of it that is its own load, as estimated.
+    pub own_load: f64,
+}
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -8,9 +8,10 @@
 use super::journal::After;
 use super::owner::Owner;
 use super::paces::FULL_PACE;
+use super::placement::{Placement, Stage};
 use super::preempt::Search;
 use super::spec::{Room, StepSpec};
-use super::worker::{Placement, Stage, Worker};
+use super::worker::Worker;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -65,8 +66,8 @@
     search: Search,
     /// What the step of the last task asks for.
     asked: Option<(StepKey, Rc<Demand>)>,
-    /// Suspects that may still go on trial; none before the first one.
-    trials: Option<usize>,
+    /// Suspects for which a worker may still be isolated; none before the first one.
+    isolations: Option<usize>,
 }
 
 impl Pass {
@@ -77,7 +78,7 @@
             gangs: BTreeSet::new(),
             search: Search::new(),
             asked: None,
-            trials: None,
+            isolations: None,
         }
     }
 
@@ -139,17 +140,22 @@
         if pass.skips(key, &demand) || self.waits(key) || !self.permitted(key) {
             return 0;
         }
-        // A gang needs all its places at once, so it does not wait for a trial.
-        let tried = self.suspected(key) && !demand.gang;
-        if tried && *pass.trials.get_or_insert_with(|| self.trials_left()) == 0 {
+        // A gang needs all its places at once, so it does not wait for that.
+        let suspect = self.suspected(key) && !demand.gang;
+        if suspect
+            && *pass
+                .isolations
+                .get_or_insert_with(|| self.isolations_left())
+                == 0
+        {
             return 0;
         }
         let placed = match demand.gang {
             true => self.place_gang(key),
             false => self.place_one(key),
         };
-        if placed > 0 && tried {
-            pass.trials = pass.trials.map(|left| left - 1);
+        if placed > 0 && suspect {
+            pass.isolations = pass.isolations.map(|left| left - 1);
         }
         if placed == 0 {
             self.more_permits(key);
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -7,8 +7,9 @@
 use super::choice::could_run;
 use super::job::{StepKey, TaskKey};
 use super::owner::Owner;
+use super::placement::{Placement, Stage};
 use super::spec::Room;
-use super::worker::{Placement, Stage, Worker};
+use super::worker::Worker;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -7,15 +7,16 @@
 use super::owner::Owner;
 use super::paces::FULL_PACE;
 use super::past::NO_TASK;
+use super::placement::{Placement, Stage};
 use super::silence::Ending;
-use super::worker::{Contact, Placement, Stage};
+use super::worker::Contact;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
 /// Milliseconds that an exchange may wait for an end.
 const WAIT: Millis = 1_000;
-/// Milliseconds of that wait while a task is on trial there, which is to be over soon.
-const TRIAL: Millis = 200;
+/// Milliseconds of that wait while it is isolated for a suspect, which is to be over soon.
+const ISOLATED_WAIT: Millis = 200;
 /// Milliseconds of that wait where fillers run beside serving tasks: their
 /// tails are measured over half a second.
 const WATCH: Millis = 400;
@@ -59,8 +60,8 @@
                 false => None,
             };
             let known = worker.answered > 0 && worker.misses == 0;
-            let longest = match worker.trial {
-                Some(_) => TRIAL,
+            let longest = match worker.isolated {
+                Some(_) => ISOLATED_WAIT,
                 None => WAIT,
             };
             let mixed = worker.beside.mixed();
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -5,9 +5,9 @@
 use super::job::TaskKey;
 use super::message::{Action, Refusal, Reply, Start, Stop};
 use super::owner::Owner;
+use super::placement::Stage;
 use super::silence::Ending;
 use super::spec::Room;
-use super::worker::Stage;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -6,8 +6,8 @@
 use super::beside::Beside;
 use super::job::TaskKey;
 use super::paces::FULL_PACE;
+use super::placement::{Gauge, Placement};
 use super::preempt::Promise;
-use super::pressure::ImageNumber;
 use super::recent::Recent;
 use super::spec::Room;
 use crate::utils::Name;
@@ -49,101 +49,6 @@
     pub stays: Millis,
 }
 
-/// How far a placed task is on its worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Stage {
-    /// The owner before placed it, and may have started it or not: any report
-    /// of the worker tells.
-    Inherited,
-    /// Its placement is not known to be in the store; nothing was sent.
-    Recording,
-    /// The start was sent and has no answer yet.
-    Starting,
-    /// The worker confirmed it at this time.
-    Running(Millis),
-    /// It may be running or be started late: a stop is needed to know.
-    Doubt,
-    /// A stop was answered at this time; a later report tells how it ended.
-    Stopped(Millis),
-    /// A stop of a running task was sent at this time.
-    Stopping(Millis),
-}
-
-/// A task that was given to a worker.
-#[derive(Clone, Debug)]
-pub(super) struct Placement {
-    /// Number of the run.
-    pub run: u32,
-    /// How far it is.
-    pub stage: Stage,
-    /// Room that it holds.
-    pub room: Room,
-    /// Processor share that it would like beyond what it holds.
-    pub soft: u64,
-    /// True when it serves users under a latency target.
-    pub serving: bool,
-    /// True when it takes what others leave.
-    pub filler: bool,
-    /// True when it runs until its job is cancelled.
-    pub lasting: bool,
-    /// Image that it runs; tasks of one image behave alike.
-    pub image: Name,
-    /// Number of that image.
-    pub image_number: ImageNumber,
-    /// Latency that a serving task must stay under, in milliseconds.
-    pub target: Millis,
-    /// Processor share at full pace.
-    pub cpu: u64,
-    /// Pace last ordered, in percent.
-    pub pace: u32,
-    /// True while a change of the pace has no answer.
-    pub pacing: bool,
-    /// When it was placed.
-    pub since: Millis,
-    /// When its worker first told that it runs.
-    pub told: Option<Millis>,
-    /// True once a lasting task is at work.
-    pub at_work: bool,
-    /// Last gauge of a serving task.
-    pub gauge: Option<Gauge>,
-    /// Processor share in use as reported last; of a filler.
-    pub in_use: Option<u64>,
-    /// True while a crash of the worker would be laid to it alone.
-    pub suspect: bool,
-}
-
-impl Placement {
-    /// Takes in that its worker tells that it runs.
-    pub fn confirm(&mut self, now: Millis) {
-        self.told.get_or_insert(now);
-        if matches!(self.stage, Stage::Inherited | Stage::Starting) {
-            self.stage = Stage::Running(now);
-        }
-    }
-
-    /// Returns true once its worker has confirmed it.
-    pub fn has_run(&self) -> bool {
-        use Stage::{Running, Stopped, Stopping};
-        matches!(self.stage, Running(_) | Stopping(_) | Stopped(_))
-    }
-
-    /// Returns true while its worker has confirmed it and no stop was sent.
-    pub fn running(&self) -> bool {
-        matches!(self.stage, Stage::Running(_))
-    }
-}
-
-/// How busy a serving task was.
-#[derive(Clone, Debug)]
-pub(super) struct Gauge {
-    /// Busy share of its server, from 0 to 1.
-    pub busy: f64,
-    /// Since when it was over its target; none while it is not.
-    pub over_since: Option<Millis>,
-    /// The part of it that is its own load, as estimated.
-    pub own_load: f64,
-}
-
 /// Processor shares of fillers by image.
 pub(super) type Mix = BTreeMap<Name, f64>;
 
@@ -218,9 +123,9 @@
     pub strangers: bool,
     /// Room that is being made there for a task.
     pub promise: Option<Promise>,
-    /// Job of the tasks on trial there, which may crash it: no others are started
+    /// Job of the suspects there, which may crash it: no others are started
     /// meanwhile, as they would go with it and hide whose fault it was.
-    pub trial: Option<u32>,
+    pub isolated: Option<u32>,
     /// Fillers that have just ended there.
     pub recent: Recent,
     /// Its clock as reported last.
@@ -251,7 +156,7 @@
             barred: 0,
             strangers: false,
             promise: None,
-            trial: None,
+            isolated: None,
             recent: Recent::default(),
             heard: None,
             granted: 0,
@@ -265,7 +170,7 @@
         self.lasting += u32::from(placement.lasting);
         self.beside.put(key, &placement);
         if placement.suspect {
-            self.trial = Some(key.job);
+            self.isolated = Some(key.job);
         }
         self.placements.insert(key, placement);
     }
@@ -276,7 +181,7 @@
             return;
         };
         self.beside.take(key, &placement);
-        self.settle_trial();
+        self.settle_isolation();
         if placement.filler && placement.has_run() {
             let share = self.share(&placement);
             self.recent
@@ -287,16 +192,16 @@
         self.lasting -= u32::from(placement.lasting);
     }
 
-    /// Ends the trial once no suspect is there.
-    fn settle_trial(&mut self) {
-        if self.trial.is_some() {
+    /// Ends the isolation once no suspect is there.
+    fn settle_isolation(&mut self) {
+        if self.isolated.is_some() {
             let mut suspects = self.placements.iter().filter(|(_, run)| run.suspect);
-            self.trial = suspects.next().map(|(key, _)| key.job);
+            self.isolated = suspects.next().map(|(key, _)| key.job);
         }
     }
 
     /// Clears the suspects for which `lasted` is true, and returns them.
-    pub fn acquit(&mut self, lasted: impl Fn(&Placement) -> bool) -> Vec<TaskKey> {
+    pub fn clear(&mut self, lasted: impl Fn(&Placement) -> bool) -> Vec<TaskKey> {
         let mut cleared = Vec::new();
         for (key, run) in &mut self.placements {
             if run.suspect && lasted(run) {
@@ -304,13 +209,13 @@
                 cleared.push(*key);
             }
         }
-        self.settle_trial();
+        self.settle_isolation();
         cleared
     }
 
-    /// Returns true when a task, a suspect or not, may start beside what is on trial there.
+    /// Returns true when a task, a suspect or not, may start beside the suspects there.
     pub fn admits(&self, key: TaskKey, suspect: bool) -> bool {
-        self.trial.is_none_or(|job| suspect && job == key.job)
+        self.isolated.is_none_or(|job| suspect && job == key.job)
     }
 
     /// Returns the share of the worker's processors that a run there uses.
