--- a/src/sched/crashes.rs
+++ b/src/sched/crashes.rs
@@ -120,6 +120,10 @@
         let Some(worker) = self.workers.get(name).filter(|w| !w.listing.leaving) else {
             return;
         };
+        // One whose tasks were freed when its lease had ended is not counted again.
+        if worker.placements.is_empty() {
+            return;
+        }
         let mut attributions = attributions(worker, crash);
         attributions.retain(|a| a.proven || a.cause.suspects());
         let suspects = attributions.iter().filter(|a| a.cause.suspects()).count();
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -93,6 +93,11 @@
         demand.filler && tried >= FILLERS_TRIED
     }
 
+    /// Returns true when a worker may still be isolated; `left` counts for how many.
+    fn isolates(&mut self, left: impl FnOnce() -> usize) -> bool {
+        *self.isolations.get_or_insert_with(left) > 0
+    }
+
     /// Takes in that a task found no room.
     fn failed(&mut self, demand: Rc<Demand>) {
         if demand.filler {
@@ -142,12 +147,7 @@
         }
         // A gang needs all its places at once, so it does not wait for that.
         let suspect = self.suspected(key) && !demand.gang;
-        if suspect
-            && *pass
-                .isolations
-                .get_or_insert_with(|| self.isolations_left())
-                == 0
-        {
+        if suspect && !pass.isolates(|| self.isolations_left()) {
             return 0;
         }
         let placed = match demand.gang {
