--- a/src/sched/tests/crashes.rs
+++ b/src/sched/tests/crashes.rs
@@ -1,9 +1,9 @@
 //! Tasks that crash the workers that start them.
 //!
-//! Two tasks of a played day brought down each worker that started them, 200 times in 100 s.
-//! The owner put them back among those that wait whenever the life of a worker ended, as it
-//! did with all that ran there, and gave them the next worker: nothing was counted but runs
-//! that a worker reports as failed, and one that is gone reports nothing.
+//! Some tasks brought down each worker that started them, and workers fell silent 200 times
+//! in 100 s. The owner put such a task back among those that wait whenever the life of its
+//! worker ended, as it did with all that ran there, and gave it the next worker: nothing was
+//! counted but runs that a worker reports as failed, and one that is gone reports nothing.
 //!
 //! ```text
 //! 25.806 task=A run=6 event=start worker=i-97 job_age_ms=16626
@@ -21,7 +21,7 @@
 use crate::sched::spec::StepSpec;
 use crate::utils::clock::Millis;
 
-/// Milliseconds after its start at which a task of the played day crashed its worker.
+/// Milliseconds after its start at which such a task crashed its worker.
 const AT_ONCE: Millis = 10;
 
 /// Returns a world whose workers run a lasting job, and a job of three tasks the first of
--- a/tests/platform/news.rs
+++ b/tests/platform/faults.rs
@@ -1,5 +1,4 @@
-//! What workers and boxes may do besides ending well: crash by a task, change their room,
-//! lose power all at once.
+//! Workers that crash by a task or change their room, and boxes that lose power all at once.
 
 use std::time::Duration;
 
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,7 +2,7 @@
 //! store and workers: takeovers, planned stops, and a store in trouble.
 
 mod deployment;
-mod news;
+mod faults;
 #[path = "../support/proxy.rs"]
 mod proxy;
 mod store;
