--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -51,7 +51,7 @@
             return;
         }
         // Its room may have shrunk since the task was placed: sent all the same, the start
-        // would bring a worker that does not guard its room over it.
+        // would overcommit a worker that takes whatever it is told.
         let fits = worker.fits(Room::default());
         let lease = match worker.open(now) && fits && !gives_up {
             true => worker.grant(span, now),
--- a/src/sched/tests/rooms.rs
+++ b/src/sched/tests/rooms.rs
@@ -14,7 +14,7 @@
     }
 }
 
-/// Returns a world of one worker without room to guard, and long runs.
+/// Returns a world of one worker, which takes whatever it is told, and long runs.
 fn world() -> World {
     let mut world = World::new(1);
     world.script = |_, _| (60_000, How::Done);
