Cordoned halls: nothing new starts there until the operator takes them back

Change: each box follows the operator's table (cordons.rs, newest word of each hall wins); the owner's workers know whether their hall is cordoned and are then not open for any start; an owner that does not know yet places nothing. Tests: nine of eleven in virtual time fail without the check in Worker::open and the wait for knowledge; two of processes with kills of owners and a store that forgets.

--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -181,6 +181,7 @@
             ..PastPage::default()
         };
         world.at(1, Due::Tell(Event::Past(past)));
+        world.at(1, Due::Tell(Event::Cordoned(Default::default())));
         for place in 0..load.lasting {
             let spec = lasting(place, load.width);
             world.submit(100 + place as u64 * 20, spec, 0);
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -100,6 +100,10 @@
             *lead = Some(begin(*owner, epoch, load));
             shared.set_leading(Some(epoch));
             shared.set_loading(None);
+            // Nothing is started before: another owner may have known of a cordon.
+            if let Some(halls) = shared.cordoned() {
+                shared.lead(Message::Event(epoch, Event::Cordoned(halls)));
+            }
             monoio::spawn(watch::directory(shared.clone(), epoch));
             monoio::spawn(past::read(shared.clone(), epoch));
             if shared.stopping() {
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -9,6 +9,7 @@
 
 use super::absence::Absence;
 use super::lead;
+use crate::cordons::{Change, Cordons, Halls};
 use crate::options::daemon::Settings;
 use crate::platform::advice::Advisor;
 use crate::platform::store::Store;
@@ -16,6 +17,7 @@
 use crate::queues::Queues;
 use crate::rpc::client::Channel;
 use crate::sched::journal::OwnerRow;
+use crate::sched::message::Event;
 use crate::sched::owner::Bounds;
 use crate::sched::succession::Life;
 use crate::table::Row;
@@ -64,6 +66,7 @@
     nudge: UnboundedSender<()>,
     queues: RefCell<Rc<Queues>>,
     config: RefCell<Option<Row>>,
+    cordons: RefCell<Cordons>,
     owner: RefCell<Option<Seen>>,
     leading: Cell<Option<u64>>,
     loading: Cell<Option<Loading>>,
@@ -94,6 +97,7 @@
             nudge,
             queues: RefCell::default(),
             config: RefCell::default(),
+            cordons: RefCell::default(),
             owner: RefCell::default(),
             leading: Cell::new(None),
             loading: Cell::new(None),
@@ -143,6 +147,35 @@
         *self.config.borrow_mut() = Some(row);
     }
 
+    /// Returns the cordoned halls; none before they were read.
+    pub fn cordoned(&self) -> Option<Halls> {
+        self.cordons.borrow().halls()
+    }
+
+    /// Takes in changes of halls, or all cordons as of a version of the store.
+    pub fn cordon(&self, changes: Vec<Change>, whole: Option<u64>) {
+        let before = self.cordoned();
+        match whole {
+            Some(version) => self.cordons.borrow_mut().read(version, changes),
+            None => {
+                let mut cordons = self.cordons.borrow_mut();
+                changes.into_iter().for_each(|c| cordons.change(c));
+            }
+        }
+        let Some(halls) = self.cordoned().filter(|h| before.as_ref() != Some(h)) else {
+            return;
+        };
+        let old = before.unwrap_or_default();
+        for hall in halls.symmetric_difference(&old) {
+            let cordoned = halls.contains(hall);
+            log::info!(target: "config", "event=cordon hall={hall} cordoned={cordoned} read={whole:?}");
+        }
+        crate::metrics::get().cordoned.set(halls.len() as i64);
+        if let Some(epoch) = self.leading() {
+            self.lead(lead::Message::Event(epoch, Event::Cordoned(halls)));
+        }
+    }
+
     /// Returns the owner as last seen.
     pub fn owner(&self) -> Option<Seen> {
         self.owner.borrow().clone()
--- a/src/daemon/watch.rs
+++ b/src/daemon/watch.rs
@@ -21,15 +21,16 @@
 /// Pause after a feed that failed.
 const PAUSE: Duration = Duration::from_millis(150);
 
-/// Follows the configuration for ever.
+/// Follows the configuration and which halls are cordoned for ever.
 pub async fn config(shared: Rc<Shared>) {
-    let take = |page: Page| {
+    let take = |page: Page, whole: bool| {
+        shared.cordon(config::cordons(&page), whole.then_some(page.version));
         let rows = page.rows.into_iter();
         for row in rows.filter(|r| &*r.key == config::KEY) {
             shared.configure(row, "store");
         }
     };
-    follow(&shared, config::TABLE, |page, _| take(page), || true).await;
+    follow(&shared, config::TABLE, take, || true).await;
 }
 
 /// Follows the directory while the owner of `epoch` is in this process.
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -43,7 +43,7 @@
 }
 
 /// Events that touch every job.
-const COMMON: [&str; 8] = [
+const COMMON: [&str; 10] = [
     "owner-begins",
     "owner-ends",
     "predecessor-ended",
@@ -52,6 +52,8 @@
     "feed-regained",
     "stop",
     "log-dropped",
+    "cordon",
+    "cordons",
 ];
 
 fn concerns_all(event: &str) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod claim;
 pub mod config;
 pub mod constants;
+pub mod cordons;
 pub mod daemon;
 pub mod demo;
 pub mod engine;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -109,6 +109,10 @@
     pub given_up: Counter,
     /// Runs that went with the life of their worker, without an end.
     pub orphaned: Counter,
+    /// Halls that are cordoned, as far as this box knows.
+    pub cordoned: Gauge<i64, AtomicI64>,
+    /// Starts withdrawn before they were sent, as their worker could not take them any more.
+    pub withdrawn: Counter,
     /// Calls without an answer in time, though the connection was open.
     pub unanswered: Family<Call, Counter>,
     /// Milliseconds for which the machine was suspended.
@@ -173,6 +177,8 @@
             orphaned: Counter::default(),
             crashes: Counter::default(),
             given_up: Counter::default(),
+            cordoned: Gauge::default(),
+            withdrawn: Counter::default(),
             unanswered: Family::default(),
             suspended: Counter::default(),
             dropped: Counter::default(),
--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -62,6 +62,16 @@
         "Tasks given up after crashes",
         m.given_up.clone(),
     );
+    registry.register(
+        "halls_cordoned",
+        "Halls that get nothing new",
+        m.cordoned.clone(),
+    );
+    registry.register(
+        "starts_withdrawn",
+        "Starts withdrawn before they were sent",
+        m.withdrawn.clone(),
+    );
     registry.register(
         "calls_unanswered",
         "Calls without an answer in time on an open connection",
--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -7,7 +7,7 @@
 /// Bytes of an answer that a collector keeps in any case.
 const KEPT: usize = 3_500;
 /// Rows that tell the owner and how it fares.
-const OWNER: [&str; 21] = [
+const OWNER: [&str; 23] = [
     "owner_epoch",
     "followed_epoch",
     "owner_unserved_ms",
@@ -21,6 +21,8 @@
     "runs_orphaned_total",
     "worker_crashes_total",
     "tasks_given_up_total",
+    "halls_cordoned",
+    "starts_withdrawn_total",
     "calls_unanswered_total",
     "tasks_waiting",
     "jobs",
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -1,6 +1,8 @@
 //! The operator's configuration in the store.
 
+use super::store::Page;
 use super::wire::Config;
+use crate::cordons::Change;
 use crate::queues::{Queues, Route};
 use crate::sched::job::Queue;
 use crate::table::{Row, decode};
@@ -9,6 +11,27 @@
 pub const TABLE: &str = "op";
 /// Key of the configuration.
 pub const KEY: &str = "config";
+/// Start of the keys under which halls are cordoned; the name of the hall follows.
+const CORDON: &str = "evacuate/";
+
+/// Returns what a page of the operator's table says of halls. A row holds by its key alone:
+/// one whose value does not decode cordons its hall all the same.
+pub fn cordons(page: &Page) -> Vec<Change> {
+    let change = |key: &str, version, cordoned| {
+        let hall = key.strip_prefix(CORDON).filter(|h| !h.is_empty())?;
+        Some(Change {
+            hall: hall.into(),
+            version,
+            cordoned,
+        })
+    };
+    let gone = page
+        .dropped
+        .iter()
+        .map(|d| change(&d.key, d.version, false));
+    let set = page.rows.iter().map(|r| change(&r.key, r.version, true));
+    gone.chain(set).flatten().collect()
+}
 
 /// Returns the queues of a configuration, or `None` when it does not decode.
 pub fn queues(row: &Row) -> Option<Queues> {
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -32,7 +32,7 @@
 
 /// Returns what the entries of a page say.
 pub fn entries(page: Page, queues: &Queues) -> Vec<(Name, Entry)> {
-    let dropped = page.dropped.into_iter().map(|id| (id, Entry::Gone));
+    let dropped = page.dropped.into_iter().map(|d| (d.key, Entry::Gone));
     let rows = page.rows.iter().map(|row| {
         let id = row.key.clone();
         match listing(row, queues) {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -53,14 +53,23 @@
 pub struct Page {
     /// The rows that are there.
     pub rows: Vec<table::Row>,
-    /// Keys of rows that were dropped, in a feed.
-    pub dropped: Vec<Name>,
+    /// Rows that were dropped, in a feed.
+    pub dropped: Vec<Dropped>,
     /// Version of the store at that moment.
     pub version: u64,
     /// Key from which the rest of a table is read; none when this is all.
     pub next: Option<String>,
 }
 
+/// A row that was dropped.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dropped {
+    /// Its key.
+    pub key: Name,
+    /// Version of the store at its end.
+    pub version: u64,
+}
+
 /// A condition on one row: its table, its key and its version, 0 for none.
 pub type Condition = (&'static str, Name, u64);
 
@@ -195,7 +204,10 @@
     fn add(&mut self, rows: Rows) {
         for row in rows.rows {
             match row.gone {
-                true => self.dropped.push(row.key),
+                true => self.dropped.push(Dropped {
+                    key: row.key,
+                    version: row.ver,
+                }),
                 false => self.rows.push(plain(row)),
             }
         }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 
-use super::store::Page;
+use super::store::{Dropped, Page};
 use super::{config, directory, ingress};
 use crate::queues::Queues;
 use crate::sched::message::{Answer, Ask, Entry};
@@ -136,7 +136,10 @@
 fn entries(rows: Vec<Row>) -> Vec<(Name, Entry)> {
     let page = Page {
         rows,
-        dropped: vec!["i-gone".into()],
+        dropped: vec![Dropped {
+            key: "i-gone".into(),
+            version: 8,
+        }],
         version: 9,
         next: None,
     };
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -4,8 +4,8 @@
 //! (`order`, `placing`, `gang`, `choice`, `permits`, `preempt`), started and
 //! stopped (`starts`), watched (`reports`), ended (`ends`), shown (`asks`); once it is
 //! over, `past` knows what callers may still ask.
-//! Workers come and go by `directory` and `silence`, and are asked in turn by
-//! `agenda`. What they report of their load is taken in by `gauges` (with `recent`
+//! Workers come and go by `directory` and `silence`, get nothing new by `cordon`, and are
+//! asked in turn by `agenda`. What they report of their load is taken in by `gauges` (with `recent`
 //! and `loads`) and becomes what `pressure` knows; `paces` and `swaps` keep fillers
 //! from slowing serving tasks by it. `legacy` tells what earlier owners may still
 //! do, `succession` which box comes next; `switches` turns mechanisms off.
@@ -17,6 +17,7 @@
 mod beside;
 mod choice;
 mod commits;
+mod cordon;
 mod crashes;
 mod directory;
 mod ends;
--- /dev/null
+++ b/src/sched/cordon.rs
@@ -0,0 +1,47 @@
+//! Workers of cordoned halls: nothing new is started there.
+//!
+//! What runs there goes on. Stopped, it would lose what it has not saved and would ask for
+//! room in the halls that are left, which have less of it just then.
+
+use super::job::TaskKey;
+use super::owner::Owner;
+use crate::cordons::Halls;
+use crate::utils::Name;
+
+impl Owner {
+    /// Takes in which halls are cordoned.
+    pub(super) fn cordon(&mut self, halls: Halls) {
+        if self.cordoned.as_ref() == Some(&halls) {
+            return;
+        }
+        for worker in self.workers.values_mut() {
+            worker.cordoned = halls.contains(&worker.listing.hall);
+        }
+        let cordoned = || self.workers.values().filter(|w| w.cordoned);
+        let tasks: usize = cordoned().map(|w| w.placements.len()).sum();
+        let names: Vec<&str> = halls.iter().map(|h| &**h).collect();
+        log::info!(target: "owner", "event=cordons halls={} workers={} tasks={tasks}", names.join(","), cordoned().count());
+        self.break_promises();
+        self.cordoned = Some(halls);
+        self.ranking = None;
+        self.crowded = false;
+    }
+
+    /// Returns true when nothing new may be started in a hall.
+    pub(super) fn is_cordoned(&self, hall: &str) -> bool {
+        self.cordoned.as_ref().is_some_and(|h| h.contains(hall))
+    }
+
+    /// Has tasks look for room elsewhere for which it was made on cordoned workers.
+    fn break_promises(&mut self) {
+        let broken = |name: &Name| self.workers.get(name).is_some_and(|w| w.cordoned);
+        let broken = self.promises.iter().filter(|(_, name)| broken(name));
+        let broken: Vec<(TaskKey, Name)> = broken.map(|(k, n)| (*k, n.clone())).collect();
+        for (key, name) in broken {
+            self.promises.remove(&key);
+            if let Some(worker) = self.workers.get_mut(&name) {
+                worker.promise = None;
+            }
+        }
+    }
+}
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -57,6 +57,7 @@
     /// Takes in a listing of a worker, known or new.
     fn list(&mut self, id: Name, listing: Listing) {
         let now = self.now.steady;
+        let cordoned = self.is_cordoned(&listing.hall);
         self.crowded = false;
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.presence = Presence::Listed;
@@ -74,6 +75,7 @@
                 worker.most = worker.most.max(room);
             }
             worker.listing = listing;
+            worker.cordoned = cordoned;
             return;
         }
         // Another life at the same address means that the one before has ended.
@@ -88,6 +90,7 @@
         }
         log::info!(target: "worker", "worker={id} event=new leaving={}", listing.leaving);
         let mut worker = Worker::new(listing, now);
+        worker.cordoned = cordoned;
         if worker.listing.leaving {
             worker.leaves = Some(now + worker.listing.stays);
         }
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -9,6 +9,7 @@
 use super::past::PastPage;
 use super::spec::JobSpec;
 use super::worker::Listing;
+use crate::cordons::Halls;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -235,6 +236,8 @@
     Directory(Vec<(Name, Entry)>),
     /// Entries of the directory changed.
     Listed(Vec<(Name, Entry)>),
+    /// These halls are cordoned, and no others.
+    Cordoned(Halls),
     /// An exchange that was sent at this time ended.
     Held(Name, Millis, Reply<Report>),
     /// A start ended.
@@ -259,6 +262,7 @@
         match self {
             Self::Ask(..) => "ask",
             Self::Directory(_) | Self::Listed(_) => "directory",
+            Self::Cordoned(_) => "cordoned",
             Self::Held(..) => "held",
             Self::Started(..) => "started",
             Self::Stopped(..) => "stopped",
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -16,6 +16,7 @@
 use super::starts::Deferral;
 use super::switches::Switches;
 use super::worker::{Worker, lease_span};
+use crate::cordons::Halls;
 use crate::harm::Known;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -71,6 +72,9 @@
     pub(super) ready: BTreeMap<TaskKey, Millis>,
     /// Workers by the id of their life.
     pub(super) workers: BTreeMap<Name, Worker>,
+    /// Halls whose workers get nothing new; none while that is not known, as a box that
+    /// has just become the owner may know less than the one before.
+    pub(super) cordoned: Option<Halls>,
     /// When exchanges with them are due.
     pub(super) agenda: Agenda,
     /// Where each placed task is.
@@ -145,6 +149,7 @@
             unreadable: BTreeSet::new(),
             ready: BTreeMap::new(),
             workers: BTreeMap::new(),
+            cordoned: None,
             agenda: Agenda::default(),
             placed: HashMap::new(),
             unadopted: BTreeMap::new(),
@@ -229,7 +234,7 @@
 
     /// Returns the milliseconds until something is due.
     pub fn wait(&self, now: Now) -> Millis {
-        let places = !self.crowded && !self.ready.is_empty();
+        let places = !self.crowded && !self.ready.is_empty() && self.cordoned.is_some();
         let place = places.then_some(self.next_place);
         let due = self
             .next_contact()
@@ -274,6 +279,7 @@
             Event::Ask(ticket, ask) => self.ask(ticket, ask),
             Event::Directory(listings) => self.directory(listings),
             Event::Listed(changes) => self.listed(changes),
+            Event::Cordoned(halls) => self.cordon(halls),
             Event::Held(worker, sent, reply) => self.held(&worker, sent, reply),
             Event::Started(key, run, worker, reply) => self.started(key, run, &worker, reply),
             Event::Stopped(key, run, worker, reply) => self.stopped(key, run, &worker, reply),
@@ -291,8 +297,10 @@
         }
         // The next owner counts on it that one which gives up extends no lease.
         if !self.deposed && !self.gives_up() {
-            self.place();
-            self.swap_places();
+            if self.cordoned.is_some() {
+                self.place();
+                self.swap_places();
+            }
             self.contact();
         }
         if !self.deposed {
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -53,6 +53,7 @@
         // Its room may have shrunk since the task was placed: sent all the same, the start
         // would overcommit a worker that takes whatever it is told.
         let fits = worker.fits(Room::default());
+        let cordoned = worker.cordoned;
         let lease = match worker.open(now) && fits && !gives_up {
             true => worker.grant(span, now),
             false => None,
@@ -60,7 +61,8 @@
         let (Some(lease), Some(permit), Some(placement)) =
             (lease, permit, worker.placements.get_mut(&key))
         else {
-            log::info!(target: "task", "task={} run={run} event=withdrawn worker={name} fits={fits}", job.task_name(key));
+            log::info!(target: "task", "task={} run={run} event=withdrawn worker={name} fits={fits} cordoned={cordoned}", job.task_name(key));
+            crate::metrics::get().withdrawn.inc();
             self.free(key);
             return;
         };
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the owner against fake workers and a fake store, in virtual time.
 
 mod admission;
+mod cordon;
 mod crashes;
 mod directory;
 mod full;
--- /dev/null
+++ b/src/sched/tests/cordon.rs
@@ -0,0 +1,260 @@
+//! Halls that are cordoned and taken back, while work waits, runs and fails there.
+
+use std::collections::BTreeSet;
+
+use super::world::{World, job, lasting, queue, step};
+use crate::sched::job::Shown;
+use crate::sched::message::{Answer, Ask, How};
+use crate::sched::spec::StepSpec;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Longest time from the word to the last start, in milliseconds: what a worker is told
+/// is on its way for one, and no start is begun after the word.
+const ON_ITS_WAY: Millis = 10;
+
+/// Returns a world of so many workers, every second of which stands in hall `h2`.
+fn two_halls(workers: u16) -> World {
+    let mut world = World::new(0);
+    for number in 0..workers {
+        let id = format!("w{number}");
+        world.add_worker(&id, 100 + number);
+        if number % 2 == 1 {
+            world.workers.get_mut(&*id).expect("worker").listing.hall = "h2".into();
+        }
+    }
+    world.list();
+    world.run(50);
+    world
+}
+
+/// Returns the tasks started in a hall from a time on.
+fn started_in(world: &World, hall: &str, from: Millis) -> Vec<String> {
+    let there = |id: &Name| &*world.workers[id].listing.hall == hall;
+    let starts = world.starts.iter();
+    let starts = starts.filter(|(_, _, worker, at)| *at >= from && there(worker));
+    starts.map(|(task, ..)| task.clone()).collect()
+}
+
+/// Returns the halls in which tasks of a job run.
+fn halls_of(world: &World, id: &str) -> BTreeSet<Name> {
+    let running = world.running().into_iter();
+    let own = running.filter(|(task, _)| task.starts_with(id));
+    own.map(|(_, w)| world.workers[&w].listing.hall.clone())
+        .collect()
+}
+
+/// A steady load of short jobs, more than half of the room.
+fn load(world: &mut World, name: &str, span: Millis) {
+    for number in 0..span / 100 {
+        world.submit(&format!("{name}{number}"), job(vec![step(3, 500)]));
+        world.run(100);
+    }
+}
+
+#[test]
+fn nothing_starts_in_a_cordoned_hall_until_it_is_taken_back() {
+    let mut world = two_halls(4);
+    load(&mut world, "before", 2_000);
+    assert!(!started_in(&world, "h2", 0).is_empty());
+    world.cordon(&["h2"]);
+    let from = world.now + ON_ITS_WAY;
+    load(&mut world, "during", 6_000);
+    assert_eq!(started_in(&world, "h2", from), Vec::<String>::new());
+    assert!(!started_in(&world, "h", from).is_empty(), "others serve on");
+    world.cordon(&[]);
+    let from = world.now;
+    load(&mut world, "after", 2_000);
+    assert!(!started_in(&world, "h2", from).is_empty());
+}
+
+#[test]
+fn what_runs_there_goes_on() {
+    let mut world = two_halls(2);
+    world.script = |_, _| (8_000, How::Done);
+    world.submit("a", job(vec![step(8, 1_000)]));
+    world.submit("l", job(vec![lasting(2, 0)]));
+    world.run(1_000);
+    let before = world.running();
+    world.cordon(&["h2"]);
+    world.run(3_000);
+    assert_eq!(world.running(), before);
+    world.run(6_000);
+    assert_eq!(world.shown("a"), Some(Shown::Completed));
+    let starts = world.starts.iter().filter(|s| s.0.starts_with('a'));
+    assert_eq!(starts.count(), 8, "none runs again");
+}
+
+/// The placement is on its way to the store when the hall is cordoned.
+#[test]
+fn a_start_that_was_not_sent_yet_is_withdrawn() {
+    let mut world = two_halls(2);
+    world.script = |_, _| (20_000, How::Done);
+    world.submit("a", job(vec![step(8, 1_000)]));
+    world.cordon(&["h2"]);
+    world.run(3_000);
+    assert_eq!(started_in(&world, "h2", 0), Vec::<String>::new());
+    assert_eq!(halls_of(&world, "a"), ["h".into()].into());
+}
+
+#[test]
+fn what_fails_or_ends_there_starts_again_elsewhere() {
+    let mut world = two_halls(4);
+    world.script = |task, run| match (task.starts_with('l'), run) {
+        (true, 1) => (1_500, How::Done),
+        (true, _) => (60_000, How::Done),
+        (false, 1) => (1_000, How::Failed),
+        (false, _) => (1_000, How::Done),
+    };
+    world.submit("l", job(vec![lasting(4, 1_000)]));
+    world.submit("f", job(vec![step(6, 500), step(4, 500)]));
+    world.run(500);
+    world.cordon(&["h2"]);
+    let from = world.now + ON_ITS_WAY;
+    world.run(8_000);
+    assert_eq!(started_in(&world, "h2", from), Vec::<String>::new());
+    assert_eq!(world.shown("f"), Some(Shown::Completed));
+    assert_eq!(halls_of(&world, "l"), ["h".into()].into());
+    assert_eq!(world.running().len(), 4);
+}
+
+#[test]
+fn gangs_and_copies_keep_out_as_well() {
+    let mut world = two_halls(4);
+    world.cordon(&["h"]);
+    let gang = StepSpec {
+        gang: true,
+        ..step(6, 1_000)
+    };
+    let fill = StepSpec {
+        filler: true,
+        ..step(4, 500)
+    };
+    let from = world.now;
+    world.submit("g", job(vec![gang]));
+    world.submit("c", job(vec![fill]));
+    world.run(4_000);
+    assert_eq!(started_in(&world, "h", from), Vec::<String>::new());
+    assert_eq!(world.shown("g"), Some(Shown::Completed));
+    assert_eq!(world.shown("c"), Some(Shown::Completed));
+}
+
+/// Room was made there at the cost of a run, and is not waited for any more.
+#[test]
+fn room_that_was_made_there_is_made_elsewhere() {
+    let mut world = two_halls(2);
+    world.script = |_, _| (60_000, How::Done);
+    let (low, high) = (5, 0);
+    world.submit_with_priority("low", job(vec![step(2, 4_000)]), low);
+    world.run(4_000);
+    assert_eq!(world.running().len(), 2);
+    world.submit_with_priority("high", job(vec![step(1, 4_000)]), high);
+    world.run(15);
+    let promised = world.owner.promises.values().next().cloned();
+    let promised = promised.expect("a run gives way");
+    let hall = world.workers[&promised].listing.hall.clone();
+    world.cordon(&[&*hall]);
+    world.run(4_000);
+    assert_eq!(started_in(&world, &hall, 5_000), Vec::<String>::new());
+    assert!(
+        world
+            .running()
+            .iter()
+            .any(|(task, _)| task.starts_with("high"))
+    );
+}
+
+#[test]
+fn all_halls_but_one_and_then_all() {
+    let mut world = two_halls(6);
+    world.workers.get_mut("w5").expect("worker").listing.hall = "h3".into();
+    world.list();
+    world.cordon(&["h", "h2", "nowhere"]);
+    world.submit("a", job(vec![step(4, 1_000)]));
+    world.run(500);
+    assert_eq!(halls_of(&world, "a"), ["h3".into()].into());
+    world.cordon(&["h", "h2", "h3"]);
+    let from = world.now + ON_ITS_WAY;
+    let ticket = world.submit("b", job(vec![step(4, 1_000)]));
+    world.run(4_000);
+    assert_eq!(world.answers.get(&ticket), Some(&Answer::Accepted));
+    assert_eq!(world.shown("b"), Some(Shown::Queued));
+    assert!(world.starts.iter().all(|s| s.3 < from));
+    world.cordon(&["h"]);
+    world.run(2_000);
+    assert_eq!(world.shown("b"), Some(Shown::Completed));
+}
+
+/// The only hall with the label that it needs is cordoned: it may be taken back.
+#[test]
+fn a_job_for_the_cordoned_hall_alone_waits() {
+    let mut world = two_halls(2);
+    let labels = &mut world.workers.get_mut("w1").expect("worker").listing.labels;
+    labels.push("fast".into());
+    world.list();
+    world.cordon(&["h2"]);
+    let fast = StepSpec {
+        label: "fast".into(),
+        ..step(2, 500)
+    };
+    let ticket = world.submit("a", job(vec![fast]));
+    world.run(3_000);
+    assert_eq!(world.answers.get(&ticket), Some(&Answer::Accepted));
+    assert!(world.starts.is_empty());
+    world.cordon(&[]);
+    world.run(2_500);
+    assert_eq!(world.shown("a"), Some(Shown::Completed));
+}
+
+#[test]
+fn a_worker_that_is_listed_later_is_cordoned_with_its_hall() {
+    let mut world = two_halls(2);
+    world.cordon(&["h2"]);
+    let from = world.now;
+    world.add_worker("late", 300);
+    world.workers.get_mut("late").expect("worker").listing.hall = "h2".into();
+    world.list();
+    world.run(100);
+    world.submit("a", job(vec![step(8, 1_000)]));
+    world.run(3_000);
+    assert_eq!(started_in(&world, "h2", from), Vec::<String>::new());
+    assert_eq!(world.shown("a"), Some(Shown::Completed));
+}
+
+#[test]
+fn an_owner_that_does_not_know_starts_nothing() {
+    let mut world = two_halls(2);
+    world.script = |task, _| match task.starts_with("old") {
+        true => (60_000, How::Done),
+        false => (500, How::Done),
+    };
+    world.submit("old", job(vec![lasting(2, 500)]));
+    world.run(500);
+    world.cordon(&["h2"]);
+    world.cordons_held = true;
+    world.take_over(0);
+    let from = world.now + ON_ITS_WAY;
+    let ticket = world.submit("new", job(vec![step(4, 500)]));
+    world.run(2_000);
+    assert_eq!(world.answers.get(&ticket), Some(&Answer::Accepted));
+    assert!(
+        world.starts.iter().all(|s| s.3 < from),
+        "unknown is not none"
+    );
+    assert_eq!(world.running().len(), 2, "what runs is kept");
+    world.cordon(&["h2"]);
+    world.run(3_000);
+    assert_eq!(world.shown("new"), Some(Shown::Completed));
+    assert_eq!(started_in(&world, "h2", from), Vec::<String>::new());
+}
+
+#[test]
+fn cancels_of_what_runs_there_are_carried_out() {
+    let mut world = two_halls(2);
+    world.submit_to(queue(), "l", job(vec![lasting(4, 1_000)]));
+    world.run(500);
+    world.cordon(&["h", "h2"]);
+    world.ask(Ask::Cancel("l".into()));
+    world.run(1_500);
+    assert!(world.running().is_empty(), "{:?}", world.running());
+}
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -12,6 +12,7 @@
 use self::calls::{Call, Due};
 pub use self::crashes::Crashes;
 pub use self::workers::FakeWorker;
+use crate::cordons::Halls;
 use crate::sched::job::{JobRow, Queue, Shown};
 use crate::sched::journal::{JOB_TABLE, Journal, OWNER_KEY, OWNER_TABLE, OwnerRow, SPEC_TABLE};
 use crate::sched::message::{Action, Answer, Ask, Entry, Event, How};
@@ -41,6 +42,10 @@
     pub faults: Faults,
     /// The store answers nothing and does nothing.
     pub store_down: bool,
+    /// Halls that are cordoned.
+    pub cordoned: Halls,
+    /// The next owner is not told which are.
+    pub cordons_held: bool,
     /// Nothing of the jobs that are over is read.
     pub past_held: bool,
     pub bounds: Bounds,
@@ -167,6 +172,8 @@
             answers: BTreeMap::new(),
             faults: Faults::default(),
             store_down: false,
+            cordoned: Halls::new(),
+            cordons_held: false,
             past_held: false,
             bounds: BOUNDS,
             script: |_, _| (1_000, How::Done),
@@ -195,6 +202,7 @@
             world.add_worker(&format!("w{number}"), 100 + number);
         }
         world.read_past(world.epoch, None);
+        world.step(Event::Cordoned(world.cordoned.clone()));
         world.list();
         world.run(50);
         world
@@ -290,9 +298,18 @@
         let kept = self.kept();
         self.owner = Owner::new(self.bounds, journal, kept, self.now + inherited, at);
         self.read_past(self.epoch, None);
+        if !self.cordons_held {
+            self.step(Event::Cordoned(self.cordoned.clone()));
+        }
         self.list();
     }
 
+    /// Tells the owner that these halls are cordoned, and no others.
+    pub fn cordon(&mut self, halls: &[&str]) {
+        self.cordoned = halls.iter().map(|h| (*h).into()).collect();
+        self.tell(Event::Cordoned(self.cordoned.clone()));
+    }
+
     /// Returns the ids of the rows in a table.
     pub fn ids(&self, table: &str) -> Vec<Name> {
         let rows = self.rows.keys().filter(|(t, _)| *t == table);
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -119,6 +119,8 @@
     pub failures: u32,
     /// Until when it gets no new tasks.
     pub barred: Millis,
+    /// True while its hall is cordoned.
+    pub cordoned: bool,
     /// True when it runs something that is not known here.
     pub strangers: bool,
     /// Room that is being made there for a task.
@@ -154,6 +156,7 @@
             pending: BTreeSet::new(),
             failures: 0,
             barred: 0,
+            cordoned: false,
             strangers: false,
             promise: None,
             isolated: None,
@@ -291,6 +294,7 @@
             && self.answering(now)
             && now >= self.barred
             && !self.strangers
+            && !self.cordoned
     }
 
     /// Returns true while it answers.
--- /dev/null
+++ b/tests/platform/cordon.rs
@@ -0,0 +1,88 @@
+//! Halls that the operator cordons while owners end and the store forgets its history.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::support::wait;
+use super::{Deployment, SHORT};
+
+/// Key of the row that cordons the hall of the second worker.
+const ROW: &str = "evacuate/h2";
+
+/// Returns two workers in two halls, and boxes that know both.
+fn two_halls(boxes: usize) -> Deployment {
+    let deployment = Deployment::start(boxes, 2, SHORT);
+    deployment.workers[1].stand_in("h2");
+    run_jobs(&deployment, 0xa0);
+    wait("both to run tasks", || {
+        run_jobs(&deployment, 0xb0);
+        deployment.workers.iter().all(|w| w.started() > 0)
+    });
+    deployment
+}
+
+/// Runs some jobs, each of which would use both workers.
+fn run_jobs(deployment: &Deployment, first: u64) {
+    for number in first..first + 3 {
+        let id = format!("{number:016x}");
+        deployment.submit_until_taken(&id, 4);
+        deployment.wait_completed(&id);
+    }
+}
+
+/// Waits until every box knows so many cordoned halls.
+fn wait_known(deployment: &Deployment, boxes: std::ops::Range<usize>, halls: u64) {
+    for number in boxes {
+        wait("word of the cordon", || {
+            deployment.gauge(number, "halls_cordoned") == Some(halls)
+        });
+    }
+}
+
+#[test]
+fn a_cordoned_hall_gets_nothing_through_changes_of_owner() {
+    let mut deployment = two_halls(3);
+    // Whatever the value is, the row cordons.
+    deployment.store.put("op", ROW, &json!(["unexpected", 7]));
+    deployment.store.put("op", "evacuate/nowhere", &json!({}));
+    wait_known(&deployment, 0..3, 2);
+    let before = deployment.workers[1].started();
+    run_jobs(&deployment, 0x100);
+    for round in 0..2 {
+        let owner = deployment.owner();
+        deployment.kill(owner);
+        wait("another owner", || deployment.owner() != owner);
+        run_jobs(&deployment, 0x200 + round * 0x10);
+    }
+    deployment.store.forget();
+    run_jobs(&deployment, 0x300);
+    assert_eq!(deployment.workers[1].started(), before);
+    deployment.store.drop_row("op", ROW);
+    let owner = deployment.owner();
+    wait_known(&deployment, owner..owner + 1, 1);
+    wait("the hall to serve again", || {
+        run_jobs(&deployment, 0x400);
+        run_jobs(&deployment, 0x500);
+        deployment.workers[1].started() > before
+    });
+    let text = deployment.output(owner);
+    assert!(
+        text.contains("event=cordon hall=h2 cordoned=false"),
+        "{text}"
+    );
+    assert!(text.contains("event=cordons halls="), "{text}");
+}
+
+#[test]
+fn a_hall_that_was_taken_back_unheard_serves_again() {
+    let deployment = two_halls(1);
+    deployment.store.put("op", ROW, &json!({}));
+    wait_known(&deployment, 0..1, 1);
+    deployment.store.set(super::Mood::Busy);
+    std::thread::sleep(Duration::from_millis(300));
+    deployment.store.drop_row("op", ROW);
+    deployment.store.forget();
+    deployment.store.set(super::Mood::Well);
+    wait_known(&deployment, 0..1, 0);
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! `willowpoint serve` as separate processes against stand-ins of the platform's
 //! store and workers: takeovers, planned stops, and a store in trouble.
 
+mod cordon;
 mod deployment;
 mod faults;
 #[path = "../support/proxy.rs"]
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -2,6 +2,7 @@
 //! that no task of any worker runs twice.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -82,6 +83,8 @@
     span: Duration,
     state: Arc<Mutex<State>>,
     record: Arc<Mutex<Record>>,
+    /// Starts that it has carried out, in all its lives.
+    started: Arc<AtomicU64>,
 }
 
 impl Worker {
@@ -94,6 +97,7 @@
             span,
             state: Arc::new(Mutex::new(State::begin())),
             record,
+            started: Arc::default(),
         }
     }
 
@@ -110,6 +114,18 @@
         self.list(listing);
     }
 
+    /// Puts it into another hall, which its entry tells.
+    pub fn stand_in(&self, hall: &str) {
+        let mut listing = self.listing.lock().expect("no holder panicked").clone();
+        listing["zone"] = json!(hall);
+        self.list(listing);
+    }
+
+    /// Returns how many starts it has carried out.
+    pub fn started(&self) -> u64 {
+        self.started.load(Ordering::Relaxed)
+    }
+
     fn id(&self) -> String {
         self.id.lock().expect("no holder panicked").clone()
     }
@@ -217,6 +233,7 @@
         }
         let ends = Instant::now() + self.span;
         self.state().runs.insert(task.clone(), Run { run, ends });
+        self.started.fetch_add(1, Ordering::Relaxed);
         let mut record = self.record();
         *record.starts.entry(task.clone()).or_insert(0) += 1;
         if record.noted.contains(&task) || !record.running.insert(task.clone()) {
