Declarations beyond every machine and century are told to be invalid

Cause: sums and products of what callers declare could overflow: a step that asks for 2^64 thousandths of cores wrapped round in what a worker holds, and in a debug build ended the owner. Found by a test of the new order with absurd figures. Ruled out: saturating each sum (many places, and the next one forgets). Change: a part of a room over 2^40, or a declared time over a century, is a finding of the job like the others (400 with what is wrong). Test: absurd ones are refused with a reason, huge ones end no owner and hold nobody up; it panicked before.

--- a/src/sched/spec.rs
+++ b/src/sched/spec.rs
@@ -8,6 +8,12 @@
 /// Most tasks of one job, so that its row fits the store's bound on rows.
 pub const TASK_LIMIT: u64 = 2_000;
 
+/// Most of any part of a task's room: far beyond every machine, and small enough for sums
+/// and products of it to be exact.
+pub const ROOM_LIMIT: u64 = 1 << 40;
+/// Longest time that may be declared, in milliseconds: a century.
+pub const TIME_LIMIT: Millis = 100 * 366 * 24 * 3_600 * 1_000;
+
 /// A job as its caller described it; it never changes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -51,6 +57,11 @@
 }
 
 impl Room {
+    /// Returns the largest of its parts.
+    fn largest(self) -> u64 {
+        self.cpu.max(self.memory).max(self.gpu)
+    }
+
     /// Returns the room of both.
     pub fn plus(self, other: Self) -> Self {
         Self {
@@ -167,6 +178,16 @@
             if step.after.iter().any(|a| *a >= place) {
                 findings.push(format!("step {place} waits for a step that is not earlier"));
             }
+            if step.room.largest() > ROOM_LIMIT {
+                findings.push(format!("step {place} asks for more than {ROOM_LIMIT}"));
+            }
+            if step.estimate > TIME_LIMIT || step.target > TIME_LIMIT {
+                findings.push(format!("step {place} has a time beyond {TIME_LIMIT} ms"));
+            }
+        }
+        let beyond = |s: Schedule| s.first > TIME_LIMIT || s.interval > TIME_LIMIT;
+        if self.schedule.is_some_and(beyond) {
+            findings.push(format!("its times are beyond {TIME_LIMIT} ms"));
         }
         findings
     }
--- a/src/sched/tests/overload.rs
+++ b/src/sched/tests/overload.rs
@@ -1,8 +1,10 @@
 //! More work than fits: what callers see of a burst.
 
 use super::world::{World, job, step};
-use crate::sched::message::{How, Running};
-use crate::sched::spec::{Room, StepSpec};
+use crate::sched::job::Shown;
+use crate::sched::message::{Answer, How, Running};
+use crate::sched::spec::{ROOM_LIMIT, Room, StepSpec, TIME_LIMIT};
+use crate::utils::clock::Millis;
 
 /// Returns the starts of the last second, with so many tasks waiting behind them.
 fn starts_a_second(waiting: u32) -> usize {
@@ -100,3 +102,34 @@
     assert!(!world.owner.ready.is_empty());
     assert_eq!(world.owner.strain, 0.0);
 }
+
+/// Callers may declare any run time and size: what is absurd is told so, and what is only
+/// huge ends no owner and holds nobody up.
+#[test]
+fn huge_declarations_hold_nobody_up() {
+    let mut world = World::new(1);
+    world.script = |_, _| (300, How::Done);
+    let declared = |cpu: u64, estimate: Millis| {
+        let first = StepSpec {
+            filler: true,
+            estimate,
+            ..step(2, cpu)
+        };
+        let second = StepSpec {
+            after: vec![0],
+            ..first.clone()
+        };
+        job(vec![first, second])
+    };
+    for (id, cpu, estimate) in [("a", u64::MAX, 1), ("b", 1, Millis::MAX)] {
+        let ticket = world.submit(id, declared(cpu, estimate));
+        let answer = world.answers.get(&ticket);
+        assert!(matches!(answer, Some(Answer::Invalid(_))), "{answer:?}");
+    }
+    world.submit("huge", declared(ROOM_LIMIT, TIME_LIMIT));
+    world.submit("sound", job(vec![step(4, 500)]));
+    world.run(6_000);
+    for id in ["huge", "sound"] {
+        assert_eq!(world.shown(id), Some(Shown::Completed), "{id}");
+    }
+}
