Pauses of placing grow with the workers looked at

Cause: since placing goes by steps, passes follow each other at once, and at 3,000 workers each looks at some 50,000: an owner of half a core had no time for leases and reports. Change: one millisecond more for each 1,000 workers looked at in a pass; the pass is a function of its own.

--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -20,6 +20,10 @@
 /// Waiting tasks for each of which that pause is one millisecond longer, as a pass
 /// goes through them all.
 const WAITING: u64 = 1_000;
+/// Workers looked at in a pass for each of which the same: at 3,000 workers a pass looks at
+/// some 50,000, and passes that follow each other at once leave an owner of half a core no
+/// time for leases and reports.
+const LOOKED: u64 = 1_000;
 /// Most tasks that are placed in one pass, so that other events get their turn.
 const PLACED_AT_ONCE: usize = 200;
 /// Fillers of one service and label that are tried in vain in one pass: what one
@@ -131,12 +135,20 @@
         self.next_place = now + PLACE_PAUSE + self.ready.len() as u64 / WAITING;
         self.ranking = None;
         self.settle_promises();
+        let before = self.looked;
+        let count = self.pass();
+        self.next_place += (self.looked - before) / LOOKED;
+        self.crowded = count == 0;
+    }
+
+    /// Goes once through what waits; returns how many tasks were placed.
+    fn pass(&mut self) -> usize {
         let mut pass = Pass::new();
         let mut count = 0;
         for turn in self.order() {
             for key in self.waiting_of(turn) {
                 if count >= PLACED_AT_ONCE {
-                    return;
+                    return count;
                 }
                 if !self.ready.contains_key(&key) {
                     continue;
@@ -148,7 +160,7 @@
                 }
             }
         }
-        self.crowded = count == 0;
+        count
     }
 
     /// Places a task, with its gang if it has one, unless the like of it was tried
