--- a/src/sched/tests/overload.rs
+++ b/src/sched/tests/overload.rs
@@ -1,6 +1,6 @@
 //! More work than fits: what callers see of a burst.
 
-use super::world::{World, job, step};
+use super::world::{World, job, serving, step};
 use crate::sched::job::Shown;
 use crate::sched::message::{Answer, How, Running};
 use crate::sched::spec::{ROOM_LIMIT, Room, StepSpec, TIME_LIMIT};
@@ -47,13 +47,7 @@
 fn beside_serving(waiting: u32) -> World {
     let mut world = World::new(1);
     world.script = |_, _| (1_000_000, How::Done);
-    let serving = StepSpec {
-        target: 100,
-        lasting: true,
-        image: "serving".into(),
-        ..step(1, 1_000)
-    };
-    world.submit("serving", job(vec![serving]));
+    world.submit("serving", job(vec![serving()]));
     world.run(100);
     world.submit("run", job(vec![fillers(2)]));
     world.run(2_500);
--- a/src/sched/tests/pressure.rs
+++ b/src/sched/tests/pressure.rs
@@ -1,6 +1,6 @@
 //! Learned pressure between images.
 
-use super::world::{World, job, step};
+use super::world::{World, job, serving, step};
 use crate::sched::message::{How, Running};
 use crate::sched::pressure::Pressure;
 use crate::sched::spec::StepSpec;
@@ -57,18 +57,12 @@
 fn everything_is_halted_beside_a_task_that_stays_at_its_target() {
     let mut world = World::new(1);
     world.script = |_, _| (1_000_000, How::Done);
-    let serving = StepSpec {
-        target: 100,
-        lasting: true,
-        image: "serving".into(),
-        ..step(1, 1_000)
-    };
     let filler = StepSpec {
         filler: true,
         image: "filler".into(),
         ..step(1, 1_000)
     };
-    world.submit("serving", job(vec![serving]));
+    world.submit("serving", job(vec![serving()]));
     world.submit("filler", job(vec![filler]));
     world.run(300);
     let run = Running {
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -117,6 +117,15 @@
     }
 }
 
+/// Returns a lasting task that serves users under a target of 100 ms.
+pub fn serving() -> StepSpec {
+    StepSpec {
+        target: 100,
+        image: "serving".into(),
+        ..lasting(1, 1_000)
+    }
+}
+
 pub fn job(steps: Vec<StepSpec>) -> JobSpec {
     JobSpec {
         text: "text".into(),
