Sight: lines name the start of a worker, an end that is passed over and a run found missing

Nothing told apart an end that is taken for an old one and a run that a report of before does not list. No change of logic: the time of the start is read from entries and reports, and written.

--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -116,6 +116,8 @@
 pub struct OrderReply {
     /// Time on the worker's own steady clock.
     pub clock_ms: Millis,
+    /// When the worker started, in milliseconds since the Unix epoch.
+    pub born: Option<Millis>,
     pub reason: Name,
     /// Task, run, checkpoint, percent of work done (not of pace), and processor
     /// share in use or tail latency of a serving task.
@@ -138,6 +140,9 @@
     pub capacity: Capacity,
     #[serde(default)]
     pub labels: Vec<Name>,
+    /// When the worker started, in milliseconds since the Unix epoch.
+    #[serde(default)]
+    pub born: Option<Millis>,
 }
 
 /// The whole room of a worker.
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -176,6 +176,7 @@
         });
     Report {
         clock: body.clock_ms,
+        born: body.born,
         running: running.collect(),
         ended: ended.collect(),
     }
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -88,7 +88,7 @@
         for old in before {
             self.life_ended(&old, Ending::Replaced);
         }
-        log::info!(target: "worker", "worker={id} event=new leaving={}", listing.leaving);
+        log::info!(target: "worker", "worker={id} event=new born={:?} leaving={}", listing.born, listing.leaving);
         let mut worker = Worker::new(listing, now);
         worker.cordoned = cordoned;
         if worker.listing.leaving {
--- a/src/sched/ends.rs
+++ b/src/sched/ends.rs
@@ -23,6 +23,20 @@
             return;
         };
         if end.number <= worker.top {
+            // One whose commit is on its way is listed with each report.
+            if !worker.pending.contains(&end.number) {
+                let (
+                    Ended {
+                        number,
+                        task,
+                        run,
+                        how,
+                        ..
+                    },
+                    top,
+                ) = (end, worker.top);
+                log::info!(target: "task", "task={task} run={run} event=end-passed-over how={how:?} worker={name} number={number} taken_in={top}");
+            }
             return;
         }
         worker.top = end.number;
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -8,7 +8,7 @@
 use super::job::{Queue, Shown, StepKey, TaskKey};
 use super::past::PastPage;
 use super::spec::JobSpec;
-use super::worker::Listing;
+use super::worker::{Born, Listing};
 use crate::cordons::Halls;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -120,6 +120,8 @@
 pub struct Report {
     /// Time on the worker's clock.
     pub clock: Millis,
+    /// When the worker started.
+    pub born: Born,
     /// Runs there.
     pub running: Vec<Running>,
     /// Ends that were not acknowledged yet, 500 at most.
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -90,7 +90,7 @@
         match reply {
             Reply::Ok(report) => {
                 if worker.misses > 0 || worker.answered == 0 {
-                    log::info!(target: "worker", "worker={name} event=answers misses={}", worker.misses);
+                    log::info!(target: "worker", "worker={name} event=answers born={:?} listed_born={:?} misses={}", report.born, worker.listing.born, worker.misses);
                     self.crowded = false;
                 }
                 worker.misses = 0;
@@ -240,12 +240,14 @@
                 Stage::Stopped(at) if at <= sent => free.push(*key),
                 Stage::Running(at) if at <= sent => {
                     placement.stage = Stage::Doubt;
-                    doubt.push(*key);
+                    doubt.push((*key, placement.run, at));
                 }
                 _ => {}
             }
         }
-        for key in doubt {
+        for (key, run, told) in doubt {
+            let (task, age) = (self.task_name(key), self.now.steady - told);
+            log::info!(target: "task", "task={task} run={run} event=missing worker={name} age_ms={age}");
             self.stop(key);
         }
         for key in free {
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -144,6 +144,7 @@
         });
         let report = Report {
             clock: now,
+            born: worker.listing.born,
             running: running.collect(),
             ended: worker.ended.clone(),
         };
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -26,11 +26,17 @@
     span * 100 / CLOCK_RATE + LAPSE_MARGIN
 }
 
+/// When a worker started, in milliseconds since the Unix epoch by its own clock; none
+/// where it does not tell.
+pub type Born = Option<Millis>;
+
 /// A worker as the platform's directory lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listing {
-    /// Id of this life of the worker.
+    /// Its id, under which it may start again.
     pub id: Name,
+    /// When it started.
+    pub born: Born,
     /// Service that it belongs to.
     pub service: Name,
     /// Where it takes orders.
