--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -9,6 +9,7 @@
 mod jobs;
 mod journal;
 mod legacy;
+mod lives;
 mod loads;
 mod order;
 mod overload;
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::World;
+use super::{BOUNDS, World};
 use crate::sched::job::parse_task;
 use crate::sched::journal::SPEC_TABLE;
 use crate::sched::message::{
@@ -40,6 +40,8 @@
     pub unfit: bool,
     /// When the owner heard last that its room had shrunk.
     pub shrank: Millis,
+    /// When it started: its clock stood at 0 then.
+    started: Millis,
     epoch: u64,
     lease: Millis,
     running: BTreeMap<String, Run>,
@@ -63,6 +65,7 @@
             saves: false,
             unfit: false,
             shrank: 0,
+            started: 0,
             epoch: 0,
             lease: 0,
             running: BTreeMap::new(),
@@ -84,6 +87,20 @@
         self.running.iter().map(|(task, run)| (task, run.began))
     }
 
+    /// Returns a worker that has just started, its clock with it.
+    pub fn started(listing: Listing, now: Millis) -> Self {
+        Self {
+            started: now,
+            ..Self::new(listing)
+        }
+    }
+
+    /// Extends its lease to a time on its own clock, as far as leases go.
+    fn extend(&mut self, end: Millis, now: Millis) {
+        let end = (self.started + end).min(now + BOUNDS.lease);
+        self.lease = self.lease.max(end);
+    }
+
     fn checkpoint(&self, task: &str, run: u32) -> Name {
         match self.saves {
             true => format!("{task} run {run}").into(),
@@ -130,7 +147,7 @@
             return Reply::Refused(Refusal::Fenced);
         }
         worker.epoch = hold.epoch;
-        worker.lease = worker.lease.max(hold.lease.unwrap_or(0));
+        worker.extend(hold.lease.unwrap_or(0), now);
         worker.ended.retain(|e| e.number > hold.seen);
         let later = worker.done.split_off(&(hold.seen + 1));
         let noted = std::mem::replace(&mut worker.done, later);
@@ -143,7 +160,7 @@
             gauge: 0,
         });
         let report = Report {
-            clock: now,
+            clock: now - worker.started,
             born: worker.listing.born,
             running: running.collect(),
             ended: worker.ended.clone(),
@@ -179,13 +196,14 @@
         if !worker.accepts(&start.permit, now) {
             return Reply::Refused(Refusal::NoPermit);
         }
-        if start.lease <= now {
+        let clock = now - worker.started;
+        if start.lease <= clock {
             return Reply::Refused(Refusal::Late);
         }
-        worker.lease = worker.lease.max(start.lease);
+        worker.extend(start.lease, now);
         let present = worker.running.get(&start.task);
         if present.is_some_and(|r| r.run == start.run) {
-            return Reply::Ok(now);
+            return Reply::Ok(clock);
         }
         let barred = worker.barred.get(&start.task);
         if barred.is_some_and(|r| start.run <= *r) {
@@ -203,7 +221,7 @@
         self.resumed.insert(start.task.clone(), start.saved.clone());
         self.note_double(start);
         self.note_excess(start);
-        Reply::Ok(now)
+        Reply::Ok(clock)
     }
 
     /// Has a worker run a task that the owner did not start.
@@ -220,6 +238,17 @@
         worker.running.insert(task.into(), run);
     }
 
+    /// Has a worker start again under its id, with nothing of before; its entry is told
+    /// later, with `list`.
+    pub fn restart(&mut self, id: &str) {
+        let worker = self.workers.get_mut(id).expect("worker");
+        let listing = Listing {
+            born: Some(self.now),
+            ..worker.listing.clone()
+        };
+        *worker = FakeWorker::started(listing, self.now);
+    }
+
     /// Gives a worker another room, which its entry tells.
     pub fn resize(&mut self, id: &str, room: Room) {
         let told = self.now.max(self.suspended);
@@ -283,7 +312,7 @@
         {
             worker.end(&stop.task, How::Stopped, now);
         }
-        Reply::Ok(now)
+        Reply::Ok(now - worker.started)
     }
 
     /// Ends runs whose time has come, and everything under a lapsed lease.
