--- a/benches/orders.rs
+++ b/benches/orders.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpListener};
 
 use willowpoint::platform::worker::Workers;
+use willowpoint::sched::lives::Life;
 use willowpoint::sched::message::{Hold, Reply};
 
 const ROUNDS: usize = 20_000;
@@ -59,7 +60,11 @@
     let mut whole = 0;
     for seen in 0..count {
         let hold = Hold {
-            worker: "i-0a5d8fc929".into(),
+            life: Life {
+                id: "i-0a5d8fc929".into(),
+                born: None,
+            },
+            sent: 0,
             address,
             lease: Some(486_000),
             epoch: 7,
--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -9,8 +9,9 @@
 
 use willowpoint::sched::job::{Queue, TaskKey};
 use willowpoint::sched::journal::{Journal, OwnerRow};
+use willowpoint::sched::lives::Life;
 use willowpoint::sched::message::{
-    Action, Ask, Ended, Entry, Event, Hold, How, Reply, Report, Running, Start, Written,
+    Action, Ask, Ended, Entry, Event, Hold, How, Reply, Report, Running, Start, Word, Written,
 };
 use willowpoint::sched::owner::{Bounds, Now, Owner};
 use willowpoint::sched::past::PastPage;
@@ -89,7 +90,7 @@
     running: BTreeMap<Name, Run>,
     ended: Vec<Ended>,
     last: u64,
-    waiting: Option<(Hold, u64)>,
+    waiting: Option<Hold>,
 }
 
 struct World {
@@ -281,7 +282,7 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Hold(hold) => {
-                let worker = hold.worker.clone();
+                let (worker, sent) = (hold.life.id.clone(), hold.sent);
                 let wait = hold.wait.min(POLL);
                 let ready = match self.workers.get_mut(&worker) {
                     Some(w) => {
@@ -290,17 +291,16 @@
                     }
                     None => return,
                 };
-                let sent = self.now;
-                self.workers.get_mut(&worker).expect("listed").waiting = Some((hold, sent));
+                self.workers.get_mut(&worker).expect("listed").waiting = Some(hold);
                 let wait = if ready { 0 } else { wait };
                 self.at(self.now + CALL + wait, Due::Answer(worker, sent));
             }
             Action::Start(start) => self.start(start),
             Action::Stop(stop) => {
-                if let Some(w) = self.workers.get_mut(&stop.worker) {
+                if let Some(w) = self.workers.get_mut(&stop.life.id) {
                     w.running.remove(&*stop.task);
                 }
-                let event = Event::Stopped(stop.key, stop.run, stop.worker, Reply::Ok(self.now));
+                let event = Event::Stopped(stop.key, stop.run, stop.life, Reply::Ok(self.word()));
                 self.at(self.now + CALL, Due::Tell(event));
             }
             Action::Pace(pace) => {
@@ -308,8 +308,8 @@
                     pace.key,
                     pace.run,
                     pace.percent,
-                    pace.worker,
-                    Reply::Ok(self.now),
+                    pace.life,
+                    Reply::Ok(self.word()),
                 );
                 self.at(self.now + CALL, Due::Tell(event));
             }
@@ -321,10 +321,17 @@
         }
     }
 
+    /// Returns what a worker tells with an answer.
+    fn word(&self) -> Word {
+        Word {
+            clock: self.now,
+            born: Some(1),
+        }
+    }
+
     fn start(&mut self, start: Start) {
-        let Start {
-            key, run, worker, ..
-        } = start;
+        let Start { key, run, life, .. } = start;
+        let worker = life.id.clone();
         let task: Name = start.task.into();
         let ends = (!start.text.contains("lasting")).then(|| {
             let mean = if start.text.contains("check") {
@@ -340,11 +347,11 @@
         if let Some(ends) = ends {
             self.at(ends, Due::End(worker.clone(), task, run));
         }
-        self.started(key, run, worker);
+        self.started(key, run, life);
     }
 
-    fn started(&mut self, key: TaskKey, run: u32, worker: Name) {
-        let event = Event::Started(key, run, worker, Reply::Ok(self.now));
+    fn started(&mut self, key: TaskKey, run: u32, life: Life) {
+        let event = Event::Started(key, run, life, Reply::Ok(self.word()));
         self.at(self.now + CALL, Due::Tell(event));
     }
 
@@ -364,7 +371,7 @@
             how: How::Done,
             saved: "".into(),
         });
-        if let Some((_, sent)) = w.waiting {
+        if let Some(sent) = w.waiting.as_ref().map(|h| h.sent) {
             self.at(self.now + CALL / 2, Due::Answer(worker, sent));
         }
     }
@@ -373,7 +380,7 @@
         let Some(w) = self.workers.get_mut(&name) else {
             return;
         };
-        let Some((_, _)) = w.waiting.take_if(|(_, at)| *at == sent) else {
+        let Some(hold) = w.waiting.take_if(|h| h.sent == sent) else {
             return;
         };
         let running = w.running.iter().map(|(task, run)| Running {
@@ -392,7 +399,7 @@
             running: running.collect(),
             ended: w.ended.clone(),
         };
-        self.step(Event::Held(name, sent, Reply::Ok(report)));
+        self.step(Event::Held(hold, Reply::Ok(report)));
     }
 }
 
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -217,28 +217,27 @@
                 }
             }
             Action::Hold(hold) => {
-                let sent = clock::now();
                 tell(shared, epoch, async move |shared| {
                     let reply = shared.workers.hold(&hold).await;
-                    Event::Held(hold.worker, sent, reply)
+                    Event::Held(hold, reply)
                 });
             }
             Action::Start(start) => {
                 tell(shared, epoch, async move |shared| {
                     let reply = shared.workers.start(&start).await;
-                    Event::Started(start.key, start.run, start.worker, reply)
+                    Event::Started(start.key, start.run, start.life, reply)
                 });
             }
             Action::Stop(stop) => {
                 tell(shared, epoch, async move |shared| {
                     let reply = shared.workers.stop(&stop).await;
-                    Event::Stopped(stop.key, stop.run, stop.worker, reply)
+                    Event::Stopped(stop.key, stop.run, stop.life, reply)
                 });
             }
             Action::Pace(pace) => {
                 tell(shared, epoch, async move |shared| {
                     let reply = shared.workers.pace(&pace).await;
-                    Event::Paced(pace.key, pace.run, pace.percent, pace.worker, reply)
+                    Event::Paced(pace.key, pace.run, pace.percent, pace.life, reply)
                 });
             }
             Action::Advise(question) => {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -105,6 +105,10 @@
     pub lapsed: Counter,
     /// Workers that crashed, as far as the owner can tell.
     pub crashes: Counter,
+    /// Lives of workers that took the place of a known one.
+    pub lives: Counter,
+    /// News of earlier lives that were passed over.
+    pub earlier_lives: Counter,
     /// Tasks given up after crashes of their workers.
     pub given_up: Counter,
     /// Runs that went with the life of their worker, without an end.
@@ -176,6 +180,8 @@
             lapsed: Counter::default(),
             orphaned: Counter::default(),
             crashes: Counter::default(),
+            lives: Counter::default(),
+            earlier_lives: Counter::default(),
             given_up: Counter::default(),
             cordoned: Gauge::default(),
             withdrawn: Counter::default(),
--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -56,6 +56,16 @@
         "Runs that went with their worker",
         m.orphaned.clone(),
     );
+    registry.register(
+        "worker_lives",
+        "Lives of workers that took the place of a known one",
+        m.lives.clone(),
+    );
+    registry.register(
+        "earlier_lives",
+        "News of earlier lives of workers that were passed over",
+        m.earlier_lives.clone(),
+    );
     registry.register("worker_crashes", "Workers that crashed", m.crashes.clone());
     registry.register(
         "tasks_given_up",
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -6,7 +6,9 @@
 use http::{Method, StatusCode};
 
 use super::wire::{self, OrderReply, RunStart, RunStop};
-use crate::sched::message::{Ended, Hold, How, Pace, Refusal, Reply, Report, Running, Start, Stop};
+use crate::sched::message::{
+    Ended, Hold, How, Pace, Refusal, Reply, Report, Running, Start, Stop, Word,
+};
 use crate::table::encode;
 use crate::utils::clock::Millis;
 use crate::web::client::Pool;
@@ -33,8 +35,8 @@
         }
     }
 
-    /// Starts a run; the answer holds the worker's clock.
-    pub async fn start(&self, start: &Start) -> Reply<Millis> {
+    /// Starts a run; the answer holds the worker's clock and start.
+    pub async fn start(&self, start: &Start) -> Reply<Word> {
         let body = encode(&RunStart {
             task: &start.task,
             run: start.run,
@@ -44,31 +46,31 @@
             last_checkpoint: &start.saved,
             ticket: &start.permit,
         });
-        let reply = self.order(start.address, "/run-start", body, &start.worker, 0);
-        reply.await.map(|r| r.clock_ms)
+        let reply = self.order(start.address, "/run-start", body, &start.life.id, 0);
+        reply.await.map(word)
     }
 
-    /// Stops a run; the answer holds the worker's clock.
-    pub async fn stop(&self, stop: &Stop) -> Reply<Millis> {
+    /// Stops a run; the answer holds the worker's clock and start.
+    pub async fn stop(&self, stop: &Stop) -> Reply<Word> {
         let body = encode(&RunStop {
             task: &stop.task,
             run: stop.run,
             fence: stop.epoch,
         });
-        let reply = self.order(stop.address, "/run-stop", body, &stop.worker, 0);
-        reply.await.map(|r| r.clock_ms)
+        let reply = self.order(stop.address, "/run-stop", body, &stop.life.id, 0);
+        reply.await.map(word)
     }
 
-    /// Changes the pace of a run; the answer holds the worker's clock.
-    pub async fn pace(&self, pace: &Pace) -> Reply<Millis> {
+    /// Changes the pace of a run; the answer holds the worker's clock and start.
+    pub async fn pace(&self, pace: &Pace) -> Reply<Word> {
         let body = encode(&wire::Pace {
             task: &pace.task,
             run: pace.run,
             percent: pace.percent,
             fence: pace.epoch,
         });
-        let reply = self.order(pace.address, "/pace", body, &pace.worker, 0);
-        reply.await.map(|r| r.clock_ms)
+        let reply = self.order(pace.address, "/pace", body, &pace.life.id, 0);
+        reply.await.map(word)
     }
 
     /// Extends the lease of a worker and returns its report.
@@ -79,7 +81,7 @@
             last_seen: hold.seen,
             wait_ms: hold.wait,
         });
-        let reply = self.order(hold.address, "/hold", body, &hold.worker, hold.wait);
+        let reply = self.order(hold.address, "/hold", body, &hold.life.id, hold.wait);
         reply.await.map(report)
     }
 
@@ -150,6 +152,13 @@
     }
 }
 
+fn word(body: OrderReply) -> Word {
+    Word {
+        clock: body.clock_ms,
+        born: body.born,
+    }
+}
+
 fn report(body: OrderReply) -> Report {
     let running = body
         .running
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -27,6 +27,7 @@
 pub mod job;
 pub mod journal;
 pub mod legacy;
+pub mod lives;
 mod loads;
 pub mod message;
 mod order;
--- a/src/sched/cordon.rs
+++ b/src/sched/cordon.rs
@@ -3,7 +3,6 @@
 //! What runs there goes on. Stopped, it would lose what it has not saved and would ask for
 //! room in the halls that are left, which have less of it just then.
 
-use super::job::TaskKey;
 use super::owner::Owner;
 use crate::cordons::Halls;
 use crate::utils::Name;
@@ -34,14 +33,10 @@
 
     /// Has tasks look for room elsewhere for which it was made on cordoned workers.
     fn break_promises(&mut self) {
-        let broken = |name: &Name| self.workers.get(name).is_some_and(|w| w.cordoned);
-        let broken = self.promises.iter().filter(|(_, name)| broken(name));
-        let broken: Vec<(TaskKey, Name)> = broken.map(|(k, n)| (*k, n.clone())).collect();
-        for (key, name) in broken {
-            self.promises.remove(&key);
-            if let Some(worker) = self.workers.get_mut(&name) {
-                worker.promise = None;
-            }
+        let broken = |name: &&Name| self.workers.get(*name).is_some_and(|w| w.cordoned);
+        let broken: Vec<Name> = self.promises.values().filter(broken).cloned().collect();
+        for name in broken {
+            self.break_promise(&name);
         }
     }
 }
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::job::TaskKey;
+use super::lives::{Standing, standing};
 use super::message::Entry;
 use super::owner::Owner;
 use super::placement::{Placement, Stage};
@@ -60,6 +61,11 @@
         let cordoned = self.is_cordoned(&listing.hall);
         self.crowded = false;
         if let Some(worker) = self.workers.get_mut(&id) {
+            let (known, news) = (worker.born, standing(worker.born, listing.born));
+            // What an earlier life wrote may come late.
+            if news == Standing::Earlier && worker.listing.born != listing.born {
+                return self.pass_over(&id, listing.born, known, "entry");
+            }
             worker.presence = Presence::Listed;
             if !listing.leaving && worker.leaves.take().is_some() {
                 log::info!(target: "worker", "worker={id} event=stays reason=listed-again");
@@ -76,17 +82,13 @@
             }
             worker.listing = listing;
             worker.cordoned = cordoned;
+            if news == Standing::Later {
+                self.doubt_life(&id, "entry");
+            }
             return;
         }
-        // Another life at the same address means that the one before has ended.
-        let before: Vec<Name> = self
-            .workers
-            .values()
-            .filter(|w| w.listing.address == listing.address)
-            .map(|w| w.listing.id.clone())
-            .collect();
-        for old in before {
-            self.life_ended(&old, Ending::Replaced);
+        if !self.succeeds(&id, &listing) {
+            return;
         }
         log::info!(target: "worker", "worker={id} event=new born={:?} leaving={}", listing.born, listing.leaving);
         let mut worker = Worker::new(listing, now);
@@ -99,6 +101,24 @@
         self.schedule(&id, now);
     }
 
+    /// Takes in that a worker is listed at the address of others; false when it is one that
+    /// they have replaced. Where no start tells which is the later one, the worker at the
+    /// address does, as it refuses orders to others: an entry may have been written late.
+    fn succeeds(&mut self, id: &Name, listing: &Listing) -> bool {
+        for other in self.at_address(listing.address, id) {
+            let known = self.workers[&other].born;
+            match standing(known, listing.born) {
+                Standing::Later => self.life_ended(&other, Ending::Replaced),
+                Standing::Present => self.doubt_life(&other, "entry-of-another"),
+                Standing::Earlier => {
+                    self.pass_over(id, listing.born, known, "entry");
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
     /// Takes in that the entry of a worker names none to use any more. It gets nothing
     /// new; what it runs goes on, since the worker itself has said nothing.
     fn disuse(&mut self, id: &Name) {
--- a/src/sched/ends.rs
+++ b/src/sched/ends.rs
@@ -2,9 +2,10 @@
 
 use super::job::{Outcome, Phase, TaskKey};
 use super::journal::After;
+use super::lives::Life;
 use super::message::{Ended, How};
 use super::owner::Owner;
-use super::worker::Contact;
+use super::worker::{Contact, Worker};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -58,8 +59,10 @@
         if let Some(worker) = self.workers.get_mut(name) {
             worker.pending.insert(end.number);
         }
-        self.journal
-            .after(key.job, After::Seen(name.clone(), end.number));
+        let Some(life) = self.workers.get(name).map(Worker::life) else {
+            return;
+        };
+        self.journal.after(key.job, After::Seen(life, end.number));
     }
 
     /// Takes in that a run has done its work; `current` when it is the run that its
@@ -144,9 +147,12 @@
     }
 
     /// Takes in that the store holds an end, so that the worker may forget it.
-    pub(super) fn end_stored(&mut self, name: &Name, end: u64) {
+    pub(super) fn end_stored(&mut self, life: &Life, end: u64) {
         let now = self.now.steady;
-        let Some(worker) = self.workers.get_mut(name) else {
+        let name = &life.id;
+        // A later life counts its ends anew.
+        let worker = self.workers.get_mut(name).filter(|w| w.born == life.born);
+        let Some(worker) = worker else {
             return;
         };
         worker.pending.remove(&end);
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::job::TaskKey;
+use super::lives::Life;
 use super::message::{Answer, Ticket, Write, Written};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -95,7 +96,7 @@
     /// The start of a run.
     Start(TaskKey, u32),
     /// The acknowledgement of an end to a worker.
-    Seen(Name, u64),
+    Seen(Life, u64),
 }
 
 /// Returns how many more writes a commit with these has room for.
--- /dev/null
+++ b/src/sched/lives.rs
@@ -0,0 +1,206 @@
+//! Lives of workers: one from each start to its end.
+//!
+//! A worker may start again, under its id or as another at its address. It then holds and
+//! knows nothing of before, and its counts and its clock begin anew. So all that is known of
+//! a worker is known of one life: its runs, the ends that were taken in and acknowledged,
+//! its leases, its clock, its permits and how it fared. News of an earlier life changes
+//! nothing for a later one, whichever way and in whichever order it comes.
+//!
+//! Only a report moves on to a later life, as it lists all that the worker runs. Other news
+//! of one, by the directory or the answer to an order, has a report asked for at once, and
+//! nothing new is started until then.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use super::crashes::Crash;
+use super::job::TaskKey;
+use super::message::Report;
+use super::owner::Owner;
+use super::paces::FULL_PACE;
+use super::placement::{Placement, Stage};
+use super::silence::Ending;
+use super::worker::{Worker, lease_span};
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Milliseconds after the last word of the known life from which one that says that it
+/// started earlier is believed: a clock may have been set back between two starts.
+const CONTRADICTED: Millis = 5_000;
+
+/// When a worker started, in milliseconds since the Unix epoch by its own clock; none
+/// where it does not tell.
+pub type Born = Option<Millis>;
+
+/// A worker from one start on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Life {
+    /// Id of the worker.
+    pub id: Name,
+    /// When it started.
+    pub born: Born,
+}
+
+impl fmt::Display for Life {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.born {
+            Some(born) => write!(f, "{} born={born}", self.id),
+            None => write!(f, "{}", self.id),
+        }
+    }
+}
+
+/// What news of a worker is about, next to the life that is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Standing {
+    /// The same life, as far as that is told.
+    Present,
+    /// A later one.
+    Later,
+    /// An earlier one.
+    Earlier,
+}
+
+/// Returns which life is told of, where `known` is the one that is known.
+pub(super) fn standing(known: Born, told: Born) -> Standing {
+    match (known, told) {
+        (Some(known), Some(told)) if told > known => Standing::Later,
+        (Some(known), Some(told)) if told < known => Standing::Earlier,
+        _ => Standing::Present,
+    }
+}
+
+/// What becomes of a run that was known on a worker when a later life of it reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    /// The later life has it: its start reached that one.
+    Kept,
+    /// Its start may still reach the later life.
+    Doubtful,
+    /// It ended with the earlier life, or never began.
+    Lost,
+}
+
+impl Fate {
+    /// Returns the fate of a run; `reported` when the later life lists it.
+    fn of(run: &Placement, reported: bool) -> Self {
+        match run.stage {
+            _ if reported => Self::Kept,
+            // The report that follows tells.
+            Stage::Inherited => Self::Kept,
+            Stage::Recording => Self::Lost,
+            _ if run.told.is_some() => Self::Lost,
+            _ => Self::Doubtful,
+        }
+    }
+}
+
+/// Returns a run as it stands on a later life: which of the two has answered a stop or a
+/// change of pace is not known.
+fn carry(run: Placement, fate: Fate) -> Placement {
+    let stage = match run.stage {
+        Stage::Starting | Stage::Running(_) | Stage::Inherited if fate == Fate::Kept => run.stage,
+        _ => Stage::Doubt,
+    };
+    Placement {
+        stage,
+        pace: FULL_PACE,
+        pacing: false,
+        ..run
+    }
+}
+
+impl Owner {
+    /// Goes on with the later life of a worker, whose first report this is.
+    pub(super) fn started_again(&mut self, name: &Name, report: &Report) {
+        let running = report.running.iter().map(|r| (&r.task, r.run));
+        let ended = report.ended.iter().map(|e| (&e.task, e.run));
+        let reported = running.chain(ended);
+        let reported: BTreeSet<(TaskKey, u32)> = reported
+            .filter_map(|(task, run)| Some((self.find(task)?, run)))
+            .collect();
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let fate = |(key, run): (&TaskKey, &Placement)| {
+            let fate = Fate::of(run, reported.contains(&(*key, run.run)));
+            (*key, fate)
+        };
+        let fates: Vec<(TaskKey, Fate)> = worker.placements.iter().map(fate).collect();
+        let mut carried = Vec::new();
+        for (key, fate) in fates.into_iter().filter(|(_, f)| *f != Fate::Lost) {
+            let run = worker.placements.get(&key).cloned();
+            carried.extend(run.map(|run| (key, carry(run, fate))));
+            worker.take(key, self.now.steady);
+        }
+        let doubtful = carried.iter().filter(|(_, r)| r.stage == Stage::Doubt);
+        let doubtful: Vec<TaskKey> = doubtful.map(|(key, _)| *key).collect();
+        let (born, tasks) = (worker.born, carried.len());
+        log::info!(target: "worker", "worker={name} event=started-again born={:?} before={born:?} carried={tasks} doubtful={}", report.born, doubtful.len());
+        crate::metrics::get().lives.inc();
+        self.forget_permits(name);
+        self.break_promise(name);
+        self.tell_over(name, Ending::Replaced);
+        self.crashed(name, Crash::Replaced);
+        self.clear(name);
+        self.begin_life(name, report.born, carried);
+        // Once a stop of it was answered, the later life refuses a start that comes late.
+        for key in doubtful {
+            self.stop(key);
+        }
+    }
+
+    /// Puts a later life in the place of one of which nothing is left.
+    fn begin_life(&mut self, name: &Name, born: Born, carried: Vec<(TaskKey, Placement)>) {
+        let (now, span) = (self.now.steady, self.bounds.lease);
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        // An order to the earlier life that is on its way may extend the lease of this one
+        // as far as leases go.
+        worker.begin_life(born, now + lease_span(span));
+        for (key, run) in carried {
+            worker.put(key, run);
+        }
+    }
+
+    /// Passes over news of an earlier life of a worker.
+    pub(super) fn pass_over(&self, name: &Name, born: Born, known: Born, by: &str) {
+        log::info!(target: "worker", "worker={name} event=passed-over by={by} reason=earlier-life born={born:?} known={known:?}");
+        crate::metrics::get().earlier_lives.inc();
+    }
+
+    /// Has a worker report at once: it may not be the life that is known.
+    pub(super) fn doubt_life(&mut self, name: &Name, by: &str) {
+        let Some(worker) = self.workers.get_mut(name).filter(|w| !w.doubted) else {
+            return;
+        };
+        worker.doubted = true;
+        log::info!(target: "worker", "worker={name} event=life-doubted by={by} born={:?} listed_born={:?}", worker.born, worker.listing.born);
+        self.schedule(name, self.now.steady);
+    }
+
+    /// Returns true when the known life of a worker has been silent for so long that
+    /// another word on when the worker started is believed.
+    pub(super) fn contradicted(&self, worker: &Worker) -> bool {
+        let leased = worker.lease_end().max(self.inherited);
+        self.now.steady > leased.max(worker.answered + CONTRADICTED)
+    }
+
+    /// Ends the lives that were known at the address at which a worker now answers.
+    pub(super) fn end_others(&mut self, name: &Name) {
+        let Some(address) = self.workers.get(name).map(|w| w.listing.address) else {
+            return;
+        };
+        for other in self.at_address(address, name) {
+            self.life_ended(&other, Ending::Replaced);
+        }
+    }
+
+    /// Returns the workers known at an address, but for one.
+    pub(super) fn at_address(&self, address: std::net::SocketAddr, but: &Name) -> Vec<Name> {
+        let there = |w: &&Worker| w.listing.address == address && w.listing.id != *but;
+        let there = self.workers.values().filter(there);
+        there.map(|w| w.listing.id.clone()).collect()
+    }
+}
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -6,9 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::job::{Queue, Shown, StepKey, TaskKey};
+use super::lives::{Born, Life};
 use super::past::PastPage;
 use super::spec::JobSpec;
-use super::worker::{Born, Listing};
+use super::worker::Listing;
 use crate::cordons::Halls;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -128,6 +129,15 @@
     pub ended: Vec<Ended>,
 }
 
+/// What a worker tells with its answer to an order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Word {
+    /// Time on the worker's clock.
+    pub clock: Millis,
+    /// When the worker started.
+    pub born: Born,
+}
+
 /// Why a worker did not do what it was told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -240,14 +250,14 @@
     Listed(Vec<(Name, Entry)>),
     /// These halls are cordoned, and no others.
     Cordoned(Halls),
-    /// An exchange that was sent at this time ended.
-    Held(Name, Millis, Reply<Report>),
+    /// An exchange ended.
+    Held(Hold, Reply<Report>),
     /// A start ended.
-    Started(TaskKey, u32, Name, Reply<Millis>),
+    Started(TaskKey, u32, Life, Reply<Word>),
     /// A stop ended.
-    Stopped(TaskKey, u32, Name, Reply<Millis>),
+    Stopped(TaskKey, u32, Life, Reply<Word>),
     /// A change of pace ended.
-    Paced(TaskKey, u32, u32, Name, Reply<Millis>),
+    Paced(TaskKey, u32, u32, Life, Reply<Word>),
     /// A question about these workers to the advisor ended.
     Advised(StepKey, Vec<Name>, Reply<Advice>),
     /// A commit ended.
@@ -280,15 +290,17 @@
 /// An exchange with a worker: extends its lease and asks for its report.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Hold {
-    /// Id of the worker.
-    pub worker: Name,
+    /// The worker, as it is known to have started.
+    pub life: Life,
+    /// When it was sent, on the clock of this box.
+    pub sent: Millis,
     /// Where it is.
     pub address: SocketAddr,
     /// End of the lease on its clock; none leaves it as it is.
     pub lease: Option<Millis>,
     /// Epoch of the owner.
     pub epoch: u64,
-    /// Highest end that may be forgotten.
+    /// Highest end that may be forgotten; 0 for none.
     pub seen: u64,
     /// Milliseconds that it may wait for an end.
     pub wait: Millis,
@@ -301,8 +313,8 @@
     pub key: TaskKey,
     /// Number of the run.
     pub run: u32,
-    /// Id of the worker.
-    pub worker: Name,
+    /// The worker, as it is known to have started.
+    pub life: Life,
     /// Where it is.
     pub address: SocketAddr,
     /// Name of the task.
@@ -326,8 +338,8 @@
     pub key: TaskKey,
     /// Number of the run.
     pub run: u32,
-    /// Id of the worker.
-    pub worker: Name,
+    /// The worker, as it is known to have started.
+    pub life: Life,
     /// Where it is.
     pub address: SocketAddr,
     /// Name of the task.
@@ -343,8 +355,8 @@
     pub key: TaskKey,
     /// Number of the run.
     pub run: u32,
-    /// Id of the worker.
-    pub worker: Name,
+    /// The worker, as it is known to have started.
+    pub life: Life,
     /// Where it is.
     pub address: SocketAddr,
     /// Name of the task.
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -287,11 +287,11 @@
             Event::Directory(listings) => self.directory(listings),
             Event::Listed(changes) => self.listed(changes),
             Event::Cordoned(halls) => self.cordon(halls),
-            Event::Held(worker, sent, reply) => self.held(&worker, sent, reply),
-            Event::Started(key, run, worker, reply) => self.started(key, run, &worker, reply),
-            Event::Stopped(key, run, worker, reply) => self.stopped(key, run, &worker, reply),
-            Event::Paced(key, run, percent, worker, reply) => {
-                self.paced(key, run, percent, &worker, reply);
+            Event::Held(hold, reply) => self.held(&hold, reply),
+            Event::Started(key, run, life, reply) => self.started(key, run, &life, reply),
+            Event::Stopped(key, run, life, reply) => self.stopped(key, run, &life, reply),
+            Event::Paced(key, run, percent, life, reply) => {
+                self.paced(key, run, percent, &life, reply);
             }
             Event::Advised(step, asked, reply) => self.advice(step, asked, reply),
             Event::Written(number, written) => self.written(number, written),
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -5,7 +5,8 @@
 //! was learned.
 
 use super::job::TaskKey;
-use super::message::{Action, Pace, Reply};
+use super::lives::Life;
+use super::message::{Action, Pace, Reply, Word};
 use super::owner::Owner;
 use super::pressure::{ImageNumber, Pressure};
 use super::reports::Listed;
@@ -123,7 +124,7 @@
             let Some(worker) = self.workers.get_mut(name) else {
                 return;
             };
-            let address = worker.listing.address;
+            let (address, life) = (worker.listing.address, worker.life());
             let Some(placement) = worker.placements.get_mut(&filler.key) else {
                 continue;
             };
@@ -141,7 +142,7 @@
             self.actions.push(Action::Pace(Pace {
                 key: filler.key,
                 run: placement.run,
-                worker: name.clone(),
+                life,
                 address,
                 task: job.task_name(filler.key),
                 epoch,
@@ -156,9 +157,13 @@
         key: TaskKey,
         run: u32,
         percent: u32,
-        name: &Name,
-        reply: Reply<Millis>,
+        life: &Life,
+        reply: Reply<Word>,
     ) {
+        let name = &life.id;
+        if !self.answers(life, &reply) {
+            return;
+        }
         let Some(placement) = self.run_mut(name, key, run) else {
             return;
         };
--- a/src/sched/permits.rs
+++ b/src/sched/permits.rs
@@ -162,6 +162,13 @@
         (now < permit.end).then(|| permit.token.clone())
     }
 
+    /// Forgets what holds for one life of a worker.
+    pub(super) fn forget_permits(&mut self, worker: &str) {
+        for known in self.permits.values_mut() {
+            known.good.remove(worker);
+        }
+    }
+
     /// Takes in that a worker did not accept a permit.
     pub(super) fn permit_refused(&mut self, key: TaskKey, worker: &str) {
         let known = self.permits.get_mut(&key.of_step());
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -1,5 +1,6 @@
 //! A task that was given to a worker, and how far it is there.
 
+use super::lives::Born;
 use super::pressure::ImageNumber;
 use super::spec::Room;
 use crate::utils::Name;
@@ -32,6 +33,8 @@
     pub run: u32,
     /// How far it is.
     pub stage: Stage,
+    /// Start of the worker that it was given to, by the store.
+    pub born: Born,
     /// Room that it holds.
     pub room: Room,
     /// Processor share that it would like beyond what it holds.
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -93,6 +93,14 @@
         }
     }
 
+    /// Has a task look for room elsewhere for which it was made on a worker.
+    pub(super) fn break_promise(&mut self, name: &Name) {
+        let worker = self.workers.get_mut(name);
+        if let Some(promise) = worker.and_then(|w| w.promise.take()) {
+            self.promises.remove(&promise.key);
+        }
+    }
+
     /// Keeps room on a worker for a task.
     pub(super) fn promise(&mut self, key: TaskKey, room: Room, name: &Name) {
         let Some(worker) = self.workers.get_mut(name) else {
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::job::{Outcome, TaskKey, parse_task};
+use super::lives::{Standing, standing};
 use super::message::{Action, Hold, Refusal, Reply, Report, Running};
 use super::owner::Owner;
 use super::paces::FULL_PACE;
@@ -54,12 +55,12 @@
             };
             // An order without an answer may be carried out: a silent worker's
             // lease is left to end, so that its tasks can run elsewhere.
-            let extends = confirmed && worker.misses == 0 && !worker.placements.is_empty();
+            let extends = confirmed && worker.certain() && !worker.placements.is_empty();
             let lease = match extends {
                 true => worker.grant(span, now),
                 false => None,
             };
-            let known = worker.answered > 0 && worker.misses == 0;
+            let known = worker.answered > 0 && worker.certain();
             let longest = match worker.isolated {
                 Some(_) => ISOLATED_WAIT,
                 None => WAIT,
@@ -67,7 +68,8 @@
             let mixed = worker.beside.mixed();
             worker.contact = Contact::Open(now);
             self.actions.push(Action::Hold(Hold {
-                worker: worker.listing.id.clone(),
+                life: worker.life(),
+                sent: now,
                 address: worker.listing.address,
                 lease,
                 epoch,
@@ -82,21 +84,18 @@
     }
 
     /// Takes in how an exchange went.
-    pub(super) fn held(&mut self, name: &Name, sent: Millis, reply: Reply<Report>) {
+    pub(super) fn held(&mut self, hold: &Hold, reply: Reply<Report>) {
         let now = self.now.steady;
+        let name = &hold.life.id;
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
+        if worker.contact != Contact::Open(hold.sent) {
+            log::debug!(target: "worker", "worker={name} event=overtaken sent={}", hold.sent);
+            return;
+        }
         match reply {
-            Reply::Ok(report) => {
-                if worker.misses > 0 || worker.answered == 0 {
-                    log::info!(target: "worker", "worker={name} event=answers born={:?} listed_born={:?} misses={}", report.born, worker.listing.born, worker.misses);
-                    self.crowded = false;
-                }
-                worker.misses = 0;
-                worker.hear(report.clock, now);
-                self.report(name, sent, report);
-            }
+            Reply::Ok(report) => self.heard(hold, report),
             Reply::Refused(Refusal::Reborn) => self.life_ended(name, Ending::Replaced),
             Reply::Refused(Refusal::Fenced) => {
                 // Only an owner with a higher epoch can have been there; the
@@ -106,7 +105,7 @@
             }
             Reply::Refused(_) | Reply::NotSent | Reply::Lost => {
                 if worker.misses == 0 {
-                    log::info!(target: "worker", "worker={name} event=silent reply={reply:?}");
+                    log::info!(target: "worker", "worker={} event=silent reply={reply:?}", worker.life());
                 }
                 worker.misses += 1;
                 self.schedule(name, now + MISS_PAUSE);
@@ -114,6 +113,44 @@
         }
     }
 
+    /// Takes in the answer to an exchange, of whichever life of its worker.
+    fn heard(&mut self, hold: &Hold, report: Report) {
+        let now = self.now.steady;
+        let name = &hold.life.id;
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let (known, before) = (worker.born, standing(worker.born, report.born));
+        if before == Standing::Earlier && !self.contradicted(worker) {
+            self.pass_over(name, report.born, known, "report");
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.misses += 1;
+            }
+            return self.schedule(name, now + MISS_PAUSE);
+        }
+        if worker.answered == 0 {
+            self.end_others(name);
+        }
+        if before != Standing::Present {
+            self.started_again(name, &report);
+        }
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if worker.misses > 0 || worker.answered == 0 || worker.doubted {
+            log::info!(target: "worker", "worker={name} event=answers born={:?} listed_born={:?} misses={}", report.born, worker.listing.born, worker.misses);
+            self.crowded = false;
+        }
+        worker.misses = 0;
+        worker.doubted = false;
+        worker.born = worker.born.or(report.born);
+        if before == Standing::Present {
+            worker.acknowledged = worker.acknowledged.max(hold.seen);
+        }
+        worker.hear(report.clock, now);
+        self.report(name, hold.sent, report);
+    }
+
     /// Takes in what a worker reports: ends first, then runs and gauges.
     fn report(&mut self, name: &Name, sent: Millis, report: Report) {
         let whole = report.ended.len() < REPORT_LIMIT;
@@ -229,13 +266,17 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
+        let born = worker.born;
         let mut free = Vec::new();
+        let mut unseen = Vec::new();
         let mut doubt = Vec::new();
         for (key, placement) in &mut worker.placements {
             if listed.contains(key) {
                 continue;
             }
+            let earlier = standing(born, placement.born) == Standing::Earlier;
             match placement.stage {
+                Stage::Inherited if earlier => unseen.push(*key),
                 Stage::Inherited => free.push(*key),
                 Stage::Stopped(at) if at <= sent => free.push(*key),
                 Stage::Running(at) if at <= sent => {
@@ -250,7 +291,10 @@
             log::info!(target: "task", "task={task} run={run} event=missing worker={name} age_ms={age}");
             self.stop(key);
         }
-        for key in free {
+        for key in &unseen {
+            self.gone_unseen(*key, name);
+        }
+        for key in free.into_iter().chain(unseen) {
             self.free(key);
         }
     }
--- a/src/sched/silence.rs
+++ b/src/sched/silence.rs
@@ -35,12 +35,14 @@
             self.crashed(name, Crash::Replaced);
         }
         self.clear(name);
+        self.forget_permits(name);
+        self.break_promise(name);
         self.workers.remove(name);
     }
 
     /// Tells that a life of a worker is over, and of each run that went with it for how
     /// long the worker had told of it: a younger one may have ended it.
-    fn tell_over(&self, name: &Name, ending: Ending) {
+    pub(super) fn tell_over(&self, name: &Name, ending: Ending) {
         let Some(worker) = self.workers.get(name) else {
             return;
         };
@@ -57,7 +59,7 @@
     }
 
     /// Takes all tasks off a worker.
-    fn clear(&mut self, name: &Name) {
+    pub(super) fn clear(&mut self, name: &Name) {
         let Some(worker) = self.workers.get(name) else {
             return;
         };
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 
 use super::job::TaskKey;
-use super::message::{Action, Refusal, Reply, Start, Stop};
+use super::lives::{Life, Standing, standing};
+use super::message::{Action, Refusal, Reply, Start, Stop, Word};
 use super::owner::Owner;
 use super::placement::Stage;
 use super::silence::Ending;
 use super::spec::Room;
+use super::worker::Worker;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -73,7 +75,8 @@
 
     /// Orders a worker to start a run.
     fn send_start(&mut self, key: TaskKey, run: u32, worker: Name, lease: Millis, permit: Name) {
-        let Some(address) = self.workers.get(&worker).map(|w| w.listing.address) else {
+        let known = self.workers.get(&worker);
+        let Some((address, life)) = known.map(|w| (w.listing.address, w.life())) else {
             return;
         };
         let Some(job) = self.jobs.get(&key.job) else {
@@ -85,11 +88,11 @@
             let seconds = age as f64 / 1_000.0;
             crate::metrics::get().start_seconds.observe(seconds);
         }
-        log::info!(target: "task", "task={task} run={run} event=start worker={worker} job_age_ms={age}");
+        log::info!(target: "task", "task={task} run={run} event=start worker={life} job_age_ms={age}");
         self.actions.push(Action::Start(Start {
             key,
             run,
-            worker,
+            life,
             address,
             task,
             text: job.spec.text.clone(),
@@ -101,8 +104,12 @@
     }
 
     /// Takes in how a start went.
-    pub(super) fn started(&mut self, key: TaskKey, run: u32, name: &Name, reply: Reply<Millis>) {
+    pub(super) fn started(&mut self, key: TaskKey, run: u32, life: &Life, reply: Reply<Word>) {
         let now = self.now.steady;
+        let name = &life.id;
+        if !self.answers(life, &reply) {
+            return;
+        }
         let Some(placement) = self.run_mut(name, key, run) else {
             return;
         };
@@ -122,6 +129,26 @@
         }
     }
 
+    /// Returns true when the answer to an order is that of the life that is known and that
+    /// the order was sent to. Word of a later one has it report at once.
+    pub(super) fn answers(&mut self, life: &Life, reply: &Reply<Word>) -> bool {
+        let Some(worker) = self.workers.get(&life.id) else {
+            return false;
+        };
+        if worker.born != life.born {
+            return false;
+        }
+        let Reply::Ok(word) = reply else {
+            return true;
+        };
+        let later = standing(worker.born, word.born) == Standing::Later;
+        let another = later || worker.set_back(word.clock);
+        if another {
+            self.doubt_life(&life.id, "answer");
+        }
+        !another
+    }
+
     /// Takes in that a worker has begun a task.
     pub(super) fn begun(&mut self, key: TaskKey) {
         if let Some(job) = self.jobs.get_mut(&key.job) {
@@ -165,8 +192,12 @@
     }
 
     /// Takes in how a stop went.
-    pub(super) fn stopped(&mut self, key: TaskKey, run: u32, name: &Name, reply: Reply<Millis>) {
+    pub(super) fn stopped(&mut self, key: TaskKey, run: u32, life: &Life, reply: Reply<Word>) {
         let now = self.now.steady;
+        let name = &life.id;
+        if !self.answers(life, &reply) {
+            return;
+        }
         let Some(placement) = self.run_mut(name, key, run) else {
             return;
         };
@@ -258,11 +289,14 @@
         worker: Name,
         address: SocketAddr,
     ) {
-        log::info!(target: "task", "task={task} run={run} event=stop worker={worker}");
+        let Some(life) = self.workers.get(&worker).map(Worker::life) else {
+            return;
+        };
+        log::info!(target: "task", "task={task} run={run} event=stop worker={life}");
         self.actions.push(Action::Stop(Stop {
             key,
             run,
-            worker,
+            life,
             address,
             task,
             epoch: self.journal.epoch(),
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -379,7 +379,7 @@
                     self.answers.insert(ticket, answer);
                     continue;
                 }
-                Action::Hold(hold) => Call::Hold(hold, self.now),
+                Action::Hold(hold) => Call::Hold(hold),
                 Action::Start(start) => Call::Start(start),
                 Action::Stop(stop) => Call::Stop(stop),
                 Action::Advise(question) => {
--- a/src/sched/tests/world/calls.rs
+++ b/src/sched/tests/world/calls.rs
@@ -1,10 +1,12 @@
 //! The calls between the owner, its fake workers and the fake store, which may
 //! get lost or come late.
 
-use super::World;
+use std::net::SocketAddr;
+
+use super::{FakeWorker, World};
 use crate::sched::journal::{OWNER_KEY, OWNER_TABLE, PAST_TABLE};
 use crate::sched::message::{
-    Advice, Advise, Event, Hold, Pace, Reply, Start, Stop, Write, Written,
+    Advice, Advise, Event, Hold, Pace, Refusal, Reply, Start, Stop, Write, Written,
 };
 use crate::sched::past::PastPage;
 use crate::utils::Name;
@@ -40,7 +42,7 @@
 
 /// A call on its way.
 pub enum Call {
-    Hold(Hold, Millis),
+    Hold(Hold),
     Start(Start),
     Stop(Stop),
     Commit(u64, u64, Vec<Write>),
@@ -58,7 +60,7 @@
 
 impl World {
     pub(super) fn send(&mut self, call: Call) {
-        let order = matches!(call, Call::Start(_) | Call::Stop(_) | Call::Hold(..));
+        let order = matches!(call, Call::Start(_) | Call::Stop(_) | Call::Hold(_));
         let lost = match call {
             Call::Commit(..) => self.random.chance(self.faults.commit),
             _ => self.random.chance(self.faults.lost),
@@ -88,17 +90,17 @@
                 }
                 Event::Written(number, self.commit(version, writes))
             }
-            Call::Hold(hold, sent) => {
-                let reply = self.reach(&hold.worker, |world| world.hold(&hold));
-                Event::Held(hold.worker, sent, reply)
+            Call::Hold(hold) => {
+                let reply = self.reach(&hold.life.id, hold.address, |world| world.hold(&hold));
+                Event::Held(hold, reply)
             }
             Call::Start(start) => {
-                let reply = self.reach(&start.worker, |world| world.start(&start));
-                Event::Started(start.key, start.run, start.worker, reply)
+                let reply = self.reach(&start.life.id, start.address, |world| world.start(&start));
+                Event::Started(start.key, start.run, start.life, reply)
             }
             Call::Stop(stop) => {
-                let reply = self.reach(&stop.worker, |world| world.stop(&stop));
-                Event::Stopped(stop.key, stop.run, stop.worker, reply)
+                let reply = self.reach(&stop.life.id, stop.address, |world| world.stop(&stop));
+                Event::Stopped(stop.key, stop.run, stop.life, reply)
             }
         };
         let silent = timed_out(&event);
@@ -110,8 +112,9 @@
 
     /// Answers a change of pace, which has no effect on fake workers.
     pub(super) fn answer_pace(&mut self, pace: Pace) {
-        let done = Reply::Ok(self.now);
-        let event = Event::Paced(pace.key, pace.run, pace.percent, pace.worker, done);
+        let worker = self.workers.get(&pace.life.id);
+        let done = worker.map_or(Reply::Lost, |w| Reply::Ok(w.word(self.now)));
+        let event = Event::Paced(pace.key, pace.run, pace.percent, pace.life, done);
         self.later(HOP, Due::Event(self.epoch, event));
     }
 
@@ -162,11 +165,20 @@
         self.due = shifted.map(shift).collect();
     }
 
-    /// Carries an order out, unless its worker is cut off or gone.
-    fn reach<T>(&mut self, id: &str, order: impl FnOnce(&mut Self) -> Reply<T>) -> Reply<T> {
-        match self.workers.get(id).is_some_and(|w| !w.cut) {
-            true => order(self),
-            false => Reply::Lost,
+    /// Carries an order to a worker at an address out, unless it is cut off or gone;
+    /// another one at its address refuses it.
+    fn reach<T>(
+        &mut self,
+        id: &str,
+        address: SocketAddr,
+        order: impl FnOnce(&mut Self) -> Reply<T>,
+    ) -> Reply<T> {
+        let there = |w: &&FakeWorker| w.listing.address == address && !w.cut;
+        let there = self.workers.values().find(there);
+        match there.map(|w| &*w.listing.id == id) {
+            Some(true) => order(self),
+            Some(false) => Reply::Refused(Refusal::Reborn),
+            None => Reply::Lost,
         }
     }
 
@@ -224,7 +236,7 @@
 fn timed_out(event: &Event) -> bool {
     matches!(
         event,
-        Event::Held(_, _, Reply::Lost)
+        Event::Held(_, Reply::Lost)
             | Event::Started(_, _, _, Reply::Lost)
             | Event::Stopped(_, _, _, Reply::Lost)
             | Event::Written(_, Written::Unknown)
@@ -233,9 +245,9 @@
 
 fn unanswered(call: &Call) -> Event {
     match call {
-        Call::Hold(hold, sent) => Event::Held(hold.worker.clone(), *sent, Reply::Lost),
-        Call::Start(s) => Event::Started(s.key, s.run, s.worker.clone(), Reply::Lost),
-        Call::Stop(s) => Event::Stopped(s.key, s.run, s.worker.clone(), Reply::Lost),
+        Call::Hold(hold) => Event::Held(hold.clone(), Reply::Lost),
+        Call::Start(s) => Event::Started(s.key, s.run, s.life.clone(), Reply::Lost),
+        Call::Stop(s) => Event::Stopped(s.key, s.run, s.life.clone(), Reply::Lost),
         Call::Commit(number, _, _) => Event::Written(*number, Written::Unknown),
     }
 }
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -6,7 +6,7 @@
 use crate::sched::job::parse_task;
 use crate::sched::journal::SPEC_TABLE;
 use crate::sched::message::{
-    Ended, Entry, Event, Hold, How, Refusal, Reply, Report, Running, Start, Stop,
+    Ended, Entry, Event, Hold, How, Refusal, Reply, Report, Running, Start, Stop, Word,
 };
 use crate::sched::spec::{JobSpec, Room};
 use crate::sched::worker::Listing;
@@ -95,6 +95,14 @@
         }
     }
 
+    /// Returns what it tells with an answer.
+    pub(super) fn word(&self, now: Millis) -> Word {
+        Word {
+            clock: now - self.started,
+            born: None,
+        }
+    }
+
     /// Extends its lease to a time on its own clock, as far as leases go.
     fn extend(&mut self, end: Millis, now: Millis) {
         let end = (self.started + end).min(now + BOUNDS.lease);
@@ -140,7 +148,7 @@
 impl World {
     pub(super) fn hold(&mut self, hold: &Hold) -> Reply<Report> {
         let now = self.now;
-        let Some(worker) = self.workers.get_mut(&hold.worker) else {
+        let Some(worker) = self.workers.get_mut(&hold.life.id) else {
             return Reply::Lost;
         };
         if hold.epoch < worker.epoch {
@@ -176,10 +184,10 @@
         Reply::Ok(report)
     }
 
-    pub(super) fn start(&mut self, start: &Start) -> Reply<Millis> {
+    pub(super) fn start(&mut self, start: &Start) -> Reply<Word> {
         let (span, how) = (self.script)(&start.task, start.run);
         let now = self.now;
-        let Some(worker) = self.workers.get_mut(&start.worker) else {
+        let Some(worker) = self.workers.get_mut(&start.life.id) else {
             return Reply::Lost;
         };
         if start.epoch < worker.epoch {
@@ -203,12 +211,13 @@
         worker.extend(start.lease, now);
         let present = worker.running.get(&start.task);
         if present.is_some_and(|r| r.run == start.run) {
-            return Reply::Ok(clock);
+            return Reply::Ok(worker.word(now));
         }
         let barred = worker.barred.get(&start.task);
         if barred.is_some_and(|r| start.run <= *r) {
             return Reply::Refused(Refusal::Old);
         }
+        let word = worker.word(now);
         let run = Run {
             run: start.run,
             began: now,
@@ -216,12 +225,12 @@
             how,
         };
         worker.running.insert(start.task.clone(), run);
-        let id = start.worker.clone();
+        let id = start.life.id.clone();
         self.starts.push((start.task.clone(), start.run, id, now));
         self.resumed.insert(start.task.clone(), start.saved.clone());
         self.note_double(start);
         self.note_excess(start);
-        Reply::Ok(clock)
+        Reply::Ok(word)
     }
 
     /// Has a worker run a task that the owner did not start.
@@ -263,12 +272,12 @@
 
     /// Notes when a start brings its worker over its room, though the owner knew of it.
     fn note_excess(&mut self, start: &Start) {
-        let worker = &self.workers[&start.worker];
+        let worker = &self.workers[&start.life.id];
         let rooms = worker.tasks().filter_map(|task| self.room_of(task));
         let used = rooms.fold(Room::default(), Room::plus);
         let told = self.now > worker.shrank + ON_ITS_WAY;
         if told && !used.within(worker.listing.capacity) {
-            let text = format!("{} on {} at {}", start.task, start.worker, self.now);
+            let text = format!("{} on {} at {}", start.task, start.life.id, self.now);
             self.excesses.push(text);
         }
     }
@@ -295,9 +304,9 @@
         }
     }
 
-    pub(super) fn stop(&mut self, stop: &Stop) -> Reply<Millis> {
+    pub(super) fn stop(&mut self, stop: &Stop) -> Reply<Word> {
         let now = self.now;
-        let Some(worker) = self.workers.get_mut(&stop.worker) else {
+        let Some(worker) = self.workers.get_mut(&stop.life.id) else {
             return Reply::Lost;
         };
         if stop.epoch < worker.epoch {
@@ -312,7 +321,7 @@
         {
             worker.end(&stop.task, How::Stopped, now);
         }
-        Reply::Ok(now - worker.started)
+        Reply::Ok(worker.word(now))
     }
 
     /// Ends runs whose time has come, and everything under a lapsed lease.
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -5,6 +5,7 @@
 
 use super::beside::Beside;
 use super::job::TaskKey;
+use super::lives::{Born, Life};
 use super::paces::FULL_PACE;
 use super::placement::{Gauge, Placement};
 use super::preempt::Promise;
@@ -20,16 +21,15 @@
 /// Milliseconds without an answer after which a worker gets no new tasks: a
 /// long poll and half of one more.
 const SILENT_AFTER: Millis = 1_800;
+/// Most milliseconds by which a report overtakes the answer to an order, which is given
+/// up before.
+const OVERTAKEN: Millis = 1_000;
 
 /// Returns the longest that a lease of `span` milliseconds may last.
 pub fn lease_span(span: Millis) -> Millis {
     span * 100 / CLOCK_RATE + LAPSE_MARGIN
 }
 
-/// When a worker started, in milliseconds since the Unix epoch by its own clock; none
-/// where it does not tell.
-pub type Born = Option<Millis>;
-
 /// A worker as the platform's directory lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listing {
@@ -93,8 +93,12 @@
 /// A worker at the owner.
 #[derive(Clone, Debug)]
 pub(super) struct Worker {
-    /// As listed last.
+    /// As listed last; its start may be another than that of the life that is known.
     pub listing: Listing,
+    /// Start of the life that all else here is known of.
+    pub born: Born,
+    /// True from news of another life until its next report.
+    pub doubted: bool,
     /// The most room that it has had: what has shrunk may grow again.
     pub most: Room,
     /// Whether the directory lists it.
@@ -121,6 +125,8 @@
     pub top: u64,
     /// Ends taken in that the store does not hold yet.
     pub pending: BTreeSet<u64>,
+    /// Highest end that it was told to forget, in an exchange that it answered.
+    pub acknowledged: u64,
     /// Failed runs without a good one between.
     pub failures: u32,
     /// Until when it gets no new tasks.
@@ -147,7 +153,9 @@
     pub fn new(listing: Listing, now: Millis) -> Self {
         Self {
             most: listing.capacity,
+            born: listing.born,
             listing,
+            doubted: false,
             presence: Presence::Listed,
             leaves: None,
             placements: BTreeMap::new(),
@@ -160,6 +168,7 @@
             answered: 0,
             top: 0,
             pending: BTreeSet::new(),
+            acknowledged: 0,
             failures: 0,
             barred: 0,
             cordoned: false,
@@ -172,6 +181,41 @@
         }
     }
 
+    /// Forgets all but how it is listed and what its contact is: a later life is there.
+    /// Leases given to it end at `granted` at the latest.
+    pub fn begin_life(&mut self, born: Born, granted: Millis) {
+        let next = Self::new(self.listing.clone(), 0);
+        let before = std::mem::replace(self, next);
+        self.born = born;
+        self.presence = before.presence;
+        self.leaves = before.leaves;
+        self.cordoned = before.cordoned;
+        self.contact = before.contact;
+        self.granted = granted.max(before.granted);
+    }
+
+    /// Returns the life that is known.
+    pub fn life(&self) -> Life {
+        Life {
+            id: self.listing.id.clone(),
+            born: self.born,
+        }
+    }
+
+    /// Returns true when its entry is of the life that is known, as far as that is told:
+    /// room, labels and whether it leaves are those of one life.
+    pub fn listed_itself(&self) -> bool {
+        match (self.listing.born, self.born) {
+            (Some(listed), Some(known)) => listed == known,
+            _ => true,
+        }
+    }
+
+    /// Returns true when it is certain which life takes the next order.
+    pub fn certain(&self) -> bool {
+        self.misses == 0 && !self.doubted && self.listed_itself()
+    }
+
     /// Puts a task there.
     pub fn put(&mut self, key: TaskKey, placement: Placement) {
         self.used = self.used.plus(placement.room);
@@ -301,6 +345,8 @@
             && now >= self.barred
             && !self.strangers
             && !self.cordoned
+            && !self.doubted
+            && self.listed_itself()
     }
 
     /// Returns true while it answers.
@@ -329,11 +375,28 @@
         self.granted
     }
 
+    /// Returns true when a clock that was told is behind what it told before: only that of
+    /// another life can be.
+    pub fn set_back(&self, clock: Millis) -> bool {
+        let heard = self.heard.map_or(0, |h| h.clock);
+        clock + OVERTAKEN < heard
+    }
+
     /// Returns the highest end up to which all are in the store.
-    pub fn seen(&self) -> u64 {
+    fn stored(&self) -> u64 {
         match self.pending.first() {
             Some(first) => first - 1,
             None => self.top,
         }
     }
+
+    /// Returns up to which end it may forget now; 0 for none. It is told once, and only
+    /// where it is certain which life hears it: a later one would forget ends of its own.
+    pub fn seen(&self) -> u64 {
+        let stored = self.stored();
+        match self.certain() && stored > self.acknowledged {
+            true => stored,
+            false => 0,
+        }
+    }
 }
