--- a/src/options/args.rs
+++ b/src/options/args.rs
@@ -251,12 +251,12 @@
     /// Update a service; refused when it does not exist or is not at --expect.
     #[bpaf(command)]
     Update {
-        #[bpaf(external(service_spec))]
-        /// The service
-        spec: ServiceSpec,
         /// Version of the entry that the change is based on
         #[bpaf(argument("VERSION"))]
         expect: Option<u64>,
+        #[bpaf(external(service_spec))]
+        /// The service
+        spec: ServiceSpec,
     },
     /// List services.
     #[bpaf(command)]
--- a/src/options/tests.rs
+++ b/src/options/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the settings file.
 
+use super::args;
 use super::daemon;
 use super::file::parse;
 use crate::sched::switches::Switches;
@@ -158,3 +159,47 @@
         assert!(keys.contains(key), "{key} in {keys:?}");
     }
 }
+
+/// Asks a command for its help, and then each command that it names there.
+fn ask_for_help(path: &mut Vec<String>) -> usize {
+    let mut words = path.clone();
+    words.push("--help".into());
+    let failure = args::command().run_inner(bpaf::Args::from(&words[..]));
+    let Err(bpaf::ParseFailure::Stdout(doc, _)) = failure else {
+        panic!("{words:?} tells no help: {failure:?}");
+    };
+    let text = doc.monochrome(true);
+    let indented = text.lines().filter_map(|l| l.strip_prefix("    "));
+    let named = indented.filter(|l| l.starts_with(|c: char| c.is_ascii_lowercase()));
+    let names: Vec<&str> = named.filter_map(|l| l.split(' ').next()).collect();
+    let mut asked = 1;
+    for name in names {
+        path.push(name.into());
+        asked += ask_for_help(path);
+        path.pop();
+    }
+    asked
+}
+
+#[test]
+fn every_command_tells_its_help() {
+    assert!(ask_for_help(&mut Vec::new()) > 25);
+}
+
+#[test]
+fn a_mistyped_command_is_told_to_be_wrong() {
+    for words in [&["chek"][..], &["service", "change"]] {
+        let failure = args::command().run_inner(words);
+        let told = matches!(failure, Err(bpaf::ParseFailure::Stderr(_)));
+        assert!(told, "{words:?}: {failure:?}");
+    }
+}
+
+#[test]
+fn a_mistyped_command_that_asks_for_help_gets_that_of_the_one_above() {
+    for words in [&["chek", "--help"][..], &["service", "change", "--help"]] {
+        let failure = args::command().run_inner(words);
+        let told = matches!(failure, Err(bpaf::ParseFailure::Stdout(..)));
+        assert!(told, "{words:?}: {failure:?}");
+    }
+}
