Crashes of many workers at once are not laid to the tasks there

Callers saw jobs shown as failed none of whose tasks had failed so often: each time that many workers started again at once, every run of less than 10 s there had a crash counted, and the fourth gave its job up. With a third of 12 workers starting again each 3 s, a lasting job of 6 tasks was given up within 36 s.

Cause: a crash was laid to whoever was there, whatever became of other workers just then. Ruled out: counts that belong to another life (the ids and starts differ in the test).

Change: a crash at once with at least two others (crashed within 2 s, silent, or doubted) counts as an outage for runs that had been going on, of which it takes 16, and as a loss for a suspect that was isolated. Tasks that crash workers at their start are found as before.

--- a/src/sched/crashes.rs
+++ b/src/sched/crashes.rs
@@ -10,8 +10,12 @@
 //! A crash counts as one under a task when the worker had told of its run and another life
 //! has taken the worker's place. Otherwise the worker may be out of reach, or the run may
 //! never have begun: that counts as a loss, of which it takes more.
+//!
+//! Where many workers go at once, something else is the cause: an outage. It takes far more
+//! of these for a run that had been going on for a while, and the crash of a suspect's worker
+//! counts as a loss.
 
-use super::job::{Outcome, TaskKey};
+use super::job::{Outcome, Task, TaskKey};
 use super::owner::Owner;
 use super::placement::{Placement, Stage};
 use super::worker::Worker;
@@ -26,6 +30,14 @@
 const PROVEN: Millis = 10_000;
 /// Crashes after which a task is given up that alone may have caused the last one.
 const CRASHES: u32 = 2;
+/// Crashes, losses and outages together after which any task is given up: its runs have
+/// never lasted for `PROVEN` meanwhile.
+const OUTAGES: u32 = 16;
+/// Other workers in trouble with which many have gone at once.
+const MANY: usize = 2;
+/// Milliseconds for which a crash counts as at once with another: the two heartbeats
+/// after which the last of them are heard of.
+const AT_ONCE: Millis = 2_000;
 /// Crashes and losses together after which any task is given up: no start follows that
 /// would be the third after the third crash.
 const LOSSES: u32 = 4;
@@ -55,19 +67,52 @@
     Excluded,
 }
 
+/// As what a crash counts for a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Count {
+    /// The worker has certainly crashed, and under this task.
+    Crash,
+    /// It may have crashed under this task.
+    Loss,
+    /// It went at once with many.
+    Outage,
+}
+
+/// The circumstances of a crash.
+#[derive(Clone, Copy)]
+struct Scene {
+    crash: Crash,
+    /// True when many workers have gone at once.
+    many: bool,
+}
+
+impl Scene {
+    /// Returns as what a crash counts for a run; `isolated` when it was a suspect.
+    fn count(self, cause: Cause, run: &Placement) -> Count {
+        let proven = self.crash == Crash::Replaced && run.told.is_some();
+        match (proven, self.many) {
+            (true, true) if cause == Cause::Unlikely => Count::Outage,
+            (true, true) if run.suspect => Count::Loss,
+            (true, _) => Count::Crash,
+            (false, true) if self.crash == Crash::Silent && !run.suspect => Count::Outage,
+            (false, _) => Count::Loss,
+        }
+    }
+}
+
 /// A crash as it counts for one task.
 struct Attribution {
     key: TaskKey,
     cause: Cause,
-    /// True when the worker has certainly crashed, and under this task.
-    proven: bool,
+    count: Count,
 }
 
 impl Attribution {
-    /// Returns true when its task is given up, with these crashes and losses so far.
-    fn gives_up(&self, crashes: u32, losses: u32) -> bool {
-        let found = self.proven && self.cause == Cause::Sole && crashes >= CRASHES;
-        found || crashes + losses >= LOSSES
+    /// Returns true when its task is given up.
+    fn gives_up(&self, task: &Task) -> bool {
+        let found = self.count == Count::Crash && self.cause == Cause::Sole;
+        let counted = task.crashes + task.losses;
+        (found && task.crashes >= CRASHES) || counted >= LOSSES || counted + task.outages >= OUTAGES
     }
 }
 
@@ -86,7 +131,7 @@
 }
 
 /// Returns what the crash of a worker says of the runs that it took along.
-fn attributions(worker: &Worker, crash: Crash) -> Vec<Attribution> {
+fn attributions(worker: &Worker, scene: Scene) -> Vec<Attribution> {
     let sent = |run: &Placement| run.stage != Stage::Recording;
     let runs = || worker.placements.iter().filter(|(_, run)| sent(run));
     let isolated = runs().find(|(_, run)| run.suspect).map(|(key, _)| key.job);
@@ -105,18 +150,21 @@
         false if isolated.is_some() || age(worker, run) >= PROVEN => Cause::Excluded,
         false => Cause::Unlikely,
     };
-    let attribution = |(key, run): (&TaskKey, &Placement)| Attribution {
-        key: *key,
-        cause: cause(key, run),
-        proven: crash == Crash::Replaced && run.told.is_some(),
+    let attribution = |(key, run): (&TaskKey, &Placement)| {
+        let cause = cause(key, run);
+        let count = scene.count(cause, run);
+        let counts = count == Count::Crash || count == Count::Outage || cause.suspects();
+        let key = *key;
+        counts.then_some(Attribution { key, cause, count })
     };
-    runs().map(attribution).collect()
+    runs().filter_map(attribution).collect()
 }
 
 impl Owner {
     /// Lays the crash of a worker to the runs that it took along, and gives up tasks under
     /// which too many have crashed. One that had said that it would leave has not crashed.
     pub(super) fn crashed(&mut self, name: &Name, crash: Crash) {
+        let others = self.troubled(name);
         let Some(worker) = self.workers.get(name).filter(|w| !w.listing.leaving) else {
             return;
         };
@@ -124,20 +172,32 @@
         if worker.placements.is_empty() {
             return;
         }
-        let mut attributions = attributions(worker, crash);
-        attributions.retain(|a| a.proven || a.cause.suspects());
+        let many = others >= MANY;
+        let attributions = attributions(worker, Scene { crash, many });
         let suspects = attributions.iter().filter(|a| a.cause.suspects()).count();
         let tasks = worker.placements.len();
         crate::metrics::get().crashes.inc();
-        log::info!(target: "worker", "worker={name} event=crashed how={crash:?} tasks={tasks} suspects={suspects}");
+        log::info!(target: "worker", "worker={name} event=crashed how={crash:?} tasks={tasks} suspects={suspects} others={others}");
+        self.crashed_at.push_back(self.now.steady);
         for attribution in attributions {
             self.count_crash(&attribution, name);
         }
     }
 
-    /// Counts a crash or a loss for a task.
+    /// Returns how many other workers have gone at once with one: that have crashed just
+    /// now, don't answer, or may have started again.
+    fn troubled(&mut self, name: &Name) -> usize {
+        let since = self.now.steady.saturating_sub(AT_ONCE);
+        while self.crashed_at.front().is_some_and(|at| *at < since) {
+            self.crashed_at.pop_front();
+        }
+        let troubled = |(id, w): &(&Name, &Worker)| *id != name && (w.misses > 0 || w.doubted);
+        self.crashed_at.len() + self.workers.iter().filter(troubled).count()
+    }
+
+    /// Counts a crash for a task.
     fn count_crash(&mut self, attribution: &Attribution, name: &Name) {
-        let &Attribution { key, cause, proven } = attribution;
+        let &Attribution { key, cause, count } = attribution;
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.open()) else {
             return;
         };
@@ -145,16 +205,21 @@
             return;
         };
         task.suspect = cause.suspects();
-        match (cause, proven) {
-            (Cause::Excluded, _) => return,
-            (_, true) => task.crashes += 1,
-            (_, false) => task.losses += 1,
+        match (cause, count) {
+            (Cause::Excluded, _) => {
+                task.outages = 0;
+                return;
+            }
+            (_, Count::Crash) => task.crashes += 1,
+            (_, Count::Loss) => task.losses += 1,
+            (_, Count::Outage) => task.outages += 1,
         }
-        let (crashes, losses, run) = (task.crashes, task.losses, task.run);
+        let (crashes, losses, outages) = (task.crashes, task.losses, task.outages);
+        let (run, over) = (task.run, attribution.gives_up(task));
         self.journal.touch(key.job);
         let task = self.task_name(key);
-        log::info!(target: "task", "task={task} run={run} event=crash-counted worker={name} cause={cause:?} proven={proven} crashes={crashes} losses={losses}");
-        if attribution.gives_up(crashes, losses) {
+        log::info!(target: "task", "task={task} run={run} event=crash-counted worker={name} cause={cause:?} count={count:?} crashes={crashes} losses={losses} outages={outages}");
+        if over {
             crate::metrics::get().given_up.inc();
             log::warn!(target: "task", "task={task} run={run} event=abandoned crashes={crashes} losses={losses} cause={cause:?}");
             self.finish(key.job, Outcome::Failed);
@@ -167,7 +232,7 @@
         let attribution = Attribution {
             key,
             cause: Cause::Shared,
-            proven: false,
+            count: Count::Loss,
         };
         self.count_crash(&attribution, name);
     }
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -113,6 +113,9 @@
     /// Workers that may have crashed under it, by its start.
     #[serde(rename = "l", default, skip_serializing_if = "is_zero")]
     pub losses: u32,
+    /// Workers that went under it at once with many others.
+    #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
+    pub outages: u32,
     /// True when it may have caused the last of these.
     #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
     pub suspect: bool,
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -1,6 +1,6 @@
 //! The owner of all jobs and workers of a cell: events in, actions out.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use super::agenda::Agenda;
 use super::choice::Ranking;
@@ -108,6 +108,8 @@
     pub(super) pressure: Pressure,
     /// Own loads of serving tasks.
     pub(super) loads: Loads,
+    /// When workers have crashed, as far back as that matters.
+    pub(super) crashed_at: VecDeque<Millis>,
     /// When the store was last away, slow or silent.
     pub(super) store_trouble: Millis,
     /// Declared work that is typical of a job, by queue.
@@ -171,6 +173,7 @@
             next_place: 0,
             pressure: Pressure::default(),
             loads: Loads::default(),
+            crashed_at: VecDeque::new(),
             store_trouble: 0,
             typical: HashMap::new(),
             strain: 0.0,
--- a/src/sched/tests/crashes.rs
+++ b/src/sched/tests/crashes.rs
@@ -257,3 +257,31 @@
         assert_eq!(world.shown(&id), Some(Shown::Failed), "{id}");
     }
 }
+
+/// A third of the workers starts again every three seconds. The tasks there are hit by
+/// that again and again, some just after their start, and are none of the cause.
+#[test]
+fn tasks_are_not_given_up_where_many_workers_start_again_at_once() {
+    let mut world = World::new(12);
+    world.script = |task, _| match task.starts_with("lasting") {
+        true => (600_000, How::Done),
+        false => (4_000, How::Done),
+    };
+    world.submit("lasting", job(vec![lasting(6, 500)]));
+    for wave in 0..12 {
+        world.submit(&format!("j{wave}"), job(vec![step(20, 1_000)]));
+        world.run(3_000);
+        for place in 0..4 {
+            let id = format!("w{}", (wave * 5 + place * 3) % 12);
+            world.restart(&id);
+        }
+        world.list();
+    }
+    world.run(30_000);
+    for wave in 0..12 {
+        let id = format!("j{wave}");
+        assert_eq!(world.shown(&id), Some(Shown::Completed), "{id}");
+    }
+    assert_eq!(world.running().len(), 6);
+    assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+}
