--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -200,7 +200,7 @@
 
     /// Has a start carried out by whichever life is there, without an answer.
     pub fn carry_out(&mut self, start: &Start) {
-        drop(self.start(start));
+        let _ = self.start(start);
     }
 
     pub(super) fn start(&mut self, start: &Start) -> Reply<Word> {
