--- a/tools/trial/src/schedule.rs
+++ b/tools/trial/src/schedule.rs
@@ -46,6 +46,8 @@
     FreezeWorker,
     /// A worker leaves, and comes back.
     Leave,
+    /// A worker starts again under its name and address, and knows nothing of before.
+    RestartWorker,
     /// A worker fails every task.
     FailTasks,
     /// All jobs submitted so far are cancelled at once.
@@ -61,7 +63,7 @@
 }
 
 /// All kinds, in the order of the report.
-pub const KINDS: [Kind; 22] = [
+pub const KINDS: [Kind; 23] = [
     Kind::Freeze,
     Kind::Kill,
     Kind::Stop,
@@ -78,6 +80,7 @@
     Kind::SlowLinks,
     Kind::FreezeWorker,
     Kind::Leave,
+    Kind::RestartWorker,
     Kind::FailTasks,
     Kind::CancelWave,
     Kind::Submit,
--- a/tools/trial/src/world/faults.rs
+++ b/tools/trial/src/world/faults.rs
@@ -2,6 +2,7 @@
 
 use willowpoint::cell::Place;
 use willowpoint::engine::Event;
+use willowpoint::standin::worker::state::Worker;
 
 use super::{End, World, place};
 use crate::schedule::{BOXES, Fault, Kind, STEP, WORKERS};
@@ -88,6 +89,7 @@
                 host.frozen = host.frozen.max(until);
             }
             Kind::Leave => return self.leave(worker, fault.span),
+            Kind::RestartWorker => self.restart_worker(worker),
             Kind::FailTasks => {
                 self.hosts[worker].worker.faults.fail = !fault.span.is_multiple_of(4)
             }
@@ -109,6 +111,14 @@
         true
     }
 
+    fn restart_worker(&mut self, worker: usize) {
+        let host = &mut self.hosts[worker];
+        let mut next = Worker::new(host.worker.shape);
+        next.faults = host.worker.faults.clone();
+        next.leaving = host.worker.leaving;
+        host.worker = next;
+    }
+
     fn cut(&mut self, from: End, to: End, until: u64) {
         self.cuts.push(Cut { from, to, until });
     }
