--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::support::{becomes, wait};
+use super::worker::Worker;
 use super::{Deployment, LONG, SPAN, assert_ran};
 
 #[test]
@@ -58,6 +59,40 @@
     });
 }
 
+/// Workers start again under their ids, with runs on them and after many ends, and count
+/// their ends anew. Their entries tell so at once, or after a while.
+#[test]
+fn what_a_worker_ends_after_it_has_started_again_is_taken_in() {
+    let deployment = Deployment::start(2, 3, SPAN);
+    for number in 0..6 {
+        deployment.submit_until_taken(&format!("00000000000000e{number}"), 4);
+    }
+    for number in 0..6 {
+        deployment.wait_completed(&format!("00000000000000e{number}"));
+    }
+    for (wave, late) in [(0, 0), (1, 1_000), (2, 0)] {
+        for number in 0..4 {
+            deployment.submit_until_taken(&format!("0000000000000f{wave}{number}"), 4);
+        }
+        for worker in &deployment.workers {
+            worker.restart();
+        }
+        std::thread::sleep(Duration::from_millis(late));
+        deployment.workers.iter().for_each(Worker::list_again);
+        for number in 0..4 {
+            deployment.wait_completed(&format!("0000000000000f{wave}{number}"));
+        }
+    }
+    let doubled = deployment.record().doubled.clone();
+    assert!(
+        doubled.is_empty(),
+        "{doubled:?}; {}",
+        deployment.output(deployment.owner())
+    );
+    let owner = deployment.owner();
+    assert!(deployment.gauge(owner, "worker_lives_total") >= Some(3));
+}
+
 /// All boxes lose power right after a job was accepted; nothing but the store knows of it.
 #[test]
 fn a_job_outlasts_the_loss_of_power_of_all_boxes() {
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -9,6 +9,7 @@
 use http::StatusCode;
 use monoio::time::sleep;
 use serde_json::{Value, json};
+use willowpoint::utils::clock;
 use willowpoint::web::{Reply, Request};
 
 use super::store::Store;
@@ -44,6 +45,8 @@
 
 struct State {
     began: Instant,
+    /// The same in milliseconds since the Unix epoch.
+    born: u64,
     fence: u64,
     /// End of the lease, in milliseconds on its clock.
     lease: u64,
@@ -60,6 +63,7 @@
     fn begin() -> Self {
         Self {
             began: Instant::now(),
+            born: clock::wall(),
             fence: 0,
             lease: 0,
             runs: BTreeMap::new(),
@@ -102,7 +106,8 @@
     }
 
     /// Puts its entry into the store.
-    pub fn list(&self, listing: Value) {
+    pub fn list(&self, mut listing: Value) {
+        listing["born"] = json!(self.state().born);
         self.store.put("servers", &self.id(), &listing);
         *self.listing.lock().expect("no holder panicked") = listing;
     }
@@ -151,6 +156,22 @@
         self.list(listing);
     }
 
+    /// Puts its entry into the store once more, as it is now.
+    pub fn list_again(&self) {
+        let listing = self.listing.lock().expect("no holder panicked").clone();
+        self.list(listing);
+    }
+
+    /// Starts it again under its id; it holds and knows nothing of before. Its entry is as
+    /// it was.
+    pub fn restart(&self) {
+        let lost = std::mem::replace(&mut *self.state(), State::begin());
+        let mut record = self.record();
+        for name in lost.runs.keys() {
+            record.running.remove(name);
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder panicked")
     }
@@ -288,6 +309,7 @@
         let wait = Duration::from_millis(call["waitMs"].as_u64().unwrap_or(0));
         let end = Instant::now() + wait;
         let life = self.id();
+        let born = self.state().born;
         while self.state().ended.is_empty() && Instant::now() < end {
             sleep(LOOK).await;
             self.expire();
@@ -298,6 +320,10 @@
         if self.id() != life {
             return Reply::text(StatusCode::MISDIRECTED_REQUEST, "");
         }
+        if self.state().born != born {
+            // The exchange ended with the life that it came to.
+            return Reply::text(StatusCode::SERVICE_UNAVAILABLE, "");
+        }
         let state = self.state();
         let running: Vec<Value> = state
             .runs
@@ -310,7 +336,7 @@
             .map(|(number, task, run, how)| json!([number, task, run, how, ""]))
             .collect();
         drop(state);
-        let lists = json!({ "running": running, "finished": finished });
+        let lists = json!({ "running": running, "finished": finished, "born": born });
         self.clock(StatusCode::OK, lists)
     }
 
