Lives: a start that is told to be earlier is believed once the known life is over

A worker whose clock was set back between two starts told an earlier one, and was out of use for good: its entry was passed over and told no more. The entry is kept, and taken with the first report that is believed: once all leases of the known life have ended and 5 s after its last word. A start ahead of this box's clock and a move are told. Tests: two restarts in a row, another address, less room, a worker that was to leave, gangs, lasting tasks.

--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -56,7 +56,7 @@
     }
 
     /// Takes in a listing of a worker, known or new.
-    fn list(&mut self, id: Name, listing: Listing) {
+    pub(super) fn list(&mut self, id: Name, listing: Listing) {
         let now = self.now.steady;
         let cordoned = self.is_cordoned(&listing.hall);
         self.crowded = false;
@@ -64,7 +64,9 @@
             let (known, news) = (worker.born, standing(worker.born, listing.born));
             // What an earlier life wrote may come late.
             if news == Standing::Earlier && worker.listing.born != listing.born {
-                return self.pass_over(&id, listing.born, known, "entry");
+                let born = listing.born;
+                worker.passed_over = Some(listing.into());
+                return self.pass_over(&id, born, known, "entry");
             }
             worker.presence = Presence::Listed;
             if !listing.leaving && worker.leaves.take().is_some() {
@@ -75,6 +77,10 @@
                 let tasks = worker.placements.len();
                 log::info!(target: "worker", "worker={id} event=leaving stays_ms={} tasks={tasks}", listing.stays);
             }
+            if worker.listing.address != listing.address {
+                let (before, now) = (worker.listing.address, listing.address);
+                log::info!(target: "worker", "worker={id} event=moved address={now} before={before} born={:?}", listing.born);
+            }
             if worker.listing.capacity != listing.capacity {
                 let (before, room, used) = (worker.listing.capacity, listing.capacity, worker.used);
                 log::info!(target: "worker", "worker={id} event=room now={room} before={before} used={used}");
--- a/src/sched/ends.rs
+++ b/src/sched/ends.rs
@@ -47,7 +47,10 @@
             log::info!(target: "task", "task={task} run={run} event=unknown-end how={how:?} worker={name}");
             return;
         };
-        log::info!(target: "task", "task={task} run={run} event=ended how={how:?} worker={name}");
+        let Some(life) = self.workers.get(name).map(Worker::life) else {
+            return;
+        };
+        log::info!(target: "task", "task={task} run={run} event=ended how={how:?} worker={life}");
         self.begun(key);
         let current = self.workers.get(name).and_then(|w| w.placements.get(&key));
         let current = current.is_some_and(|s| s.run == end.run);
@@ -59,9 +62,6 @@
         if let Some(worker) = self.workers.get_mut(name) {
             worker.pending.insert(end.number);
         }
-        let Some(life) = self.workers.get(name).map(Worker::life) else {
-            return;
-        };
         self.journal.after(key.job, After::Seen(life, end.number));
     }
 
--- a/src/sched/lives.rs
+++ b/src/sched/lives.rs
@@ -138,12 +138,17 @@
         let (born, tasks) = (worker.born, carried.len());
         log::info!(target: "worker", "worker={name} event=started-again born={:?} before={born:?} carried={tasks} doubtful={}", report.born, doubtful.len());
         crate::metrics::get().lives.inc();
+        let entry = worker.passed_over.take();
         self.forget_permits(name);
         self.break_promise(name);
         self.tell_over(name, Ending::Replaced);
         self.crashed(name, Crash::Replaced);
         self.clear(name);
         self.begin_life(name, report.born, carried);
+        // One that tells an earlier start was listed while that was not believed.
+        if let Some(entry) = entry.filter(|e| e.born == report.born) {
+            self.list(name.clone(), *entry);
+        }
         // Once a stop of it was answered, the later life refuses a start that comes late.
         for key in doubtful {
             self.stop(key);
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -30,6 +30,8 @@
 /// Longest that the next exchange waits for ends to be written, in
 /// milliseconds; one before that is answered at once, with the same ends.
 const ENDS_PAUSE: Millis = 300;
+/// Milliseconds by which the clocks of a worker and a box may differ unsaid.
+const CLOCKS: Millis = 5_000;
 /// Ends in one report; with so many there may be more.
 const REPORT_LIMIT: usize = 500;
 
@@ -138,7 +140,11 @@
             return;
         };
         if worker.misses > 0 || worker.answered == 0 || worker.doubted {
-            log::info!(target: "worker", "worker={name} event=answers born={:?} listed_born={:?} misses={}", report.born, worker.listing.born, worker.misses);
+            let (listed, wall) = (worker.listing.born, self.now.wall);
+            log::info!(target: "worker", "worker={name} event=answers born={:?} listed_born={listed:?} misses={}", report.born, worker.misses);
+            if let Some(born) = report.born.filter(|b| *b > wall + CLOCKS) {
+                log::warn!(target: "worker", "worker={name} event=started-ahead born={born} wall={wall}");
+            }
             self.crowded = false;
         }
         worker.misses = 0;
--- a/src/sched/silence.rs
+++ b/src/sched/silence.rs
@@ -48,13 +48,14 @@
         };
         let (tasks, presence) = (worker.placements.len(), worker.presence);
         let silent = self.now.steady - worker.answered;
-        log::info!(target: "worker", "worker={name} event=over reason={} tasks={tasks} presence={presence:?} silent_ms={silent}", ending.word());
+        let life = worker.life();
+        log::info!(target: "worker", "worker={life} event=over reason={} tasks={tasks} presence={presence:?} silent_ms={silent}", ending.word());
         crate::metrics::get().orphaned.inc_by(tasks as u64);
         for (key, run) in &worker.placements {
             let task = self.task_name(*key);
             let age = age(worker, run);
             let (run, stage) = (run.run, run.stage);
-            log::info!(target: "task", "task={task} run={run} event=orphaned worker={name} stage={stage:?} age_ms={age}");
+            log::info!(target: "task", "task={task} run={run} event=orphaned worker={life} stage={stage:?} age_ms={age}");
         }
     }
 
--- a/src/sched/tests/lives.rs
+++ b/src/sched/tests/lives.rs
@@ -5,6 +5,7 @@
 use super::world::{FakeWorker, GIVEN_UP, World, job, lasting, listing, step};
 use crate::sched::job::Shown;
 use crate::sched::message::{Entry, Event, How, Reply, Report};
+use crate::sched::spec::StepSpec;
 use crate::sched::worker::Listing;
 
 /// Tasks that had ended well ran again, and a task was started once more after all the
@@ -76,6 +77,127 @@
     }
 }
 
+/// Hands in a job of so many tasks of 300 ms, and asserts that each runs just once.
+fn assert_runs_once(world: &mut World, id: &str, count: u32) {
+    world.script = |task, _| match task.starts_with("lasting") {
+        true => (600_000, How::Done),
+        false => (300, How::Done),
+    };
+    world.submit(id, job(vec![step(count, 1_000)]));
+    world.run(8_000);
+    assert_eq!(world.shown(id), Some(Shown::Completed), "{id}");
+    let starts = world.starts.iter().filter(|s| s.0.starts_with(id));
+    assert_eq!(starts.count(), count as usize, "{id}");
+    assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+}
+
+#[test]
+fn a_worker_that_starts_again_twice_in_a_row_is_used() {
+    let mut world = World::new(1);
+    assert_runs_once(&mut world, "before", 4);
+    world.restart("w0");
+    world.run(1);
+    world.restart("w0");
+    world.list();
+    assert_runs_once(&mut world, "after", 4);
+}
+
+#[test]
+fn a_worker_that_starts_again_at_another_address_is_used() {
+    let mut world = World::new(1);
+    assert_runs_once(&mut world, "before", 4);
+    world.restart_as("w0", |l| l.address.set_port(7_000));
+    world.list();
+    assert_runs_once(&mut world, "after", 4);
+}
+
+/// Its room is that of the life that tells it; the entry of before told more.
+#[test]
+fn a_worker_that_starts_again_with_less_room_gets_what_fits() {
+    let mut world = World::new(1);
+    world.script = |_, _| (300, How::Done);
+    world.submit("before", job(vec![step(8, 1_000)]));
+    world.run(100);
+    world.restart_as("w0", |l| l.capacity.cpu = 1_000);
+    world.run(2_000);
+    assert!(world.running().is_empty(), "its room is not known yet");
+    world.list();
+    world.run(8_000);
+    assert!(world.excesses.is_empty(), "{:?}", world.excesses);
+    assert_eq!(world.shown("before"), Some(Shown::Completed));
+}
+
+#[test]
+fn a_worker_that_was_to_leave_and_starts_again_is_used() {
+    let mut world = World::new(1);
+    let worker = world.workers.get_mut("w0").expect("worker");
+    (worker.listing.leaving, worker.listing.stays) = (true, 4_000);
+    world.list();
+    world.run(500);
+    world.restart_as("w0", |l| l.leaving = false);
+    world.list();
+    assert_runs_once(&mut world, "after", 4);
+}
+
+/// A clock that was set back has the later life tell an earlier start. Nothing of the life
+/// before may be left before it is believed.
+#[test]
+fn a_worker_that_tells_an_earlier_start_is_used_in_the_end() {
+    let mut world = World::new(2);
+    world.script = |_, _| (600_000, How::Done);
+    world.restart("w0");
+    world.list();
+    world.run(500);
+    world.submit("lasting", job(vec![lasting(4, 1_000)]));
+    world.run(500);
+    world.restart_as("w0", |l| l.born = Some(1));
+    world.list();
+    for _ in 0..150 {
+        world.run(100);
+        assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+    }
+    assert_eq!(world.running().len(), 4);
+    world.workers.get_mut("w1").expect("worker").cut = true;
+    world.run(8_000);
+    assert!(world.running().iter().any(|(_, w)| &**w == "w0"));
+}
+
+#[test]
+fn lasting_tasks_are_back_at_once_after_a_restart() {
+    let mut world = World::new(3);
+    world.script = |_, _| (600_000, How::Done);
+    world.submit("lasting", job(vec![lasting(9, 1_000)]));
+    world.run(1_000);
+    for id in ["w0", "w1"] {
+        world.restart(id);
+    }
+    world.list();
+    world.run(500);
+    assert_eq!(world.running().len(), 9);
+    assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+}
+
+#[test]
+fn a_gang_whose_workers_all_start_again_runs_again_as_a_whole() {
+    let mut world = World::new(4);
+    world.script = |_, _| (3_000, How::Done);
+    let gang = StepSpec {
+        gang: true,
+        ..step(4, 4_000)
+    };
+    world.submit("g", job(vec![gang]));
+    world.run(1_000);
+    assert_eq!(world.running().len(), 4);
+    for id in ["w0", "w1", "w2", "w3"] {
+        world.restart(id);
+        world.run(2);
+    }
+    world.list();
+    world.run(6_000);
+    assert_eq!(world.shown("g"), Some(Shown::Completed));
+    assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+}
+
 /// Courses of news that are drawn, and their seed.
 const COURSES: u64 = 60;
 const SEED: u64 = 36;
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -269,11 +269,15 @@
     /// Has a worker start again under its id, with nothing of before; its entry is told
     /// later, with `list`.
     pub fn restart(&mut self, id: &str) {
+        self.restart_as(id, |_| ());
+    }
+
+    /// The same, where something else about it has changed.
+    pub fn restart_as(&mut self, id: &str, change: impl FnOnce(&mut Listing)) {
         let worker = self.workers.get_mut(id).expect("worker");
-        let listing = Listing {
-            born: Some(self.now),
-            ..worker.listing.clone()
-        };
+        let mut listing = worker.listing.clone();
+        listing.born = Some(self.now);
+        change(&mut listing);
         *worker = FakeWorker::started(listing, self.now);
     }
 
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -95,6 +95,8 @@
 pub(super) struct Worker {
     /// As listed last; its start may be another than that of the life that is known.
     pub listing: Listing,
+    /// An entry that was passed over, as it is of an earlier start.
+    pub passed_over: Option<Box<Listing>>,
     /// Start of the life that all else here is known of.
     pub born: Born,
     /// True from news of another life until its next report.
@@ -155,6 +157,7 @@
             most: listing.capacity,
             born: listing.born,
             listing,
+            passed_over: None,
             doubted: false,
             presence: Presence::Listed,
             leaves: None,
