An owner that follows its own row tells the one that served before it

Callers of boxes that the store had turned away were refused for as long as that lasted, though another box served: waited in vain for 60 s in the test.

Cause: a box that took the owner's place and could not load wrote itself into the row once more. It found its own row before it, told itself of itself, and nobody else; the owner before and its followers, which only ask that one, never heard. Ruled out: the word to the owner before being lost (it is repeated until it is answered).

Change: a new owner also tells the last owner of another box that served its own.

--- a/src/daemon/pings.rs
+++ b/src/daemon/pings.rs
@@ -18,7 +18,11 @@
 pub async fn ping(shared: &Shared, owner: &OwnerRow) -> Result<PingReply, CallError> {
     let reply = call(shared, owner, request(shared, owner.epoch)).await;
     let serves = |r: &PingReply| r.owner && r.epoch == owner.epoch;
-    shared.set_owned(reply.as_ref().is_ok_and(serves));
+    let served = reply.as_ref().is_ok_and(serves);
+    shared.set_owned(served);
+    if served {
+        shared.follow(owner);
+    }
     reply
 }
 
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -68,6 +68,7 @@
     config: RefCell<Option<Row>>,
     cordons: RefCell<Cordons>,
     owner: RefCell<Option<Seen>>,
+    followed: RefCell<Option<OwnerRow>>,
     leading: Cell<Option<u64>>,
     loading: Cell<Option<Loading>>,
     absence: Absence,
@@ -99,6 +100,7 @@
             config: RefCell::default(),
             cordons: RefCell::default(),
             owner: RefCell::default(),
+            followed: RefCell::default(),
             leading: Cell::new(None),
             loading: Cell::new(None),
             absence: Absence::new(clock::now()),
@@ -188,6 +190,16 @@
         *self.owner.borrow_mut() = seen;
     }
 
+    /// Returns the row of the last owner in another box that served this one.
+    pub fn followed(&self) -> Option<OwnerRow> {
+        self.followed.borrow().clone()
+    }
+
+    /// Takes in that an owner in another box serves this one.
+    pub fn follow(&self, row: &OwnerRow) {
+        *self.followed.borrow_mut() = Some(row.clone());
+    }
+
     /// Takes in a sign of life of the owner of an epoch.
     pub fn heard(&self, epoch: u64, life: Life) {
         let mut owner = self.owner.borrow_mut();
--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -19,7 +19,7 @@
 use crate::sched::journal::{
     BELIEF_TABLE, JOB_TABLE, Journal, OWNER_KEY, OWNER_TABLE, OwnerRow, PRESSURE_KEY, SPEC_TABLE,
 };
-use crate::sched::legacy::Legacy;
+use crate::sched::legacy::{Legacy, predecessors};
 use crate::sched::message::{Write, Written};
 use crate::sched::owner::{Kept, Owner};
 use crate::sched::spec::JobSpec;
@@ -127,10 +127,11 @@
     owner.distrust(stored.unreadable);
     owner.recall(stored.known);
     shared.lead(Message::Begin(Box::new(owner), epoch, took));
-    if let Some(before) = before.filter(|_| legacy >= Legacy::Owner) {
-        let last = legacy == Legacy::Owner;
-        let told = pings::succession(shared, &owner_row, version);
-        monoio::spawn(tell_predecessor(shared.clone(), before.row, told, last));
+    let told = pings::succession(shared, &owner_row, version);
+    let before = before.map(|b| b.row);
+    for (row, last) in predecessors(before, shared.followed(), &owner_row) {
+        let tell = tell_predecessor(shared.clone(), row, told.clone(), last);
+        monoio::spawn(tell);
     }
 }
 
--- a/src/sched/legacy.rs
+++ b/src/sched/legacy.rs
@@ -45,3 +45,26 @@
         }
     }
 }
+
+/// Returns the owners in other boxes that a new one tells of itself, each with whether no
+/// other could still act: the one `before` it by the store, and the one that its box
+/// `followed` last.
+///
+/// A box whose first load failed finds its own row before it. Told to that alone, the owner
+/// before went on unaware where the store had turned it away, and its followers with it.
+pub fn predecessors(
+    before: Option<OwnerRow>,
+    followed: Option<OwnerRow>,
+    own: &OwnerRow,
+) -> Vec<(OwnerRow, bool)> {
+    let legacy = Legacy::of(before.as_ref(), &own.name);
+    if legacy < Legacy::Owner {
+        return Vec::new();
+    }
+    let known = before.as_ref().map(|b| (b.name.clone(), b.epoch));
+    let followed = followed.filter(|f| Some((f.name.clone(), f.epoch)) != known);
+    let before = before.map(|b| (b, legacy == Legacy::Owner));
+    let all = before.into_iter().chain(followed.map(|f| (f, false)));
+    let others = all.filter(|(row, _)| row.name != own.name && row.epoch < own.epoch);
+    others.collect()
+}
--- a/src/sched/tests/legacy.rs
+++ b/src/sched/tests/legacy.rs
@@ -2,7 +2,7 @@
 
 use super::world::{BOUNDS, owner_row};
 use crate::sched::journal::OwnerRow;
-use crate::sched::legacy::Legacy;
+use crate::sched::legacy::{Legacy, predecessors};
 use crate::sched::worker::lease_span;
 
 #[test]
@@ -34,3 +34,35 @@
     assert_eq!(end(Legacy::Owner), BOUNDS.unconfirmed + lease);
     assert_eq!(end(Legacy::Chain), BOUNDS.unconfirmed + lease);
 }
+
+/// A box wrote itself into the owner's row, could not load, and did so again. It found its
+/// own row before it, told itself that it was the owner, and nobody else: the owner before
+/// it and those that followed that one were cut off from the store, and refused every job.
+///
+/// ```text
+/// event=predecessor-ended epoch=3 owner=box-3 last=false
+/// ```
+#[test]
+fn an_owner_that_follows_its_own_row_tells_the_one_that_served_before() {
+    let (served, own) = (owner_row(1), owner_row(3));
+    let failed = OwnerRow {
+        name: own.name.clone(),
+        settled: false,
+        ..owner_row(2)
+    };
+    let told = predecessors(Some(failed), Some(served.clone()), &own);
+    assert_eq!(told, [(served, false)]);
+}
+
+#[test]
+fn an_owner_that_has_ended_is_not_told() {
+    let (served, own) = (owner_row(1), owner_row(2));
+    let told = predecessors(Some(served.clone()), Some(served.clone()), &own);
+    assert_eq!(told, [(served.clone(), true)]);
+    let released = OwnerRow {
+        released: true,
+        ..served.clone()
+    };
+    assert_eq!(predecessors(Some(released), Some(served), &own), []);
+    assert_eq!(predecessors(None, None, &own), []);
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -393,6 +393,28 @@
     }
 }
 
+/// The box that takes over cannot load at first, and then finds its own row before it.
+#[test]
+fn a_box_that_takes_over_at_its_second_try_tells_the_owner_before() {
+    let deployment = Deployment::start(3, 2, SPAN);
+    deployment.submit_until_taken("00000000000000e5", 1);
+    let owner = deployment.owner();
+    let follower = (owner + 1) % 3;
+    deployment.store.refuse_reads(Some("spec"));
+    deployment.cut_store(&[owner, follower]);
+    let third = (owner + 2) % 3;
+    wait("a load that fails", || {
+        let text = deployment.output(third);
+        text.contains("event=load-failed epoch=2") && text.contains("event=load-failed epoch=3")
+    });
+    deployment.store.refuse_reads(None);
+    for (number, id) in [(follower, "00000000000000e6"), (owner, "00000000000000e7")] {
+        wait("a job to be taken through a box that is cut off", || {
+            deployment.submit(number, id, 1).0 == 200
+        });
+    }
+}
+
 #[test]
 fn connections_to_the_store_that_fell_silent_are_replaced() {
     let deployment = Deployment::start(2, 2, SPAN);
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -45,6 +45,8 @@
     mood: Mood,
     /// Time added to each answer.
     delay: Duration,
+    /// Table of which no page is given.
+    unread: Option<String>,
     /// Pages given of each table.
     reads: HashMap<String, usize>,
 }
@@ -65,6 +67,11 @@
         self.state().mood = mood;
     }
 
+    /// Gives no page of a table from now on; of any with none.
+    pub fn refuse_reads(&self, table: Option<&str>) {
+        self.state().unread = table.map(String::from);
+    }
+
     /// Adds a time to each answer from now on.
     pub fn slow(&self, delay: Duration) {
         self.state().delay = delay;
@@ -188,6 +195,9 @@
         let mut state = self.state();
         let wanted = |name: &str| query.get(name).cloned().unwrap_or_default();
         let (table, part, from) = (wanted("table"), wanted("part"), wanted("from"));
+        if state.unread.as_ref() == Some(&table) {
+            return Reply::text(StatusCode::SERVICE_UNAVAILABLE, "");
+        }
         *state.reads.entry(table.clone()).or_default() += 1;
         let limit = wanted("limit").parse().unwrap_or(500);
         let here = |p: &&(String, String, String)| p.0 == table && p.1 == part && p.2 >= from;
