Lives: a later life is asked at the usual pace before its entry comes; gangs stay whole

By reading: a worker that had started again while its entry could not be written was asked without a pause, and its leases were not extended; with one member of a gang lost and one in doubt, the second was put back on its worker after its gang had been taken apart; a change of pace whose answer was passed over was never ordered again. The report alone tells which life is there, what is lost is freed once the later life stands, and an answer to a change of pace always ends the wait for it.

--- a/src/sched/crashes.rs
+++ b/src/sched/crashes.rs
@@ -80,14 +80,14 @@
 
 /// The circumstances of a crash.
 #[derive(Clone, Copy)]
-struct Scene {
+struct Circumstances {
     crash: Crash,
     /// True when many workers have gone at once.
     many: bool,
 }
 
-impl Scene {
-    /// Returns as what a crash counts for a run; `isolated` when it was a suspect.
+impl Circumstances {
+    /// Returns as what a crash counts for a run.
     fn count(self, cause: Cause, run: &Placement) -> Count {
         let proven = self.crash == Crash::Replaced && run.told.is_some();
         match (proven, self.many) {
@@ -131,7 +131,7 @@
 }
 
 /// Returns what the crash of a worker says of the runs that it took along.
-fn attributions(worker: &Worker, scene: Scene) -> Vec<Attribution> {
+fn attributions(worker: &Worker, circumstances: Circumstances) -> Vec<Attribution> {
     let sent = |run: &Placement| run.stage != Stage::Recording;
     let runs = || worker.placements.iter().filter(|(_, run)| sent(run));
     let isolated = runs().find(|(_, run)| run.suspect).map(|(key, _)| key.job);
@@ -152,7 +152,7 @@
     };
     let attribution = |(key, run): (&TaskKey, &Placement)| {
         let cause = cause(key, run);
-        let count = scene.count(cause, run);
+        let count = circumstances.count(cause, run);
         let counts = count == Count::Crash || count == Count::Outage || cause.suspects();
         let key = *key;
         counts.then_some(Attribution { key, cause, count })
@@ -173,7 +173,7 @@
             return;
         }
         let many = others >= MANY;
-        let attributions = attributions(worker, Scene { crash, many });
+        let attributions = attributions(worker, Circumstances { crash, many });
         let suspects = attributions.iter().filter(|a| a.cause.suspects()).count();
         let tasks = worker.placements.len();
         crate::metrics::get().crashes.inc();
--- a/src/sched/ends.rs
+++ b/src/sched/ends.rs
@@ -26,16 +26,8 @@
         if end.number <= worker.top {
             // One whose commit is on its way is listed with each report.
             if !worker.pending.contains(&end.number) {
-                let (
-                    Ended {
-                        number,
-                        task,
-                        run,
-                        how,
-                        ..
-                    },
-                    top,
-                ) = (end, worker.top);
+                let (task, run, how) = (&end.task, end.run, end.how);
+                let (number, top) = (end.number, worker.top);
                 log::info!(target: "task", "task={task} run={run} event=end-passed-over how={how:?} worker={name} number={number} taken_in={top}");
             }
             return;
--- a/src/sched/lives.rs
+++ b/src/sched/lives.rs
@@ -139,12 +139,16 @@
         log::info!(target: "worker", "worker={name} event=started-again born={:?} before={born:?} carried={tasks} doubtful={}", report.born, doubtful.len());
         crate::metrics::get().lives.inc();
         let entry = worker.passed_over.take();
+        let lost: Vec<TaskKey> = worker.placements.keys().copied().collect();
         self.forget_permits(name);
         self.break_promise(name);
         self.tell_over(name, Ending::Replaced);
         self.crashed(name, Crash::Replaced);
-        self.clear(name);
         self.begin_life(name, report.born, carried);
+        // The other members of a gang are stopped with one that is lost, on this life too.
+        for key in lost {
+            self.free(key);
+        }
         // One that tells an earlier start was listed while that was not believed.
         if let Some(entry) = entry.filter(|e| e.born == report.born) {
             self.list(name.clone(), *entry);
@@ -155,7 +159,7 @@
         }
     }
 
-    /// Puts a later life in the place of one of which nothing is left.
+    /// Puts a later life in the place of the one before, with the runs that it may have.
     fn begin_life(&mut self, name: &Name, born: Born, carried: Vec<(TaskKey, Placement)>) {
         let (now, span) = (self.now.steady, self.bounds.lease);
         let Some(worker) = self.workers.get_mut(name) else {
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -161,13 +161,14 @@
         reply: Reply<Word>,
     ) {
         let name = &life.id;
-        if !self.answers(life, &reply) {
-            return;
-        }
+        let answers = self.answers(life, &reply);
         let Some(placement) = self.run_mut(name, key, run) else {
             return;
         };
         placement.pacing = false;
+        if !answers {
+            return;
+        }
         match reply {
             Reply::Ok(_) => placement.pace = percent,
             // The next report asks for it again.
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -122,8 +122,9 @@
         let Some(worker) = self.workers.get(name) else {
             return;
         };
-        let (known, before) = (worker.born, standing(worker.born, report.born));
-        if before == Standing::Earlier && !self.contradicted(worker) {
+        let known = worker.born;
+        let standing = standing(known, report.born);
+        if standing == Standing::Earlier && !self.contradicted(worker) {
             self.pass_over(name, report.born, known, "report");
             if let Some(worker) = self.workers.get_mut(name) {
                 worker.misses += 1;
@@ -133,7 +134,7 @@
         if worker.answered == 0 {
             self.end_others(name);
         }
-        if before != Standing::Present {
+        if standing != Standing::Present {
             self.started_again(name, &report);
         }
         let Some(worker) = self.workers.get_mut(name) else {
@@ -150,7 +151,7 @@
         worker.misses = 0;
         worker.doubted = false;
         worker.born = worker.born.or(report.born);
-        if before == Standing::Present {
+        if standing == Standing::Present {
             worker.acknowledged = worker.acknowledged.max(hold.seen);
         }
         worker.hear(report.clock, now);
--- a/src/sched/tests/lives.rs
+++ b/src/sched/tests/lives.rs
@@ -198,6 +198,39 @@
     assert!(world.doubles.is_empty(), "{:?}", world.doubles);
 }
 
+/// The entry of before stays for as long as the store is away. The worker is asked at the
+/// usual pace meanwhile, and what it runs is held.
+#[test]
+fn a_worker_whose_entry_is_of_before_is_not_asked_without_a_pause() {
+    let mut world = World::new(1);
+    world.restart("w0");
+    world.run(100);
+    assert!(world.holds["w0"].wait > 0);
+}
+
+/// Two members of a gang on one worker: one had begun, the start of the other has no answer.
+#[test]
+fn a_gang_of_which_a_member_is_in_doubt_is_not_left_half_there() {
+    for lost in [0.0, 0.5, 1.0] {
+        let mut world = World::new(2);
+        world.script = |_, _| (900, How::Done);
+        let gang = StepSpec {
+            gang: true,
+            ..step(6, 1_000)
+        };
+        world.faults.lost = lost;
+        world.submit("g", job(vec![gang]));
+        world.run(100);
+        world.restart("w0");
+        world.list();
+        world.faults.lost = 0.0;
+        world.run(12_000);
+        assert_eq!(world.shown("g"), Some(Shown::Completed), "{lost}");
+        assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+        assert!(world.running().is_empty());
+    }
+}
+
 /// Courses of news that are drawn, and their seed.
 const COURSES: u64 = 60;
 const SEED: u64 = 36;
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -214,9 +214,9 @@
         }
     }
 
-    /// Returns true when it is certain which life takes the next order.
+    /// Returns true when it is certain that the known life takes the next order.
     pub fn certain(&self) -> bool {
-        self.misses == 0 && !self.doubted && self.listed_itself()
+        self.misses == 0 && !self.doubted
     }
 
     /// Puts a task there.
