--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -187,6 +187,9 @@
         changed("16000", "99999999999999999999999999"),
         changed("16000", "-1"),
         changed("900", "{}"),
+        changed("{\"", "{\"born\":\"noon\",\""),
+        changed("{\"", "{\"born\":-5,\""),
+        changed("{\"", "{\"born\":1.5,\""),
     ];
     for text in flawed {
         let entries = entries(vec![row("i-0", BEAT), row("i-1", &text), row("i-2", BEAT)]);
@@ -204,6 +207,22 @@
     assert!(matches!(entries[2].1, Entry::Listed(_)));
 }
 
+#[test]
+fn an_entry_tells_when_its_worker_started_or_does_not() {
+    for (start, born) in [
+        ("", None),
+        ("\"born\":7,", Some(7)),
+        ("\"born\":null,", None),
+    ] {
+        let text = BEAT.replacen('{', &format!("{{{start}"), 1);
+        let entries = entries(vec![row("i-0", &text)]);
+        let Entry::Listed(listing) = &entries[1].1 else {
+            panic!("{text}: {entries:?}");
+        };
+        assert_eq!(listing.born, born, "{text}");
+    }
+}
+
 #[test]
 fn a_service_without_a_queue_is_named_all_the_same() {
     let named = CONFIG.replacen("{\"name\":\"s1\"}", "{\"name\":\"s3\"}", 1);
--- a/src/sched/lives.rs
+++ b/src/sched/lives.rs
@@ -110,29 +110,35 @@
     }
 }
 
+/// Takes the runs off an earlier life that the later one has or may have, by what it has
+/// reported, and returns them as they stand there.
+fn take_carried(
+    worker: &mut Worker,
+    reported: &BTreeSet<(TaskKey, u32)>,
+    now: Millis,
+) -> Vec<(TaskKey, Placement)> {
+    let mut carried = Vec::new();
+    for (key, run) in &worker.placements {
+        let fate = Fate::of(run, reported.contains(&(*key, run.run)));
+        if fate != Fate::Lost {
+            carried.push((*key, carry(run.clone(), fate)));
+        }
+    }
+    for (key, _) in &carried {
+        worker.take(*key, now);
+    }
+    carried
+}
+
 impl Owner {
     /// Goes on with the later life of a worker, whose first report this is.
     pub(super) fn started_again(&mut self, name: &Name, report: &Report) {
-        let running = report.running.iter().map(|r| (&r.task, r.run));
-        let ended = report.ended.iter().map(|e| (&e.task, e.run));
-        let reported = running.chain(ended);
-        let reported: BTreeSet<(TaskKey, u32)> = reported
-            .filter_map(|(task, run)| Some((self.find(task)?, run)))
-            .collect();
+        let reported = self.reported(report);
+        let now = self.now.steady;
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        let fate = |(key, run): (&TaskKey, &Placement)| {
-            let fate = Fate::of(run, reported.contains(&(*key, run.run)));
-            (*key, fate)
-        };
-        let fates: Vec<(TaskKey, Fate)> = worker.placements.iter().map(fate).collect();
-        let mut carried = Vec::new();
-        for (key, fate) in fates.into_iter().filter(|(_, f)| *f != Fate::Lost) {
-            let run = worker.placements.get(&key).cloned();
-            carried.extend(run.map(|run| (key, carry(run, fate))));
-            worker.take(key, self.now.steady);
-        }
+        let carried = take_carried(worker, &reported, now);
         let doubtful = carried.iter().filter(|(_, r)| r.stage == Stage::Doubt);
         let doubtful: Vec<TaskKey> = doubtful.map(|(key, _)| *key).collect();
         let (born, tasks) = (worker.born, carried.len());
@@ -159,6 +165,15 @@
         }
     }
 
+    /// Returns the runs of known tasks that a report tells of, as going on or ended.
+    fn reported(&self, report: &Report) -> BTreeSet<(TaskKey, u32)> {
+        let running = report.running.iter().map(|r| (&r.task, r.run));
+        let ended = report.ended.iter().map(|e| (&e.task, e.run));
+        let all = running.chain(ended);
+        all.filter_map(|(task, run)| Some((self.find(task)?, run)))
+            .collect()
+    }
+
     /// Puts a later life in the place of the one before, with the runs that it may have.
     fn begin_life(&mut self, name: &Name, born: Born, carried: Vec<(TaskKey, Placement)>) {
         let (now, span) = (self.now.steady, self.bounds.lease);
--- a/src/sched/silence.rs
+++ b/src/sched/silence.rs
@@ -60,7 +60,7 @@
     }
 
     /// Takes all tasks off a worker.
-    pub(super) fn clear(&mut self, name: &Name) {
+    fn clear(&mut self, name: &Name) {
         let Some(worker) = self.workers.get(name) else {
             return;
         };
