Crashes of many workers at once: also those that no owner has seen, and the first of them

Jobs were shown as failed where another owner took over while many workers started again: it found their tasks gone with earlier lives, counted a loss for each, and gave up those of the fourth time. In the test, with a takeover at each restart of four of twelve workers, jobs of 20 tasks and a lasting one were given up.

Change: tasks gone unseen count as an outage where at least two other workers went within 2 s; what counted for the first two is counted again once the third is known.

--- a/src/sched/crashes.rs
+++ b/src/sched/crashes.rs
@@ -78,6 +78,14 @@
     Outage,
 }
 
+/// A crash that counted for a task, and is an outage if enough others go at once with it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Provisional {
+    at: Millis,
+    key: TaskKey,
+    count: Count,
+}
+
 /// The circumstances of a crash.
 #[derive(Clone, Copy)]
 struct Circumstances {
@@ -105,6 +113,8 @@
     key: TaskKey,
     cause: Cause,
     count: Count,
+    /// True when it would be an outage if more had gone at once.
+    provisional: bool,
 }
 
 impl Attribution {
@@ -154,8 +164,12 @@
         let cause = cause(key, run);
         let count = circumstances.count(cause, run);
         let counts = count == Count::Crash || count == Count::Outage || cause.suspects();
-        let key = *key;
-        counts.then_some(Attribution { key, cause, count })
+        counts.then_some(Attribution {
+            key: *key,
+            cause,
+            count,
+            provisional: count == Count::Crash && cause == Cause::Unlikely,
+        })
     };
     runs().filter_map(attribution).collect()
 }
@@ -164,14 +178,12 @@
     /// Lays the crash of a worker to the runs that it took along, and gives up tasks under
     /// which too many have crashed. One that had said that it would leave has not crashed.
     pub(super) fn crashed(&mut self, name: &Name, crash: Crash) {
-        let others = self.troubled(name);
-        let Some(worker) = self.workers.get(name).filter(|w| !w.listing.leaving) else {
-            return;
-        };
+        let others = self.gone_at_once(name);
         // One whose tasks were freed when its lease had ended is not counted again.
-        if worker.placements.is_empty() {
+        let counts = |w: &&Worker| !w.listing.leaving && !w.placements.is_empty();
+        let Some(worker) = self.workers.get(name).filter(counts) else {
             return;
-        }
+        };
         let many = others >= MANY;
         let attributions = attributions(worker, Circumstances { crash, many });
         let suspects = attributions.iter().filter(|a| a.cause.suspects()).count();
@@ -186,18 +198,45 @@
 
     /// Returns how many other workers have gone at once with one: that have crashed just
     /// now, don't answer, or may have started again.
-    fn troubled(&mut self, name: &Name) -> usize {
+    fn gone_at_once(&mut self, name: &Name) -> usize {
         let since = self.now.steady.saturating_sub(AT_ONCE);
         while self.crashed_at.front().is_some_and(|at| *at < since) {
             self.crashed_at.pop_front();
         }
+        self.provisional.retain(|crash| crash.at >= since);
         let troubled = |(id, w): &(&Name, &Worker)| *id != name && (w.misses > 0 || w.doubted);
-        self.crashed_at.len() + self.workers.iter().filter(troubled).count()
+        let others = self.crashed_at.len() + self.workers.iter().filter(troubled).count();
+        if others >= MANY {
+            self.count_again();
+        }
+        others
+    }
+
+    /// Counts the first of many crashes at once as what they are: an outage.
+    fn count_again(&mut self) {
+        for crash in std::mem::take(&mut self.provisional) {
+            let job = self.jobs.get_mut(&crash.key.job).filter(|job| job.open());
+            let Some(task) = job.and_then(|job| job.task_mut(crash.key)) else {
+                continue;
+            };
+            match crash.count {
+                Count::Crash => task.crashes = task.crashes.saturating_sub(1),
+                Count::Loss => task.losses = task.losses.saturating_sub(1),
+                Count::Outage => continue,
+            }
+            task.outages += 1;
+            let (crashes, losses, outages) = (task.crashes, task.losses, task.outages);
+            self.journal.touch(crash.key.job);
+            let task = self.task_name(crash.key);
+            log::info!(target: "task", "task={task} event=crash-counted-again was={:?} crashes={crashes} losses={losses} outages={outages}", crash.count);
+        }
     }
 
     /// Counts a crash for a task.
     fn count_crash(&mut self, attribution: &Attribution, name: &Name) {
-        let &Attribution { key, cause, count } = attribution;
+        let &Attribution {
+            key, cause, count, ..
+        } = attribution;
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.open()) else {
             return;
         };
@@ -216,6 +255,10 @@
         }
         let (crashes, losses, outages) = (task.crashes, task.losses, task.outages);
         let (run, over) = (task.run, attribution.gives_up(task));
+        if attribution.provisional {
+            let at = self.now.steady;
+            self.provisional.push(Provisional { at, key, count });
+        }
         self.journal.touch(key.job);
         let task = self.task_name(key);
         log::info!(target: "task", "task={task} run={run} event=crash-counted worker={name} cause={cause:?} count={count:?} crashes={crashes} losses={losses} outages={outages}");
@@ -226,15 +269,23 @@
         }
     }
 
-    /// Counts a loss for a task whose worker was gone before this owner knew it: with an
-    /// owner lost after each crash, nothing would be counted otherwise.
-    pub(super) fn gone_unseen(&mut self, key: TaskKey, name: &Name) {
-        let attribution = Attribution {
-            key,
-            cause: Cause::Shared,
-            count: Count::Loss,
-        };
-        self.count_crash(&attribution, name);
+    /// Counts a loss for tasks whose worker was gone before this owner knew it: with an owner
+    /// lost after each crash, nothing would be counted otherwise.
+    pub(super) fn gone_unseen(&mut self, keys: &[TaskKey], name: &Name) {
+        if keys.is_empty() {
+            return;
+        }
+        let many = self.gone_at_once(name) >= MANY;
+        self.crashed_at.push_back(self.now.steady);
+        for key in keys {
+            let attribution = Attribution {
+                key: *key,
+                cause: Cause::Shared,
+                count: if many { Count::Outage } else { Count::Loss },
+                provisional: !many,
+            };
+            self.count_crash(&attribution, name);
+        }
     }
 
     /// Returns true when a task may have caused the last crash under it.
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -4,6 +4,7 @@
 
 use super::agenda::Agenda;
 use super::choice::Ranking;
+use super::crashes::Provisional;
 use super::job::{Job, JobRow, Outcome, Phase, StepKey, TaskKey};
 use super::journal::Journal;
 use super::loads::Loads;
@@ -110,6 +111,8 @@
     pub(super) loads: Loads,
     /// When workers have crashed, as far back as that matters.
     pub(super) crashed_at: VecDeque<Millis>,
+    /// Crashes that may still turn out to be of an outage.
+    pub(super) provisional: Vec<Provisional>,
     /// When the store was last away, slow or silent.
     pub(super) store_trouble: Millis,
     /// Declared work that is typical of a job, by queue.
@@ -174,6 +177,7 @@
             pressure: Pressure::default(),
             loads: Loads::default(),
             crashed_at: VecDeque::new(),
+            provisional: Vec::new(),
             store_trouble: 0,
             typical: HashMap::new(),
             strain: 0.0,
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -298,9 +298,7 @@
             log::info!(target: "task", "task={task} run={run} event=missing worker={name} age_ms={age}");
             self.stop(key);
         }
-        for key in &unseen {
-            self.gone_unseen(*key, name);
-        }
+        self.gone_unseen(&unseen, name);
         for key in free.into_iter().chain(unseen) {
             self.free(key);
         }
--- a/src/sched/silence.rs
+++ b/src/sched/silence.rs
@@ -119,8 +119,8 @@
             let held = |key: &TaskKey| self.placed.get(key) == Some(&name);
             let lost: Vec<TaskKey> = keys.into_iter().filter(held).collect();
             self.count_lapsed(lost.len());
+            self.gone_unseen(&lost, &name);
             for key in lost {
-                self.gone_unseen(key, &name);
                 self.free(key);
             }
         }
--- a/src/sched/tests/crashes.rs
+++ b/src/sched/tests/crashes.rs
@@ -258,10 +258,17 @@
     }
 }
 
-/// A third of the workers starts again every three seconds. The tasks there are hit by
-/// that again and again, some just after their start, and are none of the cause.
+/// A third of the workers starts again every three seconds, and another owner takes over
+/// each time or does not. The tasks there are hit by that again and again, some just after
+/// their start, and are none of the cause.
 #[test]
 fn tasks_are_not_given_up_where_many_workers_start_again_at_once() {
+    for replaced in [false, true] {
+        start_many_again(replaced);
+    }
+}
+
+fn start_many_again(replaced: bool) {
     let mut world = World::new(12);
     world.script = |task, _| match task.starts_with("lasting") {
         true => (600_000, How::Done),
@@ -275,7 +282,10 @@
             let id = format!("w{}", (wave * 5 + place * 3) % 12);
             world.restart(&id);
         }
-        world.list();
+        match replaced {
+            true => world.take_over(0),
+            false => world.list(),
+        }
     }
     world.run(30_000);
     for wave in 0..12 {
