--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -158,8 +158,7 @@
 /// Returns when the store confirmed that this box still is the owner; none if another
 /// became it while this one loaded, or that can't be read.
 ///
-/// What was read may be torn by the other's writes, 165 jobs without a specification on
-/// a played day, and a box that was told of a later owner must not extend leases.
+/// What was read may be torn by the other's writes, jobs without a specification, and a box that was told of a later owner must not extend leases.
 async fn holds(shared: &Shared, row: &OwnerRow) -> Option<Millis> {
     let since = clock::now();
     while clock::now() <= since + FAILING {
@@ -188,8 +187,8 @@
 /// `epoch` acts any more then if it was the `last` that could.
 ///
 /// It is told who the owner is as well: where the store has turned it away, so have its
-/// followers been perhaps, and these ask it alone. On a played day 16 boxes of 45 found no
-/// owner for 7 s and refused 172 jobs, each after 1.3 s.
+/// followers been perhaps, and these ask it alone: they would find no owner and refuse jobs
+/// for as long as that lasts.
 async fn tell_predecessor(shared: Rc<Shared>, before: OwnerRow, told: PingRequest, last: bool) {
     let epoch = told.epoch;
     while shared.leading().is_none_or(|e| e == epoch) {
--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -46,8 +46,8 @@
 /// the largest machine.
 const DESCRIPTORS_RANGE: std::ops::RangeInclusive<f64> = 64.0..=4_000_000.0;
 /// Share of them for idle connections to workers. Each worker has one more for its open
-/// exchange and one idle one in any case, so 890 workers and their orders fit into 4,096;
-/// without a bound 998 workers took 4,304 (busiest box of a played day).
+/// exchange and one idle one in any case, so that an owner of 890 workers and its orders fit
+/// into 4,096.
 const IDLE_SHARE: f64 = 0.375;
 
 /// Checked settings of a box on the platform.
--- a/src/sched/agenda.rs
+++ b/src/sched/agenda.rs
@@ -1,7 +1,6 @@
 //! When exchanges with workers are due.
 //!
-//! Kept apart from the workers, as looking at all 490 of them after each event
-//! took a sixth of the owner's processor time (`cargo bench --bench owner`).
+//! Kept apart from the workers, so that not all of them are looked at after each event.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -69,8 +69,8 @@
 /// The workers on which tasks of one step fit, with their scores.
 ///
 /// The tasks of a step are placed one after the other, and only the worker that
-/// took the last one, the best, scores differently for the next: scoring all anew for
-/// each task took 4 % of a core at 490 workers (`cargo bench --bench owner`).
+/// took the last one, the best, scores differently for the next, so that not all are
+/// scored anew for each task.
 pub struct Ranking {
     /// The step.
     pub step: StepKey,
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -47,9 +47,8 @@
     }
 
     /// Returns true when a listing says nothing new of a worker, as nearly all do: each
-    /// heartbeat writes one. Taken for changes, 810 of them a second had all placed tasks
-    /// and all that waits looked at, 2.3 ms for each seven, which was half of the owner's
-    /// processor time at 890 workers (time of its loop by kind of event on a played day).
+    /// heartbeat writes one. Taken for changes, they would have all placed tasks and all
+    /// that waits looked at hundreds of times a second.
     fn lists(&self, id: &Name, listing: &Listing) -> bool {
         let known = self.workers.get(id);
         known.is_some_and(|w| w.presence == Presence::Listed && w.listing == *listing)
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -78,8 +78,8 @@
     ///
     /// Load pattern: a burst leaves many thousand tasks waiting, and each pass of placing
     /// orders them. By steps, of which there are twenty times fewer, a pass over 14,000
-    /// tasks is cheap enough to follow the one before at once: starts were held at 600 a
-    /// second where room for 1,400 was free (starts by second of a played day).
+    /// tasks is cheap enough to follow the one before at once, and holds no start up where
+    /// there is room.
     pub(super) fn order(&self) -> Vec<Turn> {
         let mut known: HashMap<(u32, u32), Claim> = HashMap::new();
         let mut last = None;
--- a/src/sched/past.rs
+++ b/src/sched/past.rs
@@ -1,8 +1,7 @@
 //! Jobs that are over: small rows apart from those of open jobs, which a new owner
 //! reads while it already serves.
 //!
-//! Read with the others, 1,900 jobs that were over kept a box of 0.5 cores from
-//! serving for 0.55 s, and one of 0.12 cores for more than 3.4 s.
+//! Read with the others, they would keep a new owner from serving for seconds.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -39,9 +39,8 @@
 type Victim = (u64, TaskKey, Name);
 
 /// The search for runs that give way in one pass of placing. Tasks of a step come one after
-/// the other, and what could give way for one could for the next: passes took 1.15 s in 5 s
-/// of a busy owner at 890 full workers with a search for each task, 0.53 s with one a step
-/// (time of its loop on a played day).
+/// the other, and what could give way for one could for the next, so that one search a step
+/// keeps passes short on full workers.
 pub(super) struct Search {
     /// Tasks for which room may still be made.
     looks: usize,
--- a/src/sched/pressure.rs
+++ b/src/sched/pressure.rs
@@ -121,9 +121,7 @@
 
     /// Returns how differently fillers press on each two images.
     ///
-    /// All at once, as 80 tasks that may swap places ask some 10,000 times for those of 16
-    /// images: one by one, looks for swaps took 0.28 s in 5 s of a busy owner at 890 workers
-    /// (time of its loop on a played day).
+    /// All at once, as a look for swaps asks thousands of times for those of a few images.
     pub fn distances(&self) -> Distances {
         let apart = |one: &Vec<f64>, other: &Vec<f64>| -> f64 {
             one.iter().zip(other).map(|(a, b)| (a - b).abs()).sum()
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -22,8 +22,7 @@
 /// tails are measured over half a second.
 const WATCH: Millis = 400;
 /// Workers that are watched at that pace; with more of them each is watched less
-/// often, so that the owner's work does not grow with their number: 1,293 exchanges
-/// a second at 490 workers in place of 1,873 (`cargo bench --bench owner`).
+/// often, so that the owner's work does not grow with their number.
 const WATCHED: u64 = 200;
 /// Milliseconds until the next exchange after one that had no answer.
 const MISS_PAUSE: Millis = 250;
--- a/src/sched/succession.rs
+++ b/src/sched/succession.rs
@@ -1,8 +1,7 @@
 //! Which box should own the cell: one with as many cores as there are.
 //!
-//! The owner's work grows with workers and tasks, and boxes are uneven. On a box
-//! of 0.12 cores an owner of 490 workers answered no pings any more within a
-//! second, and 7 owners followed each other on a calm day.
+//! The owner's work grows with workers and tasks, and boxes are uneven: on a weak one it
+//! would soon answer no pings any more, and owners would follow each other.
 
 use super::journal::OwnerRow;
 use crate::utils::clock::Millis;
@@ -166,8 +165,7 @@
 /// one tells: most that any owner had.
 ///
 /// Were it the new one's own, a weak box that took the place of a strong one would
-/// be followed by other weak ones: one of 0.12 cores loads 600 jobs in 2.4 s, is
-/// replaced meanwhile, and 26 owners followed each other so on a played day.
+/// be followed by other weak ones, each replaced while it still loads.
 pub fn wanted(own: u32, before: Option<&OwnerRow>) -> u32 {
     before.map_or(own, |row| row.cores.max(own))
 }
