Workers at an address are found by an index

With 3,000 workers each first listing and each first answer looked at all others for one at the same address, nine million looks at each takeover.

--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -1,6 +1,7 @@
 //! The directory of workers: who is there, who leaves and who has left.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 
 use super::job::TaskKey;
 use super::lives::{Standing, standing};
@@ -79,6 +80,8 @@
             if worker.listing.address != listing.address {
                 let (before, now) = (worker.listing.address, listing.address);
                 log::info!(target: "worker", "worker={id} event=moved address={now} before={before} born={:?}", listing.born);
+                forget_address(&mut self.addresses, before, &id);
+                self.addresses.entry(now).or_default().insert(id.clone());
             }
             if worker.listing.capacity != listing.capacity {
                 let (before, room, used) = (worker.listing.capacity, listing.capacity, worker.used);
@@ -101,7 +104,7 @@
         if worker.listing.leaving {
             worker.leaves = Some(now + worker.listing.stays);
         }
-        self.workers.insert(id.clone(), worker);
+        self.admit(id.clone(), worker);
         self.adopt(&id);
         self.schedule(&id, now);
     }
@@ -124,6 +127,26 @@
         true
     }
 
+    /// Adds a worker to those that are known.
+    fn admit(&mut self, id: Name, worker: Worker) {
+        let there = self.addresses.entry(worker.listing.address).or_default();
+        there.insert(id.clone());
+        self.workers.insert(id, worker);
+    }
+
+    /// Removes a worker from those that are known.
+    pub(super) fn dismiss(&mut self, id: &Name) {
+        if let Some(worker) = self.workers.remove(id) {
+            forget_address(&mut self.addresses, worker.listing.address, id);
+        }
+    }
+
+    /// Returns the workers known at an address, but for one.
+    pub(super) fn at_address(&self, address: SocketAddr, but: &Name) -> Vec<Name> {
+        let there = self.addresses.get(&address).into_iter().flatten();
+        there.filter(|id| *id != but).cloned().collect()
+    }
+
     /// Takes in that the entry of a worker names none to use any more. It gets nothing
     /// new; what it runs goes on, since the worker itself has said nothing.
     fn disuse(&mut self, id: &Name) {
@@ -244,3 +267,17 @@
         }
     }
 }
+
+fn forget_address(
+    addresses: &mut HashMap<SocketAddr, BTreeSet<Name>>,
+    address: SocketAddr,
+    id: &Name,
+) {
+    let Some(there) = addresses.get_mut(&address) else {
+        return;
+    };
+    there.remove(id);
+    if there.is_empty() {
+        addresses.remove(&address);
+    }
+}
--- a/src/sched/lives.rs
+++ b/src/sched/lives.rs
@@ -220,11 +220,4 @@
             self.life_ended(&other, Ending::Replaced);
         }
     }
-
-    /// Returns the workers known at an address, but for one.
-    pub(super) fn at_address(&self, address: std::net::SocketAddr, but: &Name) -> Vec<Name> {
-        let there = |w: &&Worker| w.listing.address == address && w.listing.id != *but;
-        let there = self.workers.values().filter(there);
-        there.map(|w| w.listing.id.clone()).collect()
-    }
 }
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -1,6 +1,7 @@
 //! The owner of all jobs and workers of a cell: events in, actions out.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
 
 use super::agenda::Agenda;
 use super::choice::Ranking;
@@ -73,6 +74,8 @@
     pub(super) ready: BTreeMap<TaskKey, Millis>,
     /// Workers by the id of their life.
     pub(super) workers: BTreeMap<Name, Worker>,
+    /// The same by their addresses, at which several may have been listed.
+    pub(super) addresses: HashMap<SocketAddr, BTreeSet<Name>>,
     /// Halls whose workers get nothing new; none while that is not known, as a box that
     /// has just become the owner may know less than the one before.
     pub(super) cordoned: Option<Halls>,
@@ -158,6 +161,7 @@
             unreadable: BTreeSet::new(),
             ready: BTreeMap::new(),
             workers: BTreeMap::new(),
+            addresses: HashMap::new(),
             cordoned: None,
             agenda: Agenda::default(),
             placed: HashMap::new(),
--- a/src/sched/silence.rs
+++ b/src/sched/silence.rs
@@ -37,7 +37,7 @@
         self.clear(name);
         self.forget_permits(name);
         self.break_promise(name);
-        self.workers.remove(name);
+        self.dismiss(name);
     }
 
     /// Tells that a life of a worker is over, and of each run that went with it for how
@@ -91,7 +91,7 @@
             self.crashed(&name, Crash::Silent);
             self.clear(&name);
             if forgettable(presence) {
-                self.workers.remove(&name);
+                self.dismiss(&name);
             }
         }
         let drained = |w: &&Worker| {
@@ -104,7 +104,7 @@
             .map(|w| w.listing.id.clone())
             .collect();
         for name in drained {
-            self.workers.remove(&name);
+            self.dismiss(&name);
         }
         self.lapse_unlisted();
     }
