Lives: an answer's clock is compared with what was told before its order was sent

An owner that is behind reads answers out of their order, and one read a second late would have been taken for that of another life: its start passed over, its worker closed until it reports. What was told before the order was sent can't be overtaken.

--- a/benches/orders.rs
+++ b/benches/orders.rs
@@ -63,6 +63,7 @@
             life: Life {
                 id: "i-0a5d8fc929".into(),
                 born: None,
+                clock: 0,
             },
             sent: 0,
             address,
--- a/src/sched/lives.rs
+++ b/src/sched/lives.rs
@@ -39,6 +39,8 @@
     pub id: Name,
     /// When it started.
     pub born: Born,
+    /// Time on its clock that it had told by then; 0 for none.
+    pub clock: Millis,
 }
 
 impl fmt::Display for Life {
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -142,7 +142,8 @@
             return true;
         };
         let later = standing(worker.born, word.born) == Standing::Later;
-        let another = later || worker.set_back(word.clock);
+        // Its clock goes on from what it had told before the order was sent.
+        let another = later || word.clock < life.clock;
         if another {
             self.doubt_life(&life.id, "answer");
         }
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -21,9 +21,6 @@
 /// Milliseconds without an answer after which a worker gets no new tasks: a
 /// long poll and half of one more.
 const SILENT_AFTER: Millis = 1_800;
-/// Most milliseconds by which a report overtakes the answer to an order, which is given
-/// up before.
-const OVERTAKEN: Millis = 1_000;
 
 /// Returns the longest that a lease of `span` milliseconds may last.
 pub fn lease_span(span: Millis) -> Millis {
@@ -202,6 +199,7 @@
         Life {
             id: self.listing.id.clone(),
             born: self.born,
+            clock: self.heard.map_or(0, |h| h.clock),
         }
     }
 
@@ -378,13 +376,6 @@
         self.granted
     }
 
-    /// Returns true when a clock that was told is behind what it told before: only that of
-    /// another life can be.
-    pub fn set_back(&self, clock: Millis) -> bool {
-        let heard = self.heard.map_or(0, |h| h.clock);
-        clock + OVERTAKEN < heard
-    }
-
     /// Returns the highest end up to which all are in the store.
     fn stored(&self) -> u64 {
         match self.pending.first() {
