--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -23,34 +23,30 @@
 pub(super) fn owner(registry: &mut Registry, m: &Metrics) {
     registry.register(
         "owner_epoch",
-        "Epoch of the owner in this process, 0 for none",
+        "Epoch of the owner here, 0 for none",
         m.epoch.clone(),
     );
     registry.register(
         "followed_epoch",
-        "Epoch of the owner that it follows, 0 for none",
+        "Epoch of the owner followed, 0 for none",
         m.followed.clone(),
     );
     registry.register(
         "owner_unserved_ms",
-        "Milliseconds without an owner that answers as one",
+        "Milliseconds without an owner",
         m.unserved.clone(),
     );
     registry.register(
         "takeovers",
-        "Times that it became the owner",
+        "Times it became the owner",
         m.takeovers.clone(),
     );
     registry.register(
         "unconfirmed_ms",
-        "Milliseconds since the store confirmed the owner",
+        "Milliseconds since confirmed",
         m.unconfirmed.clone(),
     );
-    registry.register(
-        "runs_lapsed",
-        "Runs freed as their lease had ended",
-        m.lapsed.clone(),
-    );
+    registry.register("runs_lapsed", "Runs whose lease ended", m.lapsed.clone());
     registry.register(
         "runs_orphaned",
         "Runs that went with their worker",
@@ -58,12 +54,12 @@
     );
     registry.register(
         "worker_lives",
-        "Lives of workers that took the place of a known one",
+        "Workers that started again",
         m.lives.clone(),
     );
     registry.register(
         "earlier_lives",
-        "News of earlier lives of workers that were passed over",
+        "Late news passed over",
         m.earlier_lives.clone(),
     );
     registry.register("worker_crashes", "Workers that crashed", m.crashes.clone());
@@ -79,30 +75,26 @@
     );
     registry.register(
         "starts_withdrawn",
-        "Starts withdrawn before they were sent",
+        "Starts withdrawn unsent",
         m.withdrawn.clone(),
     );
     registry.register(
         "calls_unanswered",
-        "Calls without an answer in time on an open connection",
+        "Calls without an answer in time",
         m.unanswered.clone(),
     );
     registry.register(
         "owner_late_ms",
-        "Milliseconds that the owner was late, the most of 5 s",
+        "Milliseconds late, most of 5 s",
         m.late.clone(),
     );
     registry.register(
         "owner_leaving_ms",
-        "Milliseconds that it gives the cell up, 0 before",
+        "Milliseconds of giving the cell up",
         m.leaving.clone(),
     );
     registry.register("load_ms", "Milliseconds of the last load", m.load.clone());
-    registry.register(
-        "owner_ends",
-        "Owners that ended in this process",
-        m.ends.clone(),
-    );
+    registry.register("owner_ends", "Owners that ended here", m.ends.clone());
     registry.register(
         "tasks_waiting",
         "Tasks that wait for a worker",
@@ -112,11 +104,11 @@
     registry.register("workers", "Workers known to the owner", m.workers.clone());
     registry.register(
         "suspended_ms",
-        "Milliseconds that the machine was suspended",
+        "Milliseconds suspended",
         m.suspended.clone(),
     );
     registry.register("log_dropped", "Log lines dropped", m.dropped.clone());
-    registry.register("config_version", "Configuration in force", m.config.clone());
+    registry.register("config_version", "Version in force", m.config.clone());
     registry.register(
         "rows_undecoded",
         "Rows that did not decode",
--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -7,7 +7,7 @@
 /// Bytes of an answer that a collector keeps in any case.
 const KEPT: usize = 3_500;
 /// Rows that tell the owner and how it fares.
-const OWNER: [&str; 23] = [
+const OWNER: [&str; 25] = [
     "owner_epoch",
     "followed_epoch",
     "owner_unserved_ms",
@@ -19,6 +19,8 @@
     "unconfirmed_ms",
     "runs_lapsed_total",
     "runs_orphaned_total",
+    "worker_lives_total",
+    "earlier_lives_total",
     "worker_crashes_total",
     "tasks_given_up_total",
     "halls_cordoned",
