A box whose load fails keeps a later owner that it was told of

What callers saw: a box that the store turns away refused everything, though another box served. Cause: the word of a later owner ends the load of this box, and the end of that load forgot the owner just told; the teller had its answer and did not come again. Change: only an owner up to the box's own epoch is forgotten. The test failed before by its last line (None for Some(8)).

--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -190,6 +190,14 @@
         *self.owner.borrow_mut() = seen;
     }
 
+    /// Forgets the owner as last seen, so that the store is asked; one later than `epoch`
+    /// stays, since a box that the store turns away could not find it again.
+    pub fn forget(&self, epoch: u64) {
+        if self.owner().is_none_or(|seen| seen.row.epoch <= epoch) {
+            self.see(None);
+        }
+    }
+
     /// Returns the row of the last owner in another box that served this one.
     pub fn followed(&self) -> Option<OwnerRow> {
         self.followed.borrow().clone()
--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -101,7 +101,7 @@
         }
         shared.set_loading(None);
         // Somebody else may be the owner by now.
-        return shared.see(None);
+        return shared.forget(epoch);
     };
     let Some(confirmed) = holds(shared, &row).await else {
         return shared.set_loading(None);
@@ -179,7 +179,7 @@
             }
         }
     }
-    shared.see(None);
+    shared.forget(row.epoch);
     None
 }
 
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -3,13 +3,16 @@
 use super::absence::Absence;
 use super::past::page;
 use super::reign::Reign;
+use super::shared::{Seen, Shared};
 use super::takeover::jobs;
 use crate::metrics::{self, End};
+use crate::options::daemon;
 use crate::sched::job::{Job, Outcome, Queue};
 use crate::sched::journal::{Journal, OwnerRow};
 use crate::sched::owner::{Bounds, Kept, Now, Owner};
 use crate::sched::past::PastRow;
 use crate::sched::spec::{JobSpec, StepSpec};
+use crate::sched::succession::Life;
 use crate::sched::switches::Switches;
 use crate::table::{Row, encode};
 
@@ -56,18 +59,23 @@
     assert_eq!(stored.unreadable, ["torn".into(), "alone".into()]);
 }
 
-/// Returns an owner of one job whose row was written at `now`.
-fn owner(now: u64) -> Owner {
-    let row = OwnerRow {
+/// Returns the row of an owner of an epoch.
+fn owner_row(epoch: u64) -> OwnerRow {
+    OwnerRow {
         name: "a".into(),
         life: 1,
         address: ([127, 0, 0, 1], 1).into(),
-        epoch: 7,
+        epoch,
         seq: 0,
         settled: true,
         released: false,
         cores: 0,
-    };
+    }
+}
+
+/// Returns an owner of one job whose row was written at `now`.
+fn owner(now: u64) -> Owner {
+    let row = owner_row(7);
     let bounds = Bounds {
         lease: 4_000,
         unconfirmed: 10_000,
@@ -150,3 +158,36 @@
     assert_eq!(page.unreadable, ["open".into(), "torn".into()]);
     assert!(page.last);
 }
+
+/// Returns the state of a box without a configuration.
+fn shared() -> Shared {
+    let text = "[box]\nname = \"b\"\nhall = \"h1\"\nweb = \"127.0.0.1:1\"\n\
+        admin = \"127.0.0.1:2\"\nrpc = \"127.0.0.1:3\"\n[platform]\nstore = \"127.0.0.1:4\"\n";
+    let settings = daemon::parse("b.toml", text).expect("settings");
+    let (lead, _) = futures::channel::mpsc::unbounded();
+    let (nudge, _) = futures::channel::mpsc::unbounded();
+    Shared::new(settings, 1, lead, nudge)
+}
+
+/// A box whose load another one ended by its word forgot that one at the end of the load, and
+/// could not find it again where the store turned it away.
+#[test]
+fn a_box_whose_load_fails_keeps_a_later_owner_that_it_was_told_of() {
+    let shared = shared();
+    let seen = |epoch| Seen {
+        row: owner_row(epoch),
+        version: epoch,
+        life: Life { at: 0, pages: None },
+    };
+    let known = || shared.owner().map(|s| s.row.epoch);
+    shared.see(Some(seen(6)));
+    shared.forget(7);
+    assert_eq!(
+        known(),
+        None,
+        "one before its own: the store knows who is it now"
+    );
+    shared.see(Some(seen(8)));
+    shared.forget(7);
+    assert_eq!(known(), Some(8), "the later one");
+}
