--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -26,6 +26,8 @@
 const PATH: &str = "/holds/";
 /// Service that runs its tasks.
 const SERVICE: &str = "stock";
+/// Lines of each box that a failure prints.
+const LAST_LINES: usize = 40;
 const LIMITS: Limits = Limits {
     head: 16 << 10,
     body: 1 << 20,
@@ -288,6 +290,18 @@
         jobs.and_then(|j| j.parse().ok()).expect("a count of jobs")
     }
 
+    /// Prints the last lines of all boxes, and where they stand whole: a failure that shows
+    /// once has nothing else that leads to its cause.
+    fn tell(&self) {
+        println!("what the boxes wrote is kept in {}", self.folder.display());
+        for number in 0..self.nodes.len() {
+            let text = self.output(number);
+            let lines: Vec<&str> = text.lines().collect();
+            let last = lines[lines.len().saturating_sub(LAST_LINES)..].join("\n");
+            println!("box {number}, the last of {} lines:\n{last}", lines.len());
+        }
+    }
+
     /// Kills a box.
     pub fn kill(&mut self, number: usize) {
         let child = &mut self.nodes[number].child;
@@ -349,6 +363,10 @@
             let _ = node.child.kill();
             let _ = node.child.wait();
         }
+        if std::thread::panicking() {
+            self.tell();
+            return;
+        }
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
