A box that knows neither an owner nor the store is not ready

What callers saw: a box took connections and refused every job for as long as the store turned it away, beside two boxes that served. Cause: a box is ready with its configuration, some milliseconds before it reads the owner's row; turned away in between it knows of no other box.

Change: such a box says that it is not ready, so that the balancer sends callers elsewhere; the line event=ready tells each change with its reasons. The two tests of cut-off followers wait until the boxes follow, as their descriptions say; nothing else in them changes.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -67,8 +67,10 @@
     monoio::spawn(lead::run(shared.clone(), receiver));
     monoio::spawn(member::run(shared.clone(), nudged));
     let mut suspension = Suspension::begin();
+    let mut ready = false;
     while !signals::asked() {
         note_suspension(&mut suspension, &shared);
+        note_ready(&mut ready, &shared);
         if signals::reload_asked() {
             reload(&shared, file);
         }
@@ -83,6 +85,19 @@
     Ok(())
 }
 
+/// Tells when callers begin or cease to be sent here.
+fn note_ready(before: &mut bool, shared: &Shared) {
+    let ready = shared.ready();
+    if ready == *before {
+        return;
+    }
+    *before = ready;
+    let (config, owner) = (shared.queues().version(), shared.owner());
+    let epoch = owner.map_or(0, |seen| seen.row.epoch);
+    let served = shared.store_serves();
+    log::info!(target: "daemon", "event=ready ready={ready} config={config} epoch={epoch} store_serves={served}");
+}
+
 /// Tells that the machine was suspended: what comes after it looks like a box that was
 /// frozen, and timers have not counted that time.
 fn note_suspension(suspension: &mut Suspension, shared: &Shared) {
--- a/src/daemon/admin.rs
+++ b/src/daemon/admin.rs
@@ -22,7 +22,7 @@
 
 fn answer(shared: &Shared, request: &web::Request) -> Reply {
     match request.uri.path() {
-        "/ready" if ready(shared) => Reply::text(StatusCode::OK, "ready\n"),
+        "/ready" if shared.ready() => Reply::text(StatusCode::OK, "ready\n"),
         "/ready" => Reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         "/metrics" => Reply::text(StatusCode::OK, text(shared)),
         _ => Reply::text(StatusCode::NOT_FOUND, "try /ready or /metrics\n"),
@@ -35,8 +35,3 @@
     metrics.unserved.set(shared.unserved() as i64);
     metrics.text()
 }
-
-/// A box is ready with a configuration, unless it is stopping.
-fn ready(shared: &Shared) -> bool {
-    shared.queues().version() > 0 && !shared.stopping()
-}
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -282,6 +282,13 @@
         clock::now() < self.served.get() + SERVED
     }
 
+    /// Returns true while callers may be sent to this box: with a configuration, unless it
+    /// stops, or neither knows an owner nor has the store to find one.
+    pub fn ready(&self) -> bool {
+        let found = self.owner().is_some() || self.store_serves();
+        self.queues().version() > 0 && found && !self.stopping()
+    }
+
     /// Returns the bounds of decisions in force.
     pub fn bounds(&self) -> Bounds {
         self.bounds.get()
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -166,12 +166,29 @@
     }
 
     fn wait_ready(&self, number: usize) {
-        let node = &self.nodes[number];
-        let ask = "GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
-        let ready = || exchange(node.ready, ask).is_ok_and(|t| t.starts_with("HTTP/1.1 200"));
+        let ready = || self.ready(number);
         assert!(becomes(ready), "box {number} wrote {}", self.output(number));
     }
 
+    /// Returns true when a box says that it is ready.
+    pub fn ready(&self, number: usize) -> bool {
+        let ask = "GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        let answer = exchange(self.nodes[number].ready, ask);
+        answer.is_ok_and(|text| text.starts_with("HTTP/1.1 200"))
+    }
+
+    /// Waits until an owner serves all boxes: they are ready some time before, and one that
+    /// knows no owner yet follows none.
+    pub fn wait_followed(&self) {
+        let served = |n: usize| {
+            let unserved = self.gauge(n, "owner_unserved_ms");
+            self.gauge(n, "followed_epoch") > Some(0) && unserved == Some(0)
+        };
+        wait("all boxes to be served", || {
+            (0..self.nodes.len()).all(served)
+        });
+    }
+
     /// Returns the value of a row without labels in a box's metrics; none when the
     /// box does not answer.
     pub fn gauge(&self, number: usize, name: &str) -> Option<u64> {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -379,6 +379,7 @@
     deployment.submit_until_taken("00000000000000e0", 1);
     let owner = deployment.owner();
     let follower = (owner + 1) % 3;
+    deployment.wait_followed();
     deployment.cut_store(&[owner, follower]);
     wait("another owner", || deployment.owner() != owner);
     for (number, id) in [(follower, "00000000000000e1"), (owner, "00000000000000e2")] {
@@ -393,6 +394,37 @@
     }
 }
 
+/// A box is ready with its configuration, some milliseconds before it knows the owner. One that
+/// the store turned away in between knew of no other box: `owner-unread` was all that it wrote,
+/// and callers whom the balancer sent there were refused for as long as that lasted, beside two
+/// boxes that served. Nobody can tell it of an owner, so it has to say that it is not ready.
+#[test]
+fn a_box_that_knows_neither_an_owner_nor_the_store_is_not_ready() {
+    let mut deployment = Deployment::start(3, 2, SPAN);
+    deployment.submit_until_taken("00000000000000e3", 1);
+    let owner = deployment.owner();
+    let late = (owner + 1) % 3;
+    deployment.kill(late);
+    deployment.store.refuse_reads(Some("owner"));
+    deployment.restart(late);
+    wait("its configuration", || {
+        deployment.gauge(late, "config_version") == Some(1)
+    });
+    deployment.cut_store(&[late]);
+    deployment.store.refuse_reads(None);
+    wait("the box to say that it is not ready", || {
+        !deployment.ready(late)
+    });
+    assert!(deployment.ready(owner), "one that serves is");
+    assert_eq!(deployment.submit(late, "00000000000000e4", 1).0, 503);
+    deployment.cut_store(&[]);
+    wait("the box to be ready", || deployment.ready(late));
+    wait("a job to be taken through it", || {
+        deployment.submit(late, "00000000000000e4", 1).0 == 200
+    });
+    deployment.wait_completed("00000000000000e4");
+}
+
 /// The box that takes over cannot load at first, and then finds its own row before it.
 #[test]
 fn a_box_that_takes_over_at_its_second_try_tells_the_owner_before() {
@@ -400,6 +432,7 @@
     deployment.submit_until_taken("00000000000000e5", 1);
     let owner = deployment.owner();
     let follower = (owner + 1) % 3;
+    deployment.wait_followed();
     deployment.store.refuse_reads(Some("spec"));
     deployment.cut_store(&[owner, follower]);
     let third = (owner + 2) % 3;
