--- a/benches/orders.rs
+++ b/benches/orders.rs
@@ -62,7 +62,7 @@
         let hold = Hold {
             life: Life {
                 id: "i-0a5d8fc929".into(),
-                born: None,
+                boot: None,
                 clock: 0,
             },
             sent: 0,
--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -118,7 +118,7 @@
 fn listing(place: usize) -> Listing {
     Listing {
         id: format!("w{place:04}").into(),
-        born: Some(1),
+        boot: Some(1),
         service: "s".into(),
         address: ([10, 0, (place / 250) as u8, (place % 250) as u8], 80).into(),
         hall: "h".into(),
@@ -325,7 +325,7 @@
     fn word(&self) -> Word {
         Word {
             clock: self.now,
-            born: Some(1),
+            boot: Some(1),
         }
     }
 
@@ -394,7 +394,7 @@
             },
         });
         let report = Report {
-            born: Some(1),
+            boot: Some(1),
             clock: self.now,
             running: running.collect(),
             ended: w.ended.clone(),
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -71,7 +71,7 @@
     }
     Ok(Listing {
         id: row.key.clone(),
-        born: beat.born,
+        boot: beat.born,
         service: beat.service,
         address: beat.address,
         hall: beat.zone,
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -219,7 +219,7 @@
         let Entry::Listed(listing) = &entries[1].1 else {
             panic!("{text}: {entries:?}");
         };
-        assert_eq!(listing.born, born, "{text}");
+        assert_eq!(listing.boot, born, "{text}");
     }
 }
 
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -126,7 +126,7 @@
     match reply.status {
         StatusCode::OK => Reply::Ok(body),
         StatusCode::CONFLICT => Reply::Refused(conflict(path, &body.reason)),
-        StatusCode::MISDIRECTED_REQUEST => Reply::Refused(Refusal::Reborn),
+        StatusCode::MISDIRECTED_REQUEST => Reply::Refused(Refusal::Replaced),
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
             Reply::Refused(Refusal::Unwell)
         }
@@ -155,7 +155,7 @@
 fn word(body: OrderReply) -> Word {
     Word {
         clock: body.clock_ms,
-        born: body.born,
+        boot: body.born,
     }
 }
 
@@ -185,7 +185,7 @@
         });
     Report {
         clock: body.clock_ms,
-        born: body.born,
+        boot: body.born,
         running: running.collect(),
         ended: ended.collect(),
     }
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -61,12 +61,12 @@
         let cordoned = self.is_cordoned(&listing.hall);
         self.crowded = false;
         if let Some(worker) = self.workers.get_mut(&id) {
-            let (known, news) = (worker.born, standing(worker.born, listing.born));
+            let (known, news) = (worker.boot, standing(worker.boot, listing.boot));
             // What an earlier life wrote may come late.
-            if news == Standing::Earlier && worker.listing.born != listing.born {
-                let born = listing.born;
+            if news == Standing::Earlier && worker.listing.boot != listing.boot {
+                let boot = listing.boot;
                 worker.passed_over = Some(listing.into());
-                return self.pass_over(&id, born, known, "entry");
+                return self.pass_over(&id, boot, known, "entry");
             }
             worker.presence = Presence::Listed;
             if !listing.leaving && worker.leaves.take().is_some() {
@@ -79,7 +79,7 @@
             }
             if worker.listing.address != listing.address {
                 let (before, now) = (worker.listing.address, listing.address);
-                log::info!(target: "worker", "worker={id} event=moved address={now} before={before} born={:?}", listing.born);
+                log::info!(target: "worker", "worker={id} event=moved address={now} before={before} boot={:?}", listing.boot);
                 forget_address(&mut self.addresses, before, &id);
                 self.addresses.entry(now).or_default().insert(id.clone());
             }
@@ -98,7 +98,7 @@
         if !self.succeeds(&id, &listing) {
             return;
         }
-        log::info!(target: "worker", "worker={id} event=new born={:?} leaving={}", listing.born, listing.leaving);
+        log::info!(target: "worker", "worker={id} event=new boot={:?} leaving={}", listing.boot, listing.leaving);
         let mut worker = Worker::new(listing, now);
         worker.cordoned = cordoned;
         if worker.listing.leaving {
@@ -114,12 +114,12 @@
     /// address does, as it refuses orders to others: an entry may have been written late.
     fn succeeds(&mut self, id: &Name, listing: &Listing) -> bool {
         for other in self.at_address(listing.address, id) {
-            let known = self.workers[&other].born;
-            match standing(known, listing.born) {
+            let known = self.workers[&other].boot;
+            match standing(known, listing.boot) {
                 Standing::Later => self.life_ended(&other, Ending::Replaced),
                 Standing::Present => self.doubt_life(&other, "entry-of-another"),
                 Standing::Earlier => {
-                    self.pass_over(id, listing.born, known, "entry");
+                    self.pass_over(id, listing.boot, known, "entry");
                     return false;
                 }
             }
--- a/src/sched/ends.rs
+++ b/src/sched/ends.rs
@@ -143,7 +143,7 @@
         let now = self.now.steady;
         let name = &life.id;
         // A later life counts its ends anew.
-        let worker = self.workers.get_mut(name).filter(|w| w.born == life.born);
+        let worker = self.workers.get_mut(name).filter(|w| w.boot == life.boot);
         let Some(worker) = worker else {
             return;
         };
--- a/src/sched/lives.rs
+++ b/src/sched/lives.rs
@@ -30,7 +30,7 @@
 
 /// When a worker started, in milliseconds since the Unix epoch by its own clock; none
 /// where it does not tell.
-pub type Born = Option<Millis>;
+pub type Boot = Option<Millis>;
 
 /// A worker from one start on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,15 +38,15 @@
     /// Id of the worker.
     pub id: Name,
     /// When it started.
-    pub born: Born,
+    pub boot: Boot,
     /// Time on its clock that it had told by then; 0 for none.
     pub clock: Millis,
 }
 
 impl fmt::Display for Life {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.born {
-            Some(born) => write!(f, "{} born={born}", self.id),
+        match self.boot {
+            Some(boot) => write!(f, "{} boot={boot}", self.id),
             None => write!(f, "{}", self.id),
         }
     }
@@ -64,7 +64,7 @@
 }
 
 /// Returns which life is told of, where `known` is the one that is known.
-pub(super) fn standing(known: Born, told: Born) -> Standing {
+pub(super) fn standing(known: Boot, told: Boot) -> Standing {
     match (known, told) {
         (Some(known), Some(told)) if told > known => Standing::Later,
         (Some(known), Some(told)) if told < known => Standing::Earlier,
@@ -143,8 +143,8 @@
         let carried = take_carried(worker, &reported, now);
         let doubtful = carried.iter().filter(|(_, r)| r.stage == Stage::Doubt);
         let doubtful: Vec<TaskKey> = doubtful.map(|(key, _)| *key).collect();
-        let (born, tasks) = (worker.born, carried.len());
-        log::info!(target: "worker", "worker={name} event=started-again born={:?} before={born:?} carried={tasks} doubtful={}", report.born, doubtful.len());
+        let (boot, tasks) = (worker.boot, carried.len());
+        log::info!(target: "worker", "worker={name} event=started-again boot={:?} before={boot:?} carried={tasks} doubtful={}", report.boot, doubtful.len());
         crate::metrics::get().lives.inc();
         let entry = worker.passed_over.take();
         let lost: Vec<TaskKey> = worker.placements.keys().copied().collect();
@@ -152,13 +152,13 @@
         self.break_promise(name);
         self.tell_over(name, Ending::Replaced);
         self.crashed(name, Crash::Replaced);
-        self.begin_life(name, report.born, carried);
+        self.begin_life(name, report.boot, carried);
         // The other members of a gang are stopped with one that is lost, on this life too.
         for key in lost {
             self.free(key);
         }
         // One that tells an earlier start was listed while that was not believed.
-        if let Some(entry) = entry.filter(|e| e.born == report.born) {
+        if let Some(entry) = entry.filter(|e| e.boot == report.boot) {
             self.list(name.clone(), *entry);
         }
         // Once a stop of it was answered, the later life refuses a start that comes late.
@@ -177,22 +177,22 @@
     }
 
     /// Puts a later life in the place of the one before, with the runs that it may have.
-    fn begin_life(&mut self, name: &Name, born: Born, carried: Vec<(TaskKey, Placement)>) {
+    fn begin_life(&mut self, name: &Name, boot: Boot, carried: Vec<(TaskKey, Placement)>) {
         let (now, span) = (self.now.steady, self.bounds.lease);
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
         // An order to the earlier life that is on its way may extend the lease of this one
         // as far as leases go.
-        worker.begin_life(born, now + lease_span(span));
+        worker.begin_life(boot, now + lease_span(span));
         for (key, run) in carried {
             worker.put(key, run);
         }
     }
 
     /// Passes over news of an earlier life of a worker.
-    pub(super) fn pass_over(&self, name: &Name, born: Born, known: Born, by: &str) {
-        log::info!(target: "worker", "worker={name} event=passed-over by={by} reason=earlier-life born={born:?} known={known:?}");
+    pub(super) fn pass_over(&self, name: &Name, boot: Boot, known: Boot, by: &str) {
+        log::info!(target: "worker", "worker={name} event=passed-over by={by} reason=earlier-life boot={boot:?} known={known:?}");
         crate::metrics::get().earlier_lives.inc();
     }
 
@@ -202,7 +202,7 @@
             return;
         };
         worker.doubted = true;
-        log::info!(target: "worker", "worker={name} event=life-doubted by={by} born={:?} listed_born={:?}", worker.born, worker.listing.born);
+        log::info!(target: "worker", "worker={name} event=life-doubted by={by} boot={:?} listed_boot={:?}", worker.boot, worker.listing.boot);
         self.schedule(name, self.now.steady);
     }
 
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::job::{Queue, Shown, StepKey, TaskKey};
-use super::lives::{Born, Life};
+use super::lives::{Boot, Life};
 use super::past::PastPage;
 use super::spec::JobSpec;
 use super::worker::Listing;
@@ -122,7 +122,7 @@
     /// Time on the worker's clock.
     pub clock: Millis,
     /// When the worker started.
-    pub born: Born,
+    pub boot: Boot,
     /// Runs there.
     pub running: Vec<Running>,
     /// Ends that were not acknowledged yet, 500 at most.
@@ -135,7 +135,7 @@
     /// Time on the worker's clock.
     pub clock: Millis,
     /// When the worker started.
-    pub born: Born,
+    pub boot: Boot,
 }
 
 /// Why a worker did not do what it was told.
@@ -156,7 +156,7 @@
     /// It is unhealthy and did nothing.
     Unwell,
     /// Another life of the worker answers at this address.
-    Reborn,
+    Replaced,
 }
 
 /// How an order to a worker went.
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -1,6 +1,6 @@
 //! A task that was given to a worker, and how far it is there.
 
-use super::lives::Born;
+use super::lives::Boot;
 use super::pressure::ImageNumber;
 use super::spec::Room;
 use crate::utils::Name;
@@ -34,7 +34,7 @@
     /// How far it is.
     pub stage: Stage,
     /// Start of the worker that it was given to, by the store.
-    pub born: Born,
+    pub boot: Boot,
     /// Room that it holds.
     pub room: Room,
     /// Processor share that it would like beyond what it holds.
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -392,11 +392,11 @@
     /// Has the place of a task kept, and then its start sent.
     fn record(&mut self, key: TaskKey, run: u32, name: Name) {
         self.ready.remove(&key);
-        let born = self.workers.get(&name).and_then(|w| w.born);
+        let boot = self.workers.get(&name).and_then(|w| w.boot);
         let job = self.jobs.get_mut(&key.job);
         if let Some(task) = job.and_then(|j| j.task_mut(key)) {
             task.run = run;
-            task.born = born;
+            task.boot = boot;
             task.phase = Phase::Placed(name);
         }
         self.journal.after(key.job, After::Start(key, run));
@@ -406,12 +406,12 @@
     pub(super) fn placement(&mut self, key: TaskKey, run: u32, stage: Stage) -> Placement {
         let suspect = self.suspected(key);
         let job = &self.jobs[&key.job];
-        let born = job.task(key).and_then(|t| t.born);
+        let boot = job.task(key).and_then(|t| t.boot);
         let step = job.step(key);
         let image_number = self.pressure.intern(&step.image);
         Placement {
             run,
-            born,
+            boot,
             suspect,
             stage,
             room: step.reserved(),
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -97,7 +97,7 @@
         }
         match reply {
             Reply::Ok(report) => self.heard(hold, report),
-            Reply::Refused(Refusal::Reborn) => self.life_ended(name, Ending::Replaced),
+            Reply::Refused(Refusal::Replaced) => self.life_ended(name, Ending::Replaced),
             Reply::Refused(Refusal::Fenced) => {
                 // Only an owner with a higher epoch can have been there; the
                 // next commit finds out.
@@ -121,10 +121,10 @@
         let Some(worker) = self.workers.get(name) else {
             return;
         };
-        let known = worker.born;
-        let standing = standing(known, report.born);
+        let known = worker.boot;
+        let standing = standing(known, report.boot);
         if standing == Standing::Earlier && !self.contradicted(worker) {
-            self.pass_over(name, report.born, known, "report");
+            self.pass_over(name, report.boot, known, "report");
             if let Some(worker) = self.workers.get_mut(name) {
                 worker.misses += 1;
             }
@@ -140,16 +140,16 @@
             return;
         };
         if worker.misses > 0 || worker.answered == 0 || worker.doubted {
-            let (listed, wall) = (worker.listing.born, self.now.wall);
-            log::info!(target: "worker", "worker={name} event=answers born={:?} listed_born={listed:?} misses={}", report.born, worker.misses);
-            if let Some(born) = report.born.filter(|b| *b > wall + CLOCKS) {
-                log::warn!(target: "worker", "worker={name} event=started-ahead born={born} wall={wall}");
+            let (listed, wall) = (worker.listing.boot, self.now.wall);
+            log::info!(target: "worker", "worker={name} event=answers boot={:?} listed_boot={listed:?} misses={}", report.boot, worker.misses);
+            if let Some(boot) = report.boot.filter(|b| *b > wall + CLOCKS) {
+                log::warn!(target: "worker", "worker={name} event=started-ahead boot={boot} wall={wall}");
             }
             self.crowded = false;
         }
         worker.misses = 0;
         worker.doubted = false;
-        worker.born = worker.born.or(report.born);
+        worker.boot = worker.boot.or(report.boot);
         if standing == Standing::Present {
             worker.acknowledged = worker.acknowledged.max(hold.seen);
         }
@@ -272,7 +272,7 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        let born = worker.born;
+        let boot = worker.boot;
         let mut free = Vec::new();
         let mut unseen = Vec::new();
         let mut doubt = Vec::new();
@@ -280,7 +280,7 @@
             if listed.contains(key) {
                 continue;
             }
-            let earlier = standing(born, placement.born) == Standing::Earlier;
+            let earlier = standing(boot, placement.boot) == Standing::Earlier;
             match placement.stage {
                 Stage::Inherited if earlier => unseen.push(*key),
                 Stage::Inherited => free.push(*key),
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -135,13 +135,13 @@
         let Some(worker) = self.workers.get(&life.id) else {
             return false;
         };
-        if worker.born != life.born {
+        if worker.boot != life.boot {
             return false;
         }
         let Reply::Ok(word) = reply else {
             return true;
         };
-        let later = standing(worker.born, word.born) == Standing::Later;
+        let later = standing(worker.boot, word.boot) == Standing::Later;
         // Its clock goes on from what it had told before the order was sent.
         let another = later || word.clock < life.clock;
         if another {
@@ -168,10 +168,10 @@
                 self.defer(key);
             }
             Refusal::NoPermit => self.permit_refused(key, name),
-            Refusal::Late | Refusal::Old | Refusal::Fenced | Refusal::Reborn => {}
+            Refusal::Late | Refusal::Old | Refusal::Fenced | Refusal::Replaced => {}
         }
         self.free(key);
-        if refusal == Refusal::Reborn {
+        if refusal == Refusal::Replaced {
             self.life_ended(name, Ending::Replaced);
         }
     }
@@ -206,7 +206,7 @@
             Reply::Ok(_) => placement.stage = Stage::Stopped(now),
             // It is sent again while the worker answers.
             Reply::Lost | Reply::NotSent => placement.stage = Stage::Stopping(now),
-            Reply::Refused(Refusal::Reborn) => self.life_ended(name, Ending::Replaced),
+            Reply::Refused(Refusal::Replaced) => self.life_ended(name, Ending::Replaced),
             Reply::Refused(_) => placement.stage = Stage::Stopping(now),
         }
     }
--- a/src/sched/tests/lives.rs
+++ b/src/sched/tests/lives.rs
@@ -50,7 +50,7 @@
 /// ```
 #[test]
 fn an_entry_of_a_life_that_is_over_ends_no_other() {
-    for born in [None, Some(5_000)] {
+    for boot in [None, Some(5_000)] {
         let mut world = World::new(0);
         world.add_worker("w0", 100);
         let before = world.workers["w0"].listing.clone();
@@ -58,7 +58,7 @@
         world.run(500);
         world.workers.remove("w0");
         let next = Listing {
-            born,
+            boot,
             ..listing("w1", 100)
         };
         world.workers.insert("w1".into(), FakeWorker::new(next));
@@ -150,7 +150,7 @@
     world.run(500);
     world.submit("lasting", job(vec![lasting(4, 1_000)]));
     world.run(500);
-    world.restart_as("w0", |l| l.born = Some(1));
+    world.restart_as("w0", |l| l.boot = Some(1));
     world.list();
     for _ in 0..150 {
         world.run(100);
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -143,7 +143,7 @@
 pub fn listing(id: &str, port: u16) -> Listing {
     Listing {
         id: id.into(),
-        born: Some(1),
+        boot: Some(1),
         service: "s".into(),
         address: ([127, 0, 0, 1], port).into(),
         hall: "h".into(),
--- a/src/sched/tests/world/calls.rs
+++ b/src/sched/tests/world/calls.rs
@@ -198,7 +198,7 @@
         let there = self.workers.values().find(there);
         match there.map(|w| &*w.listing.id == id) {
             Some(true) => order(self),
-            Some(false) => Reply::Refused(Refusal::Reborn),
+            Some(false) => Reply::Refused(Refusal::Replaced),
             None => Reply::Lost,
         }
     }
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -99,7 +99,7 @@
     pub(super) fn word(&self, now: Millis) -> Word {
         Word {
             clock: now - self.started,
-            born: None,
+            boot: None,
         }
     }
 
@@ -136,7 +136,7 @@
         });
         Report {
             clock: now - self.started,
-            born: self.listing.born,
+            boot: self.listing.boot,
             running: running.collect(),
             ended: self.ended.clone(),
         }
@@ -276,7 +276,7 @@
     pub fn restart_as(&mut self, id: &str, change: impl FnOnce(&mut Listing)) {
         let worker = self.workers.get_mut(id).expect("worker");
         let mut listing = worker.listing.clone();
-        listing.born = Some(self.now);
+        listing.boot = Some(self.now);
         change(&mut listing);
         *worker = FakeWorker::started(listing, self.now);
     }
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -5,7 +5,7 @@
 
 use super::beside::Beside;
 use super::job::TaskKey;
-use super::lives::{Born, Life};
+use super::lives::{Boot, Life};
 use super::paces::FULL_PACE;
 use super::placement::{Gauge, Placement};
 use super::preempt::Promise;
@@ -33,7 +33,7 @@
     /// Its id, under which it may start again.
     pub id: Name,
     /// When it started.
-    pub born: Born,
+    pub boot: Boot,
     /// Service that it belongs to.
     pub service: Name,
     /// Where it takes orders.
@@ -95,7 +95,7 @@
     /// An entry that was passed over, as it is of an earlier start.
     pub passed_over: Option<Box<Listing>>,
     /// Start of the life that all else here is known of.
-    pub born: Born,
+    pub boot: Boot,
     /// True from news of another life until its next report.
     pub doubted: bool,
     /// The most room that it has had: what has shrunk may grow again.
@@ -152,7 +152,7 @@
     pub fn new(listing: Listing, now: Millis) -> Self {
         Self {
             most: listing.capacity,
-            born: listing.born,
+            boot: listing.boot,
             listing,
             passed_over: None,
             doubted: false,
@@ -183,10 +183,10 @@
 
     /// Forgets all but how it is listed and what its contact is: a later life is there.
     /// Leases given to it end at `granted` at the latest.
-    pub fn begin_life(&mut self, born: Born, granted: Millis) {
+    pub fn begin_life(&mut self, boot: Boot, granted: Millis) {
         let next = Self::new(self.listing.clone(), 0);
         let before = std::mem::replace(self, next);
-        self.born = born;
+        self.boot = boot;
         self.presence = before.presence;
         self.leaves = before.leaves;
         self.cordoned = before.cordoned;
@@ -198,7 +198,7 @@
     pub fn life(&self) -> Life {
         Life {
             id: self.listing.id.clone(),
-            born: self.born,
+            boot: self.boot,
             clock: self.heard.map_or(0, |h| h.clock),
         }
     }
@@ -206,7 +206,7 @@
     /// Returns true when its entry is of the life that is known, as far as that is told:
     /// room, labels and whether it leaves are those of one life.
     pub fn listed_itself(&self) -> bool {
-        match (self.listing.born, self.born) {
+        match (self.listing.boot, self.boot) {
             (Some(listed), Some(known)) => listed == known,
             _ => true,
         }
