Addresses of workers are a type of their own; a listing of a known worker, a function

What was kept in step by hand in three places is in one. What a crash excludes for a task is in its row at once, as each other count is. No decision changes.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -5,12 +5,14 @@
 //! stopped (`starts`), watched (`reports`), ended (`ends`), shown (`asks`); once it is
 //! over, `past` knows what callers may still ask.
 //! Workers come and go by `directory` and `silence`, get nothing new by `cordon`, and are
-//! asked in turn by `agenda`. What they report of their load is taken in by `gauges` (with `recent`
-//! and `loads`) and becomes what `pressure` knows; `paces` and `swaps` keep fillers
-//! from slowing serving tasks by it, a little less so while `backlog` is long. `legacy` tells what earlier owners may still
-//! do, `succession` which box comes next; `switches` turns mechanisms off.
+//! asked in turn by `agenda`; `addresses` tells who was listed where. What they report of
+//! their load is taken in by `gauges` (with `recent` and `loads`) and becomes what `pressure`
+//! knows; `paces` and `swaps` keep fillers from slowing serving tasks by it, a little less so
+//! while `backlog` is long. `legacy` tells what earlier owners may still do, `succession`
+//! which box comes next; `switches` turns mechanisms off.
 //! Everything here is plain state without sockets and clocks.
 
+mod addresses;
 mod admission;
 mod agenda;
 mod asks;
--- a/src/sched/crashes.rs
+++ b/src/sched/crashes.rs
@@ -247,7 +247,7 @@
         match (cause, count) {
             (Cause::Excluded, _) => {
                 task.outages = 0;
-                return;
+                return self.journal.touch(key.job);
             }
             (_, Count::Crash) => task.crashes += 1,
             (_, Count::Loss) => task.losses += 1,
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -1,6 +1,6 @@
 //! The directory of workers: who is there, who leaves and who has left.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use super::job::TaskKey;
@@ -60,40 +60,8 @@
         let now = self.now.steady;
         let cordoned = self.is_cordoned(&listing.hall);
         self.crowded = false;
-        if let Some(worker) = self.workers.get_mut(&id) {
-            let (known, news) = (worker.boot, standing(worker.boot, listing.boot));
-            // What an earlier life wrote may come late.
-            if news == Standing::Earlier && worker.listing.boot != listing.boot {
-                let boot = listing.boot;
-                worker.passed_over = Some(listing.into());
-                return self.pass_over(&id, boot, known, "entry");
-            }
-            worker.presence = Presence::Listed;
-            if !listing.leaving && worker.leaves.take().is_some() {
-                log::info!(target: "worker", "worker={id} event=stays reason=listed-again");
-            }
-            if listing.leaving && worker.leaves.is_none() {
-                worker.leaves = Some(now + listing.stays);
-                let tasks = worker.placements.len();
-                log::info!(target: "worker", "worker={id} event=leaving stays_ms={} tasks={tasks}", listing.stays);
-            }
-            if worker.listing.address != listing.address {
-                let (before, now) = (worker.listing.address, listing.address);
-                log::info!(target: "worker", "worker={id} event=moved address={now} before={before} boot={:?}", listing.boot);
-                forget_address(&mut self.addresses, before, &id);
-                self.addresses.entry(now).or_default().insert(id.clone());
-            }
-            if worker.listing.capacity != listing.capacity {
-                let (before, room, used) = (worker.listing.capacity, listing.capacity, worker.used);
-                log::info!(target: "worker", "worker={id} event=room now={room} before={before} used={used}");
-                worker.most = worker.most.max(room);
-            }
-            worker.listing = listing;
-            worker.cordoned = cordoned;
-            if news == Standing::Later {
-                self.doubt_life(&id, "entry");
-            }
-            return;
+        if self.workers.contains_key(&id) {
+            return self.list_again(id, listing, cordoned);
         }
         if !self.succeeds(&id, &listing) {
             return;
@@ -109,6 +77,46 @@
         self.schedule(&id, now);
     }
 
+    /// Takes in the listing of a worker that is known.
+    fn list_again(&mut self, id: Name, listing: Listing, cordoned: bool) {
+        let now = self.now.steady;
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return;
+        };
+        let (known, news) = (worker.boot, standing(worker.boot, listing.boot));
+        // What an earlier life wrote may come late.
+        if news == Standing::Earlier && worker.listing.boot != listing.boot {
+            let boot = listing.boot;
+            worker.passed_over = Some(listing.into());
+            return self.pass_over(&id, boot, known, "entry");
+        }
+        worker.presence = Presence::Listed;
+        if !listing.leaving && worker.leaves.take().is_some() {
+            log::info!(target: "worker", "worker={id} event=stays reason=listed-again");
+        }
+        if listing.leaving && worker.leaves.is_none() {
+            worker.leaves = Some(now + listing.stays);
+            let tasks = worker.placements.len();
+            log::info!(target: "worker", "worker={id} event=leaving stays_ms={} tasks={tasks}", listing.stays);
+        }
+        if worker.listing.address != listing.address {
+            let (before, now) = (worker.listing.address, listing.address);
+            log::info!(target: "worker", "worker={id} event=moved address={now} before={before} boot={:?}", listing.boot);
+            self.addresses.remove(before, &id);
+            self.addresses.add(now, id.clone());
+        }
+        if worker.listing.capacity != listing.capacity {
+            let (before, room, used) = (worker.listing.capacity, listing.capacity, worker.used);
+            log::info!(target: "worker", "worker={id} event=room now={room} before={before} used={used}");
+            worker.most = worker.most.max(room);
+        }
+        worker.listing = listing;
+        worker.cordoned = cordoned;
+        if news == Standing::Later {
+            self.doubt_life(&id, "entry");
+        }
+    }
+
     /// Takes in that a worker is listed at the address of others; false when it is one that
     /// they have replaced. Where no start tells which is the later one, the worker at the
     /// address does, as it refuses orders to others: an entry may have been written late.
@@ -129,22 +137,21 @@
 
     /// Adds a worker to those that are known.
     fn admit(&mut self, id: Name, worker: Worker) {
-        let there = self.addresses.entry(worker.listing.address).or_default();
-        there.insert(id.clone());
+        self.addresses.add(worker.listing.address, id.clone());
         self.workers.insert(id, worker);
     }
 
     /// Removes a worker from those that are known.
     pub(super) fn dismiss(&mut self, id: &Name) {
         if let Some(worker) = self.workers.remove(id) {
-            forget_address(&mut self.addresses, worker.listing.address, id);
+            self.addresses.remove(worker.listing.address, id);
         }
     }
 
     /// Returns the workers known at an address, but for one.
     pub(super) fn at_address(&self, address: SocketAddr, but: &Name) -> Vec<Name> {
-        let there = self.addresses.get(&address).into_iter().flatten();
-        there.filter(|id| *id != but).cloned().collect()
+        let others = self.addresses.at(address).filter(|id| *id != but);
+        others.cloned().collect()
     }
 
     /// Takes in that the entry of a worker names none to use any more. It gets nothing
@@ -267,17 +274,3 @@
         }
     }
 }
-
-fn forget_address(
-    addresses: &mut HashMap<SocketAddr, BTreeSet<Name>>,
-    address: SocketAddr,
-    id: &Name,
-) {
-    let Some(there) = addresses.get_mut(&address) else {
-        return;
-    };
-    there.remove(id);
-    if there.is_empty() {
-        addresses.remove(&address);
-    }
-}
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -1,8 +1,8 @@
 //! The owner of all jobs and workers of a cell: events in, actions out.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::net::SocketAddr;
 
+use super::addresses::Addresses;
 use super::agenda::Agenda;
 use super::choice::Ranking;
 use super::crashes::Provisional;
@@ -74,8 +74,8 @@
     pub(super) ready: BTreeMap<TaskKey, Millis>,
     /// Workers by the id of their life.
     pub(super) workers: BTreeMap<Name, Worker>,
-    /// The same by their addresses, at which several may have been listed.
-    pub(super) addresses: HashMap<SocketAddr, BTreeSet<Name>>,
+    /// The same by their addresses.
+    pub(super) addresses: Addresses,
     /// Halls whose workers get nothing new; none while that is not known, as a box that
     /// has just become the owner may know less than the one before.
     pub(super) cordoned: Option<Halls>,
@@ -161,7 +161,7 @@
             unreadable: BTreeSet::new(),
             ready: BTreeMap::new(),
             workers: BTreeMap::new(),
-            addresses: HashMap::new(),
+            addresses: Addresses::default(),
             cordoned: None,
             agenda: Agenda::default(),
             placed: HashMap::new(),
