A box that the store turns away asks other boxes for the next owner

What callers saw: a box refused each job for as long as the store turned it away, once the owner that it followed had died, beside a box that served. Cause: only the owner before tells of the next one. Change: pings carry the asker's address, answers some addresses of others each 5 s; a box that neither the owner nor the store serves asks three of them at each look.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -7,6 +7,7 @@
 mod desk;
 mod lead;
 mod member;
+mod others;
 mod past;
 mod peers;
 mod pings;
--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -60,6 +60,9 @@
 /// Looks once whether the owner is there; takes its place when it is not.
 async fn watch_owner(shared: &Rc<Shared>) {
     let Some(seen) = shared.owner() else {
+        if told_by_others(shared).await {
+            return;
+        }
         match read_owner(shared).await {
             Ok(None) if shared.stopping() => {}
             Ok(None) => acquire(shared, None).await,
@@ -109,7 +112,7 @@
 /// Reads the row of an owner that does not serve, and takes its place if it has given
 /// the cell up.
 async fn look(shared: &Rc<Shared>) {
-    if !refresh(shared).await {
+    if told_by_others(shared).await || !refresh(shared).await {
         return;
     }
     if let Some(seen) = shared.owner().filter(|s| vacant(shared, &s.row)) {
@@ -117,6 +120,13 @@
     }
 }
 
+/// Asks other boxes for the next owner where the store does not serve this box; true when
+/// one is known now.
+async fn told_by_others(shared: &Shared) -> bool {
+    let epoch = shared.owner().map_or(0, |seen| seen.row.epoch);
+    !shared.store_serves() && pings::ask_others(shared, epoch).await
+}
+
 /// Takes in the configuration that the owner hands on.
 fn take_config(shared: &Shared, reply: &PingReply) {
     if !reply.config.is_empty() {
@@ -182,7 +192,7 @@
 
 /// Takes the place of an owner, unless another box has done so.
 async fn replace(shared: &Rc<Shared>, before: &Seen) {
-    if !refresh(shared).await {
+    if told_by_others(shared).await || !refresh(shared).await {
         return;
     }
     let same = |s: &Seen| s.row.epoch == before.row.epoch;
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -63,6 +63,7 @@
         shared.lead(Message::Stronger(ping.cores));
     }
     pings::take_owner(shared, ping.owner.clone(), ping.owner_row);
+    let others = meet(shared, ping);
     let later = shared.owner().filter(|seen| seen.row.epoch > ping.epoch);
     let loading = shared.loading();
     let newer = ping.config < shared.queues().version();
@@ -78,9 +79,25 @@
         pages: loading.map_or(0, |l| l.pages),
         later_row: later.as_ref().map_or(0, |seen| seen.version),
         later: later.map(|seen| encode(&seen.row)).unwrap_or_default(),
+        others,
     }
 }
 
+/// Takes in which box asks, and returns the others that it wants to know.
+fn meet(shared: &Shared, ping: &PingRequest) -> Vec<String> {
+    // One of the version before tells no address.
+    let Ok(address) = ping.address.parse() else {
+        return Vec::new();
+    };
+    let mut others = shared.others();
+    others.met(address);
+    if !ping.others {
+        return Vec::new();
+    }
+    let told = others.some(address);
+    told.iter().map(|a| a.to_string()).collect()
+}
+
 /// Serves other boxes until the process ends.
 pub async fn serve(listener: TcpListener, bridge: Bridge<Shared>) {
     let service = ClusterServer::new(Service { bridge });
--- a/src/daemon/pings.rs
+++ b/src/daemon/pings.rs
@@ -1,6 +1,9 @@
 //! Pings of the owner, or of one that was it.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
+use futures::future::join_all;
 
 use super::shared::{Seen, Shared};
 use crate::proto::cluster_client::ClusterClient;
@@ -16,22 +19,53 @@
 
 /// Asks the owner whether it still is, and takes in whether it serves.
 pub async fn ping(shared: &Shared, owner: &OwnerRow) -> Result<PingReply, CallError> {
-    let reply = call(shared, owner, request(shared, owner.epoch)).await;
+    let reply = call(shared, owner.address, request(shared, owner.epoch)).await;
     let serves = |r: &PingReply| r.owner && r.epoch == owner.epoch;
     let served = reply.as_ref().is_ok_and(serves);
     shared.set_owned(served);
     if served {
         shared.follow(owner);
     }
+    if let Ok(reply) = &reply {
+        learn(shared, reply);
+    }
     reply
 }
 
+/// Takes in which other boxes there are.
+fn learn(shared: &Shared, reply: &PingReply) {
+    let addresses = reply.others.iter().filter_map(|a| a.parse().ok());
+    let addresses: Vec<SocketAddr> = addresses.collect();
+    shared.others().told(&addresses, clock::now());
+}
+
+/// Asks some other boxes who the owner is; true when one knows a later than `epoch`.
+pub async fn ask_others(shared: &Shared, epoch: u64) -> bool {
+    let asked = shared.others().some(shared.settings.rpc);
+    if asked.is_empty() {
+        return false;
+    }
+    let request = request(shared, epoch);
+    let calls = asked.iter().map(|a| call(shared, *a, request.clone()));
+    let replies = join_all(calls).await;
+    let answered: Vec<PingReply> = replies.into_iter().flatten().collect();
+    let latest = answered.iter().max_by_key(|r| r.later_row);
+    let later = latest.filter(|r| r.later_row > 0);
+    log::info!(target: "member", "event=others-asked epoch={epoch} asked={} answered={} later={}", asked.len(), answered.len(), later.is_some());
+    if let Some(reply) = later {
+        take_owner(shared, reply.later.clone(), reply.later_row);
+    }
+    later.is_some()
+}
+
 /// Returns a ping that says that an owner of this epoch is known.
 pub fn request(shared: &Shared, epoch: u64) -> PingRequest {
     PingRequest {
         name: shared.settings.name.to_string(),
         epoch,
         config: shared.queues().version(),
+        address: shared.settings.rpc.to_string(),
+        others: shared.others().wants(clock::now()),
         cores: succession::offered(
             shared.settings.cores,
             shared.store_serves(),
@@ -92,12 +126,12 @@
     }
 }
 
-/// Sends a ping to the box that wrote an owner's row.
+/// Sends a ping to a box.
 pub async fn call(
     shared: &Shared,
-    owner: &OwnerRow,
+    address: SocketAddr,
     request: PingRequest,
 ) -> Result<PingReply, CallError> {
     let call = |c| async move { ClusterClient::new(c).ping(request).await };
-    shared.channel(owner.address).call(PONG, call).await
+    shared.channel(address).call(PONG, call).await
 }
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -1,6 +1,6 @@
 //! What the tasks of a box share.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, RefCell, RefMut};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,6 +9,7 @@
 
 use super::absence::Absence;
 use super::lead;
+use super::others::Others;
 use crate::cordons::{Change, Cordons, Halls};
 use crate::options::daemon::Settings;
 use crate::platform::advice::Advisor;
@@ -77,6 +78,7 @@
     bounds: Cell<Bounds>,
     stopping: Cell<bool>,
     channels: RefCell<HashMap<SocketAddr, Channel>>,
+    others: RefCell<Others>,
 }
 
 impl Shared {
@@ -108,6 +110,7 @@
             served: Cell::new(0),
             stopping: Cell::new(false),
             channels: RefCell::default(),
+            others: RefCell::default(),
         }
     }
 
@@ -311,6 +314,11 @@
         self.lead(lead::Message::Resign);
     }
 
+    /// Returns the other boxes that are known; not to be held over a wait.
+    pub fn others(&self) -> RefMut<'_, Others> {
+        self.others.borrow_mut()
+    }
+
     /// Returns the channel to another box.
     pub fn channel(&self, address: SocketAddr) -> Channel {
         let mut channels = self.channels.borrow_mut();
--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -192,7 +192,7 @@
 async fn tell_predecessor(shared: Rc<Shared>, before: OwnerRow, told: PingRequest, last: bool) {
     let epoch = told.epoch;
     while shared.leading().is_none_or(|e| e == epoch) {
-        if let Ok(reply) = pings::call(&shared, &before, told.clone()).await
+        if let Ok(reply) = pings::call(&shared, before.address, told.clone()).await
             && (!reply.owner || reply.epoch >= epoch)
         {
             log::info!(target: "owner", "event=predecessor-ended epoch={epoch} owner={} last={last}", before.name);
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the daemon's parts that need no sockets.
 
 use super::absence::Absence;
+use super::others::Others;
 use super::past::page;
 use super::reign::Reign;
 use super::shared::{Seen, Shared};
@@ -191,3 +192,23 @@
     shared.forget(7);
     assert_eq!(known(), Some(8), "the later one");
 }
+
+#[test]
+fn other_boxes_are_told_in_turn_and_the_latest_are_kept() {
+    let address = |port: u16| ([127, 0, 0, 1], port).into();
+    let mut others = Others::default();
+    assert!(others.wants(0), "none is known");
+    assert!(others.some(address(1)).is_empty());
+    (1..=10).for_each(|port| others.met(address(port)));
+    others.met(address(10));
+    let mut told: Vec<_> = (0..3).flat_map(|_| others.some(address(5))).collect();
+    told.sort();
+    told.dedup();
+    let expected: Vec<_> = [3, 4, 6, 7, 8, 9, 10].map(address).into();
+    assert_eq!(told, expected, "but for the one that asks");
+    others.told(&[], 1_000);
+    assert!(others.wants(1_000), "an empty answer tells nothing");
+    others.told(&[address(1)], 1_000);
+    assert!(!others.wants(5_999));
+    assert!(others.wants(6_000));
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -79,6 +79,8 @@
     pub epoch: Gauge<i64, AtomicI64>,
     /// Epoch of the owner that this box follows, 0 for none.
     pub followed: Gauge<i64, AtomicI64>,
+    /// Other boxes that this one may ask for the owner.
+    pub others: Gauge<i64, AtomicI64>,
     /// Milliseconds since an owner last served this box, 0 while one does.
     pub unserved: Gauge<i64, AtomicI64>,
     /// Milliseconds by which the owner's loop was late, the highest of late.
@@ -166,6 +168,7 @@
             start_seconds: Histogram::new(rows::START_SPANS),
             epoch: Gauge::default(),
             followed: Gauge::default(),
+            others: Gauge::default(),
             unserved: Gauge::default(),
             late: Gauge::default(),
             leaving: Gauge::default(),
--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -134,6 +134,11 @@
         "Microseconds that the owner's decisions took",
         m.spent.clone(),
     );
+    registry.register(
+        "other_boxes",
+        "Boxes that may be asked for the owner",
+        m.others.clone(),
+    );
 }
 
 /// Registers what the older design counts for the most part.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -394,6 +394,29 @@
     }
 }
 
+/// The store turns a box away and the owner that it follows dies. Nobody told the box of the
+/// next one, as only the owner before does, and it refused every job for as long as that
+/// lasted: `owner-silent` and `owner-unread` was all that it wrote. Others know.
+#[test]
+fn a_box_that_the_store_turns_away_finds_the_owner_after_a_dead_one() {
+    let mut deployment = Deployment::start(3, 2, SPAN);
+    deployment.submit_until_taken("00000000000000e8", 1);
+    let owner = deployment.owner();
+    let follower = (owner + 1) % 3;
+    deployment.wait_followed();
+    wait("the boxes to know one another", || {
+        let known = |n| deployment.gauge(n, "other_boxes") > Some(0);
+        (0..3).filter(|n| *n != owner).all(known)
+    });
+    deployment.cut_store(&[follower]);
+    deployment.kill(owner);
+    wait("a job to be taken through a box that is cut off", || {
+        deployment.submit(follower, "00000000000000e9", 1).0 == 200
+    });
+    deployment.wait_completed("00000000000000e9");
+    assert_ran(&deployment, "00000000000000e9", 1);
+}
+
 /// A box is ready with its configuration, some milliseconds before it knows the owner. One that
 /// the store turned away in between knew of no other box: `owner-unread` was all that it wrote,
 /// and callers whom the balancer sent there were refused for as long as that lasted, beside two
