--- a/src/daemon/desk.rs
+++ b/src/daemon/desk.rs
@@ -7,7 +7,7 @@
 use http::StatusCode;
 use monoio::time::{sleep, timeout};
 
-use super::lead;
+use super::message::Message;
 use super::shared::Shared;
 use crate::platform::ingress;
 use crate::proto::cluster_client::ClusterClient;
@@ -163,7 +163,7 @@
 /// Asks the owner in this process; none when it does not answer in time.
 pub async fn ask_here(shared: &Shared, ask: Ask, left: Millis) -> Option<Answer> {
     let (reply, answer) = oneshot::channel();
-    shared.lead(lead::Message::Ask(ask, reply));
+    shared.lead(Message::Ask(ask, reply));
     timeout(Duration::from_millis(left), answer)
         .await
         .ok()?
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -9,12 +9,13 @@
 use monoio::time::timeout;
 
 use super::commits::commit_own;
+use super::message::Message;
 use super::past;
 use super::reign::Reign;
-use super::shared::Shared;
+use super::shared::{Shared, now};
 use super::watch;
-use crate::sched::message::{Action, Answer, Ask, Event, Ticket, Written};
-use crate::sched::owner::{Bounds, Now, Owner};
+use crate::sched::message::{Action, Answer, Event, Ticket, Written};
+use crate::sched::owner::Owner;
 use crate::sched::succession;
 use crate::utils::clock::{self, Millis};
 
@@ -24,26 +25,6 @@
 /// Answers of a commit take at most this many times the last one.
 const COMMIT_SPREAD: Millis = 3;
 
-/// What the task is told.
-pub enum Message {
-    /// A caller asks.
-    Ask(Ask, oneshot::Sender<Answer>),
-    /// This box has become the owner of an epoch, in so many milliseconds.
-    Begin(Box<Owner>, u64, Millis),
-    /// Something happened to the owner of an epoch.
-    Event(u64, Event),
-    /// The owner before extends no lease any more.
-    PredecessorEnded(u64),
-    /// A later owner exists.
-    Superseded(u64),
-    /// The settings have changed.
-    Bounds(Bounds),
-    /// A box with more cores, in thousandths, could be the owner.
-    Stronger(u32),
-    /// Give the cell up.
-    Resign,
-}
-
 /// An owner in this process.
 struct Lead {
     owner: Owner,
@@ -85,14 +66,6 @@
     Message::Event(lead.as_ref().map_or(0, |l| l.reign.epoch), Event::Tick)
 }
 
-/// Returns the clocks now.
-pub fn now() -> Now {
-    Now {
-        steady: clock::now(),
-        wall: clock::wall(),
-    }
-}
-
 fn take(shared: &Rc<Shared>, lead: &mut Option<Lead>, message: Message) {
     match (message, lead.as_mut()) {
         // One whose load was ended meanwhile, by word of a later owner, never acts.
--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -7,29 +7,23 @@
 use futures::channel::mpsc::UnboundedReceiver;
 use monoio::time::{sleep, timeout};
 
-use super::pings;
-use super::shared::{PART, Seen, Shared};
+use super::pings::{self, PING};
+use super::rows::{adopt, read_owner, store_failed};
+use super::shared::{Seen, Shared};
 use super::takeover::acquire;
-use super::watch::READ;
 use crate::platform::config;
-use crate::platform::store::StoreError;
 use crate::proto::PingReply;
-use crate::sched::journal::{OWNER_KEY, OWNER_TABLE, OwnerRow};
-use crate::sched::succession::{self, Life, Verdict};
-use crate::table::{Row, decode};
+use crate::sched::journal::OwnerRow;
+use crate::sched::succession::{self, Verdict};
+use crate::table::Row;
 use crate::utils::clock::{self, Millis};
 use crate::utils::hash::stable;
 
-/// Milliseconds between two pings of the owner.
-pub const PING: Millis = 200;
 /// Milliseconds between two pings of a box that has fewer cores than owners should:
 /// others take the owner's place before it, and each ping is work for the owner.
 const PING_WEAKER: Millis = 600;
 /// Longest extra wait of a box, in milliseconds, so that not all try at once.
 const STAGGER: u64 = 120;
-/// Milliseconds of the pause after a call to the store that failed.
-pub const STORE_PAUSE: Millis = 250;
-
 /// Runs until the process ends.
 pub async fn run(shared: Rc<Shared>, mut nudged: UnboundedReceiver<()>) {
     loop {
@@ -139,43 +133,6 @@
     }
 }
 
-/// Lets some time pass after a failed call to the store.
-pub async fn store_failed(e: &StoreError) {
-    log::debug!(target: "member", "event=owner-unread cause=\"{e}\"");
-    sleep(Duration::from_millis(STORE_PAUSE)).await;
-}
-
-/// Reads the owner's row.
-pub async fn read_owner(shared: &Shared) -> Result<Option<Seen>, StoreError> {
-    let page = shared.store.read(OWNER_TABLE, PART, READ).await?;
-    let row = page.rows.iter().find(|r| &*r.key == OWNER_KEY);
-    Ok(row.and_then(|row| {
-        Some(Seen {
-            row: decode(row)?,
-            version: row.version,
-            life: Life {
-                at: clock::now(),
-                pages: None,
-            },
-        })
-    }))
-}
-
-/// Follows the owner that the store names.
-pub fn adopt(shared: &Shared, mut seen: Option<Seen>) {
-    if let Some(seen) = &mut seen {
-        let before = shared.owner();
-        match before.filter(|b| b.row.epoch == seen.row.epoch) {
-            Some(before) => seen.life = before.life,
-            None => {
-                let row = &seen.row;
-                log::info!(target: "member", "event=owner owner={} epoch={} version={} unserved_ms={}", row.name, row.epoch, seen.version, shared.unserved());
-            }
-        }
-    }
-    shared.see(seen);
-}
-
 /// Reads the owner's row again; false when the store did not answer.
 async fn refresh(shared: &Shared) -> bool {
     match read_owner(shared).await {
--- a/src/daemon/past.rs
+++ b/src/daemon/past.rs
@@ -5,9 +5,9 @@
 
 use monoio::time::sleep;
 
-use super::lead::Message;
+use super::message::Message;
+use super::rows::READ;
 use super::shared::{PART, Shared};
-use super::watch::READ;
 use crate::sched::job::Outcome;
 use crate::sched::journal::PAST_TABLE;
 use crate::sched::message::Event;
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -6,7 +6,7 @@
 use tonic::{Request, Response, Status};
 
 use super::desk;
-use super::lead::Message;
+use super::message::Message;
 use super::pings;
 use super::shared::Shared;
 use crate::proto::cluster_server::{Cluster, ClusterServer};
--- a/src/daemon/pings.rs
+++ b/src/daemon/pings.rs
@@ -14,6 +14,8 @@
 use crate::table::{Row, decode, encode};
 use crate::utils::clock::{self, Millis};
 
+/// Milliseconds between two pings of the owner.
+pub const PING: Millis = 200;
 /// Milliseconds for the answer to a ping: a hundred round trips.
 const PONG: Millis = 350;
 
--- /dev/null
+++ b/src/daemon/rows.rs
@@ -0,0 +1,54 @@
+//! The owner's row in the store, as the tasks of a box read it.
+
+use std::time::Duration;
+
+use monoio::time::sleep;
+
+use super::shared::{PART, Seen, Shared};
+use crate::platform::store::StoreError;
+use crate::sched::journal::{OWNER_KEY, OWNER_TABLE};
+use crate::sched::succession::Life;
+use crate::table::decode;
+use crate::utils::clock::{self, Millis};
+
+/// Milliseconds for the answer to a read, several times that of a slow store.
+pub const READ: Millis = 1_500;
+/// Milliseconds of the pause after a call to the store that failed.
+pub const STORE_PAUSE: Millis = 250;
+
+/// Lets some time pass after a failed call to the store.
+pub async fn store_failed(e: &StoreError) {
+    log::debug!(target: "member", "event=owner-unread cause=\"{e}\"");
+    sleep(Duration::from_millis(STORE_PAUSE)).await;
+}
+
+/// Reads the owner's row.
+pub async fn read_owner(shared: &Shared) -> Result<Option<Seen>, StoreError> {
+    let page = shared.store.read(OWNER_TABLE, PART, READ).await?;
+    let row = page.rows.iter().find(|r| &*r.key == OWNER_KEY);
+    Ok(row.and_then(|row| {
+        Some(Seen {
+            row: decode(row)?,
+            version: row.version,
+            life: Life {
+                at: clock::now(),
+                pages: None,
+            },
+        })
+    }))
+}
+
+/// Follows the owner that the store names.
+pub fn adopt(shared: &Shared, mut seen: Option<Seen>) {
+    if let Some(seen) = &mut seen {
+        let before = shared.owner();
+        match before.filter(|b| b.row.epoch == seen.row.epoch) {
+            Some(before) => seen.life = before.life,
+            None => {
+                let row = &seen.row;
+                log::info!(target: "member", "event=owner owner={} epoch={} version={} unserved_ms={}", row.name, row.epoch, seen.version, shared.unserved());
+            }
+        }
+    }
+    shared.see(seen);
+}
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -8,7 +8,7 @@
 use futures::channel::mpsc::UnboundedSender;
 
 use super::absence::Absence;
-use super::lead;
+use super::message::Message;
 use super::others::Others;
 use crate::cordons::{Change, Cordons, Halls};
 use crate::options::daemon::Settings;
@@ -19,7 +19,7 @@
 use crate::rpc::client::Channel;
 use crate::sched::journal::OwnerRow;
 use crate::sched::message::Event;
-use crate::sched::owner::Bounds;
+use crate::sched::owner::{Bounds, Now};
 use crate::sched::succession::Life;
 use crate::table::Row;
 use crate::utils::clock::{self, Millis};
@@ -31,6 +31,14 @@
 /// serving this box: the wait of a feed and half of one more.
 const SERVED: Millis = 1_200;
 
+/// Returns the clocks now.
+pub fn now() -> Now {
+    Now {
+        steady: clock::now(),
+        wall: clock::wall(),
+    }
+}
+
 /// The owner as last seen.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -63,7 +71,7 @@
     pub workers: Workers,
     /// The advisor of services.
     pub advisor: Advisor,
-    lead: UnboundedSender<lead::Message>,
+    lead: UnboundedSender<Message>,
     nudge: UnboundedSender<()>,
     queues: RefCell<Rc<Queues>>,
     config: RefCell<Option<Row>>,
@@ -86,7 +94,7 @@
     pub fn new(
         settings: Settings,
         life: u64,
-        lead: UnboundedSender<lead::Message>,
+        lead: UnboundedSender<Message>,
         nudge: UnboundedSender<()>,
     ) -> Self {
         Self {
@@ -115,7 +123,7 @@
     }
 
     /// Sends a message to the task of the owner.
-    pub fn lead(&self, message: lead::Message) {
+    pub fn lead(&self, message: Message) {
         // The task ends only with the process.
         let _ = self.lead.unbounded_send(message);
     }
@@ -177,7 +185,7 @@
         }
         crate::metrics::get().cordoned.set(halls.len() as i64);
         if let Some(epoch) = self.leading() {
-            self.lead(lead::Message::Event(epoch, Event::Cordoned(halls)));
+            self.lead(Message::Event(epoch, Event::Cordoned(halls)));
         }
     }
 
@@ -300,7 +308,7 @@
     /// Puts other bounds of decisions in force.
     pub fn rebound(&self, bounds: Bounds) {
         self.bounds.set(bounds);
-        self.lead(lead::Message::Bounds(bounds));
+        self.lead(Message::Bounds(bounds));
     }
 
     /// Returns true once a planned stop has begun.
@@ -311,7 +319,7 @@
     /// Begins a planned stop.
     pub fn stop(&self) {
         self.stopping.set(true);
-        self.lead(lead::Message::Resign);
+        self.lead(Message::Resign);
     }
 
     /// Returns the other boxes that are known; not to be held over a wait.
--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -7,11 +7,10 @@
 use monoio::time::sleep;
 
 use super::commits::commit;
-use super::lead::{Message, now};
-use super::member::{PING, STORE_PAUSE, adopt, read_owner, store_failed};
-use super::pings;
-use super::shared::{Loading, PART, Seen, Shared};
-use super::watch::READ;
+use super::message::Message;
+use super::pings::{self, PING};
+use super::rows::{READ, STORE_PAUSE, adopt, read_owner, store_failed};
+use super::shared::{Loading, PART, Seen, Shared, now};
 use crate::harm::Known;
 use crate::platform::store::{PAGE, Page};
 use crate::proto::PingRequest;
--- a/src/daemon/watch.rs
+++ b/src/daemon/watch.rs
@@ -5,7 +5,8 @@
 
 use monoio::time::sleep;
 
-use super::lead::Message;
+use super::message::Message;
+use super::rows::READ;
 use super::shared::Shared;
 use crate::platform::store::{Page, StoreError};
 use crate::platform::{config, directory};
@@ -16,8 +17,6 @@
 /// a connection that fell silent is noticed only after this wait, and a
 /// configuration has to be in force 2 s after the store took it.
 const WAIT: Millis = 800;
-/// Milliseconds for the answer to a read, several times that of a slow store.
-pub const READ: Millis = 1_500;
 /// Pause after a feed that failed.
 const PAUSE: Duration = Duration::from_millis(150);
 
