An owner that may have been replaced calls no job unknown

What callers saw: 410, no such job, for one that was taken and answered 200 half a second before through another box. Cause: an owner whose give-up the store had carried out without an answer served on for 1.5 s, and answered from what it knew, while the next one took jobs. Class: a word that holds for the cell, given without proof that this is still its owner.

Change: unknown is said only while no other box can have taken the place: within 0.4 s of a confirmed commit's sending (others wait 0.42 s for the row to stand still), and not while this one gives up. Such requests wait for the next commit, or are refused once the store counts as away.

--- a/src/sched/asks.rs
+++ b/src/sched/asks.rs
@@ -5,6 +5,7 @@
 use super::message::{Answer, Ask, Ticket};
 use super::owner::Owner;
 use super::spec::JobSpec;
+use super::succession;
 use crate::utils::Name;
 
 impl Owner {
@@ -90,14 +91,29 @@
     }
 
     /// Answers about a job that is not known, once all that are over were read: it may be
-    /// one of them.
+    /// one of them. A later owner may hold it as well, so that there must be none.
     fn not_found(&mut self, ticket: Ticket, ask: Ask) {
-        match self.past.whole() {
+        match self.past.whole() && self.alone() {
             true => self.reply(ticket, Answer::Unknown),
             false => self.park(ticket, ask),
         }
     }
 
+    /// Returns true while no other box can be the owner: one that gives the cell up may have
+    /// done so by a commit without an answer.
+    fn alone(&self) -> bool {
+        !self.gives_up() && succession::alone(self.journal.confirmed(), self.now.steady)
+    }
+
+    /// Asks those that wait once more, where it has just been confirmed that this is the owner.
+    pub(super) fn answer_parked(&mut self) {
+        if self.past.waits() && self.past.whole() && self.alone() {
+            for (ticket, ask) in self.past.take_parked() {
+                self.ask(ticket, ask);
+            }
+        }
+    }
+
     fn count(&mut self, ticket: Ticket, queue: &str) {
         let waits = |job: &&Job| {
             job.stored && job.open() && !job.row.begun && &*job.row.queue.name == queue
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -305,7 +305,10 @@
                 self.paced(key, run, percent, &life, reply);
             }
             Event::Advised(step, asked, reply) => self.advice(step, asked, reply),
-            Event::Written(number, written) => self.written(number, written),
+            Event::Written(number, written) => {
+                self.written(number, written);
+                self.answer_parked();
+            }
             Event::Past(page) => self.learn_past(page),
             Event::Tick => {}
         }
--- a/src/sched/past.rs
+++ b/src/sched/past.rs
@@ -112,6 +112,16 @@
     fn complete(&mut self) -> Vec<(Ticket, Ask)> {
         self.whole = true;
         self.removed = HashSet::new();
+        self.take_parked()
+    }
+
+    /// Returns true while requests wait.
+    pub fn waits(&self) -> bool {
+        !self.parked.is_empty()
+    }
+
+    /// Returns the requests that wait, which wait no more.
+    pub fn take_parked(&mut self) -> Vec<(Ticket, Ask)> {
         std::mem::take(&mut self.parked)
     }
 }
@@ -136,7 +146,7 @@
         }
     }
 
-    /// Has a request wait until it is known whether its job is over.
+    /// Has a request wait until it is known whether its job is over, or held by a later owner.
     pub(super) fn park(&mut self, ticket: Ticket, ask: Ask) {
         if self.past.parked.len() >= PARKED {
             log::info!(target: "job", "job={} event=refused reason=too-many-parked", ask.subject());
@@ -154,7 +164,7 @@
         let Some(silent) = self.store_away() else {
             return;
         };
-        let parked = std::mem::take(&mut self.past.parked);
+        let parked = self.past.take_parked();
         log::info!(target: "job", "event=refused reason=store-away parked={} silent_ms={silent}", parked.len());
         for (ticket, _) in parked {
             self.reply(ticket, Answer::Refused(COME_BACK));
--- a/src/sched/succession.rs
+++ b/src/sched/succession.rs
@@ -28,6 +28,8 @@
 /// Milliseconds during which the owner's row must stand still before a box that takes
 /// it for lost takes its place; an owner that serves writes it each 300.
 const STILL: Millis = 420;
+/// Milliseconds by which clocks of two boxes may differ over that span.
+const DRIFT: Millis = 20;
 
 /// What a box answers to a ping.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -152,6 +154,12 @@
     still + wait(cores, before)
 }
 
+/// Returns true while no other box can have taken the place of an owner that holds the cell
+/// by a commit sent at `confirmed`.
+pub fn alone(confirmed: Millis, now: Millis) -> bool {
+    now < confirmed + STILL - DRIFT
+}
+
 /// Returns the milliseconds that a box with this many thousandths of cores waits
 /// longer than others before it takes the place of an owner.
 pub fn wait(cores: u32, before: &OwnerRow) -> Millis {
--- a/src/sched/tests/past.rs
+++ b/src/sched/tests/past.rs
@@ -95,6 +95,68 @@
     assert!(world.starts.is_empty(), "a refused job never runs");
 }
 
+/// The store carries commits out and says nothing. Another box takes the cell and a job, and
+/// the owner before, which has not heard of its end, was asked for that job: it said that there
+/// is none, 1.5 s long. Its lines then: `owner-begins epoch=4` of another box, and for the job
+/// `event=submit answer=Accepted` there, while `owner-ends epoch=3` came only after.
+#[test]
+fn an_owner_that_may_have_been_replaced_calls_no_job_unknown() {
+    let mut world = World::new(2);
+    world.run(1_000);
+    let at_once = world.ask(Ask::Show("nobody".into()));
+    assert_eq!(world.answers[&at_once], Answer::Unknown);
+    world.store_down = true;
+    world.run(600);
+    let asks = [
+        world.ask(Ask::Show("taken-elsewhere".into())),
+        world.ask(Ask::Cancel("taken-elsewhere".into())),
+    ];
+    let told = |world: &World| asks.map(|ticket| world.answers.get(&ticket).cloned());
+    assert_eq!(told(&world), [None, None]);
+    world.run(2_000);
+    for answer in told(&world) {
+        assert!(matches!(answer, Some(Answer::Refused(_))), "{answer:?}");
+    }
+    world.store_down = false;
+    world.run(3_000);
+    let again = world.ask(Ask::Show("nobody".into()));
+    assert_eq!(world.answers[&again], Answer::Unknown, "confirmed again");
+}
+
+#[test]
+fn what_waits_for_an_owner_to_be_confirmed_is_answered_then() {
+    let mut world = World::new(2);
+    world.run(1_000);
+    let mut waited = 0;
+    for span in (0..400).step_by(10) {
+        world.store_down = true;
+        world.run(span);
+        let ticket = world.ask(Ask::Show("nobody".into()));
+        let at_once = world.answers.contains_key(&ticket);
+        world.store_down = false;
+        world.run(1_500);
+        assert_eq!(world.answers.get(&ticket), Some(&Answer::Unknown), "{span}");
+        waited += u32::from(!at_once);
+    }
+    assert!(waited > 0, "some had to wait");
+}
+
+#[test]
+fn an_owner_that_gives_up_calls_no_job_unknown() {
+    let mut world = World::new(2);
+    world.run(1_000);
+    world.store_down = true;
+    let now = world.clock();
+    world.owner.resign(now);
+    let ticket = world.ask(Ask::Show("taken-elsewhere".into()));
+    world.run(300);
+    assert_eq!(
+        world.answers.get(&ticket),
+        None,
+        "the next one may serve already"
+    );
+}
+
 #[test]
 fn only_so_many_jobs_wait() {
     let mut world = World::new(2);
