--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -22,8 +22,8 @@
 use super::worker::{Record, Worker};
 
 /// Host and path of the queue that the configuration names.
-const HOST: &str = "shop.example";
-const PATH: &str = "/holds/";
+pub const HOST: &str = "shop.example";
+pub const PATH: &str = "/holds/";
 /// Service that runs its tasks.
 const SERVICE: &str = "stock";
 /// Lines of each box that a failure prints.
@@ -57,6 +57,8 @@
     cut: Arc<Mutex<BTreeSet<usize>>>,
     /// When the connections through it fell silent that were open then.
     silenced: Arc<Mutex<Option<Instant>>>,
+    /// True when what the boxes wrote outlasts this value.
+    kept: bool,
 }
 
 /// Serves calls on a thread of its own until the test process ends.
@@ -99,6 +101,7 @@
             proxies: Vec::new(),
             cut: Arc::default(),
             silenced,
+            kept: false,
         };
         for number in 0..boxes {
             let (seen, cut) = (seen.clone(), deployment.cut.clone());
@@ -307,6 +310,23 @@
         jobs.and_then(|j| j.parse().ok()).expect("a count of jobs")
     }
 
+    /// Returns where callers reach the boxes.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(|node| node.web).collect()
+    }
+
+    /// Returns what the workers ran, for other threads.
+    pub fn shared_record(&self) -> Arc<Mutex<Record>> {
+        self.record.clone()
+    }
+
+    /// Has what the boxes wrote outlast this value; returns the files.
+    pub fn keep(&mut self) -> Vec<PathBuf> {
+        self.kept = true;
+        let settings = self.nodes.iter().map(|node| &node.settings);
+        settings.map(|s| s.with_extension("log")).collect()
+    }
+
     /// Prints the last lines of all boxes, and where they stand whole: a failure that shows
     /// once has nothing else that leads to its cause.
     fn tell(&self) {
@@ -384,6 +404,9 @@
             self.tell();
             return;
         }
+        if self.kept {
+            return;
+        }
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! store and workers: takeovers, planned stops, and a store in trouble.
 
 mod cordon;
+#[allow(dead_code)] // the soak uses what these tests do not
 mod deployment;
 mod faults;
 #[path = "../support/proxy.rs"]
@@ -9,6 +10,7 @@
 mod store;
 #[path = "../support/mod.rs"]
 mod support;
+#[allow(dead_code)] // as above
 mod worker;
 
 use std::time::Duration;
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -34,6 +34,10 @@
     pub fatal: Option<String>,
     /// Workers that have crashed under each of these.
     pub crashes: BTreeMap<String, u32>,
+    /// Lives of workers that have ended with each task.
+    pub lost: BTreeMap<String, u32>,
+    /// Tasks of which a run has ended as done.
+    pub done: BTreeSet<String>,
     /// Tasks whose end was acknowledged.
     noted: BTreeSet<String>,
 }
@@ -89,6 +93,8 @@
     record: Arc<Mutex<Record>>,
     /// Starts that it has carried out, in all its lives.
     started: Arc<AtomicU64>,
+    /// For how long orders lie.
+    delay: Arc<Mutex<Duration>>,
 }
 
 impl Worker {
@@ -102,6 +108,7 @@
             state: Arc::new(Mutex::new(State::begin())),
             record,
             started: Arc::default(),
+            delay: Arc::default(),
         }
     }
 
@@ -169,9 +176,16 @@
         let mut record = self.record();
         for name in lost.runs.keys() {
             record.running.remove(name);
+            *record.lost.entry(name.clone()).or_insert(0) += 1;
         }
     }
 
+    /// Has it leave orders alone for a time, and carry them out then. Those who gave them
+    /// have gone away meanwhile.
+    pub fn delay(&self, by: Duration) {
+        *self.delay.lock().expect("no holder panicked") = by;
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder panicked")
     }
@@ -180,8 +194,20 @@
         self.record.lock().expect("no holder panicked")
     }
 
-    /// Serves one call.
+    /// Serves one call; one that lies is carried out also when its connection has ended.
     pub async fn handle(self, request: Request) -> Reply {
+        let delay = *self.delay.lock().expect("no holder panicked");
+        if delay.is_zero() {
+            return self.carry_out(request).await;
+        }
+        let late = monoio::spawn(async move {
+            sleep(delay).await;
+            self.carry_out(request).await
+        });
+        late.await
+    }
+
+    async fn carry_out(self, request: Request) -> Reply {
         while self.state().away {
             sleep(LOOK).await;
         }
@@ -288,7 +314,11 @@
         state.next += 1;
         state.ended.push((number, task.into(), run.run, how));
         drop(state);
-        self.record().running.remove(task);
+        let mut record = self.record();
+        record.running.remove(task);
+        if how == "done" {
+            record.done.insert(task.into());
+        }
     }
 
     /// Ends what has run its time, and everything once the lease is over.
--- a/tests/processes/parts.rs
+++ b/tests/processes/parts.rs
@@ -12,7 +12,7 @@
 
 use super::proxy::{self, Way};
 use super::sight::{Looks, doing};
-use super::support::{BINARY, PAUSE, becomes, exchange, finish, free, spawn, wait, words};
+use super::support::{PAUSE, becomes, binary, exchange, finish, free, spawn, wait, words};
 use willowpoint::claim;
 use willowpoint::program::block_on;
 use willowpoint::proto;
@@ -97,7 +97,7 @@
     // The address comes after the command's first word.
     let mut all = vec![arguments[0], "--at", address, "--json"];
     all.extend(&arguments[1..]);
-    let output = Command::new(BINARY)
+    let output = Command::new(binary())
         .args(all)
         .output()
         .expect("the command runs");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,14 +2,12 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::sync::LazyLock;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
-/// The program under test.
-pub const BINARY: &str = env!("CARGO_BIN_EXE_willowpoint");
 /// Generous bound of every wait for an event.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 /// First port of the tests, runs that begin at ports of their own, and ports of each.
@@ -55,6 +53,21 @@
     }
 }
 
+/// Returns the program under test: the one that these tests were built with, or the one beside
+/// the folder of this program.
+pub fn binary() -> PathBuf {
+    if let Some(built) = option_env!("CARGO_BIN_EXE_willowpoint") {
+        return built.into();
+    }
+    let own = std::env::current_exe().expect("the path of this program");
+    let folder = own.parent().expect("a folder");
+    let folder = match folder.ends_with("deps") {
+        true => folder.parent().expect("a folder"),
+        false => folder,
+    };
+    folder.join("willowpoint")
+}
+
 /// Starts the program; what it writes is kept in `output`.
 pub fn spawn(arguments: &[String], output: &Path) -> Child {
     let file = std::fs::File::options()
@@ -63,7 +76,7 @@
         .open(output)
         .expect("a file for what the program writes");
     let errors = file.try_clone().expect("the same file again");
-    let mut command = Command::new(BINARY);
+    let mut command = Command::new(binary());
     command.args(arguments).stdout(file).stderr(errors);
     command.spawn().expect("the program starts")
 }
