--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -18,9 +18,16 @@
 const CRASH: Duration = Duration::from_millis(10);
 /// Time until another life of a worker that crashed is back: longer than any call waits.
 const AWAY: Duration = Duration::from_millis(1_500);
+/// How long a run of a lasting task goes on by itself: longer than any test.
+const LASTING: Duration = Duration::from_secs(3_600);
+/// What the specification of a job says whose tasks are lasting.
+pub const LASTING_SPEC: &str = "lasting";
 /// Pause between two looks for an end that an exchange waits for.
 const LOOK: Duration = Duration::from_millis(5);
 
+/// When the lease of a worker's life ends.
+type Lease = Arc<Mutex<Instant>>;
+
 /// What all workers of a deployment ran.
 #[derive(Default)]
 pub struct Record {
@@ -40,6 +47,33 @@
     pub done: BTreeSet<String>,
     /// Tasks whose end was acknowledged.
     noted: BTreeSet<String>,
+    /// The lease under which each of these runs.
+    leases: BTreeMap<String, Lease>,
+}
+
+impl Record {
+    /// Takes in that a task begins to run under a lease. One whose lease has ended runs no
+    /// more, also where its worker was not asked since.
+    fn begin(&mut self, task: String, lease: &Lease) {
+        *self.starts.entry(task.clone()).or_insert(0) += 1;
+        let before = self.leases.insert(task.clone(), lease.clone());
+        let now = Instant::now();
+        if before.is_some_and(|l| *l.lock().expect("no holder panicked") < now) {
+            self.running.remove(&task);
+        }
+        if self.noted.contains(&task) || !self.running.insert(task.clone()) {
+            self.doubled.push(task);
+        }
+    }
+
+    /// Takes in that a task that ran under a lease does so no more.
+    fn end(&mut self, task: &str, lease: &Lease) {
+        let own = self.leases.get(task);
+        if own.is_some_and(|l| Arc::ptr_eq(l, lease)) {
+            self.running.remove(task);
+            self.leases.remove(task);
+        }
+    }
 }
 
 struct Run {
@@ -54,6 +88,8 @@
     fence: u64,
     /// End of the lease, in milliseconds on its clock.
     lease: u64,
+    /// The same, for the record.
+    until: Lease,
     runs: BTreeMap<String, Run>,
     barred: BTreeMap<String, u64>,
     ended: Vec<(u64, String, u64, &'static str)>,
@@ -70,6 +106,7 @@
             born: clock::wall(),
             fence: 0,
             lease: 0,
+            until: Arc::new(Mutex::new(Instant::now())),
             runs: BTreeMap::new(),
             barred: BTreeMap::new(),
             ended: Vec::new(),
@@ -150,7 +187,7 @@
         {
             let mut record = self.record();
             for name in lost.runs.keys() {
-                record.running.remove(name);
+                record.end(name, &lost.until);
             }
             *record.crashes.entry(task.into()).or_insert(0) += 1;
         }
@@ -175,7 +212,7 @@
         let lost = std::mem::replace(&mut *self.state(), State::begin());
         let mut record = self.record();
         for name in lost.runs.keys() {
-            record.running.remove(name);
+            record.end(name, &lost.until);
             *record.lost.entry(name.clone()).or_insert(0) += 1;
         }
     }
@@ -257,6 +294,8 @@
         let mut state = self.state();
         state.fence = fence;
         state.lease = state.lease.max(call["deadlineMs"].as_u64().unwrap_or(0));
+        let until = state.began + Duration::from_millis(state.lease);
+        *state.until.lock().expect("no holder panicked") = until;
         None
     }
 
@@ -278,18 +317,24 @@
         if self.state().barred.get(&task).is_some_and(|b| run <= *b) {
             return self.conflict("old");
         }
-        let ends = Instant::now() + self.span;
+        if self.lapsed() {
+            return self.conflict("late");
+        }
+        let lasting = call["spec"] == LASTING_SPEC;
+        let ends = Instant::now() + if lasting { LASTING } else { self.span };
         self.state().runs.insert(task.clone(), Run { run, ends });
         self.started.fetch_add(1, Ordering::Relaxed);
-        let mut record = self.record();
-        *record.starts.entry(task.clone()).or_insert(0) += 1;
-        if record.noted.contains(&task) || !record.running.insert(task.clone()) {
-            record.doubled.push(task);
-        }
-        drop(record);
+        let until = self.state().until.clone();
+        self.record().begin(task, &until);
         self.clock(StatusCode::OK, json!({}))
     }
 
+    /// Returns true once its lease has ended.
+    fn lapsed(&self) -> bool {
+        let state = self.state();
+        state.began.elapsed().as_millis() as u64 > state.lease
+    }
+
     fn stop(&self, call: &Value) -> Reply {
         let task = call["task"].as_str().unwrap_or_default();
         let run = call["run"].as_u64().unwrap_or(0);
@@ -313,9 +358,10 @@
         let number = state.next;
         state.next += 1;
         state.ended.push((number, task.into(), run.run, how));
+        let until = state.until.clone();
         drop(state);
         let mut record = self.record();
-        record.running.remove(task);
+        record.end(task, &until);
         if how == "done" {
             record.done.insert(task.into());
         }
@@ -323,9 +369,9 @@
 
     /// Ends what has run its time, and everything once the lease is over.
     fn expire(&self) {
+        let lapsed = self.lapsed();
         let state = self.state();
         let now = Instant::now();
-        let lapsed = state.began.elapsed().as_millis() as u64 > state.lease;
         let due = state.runs.iter().filter(|(_, r)| lapsed || r.ends <= now);
         let due: Vec<(String, bool)> = due.map(|(t, r)| (t.clone(), r.ends <= now)).collect();
         drop(state);
--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -12,7 +12,7 @@
 
 use crate::checks::{self, Findings};
 use crate::jobs::{Jobs, Told};
-use crate::platform::worker::Record;
+use crate::platform::worker::{LASTING_SPEC, Record};
 use crate::platform::{HOST, PATH};
 
 /// How long a caller waits for an answer.
@@ -29,6 +29,8 @@
 const TASKS: u64 = 3;
 /// Part of the jobs that are cancelled.
 const CANCELLED: f64 = 0.1;
+/// Id of the job whose tasks are lasting.
+const LASTING_ID: &str = "eeee000000000001";
 /// Pause between two looks at the jobs that are open.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -124,6 +126,24 @@
     }
 }
 
+/// Hands in a job of one step whose tasks run until it is cancelled; returns its id.
+pub fn lasting(boxes: &Boxes, jobs: &Jobs, tasks: u32) -> &'static str {
+    let step = json!({ "count": tasks, "cpu": 1000, "memMb": 100, "persistent": true });
+    let body = json!({ "spec": LASTING_SPEC, "steps": [step] }).to_string();
+    jobs.ask(LASTING_ID, tasks);
+    jobs.note(LASTING_ID, |job| job.lasting = true);
+    let mut turn = 0;
+    while !matches!(
+        boxes.call(turn, "POST", LASTING_ID, &body),
+        Answer::Status(200, _)
+    ) {
+        turn += 1;
+        std::thread::sleep(RETRY);
+    }
+    jobs.note(LASTING_ID, |job| job.told = Told::Taken);
+    LASTING_ID
+}
+
 /// Returns a job of two steps.
 pub fn job(tasks: u32) -> String {
     let step = json!({ "count": tasks, "cpu": 1000, "memMb": 100, "estimateMs": 300 });
--- a/tools/soak/src/checks.rs
+++ b/tools/soak/src/checks.rs
@@ -83,6 +83,10 @@
 /// Checks what must hold once all is well again and the jobs had time to end.
 pub fn after(jobs: &BTreeMap<String, Job>, record: &Record, findings: &Findings) {
     for (id, job) in jobs.iter().filter(|(_, job)| job.told == Told::Taken) {
+        if job.lasting {
+            lasts(id, job, record, findings);
+            continue;
+        }
         let done = done(record, id);
         let all = job.tasks * 2;
         match job.ended.as_str() {
@@ -101,6 +105,20 @@
     }
 }
 
+/// Checks that all tasks of a lasting job run.
+fn lasts(id: &str, job: &Job, record: &Record, findings: &Findings) {
+    let running = running(record, id);
+    if running < job.tasks && lost(record, id) < GIVEN_UP {
+        findings.tell(id, format!("{running} of {} lasting tasks run", job.tasks));
+    }
+}
+
+/// Returns how many tasks of a job run.
+pub fn running(record: &Record, id: &str) -> u32 {
+    let tasks = record.running.iter().filter(|task| owner(task) == id);
+    tasks.count() as u32
+}
+
 /// Returns how many tasks of a job have ended as done.
 pub fn done(record: &Record, id: &str) -> u32 {
     let tasks = record.done.iter().filter(|task| owner(task) == id);
--- a/tools/soak/src/jobs.rs
+++ b/tools/soak/src/jobs.rs
@@ -27,6 +27,8 @@
     pub unwanted: bool,
     /// How it was shown to have ended; empty before.
     pub ended: String,
+    /// True when its tasks run until it is cancelled.
+    pub lasting: bool,
 }
 
 /// All jobs by their ids; clones share them.
@@ -49,6 +51,7 @@
             cancelled: None,
             unwanted: false,
             ended: String::new(),
+            lasting: false,
         };
         self.all().insert(id.into(), job);
     }
@@ -60,12 +63,12 @@
         }
     }
 
-    /// Returns the ids of jobs that were taken and whose end was not seen.
+    /// Returns the ids of jobs that were taken, have an end, and were not seen at it.
     pub fn open(&self) -> Vec<String> {
         let all = self.all();
         let open = all
             .iter()
-            .filter(|(_, job)| job.told == Told::Taken && job.ended.is_empty());
+            .filter(|(_, job)| job.told == Told::Taken && job.ended.is_empty() && !job.lasting);
         open.map(|(id, _)| id.clone()).collect()
     }
 }
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -15,12 +15,14 @@
 use crate::jobs::{Jobs, Told};
 use crate::plan::{Kind, Plan};
 use crate::platform::deployment::Deployment;
-use crate::platform::support::binary;
+use crate::platform::support::{becomes, binary};
 
 /// Callers that hand in jobs.
 const CALLERS: usize = 4;
 /// How long a task runs.
 const SPAN: Duration = Duration::from_millis(300);
+/// Tasks that last.
+const LASTING: u32 = 4;
 /// Time between two looks at what must hold.
 const LOOK: Duration = Duration::from_millis(20);
 /// Time in which all jobs have to end once nothing is wrong any more: a lease that an
@@ -58,6 +60,7 @@
         jobs.clone(),
         findings.clone(),
     ));
+    let lasting = callers::lasting(&boxes, &jobs, LASTING);
     let mut faults = Faults::new(plan);
     let begun = Instant::now();
     let now = || begun.elapsed().as_millis() as u64;
@@ -71,6 +74,8 @@
     let cut_short = signals::asked();
     if !cut_short {
         settle(&deployment, &boxes, &jobs, &findings);
+        let all_run = || checks::running(&deployment.record(), lasting) == LASTING;
+        becomes(all_run);
     }
     findings.give_up();
     for thread in threads {
--- a/tools/soak/src/tests.rs
+++ b/tools/soak/src/tests.rs
@@ -86,6 +86,17 @@
     assert_eq!(found(&jobs, &record), [""; 0]);
 }
 
+#[test]
+fn a_lasting_task_that_does_not_run_is_found() {
+    let (mut jobs, mut record) = well();
+    let job = jobs.get_mut(ID).expect("the job");
+    job.lasting = true;
+    job.ended.clear();
+    assert_eq!(found(&jobs, &record), ["0 of 1 lasting tasks run"]);
+    record.running.insert(format!("{ID}.0.0.0"));
+    assert_eq!(found(&jobs, &record), [""; 0]);
+}
+
 #[test]
 fn a_job_may_fail_after_its_workers_have_gone_twice() {
     let (mut jobs, mut record) = well();
