--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -1,6 +1,6 @@
 //! Brings the faults of a plan about, and undoes them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::plan::{Fault, Kind, Plan, Target};
@@ -11,16 +11,11 @@
 const SLOW: Duration = Duration::from_millis(250);
 /// For how long a worker lets orders lie: longer than their owner waits.
 const LATE: Duration = Duration::from_millis(1_200);
+/// For how long one that is silent does: longer than its lease.
+const SILENT: Duration = Duration::from_secs(6);
 /// Room of a worker and half of it, in thousandths of cores.
 const ROOM: (u64, u64) = (4_000, 2_000);
 
-/// How a box is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Health {
-    Down,
-    Frozen,
-}
-
 /// A fault that goes on.
 #[derive(Clone, Copy)]
 struct Active {
@@ -33,7 +28,8 @@
 pub struct Faults {
     due: Vec<Fault>,
     active: Vec<Active>,
-    ill: BTreeMap<usize, Health>,
+    /// Boxes that are down or paused.
+    ill: BTreeSet<usize>,
     version: u64,
     /// How many of each kind were brought about.
     pub counts: BTreeMap<Kind, u32>,
@@ -47,7 +43,7 @@
         Self {
             due,
             active: Vec::new(),
-            ill: BTreeMap::new(),
+            ill: BTreeSet::new(),
             version: 1,
             counts: BTreeMap::new(),
         }
@@ -60,13 +56,12 @@
 
     /// Begins and ends what is due at `now`, in milliseconds from the beginning.
     pub fn step(&mut self, deployment: &mut Deployment, now: u64) {
-        let (ended, active) = std::mem::take(&mut self.active)
-            .into_iter()
-            .partition(|a| now >= a.fault.at + a.fault.span);
+        let over = |active: &Active| now >= active.fault.at + active.fault.span;
+        let all = std::mem::take(&mut self.active);
+        let (ended, active): (Vec<Active>, Vec<Active>) = all.into_iter().partition(over);
         self.active = active;
-        let ended: Vec<Active> = ended;
-        for active in &ended {
-            self.undo(deployment, *active);
+        for active in ended {
+            self.undo(deployment, active);
         }
         while let Some(fault) = self.due.pop_if(|fault| fault.at <= now) {
             self.begin(deployment, fault);
@@ -85,15 +80,7 @@
 
     fn begin(&mut self, deployment: &mut Deployment, fault: Fault) {
         let number = self.number(deployment, &fault);
-        let boxed = matches!(
-            fault.kind,
-            Kind::StopBox | Kind::KillBox | Kind::FreezeBox | Kind::KillAll
-        );
-        // One that is down or paused already is left to that.
-        if boxed
-            && (self.ill.contains_key(&number)
-                || fault.kind == Kind::KillAll && !self.ill.is_empty())
-        {
+        if !self.may_hit(fault.kind, number) {
             return;
         }
         println!(
@@ -105,12 +92,17 @@
         self.active.push(Active { fault, number });
     }
 
+    /// Returns false for a box that is down or paused already: it is left to that.
+    fn may_hit(&self, kind: Kind, number: usize) -> bool {
+        match kind {
+            Kind::KillAll => self.ill.is_empty(),
+            _ => !kind.hits_boxes() || !self.ill.contains(&number),
+        }
+    }
+
     /// Returns the box or worker that a fault hits.
     fn number(&self, deployment: &Deployment, fault: &Fault) -> usize {
-        let worker = matches!(
-            fault.kind,
-            Kind::RestartWorker | Kind::LateWorker | Kind::SmallWorker
-        );
+        let worker = fault.kind.hits_worker();
         let boxes = deployment.addresses().len();
         match fault.target {
             Target::Number(number) if worker => number % deployment.workers.len(),
@@ -124,20 +116,20 @@
         match kind {
             Kind::StopBox => {
                 deployment.signal(number, libc::SIGTERM);
-                self.ill.insert(number, Health::Down);
+                self.ill.insert(number);
             }
             Kind::KillBox => {
                 deployment.kill(number);
-                self.ill.insert(number, Health::Down);
+                self.ill.insert(number);
             }
             Kind::FreezeBox => {
                 deployment.signal(number, libc::SIGSTOP);
-                self.ill.insert(number, Health::Frozen);
+                self.ill.insert(number);
             }
             Kind::KillAll => {
                 deployment.kill_all();
                 let boxes = deployment.addresses().len();
-                self.ill = (0..boxes).map(|n| (n, Health::Down)).collect();
+                self.ill = (0..boxes).collect();
             }
             Kind::StoreForgets => deployment.store.forget(),
             Kind::SilentConnections => deployment.silence_store(),
@@ -147,6 +139,7 @@
                 worker.list_again();
             }
             Kind::LateWorker => deployment.workers[number].delay(LATE),
+            Kind::SilentWorker => deployment.workers[number].delay(SILENT),
             Kind::SmallWorker => deployment.workers[number].resize(ROOM.1),
             Kind::Configuration => {
                 self.version += 1;
@@ -172,7 +165,9 @@
                 let boxes = deployment.addresses().len();
                 (0..boxes).for_each(|n| self.revive(deployment, n));
             }
-            Kind::LateWorker => deployment.workers[number].delay(Duration::ZERO),
+            Kind::LateWorker | Kind::SilentWorker => {
+                deployment.workers[number].delay(Duration::ZERO);
+            }
             Kind::SmallWorker => deployment.workers[number].resize(ROOM.0),
             _ => {}
         }
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -38,6 +38,8 @@
     RestartWorker,
     /// A worker lets orders lie, and carries them out then.
     LateWorker,
+    /// A worker answers nobody, and carries orders out after seconds.
+    SilentWorker,
     /// A worker has half of its room.
     SmallWorker,
     /// Another version of the configuration.
@@ -45,7 +47,7 @@
 }
 
 /// All of them.
-pub const KINDS: [Kind; 15] = [
+pub const KINDS: [Kind; 16] = [
     Kind::StopBox,
     Kind::KillBox,
     Kind::FreezeBox,
@@ -59,10 +61,30 @@
     Kind::SilentConnections,
     Kind::RestartWorker,
     Kind::LateWorker,
+    Kind::SilentWorker,
     Kind::SmallWorker,
     Kind::Configuration,
 ];
 
+impl Kind {
+    /// Returns true for what ends or pauses boxes.
+    pub fn hits_boxes(self) -> bool {
+        let boxes = [Self::StopBox, Self::KillBox, Self::FreezeBox, Self::KillAll];
+        boxes.contains(&self)
+    }
+
+    /// Returns true for what is done to a worker.
+    pub fn hits_worker(self) -> bool {
+        let workers = [
+            Self::RestartWorker,
+            Self::LateWorker,
+            Self::SilentWorker,
+            Self::SmallWorker,
+        ];
+        workers.contains(&self)
+    }
+}
+
 /// Whom a fault hits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
