--- a/tests/layers.rs
+++ b/tests/layers.rs
@@ -16,14 +16,7 @@
         .replace('\n', " ");
     let uses = joined.split("use super::").skip(1);
     let lists = uses.filter_map(|u| u.split(';').next());
-    let parts = lists.flat_map(|list| {
-        let grouped = list.find('{').is_none_or(|at| list[..at].contains(','));
-        let parts: Vec<&str> = match grouped {
-            true => list.split(',').collect(),
-            false => vec![list],
-        };
-        parts
-    });
+    let parts = lists.flat_map(|list| list.split(','));
     let word = |part: &str| {
         let part = part.trim();
         let end = part.find(|c: char| !c.is_ascii_lowercase() && c != '_');
@@ -76,7 +69,7 @@
     let text = |uses: &str| siblings(uses);
     let two = Uses::from([
         ("a".into(), text("use super::b::{C, D};\nuse super::x;")),
-        ("b".into(), text("use super::{c, a::E};")),
+        ("b".into(), text("use super::{c::{G, H}, a::E};")),
         ("c".into(), text("use crate::a::F;")),
     ]);
     let left: Vec<String> = circle(two).into_keys().collect();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -33,6 +33,16 @@
 /// Jobs that are over before a takeover; more than one page of the store's rows.
 const OVER: usize = 110;
 
+/// Starts three boxes that all follow the owner, which has taken a job; returns the owner and
+/// one that follows it.
+fn followed(id: &str) -> (Deployment, usize, usize) {
+    let deployment = Deployment::start(3, 2, SPAN);
+    deployment.submit_until_taken(id, 1);
+    let owner = deployment.owner();
+    deployment.wait_followed();
+    (deployment, owner, (owner + 1) % 3)
+}
+
 /// Asserts that each task of a job with two steps ran, and none twice at a time.
 fn assert_ran(deployment: &Deployment, id: &str, tasks: u32) {
     let record = deployment.record();
@@ -377,11 +387,7 @@
 /// that one who comes next.
 #[test]
 fn a_box_that_the_store_turns_away_follows_the_next_owner() {
-    let deployment = Deployment::start(3, 2, SPAN);
-    deployment.submit_until_taken("00000000000000e0", 1);
-    let owner = deployment.owner();
-    let follower = (owner + 1) % 3;
-    deployment.wait_followed();
+    let (deployment, owner, follower) = followed("00000000000000e0");
     deployment.cut_store(&[owner, follower]);
     wait("another owner", || deployment.owner() != owner);
     for (number, id) in [(follower, "00000000000000e1"), (owner, "00000000000000e2")] {
@@ -401,11 +407,7 @@
 /// lasted: `owner-silent` and `owner-unread` was all that it wrote. Others know.
 #[test]
 fn a_box_that_the_store_turns_away_finds_the_owner_after_a_dead_one() {
-    let mut deployment = Deployment::start(3, 2, SPAN);
-    deployment.submit_until_taken("00000000000000e8", 1);
-    let owner = deployment.owner();
-    let follower = (owner + 1) % 3;
-    deployment.wait_followed();
+    let (mut deployment, owner, follower) = followed("00000000000000e8");
     wait("the boxes to know one another", || {
         let known = |n| deployment.gauge(n, "other_boxes") > Some(0);
         (0..3).filter(|n| *n != owner).all(known)
@@ -425,10 +427,7 @@
 /// boxes that served. Nobody can tell it of an owner, so it has to say that it is not ready.
 #[test]
 fn a_box_that_knows_neither_an_owner_nor_the_store_is_not_ready() {
-    let mut deployment = Deployment::start(3, 2, SPAN);
-    deployment.submit_until_taken("00000000000000e3", 1);
-    let owner = deployment.owner();
-    let late = (owner + 1) % 3;
+    let (mut deployment, owner, late) = followed("00000000000000e3");
     deployment.kill(late);
     deployment.store.refuse_reads(Some("owner"));
     deployment.restart(late);
@@ -453,11 +452,7 @@
 /// The box that takes over cannot load at first, and then finds its own row before it.
 #[test]
 fn a_box_that_takes_over_at_its_second_try_tells_the_owner_before() {
-    let deployment = Deployment::start(3, 2, SPAN);
-    deployment.submit_until_taken("00000000000000e5", 1);
-    let owner = deployment.owner();
-    let follower = (owner + 1) % 3;
-    deployment.wait_followed();
+    let (deployment, owner, follower) = followed("00000000000000e5");
     deployment.store.refuse_reads(Some("spec"));
     deployment.cut_store(&[owner, follower]);
     let third = (owner + 2) % 3;
--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -12,6 +12,7 @@
 
 use crate::checks::{self, Findings};
 use crate::jobs::{Jobs, Told};
+use crate::platform::support::wait;
 use crate::platform::worker::{LASTING_SPEC, Record};
 use crate::platform::{HOST, PATH};
 
@@ -133,13 +134,11 @@
     jobs.ask(LASTING_ID, tasks);
     jobs.note(LASTING_ID, |job| job.lasting = true);
     let mut turn = 0;
-    while !matches!(
-        boxes.call(turn, "POST", LASTING_ID, &body),
-        Answer::Status(200, _)
-    ) {
+    wait("the lasting job to be taken", || {
         turn += 1;
-        std::thread::sleep(RETRY);
-    }
+        let answer = boxes.call(turn, "POST", LASTING_ID, &body);
+        matches!(answer, Answer::Status(200, _))
+    });
     jobs.note(LASTING_ID, |job| job.told = Told::Taken);
     LASTING_ID
 }
@@ -189,6 +188,9 @@
             if ["completed", "failed", "cancelled"].contains(&state) {
                 jobs.note(id, |job| job.ended = state.into());
             }
+            if state.is_empty() {
+                findings.tell(id, format!("is shown without a state: {body}"));
+            }
         }
         Answer::Status(410, _) => {
             findings.tell(id, "a job that was taken is not known".into());
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -74,16 +74,17 @@
     let cut_short = signals::asked();
     if !cut_short {
         settle(&deployment, &boxes, &jobs, &findings);
-        let all_run = || checks::running(&deployment.record(), lasting) == LASTING;
-        becomes(all_run);
+        // Where they do not, the checks that follow tell it.
+        let _ = becomes(|| checks::running(&deployment.record(), lasting) == LASTING);
     }
     findings.give_up();
     for thread in threads {
         thread.join().expect("a caller ends");
     }
     if !cut_short {
-        let record = deployment.record();
-        checks::after(&jobs.all(), &record, &findings);
+        let (all, record) = (jobs.all(), deployment.record());
+        checks::during(&all, &record, &findings);
+        checks::after(&all, &record, &findings);
     }
     outcome(deployment, &jobs, &findings, faults, cut_short)
 }
