Spells over target: length by image, a line after a second and at the end

Callers of serving tasks saw tails over their target for long; no line or metric of the owner told of it. A spell is now logged after one second and at its end, with the fillers beside it: ordered pace and its age, whether the order has an answer, processors in use. The gauge over_target_ms has the longest present one, the histogram over_target_seconds those that have ended, paces and paces_missed count the orders. No decision changes.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -5,8 +5,9 @@
 #[cfg(test)]
 mod tests;
 
-use std::sync::LazyLock;
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicI64, AtomicU64};
+use std::sync::{LazyLock, Mutex, PoisonError};
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -54,6 +55,13 @@
     rule: String,
 }
 
+/// Label of the image that a task runs.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct Image {
+    /// Its name.
+    pub image: String,
+}
+
 /// All metrics of a box.
 pub struct Metrics {
     registry: Registry,
@@ -123,6 +131,14 @@
     pub unanswered: Family<Call, Counter>,
     /// Milliseconds for which the machine was suspended.
     pub suspended: Counter,
+    /// Milliseconds of the longest spell of a serving task over its target that goes on.
+    pub over: Gauge<i64, AtomicI64>,
+    /// Seconds of spells of serving tasks over their target that have ended.
+    pub over_seconds: Family<Image, Histogram>,
+    /// Orders on the pace of fillers.
+    pub paces: Counter,
+    /// Orders on the pace of fillers that were not answered well.
+    pub paces_missed: Counter,
     /// Log lines that were dropped.
     pub dropped: Counter,
     /// Calls to the table.
@@ -152,6 +168,26 @@
     METRICS.unanswered.get_or_create(&Call { by }).inc();
 }
 
+/// Images that have a label of their own; the others share one.
+const IMAGES: usize = 64;
+
+/// Counts a spell over target of a serving task that runs an image.
+pub fn observe_over_target(image: &str, seconds: f64) {
+    static SEEN: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+    let mut seen = SEEN.lock().unwrap_or_else(PoisonError::into_inner);
+    if seen.len() < IMAGES && !seen.contains(image) {
+        seen.insert(image.to_string());
+    }
+    let image = match seen.contains(image) {
+        true => image,
+        false => "other",
+    };
+    let label = Image {
+        image: image.to_string(),
+    };
+    METRICS.over_seconds.get_or_create(&label).observe(seconds);
+}
+
 impl Metrics {
     fn new() -> Self {
         let mut registry = Registry::with_prefix("willowpoint");
@@ -190,6 +226,10 @@
             withdrawn: Counter::default(),
             unanswered: Family::default(),
             suspended: Counter::default(),
+            over: Gauge::default(),
+            over_seconds: Family::new_with_constructor(|| Histogram::new(rows::OVER_SPANS)),
+            paces: Counter::default(),
+            paces_missed: Counter::default(),
             dropped: Counter::default(),
             calls: Counter::default(),
             evictions: Gauge::default(),
@@ -217,6 +257,7 @@
             &self.waiting,
             &self.jobs,
             &self.workers,
+            &self.over,
         ];
         for gauge in gauges {
             gauge.set(0);
--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -19,6 +19,9 @@
 pub(super) const START_SPANS: [f64; 10] =
     [0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0];
 
+/// Bounds of a spell over target, in seconds.
+pub(super) const OVER_SPANS: [f64; 8] = [0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 4.0, 6.0];
+
 /// Registers what tells the owner, and how it fares.
 pub(super) fn owner(registry: &mut Registry, m: &Metrics) {
     registry.register(
@@ -49,7 +52,7 @@
     registry.register("runs_lapsed", "Runs whose lease ended", m.lapsed.clone());
     registry.register(
         "runs_orphaned",
-        "Runs that went with their worker",
+        "Runs lost with a worker",
         m.orphaned.clone(),
     );
     registry.register(
@@ -68,11 +71,7 @@
         "Tasks given up after crashes",
         m.given_up.clone(),
     );
-    registry.register(
-        "halls_cordoned",
-        "Halls that get nothing new",
-        m.cordoned.clone(),
-    );
+    registry.register("halls_cordoned", "Halls cordoned", m.cordoned.clone());
     registry.register(
         "starts_withdrawn",
         "Starts withdrawn unsent",
@@ -80,7 +79,7 @@
     );
     registry.register(
         "calls_unanswered",
-        "Calls without an answer in time",
+        "Calls not answered in time",
         m.unanswered.clone(),
     );
     registry.register(
@@ -90,7 +89,7 @@
     );
     registry.register(
         "owner_leaving_ms",
-        "Milliseconds of giving the cell up",
+        "Milliseconds of giving up",
         m.leaving.clone(),
     );
     registry.register("load_ms", "Milliseconds of the last load", m.load.clone());
@@ -100,6 +99,11 @@
         "Tasks that wait for a worker",
         m.waiting.clone(),
     );
+    registry.register(
+        "over_target_ms",
+        "Longest present spell over target",
+        m.over.clone(),
+    );
     registry.register("jobs", "Jobs held by the owner", m.jobs.clone());
     registry.register("workers", "Workers known to the owner", m.workers.clone());
     registry.register(
@@ -128,7 +132,18 @@
         "Time from acceptance to the first start",
         m.start_seconds.clone(),
     );
+    registry.register(
+        "over_target_seconds",
+        "Spells of serving tasks over target, by image",
+        m.over_seconds.clone(),
+    );
     registry.register("request_seconds", "Time to the answer", m.seconds.clone());
+    registry.register("paces", "Orders on paces", m.paces.clone());
+    registry.register(
+        "paces_missed",
+        "Orders on paces without a good answer",
+        m.paces_missed.clone(),
+    );
     registry.register(
         "owner_spent_us",
         "Microseconds that the owner's decisions took",
--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -7,7 +7,7 @@
 /// Bytes of an answer that a collector keeps in any case.
 const KEPT: usize = 3_500;
 /// Rows that tell the owner and how it fares.
-const OWNER: [&str; 25] = [
+const OWNER: [&str; 26] = [
     "owner_epoch",
     "followed_epoch",
     "owner_unserved_ms",
@@ -27,6 +27,7 @@
     "starts_withdrawn_total",
     "calls_unanswered_total",
     "tasks_waiting",
+    "over_target_ms",
     "jobs",
     "workers",
     "suspended_ms_total",
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -45,6 +45,7 @@
 mod reports;
 mod silence;
 pub mod spec;
+mod spells;
 mod starts;
 pub mod succession;
 mod swaps;
--- a/src/sched/gauges.rs
+++ b/src/sched/gauges.rs
@@ -5,6 +5,7 @@
 use super::placement::Gauge;
 use super::pressure::ImageNumber;
 use super::reports::Listed;
+use super::spells::Spell;
 use super::worker::Mix;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -80,15 +81,19 @@
         let measured = (busy - pressed).clamp(0.0, busy);
         self.loads.note(step, key.index, measured, variance, now);
         let own_load = self.loads.of(step, key.index, now).load.clamp(0.0, busy);
-        let before = placement.gauge.as_ref().and_then(|g| g.over_since);
+        let before = placement.gauge.as_ref().and_then(|g| g.spell);
+        let over = run.gauge * WHOLE > placement.target * NEAR;
         let gauge = Gauge {
             busy,
-            over_since: (run.gauge * WHOLE > placement.target * NEAR)
-                .then(|| before.unwrap_or(now)),
+            tail: run.gauge,
+            spell: Spell::after(before, over, now),
             own_load,
         };
         let number = placement.image_number;
         worker.measure(key, gauge.clone());
+        if before.is_some() || gauge.spell.is_some() {
+            self.report_spell(name, key, before);
+        }
         Some((number, gauge))
     }
 }
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -356,6 +356,7 @@
             self.release(number);
         }
         self.measure_backlog();
+        self.show_spells();
         self.tidy();
         self.refuse_parked();
         self.loads.forget_old(self.now.steady);
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -11,6 +11,7 @@
 use super::pressure::{ImageNumber, Pressure};
 use super::reports::Listed;
 use super::worker::Worker;
+use crate::metrics;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -101,8 +102,8 @@
             let expected = gauge.own_load + fillers.iter().map(part).sum::<f64>();
             high |= gauge.busy.max(expected) > HIGH + stretch;
             if gauge
-                .over_since
-                .is_some_and(|since| self.now.steady >= since + HALT)
+                .spell
+                .is_some_and(|spell| spell.length(self.now.steady) >= HALT)
             {
                 fillers.iter_mut().for_each(|f| f.wished = 0.0);
                 high = true;
@@ -138,7 +139,9 @@
                 continue;
             };
             placement.pacing = true;
+            placement.paced = self.now.steady;
             log::debug!(target: "task", "task={} run={} event=pace percent={wished}", job.task_name(filler.key), placement.run);
+            metrics::get().paces.inc();
             self.actions.push(Action::Pace(Pace {
                 key: filler.key,
                 run: placement.run,
@@ -173,6 +176,7 @@
             Reply::Ok(_) => placement.pace = percent,
             // The next report asks for it again.
             reply => {
+                metrics::get().paces_missed.inc();
                 log::info!(target: "task", "task={} run={run} event=pace-missed percent={percent} worker={name} reply={reply:?}", self.task_name(key));
             }
         }
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -3,6 +3,7 @@
 use super::lives::Boot;
 use super::pressure::ImageNumber;
 use super::spec::Room;
+use super::spells::Spell;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -55,6 +56,8 @@
     pub cpu: u64,
     /// Pace last ordered, in percent.
     pub pace: u32,
+    /// When that was ordered; when it was placed if it never was.
+    pub paced: Millis,
     /// True while a change of the pace has no answer.
     pub pacing: bool,
     /// When it was placed.
@@ -97,8 +100,10 @@
 pub(super) struct Gauge {
     /// Busy share of its server, from 0 to 1.
     pub busy: f64,
-    /// Since when it was over its target; none while it is not.
-    pub over_since: Option<Millis>,
+    /// Its tail, in milliseconds.
+    pub tail: Millis,
+    /// The spell over its target that goes on.
+    pub spell: Option<Spell>,
     /// The part of it that is its own load, as estimated.
     pub own_load: f64,
 }
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -424,6 +424,7 @@
             target: step.target,
             cpu: step.room.cpu,
             pace: FULL_PACE,
+            paced: self.now.steady,
             pacing: false,
             at_work: false,
             gauge: None,
--- /dev/null
+++ b/src/sched/spells.rs
@@ -0,0 +1,126 @@
+//! Spells in which serving tasks are over their latency target.
+
+use super::job::TaskKey;
+use super::owner::Owner;
+use super::placement::{Placement, Stage};
+use super::worker::Worker;
+use crate::metrics;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Milliseconds after which a spell is logged.
+const LOGGED: Millis = 1_000;
+
+/// A time in which a serving task is over its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Spell {
+    /// When a report showed it first.
+    pub since: Millis,
+    /// When a report showed it last.
+    pub last: Millis,
+    /// True once it was logged.
+    logged: bool,
+}
+
+impl Spell {
+    /// Returns the spell after a report; `over` when that shows a tail over the target.
+    pub fn after(before: Option<Self>, over: bool, now: Millis) -> Option<Self> {
+        let begun = Self {
+            since: now,
+            last: now,
+            logged: false,
+        };
+        let spell = before.unwrap_or(begun);
+        over.then_some(Self { last: now, ..spell })
+    }
+
+    /// Returns its length so far, in milliseconds.
+    pub fn length(self, now: Millis) -> Millis {
+        now - self.since
+    }
+}
+
+impl Owner {
+    /// Logs a spell that goes on and one that has ended, and counts the latter.
+    pub(super) fn report_spell(&mut self, name: &Name, key: TaskKey, before: Option<Spell>) {
+        let now = self.now.steady;
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let Some(placement) = worker.placements.get(&key) else {
+            return;
+        };
+        let Some(gauge) = &placement.gauge else {
+            return;
+        };
+        let (task, run, target) = (self.task_name(key), placement.run, placement.target);
+        let (tail, own) = (gauge.tail, gauge.own_load);
+        match (before, gauge.spell) {
+            (_, Some(spell)) if !spell.logged && spell.length(now) >= LOGGED => {
+                let beside = self.fillers_text(worker);
+                log::info!(target: "task", "task={task} run={run} event=over-target worker={name} tail_ms={tail} target_ms={target} over_ms={} own_load={own:.2} beside={beside}", spell.length(now));
+                self.mark_logged(name, key);
+            }
+            (Some(spell), None) => {
+                let seconds = spell.length(now) as f64 / 1_000.0;
+                metrics::observe_over_target(&placement.image, seconds);
+                if spell.logged {
+                    let beside = self.fillers_text(worker);
+                    log::info!(target: "task", "task={task} run={run} event=under-target worker={name} tail_ms={tail} target_ms={target} over_ms={} own_load={own:.2} beside={beside}", spell.length(now));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn mark_logged(&mut self, name: &Name, key: TaskKey) {
+        let worker = self.workers.get_mut(name);
+        let placement = worker.and_then(|w| w.placements.get_mut(&key));
+        let gauge = placement.and_then(|p| p.gauge.as_mut());
+        if let Some(spell) = gauge.and_then(|g| g.spell.as_mut()) {
+            spell.logged = true;
+        }
+    }
+
+    /// Returns the fillers of a worker for log lines: task, stage, ordered pace in percent
+    /// and its age in milliseconds, processors used by the last report over those wished for.
+    fn fillers_text(&self, worker: &Worker) -> String {
+        let fillers = worker.placements.iter().filter(|(_, p)| p.filler);
+        let text = |(key, p): (&TaskKey, &Placement)| {
+            let used = p.in_use.map_or("?".into(), |used| used.to_string());
+            let age = self.now.steady - p.paced;
+            let pending = if p.pacing { "+" } else { "" };
+            format!(
+                "{}:{}:{}{pending}@{age}:{used}/{}",
+                self.task_name(*key),
+                p.stage.word(),
+                p.pace,
+                p.cpu
+            )
+        };
+        let all: Vec<String> = fillers.map(text).collect();
+        all.join(",")
+    }
+
+    /// Sets the gauge of the longest spell that goes on.
+    pub(super) fn show_spells(&self) {
+        let spells = self.workers.values().filter_map(|w| w.over_since);
+        let longest = spells.min().map_or(0, |since| self.now.steady - since);
+        metrics::get().over.set(longest as i64);
+    }
+}
+
+impl Stage {
+    /// Returns its word in log lines.
+    fn word(self) -> &'static str {
+        match self {
+            Self::Inherited => "inherited",
+            Self::Recording => "recording",
+            Self::Starting => "starting",
+            Self::Running(_) => "running",
+            Self::Doubt => "doubt",
+            Self::Stopped(_) => "stopped",
+            Self::Stopping(_) => "stopping",
+        }
+    }
+}
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -114,6 +114,8 @@
     pub beside: Beside,
     /// Lasting tasks there.
     pub lasting: u32,
+    /// Since when a serving task there is over its target; none while none is.
+    pub over_since: Option<Millis>,
     /// The exchange with it.
     pub contact: Contact,
     /// Exchanges without an answer in a row.
@@ -163,6 +165,7 @@
             soft: 0,
             beside: Beside::default(),
             lasting: 0,
+            over_since: None,
             contact: Contact::Due(now),
             misses: 0,
             answered: 0,
@@ -244,6 +247,9 @@
         self.used = self.used.minus(placement.room);
         self.soft -= placement.soft;
         self.lasting -= u32::from(placement.lasting);
+        if placement.serving {
+            self.settle_over();
+        }
     }
 
     /// Ends the isolation once no suspect is there.
@@ -284,6 +290,14 @@
         if let Some(placement) = self.placements.get_mut(&key) {
             placement.gauge = Some(gauge);
         }
+        self.settle_over();
+    }
+
+    /// Finds the longest spell that goes on there.
+    fn settle_over(&mut self) {
+        let gauges = self.placements.values().filter_map(|p| p.gauge.as_ref());
+        let spells = gauges.filter_map(|g| g.spell);
+        self.over_since = spells.map(|s| s.since).min();
     }
 
     /// Returns the processor share that work other than fillers takes.
