--- a/src/metrics/rows.rs
+++ b/src/metrics/rows.rs
@@ -24,14 +24,10 @@
 
 /// Registers what tells the owner, and how it fares.
 pub(super) fn owner(registry: &mut Registry, m: &Metrics) {
-    registry.register(
-        "owner_epoch",
-        "Epoch of the owner here, 0 for none",
-        m.epoch.clone(),
-    );
+    registry.register("owner_epoch", "Epoch of the owner here", m.epoch.clone());
     registry.register(
         "followed_epoch",
-        "Epoch of the owner followed, 0 for none",
+        "Epoch of the owner followed",
         m.followed.clone(),
     );
     registry.register(
@@ -39,11 +35,7 @@
         "Milliseconds without an owner",
         m.unserved.clone(),
     );
-    registry.register(
-        "takeovers",
-        "Times it became the owner",
-        m.takeovers.clone(),
-    );
+    registry.register("takeovers", "Takeovers", m.takeovers.clone());
     registry.register(
         "unconfirmed_ms",
         "Milliseconds since confirmed",
@@ -82,11 +74,7 @@
         "Calls not answered in time",
         m.unanswered.clone(),
     );
-    registry.register(
-        "owner_late_ms",
-        "Milliseconds late, most of 5 s",
-        m.late.clone(),
-    );
+    registry.register("owner_late_ms", "Milliseconds late", m.late.clone());
     registry.register(
         "owner_leaving_ms",
         "Milliseconds of giving up",
@@ -94,18 +82,14 @@
     );
     registry.register("load_ms", "Milliseconds of the last load", m.load.clone());
     registry.register("owner_ends", "Owners that ended here", m.ends.clone());
-    registry.register(
-        "tasks_waiting",
-        "Tasks that wait for a worker",
-        m.waiting.clone(),
-    );
+    registry.register("tasks_waiting", "Tasks that wait", m.waiting.clone());
     registry.register(
         "over_target_ms",
-        "Longest present spell over target",
+        "Longest spell over target",
         m.over.clone(),
     );
     registry.register("jobs", "Jobs held by the owner", m.jobs.clone());
-    registry.register("workers", "Workers known to the owner", m.workers.clone());
+    registry.register("workers", "Workers known", m.workers.clone());
     registry.register(
         "suspended_ms",
         "Milliseconds suspended",
