Known red: short fillers that follow each other keep a serving task over its target

Fake workers share: fillers raise the tails of serving tasks by a factor that may swing, change their pace 100 ms after an order, and gauges span half a second, reported as seldom as among 490 workers.

--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -13,6 +13,7 @@
 mod loads;
 mod order;
 mod overload;
+mod paces;
 mod past;
 mod permits;
 mod pressure;
--- /dev/null
+++ b/src/sched/tests/paces.rs
@@ -0,0 +1,87 @@
+//! Fillers beside serving tasks: how long these stay over their target.
+
+use super::world::{Sharing, World, job, lasting, step};
+use crate::sched::job::parse_task;
+use crate::sched::message::How;
+use crate::sched::spec::StepSpec;
+use crate::utils::clock::Millis;
+
+/// Longest that a serving task may stay over its target, in milliseconds.
+const LONGEST: Millis = 4_500;
+/// Label of the worker that all tasks share.
+const LABEL: &str = "shared";
+/// Workers of a large service: each reports about once a second.
+const MANY: u64 = 490;
+
+/// What a test does not set of how tasks press on each other.
+const PRESSING: Sharing = Sharing {
+    own: 0.7,
+    factor: 0.5,
+    swing: 0.0,
+    period: 8_000,
+    workers: MANY,
+};
+
+/// Returns a world in which one of the workers may run the tasks below.
+fn shared_world(sharing: Sharing) -> World {
+    let mut world = World::new(2);
+    let worker = world.workers.get_mut("w0").expect("worker");
+    worker.listing.labels.push(LABEL.into());
+    world.list();
+    world.sharing = sharing;
+    world.script = |task, _| match task.starts_with("serving") {
+        true => (1_000_000, How::Done),
+        false => (filler_time(task), How::Done),
+    };
+    world
+}
+
+/// Returns how long a filler runs: they end one after the other.
+fn filler_time(task: &str) -> Millis {
+    let index = parse_task(task).map_or(0, |(_, _, _, index)| index);
+    600 + u64::from(index * 37 % 7) * 150
+}
+
+fn serving(count: u32) -> StepSpec {
+    StepSpec {
+        target: 100,
+        image: "serving".into(),
+        label: LABEL.into(),
+        ..lasting(count, 1_000)
+    }
+}
+
+/// Returns fillers, each of which uses a quarter of a worker: four fit there at a time.
+fn fillers(count: u32) -> StepSpec {
+    let mut fillers = StepSpec {
+        filler: true,
+        image: "filler".into(),
+        label: LABEL.into(),
+        ..step(count, 1_000)
+    };
+    fillers.room.memory = 2_400;
+    fillers
+}
+
+/// Runs serving tasks beside a long stream of short fillers.
+fn run_beside_stream(world: &mut World) {
+    world.submit("serving", job(vec![serving(2)]));
+    world.run(3_000);
+    world.submit("stream", job(vec![fillers(600)]));
+    world.run(30_000);
+}
+
+#[test]
+fn short_fillers_that_follow_each_other_keep_no_serving_task_over_its_target() {
+    for (own, factor, swing) in [(0.7, 0.5, 0.0), (0.6, 1.0, 1.0), (0.76, 0.3, 1.0)] {
+        let mut world = shared_world(Sharing {
+            own,
+            factor,
+            swing,
+            ..PRESSING
+        });
+        run_beside_stream(&mut world);
+        let over = world.longest_over;
+        assert!(over < LONGEST, "{own} {factor} {swing}: {over} ms");
+    }
+}
--- a/src/sched/tests/random.rs
+++ b/src/sched/tests/random.rs
@@ -129,6 +129,7 @@
                 lost: 0.2 * random.unit(),
                 late: 0.2 * random.unit(),
                 commit: 0.3 * random.unit(),
+                ..Faults::default()
             }
         }
     }
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod crashes;
+mod sharing;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,6 +12,7 @@
 use self::calls::{Call, Due};
 pub use self::calls::{Faults, GIVEN_UP};
 pub use self::crashes::Crashes;
+pub use self::sharing::Sharing;
 pub use self::workers::FakeWorker;
 use crate::cordons::Halls;
 use crate::sched::job::{JobRow, Queue, Shown};
@@ -70,6 +72,10 @@
     pub unfit_starts: u32,
     /// Paces that were ordered, in percent.
     pub paces: Vec<u32>,
+    /// How tasks press on each other.
+    pub sharing: Sharing,
+    /// The longest that a serving task was over its target by what fills beside it.
+    pub longest_over: Millis,
     /// Tasks of which an end with its work done was acknowledged under a lease.
     noted: BTreeSet<String>,
     /// Failed runs that were acknowledged under a lease, by task.
@@ -202,6 +208,8 @@
             excesses: Vec::new(),
             unfit_starts: 0,
             paces: Vec::new(),
+            sharing: Sharing::default(),
+            longest_over: 0,
             noted: BTreeSet::new(),
             failed: BTreeMap::new(),
             holds: BTreeMap::new(),
@@ -358,6 +366,7 @@
         while self.now < end {
             self.now += 1;
             self.work();
+            self.measure();
             self.crash_due();
             while let Some(entry) = self.due.first_entry().filter(|e| e.key().0 <= self.now) {
                 match entry.remove() {
@@ -405,8 +414,7 @@
                 }
                 Action::Pace(pace) => {
                     self.paces.push(pace.percent);
-                    self.answer_pace(pace);
-                    continue;
+                    Call::Pace(pace)
                 }
                 Action::Commit {
                     number,
--- a/src/sched/tests/world/calls.rs
+++ b/src/sched/tests/world/calls.rs
@@ -38,6 +38,10 @@
     pub late: f64,
     /// A commit is done and its answer is lost.
     pub commit: f64,
+    /// So many of the next changes of pace are lost.
+    pub paces_lost: u32,
+    /// So many of those after them are carried out this much later, without an answer.
+    pub paces_late: (u32, Millis),
 }
 
 /// A call on its way.
@@ -45,6 +49,7 @@
     Hold(Hold),
     Start(Start),
     Stop(Stop),
+    Pace(Pace),
     Commit(u64, u64, Vec<Write>),
 }
 
@@ -62,7 +67,19 @@
 
 impl World {
     pub(super) fn send(&mut self, call: Call) {
-        let order = matches!(call, Call::Start(_) | Call::Stop(_) | Call::Hold(_));
+        if matches!(call, Call::Pace(_)) && self.faults.paces_lost > 0 {
+            self.faults.paces_lost -= 1;
+            let event = unanswered(&call);
+            return self.later(GIVEN_UP, Due::Event(self.epoch, event));
+        }
+        if matches!(call, Call::Pace(_)) && self.faults.paces_late.0 > 0 {
+            self.faults.paces_late.0 -= 1;
+            let event = unanswered(&call);
+            let life = self.life_of(&call);
+            self.later(self.faults.paces_late.1, Due::Kept(call, life));
+            return self.later(GIVEN_UP, Due::Event(self.epoch, event));
+        }
+        let order = !matches!(call, Call::Commit(..));
         let lost = match call {
             Call::Commit(..) => self.random.chance(self.faults.commit),
             _ => self.random.chance(self.faults.lost),
@@ -87,6 +104,7 @@
             Call::Hold(hold) => &hold.life.id,
             Call::Start(start) => &start.life.id,
             Call::Stop(stop) => &stop.life.id,
+            Call::Pace(pace) => &pace.life.id,
             Call::Commit(..) => return None,
         };
         self.workers.get(id).map(|w| w.started)
@@ -111,6 +129,11 @@
                 }
                 Event::Written(number, self.commit(version, writes))
             }
+            Call::Hold(hold) if self.sharing.workers > 0 && hold.wait > 0 => {
+                let wait = self.sharing.wait(hold.wait);
+                let due = Call::Hold(Hold { wait: 0, ..hold });
+                return self.later(wait, Due::Call(due, answered));
+            }
             Call::Hold(hold) => {
                 let reply = self.reach(&hold.life.id, hold.address, |world| world.hold(&hold));
                 Event::Held(hold, reply)
@@ -119,6 +142,10 @@
                 let reply = self.reach(&start.life.id, start.address, |world| world.start(&start));
                 Event::Started(start.key, start.run, start.life, reply)
             }
+            Call::Pace(pace) => {
+                let reply = self.reach(&pace.life.id, pace.address, |world| world.pace(&pace));
+                Self::paced(pace, reply)
+            }
             Call::Stop(stop) => {
                 let reply = self.reach(&stop.life.id, stop.address, |world| world.stop(&stop));
                 Event::Stopped(stop.key, stop.run, stop.life, reply)
@@ -131,14 +158,6 @@
         }
     }
 
-    /// Answers a change of pace, which has no effect on fake workers.
-    pub(super) fn answer_pace(&mut self, pace: Pace) {
-        let worker = self.workers.get(&pace.life.id);
-        let done = worker.map_or(Reply::Lost, |w| Reply::Ok(w.word(self.now)));
-        let event = Event::Paced(pace.key, pace.run, pace.percent, pace.life, done);
-        self.later(HOP, Due::Event(self.epoch, event));
-    }
-
     /// Answers a question to the advisor: workers in `good` may run each step.
     pub(super) fn answer_advice(&mut self, question: Advise) {
         self.questions.push(question.workers.len());
@@ -260,6 +279,7 @@
         Event::Held(_, Reply::Lost)
             | Event::Started(_, _, _, Reply::Lost)
             | Event::Stopped(_, _, _, Reply::Lost)
+            | Event::Paced(_, _, _, _, Reply::Lost)
             | Event::Written(_, Written::Unknown)
     )
 }
@@ -269,6 +289,7 @@
         Call::Hold(hold) => Event::Held(hold.clone(), Reply::Lost),
         Call::Start(s) => Event::Started(s.key, s.run, s.life.clone(), Reply::Lost),
         Call::Stop(s) => Event::Stopped(s.key, s.run, s.life.clone(), Reply::Lost),
+        Call::Pace(pace) => World::paced(pace.clone(), Reply::Lost),
         Call::Commit(number, _, _) => Event::Written(*number, Written::Unknown),
     }
 }
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::sharing::Runs;
 use super::{BOUNDS, World, queue};
 use crate::sched::job::parse_task;
 use crate::sched::journal::SPEC_TABLE;
@@ -17,8 +18,8 @@
 const ON_ITS_WAY: Millis = 2;
 
 #[derive(Clone, Debug)]
-struct Run {
-    run: u32,
+pub(super) struct Run {
+    pub(super) run: u32,
     began: Millis,
     ends: Millis,
     how: How,
@@ -42,9 +43,11 @@
     pub shrank: Millis,
     /// When it started: its clock stood at 0 then.
     pub(super) started: Millis,
-    epoch: u64,
+    pub(super) epoch: u64,
     lease: Millis,
-    running: BTreeMap<String, Run>,
+    pub(super) running: BTreeMap<String, Run>,
+    /// The same, as far as they press on each other.
+    pub(super) shared: Runs,
     barred: BTreeMap<String, u32>,
     ended: Vec<Ended>,
     /// When runs ended by their work or failed, by number of their end.
@@ -69,6 +72,7 @@
             epoch: 0,
             lease: 0,
             running: BTreeMap::new(),
+            shared: Runs::new(),
             barred: BTreeMap::new(),
             ended: Vec::new(),
             ends: BTreeMap::new(),
@@ -132,7 +136,7 @@
             run: run.run,
             saved: self.checkpoint(task, run.run),
             progress: 100,
-            gauge: 0,
+            gauge: self.shared.get(task).map_or(0, |s| s.gauge()),
         });
         Report {
             clock: now - self.started,
@@ -245,6 +249,7 @@
         };
         worker.running.insert(start.task.clone(), run);
         let id = start.life.id.clone();
+        self.share(&id, &start.task);
         self.starts.push((start.task.clone(), start.run, id, now));
         self.resumed.insert(start.task.clone(), start.saved.clone());
         self.note_double(start);
