A worker whose serving task is over its target takes no fillers

Callers of serving tasks saw tails over target for longer than is borne while short fillers came and went. Cause: a halt sets the runs that are there at that moment, while placing goes on by learned loads; what is started next begins at full pace and is slowed at the next report but one. Class: a bound on what runs, with admission that does not know of it.

Such a worker takes no filler until a report shows the tail under target again; a start that is on its way to the store is withdrawn, one that was sent is halted with its answer.

--- a/src/sched/choice.rs
+++ b/src/sched/choice.rs
@@ -142,6 +142,7 @@
     permitted
         && worker.admits(wish.key, wish.suspect)
         && worker.spares(wish.key, wish.step.reserved())
+        && !(wish.step.filler && worker.over_target())
         && suits(worker, wish, now)
 }
 
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -117,6 +117,17 @@
         self.order_paces(name, &fillers, high);
     }
 
+    /// Halts a filler that has just begun beside a task over its target.
+    pub(super) fn halt_new(&mut self, name: &Name, key: TaskKey) {
+        let Some(worker) = self.workers.get(name).filter(|w| w.over_target()) else {
+            return;
+        };
+        let mut begun = fillers(worker);
+        begun.retain(|f| f.key == key);
+        begun.iter_mut().for_each(|f| f.wished = 0.0);
+        self.order_paces(name, &begun, true);
+    }
+
     /// Orders the paces that fillers of a worker should have.
     fn order_paces(&mut self, name: &Name, fillers: &[Filler], high: bool) {
         let epoch = self.journal.epoch();
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -56,14 +56,16 @@
         // would overcommit a worker that takes whatever it is told.
         let fits = worker.fits(Room::default());
         let cordoned = worker.cordoned;
-        let lease = match worker.open(now) && fits && !gives_up {
+        // Begun at full pace, it would keep a tail up that is over its target already.
+        let presses = current.is_some_and(|s| s.filler) && worker.over_target();
+        let lease = match worker.open(now) && fits && !presses && !gives_up {
             true => worker.grant(span, now),
             false => None,
         };
         let (Some(lease), Some(permit), Some(placement)) =
             (lease, permit, worker.placements.get_mut(&key))
         else {
-            log::info!(target: "task", "task={} run={run} event=withdrawn worker={name} fits={fits} cordoned={cordoned}", job.task_name(key));
+            log::info!(target: "task", "task={} run={run} event=withdrawn worker={name} fits={fits} cordoned={cordoned} over_target={presses}", job.task_name(key));
             crate::metrics::get().withdrawn.inc();
             self.free(key);
             return;
@@ -117,6 +119,7 @@
             Reply::Ok(_) => {
                 placement.confirm(now);
                 self.begun(key);
+                self.halt_new(name, key);
             }
             Reply::Lost if placement.stage == Stage::Starting => {
                 // It may be carried out seconds later, unless a stop of it is answered first.
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -278,6 +278,11 @@
         self.isolated.is_none_or(|job| suspect && job == key.job)
     }
 
+    /// Returns true while a serving task there is over its target: it takes no fillers.
+    pub fn over_target(&self) -> bool {
+        self.over_since.is_some()
+    }
+
     /// Returns the share of the worker's processors that a run there uses.
     pub fn share(&self, run: &Placement) -> f64 {
         let paced = || run.cpu * u64::from(run.pace) / u64::from(FULL_PACE);
