A spell over target ends within a part of what is borne, also where orders are lost

Callers of serving tasks saw tails over target for as long as halting took: a constant 1.3 s from the first report that showed it, rounded up to the next report, which comes each 0.98 s at 490 workers, and a halt that was lost waited for the report after that. Nothing related it to the time that is borne, which no setting told.

platform.longest-over is that time; a halt follows after a fifth of it.

The check of the settings template asserts the bound as well.

--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -149,6 +149,7 @@
         let bounds = Bounds {
             lease: 4_000,
             unconfirmed: 10_000,
+            over: 4_000,
             drain: 2_000,
             remember: 120_000,
             switches: Switches::ON,
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -80,6 +80,7 @@
     let bounds = Bounds {
         lease: 4_000,
         unconfirmed: 10_000,
+        over: 4_000,
         drain: 2_000,
         remember: 60_000,
         switches: Switches::ON,
--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -31,6 +31,9 @@
 /// Least milliseconds that a worker serves on after its listing is gone,
 /// unless the platform's bound is set.
 const DRAIN: Millis = 2_000;
+/// Milliseconds that a serving task may stay over its target because of fillers, unless
+/// the platform's bound is set.
+const OVER: Millis = 4_000;
 /// Milliseconds for which the state of an ended job is told, unless the
 /// platform's bound is set.
 const REMEMBER: Millis = 120_000;
@@ -124,6 +127,7 @@
                 .min(longest),
             unconfirmed: reader.duration("workers.unconfirmed", UNCONFIRMED, 500..=HOUR),
             drain: reader.duration("platform.drain", DRAIN, 0..=HOUR),
+            over: reader.duration("platform.longest-over", OVER, 1_000..=HOUR),
             remember: reader.duration("jobs.remember", REMEMBER, 1_000..=HOUR),
             switches: switches(&mut reader),
         },
--- a/src/options/tests.rs
+++ b/src/options/tests.rs
@@ -88,6 +88,7 @@
         ("bounds.graceS", "6"),
         ("bounds.maxHoldMs", "6000"),
         ("bounds.status_s", "120"),
+        ("bounds.harm_ms", "4500"),
         ("advice", advisor),
     ];
     let section = |text: &str, name: &str, given: bool| {
@@ -99,6 +100,7 @@
     let text = section(template, "advice", !advisor.is_empty());
     let text = section(&text, "limits.cpuShare", !advisor.is_empty());
     let text = section(&text, "limits.maxFds", !advisor.is_empty());
+    let text = section(&text, "bounds.harm_ms", !advisor.is_empty());
     values.iter().fold(text, |text, (gap, value)| {
         text.replace(&format!("{{{{{gap}}}}}"), value)
     })
@@ -112,6 +114,8 @@
         let settings = daemon::parse("settings.conf", &text).expect("no findings");
         assert_eq!(settings.advisor.map(|a| a.port()), port);
         assert_eq!((&*settings.name, settings.bounds.lease), ("front-1", 4_000));
+        let over = if port.is_some() { 4_500 } else { 4_000 };
+        assert_eq!(settings.bounds.over, over);
         assert_eq!(settings.cores, if port.is_some() { 250 } else { 1_000 });
         assert_eq!(settings.idle, if port.is_some() { 3_072 } else { 1_536 });
     }
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -32,6 +32,8 @@
     pub unconfirmed: Millis,
     /// Least milliseconds that a worker serves on after its listing is gone.
     pub drain: Millis,
+    /// Milliseconds that a serving task may stay over its target because of fillers.
+    pub over: Millis,
     /// Milliseconds for which the state of an ended job is told.
     pub remember: Millis,
     /// Mechanisms that are on.
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -30,9 +30,9 @@
 /// without it the higher goals only cost, up to 0.03 of the worth of a site. Tails pass
 /// their target a little longer meanwhile; `HALT` ends that as before.
 const STRETCH: f64 = 0.06;
-/// Milliseconds over its target after which everything beside a serving task
-/// is halted, whatever was learned; a third of what is borne.
-const HALT: Millis = 1_300;
+/// Part of the time that a serving task may be over its target after which everything
+/// beside it is halted, whatever was learned: the rest is for reports and orders that get lost.
+const HALT_PART: Millis = 5;
 /// Part below which a filler is not worth slowing.
 const SLIGHT: f64 = 0.02;
 /// Paces are ordered in steps of so many percent, to save orders.
@@ -93,6 +93,7 @@
         };
         let mut fillers = fillers(worker);
         let stretch = self.strain * STRETCH;
+        let halt = self.bounds.over / HALT_PART;
         let mut high = false;
         for run in running.iter().filter(|r| r.run.gauge > 0) {
             let Some((victim, gauge)) = self.gauge(name, run, &mix) else {
@@ -103,7 +104,7 @@
             high |= gauge.busy.max(expected) > HIGH + stretch;
             if gauge
                 .spell
-                .is_some_and(|spell| spell.length(self.now.steady) >= HALT)
+                .is_some_and(|spell| spell.length(self.now.steady) >= halt)
             {
                 fillers.iter_mut().for_each(|f| f.wished = 0.0);
                 high = true;
@@ -117,8 +118,8 @@
         self.order_paces(name, &fillers, high);
     }
 
-    /// Halts a filler that has just begun beside a task over its target.
-    pub(super) fn halt_new(&mut self, name: &Name, key: TaskKey) {
+    /// Halts a filler beside a task over its target without waiting for the next report.
+    pub(super) fn halt_one(&mut self, name: &Name, key: TaskKey) {
         let Some(worker) = self.workers.get(name).filter(|w| w.over_target()) else {
             return;
         };
@@ -185,10 +186,13 @@
         }
         match reply {
             Reply::Ok(_) => placement.pace = percent,
-            // The next report asks for it again.
             reply => {
                 metrics::get().paces_missed.inc();
                 log::info!(target: "task", "task={} run={run} event=pace-missed percent={percent} worker={name} reply={reply:?}", self.task_name(key));
+                // The next report asks for it again; a halt does not wait for that.
+                if reply == Reply::Lost && percent == 0 {
+                    self.halt_one(name, key);
+                }
             }
         }
     }
--- a/src/sched/tests/paces.rs
+++ b/src/sched/tests/paces.rs
@@ -85,3 +85,55 @@
         assert!(over < LONGEST, "{own} {factor} {swing}: {over} ms");
     }
 }
+
+#[test]
+fn a_spell_over_target_ends_in_time_though_orders_are_lost() {
+    // Four fillers are halted: each of their orders is lost up to three times.
+    for lost in [0, 4, 8, 12] {
+        for (own, factor, swing) in [(0.76, 0.3, 1.0), (0.74, 0.2, 0.5), (0.75, 0.1, 0.0)] {
+            let mut world = shared_world(Sharing {
+                own,
+                factor,
+                swing,
+                ..PRESSING
+            });
+            world.faults.paces_lost = lost;
+            world.script = |_, _| (1_000_000, How::Done);
+            run_beside_stream(&mut world);
+            let over = world.longest_over;
+            assert!(
+                over < LONGEST,
+                "{own} {factor} {swing}, {lost} lost: {over} ms"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_worker_over_target_is_asked_as_often_as_one_of_few() {
+    let mut world = World::new(300);
+    world.script = |_, _| (1_000_000, How::Done);
+    let asked = |world: &World| world.holds["w0"].wait;
+    let label = |world: &mut World| {
+        let worker = world.workers.get_mut("w0").expect("worker");
+        worker.listing.labels.push(LABEL.into());
+    };
+    label(&mut world);
+    world.list();
+    world.submit("serving", job(vec![serving(1)]));
+    world.run(100);
+    world.submit("filler", job(vec![fillers(1)]));
+    world.run(2_500);
+    assert!(asked(&world) > 590, "{} ms", asked(&world));
+    world.sharing = Sharing {
+        own: 0.75,
+        workers: 0,
+        ..PRESSING
+    };
+    let mut least = asked(&world);
+    for _ in 0..70 {
+        world.run(10);
+        least = least.min(asked(&world));
+    }
+    assert!(least <= 400, "{least} ms");
+}
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -31,6 +31,7 @@
     lease: 4_000,
     unconfirmed: 10_000,
     drain: 2_000,
+    over: 4_500,
     remember: 60_000,
     switches: Switches::ON,
 };
--- a/src/sched/tests/world/calls.rs
+++ b/src/sched/tests/world/calls.rs
@@ -130,7 +130,9 @@
                 Event::Written(number, self.commit(version, writes))
             }
             Call::Hold(hold) if self.sharing.workers > 0 && hold.wait > 0 => {
-                let wait = self.sharing.wait(hold.wait);
+                let worker = self.workers.get(&hold.life.id);
+                let over = worker.is_some_and(FakeWorker::shows_over);
+                let wait = self.sharing.wait(hold.wait, over);
                 let due = Call::Hold(Hold { wait: 0, ..hold });
                 return self.later(wait, Due::Call(due, answered));
             }
--- a/src/sched/tests/world/sharing.rs
+++ b/src/sched/tests/world/sharing.rs
@@ -43,9 +43,13 @@
 }
 
 impl Sharing {
-    /// Returns how long an exchange waits that may wait as long as one of few workers.
-    pub(super) fn wait(self, few: Millis) -> Millis {
-        (few * self.workers.max(FEW) / FEW).min(WAIT)
+    /// Returns how long an exchange with one of so many workers waits, where it may wait so
+    /// long with one of few; one over its target is asked as often in any case.
+    pub(super) fn wait(self, few: Millis, over: bool) -> Millis {
+        match over {
+            true => few,
+            false => (few * self.workers.max(FEW) / FEW).min(WAIT),
+        }
     }
 
     /// Returns the factor at a time.
@@ -100,6 +104,13 @@
 pub type Runs = BTreeMap<String, Shared>;
 
 impl FakeWorker {
+    /// Returns true when a report would show a serving task over its target.
+    pub(super) fn shows_over(&self) -> bool {
+        let serving = self.shared.values().filter(|s| s.step.target > 0);
+        let mut over = serving.filter(|s| s.gauge() > s.step.target);
+        over.next().is_some()
+    }
+
     /// Measures what runs there, and returns the longest time that a serving task has been
     /// over its target by what fills beside it.
     fn measure(&mut self, sharing: Sharing, now: Millis) -> Millis {
