A pace that was ordered is believed while reports agree with it

What a filler was last ordered was taken for its pace. A call without an answer may be carried out seconds later, after newer ones: a filler that was believed to stand worked on beside a task over its target, and one that was believed to work stood still for good, as no order follows where nothing is to change. The same after a change of owner, which took full pace for granted: a filler that the owner before had halted was never let go. Class: the last order taken for the state of the one that was ordered.

A pace counts as kept until an order has no answer, the owner changes, or a report shows processors in use that it does not allow (or none); it is ordered again then.

--- a/src/sched/lives.rs
+++ b/src/sched/lives.rs
@@ -107,6 +107,7 @@
     Placement {
         stage,
         pace: FULL_PACE,
+        pace_kept: false,
         pacing: false,
         ..run
     }
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -8,6 +8,7 @@
 use super::lives::Life;
 use super::message::{Action, Pace, Reply, Word};
 use super::owner::Owner;
+use super::placement::Placement;
 use super::pressure::{ImageNumber, Pressure};
 use super::reports::Listed;
 use super::worker::Worker;
@@ -35,6 +36,13 @@
 const HALT_PART: Millis = 5;
 /// Part below which a filler is not worth slowing.
 const SLIGHT: f64 = 0.02;
+/// Milliseconds after an order from which reports show the pace: it changes within a tenth of
+/// a second, and gauges span half of one.
+const SETTLED: Millis = 1_000;
+/// Part of what its pace allows that a filler may report beyond that, as gauges are rough.
+const SLACK_PART: u64 = 4;
+/// Part of its processors that a halted filler may report.
+const STILL_PART: u64 = 16;
 /// Paces are ordered in steps of so many percent, to save orders.
 const STEP: u32 = 20;
 
@@ -84,6 +92,29 @@
         .collect()
 }
 
+/// Returns true when a run reports a use of processors that its pace does not allow, or uses
+/// hardly any at a pace that would.
+fn strays(placement: &Placement, in_use: u64, now: Millis) -> bool {
+    let settled = placement.running() && now >= placement.paced + SETTLED;
+    let allowed = placement.cpu * u64::from(placement.pace) / u64::from(FULL_PACE);
+    let slack = allowed / SLACK_PART + placement.cpu / STILL_PART;
+    let more = in_use > allowed + slack;
+    let stands = allowed > placement.cpu / 2 && in_use == 0;
+    settled && !placement.pacing && (more || stands)
+}
+
+impl Placement {
+    /// Takes in the processors that a filler uses by a report; returns true when that shows
+    /// for the first time that it does not keep its pace, as after an order that came late.
+    pub(super) fn use_processors(&mut self, in_use: u64, now: Millis) -> bool {
+        self.in_use = Some(in_use);
+        let strays = strays(self, in_use, now);
+        let news = strays && self.pace_kept;
+        self.pace_kept &= !strays;
+        news
+    }
+}
+
 impl Owner {
     /// Takes in the gauges of a worker's tasks, and slows or speeds up its fillers.
     pub(super) fn relieve(&mut self, name: &Name, running: &[Listed<'_>]) {
@@ -142,7 +173,9 @@
                 continue;
             };
             // A pace is lowered only while a tail is high.
-            let changes = wished > placement.pace || (high && wished < placement.pace);
+            let changes = wished > placement.pace
+                || (high && wished < placement.pace)
+                || !placement.pace_kept;
             let Some(job) = self
                 .jobs
                 .get(&filler.key.job)
@@ -185,8 +218,13 @@
             return;
         }
         match reply {
-            Reply::Ok(_) => placement.pace = percent,
+            Reply::Ok(_) => {
+                placement.pace = percent;
+                placement.pace_kept = true;
+            }
             reply => {
+                // It may be carried out, now or seconds later.
+                placement.pace_kept = false;
                 metrics::get().paces_missed.inc();
                 log::info!(target: "task", "task={} run={run} event=pace-missed percent={percent} worker={name} reply={reply:?}", self.task_name(key));
                 // The next report asks for it again; a halt does not wait for that.
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -56,6 +56,9 @@
     pub cpu: u64,
     /// Pace last ordered, in percent.
     pub pace: u32,
+    /// True while the run is believed to keep that pace: no order is without an answer, and
+    /// no report shows another.
+    pub pace_kept: bool,
     /// When that was ordered; when it was placed if it never was.
     pub paced: Millis,
     /// True while a change of the pace has no answer.
--- a/src/sched/placing.rs
+++ b/src/sched/placing.rs
@@ -424,6 +424,8 @@
             target: step.target,
             cpu: step.room.cpu,
             pace: FULL_PACE,
+            // The owner before may have ordered another.
+            pace_kept: stage != Stage::Inherited,
             paced: self.now.steady,
             pacing: false,
             at_work: false,
--- a/src/sched/spells.rs
+++ b/src/sched/spells.rs
@@ -89,7 +89,11 @@
         let text = |(key, p): (&TaskKey, &Placement)| {
             let used = p.in_use.map_or("?".into(), |used| used.to_string());
             let age = self.now.steady - p.paced;
-            let pending = if p.pacing { "+" } else { "" };
+            let pending = match (p.pacing, p.pace_kept) {
+                (true, _) => "+",
+                (false, true) => "",
+                (false, false) => "?",
+            };
             format!(
                 "{}:{}:{}{pending}@{age}:{used}/{}",
                 self.task_name(*key),
--- a/src/sched/tests/paces.rs
+++ b/src/sched/tests/paces.rs
@@ -137,3 +137,49 @@
     }
     assert!(least <= 400, "{least} ms");
 }
+
+#[test]
+fn a_pace_that_a_late_order_has_changed_is_ordered_again() {
+    let mut world = shared_world(PRESSING);
+    world.script = |_, _| (1_000_000, How::Done);
+    // The first orders are carried out seconds later, after those that followed them.
+    world.faults.paces_late = (8, 5_000);
+    world.submit("serving", job(vec![serving(2)]));
+    world.run(3_000);
+    world.submit("stream", job(vec![fillers(4)]));
+    world.run(4_000);
+    world.sharing.own = 0.3;
+    world.run(8_000);
+    let paces = world.paces_of("stream");
+    assert!(
+        paces.iter().all(|p| *p >= 80),
+        "nothing keeps them from full pace: {paces:?}"
+    );
+    world.sharing.own = 0.78;
+    world.faults.paces_late = (4, 3_000);
+    world.run(25_000);
+    assert!(world.longest_over < LONGEST, "{} ms", world.longest_over);
+}
+
+#[test]
+fn fillers_that_an_owner_has_halted_go_on_under_the_next_one() {
+    let mut world = shared_world(PRESSING);
+    world.script = |_, _| (1_000_000, How::Done);
+    world.submit("serving", job(vec![serving(2)]));
+    world.run(3_000);
+    world.submit("stream", job(vec![fillers(4)]));
+    world.sharing.own = 0.79;
+    world.run(6_000);
+    assert!(world.paces_of("stream").contains(&0));
+    // The tails fall while nobody hears of it.
+    let cut = |world: &mut World, cut| {
+        world.workers.get_mut("w0").expect("worker").cut = cut;
+    };
+    cut(&mut world, true);
+    world.sharing.own = 0.2;
+    world.run(1_000);
+    cut(&mut world, false);
+    world.take_over(14_500);
+    world.run(6_000);
+    assert_eq!(world.paces_of("stream"), [100; 4]);
+}
--- a/src/sched/tests/world/sharing.rs
+++ b/src/sched/tests/world/sharing.rs
@@ -153,6 +153,13 @@
         }
     }
 
+    /// Returns the paces at which tasks of a job run.
+    pub fn paces_of(&self, id: &str) -> Vec<u32> {
+        let all = self.workers.values().flat_map(|w| &w.shared);
+        let own = all.filter(|(task, _)| task.starts_with(id));
+        own.map(|(_, shared)| shared.pace).collect()
+    }
+
     fn step_of(&self, task: &str) -> Option<StepSpec> {
         let (id, _, step, _) = parse_task(task)?;
         let row = self.rows.get(&(SPEC_TABLE, id.into()))?;
