--- a/src/sched/tests/paces.rs
+++ b/src/sched/tests/paces.rs
@@ -214,8 +214,11 @@
 #[test]
 fn a_rough_gauge_below_the_target_begins_no_spell_anew() {
     let mut world = silent_world();
-    report_tails(&mut world, &[97, 90, 97, 90, 97, 90]);
-    assert!(world.paces.contains(&0), "{:?}", world.paces);
+    let begun = world.now;
+    report_tails(&mut world, &[97, 90, 97, 90, 97]);
+    assert_eq!(world.owner.workers["w0"].over_since, Some(begun));
+    report_tails(&mut world, &[90, 90, 90]);
+    assert_eq!(world.owner.workers["w0"].over_since, None);
 }
 
 #[test]
