--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -123,7 +123,11 @@
             return;
         };
         let mut fillers = fillers(worker);
-        let stretch = self.strain * STRETCH;
+        // Nothing that waits is a reason to keep a task over its target there.
+        let stretch = match worker.over_target() {
+            true => 0.0,
+            false => self.strain * STRETCH,
+        };
         let halt = self.bounds.over / HALT_PART;
         let mut high = false;
         for run in running {
