Later lives of a worker refuse starts that had no answer

Callers saw a task that was done run once more: a start without an answer was carried out seconds later by a life of its worker that began after the one before had answered a stop of that run, and knew of none. Class: what one life has promised is taken for a promise of the next. Ruled out: fences (the same owner sent both), leases (a later life counts its clock anew).

Starts without an answer are kept in mind for as long as they may be carried out; a life that is not the one that has answered a stop is asked to stop the run as well, until it answers. A higher fence for each life was weighed: boxes of the version before would be refused by all workers after a change back.

Open: a start that arrives between the beginning of a later life and its first answer is still carried out, and stopped by its first report.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -2,7 +2,7 @@
 //!
 //! The way of a job: accepted (`asks`), kept (`journal`, `commits`), placed
 //! (`order`, `placing`, `gang`, `choice`, `permits`, `preempt`), started and
-//! stopped (`starts`), watched (`reports`), ended (`ends`), shown (`asks`); once it is
+//! stopped (`starts`, `late`), watched (`reports`), ended (`ends`), shown (`asks`); once it is
 //! over, `past` knows what callers may still ask.
 //! Workers come and go by `directory` and `silence`, get nothing new by `cordon`, and are
 //! asked in turn by `agenda`; `addresses` tells who was listed where. What they report of
@@ -28,6 +28,7 @@
 mod gauges;
 pub mod job;
 pub mod journal;
+mod late;
 pub mod legacy;
 pub mod lives;
 mod loads;
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -8,6 +8,7 @@
 use super::crashes::Provisional;
 use super::job::{Job, JobRow, Outcome, Phase, StepKey, TaskKey};
 use super::journal::Journal;
+use super::late::LateStart;
 use super::loads::Loads;
 use super::message::{Action, Answer, Event, Ticket};
 use super::past::Past;
@@ -67,6 +68,8 @@
     pub(super) jobs: BTreeMap<u32, Job>,
     /// Numbers of jobs by their id.
     pub(super) ids: HashMap<Name, u32>,
+    /// Starts without an answer that may still be carried out.
+    pub(super) late_starts: Vec<LateStart>,
     /// Jobs that are over, of which nothing is placed any more.
     pub(super) past: Past,
     /// Jobs whose rows in the store can't be read: what became of them is not
@@ -186,6 +189,7 @@
             provisional: Vec::new(),
             store_trouble: 0,
             typical: HashMap::new(),
+            late_starts: Vec::new(),
             strain: 0.0,
             next_swap: 0,
             next_job: 0,
@@ -347,6 +351,7 @@
         self.lapse();
         self.evacuate();
         self.repeat_stops();
+        self.stop_late_starts();
         let wall = self.now.wall;
         let scheduled: Vec<u32> = self
             .jobs
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -109,6 +109,9 @@
     pub(super) fn started(&mut self, key: TaskKey, run: u32, life: &Life, reply: Reply<Word>) {
         let now = self.now.steady;
         let name = &life.id;
+        if reply == Reply::Lost {
+            self.unanswered(key, run, life);
+        }
         if !self.answers(life, &reply) {
             return;
         }
@@ -202,6 +205,9 @@
         if !self.answers(life, &reply) {
             return;
         }
+        if matches!(reply, Reply::Ok(_)) {
+            self.refuses(key, run, life);
+        }
         let Some(placement) = self.run_mut(name, key, run) else {
             return;
         };
