--- a/src/sched/gauges.rs
+++ b/src/sched/gauges.rs
@@ -89,7 +89,7 @@
         let gauge = Gauge {
             busy,
             tail: run.gauge,
-            spell: Spell::after(before, over, now),
+            spell: Spell::after(before, over, self.bounds.halt(), now),
             own_load,
         };
         let number = placement.image_number;
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -24,6 +24,10 @@
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
+/// Part of the time that a serving task may be over its target until it is relieved in any
+/// case: the rest is for reports and orders that get lost.
+const HALT_PART: Millis = 4;
+
 /// Bounds that the platform and the settings give.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -41,6 +45,14 @@
     pub switches: Switches,
 }
 
+impl Bounds {
+    /// Returns the milliseconds over its target after which everything beside a serving task
+    /// is halted, whatever was learned.
+    pub(super) fn halt(&self) -> Millis {
+        self.over / HALT_PART
+    }
+}
+
 /// The clocks at the time of an event.
 #[derive(Clone, Copy, Debug)]
 pub struct Now {
--- a/src/sched/paces.rs
+++ b/src/sched/paces.rs
@@ -31,9 +31,6 @@
 /// without it the higher goals only cost, up to 0.03 of the worth of a site. Tails pass
 /// their target a little longer meanwhile; `HALT` ends that as before.
 const STRETCH: f64 = 0.06;
-/// Part of the time that a serving task may be over its target after which everything
-/// beside it is halted, whatever was learned: the rest is for reports and orders that get lost.
-const HALT_PART: Millis = 5;
 /// Part below which a filler is not worth slowing.
 const SLIGHT: f64 = 0.02;
 /// Milliseconds after an order from which reports show the pace: it changes within a tenth of
@@ -123,12 +120,8 @@
             return;
         };
         let mut fillers = fillers(worker);
-        // Nothing that waits is a reason to keep a task over its target there.
-        let stretch = match worker.over_target() {
-            true => 0.0,
-            false => self.strain * STRETCH,
-        };
-        let halt = self.bounds.over / HALT_PART;
+        let stretch = self.strain * STRETCH;
+        let (halt, now) = (self.bounds.halt(), self.now.steady);
         let mut high = false;
         for run in running {
             if run.run.gauge == 0 {
@@ -143,7 +136,7 @@
             high |= gauge.busy.max(expected) > HIGH + stretch;
             if gauge
                 .spell
-                .is_some_and(|spell| spell.length(self.now.steady) >= halt)
+                .is_some_and(|spell| spell.shown && spell.length(now) >= halt)
             {
                 fillers.iter_mut().for_each(|f| f.wished = 0.0);
                 high = true;
--- a/src/sched/spells.rs
+++ b/src/sched/spells.rs
@@ -20,6 +20,8 @@
     pub since: Millis,
     /// When a report showed it last.
     pub last: Millis,
+    /// True when the last report shows it.
+    pub shown: bool,
     /// True once it was logged.
     logged: bool,
 }
@@ -27,19 +29,27 @@
 impl Spell {
     /// Returns the spell after a report; `over` when that shows a tail over the target.
     ///
-    /// Gauges span a while and are rough: one below the target ends no spell.
-    pub fn after(before: Option<Self>, over: bool, now: Millis) -> Option<Self> {
+    /// Gauges are rough: one below the target ends no spell, unless everything beside the
+    /// task was halted, which is after `halt` milliseconds.
+    pub fn after(before: Option<Self>, over: bool, halt: Millis, now: Millis) -> Option<Self> {
         let begun = Self {
             since: now,
             last: now,
+            shown: true,
             logged: false,
         };
         match (before, over) {
             (before, true) => Some(Self {
                 last: now,
+                shown: true,
                 ..before.unwrap_or(begun)
             }),
-            (Some(spell), false) if now < spell.last + SPAN => Some(spell),
+            (Some(spell), false) if now < spell.last + SPAN && spell.length(spell.last) < halt => {
+                Some(Self {
+                    shown: false,
+                    ..spell
+                })
+            }
             _ => None,
         }
     }
@@ -96,7 +106,7 @@
             return;
         };
         let before = gauge.spell;
-        let spell = Spell::after(before, false, now);
+        let spell = Spell::after(before, false, self.bounds.halt(), now);
         worker.measure(key, Gauge { spell, ..gauge });
         self.report_spell(name, key, before);
     }
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -298,11 +298,12 @@
         self.settle_over();
     }
 
-    /// Finds the longest spell that goes on there.
+    /// Finds the longest spell that the last report shows there.
     fn settle_over(&mut self) {
         let gauges = self.placements.values().filter_map(|p| p.gauge.as_ref());
         let spells = gauges.filter_map(|g| g.spell);
-        self.over_since = spells.map(|s| s.since).min();
+        let shown = spells.filter(|s| s.shown);
+        self.over_since = shown.map(|s| s.since).min();
     }
 
     /// Returns the processor share that work other than fillers takes.
