A worker that was silent past its lease refuses starts of before as well

A start and the stop after it lay with the network for six seconds; the lease of the silent worker ended, the tasks ran elsewhere and were done; the worker answered, got a new lease, and the old starts arrived (e0: run=1 event=start 56.976, lapsed 61.320, run=2 done 62.024, run=1 event=unknown-run 63.159).

Such starts are now stopped by whichever life of the worker answers, unless that one has answered a stop of them. The fake worker judges a late start by the lease of the whole worker, as the stand-in does; lives::a_worker_that_was_silent_past_...: failed before, green now.

--- a/src/sched/late.rs
+++ b/src/sched/late.rs
@@ -1,7 +1,8 @@
 //! Starts without an answer, which may be carried out seconds later.
 //!
-//! The life of a worker that was asked to stop such a run refuses it from then on. A later
-//! life under the same id knows of no stop, so it is asked as well.
+//! The life of a worker that has answered a stop of such a run refuses it from then on. A later
+//! life under the same id knows of no stop, nor does one that fell silent until its lease had
+//! ended: they are asked once they answer, so that the task may have run elsewhere.
 
 use super::job::TaskKey;
 use super::lives::{Boot, Life};
@@ -22,9 +23,9 @@
     /// Name of the task, as its job may be gone by then.
     task: String,
     worker: Name,
-    /// Start of the life that was last found to refuse the run, or that it was sent to.
-    settled: Boot,
-    /// When a later life was last asked to stop it; 0 for never.
+    /// The life that has last answered a stop of the run, by its start; none before that.
+    settled: Option<Boot>,
+    /// When a life was last asked to stop it here; 0 for never.
     asked: Millis,
     /// When it is carried out no more.
     until: Millis,
@@ -42,7 +43,7 @@
             run,
             task,
             worker: life.id.clone(),
-            settled: life.boot,
+            settled: None,
             asked: 0,
             until: self.now.steady + LATEST,
         });
@@ -52,10 +53,10 @@
     pub(super) fn refuses(&mut self, key: TaskKey, run: u32, life: &Life) {
         let own = |s: &&mut LateStart| (s.key, s.run) == (key, run) && s.worker == life.id;
         let starts = self.late_starts.iter_mut().filter(own);
-        starts.for_each(|start| start.settled = life.boot);
+        starts.for_each(|start| start.settled = Some(life.boot));
     }
 
-    /// Asks later lives of workers to stop the runs that may still reach them.
+    /// Asks workers to stop the runs that may still reach them.
     pub(super) fn stop_late_starts(&mut self) {
         let now = self.now.steady;
         self.late_starts.retain(|s| now < s.until);
@@ -64,11 +65,11 @@
             let Some(worker) = self.workers.get(&start.worker) else {
                 continue;
             };
-            let another = worker.boot != start.settled;
+            let settled = start.settled == Some(worker.boot);
             // A run that is known there is stopped with its task, if at all.
             let known = worker.placements.get(&start.key);
             let known = known.is_some_and(|p| p.run == start.run);
-            if !another || known || !worker.answering(now) || now < start.asked + AGAIN {
+            if settled || known || !worker.answering(now) || now < start.asked + AGAIN {
                 continue;
             }
             start.asked = now;
--- a/src/sched/tests/lives.rs
+++ b/src/sched/tests/lives.rs
@@ -176,6 +176,39 @@
     assert!(world.doubles.is_empty(), "{:?}", world.doubles);
 }
 
+/// A start and the stop after it lie with the network; the lease of the silent worker ends and
+/// the task runs elsewhere. The worker answers again, gets a new lease, and then the start
+/// arrives.
+#[test]
+fn a_worker_that_was_silent_past_its_lease_refuses_the_late_start() {
+    let mut world = World::new(1);
+    world.script = |task, _| match task.starts_with("j1") {
+        true => (300, How::Done),
+        false => (1_000_000, How::Done),
+    };
+    world.run(500);
+    world.workers.get_mut("w0").expect("worker").cut = true;
+    world.submit("j1", job(vec![step(1, 1_000)]));
+    world.run(200);
+    let (_, late) = world.ordered["w0"].clone();
+    world.add_worker("w1", 7_100);
+    world.list();
+    let small = Room {
+        cpu: 100,
+        ..world.workers["w0"].listing.capacity
+    };
+    world.resize("w0", small);
+    world.run(6_000);
+    assert_eq!(world.shown("j1"), Some(Shown::Completed), "elsewhere");
+    world.workers.get_mut("w0").expect("worker").cut = false;
+    // Too many for the other worker, so that this one has a lease again.
+    world.submit("j2", job(vec![lasting(41, 100)]));
+    world.run(1_500);
+    world.carry_out(&late);
+    world.run(2_000);
+    assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+}
+
 /// A clock that was set back has the later life tell an earlier start. Nothing of the life
 /// before may be left before it is believed.
 #[test]
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -227,11 +227,11 @@
         if !worker.accepts(&start.permit, now) {
             return Reply::Refused(Refusal::NoPermit);
         }
-        let clock = now - worker.started;
-        if start.lease <= clock {
+        // A lease is that of all that runs there: it may have been extended since.
+        worker.extend(start.lease, now);
+        if worker.lease <= now {
             return Reply::Refused(Refusal::Late);
         }
-        worker.extend(start.lease, now);
         let present = worker.running.get(&start.task);
         if present.is_some_and(|r| r.run == start.run) {
             return Reply::Ok(worker.word(now));
