--- a/src/sched/late.rs
+++ b/src/sched/late.rs
@@ -7,13 +7,12 @@
 use super::job::TaskKey;
 use super::lives::{Boot, Life};
 use super::owner::Owner;
+use super::starts::STOP_AGAIN;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
 /// Milliseconds after which a start without an answer is carried out no more.
 const LATEST: Millis = 15_000;
-/// Milliseconds after which a stop without an answer is sent again.
-const AGAIN: Millis = 1_000;
 
 /// A start that had no answer.
 #[derive(Clone, Debug)]
@@ -32,8 +31,8 @@
 }
 
 impl Owner {
-    /// Takes in that a start had no answer.
-    pub(super) fn unanswered(&mut self, key: TaskKey, run: u32, life: &Life) {
+    /// Keeps a start in mind that had no answer.
+    pub(super) fn keep_late_start(&mut self, key: TaskKey, run: u32, life: &Life) {
         let task = self.task_name(key);
         if task.is_empty() {
             return;
@@ -49,8 +48,8 @@
         });
     }
 
-    /// Takes in that a life of a worker will not begin a run any more.
-    pub(super) fn refuses(&mut self, key: TaskKey, run: u32, life: &Life) {
+    /// Takes in that a life of a worker has answered a stop, and will not begin the run.
+    pub(super) fn settle_late_start(&mut self, key: TaskKey, run: u32, life: &Life) {
         let own = |s: &&mut LateStart| (s.key, s.run) == (key, run) && s.worker == life.id;
         let starts = self.late_starts.iter_mut().filter(own);
         starts.for_each(|start| start.settled = Some(life.boot));
@@ -69,7 +68,7 @@
             // A run that is known there is stopped with its task, if at all.
             let known = worker.placements.get(&start.key);
             let known = known.is_some_and(|p| p.run == start.run);
-            if settled || known || !worker.answering(now) || now < start.asked + AGAIN {
+            if settled || known || !worker.answering(now) || now < start.asked + STOP_AGAIN {
                 continue;
             }
             start.asked = now;
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -123,8 +123,7 @@
     ///
     /// Load pattern: more work than fits. By due time alone, everything ends just late: each
     /// job is worked on until it can't be on time any more. By the work left for what it is
-    /// worth, what is nearly done ends, and less is begun in vain: mean worth of five days
-    /// of more work than fits 0.69 by due time, 0.71 so.
+    /// worth, what is nearly done ends, and less is begun in vain.
     fn claim(&self, job: &Job, round: usize) -> Claim {
         let (prospect, due) = prospect(job, round, self.now.wall);
         let queue = &job.row.queue.name;
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -21,7 +21,7 @@
 /// Times that this wait is doubled at most: 16 s.
 const DEFERRED_MOST: u32 = 5;
 /// Milliseconds after which a stop without an effect is sent again.
-const STOP_AGAIN: Millis = 1_000;
+pub(super) const STOP_AGAIN: Millis = 1_000;
 
 /// How long a task waits whose starts no worker could take.
 #[derive(Clone, Copy, Debug, Default)]
@@ -110,7 +110,7 @@
         let now = self.now.steady;
         let name = &life.id;
         if reply == Reply::Lost {
-            self.unanswered(key, run, life);
+            self.keep_late_start(key, run, life);
         }
         if !self.answers(life, &reply) {
             return;
@@ -206,7 +206,7 @@
             return;
         }
         if matches!(reply, Reply::Ok(_)) {
-            self.refuses(key, run, life);
+            self.settle_late_start(key, run, life);
         }
         let Some(placement) = self.run_mut(name, key, run) else {
             return;
--- a/src/sched/tests/lives.rs
+++ b/src/sched/tests/lives.rs
@@ -139,6 +139,17 @@
     assert_runs_once(&mut world, "after", 4);
 }
 
+/// Has another worker come, and the first one keep too little room for a task of a core.
+fn leave_room_elsewhere(world: &mut World) {
+    world.add_worker("w1", 7_100);
+    world.list();
+    let small = Room {
+        cpu: 100,
+        ..world.workers["w0"].listing.capacity
+    };
+    world.resize("w0", small);
+}
+
 /// A start lies with the network for six seconds. Its worker is asked to stop that run and says
 /// that it will not take it any more, so the task runs elsewhere; then the worker starts again
 /// under its id, knows of no stop, and carries the old start out. Seen in a soak of processes:
@@ -154,13 +165,7 @@
     world.run(200);
     let (_, late) = world.ordered["w0"].clone();
     assert_eq!((&*late.task, late.run), ("j1.0.0.0", 1));
-    world.add_worker("w1", 7_100);
-    world.list();
-    let small = Room {
-        cpu: 100,
-        ..world.workers["w0"].listing.capacity
-    };
-    world.resize("w0", small);
+    leave_room_elsewhere(&mut world);
     world.workers.get_mut("w0").expect("worker").cut = false;
     world.run(3_000);
     assert_eq!(
@@ -191,13 +196,7 @@
     world.submit("j1", job(vec![step(1, 1_000)]));
     world.run(200);
     let (_, late) = world.ordered["w0"].clone();
-    world.add_worker("w1", 7_100);
-    world.list();
-    let small = Room {
-        cpu: 100,
-        ..world.workers["w0"].listing.capacity
-    };
-    world.resize("w0", small);
+    leave_room_elsewhere(&mut world);
     world.run(6_000);
     assert_eq!(world.shown("j1"), Some(Shown::Completed), "elsewhere");
     world.workers.get_mut("w0").expect("worker").cut = false;
