Runs that an owner releases without their completion are logged with the deciding inputs

A run missing from the report after a takeover was released without a line, and the runs of a silent worker by one line of the worker. Both hypotheses of a run given up early and of an end that was lost need them: stage, time of the poll, ends of the own and the inherited leases, time of silence. The line of a completion gives its number, and whether the task is still placed for it. No decision changes.

--- a/src/sched/completions.rs
+++ b/src/sched/completions.rs
@@ -44,10 +44,11 @@
         let Some(incarnation) = self.workers.get(name).map(Worker::incarnation) else {
             return;
         };
-        log::info!(target: "task", "task={task} run={run} event=ended how={outcome:?} worker={incarnation}");
-        self.mark_begun(key);
         let current = self.workers.get(name).and_then(|w| w.placements.get(&key));
         let current = current.is_some_and(|p| p.run == completion.run);
+        let number = completion.number;
+        log::info!(target: "task", "task={task} run={run} event=ended how={outcome:?} worker={incarnation} number={number} current={current}");
+        self.mark_begun(key);
         if completion.outcome == RunOutcome::Done {
             self.complete_task(key, current);
         } else if current {
--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -90,6 +90,7 @@
             log::info!(target: "worker", "worker={name} event=lapsed tasks={tasks} presence={presence:?}");
             self.count_lapsed_runs(tasks);
             self.record_crash(&name, CrashEvidence::Silent);
+            self.log_lapsed_runs(&name);
             self.release_worker_tasks(&name);
             if is_removable(presence) {
                 self.remove_worker(&name);
@@ -125,11 +126,30 @@
             self.count_lapsed_runs(lost.len());
             self.record_unseen_crashes(&lost, &name);
             for key in lost {
+                let task = self.task_name(key);
+                log::info!(target: "task", "task={task} event=lapsed worker={name} listed=false");
                 self.release_task(key);
             }
         }
     }
 
+    /// Logs the runs of a silent worker whose leases have certainly ended, with the time since
+    /// these ends and since its last answer.
+    fn log_lapsed_runs(&self, name: &Name) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let (now, incarnation) = (self.now.steady, worker.incarnation());
+        let own = now.saturating_sub(worker.lease_end());
+        let inherited = now.saturating_sub(self.inherited_leases_end);
+        let silent = now.saturating_sub(worker.last_answer);
+        for (key, run) in &worker.placements {
+            let task = self.task_name(*key);
+            let (run, stage) = (run.run, run.stage);
+            log::info!(target: "task", "task={task} run={run} event=lapsed worker={incarnation} stage={stage:?} lease_ended_ms={own} inherited_ended_ms={inherited} silent_ms={silent}");
+        }
+    }
+
     /// Counts runs that were released because the lease of their silent worker had ended.
     fn count_lapsed_runs(&mut self, runs: usize) {
         self.lapsed_runs += runs as u64;
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -320,7 +320,18 @@
         }
         self.record_unseen_crashes(&unseen, name);
         for key in ended.into_iter().chain(unseen) {
+            self.log_unreported_run(name, key, sent);
             self.release_task(key);
         }
     }
+
+    /// Logs a run that is released because a report neither lists it nor its end.
+    fn log_unreported_run(&self, name: &Name, key: TaskKey, sent: Millis) {
+        let Some(placement) = self.placement_of(key) else {
+            return;
+        };
+        let (task, age) = (self.task_name(key), self.now.steady - sent);
+        let (run, stage) = (placement.run, placement.stage);
+        log::info!(target: "task", "task={task} run={run} event=not-reported worker={name} stage={stage:?} polled_ms_ago={age}");
+    }
 }
