An owner that has ended handles nothing more of its queue

What callers could see: a task that ran in two places, or was started again after an end as done. A box that a ping tells of a later owner answers that it is not the owner, and the new owner takes that answer as proof that no lease is extended any more: it shortens its wait for leases of its predecessor from 14.3 s to 4.3 s. The old box still handled everything that lay in the queue of its owner's task before the message `Superseded`: it polled workers with new leases and started runs. A box that is paused right after the answer does so seconds later, so a worker that only the old owner reaches runs on past the time that the new owner waits for.

Cause: the end of a term was checked after a batch of messages, not before each. A term that a conflict had deposed went on in the same way, and answered queries from its outdated state.

Evidence: both tests fail without the change of `owner_task.rs`:

an_owner_that_has_answered_that_it_ended_sends_no_order_of_queued_events: a worker was polled after the answer that the term has ended a_deposed_owner_answers_no_queued_request: left: Some(State(Queued)) right: None: a deposed owner answered from its outdated state

Why this works: pings and the owner's task run on one thread, and an event and its actions are handled without a pause between them, so a check before each message leaves nothing that begins after the answer. Ruled out by reading: calls that were spawned before the answer and wait for a connection. Their leases are times on the worker's clock that were set with the decision, so a late delivery grants no more; a commit depends on the version of the owner's row.

--- a/src/daemon/owner_task.rs
+++ b/src/daemon/owner_task.rs
@@ -59,9 +59,12 @@
             Err(_) => Some(tick_message(&local)),
         };
         while let Some(message) = next {
+            // A later owner relies on an ended term to act no more, whatever is queued for it.
+            end_if_over(&shared, &mut local);
             handle_message(&shared, &mut local, message);
             next = messages.try_recv().ok();
         }
+        update_gauges(&shared, &mut local);
         end_if_over(&shared, &mut local);
     }
 }
@@ -137,13 +140,20 @@
     shared.check_owner_now();
 }
 
-/// Updates the gauges, and ends the term of an owner that was replaced or released the cell.
-fn end_if_over(shared: &Shared, local: &mut Option<LocalOwner>) {
+/// Updates what other tasks and the metrics show of the local owner.
+fn update_gauges(shared: &Shared, local: &mut Option<LocalOwner>) {
     let Some(current) = local else {
         return;
     };
     shared.set_confirmed(current.owner.last_confirmed());
     current.term.update_gauges(&current.owner, clock::now());
+}
+
+/// Ends the term of an owner that was replaced or released the cell.
+fn end_if_over(shared: &Shared, local: &mut Option<LocalOwner>) {
+    let Some(current) = local else {
+        return;
+    };
     if current.owner.is_deposed() {
         end_term(shared, local, "deposed");
     } else if current.owner.is_released() {
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -55,7 +55,7 @@
 
 /// Answers a ping; ends the owner or the load in this process if the pinging box knows a later
 /// owner.
-fn handle_ping(shared: &Shared, ping: &PingRequest) -> PingReply {
+pub(super) fn handle_ping(shared: &Shared, ping: &PingRequest) -> PingReply {
     if shared.local_epoch().is_some_and(|epoch| ping.epoch > epoch) {
         // The pinging box knows a later owner, so this one has been replaced.
         shared.set_local_epoch(None);
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -1,7 +1,12 @@
-//! Tests of the parts of the daemon that need no sockets.
+//! Tests of the parts of the daemon.
+
+mod change_of_owner;
+
+use futures::channel::mpsc::{self, UnboundedReceiver};
 
 use super::downtime::Downtime;
 use super::history::decode_page;
+use super::message::Message;
 use super::peer_addresses::PeerAddresses;
 use super::shared::{KnownOwner, Shared};
 use super::takeover::decode_jobs;
@@ -172,14 +177,22 @@
     assert!(page.last);
 }
 
-/// Returns the state of a box without a configuration.
-fn shared_state() -> Shared {
+/// Returns the state of a box without a configuration, and the messages to its owner's task.
+fn shared_with_messages() -> (Shared, UnboundedReceiver<Message>) {
     let text = "[box]\nname = \"b\"\nhall = \"h1\"\nweb = \"127.0.0.1:1\"\n\
         admin = \"127.0.0.1:2\"\nrpc = \"127.0.0.1:3\"\n[platform]\nstore = \"127.0.0.1:4\"\n";
     let settings = daemon::parse("b.toml", text).expect("settings");
-    let (owner_sender, _) = futures::channel::mpsc::unbounded();
-    let (check_sender, _) = futures::channel::mpsc::unbounded();
-    Shared::new(settings, 1, owner_sender, check_sender)
+    let (owner_sender, messages) = mpsc::unbounded();
+    let (check_sender, _) = mpsc::unbounded();
+    (
+        Shared::new(settings, 1, owner_sender, check_sender),
+        messages,
+    )
+}
+
+/// Returns the state of a box without a configuration.
+fn shared_state() -> Shared {
+    shared_with_messages().0
 }
 
 /// Guards against a box that forgets a later owner at the end of its own load: the later owner's
