A box of the same name at another address is not taken for an ended one

What callers could see: a task that ran in two places. A replacement machine that is given the name of a box that still runs, and starts first, read that box's row as its own: it took the cell over at once, waited only for the leases that the earlier owner had granted so far, and did not notify it. Where the earlier owner was cut off from the store, it went on to extend leases.

Cause: rows were compared by name. A name says which box it is meant to be, not which process.

Evidence: both tests fail without the change:

an_owner_on_another_machine_of_the_same_name_may_still_serve: left: [] right: [(OwnerRow { name: "box-1", .. }, true)] only_the_row_of_a_box_at_the_same_address_is_its_own: another machine of the same name may serve

Why this works: only one process can hold an address, and a process binds its address before it follows the owner. So an owner of the same name and address is an earlier term of this process, or of one that has ended. The test of `PredecessorState::from_row` now passes the new owner's row in place of its name; its cases stay, and those with another address were added. The name alone is still used in logs.

--- a/src/daemon/follower.rs
+++ b/src/daemon/follower.rs
@@ -105,8 +105,8 @@
 
 /// Returns true when no box holds the cell by this owner's row: the owner has released the
 /// cell, or the row is from this box, which is not serving.
-fn is_vacant(shared: &Shared, row: &OwnerRow) -> bool {
-    row.released || row.name == shared.settings.name
+pub(super) fn is_vacant(shared: &Shared, row: &OwnerRow) -> bool {
+    row.released || row.is_from_box(&shared.settings.name, shared.settings.rpc)
 }
 
 /// Reads the owner's row again, and acquires the cell if the row is vacant.
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -232,7 +232,8 @@
 
     /// Returns true when this incarnation of this box wrote the owner's row.
     pub fn is_own_row(&self, row: &OwnerRow) -> bool {
-        row.name == self.settings.name && row.incarnation == self.incarnation
+        row.is_from_box(&self.settings.name, self.settings.rpc)
+            && row.incarnation == self.incarnation
     }
 
     /// Returns the epoch of the owner in this process, or `None` when this box is not the owner.
--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -50,17 +50,18 @@
 /// write took effect.
 pub async fn acquire_cell(shared: &Rc<Shared>, before: Option<KnownOwner>) {
     let settings = &shared.settings;
-    let row = OwnerRow {
+    let mut row = OwnerRow {
         name: settings.name.clone(),
         incarnation: shared.incarnation,
         address: settings.rpc,
         epoch: before.as_ref().map_or(0, |b| b.row.epoch) + 1,
         seq: 0,
-        settled: PredecessorState::from_row(before.as_ref().map(|b| &b.row), &settings.name)
-            .all_ended(),
+        settled: false,
         released: false,
         cores: failover::wanted_cores(settings.cores, before.as_ref().map(|b| &b.row)),
     };
+    let predecessor = PredecessorState::from_row(before.as_ref().map(|b| &b.row), &row);
+    row.settled = predecessor.all_ended();
     let version = before.as_ref().map_or(0, |b| b.version);
     let sent = clock::now();
     match commit_if_version(shared, version, &[owner_write(&row)], ACQUIRE_TIMEOUT).await {
@@ -112,7 +113,7 @@
         return shared.set_loading(None);
     };
     let (settings, now) = (shared.owner_settings(), now());
-    let predecessor = PredecessorState::from_row(before.as_ref().map(|b| &b.row), &row.name);
+    let predecessor = PredecessorState::from_row(before.as_ref().map(|b| &b.row), &row);
     let inherited = predecessor.lease_end(&settings, now.steady);
     let took = now.steady - sent;
     log::info!(target: "owner", "event=owner-begins epoch={epoch} jobs={} unreadable={} load_ms={took}", stored.jobs.len(), stored.unreadable.len());
--- a/src/daemon/tests/change_of_owner.rs
+++ b/src/daemon/tests/change_of_owner.rs
@@ -7,7 +7,8 @@
 use futures::channel::oneshot;
 use monoio::time::sleep;
 
-use super::{owner, shared_with_messages};
+use super::{owner, owner_row, shared_state, shared_with_messages};
+use crate::daemon::follower::is_vacant;
 use crate::daemon::message::Message;
 use crate::daemon::peers::handle_ping;
 use crate::daemon::shared::{Loading, Shared};
@@ -15,6 +16,7 @@
 use crate::program::block_on;
 use crate::proto::PingRequest;
 use crate::sched::job::JobState;
+use crate::sched::journal::OwnerRow;
 use crate::sched::message::{Answer, CommitOutcome, DirectoryEntry, Event, JobRequest};
 use crate::sched::spec::Resources;
 use crate::sched::worker::Listing;
@@ -118,3 +120,24 @@
     })
     .expect("runtime");
 }
+
+/// Guards against a replacement machine that takes the row of a running owner for its own.
+#[test]
+fn only_the_row_of_a_box_at_the_same_address_is_its_own() {
+    let shared = shared_state();
+    let (name, address) = (shared.settings.name.clone(), shared.settings.rpc);
+    let earlier = OwnerRow {
+        name,
+        address,
+        ..owner_row(EPOCH)
+    };
+    assert!(is_vacant(&shared, &earlier), "the process was restarted");
+    let elsewhere = OwnerRow {
+        address: ([127, 0, 0, 9], 9).into(),
+        ..earlier
+    };
+    assert!(
+        !is_vacant(&shared, &elsewhere),
+        "another machine of the same name may serve"
+    );
+}
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -6,6 +6,7 @@
 
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -64,7 +65,7 @@
     #[serde(rename = "life")]
     pub incarnation: u64,
     /// Address at which other boxes reach the owner.
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
     /// Epoch of the owner: one higher than that of the owner before.
     pub epoch: u64,
     /// Number of the owner's last commit.
@@ -82,6 +83,12 @@
 }
 
 impl OwnerRow {
+    /// Returns true when the box with this name and address wrote the row. A machine may be given
+    /// the name of another one that still runs, but only one process can hold an address.
+    pub fn is_from_box(&self, name: &str, address: SocketAddr) -> bool {
+        &*self.name == name && self.address == address
+    }
+
     /// Returns true when both rows were written by the same incarnation of the same box in
     /// the same epoch. The name is compared as well because boxes that start in the same
     /// millisecond have the same incarnation number.
--- a/src/sched/predecessors.rs
+++ b/src/sched/predecessors.rs
@@ -19,13 +19,13 @@
 }
 
 impl PredecessorState {
-    /// Returns the state of earlier owners when the box `name` replaces the owner of the row
-    /// `before`. A box that replaces itself has already ended its earlier term.
-    pub fn from_row(before: Option<&OwnerRow>, name: &str) -> Self {
+    /// Returns the state of earlier owners when the owner of the row `own` replaces that of the
+    /// row `before`. A box that replaces itself has already ended its earlier term.
+    pub fn from_row(before: Option<&OwnerRow>, own: &OwnerRow) -> Self {
         match before {
             None => Self::Absent,
             Some(row) if !row.settled => Self::EarlierMayServe,
-            Some(row) if row.released || &*row.name == name => Self::Ended,
+            Some(row) if row.released || row.is_from_box(&own.name, own.address) => Self::Ended,
             Some(_) => Self::MayServe,
         }
     }
@@ -60,7 +60,7 @@
     followed: Option<OwnerRow>,
     own: &OwnerRow,
 ) -> Vec<(OwnerRow, bool)> {
-    let state = PredecessorState::from_row(before.as_ref(), &own.name);
+    let state = PredecessorState::from_row(before.as_ref(), own);
     if state < PredecessorState::MayServe {
         return Vec::new();
     }
@@ -68,6 +68,7 @@
     let followed = followed.filter(|f| Some((f.name.clone(), f.epoch)) != stored);
     let before = before.map(|b| (b, state == PredecessorState::MayServe));
     let all = before.into_iter().chain(followed.map(|f| (f, false)));
-    let others = all.filter(|(row, _)| row.name != own.name && row.epoch < own.epoch);
+    let others =
+        all.filter(|(row, _)| !row.is_from_box(&own.name, own.address) && row.epoch < own.epoch);
     others.collect()
 }
--- a/src/sched/tests/predecessors.rs
+++ b/src/sched/tests/predecessors.rs
@@ -16,24 +16,28 @@
         settled: false,
         ..released.clone()
     };
+    let other = owner_row(2);
+    let again = OwnerRow {
+        name: row.name.clone(),
+        ..owner_row(2)
+    };
+    let namesake = OwnerRow {
+        address: ([127, 0, 0, 2], 1).into(),
+        ..again.clone()
+    };
+    let moved = OwnerRow {
+        address: ([127, 0, 0, 2], 1).into(),
+        ..other.clone()
+    };
+    let state = |before, own| PredecessorState::from_row(before, own);
+    assert_eq!(state(None, &other), PredecessorState::Absent);
+    assert_eq!(state(Some(&released), &moved), PredecessorState::Ended);
+    assert_eq!(state(Some(&row), &again), PredecessorState::Ended);
+    assert_eq!(state(Some(&row), &namesake), PredecessorState::MayServe);
+    assert_eq!(state(Some(&row), &other), PredecessorState::MayServe);
+    assert_eq!(state(Some(&row), &moved), PredecessorState::MayServe);
     assert_eq!(
-        PredecessorState::from_row(None, "b"),
-        PredecessorState::Absent
-    );
-    assert_eq!(
-        PredecessorState::from_row(Some(&released), "b"),
-        PredecessorState::Ended
-    );
-    assert_eq!(
-        PredecessorState::from_row(Some(&row), &row.name),
-        PredecessorState::Ended
-    );
-    assert_eq!(
-        PredecessorState::from_row(Some(&row), "b"),
-        PredecessorState::MayServe
-    );
-    assert_eq!(
-        PredecessorState::from_row(Some(&unsettled), "b"),
+        state(Some(&unsettled), &other),
         PredecessorState::EarlierMayServe
     );
     assert!(PredecessorState::Absent.all_ended() && PredecessorState::Ended.all_ended());
@@ -89,3 +93,17 @@
     assert_eq!(owners_to_notify(Some(released), Some(served), &own), []);
     assert_eq!(owners_to_notify(None, None, &own), []);
 }
+
+/// A replacement machine was given the name of a box that still ran, and started first. It took
+/// the running owner's leases for ended.
+#[test]
+fn an_owner_on_another_machine_of_the_same_name_may_still_serve() {
+    let served = owner_row(1);
+    let own = OwnerRow {
+        name: served.name.clone(),
+        address: ([127, 0, 0, 2], 1).into(),
+        ..owner_row(2)
+    };
+    let notified = owners_to_notify(Some(served.clone()), None, &own);
+    assert_eq!(notified, [(served, true)]);
+}
