A worker without its entry keeps its runs until its lease ends or its connection is refused

Callers could see a task run beside itself, or again after it was done. An entry that disappeared was taken for the end of its worker if one poll had just missed and `leaves_at` was set. Neither says that the worker has ended: the owner sets `leaves_at` itself for any worker that loses its entry, so the next full read of the directory gave up the runs of one that had announced nothing; and an entry lapses when its worker can't reach the store, while the silence towards the owner was measured from when an answer was handled, which is wrong after a pause.

Both new tests on the code before:

a_worker_that_lost_its_entry_and_announced_nothing_keeps_its_runs ["j1.0.0.0 run 2 at 9053"] a_leaving_worker_that_loses_its_entry_and_misses_a_poll_keeps_its_runs ["j1.0.0.0 run 2 at 9053"]

Now an incarnation counts as left only if it had announced that, its entry is gone, and its own address refuses the connection of a poll, so that nothing listens there any more. The HTTP client tells that apart from other failures to connect (`WebError::NotListening`, `Reply::NotListening`); in all other respects it is a call that was not sent. Anything else waits for the end of the lease.

A worker that leaves as announced frees its tasks within one poll of the disappearance of its entry, in either order; before, an entry that was removed before the first missed poll held them until the lease ended (`tasks_of_a_worker_that_left_as_announced_run_elsewhere_at_once` failed: one of two tasks ran).

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -52,7 +52,7 @@
         Ok(reply) if is_not_run(&reply) => (SendOutcome::NotRun, None),
         Ok(reply) => (SendOutcome::Answered, Some(reply)),
         Err(WebError::CheckFailed) => (SendOutcome::LeaseLapsed, None),
-        Err(WebError::NotSent(e)) => {
+        Err(e) if e.is_unsent() => {
             log::debug!(target: "entry", "endpoint {} not reached: {e}", send.http);
             (SendOutcome::NotRun, None)
         }
--- a/src/load.rs
+++ b/src/load.rs
@@ -163,7 +163,7 @@
 fn verdict(result: &Result<Reply, WebError>) -> String {
     let reply = match result {
         Ok(reply) => reply,
-        Err(WebError::NotSent(_) | WebError::CheckFailed) => return "not reached".into(),
+        Err(e) if e.is_unsent() => return "not reached".into(),
         Err(_) => return "connection lost".into(),
     };
     let header = |name: &str| reply.headers.get(name).and_then(|v| v.to_str().ok());
--- a/src/platform/advice.rs
+++ b/src/platform/advice.rs
@@ -8,7 +8,6 @@
 use crate::sched::message::{Advice, AdviceRequest, Refusal, Reply};
 use crate::table::encode;
 use crate::utils::clock::Millis;
-use crate::web::WebError;
 use crate::web::client::Pool;
 
 /// Largest reply in bytes: about a hundred workers.
@@ -57,7 +56,7 @@
                 log::info!(target: "task", "step={} event=advice-refused status={}", query.name, reply.status);
                 Reply::Refused(Refusal::Unwell)
             }
-            Err(WebError::NotSent(_) | WebError::CheckFailed) => Reply::NotSent,
+            Err(e) if e.is_unsent() => Reply::NotSent,
             Err(e) => {
                 log::info!(target: "task", "step={} event=advice-lost cause=\"{e}\"", query.name);
                 Reply::Lost
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -248,7 +248,7 @@
 fn commit_outcome(result: Result<Reply, WebError>) -> CommitOutcome {
     let reply = match result {
         Ok(reply) => reply,
-        Err(WebError::NotSent(_) | WebError::CheckFailed) => return CommitOutcome::NotDone,
+        Err(e) if e.is_unsent() => return CommitOutcome::NotDone,
         Err(e) => {
             log::info!(target: "store", "event=commit-in-doubt cause=\"{e}\"");
             return CommitOutcome::Unknown;
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -106,7 +106,8 @@
         );
         match call.await {
             Ok(reply) => decode_reply(path, &reply),
-            Err(WebError::NotSent(_) | WebError::CheckFailed) => Reply::NotSent,
+            Err(WebError::NotListening) => Reply::NotListening,
+            Err(e) if e.is_unsent() => Reply::NotSent,
             Err(e) => {
                 log::debug!(target: "worker", "worker={incarnation} call={path} event=lost cause=\"{e}\"");
                 Reply::Lost
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -19,8 +19,6 @@
 /// Milliseconds within which a worker lists itself again after that; by the platform's
 /// documentation it takes about 2 s.
 const RELIST_TIMEOUT: Millis = 2_500;
-/// A listing can't lapse within this many milliseconds after an answer: less than two heartbeats.
-const LAPSE_SILENCE: Millis = 1_900;
 /// Milliseconds before the end of a worker at which its runs are stopped: a stop takes up to
 /// 900 ms, and the report of its outcome some more.
 const STOP_TIME: Millis = 1_200;
@@ -186,18 +184,11 @@
             let (presence, tasks) = (worker.presence, worker.placements.len());
             log::info!(target: "worker", "worker={id} event=unlisted presence={presence:?} tasks={tasks}");
         }
-        if worker.presence != Presence::Removed {
-            return;
-        }
-        // A listing lapses only after three heartbeats of silence. A leaving worker whose
-        // listing goes sooner has removed it at its end.
-        let silent = now - worker.last_answer.min(now);
-        if worker.leaves_at.is_some() && worker.missed_polls > 0 && silent < LAPSE_SILENCE {
-            return self.end_incarnation(id, IncarnationEnd::Left);
+        if worker.presence == Presence::Removed {
+            worker
+                .leaves_at
+                .get_or_insert(now + self.settings.drain_time);
         }
-        worker
-            .leaves_at
-            .get_or_insert(now + self.settings.drain_time);
     }
 
     /// Marks lapsed listings as removed that did not come back after an outage of the store.
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -168,6 +168,8 @@
     Refused(Refusal),
     /// The call was not sent.
     NotSent,
+    /// The call was not sent, as no process listens at the address.
+    NotListening,
     /// The call has no answer: it may take effect, now or later.
     Lost,
 }
@@ -179,6 +181,7 @@
             Self::Ok(value) => Reply::Ok(convert(value)),
             Self::Refused(refusal) => Reply::Refused(refusal),
             Self::NotSent => Reply::NotSent,
+            Self::NotListening => Reply::NotListening,
             Self::Lost => Reply::Lost,
         }
     }
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -10,7 +10,7 @@
 use super::owner::Owner;
 use super::placement::{Placement, Stage};
 use super::throttling::FULL_SPEED;
-use super::worker::PollState;
+use super::worker::{PollState, Worker};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -43,6 +43,13 @@
     pub run: &'a ActiveRun,
 }
 
+/// Returns true when a worker has ended as announced, given that nothing listens any more at the
+/// address that was polled. The lapse of its entry alone shows only that it can't reach the store.
+fn has_left(worker: &Worker, poll: &Poll) -> bool {
+    let polled = worker.boot == poll.incarnation.boot && worker.is_known_at(poll.address);
+    polled && worker.is_leave_announced()
+}
+
 impl Owner {
     /// Sends the polls that are due.
     pub(super) fn poll_due_workers(&mut self) {
@@ -114,7 +121,10 @@
                 log::warn!(target: "worker", "worker={name} event=fenced epoch={}", self.journal.epoch());
                 self.schedule_poll(name, now + RETRY_DELAY);
             }
-            Reply::Refused(_) | Reply::NotSent | Reply::Lost => {
+            Reply::NotListening if has_left(worker, poll) => {
+                self.end_incarnation(name, IncarnationEnd::Left)
+            }
+            Reply::Refused(_) | Reply::NotSent | Reply::NotListening | Reply::Lost => {
                 if worker.missed_polls == 0 {
                     log::info!(target: "worker", "worker={} event=silent reply={reply:?}", worker.incarnation());
                 }
@@ -164,6 +174,7 @@
             worker.acknowledged = worker.acknowledged.max(poll.acknowledged);
         }
         worker.record_clock(report.clock, now);
+        worker.answered_at = Some(poll.address);
         self.apply_report(name, poll.sent, report);
     }
 
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -142,7 +142,7 @@
                 self.stop_task(key);
             }
             Reply::Lost => {}
-            Reply::NotSent => self.release_task(key),
+            Reply::NotSent | Reply::NotListening => self.release_task(key),
             Reply::Refused(refusal) => self.handle_start_refusal(key, run, name, refusal),
         }
     }
@@ -237,7 +237,9 @@
         match reply {
             Reply::Ok(_) => placement.stage = Stage::Stopped(now),
             // The stop is sent again while the worker answers its polls.
-            Reply::Lost | Reply::NotSent => placement.stage = Stage::Stopping(now),
+            Reply::Lost | Reply::NotSent | Reply::NotListening => {
+                placement.stage = Stage::Stopping(now)
+            }
             Reply::Refused(Refusal::Replaced) => {
                 self.end_incarnation(name, IncarnationEnd::Replaced)
             }
--- a/src/sched/tests/directory.rs
+++ b/src/sched/tests/directory.rs
@@ -1,6 +1,6 @@
 //! Tests of workers that leave, disappear and return.
 
-use super::world::{World, job, lasting, step};
+use super::world::{CALL_TIMEOUT, World, job, lasting, step};
 use crate::sched::job::JobState;
 use crate::sched::message::{DirectoryEntry, Event, RunOutcome};
 use crate::sched::spec::StepSpec;
@@ -17,6 +17,108 @@
     )]));
 }
 
+/// Removes the directory entry of a worker.
+fn unlist(world: &mut World, id: &str) {
+    let entry = (id.into(), DirectoryEntry::Removed);
+    world.handle(Event::DirectoryChanged(vec![entry]));
+}
+
+/// Returns a world of two workers that run one task of 12 s each and an idle one, long after the
+/// owner began.
+fn two_busy_workers() -> World {
+    let mut world = World::new(2);
+    world.script = |_, _| (12_000, RunOutcome::Done);
+    world.run(6_000);
+    world.submit("j1", job(vec![step(2, 3_000)]));
+    world.run(500);
+    assert_eq!(world.running().len(), 2);
+    world.add_worker("w2", 102);
+    world.send_directory();
+    world.run(100);
+    world
+}
+
+/// Cuts a worker off until a poll has had no answer, for less time than an entry needs to lapse.
+fn miss_a_poll(world: &mut World, id: &str) {
+    world.workers.get_mut(id).expect("worker").disconnected = true;
+    world.run(CALL_TIMEOUT + 200);
+}
+
+/// Reconnects and lists all workers, and asserts that each task has run once.
+fn assert_nothing_was_given_up(mut world: World) {
+    let workers = world.workers.values_mut();
+    workers.for_each(|w| w.disconnected = false);
+    world.run(2_000);
+    world.send_directory();
+    world.run(14_000);
+    assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
+    assert_eq!(world.starts.len(), 2, "{:?}", world.starts);
+    assert_eq!(world.job_state("j1"), Some(JobState::Completed));
+}
+
+/// The entry is missing in a full read as well, and one poll has just had no answer.
+#[test]
+fn a_worker_that_lost_its_entry_and_announced_nothing_keeps_its_runs() {
+    let mut world = two_busy_workers();
+    unlist(&mut world, "w0");
+    world.run(500);
+    miss_a_poll(&mut world, "w0");
+    let others = world.workers.values().filter(|w| &*w.listing.id != "w0");
+    let entries = others.map(|w| {
+        (
+            w.listing.id.clone(),
+            DirectoryEntry::Listed(w.listing.clone()),
+        )
+    });
+    let directory = entries.collect();
+    world.handle(Event::Directory(directory));
+    assert_nothing_was_given_up(world);
+}
+
+/// Its entry lapses because it is cut off from the store, not because it has ended.
+#[test]
+fn a_leaving_worker_that_loses_its_entry_and_misses_a_poll_keeps_its_runs() {
+    let mut world = two_busy_workers();
+    leave(&mut world, "w0", 30_000);
+    world.run(500);
+    miss_a_poll(&mut world, "w0");
+    unlist(&mut world, "w0");
+    assert_nothing_was_given_up(world);
+}
+
+#[test]
+fn tasks_of_a_worker_that_left_as_announced_run_elsewhere_at_once() {
+    for unlisted_first in [false, true] {
+        let mut world = two_busy_workers();
+        leave(&mut world, "w0", 500);
+        world.run(700);
+        if unlisted_first {
+            unlist(&mut world, "w0");
+        }
+        world.run(300);
+        world.workers.remove("w0");
+        if !unlisted_first {
+            world.run(300);
+            unlist(&mut world, "w0");
+        }
+        world.run(500);
+        assert_eq!(world.running().len(), 2, "{unlisted_first}");
+        assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
+    }
+}
+
+/// Without an announcement, a refused connection may come from a firewall.
+#[test]
+fn tasks_of_an_unlisted_worker_that_announced_nothing_wait_for_its_lease() {
+    let mut world = two_busy_workers();
+    world.workers.remove("w0");
+    unlist(&mut world, "w0");
+    world.run(3_000);
+    assert_eq!(world.starts.len(), 2);
+    world.run(4_000);
+    assert_eq!(world.running().len(), 2);
+}
+
 #[test]
 fn lasting_tasks_leave_a_draining_worker_at_once() {
     let mut world = World::new(2);
--- a/src/sched/tests/random.rs
+++ b/src/sched/tests/random.rs
@@ -143,7 +143,7 @@
                 lost_replies: 0.2 * random.unit(),
                 delayed_calls: 0.2 * random.unit(),
                 lost_commit_replies: 0.3 * random.unit(),
-                ..Faults::default()
+                ..world.faults
             }
         }
     }
@@ -222,6 +222,7 @@
     let mut random = Random::new(seed);
     let mut world = World::new(4);
     world.seed(seed ^ 1);
+    world.faults.silent_ends = seed.is_multiple_of(2);
     world.settings.retention = RETENTION;
     world.owner.change_settings(world.settings);
     if with_machines {
--- a/src/sched/tests/world/calls.rs
+++ b/src/sched/tests/world/calls.rs
@@ -44,6 +44,8 @@
     /// How many of the throttle orders after the lost ones are executed late, without a reply,
     /// and their delay in milliseconds.
     pub delayed_throttles: (u32, Millis),
+    /// True when workers end with their machines, so that calls get no answer.
+    pub silent_ends: bool,
 }
 
 /// A call in flight.
@@ -232,15 +234,23 @@
     }
 
     /// Executes an order at a worker's address. The reply is lost when the worker is disconnected
-    /// or gone; another worker at that address refuses the order.
+    /// or its machine is off; another worker at that address refuses the order. The connection is
+    /// refused when the process of the worker has ended.
     fn dispatch<T>(
         &mut self,
         id: &str,
         address: SocketAddr,
         order: impl FnOnce(&mut Self) -> Reply<T>,
     ) -> Reply<T> {
-        let reachable = |w: &&FakeWorker| w.listing.address == address && !w.disconnected;
-        let found = self.workers.values().find(reachable);
+        let mut present = self
+            .workers
+            .values()
+            .filter(|w| w.listing.address == address)
+            .peekable();
+        if present.peek().is_none() && !self.faults.silent_ends {
+            return Reply::NotListening;
+        }
+        let found = present.find(|w| !w.disconnected);
         match found.map(|w| &*w.listing.id == id) {
             Some(true) => order(self),
             Some(false) => Reply::Refused(Refusal::Replaced),
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -123,6 +123,8 @@
     pub missed_polls: u32,
     /// When the worker last answered a poll; 0 for never.
     pub last_answer: Millis,
+    /// Address at which the known incarnation last answered a poll; none if it never did.
+    pub answered_at: Option<SocketAddr>,
     /// Highest number of a received completion.
     pub last_completion: u64,
     /// Received completions that are not in the store yet.
@@ -170,6 +172,7 @@
             poll: PollState::Due(now),
             missed_polls: 0,
             last_answer: 0,
+            answered_at: None,
             last_completion: 0,
             pending_completions: BTreeSet::new(),
             acknowledged: 0,
@@ -216,6 +219,18 @@
         }
     }
 
+    /// Returns true when the known incarnation is known at this address and no other: by its
+    /// answers, and by its listing.
+    pub fn is_known_at(&self, address: SocketAddr) -> bool {
+        let answered = self.answered_at.is_none_or(|at| at == address);
+        answered && self.listing.address == address && self.listing_is_current()
+    }
+
+    /// Returns true when the known incarnation has announced its end and its listing is gone.
+    pub fn is_leave_announced(&self) -> bool {
+        self.presence == Presence::Removed && self.listing.leaving && self.listing_is_current()
+    }
+
     /// Returns true when the next order certainly reaches the known incarnation.
     pub fn is_incarnation_certain(&self) -> bool {
         self.missed_polls == 0 && !self.unverified
--- a/src/web.rs
+++ b/src/web.rs
@@ -53,6 +53,8 @@
 pub enum WebError {
     /// The connection failed before any byte of the request was sent.
     NotSent(String),
+    /// No byte of the request was sent because no process listens at the address.
+    NotListening,
     /// No byte of the request was sent because the check before sending returned false.
     CheckFailed,
     /// The exchange failed after sending had begun; the request may have been run.
@@ -67,6 +69,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::NotSent(reason) => write!(f, "not sent: {reason}"),
+            Self::NotListening => f.write_str("not sent: connection refused"),
             Self::CheckFailed => f.write_str("not sent: the check before sending failed"),
             Self::Lost(reason) => write!(f, "answer lost: {reason}"),
             Self::Malformed(reason) => write!(f, "malformed message: {reason}"),
@@ -77,6 +80,16 @@
 
 impl std::error::Error for WebError {}
 
+impl WebError {
+    /// Returns true when the peer has certainly received nothing.
+    pub fn is_unsent(&self) -> bool {
+        matches!(
+            self,
+            Self::NotSent(_) | Self::NotListening | Self::CheckFailed
+        )
+    }
+}
+
 /// Header fields that apply to a single connection (RFC 9110, section 7.6.1).
 const HOP_HEADERS: [&str; 8] = [
     "connection",
--- a/src/web/client.rs
+++ b/src/web/client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
 use std::rc::Rc;
@@ -104,8 +105,8 @@
     /// Sends a request and reads the whole reply.
     ///
     /// Connecting may take `limit` milliseconds, and so may sending and reading. `check` runs
-    /// right before the first byte is sent; nothing is sent if it returns false. Only
-    /// [`WebError::NotSent`] and [`WebError::CheckFailed`] prove that the peer received nothing.
+    /// right before the first byte is sent; nothing is sent if it returns false. Only an error
+    /// for which [`WebError::is_unsent`] is true proves that the peer received nothing.
     /// A connection is reused only after a whole reply, so that a late reply cannot be taken for
     /// that of another request.
     pub async fn call(
@@ -118,6 +119,9 @@
         let duration = Duration::from_millis(limit);
         let connection = match timeout(duration, self.acquire(address)).await {
             Ok(Ok(connection)) => connection,
+            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+                return Err(WebError::NotListening);
+            }
             Ok(Err(e)) => return Err(WebError::NotSent(e.to_string())),
             Err(_) => return Err(WebError::NotSent("connect timed out".into())),
         };
@@ -163,7 +167,7 @@
     let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
     // SAFETY: `fd` belongs to an open connection that the caller owns, and `byte` is writable.
     let count = unsafe { libc::recv(fd, (&raw mut byte).cast(), 1, flags) };
-    let blocked = std::io::Error::last_os_error().kind() == std::io::ErrorKind::WouldBlock;
+    let blocked = std::io::Error::last_os_error().kind() == ErrorKind::WouldBlock;
     count < 0 && blocked
 }
 
--- a/src/web/tests.rs
+++ b/src/web/tests.rs
@@ -150,3 +150,26 @@
     })
     .unwrap();
 }
+
+#[test]
+fn a_refused_connection_is_told_apart_from_other_failures_to_connect() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let request = Request {
+        method: http::Method::GET,
+        uri: "/".parse().unwrap(),
+        headers: headers(&[("host", "x")]),
+        body: bytes::Bytes::new(),
+    };
+    let pool = Pool::new(1 << 10);
+    crate::program::block_on(async {
+        let result = pool.call(address, request, REPLY_TIMEOUT, || true).await;
+        assert!(
+            matches!(result, Err(WebError::NotListening)),
+            "{:?}",
+            result.err()
+        );
+    })
+    .unwrap();
+}
