A report whose clock is behind the last reading comes from a later incarnation

Callers could see a task that was done run again. A worker that reports no boot time restarts under its id between two polls; it numbers its completions from 1 again. The owner took them for known ones of the earlier incarnation, passed over them and acknowledged them, so the runs were found nowhere.

Cause: the answers to orders are compared by boot time and clock (`accept_reply`), reports by boot time alone.

On the code before, the test fails with

["after.0.0.0 was done at 5193 and run 2 at 5201", "after.0.0.1 was done at 5193 and run 2 at 5201", ...]

Where a boot time is missing, a report is now compared by its clock too, with the reading that was known before the poll was sent: the clock of one incarnation never falls behind it. Where both boot times are known, they alone decide, as before.

--- a/src/sched/incarnation.rs
+++ b/src/sched/incarnation.rs
@@ -73,6 +73,17 @@
     }
 }
 
+/// Compares the incarnation that sent a report with the known one. `reading` is the worker's clock
+/// as known before the report was asked for. Where a boot time is missing, the clock shows a later
+/// incarnation, as that of one incarnation never falls behind a reading of it.
+pub(super) fn compare_report(known: BootTime, reading: Millis, report: &Report) -> BootOrder {
+    let has_boots = known.is_some() && report.boot.is_some();
+    match compare_boots(known, report.boot) {
+        BootOrder::Same if !has_boots && report.clock < reading => BootOrder::Later,
+        order => order,
+    }
+}
+
 /// What becomes of a run of an earlier incarnation when a later one reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RunResolution {
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::history::NO_TASK;
-use super::incarnation::{BootOrder, compare_boots};
+use super::incarnation::{BootOrder, compare_boots, compare_report};
 use super::job::{Outcome, TaskKey, parse_task_name};
 use super::lost_workers::IncarnationEnd;
 use super::message::{Action, ActiveRun, Poll, Refusal, Reply, Report};
@@ -142,7 +142,7 @@
             return;
         };
         let known = worker.boot;
-        let order = compare_boots(known, report.boot);
+        let order = compare_report(known, poll.incarnation.clock, &report);
         if order == BootOrder::Earlier && !self.accepts_earlier_boot(worker) {
             self.log_earlier_incarnation(name, report.boot, known, "report");
             if let Some(worker) = self.workers.get_mut(name) {
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -11,6 +11,7 @@
 mod interference;
 mod jobs;
 mod journal;
+mod late_orders;
 mod loads;
 mod order;
 mod overload;
--- /dev/null
+++ b/src/sched/tests/late_orders.rs
@@ -0,0 +1,45 @@
+//! Tests of orders that workers carry out late, after newer ones or in a later incarnation.
+
+use super::world::{World, job, step};
+use crate::sched::job::JobState;
+use crate::sched::message::{Poll, RunOutcome};
+
+/// Runs a job of four tasks on worker `w0`, and returns the poll that acknowledges all of them.
+fn acknowledge_four(world: &mut World) -> Poll {
+    world.script = |_, _| (300, RunOutcome::Done);
+    world.submit("before", job(vec![step(4, 1_000)]));
+    for _ in 0..3_000 {
+        world.run(1);
+        let poll = &world.last_polls["w0"];
+        if poll.acknowledged == 4 {
+            return poll.clone();
+        }
+    }
+    panic!("the completions were not acknowledged");
+}
+
+/// Asserts that each of four tasks of a job runs exactly once.
+fn assert_ran_once(world: &mut World, id: &str) {
+    assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
+    assert_eq!(world.job_state(id), Some(JobState::Completed));
+    let starts = world.starts.iter().filter(|s| s.0.starts_with(id));
+    assert_eq!(starts.count(), 4, "{:?}", world.starts);
+}
+
+/// A worker that reports no boot time restarted under its id between two polls. The owner took its
+/// completions, which are numbered from 1 again, for those of the earlier incarnation.
+#[test]
+fn a_report_with_a_clock_behind_the_last_reading_comes_from_a_later_incarnation() {
+    let mut world = World::new(0);
+    world.add_worker("w0", 100);
+    world.workers.get_mut("w0").expect("worker").listing.boot = None;
+    world.send_directory();
+    world.run(500);
+    acknowledge_four(&mut world);
+    world.run(2_000);
+    world.restart_as("w0", |listing| listing.boot = None);
+    world.run(1_000);
+    world.submit("after", job(vec![step(4, 1_000)]));
+    world.run(8_000);
+    assert_ran_once(&mut world, "after");
+}
