The leases of a restarted worker may last as long as the platform allows

Callers could see a task run in two places. A poll to a worker lies in the network, the worker restarts under its id, and the poll is carried out by the later incarnation. Its deadline is on the clock of the earlier one, far ahead of the new clock, so the worker cuts the lease down to the longest that the platform allows (`platform.longest-lease`), not to the owner's `workers.lease`. The owner expected the latter, took the lease of the silent worker for ended, and started its tasks elsewhere while they ran.

On the code before, the test fails with

["lasting.0.0.0 run 3 at 35903", "lasting.0.0.1 run 3 at 35903", ...]

The owner's settings now hold the longest lease, and a later incarnation may hold one of that length from its first report. Where both settings are equal, as by default, nothing changes. The fake workers cut leases down to a length of their own, and keep the fence of a stop as of any other order.

--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -167,6 +167,7 @@
         };
         let settings = OwnerSettings {
             lease_length: 4_000,
+            longest_lease: 4_000,
             max_unconfirmed: 10_000,
             max_breach: 4_000,
             drain_time: 2_000,
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -85,6 +85,7 @@
     let row = owner_row(7);
     let settings = OwnerSettings {
         lease_length: 4_000,
+        longest_lease: 4_000,
         max_unconfirmed: 10_000,
         max_breach: 4_000,
         drain_time: 2_000,
--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -124,6 +124,7 @@
             lease_length: reader
                 .duration("workers.lease", DEFAULT_LEASE, 500..=HOUR)
                 .min(longest),
+            longest_lease: longest,
             max_unconfirmed: reader.duration(
                 "workers.unconfirmed",
                 DEFAULT_MAX_UNCONFIRMED,
--- a/src/options/tests.rs
+++ b/src/options/tests.rs
@@ -122,6 +122,7 @@
             (&*settings.name, settings.owner.lease_length),
             ("front-1", 4_000)
         );
+        assert_eq!(settings.owner.longest_lease, 6_000);
         let max_breach = if port.is_some() { 4_500 } else { 4_000 };
         assert_eq!(settings.owner.max_breach, max_breach);
         assert_eq!(settings.cores, if port.is_some() { 250 } else { 1_000 });
--- a/src/sched/incarnation.rs
+++ b/src/sched/incarnation.rs
@@ -201,12 +201,13 @@
         boot: BootTime,
         carried: Vec<(TaskKey, Placement)>,
     ) {
-        let (now, span) = (self.now.steady, self.settings.lease_length);
+        let (now, longest) = (self.now.steady, self.settings.longest_lease);
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        // An order in flight to the earlier incarnation may grant this one a full lease.
-        worker.begin_incarnation(boot, now + max_lease_duration(span));
+        // An order to the earlier incarnation may grant this one the longest lease: it asks for an
+        // end on a clock that was ahead of this one's.
+        worker.begin_incarnation(boot, now + max_lease_duration(longest));
         for (key, run) in carried {
             worker.insert(key, run);
         }
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -33,6 +33,8 @@
 pub struct OwnerSettings {
     /// Length of a lease that is granted to a worker, in milliseconds.
     pub lease_length: Millis,
+    /// Longest lease that a worker accepts, in milliseconds; it cuts a longer one down to this.
+    pub longest_lease: Millis,
     /// Longest time that an owner extends leases without a confirmed commit, in milliseconds.
     pub max_unconfirmed: Millis,
     /// Least time that a worker runs on after its listing was removed, in milliseconds.
--- a/src/sched/tests/late_orders.rs
+++ b/src/sched/tests/late_orders.rs
@@ -1,8 +1,9 @@
 //! Tests of orders that workers carry out late, after newer ones or in a later incarnation.
 
-use super::world::{World, job, step};
+use super::world::{World, job, lasting, step};
 use crate::sched::job::JobState;
 use crate::sched::message::{Poll, RunOutcome};
+use crate::utils::clock::Millis;
 
 /// Runs a job of four tasks on worker `w0`, and returns the poll that acknowledges all of them.
 fn acknowledge_four(world: &mut World) -> Poll {
@@ -26,6 +27,40 @@
     assert_eq!(starts.count(), 4, "{:?}", world.starts);
 }
 
+/// Longest lease of the platform in the tests, in milliseconds.
+const LONGEST_LEASE: Millis = 12_000;
+
+/// A late poll gives a later incarnation, whose clock begins anew, a lease of the longest length.
+/// The owner expected a lease of its own length at most and started the tasks elsewhere while they
+/// ran.
+#[test]
+fn a_late_poll_that_extends_the_lease_of_a_later_incarnation_starts_no_task_twice() {
+    let mut world = World::new(1);
+    world.settings.longest_lease = LONGEST_LEASE;
+    world.owner.change_settings(world.settings);
+    world.script = |_, _| (600_000, RunOutcome::Done);
+    world.submit("lasting", job(vec![lasting(4, 1_000)]));
+    world.run(30_000);
+    let late = world.last_polls["w0"].clone();
+    assert!(late.lease.is_some());
+    world.restart("w0");
+    world.workers.get_mut("w0").expect("worker").longest_lease = LONGEST_LEASE;
+    world.deliver_poll(&late);
+    world.send_directory();
+    world.run(500);
+    assert_eq!(
+        world.running().len(),
+        4,
+        "they run on the later incarnation"
+    );
+    world.workers.get_mut("w0").expect("worker").disconnected = true;
+    world.add_worker("w1", 7_100);
+    world.send_directory();
+    world.run(20_000);
+    assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
+    assert_eq!(world.running().len(), 4, "they run elsewhere in the end");
+}
+
 /// A worker that reports no boot time restarted under its id between two polls. The owner took its
 /// completions, which are numbered from 1 again, for those of the earlier incarnation.
 #[test]
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -32,6 +32,7 @@
 /// Default settings of owners in tests.
 pub const SETTINGS: OwnerSettings = OwnerSettings {
     lease_length: 4_000,
+    longest_lease: 4_000,
     max_unconfirmed: 10_000,
     drain_time: 2_000,
     max_breach: 4_500,
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -44,6 +44,8 @@
     pub rejects_bad_tasks: bool,
     /// When the owner was last notified of a reduced capacity.
     pub shrunk_at: Millis,
+    /// Longest lease that it accepts, in milliseconds.
+    pub longest_lease: Millis,
     /// When this incarnation started; its clock counts from here.
     pub(super) started_at: Millis,
     pub(super) epoch: u64,
@@ -74,6 +76,7 @@
             reports_checkpoints: false,
             rejects_bad_tasks: false,
             shrunk_at: 0,
+            longest_lease: SETTINGS.lease_length,
             started_at: 0,
             epoch: 0,
             lease_end: 0,
@@ -115,9 +118,9 @@
         }
     }
 
-    /// Extends the lease to `end` on the worker's clock, at most by the length of a lease.
+    /// Extends the lease to `end` on the worker's clock, at most by the longest lease.
     fn extend_lease(&mut self, end: Millis, now: Millis) {
-        let end = (self.started_at + end).min(now + SETTINGS.lease_length);
+        let end = (self.started_at + end).min(now + self.longest_lease);
         self.lease_end = self.lease_end.max(end);
     }
 
@@ -219,6 +222,11 @@
         }
     }
 
+    /// Executes a poll on the worker's present incarnation and drops the reply.
+    pub fn deliver_poll(&mut self, poll: &Poll) {
+        let _ = self.poll(poll);
+    }
+
     /// Executes a start on the worker's present incarnation and drops the reply.
     pub fn deliver_start(&mut self, start: &Start) {
         let _ = self.start(start);
@@ -368,6 +376,7 @@
         if stop.epoch < worker.epoch {
             return Reply::Refused(Refusal::Fenced);
         }
+        worker.epoch = stop.epoch;
         let closed = worker.closed_runs.entry(stop.task.clone()).or_insert(0);
         *closed = stop.run.max(*closed);
         if worker
