Soak and platform tests: starts between a done end and its acknowledgement count as second runs

The record of the stand-in workers counted a start as a second run while another run was active or after an end as done had been acknowledged. The platform's rule is wider: an end counts as well that is acknowledged later, unless the lease of the worker lapsed between the end and the acknowledgement. The check had no chance to see a run that was given up too early when its end was acknowledged only after the second start.

The record moves into a module of its own. It keeps the starts, the done ends and the terms of each lease, and reports a violation with all events of the task: time on the clock of the boxes' logs, worker, boot, run, and how long the lease still had or was over. What was counted before is still counted.

The stand-in ends runs on a thread of the deployment, at the times when they are due, and not only when it is called. It called a run done that was to end after its lease when the next call came late enough; by the protocol such a run is killed at the end of the lease. It is recorded as lapsed then.

duplicates.push in the soak's test takes the new type; it demands as much.

--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -17,11 +17,12 @@
 use willowpoint::web::{Reply, Request};
 
 use super::proxy;
+use super::record::Record;
 use super::store::Store;
 use super::support::{
     complete_request, eventually, free_address, send_request, spawn, split_arguments, wait_for,
 };
-use super::worker::{Record, Worker};
+use super::worker::Worker;
 
 /// Host of the configured queue.
 pub const HOST: &str = "shop.example";
@@ -29,6 +30,8 @@
 pub const PATH: &str = "/holds/";
 /// Service that runs the queue's tasks.
 const SERVICE: &str = "stock";
+/// Time between two checks for runs that are due to end.
+const RUN_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Number of log lines of each box that a failure prints.
 const PRINTED_LINES: usize = 40;
 /// Limits of the servers of the stand-ins.
@@ -63,6 +66,8 @@
     silenced_at: Arc<Mutex<Option<Instant>>>,
     /// True when the output of the boxes is kept after this value is dropped.
     keeps_output: bool,
+    /// Dropped with this value.
+    alive: Arc<()>,
 }
 
 /// Serves calls on a new thread until the test process ends; returns the address.
@@ -106,6 +111,7 @@
             disconnected: Arc::default(),
             silenced_at,
             keeps_output: false,
+            alive: Arc::default(),
         };
         for number in 0..boxes {
             let (silenced_at, disconnected) =
@@ -124,6 +130,7 @@
         for number in 0..workers {
             deployment.add_worker(&format!("i-{number}"), duration);
         }
+        deployment.end_runs_in_time();
         for number in 0..boxes {
             let process = deployment.start_box(number);
             deployment.boxes.push(process);
@@ -157,6 +164,17 @@
         self.workers.push(worker);
     }
 
+    /// Ends the runs of all workers when they are due, on a thread that ends with this value.
+    fn end_runs_in_time(&self) {
+        let (workers, alive) = (self.workers.clone(), Arc::downgrade(&self.alive));
+        std::thread::spawn(move || {
+            while alive.strong_count() > 0 {
+                workers.iter().for_each(Worker::end_due_runs);
+                std::thread::sleep(RUN_CHECK_INTERVAL);
+            }
+        });
+    }
+
     fn start_box(&self, number: usize) -> BoxProcess {
         let (web, admin, rpc) = (free_address(), free_address(), free_address());
         let settings = self.folder.join(format!("e{number}.toml"));
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,9 +4,12 @@
 mod cordon;
 #[allow(dead_code)] // the soak tool uses more of this module than these tests
 mod deployment;
+mod duplicates;
 mod faults;
 #[path = "../support/proxy.rs"]
 mod proxy;
+#[allow(dead_code)] // the soak tool uses more of this module than these tests
+mod record;
 mod store;
 #[path = "../support/mod.rs"]
 mod support;
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -1,7 +1,6 @@
-//! Stand-in for a worker: runs tasks for a fixed time under a lease, and checks that no task runs
-//! twice on any worker.
+//! Stand-in for a worker: runs tasks for a fixed time under a lease, and records the runs.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -12,6 +11,7 @@
 use willowpoint::utils::clock;
 use willowpoint::web::{Reply, Request};
 
+use super::record::{Lease, Record, TaskRun};
 use super::store::Store;
 
 /// Time from the start of a crashing task until the crash of its worker.
@@ -25,60 +25,9 @@
 /// Time between two checks of a condition that a call waits for.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// End of the lease of a worker's incarnation.
-type Lease = Arc<Mutex<Instant>>;
-
-/// Record of what all workers of a deployment ran.
-#[derive(Default)]
-pub struct Record {
-    /// Number of starts of each task.
-    pub starts: BTreeMap<String, u32>,
-    /// Running tasks.
-    pub running: BTreeSet<String>,
-    /// Tasks that ran in two places at once, or again after their end was acknowledged.
-    pub duplicates: Vec<String>,
-    /// Prefix of the names of tasks that crash their workers; `None` if no task does.
-    pub crash_prefix: Option<String>,
-    /// Number of workers that each of these tasks has crashed.
-    pub crashes: BTreeMap<String, u32>,
-    /// Number of runs of each task that were lost in a restart of their worker.
-    pub lost_runs: BTreeMap<String, u32>,
-    /// Tasks with a run that has ended as done.
-    pub done: BTreeSet<String>,
-    /// Tasks that were done and whose end was acknowledged.
-    acknowledged: BTreeSet<String>,
-    /// Lease under which each task runs.
-    leases: BTreeMap<String, Lease>,
-}
-
-impl Record {
-    /// Records that a task starts under a lease. An earlier run whose lease has ended counts as
-    /// ended, even if its worker has not been called since.
-    fn start(&mut self, task: String, lease: &Lease) {
-        *self.starts.entry(task.clone()).or_insert(0) += 1;
-        let previous = self.leases.insert(task.clone(), lease.clone());
-        let now = Instant::now();
-        if previous.is_some_and(|l| *l.lock().expect("the lock is not poisoned") < now) {
-            self.running.remove(&task);
-        }
-        if self.acknowledged.contains(&task) || !self.running.insert(task.clone()) {
-            self.duplicates.push(task);
-        }
-    }
-
-    /// Records that the run of a task under a lease has ended.
-    fn end(&mut self, task: &str, lease: &Lease) {
-        let own = self.leases.get(task);
-        if own.is_some_and(|l| Arc::ptr_eq(l, lease)) {
-            self.running.remove(task);
-            self.leases.remove(task);
-        }
-    }
-}
-
 /// An active run.
-struct Run {
-    run: u64,
+struct ActiveRun {
+    run: TaskRun,
     ends_at: Instant,
 }
 
@@ -91,12 +40,12 @@
     /// End of the lease in milliseconds on the worker's clock.
     lease_end: u64,
     /// End of the lease, shared with the record.
-    shared_lease: Lease,
-    runs: BTreeMap<String, Run>,
+    lease: Lease,
+    runs: BTreeMap<String, ActiveRun>,
     /// Highest run of each task that ended or was stopped here; starts up to it are refused.
     closed_runs: BTreeMap<String, u64>,
-    /// Ended runs that the owner has not acknowledged: number, task, run, outcome.
-    unacknowledged: Vec<(u64, String, u64, &'static str)>,
+    /// Ended runs that the owner has not acknowledged: number, run, outcome.
+    unacknowledged: Vec<(u64, TaskRun, &'static str)>,
     /// Number of the next completion.
     next_end: u64,
     /// True from a crash until the next incarnation serves.
@@ -111,7 +60,7 @@
             boot: clock::wall(),
             epoch: 0,
             lease_end: 0,
-            shared_lease: Arc::new(Mutex::new(Instant::now())),
+            lease: Lease::until(Instant::now()),
             runs: BTreeMap::new(),
             closed_runs: BTreeMap::new(),
             unacknowledged: Vec::new(),
@@ -197,10 +146,11 @@
         sleep(CRASH_DELAY).await;
         let old_id = self.id();
         let lost = std::mem::replace(&mut *self.state(), WorkerState::new());
+        let now = Instant::now();
         {
             let mut record = self.record();
-            for name in lost.runs.keys() {
-                record.end(name, &lost.shared_lease);
+            for active in lost.runs.values() {
+                record.end(&active.run, now, "lost");
             }
             *record.crashes.entry(task.into()).or_insert(0) += 1;
         }
@@ -230,11 +180,12 @@
     /// Restarts the worker under its id without its former state. The directory entry does not
     /// change.
     pub fn restart(&self) {
+        self.end_due_runs();
         let lost = std::mem::replace(&mut *self.state(), WorkerState::new());
         let mut record = self.record();
-        for name in lost.runs.keys() {
-            record.end(name, &lost.shared_lease);
-            *record.lost_runs.entry(name.clone()).or_insert(0) += 1;
+        let now = Instant::now();
+        for active in lost.runs.values() {
+            record.lose(&active.run, now);
         }
     }
 
@@ -318,7 +269,7 @@
             .lease_end
             .max(call["deadlineMs"].as_u64().unwrap_or(0));
         let end = state.started_at + Duration::from_millis(state.lease_end);
-        *state.shared_lease.lock().expect("the lock is not poisoned") = end;
+        state.lease.extend(Instant::now(), end);
         None
     }
 
@@ -334,7 +285,7 @@
     fn start(&self, call: &Value) -> Reply {
         let task = call["task"].as_str().unwrap_or_default().to_string();
         let run = call["run"].as_u64().unwrap_or(0);
-        let known = self.state().runs.get(&task).map(|r| r.run);
+        let known = self.state().runs.get(&task).map(|r| r.run.run);
         if known == Some(run) {
             return self.reply_with_clock(StatusCode::OK, json!({}));
         }
@@ -349,20 +300,38 @@
         if self.lease_expired() {
             return self.conflict("late");
         }
+        let now = Instant::now();
         let lasting = call["spec"] == LASTING_SPEC;
-        let ends_at = Instant::now()
+        let ends_at = now
             + if lasting {
                 LASTING_DURATION
             } else {
                 self.duration
             };
-        self.state().runs.insert(task.clone(), Run { run, ends_at });
+        let run = self.task_run(&task, run);
+        let active = ActiveRun {
+            run: run.clone(),
+            ends_at,
+        };
+        self.state().runs.insert(task, active);
         self.started.fetch_add(1, Ordering::Relaxed);
-        let lease = self.state().shared_lease.clone();
-        self.record().start(task, &lease);
+        self.record().start(run, now);
         self.reply_with_clock(StatusCode::OK, json!({}))
     }
 
+    /// Returns a run of a task on the present incarnation.
+    fn task_run(&self, task: &str, run: u64) -> TaskRun {
+        let worker = self.id();
+        let state = self.state();
+        TaskRun {
+            task: task.into(),
+            run,
+            worker,
+            boot: state.boot,
+            lease: state.lease.clone(),
+        }
+    }
+
     /// Returns true when the worker's lease has ended.
     fn lease_expired(&self) -> bool {
         let state = self.state();
@@ -373,9 +342,9 @@
     fn stop(&self, call: &Value) -> Reply {
         let task = call["task"].as_str().unwrap_or_default();
         let run = call["run"].as_u64().unwrap_or(0);
-        let known = self.state().runs.get(task).map(|r| r.run);
+        let known = self.state().runs.get(task).map(|r| r.run.run);
         if known == Some(run) {
-            self.end(task, "stopped");
+            self.end(task, "stopped", Instant::now());
         }
         let mut state = self.state();
         let closed = state.closed_runs.entry(task.into()).or_insert(0);
@@ -385,39 +354,38 @@
     }
 
     /// Ends the run of a task, if there is one, and keeps its completion for the next reports.
-    fn end(&self, task: &str, outcome: &'static str) {
+    fn end(&self, task: &str, outcome: &'static str, ended_at: Instant) {
         let mut state = self.state();
-        let Some(run) = state.runs.remove(task) else {
+        let Some(ActiveRun { run, .. }) = state.runs.remove(task) else {
             return;
         };
         state.closed_runs.insert(task.into(), run.run);
         let number = state.next_end;
         state.next_end += 1;
-        state
-            .unacknowledged
-            .push((number, task.into(), run.run, outcome));
-        let lease = state.shared_lease.clone();
+        state.unacknowledged.push((number, run.clone(), outcome));
         drop(state);
-        let mut record = self.record();
-        record.end(task, &lease);
-        if outcome == "done" {
-            record.done.insert(task.into());
-        }
+        self.record().end(&run, ended_at, outcome);
     }
 
-    /// Ends runs that have taken their time, and all runs when the lease has ended.
-    fn end_due_runs(&self) {
-        let lapsed = self.lease_expired();
-        let state = self.state();
+    /// Ends runs that have taken their time, and all runs when the lease has ended. This may
+    /// happen late, so it depends on the times when the run was to end and the lease was over.
+    pub fn end_due_runs(&self) {
         let now = Instant::now();
-        let due = state
-            .runs
-            .iter()
-            .filter(|(_, r)| lapsed || r.ends_at <= now);
-        let due: Vec<(String, bool)> = due.map(|(t, r)| (t.clone(), r.ends_at <= now)).collect();
+        let state = self.state();
+        let lease_end = state.lease.end();
+        let due = state.runs.iter().filter_map(|(task, active)| {
+            let done = active.ends_at <= lease_end;
+            let (ended_at, outcome) = match done {
+                true => (active.ends_at, "done"),
+                false => (lease_end, "lapsed"),
+            };
+            (ended_at <= now).then(|| (task.clone(), ended_at, outcome))
+        });
+        let mut due: Vec<(String, Instant, &'static str)> = due.collect();
         drop(state);
-        for (task, done) in due {
-            self.end(&task, if done { "done" } else { "lapsed" });
+        due.sort_by_key(|(_, ended_at, _)| *ended_at);
+        for (task, ended_at, outcome) in due {
+            self.end(&task, outcome, ended_at);
         }
     }
 
@@ -446,12 +414,12 @@
         let running: Vec<Value> = state
             .runs
             .iter()
-            .map(|(task, run)| json!([task, run.run, "", 50, 0]))
+            .map(|(task, active)| json!([task, active.run.run, "", 50, 0]))
             .collect();
         let finished: Vec<Value> = state
             .unacknowledged
             .iter()
-            .map(|(number, task, run, outcome)| json!([number, task, run, outcome, ""]))
+            .map(|(number, run, outcome)| json!([number, run.task, run.run, outcome, ""]))
             .collect();
         drop(state);
         let lists = json!({ "running": running, "finished": finished, "born": boot });
@@ -464,10 +432,13 @@
         let acknowledged = state
             .unacknowledged
             .iter()
-            .filter(|e| e.0 <= last_seen && e.3 == "done");
-        let acknowledged: Vec<String> = acknowledged.map(|e| e.1.clone()).collect();
+            .filter(|e| e.0 <= last_seen && e.2 == "done");
+        let acknowledged: Vec<TaskRun> = acknowledged.map(|e| e.1.clone()).collect();
         state.unacknowledged.retain(|e| e.0 > last_seen);
         drop(state);
-        self.record().acknowledged.extend(acknowledged);
+        let (mut record, now) = (self.record(), Instant::now());
+        for run in &acknowledged {
+            record.acknowledge(run, now);
+        }
     }
 }
--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -12,8 +12,9 @@
 
 use crate::checks::{self, Findings};
 use crate::jobs::{Jobs, SubmitStatus};
+use crate::platform::record::Record;
 use crate::platform::support::wait_for;
-use crate::platform::worker::{LASTING_SPEC, Record};
+use crate::platform::worker::LASTING_SPEC;
 use crate::platform::{HOST, PATH};
 
 /// Read timeout of a request.
--- a/tools/soak/src/checks.rs
+++ b/tools/soak/src/checks.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 
 use crate::jobs::{Job, SubmitStatus};
-use crate::platform::worker::Record;
+use crate::platform::record::Record;
 
 /// Length of a job's id in hex digits; the names of its tasks begin with the id.
 const ID_LENGTH: usize = 16;
@@ -66,9 +66,8 @@
 
 /// Checks the guarantees that must hold at any time.
 pub fn check_always(jobs: &BTreeMap<String, Job>, record: &Record, findings: &Findings) {
-    for task in &record.duplicates {
-        let detail = format!("{task} ran twice at a time, or again after its end was acknowledged");
-        findings.report(job_id(task), detail);
+    for duplicate in &record.duplicates {
+        findings.report(job_id(&duplicate.task), duplicate.detail.clone());
     }
     for task in record.starts.keys() {
         let id = job_id(task);
--- a/tools/soak/src/platform.rs
+++ b/tools/soak/src/platform.rs
@@ -7,6 +7,9 @@
 #[path = "../../../tests/support/proxy.rs"]
 pub mod proxy;
 #[allow(dead_code)]
+#[path = "../../../tests/platform/record.rs"]
+pub mod record;
+#[allow(dead_code)]
 #[path = "../../../tests/platform/store.rs"]
 pub mod store;
 #[allow(dead_code)]
--- a/tools/soak/src/tests.rs
+++ b/tools/soak/src/tests.rs
@@ -5,7 +5,7 @@
 use crate::checks::{self, Findings};
 use crate::jobs::{Job, Jobs, SubmitStatus};
 use crate::plan::Plan;
-use crate::platform::worker::Record;
+use crate::platform::record::{Duplicate, Record};
 use crate::run;
 
 const ID: &str = "0000000000000001";
@@ -59,7 +59,12 @@
 fn each_violation_is_found() {
     type Break = fn(&mut Job, &mut Record);
     let breaks: [(&str, Break); 7] = [
-        ("ran twice", |_, r| r.duplicates.push(format!("{ID}.0.0.0"))),
+        ("ran twice", |_, r| {
+            r.duplicates.push(Duplicate {
+                task: format!("{ID}.0.0.0"),
+                detail: "ran twice".into(),
+            })
+        }),
         ("nobody asked", |_, r| {
             r.starts.insert("ffffffffffffffff.0.0.0".into(), 1);
         }),
