A refused connection counts as the end of a leaving worker only shortly after its last answer

A firewall between a box and a worker may refuse connections, and a worker that is cut off in that way loses its entry after three heartbeats. One that had announced its end was then given up while its lease ran on.

Left: a worker that is cut off from the store alone until its entry lapses, has announced its end, and refuses connections of the owner just then.

--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -33,6 +33,8 @@
 const MAX_CLOCK_SKEW: Millis = 5_000;
 /// Completions in a full report; a worker with a full report may have more.
 const MAX_COMPLETIONS: usize = 500;
+/// A listing can't lapse within this many milliseconds after an answer: less than two heartbeats.
+const LAPSE_SILENCE: Millis = 1_900;
 
 /// A run in a worker's report.
 #[derive(Clone, Copy)]
@@ -43,11 +45,12 @@
     pub run: &'a ActiveRun,
 }
 
-/// Returns true when a worker has ended as announced, given that nothing listens any more at the
-/// address that was polled. The lapse of its entry alone shows only that it can't reach the store.
-fn has_left(worker: &Worker, poll: &Poll) -> bool {
+/// Returns true when a worker has ended as announced, given that its connection was refused. A
+/// worker that is cut off may also refuse connections, and its listing lapses after three
+/// heartbeats of silence; one that goes sooner was removed by the worker at its end.
+fn has_left(worker: &Worker, poll: &Poll, now: Millis) -> bool {
     let polled = worker.boot == poll.incarnation.boot && worker.is_known_at(poll.address);
-    polled && worker.is_leave_announced()
+    polled && worker.is_leave_announced() && now < worker.last_answer + LAPSE_SILENCE
 }
 
 impl Owner {
@@ -121,7 +124,7 @@
                 log::warn!(target: "worker", "worker={name} event=fenced epoch={}", self.journal.epoch());
                 self.schedule_poll(name, now + RETRY_DELAY);
             }
-            Reply::NotListening if has_left(worker, poll) => {
+            Reply::NotListening if has_left(worker, poll, now) => {
                 self.end_incarnation(name, IncarnationEnd::Left)
             }
             Reply::Refused(_) | Reply::NotSent | Reply::NotListening | Reply::Lost => {
--- a/src/sched/tests/directory.rs
+++ b/src/sched/tests/directory.rs
@@ -5,6 +5,9 @@
 use crate::sched::message::{DirectoryEntry, Event, RunOutcome};
 use crate::sched::spec::StepSpec;
 
+/// Milliseconds of silence after which a worker's directory entry lapses: three heartbeats.
+const LISTING_LAPSE: u64 = 3_300;
+
 /// Lists a worker as leaving; it stays for at least `min_stay` milliseconds.
 fn leave(world: &mut World, id: &str, min_stay: u64) {
     let worker = world.workers.get_mut(id).expect("worker");
@@ -86,6 +89,22 @@
     assert_nothing_was_given_up(world);
 }
 
+/// A firewall refuses connections to it, and its entry lapses after three heartbeats.
+#[test]
+fn a_leaving_worker_that_is_cut_off_and_refuses_connections_keeps_its_runs() {
+    let mut world = two_busy_workers();
+    world.faults.refused_cuts = true;
+    leave(&mut world, "w0", 30_000);
+    world.run(500);
+    world.workers.get_mut("w0").expect("worker").disconnected = true;
+    world.run(LISTING_LAPSE);
+    unlist(&mut world, "w0");
+    // Its lease has not ended yet.
+    world.run(500);
+    assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
+    assert_eq!(world.starts.len(), 2, "{:?}", world.starts);
+}
+
 #[test]
 fn tasks_of_a_worker_that_left_as_announced_run_elsewhere_at_once() {
     for unlisted_first in [false, true] {
--- a/src/sched/tests/world/calls.rs
+++ b/src/sched/tests/world/calls.rs
@@ -46,6 +46,8 @@
     pub delayed_throttles: (u32, Millis),
     /// True when workers end with their machines, so that calls get no answer.
     pub silent_ends: bool,
+    /// True when disconnected workers refuse connections, as behind a firewall.
+    pub refused_cuts: bool,
 }
 
 /// A call in flight.
@@ -251,6 +253,9 @@
             return Reply::NotListening;
         }
         let found = present.find(|w| !w.disconnected);
+        if found.is_none() && self.faults.refused_cuts {
+            return Reply::NotListening;
+        }
         match found.map(|w| &*w.listing.id == id) {
             Some(true) => order(self),
             Some(false) => Reply::Refused(Refusal::Replaced),
