A completion listed after a higher one is received, and none is acknowledged before

Nothing in the logs showed it but `event=end-passed-over`, or nothing.

Cause: the owner kept one highest number of a worker's completions, walked the list as it came, and passed over every number up to the highest. The platform says that numbers rise as runs end and that the list has 500 at most; it does not say that the list is sorted. One that was listed after a higher one was never handled, was acknowledged with the next poll, and its task was then missing from the worker, which releases it.

Now `CompletionLog` keeps which numbers an incarnation has listed. Completions are handled in rising order whatever the order of the list, each once. A number is acknowledged only if every completion up to it is stored and was received or does not exist: a report with room left shows which numbers do not exist, a full one only extends the numbers known so far without a gap. What was acknowledged is dropped, so the record holds what the worker holds.

Taken as given: the first full report that an owner sees of a worker starts with the oldest completions. Without this a takeover with 500 of them could never acknowledge any. A full report with a gap is not acknowledged beyond the gap.

`event=end-passed-over` is now only for a number that the worker had forgotten by order; a received one that waits for its acknowledgement is no news.

Test on the code before:

a_completion_listed_after_a_higher_one_is_not_lost ... FAILED panicked at src/sched/tests/completions.rs:26:5: ["j.0.0.0 again as run 2 at 2140", "j.0.0.1 again as run 2 at 2140", "j.0.0.2 again as run 2 at 2140", "j.0.0.1 again as run 3 at 2516"]

Ruled out: sorting the list alone. It mends the order within one report; a full report that leaves out a lower number would still be acknowledged past it.

--- a/src/sched/completions.rs
+++ b/src/sched/completions.rs
@@ -1,5 +1,6 @@
 //! Completions of runs that workers report, and their effect on tasks, jobs and workers.
 
+use super::completion_log::Coverage;
 use super::incarnation::Incarnation;
 use super::job::{Outcome, Phase, TaskKey};
 use super::journal::AfterCommit;
@@ -18,21 +19,39 @@
 const FAILURE_QUARANTINE: Millis = 2_000;
 
 impl Owner {
+    /// Handles the completions in a report, each once and in the order of their numbers.
+    pub(super) fn handle_completions(
+        &mut self,
+        name: &Name,
+        ended: &[EndedRun],
+        coverage: Coverage,
+    ) {
+        let mut ordered: Vec<&EndedRun> = ended.iter().collect();
+        ordered.sort_by_key(|completion| completion.number);
+        for completion in ordered {
+            self.handle_completion(name, completion);
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            let listed = ended.iter().map(|completion| completion.number);
+            worker.completions.end_report(listed, coverage);
+        }
+    }
+
     /// Handles the completion of a run that a worker reports.
-    pub(super) fn handle_completion(&mut self, name: &Name, completion: &EndedRun) {
+    fn handle_completion(&mut self, name: &Name, completion: &EndedRun) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        if completion.number <= worker.last_completion {
-            // A completion that is not stored yet is listed in every report.
-            if !worker.pending_completions.contains(&completion.number) {
+        if !worker.completions.receive(completion.number) {
+            // Until it is acknowledged, a completion is listed in every report.
+            let acknowledged = worker.completions.acknowledged();
+            if completion.number <= acknowledged {
                 let (task, run, outcome) = (&completion.task, completion.run, completion.outcome);
-                let (number, last) = (completion.number, worker.last_completion);
-                log::info!(target: "task", "task={task} run={run} event=end-passed-over how={outcome:?} worker={name} number={number} taken_in={last}");
+                let number = completion.number;
+                log::info!(target: "task", "task={task} run={run} event=end-passed-over how={outcome:?} worker={name} number={number} acknowledged={acknowledged}");
             }
             return;
         }
-        worker.last_completion = completion.number;
         let EndedRun {
             task, run, outcome, ..
         } = completion;
@@ -55,7 +74,7 @@
             self.release_unfinished(name, key, completion);
         }
         if let Some(worker) = self.workers.get_mut(name) {
-            worker.pending_completions.insert(completion.number);
+            worker.completions.await_store(completion.number);
         }
         self.journal.run_after_commit(
             key.job,
@@ -157,8 +176,8 @@
         let Some(worker) = worker else {
             return;
         };
-        worker.pending_completions.remove(&number);
-        if worker.pending_completions.is_empty() && matches!(worker.poll, PollState::Due(_)) {
+        worker.completions.mark_stored(number);
+        if worker.completions.all_stored() && matches!(worker.poll, PollState::Due(_)) {
             self.schedule_poll(name, now + BATCH_DELAY);
         }
     }
--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -97,9 +97,7 @@
             }
         }
         let drained = |w: &&Worker| {
-            w.presence == Presence::Removed
-                && w.placements.is_empty()
-                && w.pending_completions.is_empty()
+            w.presence == Presence::Removed && w.placements.is_empty() && w.completions.all_stored()
         };
         let drained: Vec<Name> = self
             .workers
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::completion_log::Coverage;
 use super::history::NO_TASK;
 use super::incarnation::{BootOrder, compare_boots, compare_report};
 use super::job::{Outcome, TaskKey, parse_task_name};
@@ -174,7 +175,7 @@
         worker.unverified = false;
         worker.boot = worker.boot.or(report.boot);
         if order == BootOrder::Same {
-            worker.acknowledged = worker.acknowledged.max(poll.acknowledged);
+            worker.completions.acknowledge(poll.acknowledged);
         }
         worker.record_clock(report.clock, now);
         worker.answered_at = Some(poll.address);
@@ -183,31 +184,32 @@
 
     /// Applies a report: first the completions, then the running tasks and their gauges.
     fn apply_report(&mut self, name: &Name, sent: Millis, report: Report) {
-        let complete = report.ended.len() < MAX_COMPLETIONS;
-        for ended in &report.ended {
-            self.handle_completion(name, ended);
-        }
+        let coverage = match report.ended.len() < MAX_COMPLETIONS {
+            true => Coverage::All,
+            false => Coverage::Full,
+        };
+        self.handle_completions(name, &report.ended, coverage);
         let running: Vec<ReportedRun<'_>> =
             report.running.iter().map(|r| self.resolve_run(r)).collect();
-        self.reconcile_runs(name, sent, &running, complete);
+        self.reconcile_runs(name, sent, &running, coverage);
         self.clear_suspects(name);
         self.adjust_speeds(name, &running);
         let worker = self.workers.get(name);
-        let delay = match worker.is_some_and(|w| !w.pending_completions.is_empty()) {
+        let delay = match worker.is_some_and(|w| !w.completions.all_stored()) {
             true => STORE_DELAY,
             false => 0,
         };
         self.schedule_poll(name, self.now.steady + delay);
     }
 
-    /// Reconciles the runs that a worker reports with the known ones. If the report is
-    /// `complete`, known runs that it does not list are handled as missing.
+    /// Reconciles the runs that a worker reports with the known ones. If the report has all
+    /// completions, known runs that it does not list are handled as missing.
     fn reconcile_runs(
         &mut self,
         name: &Name,
         sent: Millis,
         running: &[ReportedRun<'_>],
-        complete: bool,
+        coverage: Coverage,
     ) {
         let mut listed = BTreeSet::new();
         let mut unknown = Vec::new();
@@ -232,7 +234,7 @@
             let task = run.task.to_string();
             self.send_stop_by_name(key, run.run, task, name.clone(), address);
         }
-        if complete {
+        if coverage == Coverage::All {
             self.handle_missing_runs(name, sent, &listed);
         }
     }
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the owner against fake workers and a fake store, in virtual time.
 
 mod admission;
+mod completion_log;
+mod completions;
 mod cordon;
 mod crashes;
 mod directory;
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -42,6 +42,8 @@
     pub reports_checkpoints: bool,
     /// Refuses tasks whose name starts with "bad", as a worker refuses a start it cannot decode.
     pub rejects_bad_tasks: bool,
+    /// Changes each report before it is sent.
+    pub edit_report: fn(&mut Report),
     /// When the owner was last notified of a reduced capacity.
     pub shrunk_at: Millis,
     /// Longest lease that it accepts, in milliseconds.
@@ -75,6 +77,7 @@
             requires_permit: false,
             reports_checkpoints: false,
             rejects_bad_tasks: false,
+            edit_report: |_| (),
             shrunk_at: 0,
             longest_lease: SETTINGS.lease_length,
             started_at: 0,
@@ -149,12 +152,14 @@
             progress: 100,
             gauge: self.loads.get(task).map_or(0, |load| load.gauge()),
         });
-        Report {
+        let mut report = Report {
             clock: now - self.started_at,
             boot: self.listing.boot,
             running: running.collect(),
             ended: self.unacknowledged.clone(),
-        }
+        };
+        (self.edit_report)(&mut report);
+        report
     }
 
     /// Ends the run of a task, if there is one, and keeps its completion for the next reports.
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -1,9 +1,10 @@
 //! The owner's state of one worker: its resources, tasks, polls and lease.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use super::colocation::Colocation;
+use super::completion_log::CompletionLog;
 use super::incarnation::{BootTime, Incarnation};
 use super::job::TaskKey;
 use super::placement::{Gauge, Placement};
@@ -125,12 +126,8 @@
     pub last_answer: Millis,
     /// Address at which the known incarnation last answered a poll; none if it never did.
     pub answered_at: Option<SocketAddr>,
-    /// Highest number of a received completion.
-    pub last_completion: u64,
-    /// Received completions that are not in the store yet.
-    pub pending_completions: BTreeSet<u64>,
-    /// Highest completion that was acknowledged in a poll that the worker answered.
-    pub acknowledged: u64,
+    /// Completions that the worker has reported.
+    pub completions: CompletionLog,
     /// Consecutive failed runs.
     pub failures: u32,
     /// Until when the worker gets no new tasks.
@@ -173,9 +170,7 @@
             missed_polls: 0,
             last_answer: 0,
             answered_at: None,
-            last_completion: 0,
-            pending_completions: BTreeSet::new(),
-            acknowledged: 0,
+            completions: CompletionLog::default(),
             failures: 0,
             quarantined_until: 0,
             cordoned: false,
@@ -430,21 +425,12 @@
         self.leases_end
     }
 
-    /// Returns the highest completion up to which all are in the store.
-    fn last_stored_completion(&self) -> u64 {
-        match self.pending_completions.first() {
-            Some(first) => first - 1,
-            None => self.last_completion,
-        }
-    }
-
     /// Returns the completion up to which the worker may forget its ended runs; 0 when there
     /// is nothing new to acknowledge. Returns 0 also while another incarnation could receive
     /// it: completions are numbered anew there, and it would forget unreported ones.
     pub fn next_acknowledgement(&self) -> u64 {
-        let stored = self.last_stored_completion();
-        match self.is_incarnation_certain() && stored > self.acknowledged {
-            true => stored,
+        match self.is_incarnation_certain() {
+            true => self.completions.next_acknowledgement().unwrap_or(0),
             false => 0,
         }
     }
