A refused id ends an incarnation only at the one address where it is known

Callers could see a task run twice at a time. An answer 421 says that another worker answers at the address that was called. It was taken for the end of the incarnation whatever that address was, and whichever order it answered: a worker that had moved, or a placement on a later incarnation of the id elsewhere, lost all its runs although it ran on. In the same way the first report of a worker ended all others at the address in its present listing, which need not be the one that was polled.

Only the answer to a poll counts now, matched with the address and the boot time that the poll was sent to. The incarnation must be known there by its own answers or, before the first, by its current listing, and no listing may name another address. A refused start or stop did nothing, and leads to a poll at once. Runs that the store has on a later incarnation than the one that reports are kept until the leases of earlier owners have ended.

--- a/src/sched/incarnation.rs
+++ b/src/sched/incarnation.rs
@@ -17,7 +17,7 @@
 use super::crashes::CrashEvidence;
 use super::job::TaskKey;
 use super::lost_workers::IncarnationEnd;
-use super::message::Report;
+use super::message::{Poll, Report};
 use super::owner::Owner;
 use super::placement::{Placement, Stage};
 use super::throttling::FULL_SPEED;
@@ -242,13 +242,16 @@
         self.now.steady > leases_end.max(worker.last_answer + EARLIER_BOOT_DELAY)
     }
 
-    /// Ends all other workers that are known at the address where this worker answers.
-    pub(super) fn end_others_at_address(&mut self, name: &Name) {
-        let Some(address) = self.workers.get(name).map(|w| w.listing.address) else {
-            return;
-        };
-        for other in self.others_at_address(address, name) {
-            self.end_incarnation(&other, IncarnationEnd::Replaced);
+    /// Ends the other workers whose address is the one at which this worker has answered a poll.
+    /// If another one may be elsewhere, or has answered since that poll was sent, it is polled.
+    pub(super) fn end_others_at_address(&mut self, name: &Name, poll: &Poll) {
+        for other in self.others_at_address(poll.address, name) {
+            let known = &self.workers[&other];
+            if known.is_replaced_at(poll.address) && known.last_answer < poll.sent {
+                self.end_incarnation(&other, IncarnationEnd::Replaced);
+            } else {
+                self.verify_incarnation(&other, "answer-of-another");
+            }
         }
     }
 }
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -46,12 +46,19 @@
     pub run: &'a ActiveRun,
 }
 
+/// Returns true when a poll was meant for the known incarnation of a worker.
+fn is_polled(worker: &Worker, poll: &Poll) -> bool {
+    worker.boot == poll.incarnation.boot
+}
+
 /// Returns true when a worker has ended as announced, given that its connection was refused. A
 /// worker that is cut off may also refuse connections, and its listing lapses after three
 /// heartbeats of silence; one that goes sooner was removed by the worker at its end.
 fn has_left(worker: &Worker, poll: &Poll, now: Millis) -> bool {
-    let polled = worker.boot == poll.incarnation.boot && worker.is_known_at(poll.address);
-    polled && worker.is_leave_announced() && now < worker.last_answer + LAPSE_SILENCE
+    is_polled(worker, poll)
+        && worker.is_known_at(poll.address)
+        && worker.is_leave_announced()
+        && now < worker.last_answer + LAPSE_SILENCE
 }
 
 impl Owner {
@@ -116,7 +123,9 @@
         }
         match reply {
             Reply::Ok(report) => self.handle_report(poll, report),
-            Reply::Refused(Refusal::Replaced) => {
+            Reply::Refused(Refusal::Replaced)
+                if is_polled(worker, poll) && worker.is_replaced_at(poll.address) =>
+            {
                 self.end_incarnation(name, IncarnationEnd::Replaced)
             }
             Reply::Refused(Refusal::Fenced) => {
@@ -133,7 +142,9 @@
                     log::info!(target: "worker", "worker={} event=silent reply={reply:?}", worker.incarnation());
                 }
                 worker.missed_polls += 1;
-                self.schedule_poll(name, now + RETRY_DELAY);
+                let moved = worker.listing.address != poll.address;
+                let delay = if moved { 0 } else { RETRY_DELAY };
+                self.schedule_poll(name, now + delay);
             }
         }
     }
@@ -155,7 +166,7 @@
             return self.schedule_poll(name, now + RETRY_DELAY);
         }
         if worker.last_answer == 0 {
-            self.end_others_at_address(name);
+            self.end_others_at_address(name, poll);
         }
         if order != BootOrder::Same {
             self.handle_restart(name, &report);
@@ -306,6 +317,7 @@
 
     /// Releases or stops the tasks that are placed on a worker and missing from its report.
     fn handle_missing_runs(&mut self, name: &Name, sent: Millis, listed: &BTreeSet<TaskKey>) {
+        let inherited_lapsed = self.now.steady > self.inherited_leases_end;
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -317,9 +329,11 @@
             if listed.contains(key) {
                 continue;
             }
-            let earlier = compare_boots(boot, placement.boot) == BootOrder::Earlier;
+            let order = compare_boots(boot, placement.boot);
             match placement.stage {
-                Stage::Inherited if earlier => unseen.push(*key),
+                Stage::Inherited if order == BootOrder::Earlier => unseen.push(*key),
+                // A later incarnation has the run, perhaps at another address.
+                Stage::Inherited if order == BootOrder::Later && !inherited_lapsed => {}
                 Stage::Inherited => ended.push(*key),
                 Stage::Stopped(at) if at <= sent => ended.push(*key),
                 Stage::Running(at) if at <= sent => {
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -4,7 +4,6 @@
 
 use super::incarnation::{BootOrder, Incarnation, compare_boots};
 use super::job::TaskKey;
-use super::lost_workers::IncarnationEnd;
 use super::message::{Action, OrderAck, Refusal, Reply, Start, Stop};
 use super::owner::Owner;
 use super::placement::Stage;
@@ -194,7 +193,7 @@
         }
         self.release_task(key);
         if refusal == Refusal::Replaced {
-            self.end_incarnation(name, IncarnationEnd::Replaced);
+            self.verify_incarnation(name, "refusal");
         }
     }
 
@@ -240,10 +239,12 @@
             Reply::Lost | Reply::NotSent | Reply::NotListening => {
                 placement.stage = Stage::Stopping(now)
             }
-            Reply::Refused(Refusal::Replaced) => {
-                self.end_incarnation(name, IncarnationEnd::Replaced)
+            Reply::Refused(refusal) => {
+                placement.stage = Stage::Stopping(now);
+                if refusal == Refusal::Replaced {
+                    self.verify_incarnation(name, "refusal");
+                }
             }
-            Reply::Refused(_) => placement.stage = Stage::Stopping(now),
         }
     }
 
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the owner against fake workers and a fake store, in virtual time.
 
+mod addresses;
 mod admission;
 mod completion_log;
 mod completions;
--- a/src/sched/tests/directory.rs
+++ b/src/sched/tests/directory.rs
@@ -13,11 +13,7 @@
     let worker = world.workers.get_mut(id).expect("worker");
     worker.listing.leaving = true;
     worker.listing.min_stay = min_stay;
-    let listing = worker.listing.clone();
-    world.handle(Event::DirectoryChanged(vec![(
-        id.into(),
-        DirectoryEntry::Listed(listing),
-    )]));
+    world.send_listing(id);
 }
 
 /// Removes the directory entry of a worker.
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -274,6 +274,12 @@
         self.notify(Event::Directory(entries.collect()));
     }
 
+    /// Sends the owner the directory entry of a worker.
+    pub fn send_listing(&mut self, id: &str) {
+        let entry = DirectoryEntry::Listed(self.workers[id].listing.clone());
+        self.notify(Event::DirectoryChanged(vec![(id.into(), entry)]));
+    }
+
     /// Delivers an event to the owner. While its machine is suspended, events are queued and
     /// delivered in order when it resumes.
     fn notify(&mut self, event: Event) {
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -5,7 +5,7 @@
 
 use super::colocation::Colocation;
 use super::completion_log::CompletionLog;
-use super::incarnation::{BootTime, Incarnation};
+use super::incarnation::{BootOrder, BootTime, Incarnation, compare_boots};
 use super::job::TaskKey;
 use super::placement::{Gauge, Placement};
 use super::preemption::Reservation;
@@ -218,7 +218,19 @@
     /// answers, and by its listing.
     pub fn is_known_at(&self, address: SocketAddr) -> bool {
         let answered = self.answered_at.is_none_or(|at| at == address);
-        answered && self.listing.address == address && self.listing_is_current()
+        let ignored = self.ignored_listing.as_ref();
+        answered
+            && self.listing.address == address
+            && self.listing_is_current()
+            && ignored.is_none_or(|listing| listing.address == address)
+    }
+
+    /// Returns true when the known incarnation has ended, given that another worker answers at
+    /// this address.
+    pub fn is_replaced_at(&self, address: SocketAddr) -> bool {
+        let located = self.answered_at.is_some() || self.presence == Presence::Listed;
+        let later = |run: &Placement| compare_boots(self.boot, run.boot) == BootOrder::Later;
+        located && self.is_known_at(address) && !self.placements.values().any(later)
     }
 
     /// Returns true when the known incarnation has announced its end and its listing is gone.
