An entry of another worker at an address gives up no run of the known one

Callers could see a task run twice at a time. An entry with another id, the address of a known worker and a later start ended the known one at once, with all its runs. But an entry is a claim: others than workers write into the directory, an entry may be written late, and starts are readings of wall clocks, which jump.

`an_entry_of_another_worker_with_a_later_start_gives_up_no_run` on the code before:

["j1.0.0.0 run 2 at 1553"]

Such an entry now only leads to a poll of the known worker, as one without a start to compare did. If that worker is gone, the poll is refused with its id, or the other one answers its first poll at the address: that is the proof, one round trip later.

--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -5,7 +5,6 @@
 
 use super::incarnation::{BootOrder, compare_boots};
 use super::job::TaskKey;
-use super::lost_workers::IncarnationEnd;
 use super::message::DirectoryEntry;
 use super::owner::Owner;
 use super::placement::{Placement, Stage};
@@ -117,15 +116,16 @@
     }
 
     /// Handles the listing of a new worker at the address of known ones; returns false when one of
-    /// these has replaced it. If the boot times don't show which worker is the later one, the known
-    /// ones are polled: the worker at the address refuses polls meant for others, while an entry of
-    /// the directory may have been written late.
+    /// these has replaced it. Otherwise the known ones are polled: the worker at the address refuses
+    /// polls meant for others, while an entry of the directory may have been written late, or by
+    /// another writer.
     fn resolve_shared_address(&mut self, id: &Name, listing: &Listing) -> bool {
         for other in self.others_at_address(listing.address, id) {
             let known = self.workers[&other].boot;
             match compare_boots(known, listing.boot) {
-                BootOrder::Later => self.end_incarnation(&other, IncarnationEnd::Replaced),
-                BootOrder::Same => self.verify_incarnation(&other, "entry-of-another"),
+                BootOrder::Later | BootOrder::Same => {
+                    self.verify_incarnation(&other, "entry-of-another")
+                }
                 BootOrder::Earlier => {
                     self.log_earlier_incarnation(id, listing.boot, known, "entry");
                     return false;
--- a/src/sched/tests/addresses.rs
+++ b/src/sched/tests/addresses.rs
@@ -2,7 +2,8 @@
 
 use super::world::{World, job, listing, step};
 use crate::sched::job::JobState;
-use crate::sched::message::{Event, Poll, Refusal, Reply, Report, RunOutcome};
+use crate::sched::message::{DirectoryEntry, Event, Poll, Refusal, Reply, Report, RunOutcome};
+use crate::sched::worker::Listing;
 
 /// Port of the worker whose answers are examined.
 const PORT: u16 = 100;
@@ -111,3 +112,16 @@
     world.send_listing("w9");
     assert_each_runs_once(world);
 }
+
+/// The entry of another writer, or one written late, names the address of a worker that runs on.
+#[test]
+fn an_entry_of_another_worker_with_a_later_start_gives_up_no_run() {
+    let mut world = two_busy_workers();
+    let entry = Listing {
+        boot: Some(9),
+        ..listing("w9", PORT)
+    };
+    let listed = DirectoryEntry::Listed(entry);
+    world.handle(Event::DirectoryChanged(vec![("w9".into(), listed)]));
+    assert_each_runs_once(world);
+}
