An order or commit answered with an unexpected status may have taken effect

Any status that the protocol does not name (500, 502, 504, 404, ...) was taken for a refusal of the worker, that is for proof that nothing was done: a start answered so released its task, which was started elsewhere, while the first run may have begun. A commit with such a status counted as certainly without effect, and a caller could be told that its job was not accepted although the store had it.

The tests on the code before, against a server that answers with each status:

an_order_answered_with_an_unexpected_status_may_have_been_carried_out 201 left: Refused(Unfit) right: Lost a_commit_answered_with_an_unexpected_status_may_have_taken_effect 302 left: NotDone right: Unknown

Only 400, 409, 421, 429 and 503 of a worker, and 412, 429 and 503 of the store are answers that prove something; all others count as a call without an answer, which the owner resolves by a stop, or by the next commit on the same version.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -267,7 +267,8 @@
         status => {
             let text = String::from_utf8_lossy(&reply.body);
             log::error!(target: "store", "event=commit-refused status={status} body=\"{text}\"");
-            CommitOutcome::NotDone
+            // A proxy may answer so although the store applies the commit.
+            CommitOutcome::Unknown
         }
     }
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,11 +1,20 @@
 //! Tests of decoding the platform's messages and of the replies to callers.
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 
-use super::store::{DeletedRow, Page};
+use super::store::{DeletedRow, Page, Store};
+use super::worker::Workers;
 use super::{config, directory, ingress};
 use crate::queues::Queues;
-use crate::sched::message::{Answer, DirectoryEntry, JobRequest};
+use crate::sched::incarnation::Incarnation;
+use crate::sched::job::TaskKey;
+use crate::sched::message::{
+    Answer, CommitOutcome, DirectoryEntry, JobRequest, OrderAck, Refusal, Reply as OrderResult,
+    Stop,
+};
 use crate::table::Row;
 use crate::utils::Name;
 use crate::web::{Reply, Request};
@@ -259,3 +268,90 @@
         malformed && matches!(entries[3].1, DirectoryEntry::Listed(_))
     }
 }
+
+/// Milliseconds within which an expected reply arrives even on a busy machine.
+const REPLY_TIMEOUT: u64 = 60_000;
+
+/// Starts a server that replies to each request with a status and an empty JSON object.
+fn server_with_status(status: u16) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("connection");
+            let mut buffer = [0; 4_096];
+            let _ = stream.read(&mut buffer);
+            let reply = format!(
+                "HTTP/1.1 {status} X\r\ncontent-length: 2\r\nconnection: close\r\n\r\n{{}}"
+            );
+            let _ = stream.write_all(reply.as_bytes());
+        }
+    });
+    address
+}
+
+/// Returns the result of an order that a worker answers with this status.
+fn order_result(status: u16) -> OrderResult<OrderAck> {
+    let stop = Stop {
+        key: TaskKey {
+            job: 1,
+            round: 0,
+            step: 0,
+            index: 0,
+        },
+        run: 1,
+        incarnation: Incarnation {
+            id: "i-1".into(),
+            boot: None,
+            clock: 0,
+        },
+        address: server_with_status(status),
+        task: "t".into(),
+        epoch: 1,
+    };
+    let call = async { Workers::new(1).stop(&stop).await };
+    crate::program::block_on(call).expect("runtime")
+}
+
+/// A proxy may answer with such a status although the worker has carried the order out.
+#[test]
+fn an_order_answered_with_an_unexpected_status_may_have_been_carried_out() {
+    for status in [201, 302, 404, 408, 500, 502, 504] {
+        assert_eq!(order_result(status), OrderResult::Lost, "{status}");
+    }
+    let refused = |status| match order_result(status) {
+        OrderResult::Refused(refusal) => refusal,
+        other => panic!("{status}: {other:?}"),
+    };
+    assert_eq!(refused(400), Refusal::Unfit);
+    assert_eq!(refused(409), Refusal::Unfit);
+    assert_eq!(refused(421), Refusal::Replaced);
+    assert_eq!(refused(429), Refusal::Unwell);
+    assert_eq!(refused(503), Refusal::Unwell);
+}
+
+/// Returns the outcome of a commit that the store answers with this status.
+fn outcome_of_commit(status: u16) -> CommitOutcome {
+    let store = Store::new(server_with_status(status));
+    let condition = ("owner", "owner".into(), 1);
+    let call = async { store.commit("main", condition, &[], REPLY_TIMEOUT).await };
+    crate::program::block_on(call).expect("runtime")
+}
+
+#[test]
+fn a_commit_answered_with_an_unexpected_status_may_have_taken_effect() {
+    for status in [302, 400, 404, 408, 500, 502, 504] {
+        assert_eq!(
+            outcome_of_commit(status),
+            CommitOutcome::Unknown,
+            "{status}"
+        );
+    }
+    for status in [429, 503] {
+        assert_eq!(
+            outcome_of_commit(status),
+            CommitOutcome::NotDone,
+            "{status}"
+        );
+    }
+}
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -116,7 +116,8 @@
     }
 }
 
-/// Returns the reply's body, or why the worker refused the order.
+/// Returns the reply's body, or why the worker refused the order. A status that is not in the
+/// protocol may come from a proxy and does not show whether the order was carried out.
 fn decode_reply(path: &str, reply: &web::Reply) -> Reply<OrderReply> {
     let body = match serde_json::from_slice::<OrderReply>(&reply.body) {
         Ok(body) => body,
@@ -137,7 +138,10 @@
         status => {
             let text = String::from_utf8_lossy(&reply.body);
             log::warn!(target: "worker", "call={path} event=refused status={status} body=\"{text}\"");
-            Reply::Refused(Refusal::Unfit)
+            match status {
+                StatusCode::BAD_REQUEST => Reply::Refused(Refusal::Unfit),
+                _ => Reply::Lost,
+            }
         }
     }
 }
