Only the predecessor itself proves its end, not any box at its address

What callers could see: a task that ran in two places. A new owner notifies the box at the address in its predecessor's row. Any box there that answered that it is not the owner counted as proof that the predecessor extends no lease any more, also a process of another box that uses the address by now, while the predecessor runs on elsewhere.

Cause: the answer to a ping did not say who answers.

Evidence: the test fails without the change:

the_answer_of_another_box_at_its_address_does_not_prove_the_predecessors_end: another box answers

Why this works: the answer names the answering box. The predecessor's name at the predecessor's address is that process, which handles no event after the answer, or a restarted one. Boxes of earlier builds send no name; they handled queued events after the answer, so that theirs proves nothing. After a takeover from such a box, tasks on workers that the new owner can't reach wait for the longer time, as after an owner that does not answer. The notice itself, with the row of the new owner, is sent as before.

--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -87,6 +87,7 @@
         later_row: later.as_ref().map_or(0, |known| known.version),
         later: later.map(|known| encode(&known.row)).unwrap_or_default(),
         others,
+        name: shared.settings.name.to_string(),
     }
 }
 
--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -192,20 +192,27 @@
     None
 }
 
-/// Sends `notice` to the predecessor until it answers that its term has ended. If it was the
-/// `last` owner that could still act, no owner before the notice's epoch acts from then on.
+/// Sends `notice` to the predecessor's address until a box there answers that it does not serve
+/// under an earlier epoch. If that box is the predecessor, and it was the `last` owner that could
+/// still act, no owner before the notice's epoch acts from then on.
 ///
 /// The notice names the new owner. If the store refuses the predecessor, it may refuse the
 /// predecessor's followers as well, and these ask nobody else: without the notice they would
 /// find no owner and refuse jobs for as long as the store refuses them.
-async fn notify_predecessor(shared: Rc<Shared>, before: OwnerRow, notice: PingRequest, last: bool) {
+pub(super) async fn notify_predecessor(
+    shared: Rc<Shared>,
+    before: OwnerRow,
+    notice: PingRequest,
+    last: bool,
+) {
     let epoch = notice.epoch;
     while shared.local_epoch().is_none_or(|e| e == epoch) {
         if let Ok(reply) = pings::send_ping(&shared, before.address, notice.clone()).await
             && (!reply.owner || reply.epoch >= epoch)
         {
-            log::info!(target: "owner", "event=predecessor-ended epoch={epoch} owner={} last={last}", before.name);
-            if last {
+            let same_box = *reply.name == *before.name;
+            log::info!(target: "owner", "event=predecessor-ended epoch={epoch} owner={} last={last} answered_by=\"{}\"", before.name, reply.name);
+            if last && same_box {
                 shared.send_to_owner(Message::PredecessorEnded(epoch));
             }
             return;
--- a/src/daemon/tests/change_of_owner.rs
+++ b/src/daemon/tests/change_of_owner.rs
@@ -10,11 +10,13 @@
 use super::{owner, owner_row, shared_state, shared_with_messages};
 use crate::daemon::follower::is_vacant;
 use crate::daemon::message::Message;
-use crate::daemon::peers::handle_ping;
+use crate::daemon::peers::{self, handle_ping};
 use crate::daemon::shared::{Loading, Shared};
+use crate::daemon::takeover::notify_predecessor;
 use crate::daemon::{owner_task, shared};
 use crate::program::block_on;
 use crate::proto::PingRequest;
+use crate::rpc::bridge::Bridge;
 use crate::sched::job::JobState;
 use crate::sched::journal::OwnerRow;
 use crate::sched::message::{Answer, CommitOutcome, DirectoryEntry, Event, JobRequest};
@@ -141,3 +143,34 @@
         "another machine of the same name may serve"
     );
 }
+
+/// Returns true when a new owner that notifies the predecessor `name` takes the answer of the box
+/// at its address as proof that the predecessor has ended.
+async fn proves_end(name: &str) -> bool {
+    let (shared, mut messages) = shared_with_messages();
+    let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("listener");
+    let address = listener.local_addr().expect("address");
+    let answering = Rc::new(shared_state());
+    monoio::spawn(peers::serve(listener, Bridge::start(answering)));
+    let before = OwnerRow {
+        name: name.into(),
+        address,
+        ..owner_row(EPOCH)
+    };
+    let notice = PingRequest {
+        epoch: EPOCH + 1,
+        ..PingRequest::default()
+    };
+    notify_predecessor(Rc::new(shared), before, notice, true).await;
+    matches!(messages.try_recv(), Ok(Message::PredecessorEnded(epoch)) if epoch == EPOCH + 1)
+}
+
+/// Guards against a shortened wait for leases that the predecessor, elsewhere by now, extends.
+#[test]
+fn the_answer_of_another_box_at_its_address_does_not_prove_the_predecessors_end() {
+    block_on(async {
+        assert!(proves_end("b").await, "the predecessor answers itself");
+        assert!(!proves_end("a").await, "another box answers");
+    })
+    .expect("runtime");
+}
