An owner's row that does not decode is not taken for a missing one

What callers could see: nothing at first; the store's transactions went to takeovers that could not succeed, five a second for each box, and the log did not say why. Such a box also asked for epoch 1: it behaved as if no owner had been before.

Cause: `read_owner` returned the same for no row and for one that does not decode, which a box of a later build may have written. The write of the first row then depends on there being none.

Evidence: the test fails without the change of `src/`:

no_box_takes_over_from_an_owner_whose_row_does_not_decode: left: 23 right: 0: attempts to take over

Why this works: a row that does not decode is now a failed read, and everything that follows a failed read is the careful choice: no takeover, no begin after a load, no outcome for a commit in doubt. The box warns once a second, and takes part again once the row decodes, as the test shows.

--- a/src/daemon/owner_row.rs
+++ b/src/daemon/owner_row.rs
@@ -16,28 +16,37 @@
 /// Pause in milliseconds after a failed call to the store.
 pub const STORE_PAUSE: Millis = 250;
 
+/// Pause in milliseconds after a read of an owner's row that does not decode.
+const UNDECODABLE_PAUSE: Millis = 1_000;
+
 /// Logs a failed read of the owner's row, and pauses.
 pub async fn pause_after_failure(e: &StoreError) {
-    log::debug!(target: "member", "event=owner-unread cause=\"{e}\"");
-    sleep(Duration::from_millis(STORE_PAUSE)).await;
+    let (level, pause) = match e {
+        StoreError::Undecodable(_) => (log::Level::Warn, UNDECODABLE_PAUSE),
+        _ => (log::Level::Debug, STORE_PAUSE),
+    };
+    log::log!(target: "member", level, "event=owner-unread cause=\"{e}\"");
+    sleep(Duration::from_millis(pause)).await;
 }
 
-/// Returns the owner's row; `None` if there is none or if it does not decode.
+/// Returns the owner's row, or `None` if there is none. A row that does not decode is an error:
+/// an owner of a later build may have written it, which must not be taken for a vacant cell.
 pub async fn read_owner(shared: &Shared) -> Result<Option<KnownOwner>, StoreError> {
     let page = shared
         .store
         .read_all(OWNER_TABLE, STORE_PART, READ_TIMEOUT)
         .await?;
     let row = page.rows.iter().find(|r| &*r.key == OWNER_KEY);
-    Ok(row.and_then(|row| {
-        Some(KnownOwner {
-            row: decode(row)?,
-            version: row.version,
-            progress: OwnerProgress {
-                at: clock::now(),
-                pages: None,
-            },
-        })
+    let Some(row) = row else {
+        return Ok(None);
+    };
+    Ok(Some(KnownOwner {
+        row: decode(row).ok_or_else(|| StoreError::Undecodable(row.key.clone()))?,
+        version: row.version,
+        progress: OwnerProgress {
+            at: clock::now(),
+            pages: None,
+        },
     }))
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -33,6 +33,8 @@
     HistoryGone,
     /// The reply does not decode.
     Malformed(String),
+    /// The row with this key is there and does not decode.
+    Undecodable(Name),
 }
 
 impl std::fmt::Display for StoreError {
@@ -42,6 +44,7 @@
             Self::Refused(status) => write!(f, "store refused the call with status {status}"),
             Self::HistoryGone => f.write_str("store no longer has the requested changes"),
             Self::Malformed(e) => write!(f, "store's reply does not decode: {e}"),
+            Self::Undecodable(key) => write!(f, "row {key} does not decode"),
         }
     }
 }
--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -3,10 +3,15 @@
 
 use std::time::Duration;
 
+use serde_json::json;
+
 use super::support::{eventually, wait_for};
 use super::worker::Worker;
 use super::{Deployment, LONG_DURATION, TASK_DURATION, assert_ran};
 
+/// How long the owner's row stays unreadable: several pauses between two reads of it.
+const UNREADABLE_TIME: Duration = Duration::from_millis(2_500);
+
 #[test]
 fn a_task_that_crashes_its_workers_is_abandoned_and_reported() {
     let deployment = Deployment::start(2, 4, TASK_DURATION);
@@ -111,3 +116,30 @@
         assert_ran(&deployment, id, 2);
     }
 }
+
+/// Guards against a box that takes the owner's row of a later build for a missing one: its attempts
+/// to write a first row fail for ever, and cost the store's transactions.
+#[test]
+fn no_box_takes_over_from_an_owner_whose_row_does_not_decode() {
+    let deployment = Deployment::start(2, 1, TASK_DURATION);
+    deployment.submit_until_accepted("00000000000000f0", 1);
+    let owner = deployment.owner();
+    let later = json!({ "form": 2, "epoch": 50 });
+    deployment.store.put_in("owner", "main", "owner", &later);
+    wait_for("the end of the owner's term", || {
+        deployment.output(owner).contains("reason=deposed")
+    });
+    let before = deployment.store.transactions();
+    std::thread::sleep(UNREADABLE_TIME);
+    let attempts = deployment.store.transactions() - before;
+    assert_eq!(attempts, 0, "attempts to take over");
+    wait_for("a warning of each box", || {
+        (0..2).all(|n| deployment.output(n).contains("event=owner-unread"))
+    });
+    let released = json!({ "name": "later", "life": 1, "address": "127.0.0.1:1", "epoch": 50,
+        "seq": 1, "settled": true, "released": true });
+    deployment.store.put_in("owner", "main", "owner", &released);
+    deployment.submit_until_accepted("00000000000000f1", 1);
+    deployment.wait_completed("00000000000000f1");
+    assert!(deployment.record().duplicates.is_empty());
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -52,6 +52,8 @@
     unreadable_table: Option<String>,
     /// Number of pages read from each table.
     page_reads: HashMap<String, usize>,
+    /// Number of transactions that were asked for.
+    transactions: usize,
 }
 
 /// The store; clones share it.
@@ -89,12 +91,17 @@
 
     /// Writes a row as the operator or a worker does.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_in(table, "", key, value);
+    }
+
+    /// Writes a row of a part of a table, as boxes do.
+    pub fn put_in(&self, table: &str, part: &str, key: &str, value: &Value) {
         use base64::Engine;
         let text = base64::engine::general_purpose::STANDARD.encode(value.to_string());
         let mut state = self.state();
         state.version += 1;
         let version = state.version;
-        let key = (table.to_string(), String::new(), key.to_string());
+        let key = (table.to_string(), part.to_string(), key.to_string());
         let value = Some(text);
         state.rows.insert(key, Row { value, version });
     }
@@ -116,6 +123,11 @@
         self.state().page_reads.get(table).copied().unwrap_or(0)
     }
 
+    /// Returns the number of transactions that were asked for.
+    pub fn transactions(&self) -> usize {
+        self.state().transactions
+    }
+
     /// Deletes a row as the operator or a worker does.
     pub fn delete_row(&self, table: &str, key: &str) {
         let mut state = self.state();
@@ -165,6 +177,7 @@
             return Reply::text(StatusCode::BAD_REQUEST, "no JSON");
         };
         let mut state = self.state();
+        state.transactions += 1;
         let conditions = entries(&call, "expectedRevision");
         let version = |state: &StoreState, entry: &Value| {
             let row = state.rows.get(&key_of(entry)).filter(|r| r.value.is_some());
