Stand-in workers: delays before an order and of its answer apart, and losses in either way

Each call draws its own from a seed, so that answers on several connections overtake each other. A worker can remove its directory entry and go on, or announce that it leaves.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,8 @@
 //! Tests `willowpoint serve` as separate processes with stand-ins for the platform's store and
 //! workers: takeovers, planned stops and faults of the store.
 
+#[allow(dead_code)] // the soak tool uses more of this module than these tests
+mod calls;
 mod cordon;
 #[allow(dead_code)] // the soak tool uses more of this module than these tests
 mod deployment;
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -9,8 +9,10 @@
 use monoio::time::sleep;
 use serde_json::{Value, json};
 use willowpoint::utils::clock;
+use willowpoint::utils::random::Random;
 use willowpoint::web::{Reply, Request};
 
+use super::calls::{CallFate, CallFaults};
 use super::record::{Lease, Record, TaskRun};
 use super::store::Store;
 
@@ -22,6 +24,8 @@
 const LASTING_DURATION: Duration = Duration::from_secs(3_600);
 /// Specification of jobs whose tasks are lasting.
 pub const LASTING_SPEC: &str = "lasting";
+/// How long a call without an answer is kept open; its client has given up by then.
+const HOLD_TIME: Duration = Duration::from_secs(5);
 /// Time between two checks of a condition that a call waits for.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -86,6 +90,8 @@
     started: Arc<AtomicU64>,
     /// Delay before each order is executed.
     order_delay: Arc<Mutex<Duration>>,
+    /// Faults of each call, and the generator that they are drawn from.
+    call_faults: Arc<Mutex<(CallFaults, Random)>>,
 }
 
 impl Worker {
@@ -100,6 +106,7 @@
             record,
             started: Arc::default(),
             order_delay: Arc::default(),
+            call_faults: Arc::new(Mutex::new((CallFaults::default(), Random::new(0)))),
         }
     }
 
@@ -112,22 +119,33 @@
 
     /// Changes the processors in the directory entry, in thousandths of cores.
     pub fn resize(&self, cpu: u64) {
-        let mut listing = self
-            .listing
-            .lock()
-            .expect("the lock is not poisoned")
-            .clone();
+        let mut listing = self.listing();
         listing["capacity"]["cpu"] = json!(cpu);
         self.register(listing);
     }
 
+    /// Removes the directory entry; the worker itself goes on.
+    pub fn unlist(&self) {
+        self.store.delete_row("servers", &self.id());
+    }
+
+    /// Announces in the directory entry that the worker leaves in `remaining` at the earliest.
+    pub fn announce_leaving(&self, remaining: Duration) {
+        let mut listing = self.listing();
+        listing["state"] = json!("draining");
+        listing["remainingMs"] = json!(remaining.as_millis() as u64);
+        self.store.put("servers", &self.id(), &listing);
+    }
+
+    /// Returns the directory entry without announcements.
+    fn listing(&self) -> Value {
+        let listing = self.listing.lock().expect("the lock is not poisoned");
+        listing.clone()
+    }
+
     /// Changes the hall in the directory entry.
     pub fn move_to_hall(&self, hall: &str) {
-        let mut listing = self
-            .listing
-            .lock()
-            .expect("the lock is not poisoned")
-            .clone();
+        let mut listing = self.listing();
         listing["zone"] = json!(hall);
         self.register(listing);
     }
@@ -159,21 +177,13 @@
         *self.id.lock().expect("the lock is not poisoned") = format!("{old_id}-next");
         self.state().down = false;
         self.store.delete_row("servers", &old_id);
-        let listing = self
-            .listing
-            .lock()
-            .expect("the lock is not poisoned")
-            .clone();
+        let listing = self.listing();
         self.register(listing);
     }
 
     /// Writes the present directory entry, with the start time of this incarnation, to the store.
     pub fn register_again(&self) {
-        let listing = self
-            .listing
-            .lock()
-            .expect("the lock is not poisoned")
-            .clone();
+        let listing = self.listing();
         self.register(listing);
     }
 
@@ -202,17 +212,45 @@
         self.record.lock().expect("the lock is not poisoned")
     }
 
+    /// Draws the faults of each call from now on; the same seed draws the same faults.
+    pub fn disturb_calls(&self, faults: CallFaults, seed: u64) {
+        let mut state = self.call_faults.lock().expect("the lock is not poisoned");
+        *state = (faults, Random::new(seed));
+    }
+
     /// Serves a call. A delayed call is executed even if its connection has been closed.
     pub async fn handle(self, request: Request) -> Reply {
-        let delay = *self.order_delay.lock().expect("the lock is not poisoned");
-        if delay.is_zero() {
-            return self.execute(request).await;
+        let fate = self.draw_fate();
+        if fate.order_lost {
+            return no_answer().await;
         }
-        let delayed = monoio::spawn(async move {
-            sleep(delay).await;
+        let delay = fate.order_delay;
+        let reply = if delay.is_zero() {
             self.execute(request).await
-        });
-        delayed.await
+        } else {
+            let delayed = monoio::spawn(async move {
+                sleep(delay).await;
+                self.execute(request).await
+            });
+            delayed.await
+        };
+        if fate.answer_lost {
+            return no_answer().await;
+        }
+        sleep(fate.answer_delay).await;
+        reply
+    }
+
+    /// Draws what happens to the next call.
+    fn draw_fate(&self) -> CallFate {
+        let mut state = self.call_faults.lock().expect("the lock is not poisoned");
+        let (faults, random) = &mut *state;
+        let fate = faults.draw(random);
+        let delay = *self.order_delay.lock().expect("the lock is not poisoned");
+        CallFate {
+            order_delay: fate.order_delay + delay,
+            ..fate
+        }
     }
 
     async fn execute(self, request: Request) -> Reply {
@@ -442,3 +480,9 @@
         }
     }
 }
+
+/// Keeps a call open until its client has given up.
+async fn no_answer() -> Reply {
+    sleep(HOLD_TIME).await;
+    Reply::text(StatusCode::GATEWAY_TIMEOUT, "")
+}
