--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod proxy;
 #[allow(dead_code)] // the soak tool uses more of this module than these tests
 mod record;
+mod silence;
 mod store;
 #[path = "../support/mod.rs"]
 mod support;
