A completion that does not decode is never acknowledged, and its task stays placed

Callers' tasks could run again after their end had been acknowledged, where a worker lists an outcome that this build does not know. One row of another shape made the whole answer unreadable, so its worker counted as silent and lost its runs with its lease.

Cause: the platform's client dropped the row of an unknown outcome and logged it. The owner could not know of it: it acknowledged the number with the next completion, found the run missing from the worker and started the task again. A full report without that row also looked like one that has room left.

Now the outcome is decoded as unknown, and the owner holds that completion: it is never acknowledged, has no effect on the task, and the task stays placed until the worker's incarnation or its lease has ended. Rows are decoded one by one if the answer as a whole does not decode. Those that name no run are counted; such a report takes no run for missing and shows no number as unused. A worker that may forget none of its completions answers each poll at once, so it is polled with a pause, and it gets no new tasks once it holds 250, half of what a report holds.

Weighed: to let the lease of such a worker end, so that the task runs again. A task that always ends in that way would put one worker after the other out of use; held, it costs a place on one.

--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -440,6 +440,7 @@
             clock: self.now,
             running: running.collect(),
             ended: w.ended.clone(),
+            unreadable: 0,
         };
         self.handle_event(Event::Polled(poll, Reply::Ok(report)));
     }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -7,13 +7,13 @@
 
 use super::store::{DeletedRow, Page, Store};
 use super::worker::Workers;
-use super::{config, directory, ingress};
+use super::{config, directory, ingress, worker};
 use crate::queues::Queues;
 use crate::sched::incarnation::Incarnation;
 use crate::sched::job::TaskKey;
 use crate::sched::message::{
     Answer, CommitOutcome, DirectoryEntry, JobRequest, OrderAck, Refusal, Reply as OrderResult,
-    Stop,
+    Report, RunOutcome, Stop,
 };
 use crate::table::Row;
 use crate::utils::Name;
@@ -355,3 +355,51 @@
         );
     }
 }
+
+/// Decodes the answer to a poll with these rows.
+fn report(running: &str, finished: &str) -> Report {
+    let body = format!("{{\"clockMs\":5,\"running\":[{running}],\"finished\":[{finished}]}}");
+    let reply = Reply::text(StatusCode::OK, body);
+    match worker::decode_reply("/hold", &reply).map(worker::to_report) {
+        OrderResult::Ok(report) => report,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The row was dropped, and its completion acknowledged with the next one.
+#[test]
+fn a_completion_with_an_unknown_outcome_is_reported() {
+    let report = report(
+        "",
+        r#"[1,"a.0.0.0",1,"done",""],[2,"a.0.0.1",3,"merged",""]"#,
+    );
+    let ended = report.ended.iter();
+    let ended: Vec<_> = ended.map(|e| (e.number, e.run, e.outcome)).collect();
+    let expected = [(1, 1, RunOutcome::Done), (2, 3, RunOutcome::Unknown)];
+    assert_eq!(ended, expected);
+    assert_eq!(report.unreadable, 0);
+}
+
+/// One such row made the whole answer unreadable, so that the worker counted as silent.
+#[test]
+fn a_malformed_row_hides_no_other_row_of_a_report() {
+    let good_run = r#"["a.0.0.0",1,"",40,0]"#;
+    let good_end = r#"[1,"a.0.0.1",1,"done","x"]"#;
+    for row in ["7", "[]", "{}", "[\"a\",-1,\"\",1,0]", "null"] {
+        let report = report(&format!("{row},{good_run}"), &format!("{row},{good_end}"));
+        assert_eq!((report.running.len(), report.ended.len()), (1, 1), "{row}");
+        assert_eq!((report.clock, report.unreadable), (5, 2), "{row}");
+    }
+    let cases = [
+        (r#"[2,"a.0.0.2",1,["done"],""]"#, RunOutcome::Unknown),
+        (r#"[2,"a.0.0.2",1,"done"]"#, RunOutcome::Unknown),
+        (r#"[2,"a.0.0.2",1,"done","",9]"#, RunOutcome::Done),
+    ];
+    for (row, outcome) in cases {
+        let report = report("", &format!("{row},{good_end}"));
+        assert_eq!(report.ended[0].outcome, outcome, "{row}");
+        assert_eq!((report.ended.len(), report.unreadable), (2, 0), "{row}");
+    }
+    let unnumbered = report("", r#"[0,"a.0.0.0",1,"done",""]"#);
+    assert_eq!((unnumbered.ended.len(), unnumbered.unreadable), (0, 1));
+}
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -110,20 +110,32 @@
     *value == 0
 }
 
+/// An active run: task, run, checkpoint, percent of work done (not of speed), and processor
+/// share in use or tail latency of a serving task.
+pub type RunRow = (Name, u32, Name, u32, f64);
+/// A completion: its number, task, run, how the run ended, checkpoint.
+pub type EndRow = (u64, Name, u32, Name, Name);
+
 /// A worker's answer to an order.
 #[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-pub struct OrderReply {
+#[serde(
+    rename_all = "camelCase",
+    default,
+    bound(deserialize = "R: Deserialize<'de> + Default, E: Deserialize<'de> + Default")
+)]
+pub struct OrderReply<R = RunRow, E = EndRow> {
     /// Time on the worker's steady clock, in milliseconds.
     pub clock_ms: Millis,
     /// When the worker started, in milliseconds since the Unix epoch.
     pub born: Option<Millis>,
     pub reason: Name,
-    /// Task, run, checkpoint, percent of work done (not of speed), and processor
-    /// share in use or tail latency of a serving task.
-    pub running: Vec<(Name, u32, Name, u32, f64)>,
-    /// Number of the completion, task, run, how the run ended, checkpoint.
-    pub finished: Vec<(u64, Name, u32, Name, Name)>,
+    /// Active runs.
+    pub running: Vec<R>,
+    /// Completions that are not acknowledged yet.
+    pub finished: Vec<E>,
+    /// Number of rows that don't decode and are in neither list.
+    #[serde(skip)]
+    pub unreadable: usize,
 }
 
 /// A worker's entry in the directory.
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -4,12 +4,14 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
+use serde_json::Value;
 
-use super::wire::{self, OrderReply, RunStart, RunStop};
+use super::wire::{self, EndRow, OrderReply, RunRow, RunStart, RunStop};
 use crate::sched::message::{
     ActiveRun, EndedRun, OrderAck, Poll, Refusal, Reply, Report, RunOutcome, Start, Stop, Throttle,
 };
 use crate::table::encode;
+use crate::utils::Name;
 use crate::utils::clock::Millis;
 use crate::web::client::Pool;
 use crate::web::{self, WebError};
@@ -118,8 +120,8 @@
 
 /// Returns the reply's body, or why the worker refused the order. A status that is not in the
 /// protocol may come from a proxy and does not show whether the order was carried out.
-fn decode_reply(path: &str, reply: &web::Reply) -> Reply<OrderReply> {
-    let body = match serde_json::from_slice::<OrderReply>(&reply.body) {
+pub(super) fn decode_reply(path: &str, reply: &web::Reply) -> Reply<OrderReply> {
+    let body = match decode_body(&reply.body) {
         Ok(body) => body,
         Err(e) if reply.status == StatusCode::OK => {
             log::error!(target: "worker", "call={path} event=malformed cause=\"{e}\"");
@@ -146,6 +148,55 @@
     }
 }
 
+/// Decodes the body of a reply. Rows that don't decode hide no others.
+fn decode_body(body: &[u8]) -> Result<OrderReply, serde_json::Error> {
+    let strict = serde_json::from_slice::<OrderReply>(body);
+    strict.or_else(|_| {
+        let loose = serde_json::from_slice::<OrderReply<Value, Value>>(body)?;
+        Ok(decode_rows(loose))
+    })
+}
+
+/// Decodes the rows of a reply one by one.
+fn decode_rows(reply: OrderReply<Value, Value>) -> OrderReply {
+    let rows = reply.running.len() + reply.finished.len();
+    let running: Vec<RunRow> = reply.running.iter().filter_map(decode_run).collect();
+    let finished: Vec<EndRow> = reply.finished.iter().filter_map(decode_end).collect();
+    let unreadable = rows - running.len() - finished.len();
+    log::error!(target: "worker", "event=malformed rows={rows} unreadable={unreadable}");
+    OrderReply {
+        clock_ms: reply.clock_ms,
+        born: reply.born,
+        reason: reply.reason,
+        running,
+        finished,
+        unreadable,
+    }
+}
+
+/// Decodes the row of an active run; further fields are ignored.
+fn decode_run(row: &Value) -> Option<RunRow> {
+    let run = row.get(1)?.as_u64()?.try_into().ok()?;
+    let progress = row.get(3)?.as_u64()?.try_into().ok()?;
+    let gauge = row.get(4)?.as_f64()?;
+    Some((text(row, 0)?, run, text(row, 2)?, progress, gauge))
+}
+
+/// Decodes the row of a completion; further fields are ignored. The outcome is empty, which no
+/// outcome is, if it or the checkpoint doesn't decode.
+fn decode_end(row: &Value) -> Option<EndRow> {
+    let number = row.get(0)?.as_u64()?;
+    let run = row.get(2)?.as_u64()?.try_into().ok()?;
+    let outcome = text(row, 3).zip(text(row, 4));
+    let (outcome, checkpoint) = outcome.unwrap_or_default();
+    Some((number, text(row, 1)?, run, outcome, checkpoint))
+}
+
+/// Returns a text of a row.
+fn text(row: &Value, index: usize) -> Option<Name> {
+    row.get(index)?.as_str().map(Name::from)
+}
+
 /// Returns the refusal for the reason that a worker gives on the wire.
 fn parse_refusal(path: &str, reason: &str) -> Refusal {
     match reason {
@@ -169,8 +220,9 @@
     }
 }
 
-/// Returns the report in a reply; completions of an unknown kind are skipped.
-fn to_report(body: OrderReply) -> Report {
+/// Returns the report in a reply. Completions are numbered from 1.
+pub(super) fn to_report(body: OrderReply) -> Report {
+    let rows = body.finished.len();
     let running = body
         .running
         .into_iter()
@@ -181,30 +233,30 @@
             progress,
             gauge: gauge.max(0.0) as u64,
         });
-    let ended = body
+    let ended: Vec<EndedRun> = body
         .finished
         .into_iter()
-        .filter_map(|(number, task, run, outcome, checkpoint)| {
-            let outcome = parse_outcome(&outcome)?;
-            Some(EndedRun {
-                number,
-                task,
-                run,
-                outcome,
-                checkpoint,
-            })
-        });
+        .filter(|row| row.0 > 0)
+        .map(|(number, task, run, outcome, checkpoint)| EndedRun {
+            number,
+            task,
+            run,
+            outcome: parse_outcome(&outcome),
+            checkpoint,
+        })
+        .collect();
     Report {
         clock: body.clock_ms,
         boot: body.born,
         running: running.collect(),
-        ended: ended.collect(),
+        unreadable: body.unreadable + rows - ended.len(),
+        ended,
     }
 }
 
-/// Returns the outcome of a run by its name on the wire, or `None` for an unknown name.
-fn parse_outcome(name: &str) -> Option<RunOutcome> {
-    Some(match name {
+/// Returns the outcome of a run by its name on the wire.
+fn parse_outcome(name: &str) -> RunOutcome {
+    match name {
         "done" => RunOutcome::Done,
         "failed" => RunOutcome::Failed,
         "stopped" => RunOutcome::Stopped,
@@ -212,8 +264,8 @@
         "broken" => RunOutcome::Broken,
         "alone" => RunOutcome::Alone,
         other => {
-            log::error!(target: "worker", "event=malformed end=\"{other}\"");
-            return None;
+            log::debug!(target: "worker", "event=malformed end=\"{other}\"");
+            RunOutcome::Unknown
         }
-    })
+    }
 }
--- a/src/sched/completion_log.rs
+++ b/src/sched/completion_log.rs
@@ -8,6 +8,9 @@
 use std::collections::BTreeSet;
 use std::ops::Bound::{Excluded, Unbounded};
 
+/// Completions that a worker may hold before it gets no new tasks: half of a full report.
+const MAX_HELD: usize = 250;
+
 /// Which of the completions that a worker holds are listed in its report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Coverage {
@@ -15,6 +18,8 @@
     All,
     /// As many as fit into a report; the worker may hold others.
     Full,
+    /// Those that can be decoded; the worker holds others.
+    Partial,
 }
 
 /// The completions of one incarnation of a worker.
@@ -24,6 +29,8 @@
     received: BTreeSet<u64>,
     /// Received completions that are not in the store yet.
     unstored: BTreeSet<u64>,
+    /// Received completions whose effect is unknown, which the worker must never forget.
+    held: BTreeSet<u64>,
     /// Each completion up to this number was received, was forgotten earlier or does not exist;
     /// `None` before a completion was listed.
     known_to: Option<u64>,
@@ -47,6 +54,11 @@
         self.unstored.remove(&number);
     }
 
+    /// Records that the effect of a received completion is unknown to this owner.
+    pub fn hold(&mut self, number: u64) {
+        self.held.insert(number);
+    }
+
     /// Returns true when all received completions are in the store.
     pub fn all_stored(&self) -> bool {
         self.unstored.is_empty()
@@ -62,11 +74,12 @@
             return;
         };
         let known_to = match coverage {
-            Coverage::All => self.known_to.map_or(highest, |known| known.max(highest)),
+            Coverage::All => self.known_to.max(Some(highest)),
             // Completions below the first ones may have been acknowledged by an earlier owner.
-            Coverage::Full => self.known_to.unwrap_or(lowest.saturating_sub(1)),
+            Coverage::Full => self.known_to.or(Some(lowest.saturating_sub(1))),
+            Coverage::Partial => self.known_to,
         };
-        self.known_to = Some(self.last_contiguous(known_to));
+        self.known_to = known_to.map(|known| self.last_contiguous(known));
     }
 
     /// Returns the last received number that follows `number` without a gap.
@@ -98,10 +111,19 @@
     /// has forgotten these already.
     pub fn next_acknowledgement(&self) -> Option<u64> {
         let known_to = self.known_to?;
-        let last = match self.unstored.first() {
-            Some(first) => known_to.min(first - 1),
-            None => known_to,
-        };
+        let kept = self.unstored.first().into_iter().chain(self.held.first());
+        let last = kept.map(|first| first - 1).chain([known_to]).min()?;
         (last > self.acknowledged).then_some(last)
     }
+
+    /// Returns true when the worker holds completions of which it may forget none yet.
+    pub fn is_stalled(&self) -> bool {
+        !self.received.is_empty() && self.next_acknowledgement().is_none()
+    }
+
+    /// Returns true when the worker holds so many completions that those of further runs might
+    /// not fit into its reports.
+    pub fn is_backed_up(&self) -> bool {
+        self.received.len() >= MAX_HELD
+    }
 }
--- a/src/sched/completions.rs
+++ b/src/sched/completions.rs
@@ -55,6 +55,11 @@
         let EndedRun {
             task, run, outcome, ..
         } = completion;
+        if completion.outcome == RunOutcome::Unknown {
+            log::error!(target: "task", "task={task} run={run} event=unreadable-end worker={name} number={}", completion.number);
+            worker.completions.hold(completion.number);
+            return;
+        }
         let Some(key) = self.find_task(task) else {
             // Its job was removed: nothing has to be stored before the worker may forget it.
             log::info!(target: "task", "task={task} run={run} event=unknown-end how={outcome:?} worker={name}");
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -99,6 +99,8 @@
     Broken,
     /// The other members of its gang did not arrive in time.
     Alone,
+    /// The worker reported an outcome that this build can't decode.
+    Unknown,
 }
 
 /// A run that ended on a worker, with the outcome.
@@ -127,6 +129,8 @@
     pub running: Vec<ActiveRun>,
     /// Completions that are not acknowledged yet, at most 500.
     pub ended: Vec<EndedRun>,
+    /// Number of rows that can't be decoded and are in neither list.
+    pub unreadable: usize,
 }
 
 /// A worker's answer to an order that it carried out.
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeSet;
 
-use super::completion_log::Coverage;
+use super::completion_log::{CompletionLog, Coverage};
 use super::history::NO_TASK;
 use super::incarnation::{BootOrder, compare_boots, compare_report};
 use super::job::{Outcome, TaskKey, parse_task_name};
 use super::lost_workers::IncarnationEnd;
-use super::message::{Action, ActiveRun, Poll, Refusal, Reply, Report};
+use super::message::{Action, ActiveRun, EndedRun, Poll, Refusal, Reply, Report, RunOutcome};
 use super::owner::Owner;
 use super::placement::{Placement, Stage};
 use super::throttling::FULL_SPEED;
@@ -27,8 +27,9 @@
 const MIXED_POLL_WORKERS: u64 = 200;
 /// Milliseconds until the next poll after one without an answer.
 const RETRY_DELAY: Millis = 250;
-/// Milliseconds that the next poll waits at most until reported completions are stored; an
-/// earlier one would be answered at once, with the same completions.
+/// Milliseconds that the next poll waits at most until reported completions are stored, or while
+/// the worker may forget none; an earlier one would be answered at once, with the same
+/// completions.
 const STORE_DELAY: Millis = 300;
 /// Milliseconds by which a worker's clock may be ahead of that of a box without a warning.
 const MAX_CLOCK_SKEW: Millis = 5_000;
@@ -196,33 +197,50 @@
     /// Applies a report: first the completions, then the running tasks and their gauges.
     fn apply_report(&mut self, name: &Name, sent: Millis, report: Report) {
         let coverage = match report.ended.len() < MAX_COMPLETIONS {
+            _ if report.unreadable > 0 => Coverage::Partial,
             true => Coverage::All,
             false => Coverage::Full,
         };
         self.handle_completions(name, &report.ended, coverage);
+        let held = self.held_runs(name, &report.ended);
         let running: Vec<ReportedRun<'_>> =
             report.running.iter().map(|r| self.resolve_run(r)).collect();
-        self.reconcile_runs(name, sent, &running, coverage);
+        self.reconcile_runs(name, sent, &running, held, coverage);
         self.clear_suspects(name);
         self.adjust_speeds(name, &running);
         let worker = self.workers.get(name);
-        let delay = match worker.is_some_and(|w| !w.completions.all_stored()) {
+        let waits = |log: &CompletionLog| !log.all_stored() || log.is_stalled();
+        let delay = match worker.is_some_and(|w| waits(&w.completions)) {
             true => STORE_DELAY,
             false => 0,
         };
         self.schedule_poll(name, self.now.steady + delay);
     }
 
-    /// Reconciles the runs that a worker reports with the known ones. If the report has all
-    /// completions, known runs that it does not list are handled as missing.
+    /// Returns the tasks of the completions of which it is unknown how the runs ended. They stay
+    /// placed, as none of them may start again.
+    fn held_runs(&self, name: &Name, ended: &[EndedRun]) -> BTreeSet<TaskKey> {
+        let unknown = ended.iter().filter(|e| e.outcome == RunOutcome::Unknown);
+        let placed = |e: &EndedRun| {
+            let key = self.find_task(&e.task)?;
+            let run = self.workers.get(name)?.placements.get(&key)?.run;
+            (run == e.run).then_some(key)
+        };
+        unknown.filter_map(placed).collect()
+    }
+
+    /// Reconciles the runs that a worker reports with the known ones; `held` are tasks of runs
+    /// that have ended in an unknown way. If the report has all completions, known runs that it
+    /// does not list are handled as missing.
     fn reconcile_runs(
         &mut self,
         name: &Name,
         sent: Millis,
         running: &[ReportedRun<'_>],
+        held: BTreeSet<TaskKey>,
         coverage: Coverage,
     ) {
-        let mut listed = BTreeSet::new();
+        let mut listed = held;
         let mut unknown = Vec::new();
         for ReportedRun { key, run } in running {
             match key {
--- a/src/sched/tests/completions.rs
+++ b/src/sched/tests/completions.rs
@@ -2,7 +2,7 @@
 
 use super::world::{World, job, step};
 use crate::sched::job::JobState;
-use crate::sched::message::RunOutcome;
+use crate::sched::message::{Report, RunOutcome};
 
 /// Returns a world of one worker whose tasks end one after another while it can't be reached, so
 /// that one report lists all their completions.
@@ -37,3 +37,64 @@
     worker.edit_report = |report| report.ended.reverse();
     assert_runs_once(world);
 }
+
+/// Lists the second task of `ended_while_unreachable` as ended in an unknown way.
+fn hide_outcome(report: &mut Report) {
+    let second = |task: &str| task == "j.0.0.1";
+    let ended = report.ended.iter_mut().filter(|e| second(&e.task));
+    ended.for_each(|e| e.outcome = RunOutcome::Unknown);
+}
+
+/// Lists the second task of `ended_while_unreachable` in a row that does not decode.
+fn garble_row(report: &mut Report) {
+    let listed = report.ended.len();
+    report.ended.retain(|e| &*e.task != "j.0.0.1");
+    report.unreadable = listed - report.ended.len();
+}
+
+/// The worker forgot the completion with the next one that was acknowledged. Its task was missing
+/// from the worker, so it ran again.
+#[test]
+fn a_completion_that_does_not_decode_is_not_acknowledged_and_its_task_stays_placed() {
+    for edit in [hide_outcome, garble_row] {
+        let mut world = ended_while_unreachable();
+        let worker = world.workers.get_mut("w0").expect("worker");
+        worker.edit_report = edit;
+        worker.disconnected = false;
+        world.run(10_000);
+        assert_eq!(world.starts.len(), 4, "{:?}", world.starts);
+        assert_eq!(world.job_state("j"), Some(JobState::Running));
+        // Neither this owner nor the next one lets the worker forget it.
+        world.take_over(14_500);
+        world.run(20_000);
+        assert!(world.workers["w0"].holds_end_of("j.0.0.1"));
+        assert_eq!(world.starts.len(), 4, "{:?}", world.starts);
+        world.restart("w0");
+        world.send_directory();
+        world.run(5_000);
+        assert_eq!(world.starts.len(), 5, "its incarnation has ended");
+        assert_eq!(world.job_state("j"), Some(JobState::Completed));
+        assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
+    }
+}
+
+/// While a worker may not forget completions, each of its answers comes at once, and those of
+/// further runs might not fit into its reports.
+#[test]
+fn a_worker_that_holds_completions_is_polled_at_a_low_rate_and_not_filled_up() {
+    let mut world = ended_while_unreachable();
+    let worker = world.workers.get_mut("w0").expect("worker");
+    worker.edit_report = hide_outcome;
+    worker.disconnected = false;
+    world.script = |_, _| (20, RunOutcome::Done);
+    for number in 0..100 {
+        world.submit(&format!("more-{number}"), job(vec![step(4, 100)]));
+    }
+    world.run(30_000);
+    let held = world.workers["w0"].held_ends();
+    assert!((250..300).contains(&held), "{held} completions are held");
+    let polls = world.polls;
+    world.run(3_000);
+    let polls = world.polls - polls;
+    assert!((5..=12).contains(&polls), "{polls} polls in 3 s");
+}
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -87,6 +87,8 @@
     acknowledged: BTreeSet<String>,
     /// Number of failed runs under a lease that were acknowledged, by task.
     acknowledged_failures: BTreeMap<String, u32>,
+    /// Number of polls that were sent.
+    pub polls: usize,
     /// Last poll that was sent, by worker.
     pub last_polls: BTreeMap<Name, Poll>,
     /// Last start that was sent and its time, by worker.
@@ -227,6 +229,7 @@
             longest_breach: 0,
             acknowledged: BTreeSet::new(),
             acknowledged_failures: BTreeMap::new(),
+            polls: 0,
             last_polls: BTreeMap::new(),
             last_starts: BTreeMap::new(),
             rows: BTreeMap::new(),
@@ -436,6 +439,7 @@
                     continue;
                 }
                 Action::Poll(poll) => {
+                    self.polls += 1;
                     self.last_polls
                         .insert(poll.incarnation.id.clone(), poll.clone());
                     Call::Poll(poll)
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -98,6 +98,16 @@
         self.running.keys()
     }
 
+    /// Returns how many completions the worker holds that are not acknowledged.
+    pub fn held_ends(&self) -> usize {
+        self.unacknowledged.len()
+    }
+
+    /// Returns true when the worker holds a completion of a task that is not acknowledged.
+    pub fn holds_end_of(&self, task: &str) -> bool {
+        self.unacknowledged.iter().any(|e| &*e.task == task)
+    }
+
     /// Returns the running tasks with their start times.
     pub(super) fn start_times(&self) -> impl Iterator<Item = (&String, Millis)> {
         self.running
@@ -157,6 +167,7 @@
             boot: self.listing.boot,
             running: running.collect(),
             ended: self.unacknowledged.clone(),
+            unreadable: 0,
         };
         (self.edit_report)(&mut report);
         report
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -402,6 +402,7 @@
             && self.is_answering(now)
             && now >= self.quarantined_until
             && !self.unknown_runs
+            && !self.completions.is_backed_up()
             && !self.cordoned
             && !self.unverified
             && self.listing_is_current()
--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -99,6 +99,28 @@
     assert!(deployment.metric(owner, "worker_lives_total") >= Some(3));
 }
 
+/// The box dropped the row of a completion whose outcome it did not know, and acknowledged it with
+/// the next one. The task was then missing from its worker and ran again.
+#[test]
+fn a_completion_with_an_unknown_outcome_is_not_acknowledged() {
+    let deployment = Deployment::start(1, 1, TASK_DURATION);
+    let task = "00000000000000d2.0.0.1";
+    deployment.record().unknown_prefix = Some(task.into());
+    deployment.submit_until_accepted("00000000000000d2", 2);
+    wait_for("the end of the task", || {
+        deployment.record().done.contains(task)
+    });
+    for id in ["00000000000000d3", "00000000000000d4"] {
+        deployment.submit_until_accepted(id, 2);
+        deployment.wait_completed(id);
+    }
+    let duplicates = deployment.record().duplicates.clone();
+    assert!(duplicates.is_empty(), "{duplicates:?}");
+    assert_eq!(deployment.record().starts[task], 1);
+    assert!(!deployment.record().is_acknowledged(task));
+    assert_eq!(deployment.state(0, "00000000000000d2"), "running");
+}
+
 /// All boxes lose power right after they accepted a job, so that only the store has it.
 #[test]
 fn a_job_survives_a_power_loss_of_all_boxes() {
--- a/tests/platform/record.rs
+++ b/tests/platform/record.rs
@@ -107,6 +107,9 @@
     pub duplicates: Vec<Duplicate>,
     /// Prefix of the names of tasks that crash their workers; `None` if no task does.
     pub crash_prefix: Option<String>,
+    /// Prefix of the names of tasks whose ends are listed with an outcome that no owner knows;
+    /// `None` for no task.
+    pub unknown_prefix: Option<String>,
     /// Number of workers that each of these tasks has crashed.
     pub crashes: BTreeMap<String, u32>,
     /// Number of runs of each task that were lost in a restart of their worker.
@@ -178,6 +181,11 @@
         *self.lost_runs.entry(run.task.clone()).or_insert(0) += 1;
     }
 
+    /// Returns true when a task was done and its end was acknowledged.
+    pub fn is_acknowledged(&self, task: &str) -> bool {
+        self.acknowledged.contains(task)
+    }
+
     /// Records that the owner acknowledges at `now` the end of a run as done.
     pub fn acknowledge(&mut self, run: &TaskRun, now: Instant) {
         let task = run.task.clone();
