Completions of a job that an owner can't read are kept for one that can

Callers' tasks ran again after their end had been acknowledged, where one build could not decode a job's rows and the next owner could.

Cause: such a job is not loaded, so a completion of it names no known task. The owner took it for that of a removed job, and let the worker forget it at once. For the next owner the run was missing from its worker.

Now a completion is held, as one with an unknown outcome is, if its job is one of those that can't be decoded, or if the name is not that of any task. For an id that is neither open nor unreadable nothing needs to be stored: it is that of a removed or finished job, also while the history is still being read, as a finished job has no placed task.

Test on the code before:

completions_of_an_unreadable_job_are_kept_for_an_owner_that_can_read_it ... FAILED, panicked at src/sched/tests/completions.rs:118:5: ["torn.0.0.0 again as run 2 at 7365", "torn.0.0.1 again as run 2 at 7365", "torn.0.0.2 again as run 2 at 7365"]

The other uses of a name without a known task were read: runs of an unreadable job are not stopped (their name is neither that of an open job nor of a finished one), and their worker gets no new tasks while it reports them.

--- a/src/sched/completions.rs
+++ b/src/sched/completions.rs
@@ -1,8 +1,10 @@
 //! Completions of runs that workers report, and their effect on tasks, jobs and workers.
 
+use std::collections::BTreeSet;
+
 use super::completion_log::Coverage;
 use super::incarnation::Incarnation;
-use super::job::{Outcome, Phase, TaskKey};
+use super::job::{Outcome, Phase, TaskKey, parse_task_name};
 use super::journal::AfterCommit;
 use super::message::{EndedRun, RunOutcome};
 use super::owner::Owner;
@@ -55,7 +57,7 @@
         let EndedRun {
             task, run, outcome, ..
         } = completion;
-        if completion.outcome == RunOutcome::Unknown {
+        if completion.outcome == RunOutcome::Unknown || is_unreadable(&self.unreadable_jobs, task) {
             log::error!(target: "task", "task={task} run={run} event=unreadable-end worker={name} number={}", completion.number);
             worker.completions.hold(completion.number);
             return;
@@ -187,3 +189,9 @@
         }
     }
 }
+
+/// Returns true when this owner can't tell which task a name is of, or can't read its job. A later
+/// build may be able to.
+fn is_unreadable(unreadable_jobs: &BTreeSet<Name>, task: &str) -> bool {
+    parse_task_name(task).is_none_or(|(id, ..)| unreadable_jobs.contains(id))
+}
--- a/src/sched/tests/completions.rs
+++ b/src/sched/tests/completions.rs
@@ -98,3 +98,25 @@
     let polls = world.polls - polls;
     assert!((5..=12).contains(&polls), "{polls} polls in 3 s");
 }
+
+/// An owner that could not decode a job's row acknowledged the ends of its runs. For the next owner,
+/// which could, they were missing from the worker, and all tasks ran again.
+#[test]
+fn completions_of_an_unreadable_job_are_kept_for_an_owner_that_can_read_it() {
+    let mut world = World::new(1);
+    world.submit("torn", job(vec![step(3, 1_000)]));
+    world.run(300);
+    world.torn.insert("torn".into());
+    world.take_over(14_500);
+    world.run(3_000);
+    world.submit("whole", job(vec![step(3, 1_000)]));
+    world.run(3_000);
+    assert_eq!(world.job_state("whole"), Some(JobState::Completed));
+    world.torn.clear();
+    world.take_over(14_500);
+    world.run(5_000);
+    assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
+    assert_eq!(world.starts.len(), 6, "{:?}", world.starts);
+    assert_eq!(world.job_state("torn"), Some(JobState::Completed));
+    assert_eq!(world.workers["w0"].held_ends(), 0);
+}
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -54,6 +54,8 @@
     pub cordoned: Halls,
     /// True when the next owner gets no list of cordoned halls.
     pub cordons_withheld: bool,
+    /// Jobs whose rows the next owner can't decode.
+    pub torn: BTreeSet<Name>,
     /// True while no page of the finished jobs can be read.
     pub history_withheld: bool,
     /// Settings of the next owner.
@@ -213,6 +215,7 @@
             store_down: false,
             cordoned: Halls::new(),
             cordons_withheld: false,
+            torn: BTreeSet::new(),
             history_withheld: false,
             settings: SETTINGS,
             script: |_, _| (1_000, RunOutcome::Done),
@@ -356,6 +359,8 @@
         let journal = Journal::new(row, self.owner_version, self.now);
         let jobs = self.stored_jobs();
         self.owner = Owner::new(self.settings, journal, jobs, self.now + inherited, at);
+        let torn = self.torn.iter().cloned().collect();
+        self.owner.mark_unreadable(torn);
         self.read_history(self.epoch, None);
         if !self.cordons_withheld {
             self.handle(Event::Cordoned(self.cordoned.clone()));
@@ -375,12 +380,12 @@
         rows.map(|(_, id)| id.clone()).collect()
     }
 
-    /// Returns the jobs in the job table of the store, as a new owner loads them.
+    /// Returns the jobs in the job table of the store that a new owner can decode.
     fn stored_jobs(&self) -> Vec<StoredJob> {
         let jobs = self
             .rows
             .iter()
-            .filter(|((table, _), _)| *table == JOB_TABLE);
+            .filter(|((table, id), _)| *table == JOB_TABLE && !self.torn.contains(id));
         jobs.map(|((_, id), value)| {
             let spec = &self.rows[&(SPEC_TABLE, id.clone())];
             let row: JobRow = serde_json::from_slice(value).expect("row");
