Runs of a job that an owner can't read keep their lease

Callers lost the work of running tasks, and lasting tasks were away, where one build could not decode a job's rows.

Cause: a lease is extended only for workers with known tasks. The tasks of a job that can't be decoded are not known, so a worker with no others let its lease end after a takeover, and killed them, though the next owner could have continued them.

Now a worker's lease is also extended while it reports runs whose job can't be read. Runs of finished and of unknown jobs extend none, as before.

Test on the code before:

runs_of_an_unreadable_job_go_on ... FAILED panicked at src/sched/tests/completions.rs:135:5: assertion `left == right` failed, left: 0, right: 3

--- a/src/sched/completions.rs
+++ b/src/sched/completions.rs
@@ -1,10 +1,8 @@
 //! Completions of runs that workers report, and their effect on tasks, jobs and workers.
 
-use std::collections::BTreeSet;
-
 use super::completion_log::Coverage;
 use super::incarnation::Incarnation;
-use super::job::{Outcome, Phase, TaskKey, parse_task_name};
+use super::job::{Outcome, Phase, TaskKey};
 use super::journal::AfterCommit;
 use super::message::{EndedRun, RunOutcome};
 use super::owner::Owner;
@@ -41,6 +39,7 @@
 
     /// Handles the completion of a run that a worker reports.
     fn handle_completion(&mut self, name: &Name, completion: &EndedRun) {
+        let unreadable = self.is_unreadable_task(&completion.task);
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -57,7 +56,7 @@
         let EndedRun {
             task, run, outcome, ..
         } = completion;
-        if completion.outcome == RunOutcome::Unknown || is_unreadable(&self.unreadable_jobs, task) {
+        if unreadable || completion.outcome == RunOutcome::Unknown {
             log::error!(target: "task", "task={task} run={run} event=unreadable-end worker={name} number={}", completion.number);
             worker.completions.hold(completion.number);
             return;
@@ -189,9 +188,3 @@
         }
     }
 }
-
-/// Returns true when this owner can't tell which task a name is of, or can't read its job. A later
-/// build may be able to.
-fn is_unreadable(unreadable_jobs: &BTreeSet<Name>, task: &str) -> bool {
-    parse_task_name(task).is_none_or(|(id, ..)| unreadable_jobs.contains(id))
-}
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -76,8 +76,8 @@
             };
             // A silent worker may still carry out orders. Its lease is not extended, so that it
             // ends and the tasks can run elsewhere.
-            let extends =
-                confirmed && worker.is_incarnation_certain() && !worker.placements.is_empty();
+            let has_runs = worker.unreadable_runs || !worker.placements.is_empty();
+            let extends = confirmed && worker.is_incarnation_certain() && has_runs;
             let lease = match extends {
                 true => worker.grant_lease(span, now),
                 false => None,
@@ -251,8 +251,12 @@
             }
         }
         let address = self.workers.get(name).map(|w| w.listing.address);
+        let unreadable = unknown
+            .iter()
+            .any(|(_, run)| self.is_unreadable_task(&run.task));
         if let Some(worker) = self.workers.get_mut(name) {
             worker.unknown_runs = !unknown.is_empty();
+            worker.unreadable_runs = unreadable;
         }
         for (key, run) in unknown {
             log::warn!(target: "task", "task={} run={} event=unknown-run worker={name}", run.task, run.run);
@@ -296,6 +300,12 @@
         known || self.is_finished_task(task)
     }
 
+    /// Returns true when this owner can't tell which task a name is of, or can't read its job. A
+    /// later build may be able to.
+    pub(super) fn is_unreadable_task(&self, task: &str) -> bool {
+        parse_task_name(task).is_none_or(|(id, ..)| self.unreadable_jobs.contains(id))
+    }
+
     /// Returns the placement of a task on a worker if it is for this run.
     pub(super) fn placement_mut(
         &mut self,
--- a/src/sched/tests/completions.rs
+++ b/src/sched/tests/completions.rs
@@ -120,3 +120,22 @@
     assert_eq!(world.job_state("torn"), Some(JobState::Completed));
     assert_eq!(world.workers["w0"].held_ends(), 0);
 }
+
+/// The lease of a worker without known tasks is not extended, so the runs of a job that an owner
+/// could not decode ended with it, though a later owner might have continued them.
+#[test]
+fn runs_of_an_unreadable_job_go_on() {
+    let mut world = World::new(1);
+    world.script = |_, _| (60_000, RunOutcome::Done);
+    world.submit("torn", job(vec![step(3, 1_000)]));
+    world.run(300);
+    world.torn.insert("torn".into());
+    world.take_over(14_500);
+    world.run(20_000);
+    assert_eq!(world.running().len(), 3);
+    world.torn.clear();
+    world.take_over(14_500);
+    world.run(45_000);
+    assert_eq!(world.job_state("torn"), Some(JobState::Completed));
+    assert_eq!(world.starts.len(), 3, "{:?}", world.starts);
+}
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -136,6 +136,8 @@
     pub cordoned: bool,
     /// True while the worker reports runs that the owner does not know.
     pub unknown_runs: bool,
+    /// True while the worker reports runs whose job the owner can't read.
+    pub unreadable_runs: bool,
     /// Resources of the worker that are kept for a waiting task.
     pub reservation: Option<Reservation>,
     /// Job of the suspects on the worker. No other tasks are started beside them: a crash
@@ -175,6 +177,7 @@
             quarantined_until: 0,
             cordoned: false,
             unknown_runs: false,
+            unreadable_runs: false,
             reservation: None,
             isolated_job: None,
             recently_ended: RecentlyEnded::default(),
