No start is sent on the answer to a commit that is older than the leases allow

A next owner waits for the leases of its predecessor for a fixed time after the predecessor's last confirmation by the store. Polls extend no lease beyond that; starts did not look at it. A box that was stopped for 10 s between a commit and the handling of its answer granted a lease with the start after that time, so the next owner could start the task elsewhere while this run went on.

`a_start_whose_commit_was_confirmed_too_long_ago_is_withdrawn` on the code before:

[[Poll(Poll { .. lease: None ..})], [Reply(1, Accepted), Start(Start { .. run: 1 .. lease: 5550, epoch: 1 ..})]]

Polls and starts now ask the same question (`may_grant_leases`). The caller's job is accepted as before: the commit did take effect. A worker that has not answered since the pause gets no start anyway; here its answer lay in the socket as well, and made it seem to answer.

--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -264,6 +264,13 @@
         self.journal.last_confirmed()
     }
 
+    /// Returns true while this owner may grant and extend leases: the next owner waits for leases
+    /// that this one granted for some time after its last confirmation.
+    pub(super) fn may_grant_leases(&self) -> bool {
+        let confirmed = self.journal.last_confirmed() + self.settings.max_unconfirmed;
+        self.now.steady < confirmed && !self.is_releasing()
+    }
+
     /// Returns true once another box owns the cell.
     pub fn is_deposed(&self) -> bool {
         self.deposed
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -66,7 +66,7 @@
     /// Sends the polls that are due.
     pub(super) fn poll_due_workers(&mut self) {
         let now = self.now.steady;
-        let confirmed = now < self.journal.last_confirmed() + self.settings.max_unconfirmed;
+        let may_grant = self.may_grant_leases();
         let (span, epoch) = (self.settings.lease_length, self.journal.epoch());
         let mixed_wait = MIXED_POLL_WAIT * (self.workers.len() as u64).max(MIXED_POLL_WORKERS)
             / MIXED_POLL_WORKERS;
@@ -77,7 +77,7 @@
             // A silent worker may still carry out orders. Its lease is not extended, so that it
             // ends and the tasks can run elsewhere.
             let has_runs = worker.unreadable_runs || !worker.placements.is_empty();
-            let extends = confirmed && worker.is_incarnation_certain() && has_runs;
+            let extends = may_grant && worker.is_incarnation_certain() && has_runs;
             let lease = match extends {
                 true => worker.grant_lease(span, now),
                 false => None,
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -43,7 +43,8 @@
             return;
         };
         let (now, span) = (self.now.steady, self.settings.lease_length);
-        let releasing = self.is_releasing();
+        // The answer to the commit may have waited while this box was paused.
+        let may_grant = self.may_grant_leases();
         let permit = self.permit_token(key, &name);
         let Some(worker) = self.workers.get_mut(&name) else {
             return;
@@ -59,14 +60,14 @@
         // A best-effort task starts at full speed, which would prolong a breach of a latency
         // target.
         let over_target = current.is_some_and(|s| s.best_effort) && worker.is_over_target();
-        let lease = match worker.accepts_tasks(now) && fits && !over_target && !releasing {
+        let lease = match worker.accepts_tasks(now) && fits && !over_target && may_grant {
             true => worker.grant_lease(span, now),
             false => None,
         };
         let (Some(lease), Some(permit), Some(placement)) =
             (lease, permit, worker.placements.get_mut(&key))
         else {
-            log::info!(target: "task", "task={} run={run} event=withdrawn worker={name} fits={fits} cordoned={cordoned} over_target={over_target}", job.task_name(key));
+            log::info!(target: "task", "task={} run={run} event=withdrawn worker={name} fits={fits} cordoned={cordoned} over_target={over_target} may_grant={may_grant}", job.task_name(key));
             crate::metrics::get().withdrawn_starts.inc();
             self.release_task(key);
             return;
--- a/src/sched/tests/suspension.rs
+++ b/src/sched/tests/suspension.rs
@@ -2,7 +2,7 @@
 
 use super::world::{SETTINGS, World, job, lasting, step};
 use crate::sched::job::JobState;
-use crate::sched::message::{Action, Event, RunOutcome};
+use crate::sched::message::{Action, CommitOutcome, Event, Reply, Report, RunOutcome};
 use crate::sched::owner::Now;
 
 /// Returns a world of three workers that run six tasks of 9 s and three lasting tasks.
@@ -72,3 +72,34 @@
         }
     }
 }
+
+/// The answer to a commit lies in the socket while the box is suspended, and so does the answer to
+/// a poll, which makes the worker seem to answer when it is handled first.
+#[test]
+fn a_start_whose_commit_was_confirmed_too_long_ago_is_withdrawn() {
+    let mut world = World::new(1);
+    world.run(500);
+    world.submit("late", job(vec![step(1, 500)]));
+    while world.owner.journal.next_due().is_some() {
+        world.run(1);
+    }
+    let poll = world.last_polls["w0"].clone();
+    let report = Report {
+        clock: world.now,
+        boot: Some(1),
+        ..Report::default()
+    };
+    let later = world.now + SETTINGS.max_unconfirmed + 100;
+    let resumed = Now {
+        steady: later,
+        wall: later,
+    };
+    let (number, stored) = (world.last_commit, CommitOutcome::Done(world.version + 1));
+    let answers = [
+        Event::Polled(poll, Reply::Ok(report)),
+        Event::CommitEnded(number, stored),
+    ];
+    let handled = answers.map(|event| world.owner.handle_event(event, resumed));
+    let started = |action: &Action| matches!(action, Action::Start(_));
+    assert!(!handled.iter().flatten().any(started), "{handled:?}");
+}
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -91,6 +91,8 @@
     acknowledged_failures: BTreeMap<String, u32>,
     /// Number of polls that were sent.
     pub polls: usize,
+    /// Number of the last commit that was sent.
+    pub last_commit: u64,
     /// Last poll that was sent, by worker.
     pub last_polls: BTreeMap<Name, Poll>,
     /// Last start that was sent and its time, by worker.
@@ -233,6 +235,7 @@
             acknowledged: BTreeSet::new(),
             acknowledged_failures: BTreeMap::new(),
             polls: 0,
+            last_commit: 0,
             last_polls: BTreeMap::new(),
             last_starts: BTreeMap::new(),
             rows: BTreeMap::new(),
@@ -467,7 +470,10 @@
                     number,
                     version,
                     writes,
-                } => Call::Commit(number, version, writes),
+                } => {
+                    self.last_commit = number;
+                    Call::Commit(number, version, writes)
+                }
             };
             self.send(call);
         }
