Reports are ordered with starts, stops and polls by a sequence, not by the clock

On real machines a call takes a tenth of a millisecond, so the answer to a stop, a report and the next poll fall into the same one. The owner compared times of handling in milliseconds, equal ones included, so a report from before an event counted as one after it:

- A run ended as done between the report and the stop.
The report, which lists neither the run nor its end, came after the answer to the stop and released the task as a run that never began.
It was started elsewhere, and the next report brought its end as done: callers saw a task run again that was done.
- A report from before the answer to a start put the confirmed run in doubt, and it was stopped.
- Polls were told apart by their millisecond: the answer to one that had been superseded, by a poll sent because of a sign of another incarnation, counted as the answer to the later one and removed the doubt.

The tests on the code before:

a_report_from_before_a_stop_does_not_release_a_run_that_was_done assertion failed: instant.world.owner.placed_on.contains_key(&KEY) a_report_from_before_the_answer_to_a_start_stops_no_run ["stop"] the_answer_to_a_superseded_poll_does_not_verify_an_incarnation assertion failed: instant.world.owner.workers["w0"].unverified

The owner now counts the events that it handles and the polls that it sends. A poll sent after an event has a higher position in any clock reading, and only its report shows the state after that event. It also identifies the poll, and orders the first report of a worker with the last one of another at its address.

--- a/benches/orders.rs
+++ b/benches/orders.rs
@@ -9,6 +9,7 @@
 use willowpoint::platform::worker::Workers;
 use willowpoint::sched::incarnation::Incarnation;
 use willowpoint::sched::message::{Poll, Reply};
+use willowpoint::sched::sequence::Sequence;
 
 /// Number of measured polls.
 const POLLS: usize = 20_000;
@@ -69,6 +70,7 @@
                 boot: None,
                 clock: 0,
             },
+            sequence: Sequence::default(),
             sent: 0,
             address,
             lease: Some(486_000),
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -9,7 +9,8 @@
 //!   workers by `scoring`, with `gang`, `permits` and `preemption`. `placement` describes a placed
 //!   task.
 //! - Runs: `starts` and `late_starts` start and stop them, `reports` reconciles them with what
-//!   workers report, `completions` ends them (with `completion_log`), and `crashes` finds tasks that crash workers.
+//!   workers report in the order of `sequence`, `completions` ends them (with `completion_log`),
+//!   and `crashes` finds tasks that crash workers.
 //! - Workers: `worker` holds the state of one, `directory` and `lost_workers` add and remove them,
 //!   `incarnation` distinguishes their restarts, `poll_schedule` decides when they are polled,
 //!   `cordon` excludes halls, and `addresses` finds workers by address.
@@ -56,6 +57,7 @@
 mod reports;
 mod requests;
 mod scoring;
+pub mod sequence;
 pub mod spec;
 mod starts;
 mod swaps;
--- a/src/sched/incarnation.rs
+++ b/src/sched/incarnation.rs
@@ -247,7 +247,7 @@
     pub(super) fn end_others_at_address(&mut self, name: &Name, poll: &Poll) {
         for other in self.others_at_address(poll.address, name) {
             let known = &self.workers[&other];
-            if known.is_replaced_at(poll.address) && known.last_answer < poll.sent {
+            if known.is_replaced_at(poll.address) && known.last_report < poll.sequence {
                 self.end_incarnation(&other, IncarnationEnd::Replaced);
             } else {
                 self.verify_incarnation(&other, "answer-of-another");
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -8,6 +8,7 @@
 use super::history::HistoryPage;
 use super::incarnation::{BootTime, Incarnation};
 use super::job::{JobState, Queue, StepKey, TaskKey};
+use super::sequence::Sequence;
 use super::spec::JobSpec;
 use super::worker::Listing;
 use crate::cordons::Halls;
@@ -300,6 +301,8 @@
 pub struct Poll {
     /// The worker's incarnation that the poll is meant for.
     pub incarnation: Incarnation,
+    /// Position of the poll among all polls and events; identifies it.
+    pub sequence: Sequence,
     /// When the poll was sent, in milliseconds on the clock of this box.
     pub sent: Millis,
     /// Address of the worker.
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -16,6 +16,7 @@
 use super::placement::Placement;
 use super::poll_schedule::PollSchedule;
 use super::scoring::Ranking;
+use super::sequence::Sequence;
 use super::spec::JobSpec;
 use super::starts::Deferral;
 use super::worker::{Worker, max_lease_duration};
@@ -124,6 +125,8 @@
     pub(super) actions: Vec<Action>,
     /// The clocks at the current event.
     pub(super) now: Now,
+    /// Position of the last handled event or sent poll.
+    pub(super) sequence: Sequence,
     /// When all leases granted by earlier owners have certainly ended.
     pub(super) inherited_leases_end: Millis,
     /// True after a placement pass that placed nothing, until the state changes.
@@ -198,6 +201,7 @@
             workers_examined: 0,
             actions: Vec::new(),
             now,
+            sequence: Sequence::default(),
             inherited_leases_end,
             saturated: false,
             next_pass: 0,
@@ -324,6 +328,7 @@
     /// Processes an event and returns the actions to carry out.
     pub fn handle_event(&mut self, event: Event, now: Now) -> Vec<Action> {
         self.now = now;
+        self.sequence.advance();
         match event {
             Event::Request(ticket, request) => self.handle_request(ticket, request),
             Event::Directory(listings) => self.replace_directory(listings),
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -3,6 +3,7 @@
 use super::breaches::Breach;
 use super::incarnation::BootTime;
 use super::interference::ImageNumber;
+use super::sequence::Sequence;
 use super::spec::Resources;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -17,12 +18,12 @@
     Recording,
     /// The start was sent and has no answer yet.
     Starting,
-    /// The worker confirmed the run at this time.
-    Running(Millis),
+    /// The worker confirmed the run in this event.
+    Running(Sequence),
     /// The task may be running or may still be started, which only a stop can settle.
     Doubt,
-    /// A stop was answered at this time; a later report says how the run ended.
-    Stopped(Millis),
+    /// A stop was answered in this event; the report of a later poll says how the run ended.
+    Stopped(Sequence),
     /// A stop of a running task was sent at this time.
     Stopping(Millis),
 }
@@ -77,11 +78,11 @@
 }
 
 impl Placement {
-    /// Records that the worker reported the run.
-    pub fn confirm(&mut self, now: Millis) {
+    /// Records that the worker reported the run in the event `at`.
+    pub fn confirm(&mut self, at: Sequence, now: Millis) {
         self.confirmed_at.get_or_insert(now);
         if matches!(self.stage, Stage::Inherited | Stage::Starting) {
-            self.stage = Stage::Running(now);
+            self.stage = Stage::Running(at);
         }
     }
 
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -94,9 +94,11 @@
             } else {
                 mixed_wait
             };
-            worker.poll = PollState::InFlight(now);
+            let sequence = self.sequence.advance();
+            worker.poll = PollState::InFlight(sequence);
             self.actions.push(Action::Poll(Poll {
                 incarnation: worker.incarnation(),
+                sequence,
                 sent: now,
                 address: worker.listing.address,
                 lease,
@@ -118,7 +120,7 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        if worker.poll != PollState::InFlight(poll.sent) {
+        if worker.poll != PollState::InFlight(poll.sequence) {
             log::debug!(target: "worker", "worker={name} event=overtaken sent={}", poll.sent);
             return;
         }
@@ -191,11 +193,12 @@
         }
         worker.record_clock(report.clock, now);
         worker.answered_at = Some(poll.address);
-        self.apply_report(name, poll.sent, report);
+        worker.last_report = self.sequence;
+        self.apply_report(name, poll, report);
     }
 
     /// Applies a report: first the completions, then the running tasks and their gauges.
-    fn apply_report(&mut self, name: &Name, sent: Millis, report: Report) {
+    fn apply_report(&mut self, name: &Name, poll: &Poll, report: Report) {
         let coverage = match report.ended.len() < MAX_COMPLETIONS {
             _ if report.unreadable > 0 => Coverage::Partial,
             true => Coverage::All,
@@ -205,7 +208,7 @@
         let held = self.held_runs(name, &report.ended);
         let running: Vec<ReportedRun<'_>> =
             report.running.iter().map(|r| self.resolve_run(r)).collect();
-        self.reconcile_runs(name, sent, &running, held, coverage);
+        self.reconcile_runs(name, poll, &running, held, coverage);
         self.clear_suspects(name);
         self.adjust_speeds(name, &running);
         let worker = self.workers.get(name);
@@ -235,7 +238,7 @@
     fn reconcile_runs(
         &mut self,
         name: &Name,
-        sent: Millis,
+        poll: &Poll,
         running: &[ReportedRun<'_>],
         held: BTreeSet<TaskKey>,
         coverage: Coverage,
@@ -268,7 +271,7 @@
             self.send_stop_by_name(key, run.run, task, name.clone(), address);
         }
         if coverage == Coverage::All {
-            self.handle_missing_runs(name, sent, &listed);
+            self.handle_missing_runs(name, poll, &listed);
         }
     }
 
@@ -319,12 +322,12 @@
 
     /// Records that a worker reports a run; returns false when the run should not be there.
     fn confirm_run(&mut self, name: &Name, key: TaskKey, run: &ActiveRun) -> bool {
-        let now = self.now.steady;
+        let (now, sequence) = (self.now.steady, self.sequence);
         let Some(placement) = self.placement_mut(name, key, run.run) else {
             return false;
         };
         let inherited = placement.stage == Stage::Inherited;
-        placement.confirm(now);
+        placement.confirm(sequence, now);
         placement.reported_ready = run.progress == FULL_SPEED;
         self.mark_begun(key);
         let Some(job) = self.jobs.get(&key.job) else {
@@ -343,8 +346,9 @@
         true
     }
 
-    /// Releases or stops the tasks that are placed on a worker and missing from its report.
-    fn handle_missing_runs(&mut self, name: &Name, sent: Millis, listed: &BTreeSet<TaskKey>) {
+    /// Releases or stops the tasks that are placed on a worker and missing from its report. The
+    /// report shows the state after an event only if its poll was sent after that event.
+    fn handle_missing_runs(&mut self, name: &Name, poll: &Poll, listed: &BTreeSet<TaskKey>) {
         let inherited_lapsed = self.now.steady > self.inherited_leases_end;
         let Some(worker) = self.workers.get_mut(name) else {
             return;
@@ -363,22 +367,23 @@
                 // A later incarnation has the run, perhaps at another address.
                 Stage::Inherited if order == BootOrder::Later && !inherited_lapsed => {}
                 Stage::Inherited => ended.push(*key),
-                Stage::Stopped(at) if at <= sent => ended.push(*key),
-                Stage::Running(at) if at <= sent => {
+                Stage::Stopped(at) if at < poll.sequence => ended.push(*key),
+                Stage::Running(at) if at < poll.sequence => {
                     placement.stage = Stage::Doubt;
-                    doubtful.push((*key, placement.run, at));
+                    doubtful.push((*key, placement.run, placement.confirmed_at));
                 }
                 _ => {}
             }
         }
         for (key, run, confirmed_at) in doubtful {
-            let (task, age) = (self.task_name(key), self.now.steady - confirmed_at);
+            let age = confirmed_at.map_or(0, |at| self.now.steady - at);
+            let task = self.task_name(key);
             log::info!(target: "task", "task={task} run={run} event=missing worker={name} age_ms={age}");
             self.stop_task(key);
         }
         self.record_unseen_crashes(&unseen, name);
         for key in ended.into_iter().chain(unseen) {
-            self.log_unreported_run(name, key, sent);
+            self.log_unreported_run(name, key, poll.sent);
             self.release_task(key);
         }
     }
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -119,7 +119,7 @@
         incarnation: &Incarnation,
         reply: Reply<OrderAck>,
     ) {
-        let now = self.now.steady;
+        let (now, sequence) = (self.now.steady, self.sequence);
         let name = &incarnation.id;
         if reply == Reply::Lost {
             self.add_late_start(key, run, incarnation);
@@ -132,7 +132,7 @@
         };
         match reply {
             Reply::Ok(_) => {
-                placement.confirm(now);
+                placement.confirm(sequence, now);
                 self.mark_begun(key);
                 self.halt_run(name, key);
             }
@@ -223,7 +223,7 @@
         incarnation: &Incarnation,
         reply: Reply<OrderAck>,
     ) {
-        let now = self.now.steady;
+        let (now, sequence) = (self.now.steady, self.sequence);
         let name = &incarnation.id;
         if !self.accept_reply(incarnation, &reply) {
             return;
@@ -235,7 +235,7 @@
             return;
         };
         match reply {
-            Reply::Ok(_) => placement.stage = Stage::Stopped(now),
+            Reply::Ok(_) => placement.stage = Stage::Stopped(sequence),
             // The stop is sent again while the worker answers its polls.
             Reply::Lost | Reply::NotSent | Reply::NotListening => {
                 placement.stage = Stage::Stopping(now)
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -24,6 +24,7 @@
 mod random;
 mod resizing;
 mod rolling_restart;
+mod sequence;
 mod suspension;
 mod swaps;
 mod takeover;
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -10,6 +10,7 @@
 use super::placement::{Gauge, Placement};
 use super::preemption::Reservation;
 use super::recently_ended::RecentlyEnded;
+use super::sequence::Sequence;
 use super::spec::Resources;
 use super::throttling::FULL_SPEED;
 use crate::utils::Name;
@@ -71,8 +72,8 @@
 pub(super) enum PollState {
     /// The next poll is due at this time.
     Due(Millis),
-    /// The poll sent at this time has no answer yet.
-    InFlight(Millis),
+    /// The poll with this position has no answer yet.
+    InFlight(Sequence),
 }
 
 /// Whether the directory lists a worker.
@@ -126,6 +127,8 @@
     pub last_answer: Millis,
     /// Address at which the known incarnation last answered a poll; none if it never did.
     pub answered_at: Option<SocketAddr>,
+    /// Event in which the known incarnation last answered a poll.
+    pub last_report: Sequence,
     /// Completions that the worker has reported.
     pub completions: CompletionLog,
     /// Consecutive failed runs.
@@ -172,6 +175,7 @@
             missed_polls: 0,
             last_answer: 0,
             answered_at: None,
+            last_report: Sequence::default(),
             completions: CompletionLog::default(),
             failures: 0,
             quarantined_until: 0,
