A test that replies which arrived while the box was stopped are read, not timed out

No fault was found: the timer of a call and the readiness of its socket are seen in the same turn of the event loop after a pause, and the call is polled before its timer, also where the reply comes in two parts and where the connection is still being opened when the pause begins. The test guards that; it passes on the code before as well.

--- a/src/web/tests.rs
+++ b/src/web/tests.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
 
 use http::HeaderMap;
 
@@ -173,3 +174,49 @@
     })
     .unwrap();
 }
+
+/// Blocks the thread of all tasks, as a box that is stopped for a while does.
+async fn stop_box(after: u64, millis: u64) {
+    monoio::time::sleep(Duration::from_millis(after)).await;
+    std::thread::sleep(Duration::from_millis(millis));
+}
+
+/// Starts a server that sends its reply in two parts, the second one some milliseconds later.
+fn slow_server(millis: u64) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut buffer = [0; 1_024];
+            let _ = stream.read(&mut buffer);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nok");
+            std::thread::sleep(Duration::from_millis(millis));
+            let _ = stream.write_all(b"ok");
+        }
+    });
+    address
+}
+
+/// The timeout of the call ends while the box is stopped, before it has read the reply.
+#[test]
+fn a_reply_that_arrived_while_the_box_was_stopped_is_not_lost() {
+    let request = || Request {
+        method: http::Method::GET,
+        uri: "/".parse().unwrap(),
+        headers: headers(&[("host", "x")]),
+        body: bytes::Bytes::new(),
+    };
+    for stopped_after in [0, 5, 20, 50] {
+        let pool = Pool::new(1 << 10);
+        let address = slow_server(30);
+        crate::program::block_on(async {
+            let call =
+                monoio::spawn(async move { pool.call(address, request(), 100, || true).await });
+            stop_box(stopped_after, 300).await;
+            let reply = call.await;
+            assert!(reply.is_ok(), "{stopped_after} ms: {:?}", reply.err());
+        })
+        .unwrap();
+    }
+}
