Tests that begin or end a term do not run at the same time

The tests of the end of a term changed the metrics of the process while the test of the cleared gauges read them: it failed with `left: 2, right: 1` for the count of deposed owners. These tests hold a lock now, and that one compares the count with the one before it, to the same difference.

--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -2,6 +2,8 @@
 
 mod change_of_owner;
 
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
 use futures::channel::mpsc::{self, UnboundedReceiver};
 
 use super::downtime::Downtime;
@@ -22,6 +24,14 @@
 use crate::sched::spec::{JobSpec, StepSpec};
 use crate::table::{Row, encode};
 
+/// Held by tests that begin or end a term, as all terms of a process share its metrics.
+static TERMS: Mutex<()> = Mutex::new(());
+
+/// Returns the guard of a test that begins or ends a term.
+fn lock_terms() -> MutexGuard<'static, ()> {
+    TERMS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns a row of the store with a key and a value.
 fn row(key: &str, value: bytes::Bytes) -> Row {
     Row {
@@ -113,6 +123,12 @@
 
 #[test]
 fn the_gauges_of_an_owner_are_cleared_at_the_end_of_its_term() {
+    let _terms = lock_terms();
+    let metrics = metrics::get();
+    let ends = metrics
+        .owner_ends
+        .get_or_create(&OwnerEndLabel { reason: "deposed" });
+    let ends_before = ends.get();
     let mut owner = owner(1_000);
     let mut term = Term::begin(7, 300, 1_300);
     term.record_lateness(250, 1_400);
@@ -122,7 +138,6 @@
     });
     term.update_gauges(&owner, 2_500);
     term.update_gauges(&owner, 3_000);
-    let metrics = metrics::get();
     let gauges = || {
         [
             metrics.owner_epoch.get(),
@@ -141,10 +156,7 @@
         300,
         "the time of the last load stays"
     );
-    let ends = metrics
-        .owner_ends
-        .get_or_create(&OwnerEndLabel { reason: "deposed" });
-    assert_eq!(ends.get(), 1);
+    assert_eq!(ends.get() - ends_before, 1);
 }
 
 #[test]
--- a/src/daemon/tests/change_of_owner.rs
+++ b/src/daemon/tests/change_of_owner.rs
@@ -7,7 +7,7 @@
 use futures::channel::oneshot;
 use monoio::time::sleep;
 
-use super::{owner, owner_row, shared_state, shared_with_messages};
+use super::{lock_terms, owner, owner_row, shared_state, shared_with_messages};
 use crate::daemon::follower::is_vacant;
 use crate::daemon::message::Message;
 use crate::daemon::peers::{self, handle_ping};
@@ -80,6 +80,7 @@
 
 #[test]
 fn an_owner_that_has_answered_that_it_ended_sends_no_order_of_queued_events() {
+    let _terms = lock_terms();
     block_on(async {
         let shared = serving_box().await;
         let ((first, first_address), (second, second_address)) = (listener(), listener());
@@ -106,6 +107,7 @@
 
 #[test]
 fn a_deposed_owner_answers_no_queued_request() {
+    let _terms = lock_terms();
     block_on(async {
         let shared = serving_box().await;
         let before = send_query(&shared, "j");
