A commit without an answer is looked up in the row of its own term only

What callers could see: nothing in the present code, as the outcome of a commit is dropped once its term has ended. A commit of an earlier term of the process counted as done as soon as the row of a later term of the same process had as high a count of commits.

Cause: the lookup compared the box and its incarnation, and not the epoch, while each term counts its commits anew.

Evidence: the test fails without the change of `commits.rs`:

a_commit_without_an_answer_is_found_in_the_row_of_its_own_term_only: left: Done(9) right: Unknown

The other tests pass without a change and hold what was found right by reading: events of an earlier term do not reach a later one of the same process, and an owner whose load was ended by a ping of a later one never begins.

--- a/src/daemon/commits.rs
+++ b/src/daemon/commits.rs
@@ -8,7 +8,7 @@
 
 use super::owner_row::read_owner;
 use super::shared::{STORE_PART, Shared};
-use crate::sched::journal::{OWNER_KEY, OWNER_TABLE};
+use crate::sched::journal::{OWNER_KEY, OWNER_TABLE, OwnerRow};
 use crate::sched::message::{CommitOutcome, Write};
 use crate::utils::clock::{self, Millis};
 
@@ -36,13 +36,14 @@
         .await
 }
 
-/// Makes commit `number` of the owner in this process.
+/// Makes commit `number` of the owner of `epoch` in this process.
 ///
 /// If no answer comes within `answer_wait` milliseconds, reads the owner's row. The row may show
 /// that the commit took effect; if not, a fast read shows that the answer was lost. If reads are
 /// slow as well, the store is slow, and a retry would only queue behind the first commit.
 pub async fn commit_as_owner(
     shared: &Shared,
+    epoch: u64,
     number: u64,
     version: u64,
     writes: &[Write],
@@ -55,6 +56,10 @@
     }
     // The silence may come from a dead connection rather than from the store.
     shared.store.reconnect();
+    let is_stored = |row: &OwnerRow| {
+        // A later term of this process numbers its commits anew.
+        shared.is_own_row(row) && row.epoch == epoch && row.seq >= number
+    };
     loop {
         let asked = clock::now();
         let stored = match select(commit.as_mut(), pin!(read_owner(shared))).await {
@@ -63,7 +68,7 @@
         };
         let took = clock::now() - asked;
         match stored {
-            Ok(Some(stored)) if shared.is_own_row(&stored.row) && stored.row.seq >= number => {
+            Ok(Some(stored)) if is_stored(&stored.row) => {
                 log::info!(target: "store", "event=commit-found number={number} version={}", stored.version);
                 return CommitOutcome::Done(stored.version);
             }
--- a/src/daemon/owner_task.rs
+++ b/src/daemon/owner_task.rs
@@ -257,7 +257,8 @@
                 let answer_wait = self.answer_wait;
                 spawn_call(shared, epoch, async move |shared| {
                     let outcome =
-                        commit_as_owner(&shared, number, version, &writes, answer_wait).await;
+                        commit_as_owner(&shared, epoch, number, version, &writes, answer_wait)
+                            .await;
                     Event::CommitEnded(number, outcome)
                 });
             }
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -2,6 +2,7 @@
 
 mod change_of_owner;
 
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use futures::channel::mpsc::{self, UnboundedReceiver};
@@ -192,9 +193,15 @@
 
 /// Returns the state of a box without a configuration, and the messages to its owner's task.
 fn shared_with_messages() -> (Shared, UnboundedReceiver<Message>) {
+    shared_with_store(([127, 0, 0, 1], 4).into())
+}
+
+/// Returns the same for a box that uses the store at this address.
+fn shared_with_store(store: SocketAddr) -> (Shared, UnboundedReceiver<Message>) {
     let text = "[box]\nname = \"b\"\nhall = \"h1\"\nweb = \"127.0.0.1:1\"\n\
         admin = \"127.0.0.1:2\"\nrpc = \"127.0.0.1:3\"\n[platform]\nstore = \"127.0.0.1:4\"\n";
-    let settings = daemon::parse("b.toml", text).expect("settings");
+    let mut settings = daemon::parse("b.toml", text).expect("settings");
+    settings.store = store;
     let (owner_sender, messages) = mpsc::unbounded();
     let (check_sender, _) = mpsc::unbounded();
     (
--- a/src/daemon/tests/change_of_owner.rs
+++ b/src/daemon/tests/change_of_owner.rs
@@ -4,10 +4,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use futures::channel::oneshot;
+use http::{Method, StatusCode};
 use monoio::time::sleep;
+use serde_json::json;
 
-use super::{lock_terms, owner, owner_row, shared_state, shared_with_messages};
+use super::{lock_terms, owner, owner_row, shared_state, shared_with_messages, shared_with_store};
+use crate::daemon::commits::commit_as_owner;
 use crate::daemon::follower::is_vacant;
 use crate::daemon::message::Message;
 use crate::daemon::peers::{self, handle_ping};
@@ -22,6 +27,10 @@
 use crate::sched::message::{Answer, CommitOutcome, DirectoryEntry, Event, JobRequest};
 use crate::sched::spec::Resources;
 use crate::sched::worker::Listing;
+use crate::table::encode;
+use crate::utils::drain::Drain;
+use crate::web::server::{Limits, serve};
+use crate::web::{Reply, Request};
 
 /// Epoch of the owner in this process.
 const EPOCH: u64 = 7;
@@ -32,17 +41,19 @@
 async fn serving_box() -> Rc<Shared> {
     let (shared, messages) = shared_with_messages();
     let shared = Rc::new(shared);
-    shared.set_loading(Some(Loading {
-        epoch: EPOCH,
-        pages: 0,
-    }));
-    let owner = owner(shared::now().steady);
-    shared.send_to_owner(Message::Begin(Box::new(owner), EPOCH, 0));
     monoio::spawn(owner_task::run(shared.clone(), messages));
-    while shared.local_epoch().is_none() {
+    begin(&shared, EPOCH).await;
+    shared
+}
+
+/// Begins the term of an epoch.
+async fn begin(shared: &Shared, epoch: u64) {
+    shared.set_loading(Some(Loading { epoch, pages: 0 }));
+    let owner = owner(shared::now().steady);
+    shared.send_to_owner(Message::Begin(Box::new(owner), epoch, 0));
+    while shared.local_epoch() != Some(epoch) {
         sleep(Duration::from_millis(1)).await;
     }
-    shared
 }
 
 /// Sends the owner's task a query of a job; the receiver gets the answer, if there is one.
@@ -176,3 +187,103 @@
     })
     .expect("runtime");
 }
+
+#[test]
+fn events_of_an_earlier_term_do_not_reach_the_next_one_of_the_same_process() {
+    let _terms = lock_terms();
+    block_on(async {
+        let shared = serving_box().await;
+        let (listener, address) = listener();
+        let ping = PingRequest {
+            epoch: EPOCH + 1,
+            ..PingRequest::default()
+        };
+        handle_ping(&shared, &ping);
+        begin(&shared, EPOCH + 2).await;
+        send_listing(&shared, "w1", address);
+        assert!(send_query(&shared, "j").await.is_ok(), "an owner answers");
+        sleep(CONNECT_TIME).await;
+        assert!(listener.accept().is_err(), "the later term polled a worker");
+    })
+    .expect("runtime");
+}
+
+#[test]
+fn an_owner_whose_load_a_later_one_has_ended_never_begins() {
+    block_on(async {
+        let (shared, messages) = shared_with_messages();
+        let shared = Rc::new(shared);
+        monoio::spawn(owner_task::run(shared.clone(), messages));
+        shared.set_loading(Some(Loading {
+            epoch: EPOCH,
+            pages: 3,
+        }));
+        let owner = owner(shared::now().steady);
+        shared.send_to_owner(Message::Begin(Box::new(owner), EPOCH, 0));
+        let ping = PingRequest {
+            epoch: EPOCH + 1,
+            ..PingRequest::default()
+        };
+        let reply = handle_ping(&shared, &ping);
+        assert_eq!((reply.owner, reply.loading), (false, 0));
+        assert!(send_query(&shared, "j").await.is_err(), "an owner answers");
+        assert_eq!(shared.local_epoch(), None);
+    })
+    .expect("runtime");
+}
+
+/// Serves as a store that never answers a commit, and in which `row` is the owner's row.
+async fn serve_store(row: OwnerRow) -> SocketAddr {
+    let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("listener");
+    let address = listener.local_addr().expect("address");
+    let value = STANDARD.encode(encode(&row));
+    let rows = json!({ "rows": [{ "key": "owner", "value": value, "ver": 9 }], "ver": 9 });
+    let limits = Limits {
+        head: 16 << 10,
+        body: 1 << 20,
+        connections: 10,
+        idle: 10_000,
+    };
+    let handle = move |request: Request| {
+        let rows = rows.to_string();
+        async move {
+            if request.method == Method::POST {
+                sleep(Duration::from_secs(60)).await;
+            }
+            Reply::text(StatusCode::OK, rows)
+        }
+    };
+    monoio::spawn(serve(listener, limits, Drain::never(), handle));
+    address
+}
+
+/// Returns the outcome of commit 3 of the owner of `EPOCH`, which gets no answer, where the store
+/// holds a row of this process with these numbers.
+async fn outcome_without_answer(epoch: u64, seq: u64) -> CommitOutcome {
+    let own = shared_state();
+    let row = OwnerRow {
+        name: own.settings.name.clone(),
+        incarnation: own.incarnation,
+        address: own.settings.rpc,
+        seq,
+        ..owner_row(epoch)
+    };
+    let (shared, _) = shared_with_store(serve_store(row).await);
+    commit_as_owner(&shared, EPOCH, 3, 8, &[], 20).await
+}
+
+/// Guards against a commit that counts as done because a later term of the process has made more
+/// commits.
+#[test]
+fn a_commit_without_an_answer_is_found_in_the_row_of_its_own_term_only() {
+    block_on(async {
+        let in_doubt = CommitOutcome::Unknown;
+        assert_eq!(outcome_without_answer(EPOCH, 2).await, in_doubt);
+        assert_eq!(
+            outcome_without_answer(EPOCH, 3).await,
+            CommitOutcome::Done(9)
+        );
+        assert_eq!(outcome_without_answer(EPOCH + 1, 5).await, in_doubt);
+    })
+    .expect("runtime");
+}
