Test that an owner's row that was stored late settles nothing

A box may find its own row as stored by a commit that it has given up as lost. The test passes on the code before it, and holds that the owner before that row counts as one that may still serve, for the box itself and for any other.

--- a/src/sched/tests/predecessors.rs
+++ b/src/sched/tests/predecessors.rs
@@ -107,3 +107,27 @@
     let notified = owners_to_notify(Some(served.clone()), None, &own);
     assert_eq!(notified, [(served, true)]);
 }
+
+/// A commit that makes a box the owner may take effect after the box has given it up as lost. The
+/// box finds its own row then, and must not take the owner before that for an ended one.
+#[test]
+fn an_owners_row_that_was_stored_late_settles_nothing() {
+    let served = owner_row(1);
+    let own = owner_row(2);
+    let settled = |before: &OwnerRow, own: &OwnerRow| {
+        PredecessorState::from_row(Some(before), own).all_ended()
+    };
+    let late = OwnerRow {
+        settled: settled(&served, &own),
+        ..own.clone()
+    };
+    let again = OwnerRow {
+        name: own.name.clone(),
+        ..owner_row(3)
+    };
+    for next in [again, owner_row(3)] {
+        let state = PredecessorState::from_row(Some(&late), &next);
+        assert_eq!(state, PredecessorState::EarlierMayServe, "{}", next.name);
+        assert!(!settled(&late, &next), "{}", next.name);
+    }
+}
