Soak: faults of calls to workers, of directory entries, and pauses of boxes

New kinds: answers and orders that are late by different times, answers that are lost, connections to a worker that are closed in the middle of calls or fall silent, entries that disappear while the worker goes on, also while the store forgets its history, workers that leave with and without an announcement, boxes that are paused for short times again and again, and all boxes but one paused. Workers are called through a proxy for it.

Plans take the number of callers and the durations of tasks, and read as before without them. A run on a kind of worker that is leaving is left out, as those on a box that is down.

--- a/tests/platform/calls.rs
+++ b/tests/platform/calls.rs
@@ -32,6 +32,16 @@
 }
 
 impl CallFaults {
+    /// Returns the worse of both faults in each respect.
+    pub fn combine(self, other: Self) -> Self {
+        Self {
+            order_delay: self.order_delay.max(other.order_delay),
+            answer_delay: self.answer_delay.max(other.answer_delay),
+            lost_orders: self.lost_orders.max(other.lost_orders),
+            lost_answers: self.lost_answers.max(other.lost_answers),
+        }
+    }
+
     /// Draws what happens to a call.
     pub fn draw(&self, random: &mut Random) -> CallFate {
         let mut below = |max: Duration| {
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -16,6 +16,7 @@
 use willowpoint::web::server::{Limits, serve};
 use willowpoint::web::{Reply, Request};
 
+use super::link::Link;
 use super::proxy;
 use super::record::Record;
 use super::store::Store;
@@ -56,6 +57,8 @@
     record: Arc<Mutex<Record>>,
     /// Stand-ins for the workers, ordered by number.
     pub workers: Vec<Worker>,
+    /// Links between the boxes and the workers.
+    pub links: Vec<Link>,
     boxes: Vec<BoxProcess>,
     folder: PathBuf,
     /// Proxies between the boxes and the store, one per box.
@@ -105,6 +108,7 @@
             store,
             record,
             workers: Vec::new(),
+            links: Vec::new(),
             boxes: Vec::new(),
             folder,
             proxies: Vec::new(),
@@ -157,6 +161,9 @@
         let worker = Worker::new(id, duration, self.record.clone(), self.store.clone());
         let served = worker.clone();
         let address = serve_on_thread(move |request| served.clone().handle(request));
+        let link = Link::default();
+        let address = link.start(address);
+        self.links.push(link);
         let listing = json!({ "service": SERVICE, "address": address, "zone": "h1",
             "state": "ready", "labels": ["a", "r1"],
             "capacity": { "cpu": 4000, "memMb": 8000, "gpu": 0 } });
@@ -164,6 +171,13 @@
         self.workers.push(worker);
     }
 
+    /// Sets what the workers draw for each call.
+    pub fn seed_workers(&self, seed: u64) {
+        for (worker, number) in self.workers.iter().zip(1..) {
+            worker.set_seed(seed ^ number);
+        }
+    }
+
     /// Ends the runs of all workers when they are due, on a thread that ends with this value.
     fn end_runs_in_time(&self) {
         let (workers, alive) = (self.workers.clone(), Arc::downgrade(&self.alive));
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,8 @@
 mod deployment;
 mod duplicates;
 mod faults;
+#[allow(dead_code)] // the soak tool uses more of this module than these tests
+mod link;
 #[path = "../support/proxy.rs"]
 mod proxy;
 #[allow(dead_code)] // the soak tool uses more of this module than these tests
--- a/tests/platform/silence.rs
+++ b/tests/platform/silence.rs
@@ -23,12 +23,12 @@
         lost_answers: 1.0,
         ..CallFaults::default()
     };
-    worker.disturb_calls(lost, 1);
+    worker.set_call_faults(lost);
     wait_for("a poll without an answer", || {
         deployment.store.forget_history();
         is_logged("event=silent")
     });
-    worker.disturb_calls(CallFaults::default(), 1);
+    worker.set_call_faults(CallFaults::default());
     deployment.wait_completed("0000000000000010");
     assert_ran(&deployment, "0000000000000010", 6);
 }
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -22,6 +22,8 @@
 const RESTART_DELAY: Duration = Duration::from_millis(1_500);
 /// Duration of a run of a lasting task: longer than any test.
 const LASTING_DURATION: Duration = Duration::from_secs(3_600);
+/// Beginning of the specification of jobs whose tasks take the milliseconds that follow.
+pub const DURATION_SPEC: &str = "ms=";
 /// Specification of jobs whose tasks are lasting.
 pub const LASTING_SPEC: &str = "lasting";
 /// How long a call without an answer is kept open; its client has given up by then.
@@ -199,6 +201,27 @@
         }
     }
 
+    /// Ends this incarnation with all its runs, as a worker that leaves does.
+    pub fn leave(&self) {
+        self.end_due_runs();
+        let lost = std::mem::replace(&mut *self.state(), WorkerState::new());
+        self.state().down = true;
+        self.unlist();
+        let (mut record, now) = (self.record(), Instant::now());
+        for active in lost.runs.values() {
+            record.lose(&active.run, now);
+        }
+    }
+
+    /// Starts the next incarnation after one that has left, under another id.
+    pub fn rejoin(&self) {
+        self.unlist();
+        let id = format!("{}-next", self.id());
+        *self.id.lock().expect("the lock is not poisoned") = id;
+        *self.state() = WorkerState::new();
+        self.register_again();
+    }
+
     /// Delays the execution of orders. Their senders may have given up by then.
     pub fn delay_orders(&self, delay: Duration) {
         *self.order_delay.lock().expect("the lock is not poisoned") = delay;
@@ -212,10 +235,16 @@
         self.record.lock().expect("the lock is not poisoned")
     }
 
-    /// Draws the faults of each call from now on; the same seed draws the same faults.
-    pub fn disturb_calls(&self, faults: CallFaults, seed: u64) {
+    /// Sets the seed of what is drawn for each call.
+    pub fn set_seed(&self, seed: u64) {
+        let mut state = self.call_faults.lock().expect("the lock is not poisoned");
+        state.1 = Random::new(seed);
+    }
+
+    /// Sets the faults that are drawn for each call from now on.
+    pub fn set_call_faults(&self, faults: CallFaults) {
         let mut state = self.call_faults.lock().expect("the lock is not poisoned");
-        *state = (faults, Random::new(seed));
+        state.0 = faults;
     }
 
     /// Serves a call. A delayed call is executed even if its connection has been closed.
@@ -339,13 +368,7 @@
             return self.conflict("late");
         }
         let now = Instant::now();
-        let lasting = call["spec"] == LASTING_SPEC;
-        let ends_at = now
-            + if lasting {
-                LASTING_DURATION
-            } else {
-                self.duration
-            };
+        let ends_at = now + self.duration_of(call["spec"].as_str().unwrap_or_default());
         let run = self.task_run(&task, run);
         let active = ActiveRun {
             run: run.clone(),
@@ -357,6 +380,16 @@
         self.reply_with_clock(StatusCode::OK, json!({}))
     }
 
+    /// Returns how long a task with this specification runs.
+    fn duration_of(&self, spec: &str) -> Duration {
+        let given = spec.strip_prefix(DURATION_SPEC);
+        match given.and_then(|ms| ms.parse().ok()) {
+            Some(ms) => Duration::from_millis(ms),
+            None if spec == LASTING_SPEC => LASTING_DURATION,
+            None => self.duration,
+        }
+    }
+
     /// Returns a run of a task on the present incarnation.
     fn task_run(&self, task: &str, run: u64) -> TaskRun {
         let worker = self.id();
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -3,6 +3,7 @@
 mod deployment;
 #[path = "../support/diagnostics.rs"]
 mod diagnostics;
+#[allow(dead_code)] // the tests of the platform use more of this module than these tests
 #[path = "../support/proxy.rs"]
 mod proxy;
 #[path = "../support/mod.rs"]
--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -12,9 +12,10 @@
 
 use crate::checks::{self, Findings};
 use crate::jobs::{Jobs, SubmitStatus};
+use crate::plan::Plan;
 use crate::platform::record::Record;
 use crate::platform::support::wait_for;
-use crate::platform::worker::LASTING_SPEC;
+use crate::platform::worker::{DURATION_SPEC, LASTING_SPEC};
 use crate::platform::{HOST, PATH};
 
 /// Read timeout of a request.
@@ -31,6 +32,8 @@
 const MAX_TASKS: u64 = 3;
 /// Share of the accepted jobs that are cancelled.
 const CANCEL_SHARE: f64 = 0.1;
+/// Estimate for a task of unspecified duration, in ms.
+const DEFAULT_ESTIMATE: u64 = 300;
 /// Id of the job with lasting tasks.
 const LASTING_ID: &str = "eeee000000000001";
 /// Pause between two polls of all open jobs.
@@ -92,28 +95,33 @@
 }
 
 /// Spawns a caller that submits jobs until it is stopped.
-pub fn spawn_submitter(number: usize, seed: u64, boxes: Boxes, jobs: Jobs) -> JoinHandle<()> {
+pub fn spawn_submitter(number: usize, plan: &Plan, boxes: Boxes, jobs: Jobs) -> JoinHandle<()> {
+    let mut random = Random::new(plan.seed ^ (number as u64 + 1));
+    let durations = plan.durations.clone();
     std::thread::spawn(move || {
-        let mut random = Random::new(seed ^ (number as u64 + 1));
         let mut count = 0;
         while !boxes.stop_requested() {
             count += 1;
             let id = format!("{number:04x}{count:012x}");
             let tasks = 1 + random.below(MAX_TASKS) as u32;
-            submit_job(&mut random, &boxes, &jobs, &id, tasks);
+            let duration = match durations[..] {
+                [duration] => duration,
+                _ => durations[random.below(durations.len() as u64) as usize],
+            };
+            let body = two_step_job(tasks, Some(duration));
+            jobs.insert(&id, tasks);
+            submit_job(&mut random, &boxes, &jobs, &id, &body);
             let pause = Duration::from_millis(random.below(MAX_PAUSE));
             std::thread::sleep(pause);
         }
     })
 }
 
-fn submit_job(random: &mut Random, boxes: &Boxes, jobs: &Jobs, id: &str, tasks: u32) {
-    jobs.insert(id, tasks);
-    let body = two_step_job(tasks);
+fn submit_job(random: &mut Random, boxes: &Boxes, jobs: &Jobs, id: &str, body: &str) {
     let first = random.below(1_000) as usize;
     let mut all_refused = true;
     for attempt in 0..MAX_ATTEMPTS {
-        match boxes.call(first + attempt, "POST", id, &body) {
+        match boxes.call(first + attempt, "POST", id, body) {
             Answer::Status(200, _) => {
                 jobs.update(id, |job| job.status = SubmitStatus::Accepted);
                 return maybe_cancel(random, boxes, jobs, id);
@@ -144,12 +152,15 @@
     LASTING_ID
 }
 
-/// Returns the JSON body of a job of two steps, the second of which depends on the first.
-pub fn two_step_job(tasks: u32) -> String {
-    let step = json!({ "count": tasks, "cpu": 1000, "memMb": 100, "estimateMs": 300 });
+/// Returns the JSON body of a job of two steps, the second of which depends on the first. Its tasks
+/// take `duration` milliseconds, or as long as their worker's tasks take by default.
+pub fn two_step_job(tasks: u32, duration: Option<u64>) -> String {
+    let estimate = duration.unwrap_or(DEFAULT_ESTIMATE);
+    let step = json!({ "count": tasks, "cpu": 1000, "memMb": 100, "estimateMs": estimate });
     let mut second = step.clone();
     second["after"] = json!([0]);
-    json!({ "spec": "text", "steps": [step, second] }).to_string()
+    let spec = duration.map_or("text".into(), |ms| format!("{DURATION_SPEC}{ms}"));
+    json!({ "spec": spec, "steps": [step, second] }).to_string()
 }
 
 fn maybe_cancel(random: &mut Random, boxes: &Boxes, jobs: &Jobs, id: &str) {
--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use crate::pauses::{self, Pauses};
 use crate::plan::{Fault, Kind, Plan, Target};
+use crate::platform::calls::CallFaults;
 use crate::platform::deployment::Deployment;
 use crate::platform::store::Behavior;
 
@@ -16,12 +18,47 @@
 /// Capacity of a worker and half of it, in thousandths of cores.
 const CAPACITY: (u64, u64) = (4_000, 2_000);
 
+/// Longest delays of orders and answers: an owner waits 700 ms and, for a poll, up to 1 s more.
+const CALL_DELAY: Duration = Duration::from_millis(330);
+/// Longest delay of answers alone.
+const ANSWER_DELAY: Duration = Duration::from_millis(650);
+/// Shares of the answers that are lost.
+const LOST_ANSWERS: (f64, f64) = (0.2, 0.5);
+/// Pause between two times at which the store forgets its history, in ms.
+const FORGET_INTERVAL: u64 = 150;
+
 /// A fault in effect.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 struct Active {
     fault: Fault,
     /// Index of the affected box or worker.
     index: usize,
+    /// Pauses of the affected boxes.
+    pauses: Option<Pauses>,
+    /// Time at which the store forgets its history next, or at which a worker ends; `u64::MAX`
+    /// once it has ended.
+    next: u64,
+}
+
+impl Active {
+    fn new(fault: Fault, index: usize) -> Self {
+        let rhythm = match fault.kind {
+            Kind::FlickerBox => Some(pauses::FLICKER),
+            Kind::StarveBoxes => Some(pauses::STARVATION),
+            _ => None,
+        };
+        // A worker that leaves works on for two thirds of the time and is away for the rest.
+        let next = match fault.kind.replaces_worker() {
+            true => fault.at + fault.span * 2 / 3,
+            false => fault.at,
+        };
+        Self {
+            fault,
+            index,
+            pauses: rhythm.map(|rhythm| Pauses::new(rhythm, fault.at, fault.at)),
+            next,
+        }
+    }
 }
 
 /// The faults in effect and the faults to come.
@@ -30,6 +67,8 @@
     active: Vec<Active>,
     /// Indices of the boxes that are down or paused.
     unavailable: BTreeSet<usize>,
+    /// Indices of the workers that are leaving or away.
+    leaving: BTreeSet<usize>,
     version: u64,
     /// Number of faults injected, by kind.
     pub counts: BTreeMap<Kind, u32>,
@@ -44,6 +83,7 @@
             due,
             active: Vec::new(),
             unavailable: BTreeSet::new(),
+            leaving: BTreeSet::new(),
             version: 1,
             counts: BTreeMap::new(),
         }
@@ -66,13 +106,41 @@
         while let Some(fault) = self.due.pop_if(|fault| fault.at <= now) {
             self.begin(deployment, fault);
         }
+        self.advance(deployment, now);
         self.update_store(deployment);
     }
 
+    /// Takes the next steps of the faults in effect that consist of several.
+    fn advance(&mut self, deployment: &Deployment, now: u64) {
+        for active in &mut self.active {
+            let index = active.index;
+            if let Some(paused) = active.pauses.as_mut().and_then(|p| p.step(now)) {
+                let signal = match paused {
+                    true => libc::SIGSTOP,
+                    false => libc::SIGCONT,
+                };
+                let boxes = affected_boxes(active.fault.kind, index, deployment);
+                boxes.for_each(|n| deployment.signal(n, signal));
+            }
+            if now < active.next {
+                continue;
+            }
+            if active.fault.kind == Kind::ForgottenWorker {
+                deployment.store.forget_history();
+                active.next = now + FORGET_INTERVAL;
+            }
+            if active.fault.kind.replaces_worker() {
+                deployment.workers[index].leave();
+                deployment.links[index].set_closed(true);
+                active.next = u64::MAX;
+            }
+        }
+    }
+
     /// Ends all faults in effect and drops those to come.
     pub fn end_all(&mut self, deployment: &mut Deployment) {
         self.due.clear();
-        for active in std::mem::take(&mut self.active) {
+        while let Some(active) = self.active.pop() {
             self.undo(deployment, active);
         }
         self.update_store(deployment);
@@ -88,15 +156,17 @@
             fault.at, fault.kind, fault.span
         );
         *self.counts.entry(fault.kind).or_insert(0) += 1;
-        self.inject(deployment, fault.kind, index);
-        self.active.push(Active { fault, index });
+        self.inject(deployment, &fault, index);
+        self.active.push(Active::new(fault, index));
+        self.update_calls(deployment);
     }
 
     /// Returns false when a fault that stops or pauses boxes would hit one that is down or
-    /// paused already.
+    /// paused already, or a fault of a worker one that is leaving.
     fn can_begin(&self, kind: Kind, index: usize) -> bool {
         match kind {
-            Kind::KillAll => self.unavailable.is_empty(),
+            _ if kind.hits_all_boxes() => self.unavailable.is_empty(),
+            _ if kind.hits_worker() => !self.leaving.contains(&index),
             _ => !kind.hits_boxes() || !self.unavailable.contains(&index),
         }
     }
@@ -113,8 +183,8 @@
         }
     }
 
-    fn inject(&mut self, deployment: &mut Deployment, kind: Kind, index: usize) {
-        match kind {
+    fn inject(&mut self, deployment: &mut Deployment, fault: &Fault, index: usize) {
+        match fault.kind {
             Kind::StopBox => {
                 deployment.signal(index, libc::SIGTERM);
                 self.unavailable.insert(index);
@@ -146,7 +216,32 @@
                 self.version += 1;
                 deployment.configure(self.version, &[crate::platform::PATH]);
             }
-            Kind::CutBox
+            Kind::CutCalls => deployment.links[index].cut(),
+            Kind::SilentCalls => deployment.links[index].silence(),
+            Kind::UnlistedWorker | Kind::ForgottenWorker => deployment.workers[index].unlist(),
+            Kind::LeavingWorker => {
+                let remaining = Duration::from_millis(fault.span / 2);
+                deployment.workers[index].announce_leaving(remaining);
+                self.leaving.insert(index);
+            }
+            Kind::VanishingWorker => {
+                deployment.workers[index].unlist();
+                self.leaving.insert(index);
+            }
+            Kind::FreezeOthers => {
+                let others = affected_boxes(fault.kind, index, deployment);
+                others.for_each(|n| deployment.signal(n, libc::SIGSTOP));
+                self.unavailable = affected_boxes(fault.kind, index, deployment).collect();
+            }
+            Kind::FlickerBox | Kind::StarveBoxes => {
+                let boxes = affected_boxes(fault.kind, index, deployment);
+                self.unavailable.extend(boxes);
+            }
+            Kind::LateAnswers
+            | Kind::LateCalls
+            | Kind::LostAnswers
+            | Kind::AllAnswersLate
+            | Kind::CutBox
             | Kind::StoreSilent
             | Kind::StoreBusy
             | Kind::StoreMute
@@ -170,8 +265,26 @@
                 deployment.workers[index].delay_orders(Duration::ZERO);
             }
             Kind::SmallWorker => deployment.workers[index].resize(CAPACITY.0),
+            Kind::UnlistedWorker | Kind::ForgottenWorker => {
+                deployment.workers[index].register_again();
+            }
+            Kind::LeavingWorker | Kind::VanishingWorker => {
+                if active.next != u64::MAX {
+                    deployment.workers[index].leave();
+                }
+                deployment.links[index].set_closed(false);
+                deployment.workers[index].rejoin();
+                self.leaving.remove(&index);
+            }
+            Kind::FlickerBox | Kind::FreezeOthers | Kind::StarveBoxes => {
+                for number in affected_boxes(active.fault.kind, index, deployment) {
+                    deployment.signal(number, libc::SIGCONT);
+                    self.unavailable.remove(&number);
+                }
+            }
             _ => {}
         }
+        self.update_calls(deployment);
     }
 
     /// Restarts a box; a box whose planned stop has not finished is killed first.
@@ -181,6 +294,21 @@
         self.unavailable.remove(&index);
     }
 
+    /// Sets the faults of the calls to each worker according to the faults in effect.
+    fn update_calls(&self, deployment: &Deployment) {
+        for (index, worker) in deployment.workers.iter().enumerate() {
+            let faults = self.active.iter().filter(|active| {
+                active.fault.kind == Kind::AllAnswersLate || active.index == index
+            });
+            let kinds = faults.map(|active| active.fault.kind);
+            worker.set_call_faults(
+                kinds
+                    .filter_map(call_faults)
+                    .fold(CallFaults::default(), CallFaults::combine),
+            );
+        }
+    }
+
     /// Sets the store's behavior, delay and connections according to the faults in effect; of
     /// several behaviors the last applies.
     fn update_store(&self, deployment: &Deployment) {
@@ -199,6 +327,49 @@
     }
 }
 
+/// Returns the indices of the boxes that a fault of boxes affects.
+fn affected_boxes(
+    kind: Kind,
+    index: usize,
+    deployment: &Deployment,
+) -> impl Iterator<Item = usize> {
+    let boxes = deployment.addresses().len();
+    (0..boxes).filter(move |number| match kind {
+        Kind::FreezeOthers => *number != index,
+        Kind::StarveBoxes => true,
+        _ => *number == index,
+    })
+}
+
+/// Returns the faults of the calls to a worker under a fault, if it has any.
+fn call_faults(kind: Kind) -> Option<CallFaults> {
+    let none = CallFaults::default();
+    Some(match kind {
+        Kind::LateAnswers => CallFaults {
+            answer_delay: ANSWER_DELAY,
+            ..none
+        },
+        Kind::AllAnswersLate => CallFaults {
+            answer_delay: CALL_DELAY,
+            ..none
+        },
+        Kind::LateCalls => CallFaults {
+            order_delay: CALL_DELAY,
+            answer_delay: CALL_DELAY,
+            ..none
+        },
+        Kind::ForgottenWorker => CallFaults {
+            lost_answers: LOST_ANSWERS.0,
+            ..none
+        },
+        Kind::LostAnswers => CallFaults {
+            lost_answers: LOST_ANSWERS.1,
+            ..none
+        },
+        _ => return None,
+    })
+}
+
 /// Returns the behavior of the store under a fault, if the fault changes it.
 fn store_behavior(kind: Kind) -> Option<Behavior> {
     match kind {
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -9,6 +9,7 @@
 mod checks;
 mod faults;
 mod jobs;
+mod pauses;
 mod plan;
 mod platform;
 mod run;
@@ -20,7 +21,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use plan::Plan;
+use plan::{BASIC_KINDS, KINDS, Plan, Sizes};
 use run::Outcome;
 use willowpoint::utils::signals;
 
@@ -51,6 +52,15 @@
     /// Faults per minute
     #[bpaf(argument("N"), fallback(30), display_fallback)]
     faults: u64,
+    /// Number of callers that submit jobs
+    #[bpaf(argument("N"), fallback(4), display_fallback)]
+    callers: usize,
+    /// Milliseconds that a task takes; of several each job draws one
+    #[bpaf(argument("MS"), many)]
+    task: Vec<u64>,
+    /// Draw only the basic kinds of faults, as plans of seeds below 6000 did
+    #[bpaf(switch)]
+    basic: bool,
     /// Run this plan instead of generated ones
     #[bpaf(argument("FILE"), optional)]
     plan: Option<PathBuf>,
@@ -96,15 +106,23 @@
 fn plans(options: &Options) -> Result<Vec<Plan>, String> {
     let Some(file) = &options.plan else {
         let seeds = options.seed..options.seed + options.runs;
+        let sizes = Sizes {
+            boxes: options.boxes,
+            workers: options.workers,
+            span: options.seconds * 1_000,
+            rate: options.faults,
+        };
+        let kinds: &[_] = match options.basic {
+            true => &BASIC_KINDS,
+            false => &KINDS,
+        };
         let generate = |seed| {
-            let Options { boxes, workers, .. } = *options;
-            Plan::generate(
-                seed,
-                boxes,
-                workers,
-                options.seconds * 1_000,
-                options.faults,
-            )
+            let mut plan = Plan::generate(seed, &sizes, kinds);
+            plan.callers = options.callers;
+            if !options.task.is_empty() {
+                plan.durations = options.task.clone();
+            }
+            plan
         };
         return Ok(seeds.map(generate).collect());
     };
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -44,10 +44,56 @@
     SmallWorker,
     /// A new version of the configuration is written.
     Configuration,
+    /// The answers of a worker are late by different times.
+    LateAnswers,
+    /// The orders to a worker and its answers are late by different times.
+    LateCalls,
+    /// Many answers of a worker are lost although it carries out the orders.
+    LostAnswers,
+    /// The answers of all workers are late by different times.
+    AllAnswersLate,
+    /// The open connections to a worker are closed in the middle of their calls.
+    CutCalls,
+    /// The open connections to a worker are blocked for good; new ones work.
+    SilentCalls,
+    /// The directory entry of a worker is gone, and the worker works on.
+    UnlistedWorker,
+    /// The same, while the store forgets its history again and again and answers are lost.
+    ForgottenWorker,
+    /// A worker announces that it leaves, works on, ends, and starts under another id.
+    LeavingWorker,
+    /// The same without an announcement: only its directory entry is gone.
+    VanishingWorker,
+    /// A box is paused for a short time again and again.
+    FlickerBox,
+    /// All boxes but one are paused.
+    FreezeOthers,
+    /// All boxes are paused for most of the time.
+    StarveBoxes,
 }
 
+/// The kinds of faults that plans were generated from at first. Seeds depend on the list.
+pub const BASIC_KINDS: [Kind; 16] = [
+    Kind::StopBox,
+    Kind::KillBox,
+    Kind::FreezeBox,
+    Kind::KillAll,
+    Kind::CutBox,
+    Kind::StoreSilent,
+    Kind::StoreBusy,
+    Kind::StoreMute,
+    Kind::StoreSlow,
+    Kind::StoreForgets,
+    Kind::SilentConnections,
+    Kind::RestartWorker,
+    Kind::LateWorker,
+    Kind::SilentWorker,
+    Kind::SmallWorker,
+    Kind::Configuration,
+];
+
 /// All kinds of faults.
-pub const KINDS: [Kind; 16] = [
+pub const KINDS: [Kind; 29] = [
     Kind::StopBox,
     Kind::KillBox,
     Kind::FreezeBox,
@@ -64,15 +110,46 @@
     Kind::SilentWorker,
     Kind::SmallWorker,
     Kind::Configuration,
+    Kind::LateAnswers,
+    Kind::LateCalls,
+    Kind::LostAnswers,
+    Kind::AllAnswersLate,
+    Kind::CutCalls,
+    Kind::SilentCalls,
+    Kind::UnlistedWorker,
+    Kind::ForgottenWorker,
+    Kind::LeavingWorker,
+    Kind::VanishingWorker,
+    Kind::FlickerBox,
+    Kind::FreezeOthers,
+    Kind::StarveBoxes,
 ];
 
 impl Kind {
     /// Returns true for faults that stop, kill or pause boxes.
     pub fn hits_boxes(self) -> bool {
-        let boxes = [Self::StopBox, Self::KillBox, Self::FreezeBox, Self::KillAll];
+        let boxes = [
+            Self::StopBox,
+            Self::KillBox,
+            Self::FreezeBox,
+            Self::KillAll,
+            Self::FlickerBox,
+            Self::FreezeOthers,
+            Self::StarveBoxes,
+        ];
         boxes.contains(&self)
     }
 
+    /// Returns true for faults that stop, kill or pause several boxes.
+    pub fn hits_all_boxes(self) -> bool {
+        matches!(self, Self::KillAll | Self::FreezeOthers | Self::StarveBoxes)
+    }
+
+    /// Returns true for faults after which a worker starts under another id.
+    pub fn replaces_worker(self) -> bool {
+        matches!(self, Self::LeavingWorker | Self::VanishingWorker)
+    }
+
     /// Returns true for faults of a worker.
     pub fn hits_worker(self) -> bool {
         let workers = [
@@ -80,6 +157,15 @@
             Self::LateWorker,
             Self::SilentWorker,
             Self::SmallWorker,
+            Self::LateAnswers,
+            Self::LateCalls,
+            Self::LostAnswers,
+            Self::CutCalls,
+            Self::SilentCalls,
+            Self::UnlistedWorker,
+            Self::ForgottenWorker,
+            Self::LeavingWorker,
+            Self::VanishingWorker,
         ];
         workers.contains(&self)
     }
@@ -108,6 +194,19 @@
     pub target: Target,
 }
 
+/// Sizes of a run.
+#[derive(Clone, Debug)]
+pub struct Sizes {
+    /// Number of boxes.
+    pub boxes: usize,
+    /// Number of workers.
+    pub workers: usize,
+    /// Time in ms in which callers submit jobs.
+    pub span: u64,
+    /// Number of faults per minute.
+    pub rate: u64,
+}
+
 /// The plan of a run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Plan {
@@ -119,32 +218,49 @@
     pub workers: usize,
     /// Time in ms in which callers submit jobs.
     pub span: u64,
+    /// Number of callers that submit jobs.
+    #[serde(default = "default_callers")]
+    pub callers: usize,
+    /// Durations of tasks in ms; each job draws one.
+    #[serde(default = "default_durations")]
+    pub durations: Vec<u64>,
     /// Faults in the order of their times; they may overlap.
     pub faults: Vec<Fault>,
 }
 
 impl Plan {
-    /// Generates a plan of `span` ms with `rate` faults per minute.
-    pub fn generate(seed: u64, boxes: usize, workers: usize, span: u64, rate: u64) -> Self {
+    /// Generates a plan with faults of these kinds.
+    pub fn generate(seed: u64, sizes: &Sizes, kinds: &[Kind]) -> Self {
         let mut random = Random::new(seed);
-        let count = rate * span / 60_000;
+        let span = sizes.span;
+        let count = sizes.rate * span / 60_000;
         let mut faults: Vec<Fault> = (0..count)
-            .map(|_| random_fault(&mut random, span))
+            .map(|_| random_fault(&mut random, span, kinds))
             .collect();
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
-            boxes,
-            workers,
+            boxes: sizes.boxes,
+            workers: sizes.workers,
             span,
+            callers: default_callers(),
+            durations: default_durations(),
             faults,
         }
     }
 }
 
-fn random_fault(random: &mut Random, span: u64) -> Fault {
+fn default_callers() -> usize {
+    4
+}
+
+fn default_durations() -> Vec<u64> {
+    vec![300]
+}
+
+fn random_fault(random: &mut Random, span: u64, kinds: &[Kind]) -> Fault {
     let at = FIRST_FAULT + random.below(span.saturating_sub(FIRST_FAULT).max(1));
-    let kind = KINDS[random.below(KINDS.len() as u64) as usize];
+    let kind = kinds[random.below(kinds.len() as u64) as usize];
     let target = match random.chance(0.4) {
         true => Target::Owner,
         false => Target::Number(random.below(1_000) as usize),
--- a/tools/soak/src/platform.rs
+++ b/tools/soak/src/platform.rs
@@ -6,6 +6,8 @@
 #[allow(dead_code)]
 #[path = "../../../tests/platform/deployment.rs"]
 pub mod deployment;
+#[path = "../../../tests/platform/link.rs"]
+pub mod link;
 #[path = "../../../tests/support/proxy.rs"]
 pub mod proxy;
 #[allow(dead_code)]
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -17,10 +17,6 @@
 use crate::platform::deployment::Deployment;
 use crate::platform::support::{binary, eventually};
 
-/// Number of callers that submit jobs.
-const CALLERS: usize = 4;
-/// Duration of a task.
-const TASK_DURATION: Duration = Duration::from_millis(300);
 /// Number of tasks of the lasting job.
 const LASTING_TASKS: u32 = 4;
 /// Pause between two checks of the guarantees.
@@ -46,15 +42,17 @@
 
 /// Runs a plan to its end, or until a signal asks the process to stop.
 pub fn run_plan(plan: &Plan) -> Outcome {
-    let mut deployment = Deployment::start(plan.boxes, plan.workers, TASK_DURATION);
+    let duration = Duration::from_millis(plan.durations[0]);
+    let mut deployment = Deployment::start(plan.boxes, plan.workers, duration);
+    deployment.seed_workers(plan.seed);
     let (jobs, findings) = (Jobs::default(), Findings::default());
     let boxes = Boxes {
         addresses: deployment.addresses(),
         stop: Arc::new(AtomicBool::new(false)),
         record: deployment.shared_record(),
     };
-    let submit = |n| callers::spawn_submitter(n, plan.seed, boxes.clone(), jobs.clone());
-    let mut threads: Vec<_> = (0..CALLERS).map(submit).collect();
+    let submit = |n| callers::spawn_submitter(n, plan, boxes.clone(), jobs.clone());
+    let mut threads: Vec<_> = (0..plan.callers).map(submit).collect();
     threads.push(callers::spawn_poller(
         boxes.clone(),
         jobs.clone(),
@@ -120,7 +118,7 @@
         jobs.insert(&id, 1);
     }
     let accepted = matches!(
-        boxes.call(index, "POST", &id, &callers::two_step_job(1)),
+        boxes.call(index, "POST", &id, &callers::two_step_job(1, None)),
         Answer::Status(200, _)
     );
     if accepted {
--- a/tools/soak/src/tests.rs
+++ b/tools/soak/src/tests.rs
@@ -4,7 +4,7 @@
 
 use crate::checks::{self, Findings};
 use crate::jobs::{Job, Jobs, SubmitStatus};
-use crate::plan::Plan;
+use crate::plan::{BASIC_KINDS, KINDS, Kind, Plan, Sizes};
 use crate::platform::record::{Duplicate, Record};
 use crate::run;
 
@@ -15,7 +15,8 @@
 
 #[test]
 fn a_plan_depends_on_its_seed_alone() {
-    let generate = |seed| Plan::generate(seed, 3, 6, 60_000, 30);
+    let sizes = sizes(6, 60_000, 30);
+    let generate = |seed| Plan::generate(seed, &sizes, &KINDS);
     assert_eq!(generate(7), generate(7));
     assert_ne!(generate(7).faults, generate(8).faults);
     assert_eq!(generate(7).faults.len(), 30);
@@ -24,6 +25,37 @@
     assert_eq!(read, generate(7), "a printed plan can be read back");
 }
 
+/// Returns the sizes of a run with three boxes.
+fn sizes(workers: usize, span: u64, rate: u64) -> Sizes {
+    Sizes {
+        boxes: 3,
+        workers,
+        span,
+        rate,
+    }
+}
+
+/// Kinds that were added later would change the plans of known seeds.
+#[test]
+fn the_basic_kinds_generate_the_plans_of_known_seeds() {
+    let sizes = sizes(6, 30_000, 60);
+    let plan = Plan::generate(202, &sizes, &BASIC_KINDS);
+    let first: Vec<(u64, Kind)> = plan.faults.iter().map(|f| (f.at, f.kind)).collect();
+    let known = [
+        (3_587, Kind::SmallWorker),
+        (5_477, Kind::RestartWorker),
+        (5_619, Kind::SilentWorker),
+    ];
+    assert_eq!(first[..3], known);
+}
+
+#[test]
+fn a_plan_without_callers_and_durations_can_be_read() {
+    let text = r#"{"seed":1,"boxes":3,"workers":6,"span":1000,"faults":[]}"#;
+    let plan: Plan = serde_json::from_str(text).expect("a plan");
+    assert_eq!((plan.callers, &plan.durations[..]), (4, &[300][..]));
+}
+
 /// Returns a job with one task per step and the workers' record of its successful run.
 fn successful_run() -> (BTreeMap<String, Job>, Record) {
     let jobs = Jobs::default();
@@ -115,7 +147,7 @@
 
 #[test]
 fn a_short_run_has_no_violations() {
-    let plan = Plan::generate(1, 3, 4, SHORT_RUN.0, SHORT_RUN.1);
+    let plan = Plan::generate(1, &sizes(4, SHORT_RUN.0, SHORT_RUN.1), &KINDS);
     let outcome = run::run_plan(&plan);
     assert!(outcome.violations.is_empty(), "{outcome:?}");
     assert!(outcome.jobs[3] > 0, "no job was completed: {outcome:?}");
