--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -26,7 +26,7 @@
 const MAX_ATTEMPTS: usize = 6;
 /// Pause between two attempts.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Longest pause between two jobs of a caller, in milliseconds.
+/// Longest pause between two jobs of a caller, in milliseconds, in a run of the default sizes.
 const MAX_PAUSE: u64 = 400;
 /// Largest number of tasks in a step.
 const MAX_TASKS: u64 = 3;
@@ -98,6 +98,7 @@
 pub fn spawn_submitter(number: usize, plan: &Plan, boxes: Boxes, jobs: Jobs) -> JoinHandle<()> {
     let mut random = Random::new(plan.seed ^ (number as u64 + 1));
     let durations = plan.durations.clone();
+    let max_pause = MAX_PAUSE * plan.relative_load() / 100;
     std::thread::spawn(move || {
         let mut count = 0;
         while !boxes.stop_requested() {
@@ -111,7 +112,7 @@
             let body = two_step_job(tasks, Some(duration));
             jobs.insert(&id, tasks);
             submit_job(&mut random, &boxes, &jobs, &id, &body);
-            let pause = Duration::from_millis(random.below(MAX_PAUSE));
+            let pause = Duration::from_millis(random.below(max_pause));
             std::thread::sleep(pause);
         }
     })
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -21,7 +21,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use plan::{BASIC_KINDS, KINDS, Plan, Sizes};
+use plan::{BASIC_KINDS, DEFAULT_CALLERS, KINDS, Kind, Plan, Sizes};
 use run::Outcome;
 use willowpoint::utils::signals;
 
@@ -53,7 +53,7 @@
     #[bpaf(argument("N"), fallback(30), display_fallback)]
     faults: u64,
     /// Number of callers that submit jobs
-    #[bpaf(argument("N"), fallback(4), display_fallback)]
+    #[bpaf(argument("N"), fallback(DEFAULT_CALLERS), display_fallback)]
     callers: usize,
     /// Milliseconds that a task takes; of several each job draws one
     #[bpaf(argument("MS"), many)]
@@ -61,6 +61,9 @@
     /// Draw only the basic kinds of faults, as plans of seeds below 6000 did
     #[bpaf(switch)]
     basic: bool,
+    /// Draw only this kind of fault; may be given several times
+    #[bpaf(argument("KIND"), many)]
+    kind: Vec<Kind>,
     /// Run this plan instead of generated ones
     #[bpaf(argument("FILE"), optional)]
     plan: Option<PathBuf>,
@@ -112,9 +115,10 @@
             span: options.seconds * 1_000,
             rate: options.faults,
         };
-        let kinds: &[_] = match options.basic {
-            true => &BASIC_KINDS,
-            false => &KINDS,
+        let kinds: &[Kind] = match options.kind.is_empty() {
+            false => &options.kind,
+            true if options.basic => &BASIC_KINDS,
+            true => &KINDS,
         };
         let generate = |seed| {
             let mut plan = Plan::generate(seed, &sizes, kinds);
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -1,5 +1,7 @@
 //! Plans of faults for a run, generated from a seed alone.
 
+use std::str::FromStr;
+
 use serde::{Deserialize, Serialize};
 use willowpoint::utils::random::Random;
 
@@ -8,6 +10,13 @@
 /// Minimum and maximum duration of a fault in ms.
 const DURATIONS: (u64, u64) = (200, 6_000);
 
+/// Default number of callers.
+pub const DEFAULT_CALLERS: usize = 4;
+/// Default number of workers.
+const DEFAULT_WORKERS: u64 = 6;
+/// Default duration of a task in ms.
+const DEFAULT_DURATION: u64 = 300;
+
 /// Kind of a fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -125,6 +134,16 @@
     Kind::StarveBoxes,
 ];
 
+impl FromStr for Kind {
+    type Err = String;
+
+    /// Parses the name of a kind as in plans.
+    fn from_str(name: &str) -> Result<Self, String> {
+        let named = serde_json::from_value(name.into());
+        named.map_err(|_| format!("there is no kind of fault {name}"))
+    }
+}
+
 impl Kind {
     /// Returns true for faults that stop, kill or pause boxes.
     pub fn hits_boxes(self) -> bool {
@@ -248,14 +267,23 @@
             faults,
         }
     }
+
+    /// Returns the work that callers would offer per worker without longer pauses, in percent of
+    /// that of a run of the default sizes.
+    pub fn relative_load(&self) -> u64 {
+        let mean = self.durations.iter().sum::<u64>() / self.durations.len() as u64;
+        let offered = mean * self.callers as u64 * DEFAULT_WORKERS;
+        let default = DEFAULT_DURATION * DEFAULT_CALLERS as u64 * self.workers as u64;
+        (offered * 100 / default).max(100)
+    }
 }
 
 fn default_callers() -> usize {
-    4
+    DEFAULT_CALLERS
 }
 
 fn default_durations() -> Vec<u64> {
-    vec![300]
+    vec![DEFAULT_DURATION]
 }
 
 fn random_fault(random: &mut Random, span: u64, kinds: &[Kind]) -> Fault {
