--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -92,7 +92,7 @@
     started: Arc<AtomicU64>,
     /// Delay before each order is executed.
     order_delay: Arc<Mutex<Duration>>,
-    /// Faults of each call, and the generator that they are drawn from.
+    /// Faults of each call, and the generator that they and the order of reports are drawn from.
     call_faults: Arc<Mutex<(CallFaults, Random)>>,
 }
 
@@ -482,12 +482,12 @@
             return Reply::text(StatusCode::SERVICE_UNAVAILABLE, "");
         }
         let state = self.state();
-        let running: Vec<Value> = state
+        let mut running: Vec<Value> = state
             .runs
             .iter()
             .map(|(task, active)| json!([task, active.run.run, "", 50, 0]))
             .collect();
-        let finished: Vec<Value> = state
+        let mut finished: Vec<Value> = state
             .unacknowledged
             .iter()
             .map(|(number, run, outcome)| {
@@ -499,6 +499,9 @@
             })
             .collect();
         drop(state);
+        // The order of these lists has no meaning.
+        self.shuffle(&mut running);
+        self.shuffle(&mut finished);
         let lists = json!({ "running": running, "finished": finished, "born": boot });
         self.reply_with_clock(StatusCode::OK, lists)
     }
@@ -510,6 +513,15 @@
         prefix.is_some_and(|p| task.starts_with(p))
     }
 
+    /// Puts the entries of a list into a random order.
+    fn shuffle(&self, entries: &mut [Value]) {
+        let mut state = self.call_faults.lock().expect("the lock is not poisoned");
+        let random = &mut state.1;
+        for last in (1..entries.len()).rev() {
+            entries.swap(last, random.below(last as u64 + 1) as usize);
+        }
+    }
+
     /// Removes the completions that the owner has acknowledged.
     fn acknowledge(&self, last_seen: u64) {
         let mut state = self.state();
