Tests: more ports for each test run

The stand-ins and boxes of one run of the platform's tests use more than the 300 ports of a block ("all ports of the block are used"), and so does a soak of several runs with many boxes and workers.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,7 +12,7 @@
 pub const TIMEOUT: Duration = Duration::from_secs(60);
 /// First port of all blocks, number of blocks (one for each concurrent test run), and ports per
 /// block.
-const PORT_BLOCKS: (u16, u32, u16) = (12_000, 60, 300);
+const PORT_BLOCKS: (u16, u32, u16) = (12_000, 20, 900);
 /// Time between two checks of a condition that is waited for.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
