Fake workers of the scheduler's tests list their runs and completions in no particular order

The fakes of the scheduler's tests and the stand-in of the tests of processes listed completions in the order in which runs ended, which the platform does not promise.

The fakes now list both lists of a report in an order drawn from the time of the report, and at most 500 completions, as the platform does.

--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -14,11 +14,15 @@
 use crate::sched::worker::Listing;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
+use crate::utils::random::Random;
 
 /// Longest time in milliseconds that a start can have been in flight when its worker's capacity
 /// shrank.
 const IN_FLIGHT: Millis = 2;
 
+/// Most completions in a report.
+const MAX_ENDED: usize = 500;
+
 /// A run on a fake worker, with the outcome that its script sets.
 #[derive(Clone, Debug)]
 pub(super) struct FakeRun {
@@ -166,9 +170,18 @@
             clock: now - self.started_at,
             boot: self.listing.boot,
             running: running.collect(),
-            ended: self.unacknowledged.clone(),
+            ended: self
+                .unacknowledged
+                .iter()
+                .take(MAX_ENDED)
+                .cloned()
+                .collect(),
             unreadable: 0,
         };
+        // The lists are in no particular order.
+        let mut random = Random::new(now);
+        shuffle(&mut report.running, &mut random);
+        shuffle(&mut report.ended, &mut random);
         (self.edit_report)(&mut report);
         report
     }
@@ -195,6 +208,13 @@
     }
 }
 
+/// Brings a list into a random order.
+fn shuffle<T>(list: &mut [T], random: &mut Random) {
+    for index in (1..list.len()).rev() {
+        list.swap(index, random.below(index as u64 + 1) as usize);
+    }
+}
+
 impl World {
     /// Executes a poll: extends the lease, drops acknowledged completions and returns a report.
     pub(super) fn poll(&mut self, poll: &Poll) -> Reply<Report> {
