The check of duplicates in the scheduler's tests covers each start after an end

The fake workers reported a start after the end of a run as done if the end was acknowledged before, or acknowledged later under the same lease and the start was in a later millisecond. Not found were starts in the millisecond of the end, and starts after the last failed attempt whose end was acknowledged only after the start.

Now all acknowledged ends of a task are kept, unless the lease of their worker lapsed between the end and its acknowledgement. Whenever one is acknowledged, each start of the task that any worker executed after the decisive end is a violation: the first as done, or the last that may fail. Starts that follow an acknowledgement are checked as before. No check became narrower.

--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -13,6 +13,7 @@
 use self::calls::{Call, Scheduled};
 pub use self::crashes::Crashes;
 pub use self::interference::SimulatedInterference;
+use self::workers::EndedAt;
 pub use self::workers::FakeWorker;
 use crate::cordons::Halls;
 use crate::sched::job::{JobRow, JobState, Queue};
@@ -40,6 +41,9 @@
     mechanisms: Mechanisms::ON,
 };
 
+/// A start that a worker executed: task, run, worker, time.
+pub type Started = (String, u32, Name, Millis);
+
 /// A simulated cell: an owner with its fake workers and store.
 pub struct World {
     pub now: Millis,
@@ -64,16 +68,16 @@
     pub script: fn(&str, u32) -> (Millis, RunOutcome),
     /// Tasks that crash their workers, and the crashes so far.
     pub crashes: Crashes,
-    /// Starts that workers executed: task, run, worker, time.
-    pub starts: Vec<(String, u32, Name, Millis)>,
+    /// Starts that workers executed.
+    pub starts: Vec<Started>,
     /// Workers for which the advisor issues permits.
     pub permitted: BTreeSet<Name>,
     /// Number of workers in each request to the advisor.
     pub advice_requests: Vec<usize>,
     /// Checkpoint that the last start of each task was given, by task.
     pub resumed_from: BTreeMap<String, Name>,
-    /// Violations of two rules: a task runs in one place at a time, and not again after an
-    /// acknowledged end.
+    /// Violations of these rules: a task runs in one place at a time, and not again after an end
+    /// as done, or after its last attempt, that is acknowledged then or later.
     pub duplicates: Vec<String>,
     /// Starts that exceeded the capacity of their worker.
     pub overcommits: Vec<String>,
@@ -85,10 +89,10 @@
     pub interference: SimulatedInterference,
     /// Longest time that interference kept a serving task over its latency target.
     pub longest_breach: Millis,
-    /// Tasks whose successful end under a lease was acknowledged.
-    acknowledged: BTreeSet<String>,
-    /// Number of failed runs under a lease that were acknowledged, by task.
-    acknowledged_failures: BTreeMap<String, u32>,
+    /// Successful runs whose end was acknowledged under the lease in which they ended, by task.
+    acknowledged: BTreeMap<String, BTreeSet<EndedAt>>,
+    /// The same for failed runs.
+    acknowledged_failures: BTreeMap<String, BTreeSet<EndedAt>>,
     /// Number of polls that were sent.
     pub polls: usize,
     /// Number of the last commit that was sent.
@@ -232,7 +236,7 @@
             ordered_speeds: Vec::new(),
             interference: SimulatedInterference::default(),
             longest_breach: 0,
-            acknowledged: BTreeSet::new(),
+            acknowledged: BTreeMap::new(),
             acknowledged_failures: BTreeMap::new(),
             polls: 0,
             last_commit: 0,
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -1,9 +1,9 @@
 //! Fake workers that follow the platform's rules and record where the owner violates them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::interference::Loads;
-use super::{SETTINGS, World, queue};
+use super::{SETTINGS, Started, World, queue};
 use crate::sched::job::parse_task_name;
 use crate::sched::journal::SPEC_TABLE;
 use crate::sched::message::{
@@ -32,6 +32,17 @@
     outcome: RunOutcome,
 }
 
+/// Time and number of a run that was done or failed.
+pub(super) type EndedAt = (Millis, u32);
+
+/// The end of a run that was done or failed.
+#[derive(Clone, Debug)]
+struct FakeEnd {
+    task: String,
+    failed: bool,
+    ended_at: EndedAt,
+}
+
 /// A worker that follows the platform's rules.
 #[derive(Clone, Debug)]
 pub struct FakeWorker {
@@ -63,8 +74,8 @@
     closed_runs: BTreeMap<String, u32>,
     /// Ended runs that the owner has not acknowledged.
     unacknowledged: Vec<EndedRun>,
-    /// Runs that were done or failed, with the time, by number of their completion.
-    end_times: BTreeMap<u64, (String, RunOutcome, Millis)>,
+    /// Runs that were done or failed, by number of their completion.
+    end_times: BTreeMap<u64, FakeEnd>,
     /// Last time when the lease was expired.
     lapsed_at: Millis,
     /// Number of the next completion.
@@ -194,8 +205,12 @@
         let closed = self.closed_runs.entry(task.into()).or_insert(0);
         *closed = run.run.max(*closed);
         if matches!(outcome, RunOutcome::Done | RunOutcome::Failed) {
-            self.end_times
-                .insert(self.next_end, (task.into(), outcome, now));
+            let end = FakeEnd {
+                task: task.into(),
+                failed: outcome == RunOutcome::Failed,
+                ended_at: (now, run.run),
+            };
+            self.end_times.insert(self.next_end, end);
         }
         self.unacknowledged.push(EndedRun {
             number: self.next_end,
@@ -238,23 +253,31 @@
         Reply::Ok(report)
     }
 
-    /// Records acknowledged ends, except those from before the lease last lapsed.
-    fn record_acknowledged(
-        &mut self,
-        ends: BTreeMap<u64, (String, RunOutcome, Millis)>,
-        lapsed: Millis,
-    ) {
-        for (task, outcome, at) in ends.into_values().filter(|(.., at)| *at > lapsed) {
-            if outcome == RunOutcome::Failed {
-                *self.acknowledged_failures.entry(task).or_default() += 1;
-                continue;
-            }
-            let repeated = self.starts.iter().find(|s| s.0 == task && s.3 > at);
-            if let Some(start) = repeated {
-                let text = format!("{task} was done at {at} and run {} at {}", start.1, start.3);
-                self.duplicates.push(text);
+    /// Records acknowledged ends, except those from before the lease last lapsed, and the starts
+    /// that followed the last end that a task may have.
+    fn record_acknowledged(&mut self, ends: BTreeMap<u64, FakeEnd>, lapsed: Millis) {
+        for end in ends.into_values().filter(|end| end.ended_at.0 > lapsed) {
+            let (acknowledged, most) = match end.failed {
+                true => (&mut self.acknowledged_failures, queue().max_attempts),
+                false => (&mut self.acknowledged, 1),
+            };
+            let ends = acknowledged.entry(end.task.clone()).or_default();
+            ends.insert(end.ended_at);
+            let last = ends.iter().nth(most as usize - 1).copied();
+            if let Some(last) = last {
+                self.check_starts_after(&end.task, last);
             }
-            self.acknowledged.insert(task);
+        }
+    }
+
+    /// Records a start of a task that was executed after the end of one of its runs.
+    fn check_starts_after(&mut self, task: &str, (at, run): EndedAt) {
+        let is_later = |s: &&Started| s.0 == task && (s.3 > at || s.3 == at && s.1 != run);
+        if let Some((_, started, worker, time)) = self.starts.iter().find(is_later) {
+            let text = format!(
+                "{task} as run {started} on {worker} at {time} after run {run} had ended at {at}"
+            );
+            self.duplicates.push(text);
         }
     }
 
@@ -383,16 +406,15 @@
 
     /// Records a start of a task that also runs elsewhere, or whose end was acknowledged.
     fn check_duplicates(&mut self, start: &Start) {
-        if self.acknowledged.contains(&start.task) {
+        if self.acknowledged.contains_key(&start.task) {
             let text = format!("{} again as run {} at {}", start.task, start.run, self.now);
             self.duplicates.push(text);
         }
         let failed = self
             .acknowledged_failures
             .get(&start.task)
-            .copied()
-            .unwrap_or(0);
-        if failed >= queue().max_attempts {
+            .map_or(0, BTreeSet::len);
+        if failed >= queue().max_attempts as usize {
             let text = format!("{} after {failed} failed runs at {}", start.task, self.now);
             self.duplicates.push(text);
         }
