Stand-in workers: clocks run as slowly as the protocol allows

Boxes compute when a lease is certainly over from the lowest rate of a worker's clock, 98 percent. The stand-ins' clocks ran at full rate, so no run could show a lease that is taken for over too early for this reason.

--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -28,6 +28,8 @@
 pub const LASTING_SPEC: &str = "lasting";
 /// How long a call without an answer is kept open; its client has given up by then.
 const HOLD_TIME: Duration = Duration::from_secs(5);
+/// Rate of a worker's clock in percent of real time: the lowest that the protocol allows.
+const CLOCK_RATE: u64 = 98;
 /// Time between two checks of a condition that a call waits for.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -74,6 +76,12 @@
             down: false,
         }
     }
+
+    /// Returns the reading of the worker's clock in milliseconds.
+    fn clock(&self) -> u64 {
+        let elapsed = self.started_at.elapsed().as_millis() as u64;
+        elapsed * CLOCK_RATE / 100
+    }
 }
 
 /// A worker; clones share it.
@@ -314,7 +322,7 @@
     }
 
     fn reply_with_clock(&self, status: StatusCode, mut body: Value) -> Reply {
-        body["clockMs"] = json!(self.state().started_at.elapsed().as_millis() as u64);
+        body["clockMs"] = json!(self.state().clock());
         Reply::text(status, body.to_string())
     }
 
@@ -335,7 +343,7 @@
         state.lease_end = state
             .lease_end
             .max(call["deadlineMs"].as_u64().unwrap_or(0));
-        let end = state.started_at + Duration::from_millis(state.lease_end);
+        let end = state.started_at + Duration::from_millis(state.lease_end * 100 / CLOCK_RATE);
         state.lease.extend(Instant::now(), end);
         None
     }
@@ -406,7 +414,7 @@
     /// Returns true when the worker's lease has ended.
     fn lease_expired(&self) -> bool {
         let state = self.state();
-        state.started_at.elapsed().as_millis() as u64 > state.lease_end
+        state.clock() > state.lease_end
     }
 
     /// Executes a stop; later starts up to its run are refused.
