Workers refuse late orders by a fence that the owner raises

Callers could see a task that was done run again, or run in two places. A call to a worker that stays without an answer may be carried out seconds later, after newer ones, and by a later incarnation under the same id. A late poll with an acknowledgement made a restarted worker, which numbers its completions from 1 again, forget completions that nobody had read; a late start was mended by stops that were sent for 15 s, a late lease and a late throttle by nothing.

Cause: orders carried the owner's epoch as their fence, the same one for the whole term, so a worker could not tell a late order from a new one.

On the code before, the new tests fail with

["after.0.0.0 again as run 2 at 4960", "after.0.0.1 again as run 2 at 4960", "after.0.0.2 again as run 2 at 4960", "after.0.0.3 again as run 2 at 4960"]

[Reachable, NewListing, Pause, Submit, Unreachable, Pause, LatePoll]: ["more.0.0.0 again as run 2 at 4250", "more.0.0.1 again as run 2 at 4250", ...]

Each owner now has a range of fences, from the stored epoch of the owner before to its own, and raises that of a worker when a call stays without an answer, when its incarnation is in doubt, and when it becomes known. The answer to a poll with the raised fence settles what was in doubt, so:

- the state switches to a later incarnation only by the report of a poll with a higher fence than all orders to the earlier one;
- an unconfirmed start that such a complete report does not list is released, and one that it lists goes on: it is no longer stopped;
- `late_starts.rs` and `Stage::Doubt` are gone;
- a poll that the owner's own fence overtakes is repeated at once and is no sign of a later owner.

Boxes of the previous release use the stored epoch plus one as their only fence, above all fences of the owner before. An owner that has used up its fences releases the cell.

Changed tests: the fakes carry out delayed calls also on later incarnations that have a fence, and while newer calls are cut off; the steps after a restart include late polls, cut connections and another job, and 16 tasks instead of four run before; the epochs in a test of processes are multiples of the span.

Joined with the sequence of events and polls: the test a_report_from_before_a_stop_does_not_release_a_run_that_was_done gave the owner a lost start, after which it no longer sends a stop; it stops the task itself now, and fails as before if a report from before the answer to the stop releases the run.

--- a/benches/orders.rs
+++ b/benches/orders.rs
@@ -74,7 +74,7 @@
             sent: 0,
             address,
             lease: Some(486_000),
-            epoch: 7,
+            fence: 7,
             acknowledged: acknowledged as u64,
             wait: 0,
         };
--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+use willowpoint::sched::fences::next_epoch;
 use willowpoint::sched::history::HistoryPage;
 use willowpoint::sched::incarnation::Incarnation;
 use willowpoint::sched::job::{Queue, TaskKey};
@@ -159,7 +160,7 @@
             name: "a".into(),
             incarnation: 1,
             address: ([127, 0, 0, 1], 1).into(),
-            epoch: 1,
+            epoch: next_epoch(0),
             seq: 0,
             settled: true,
             released: false,
--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -16,6 +16,7 @@
 use crate::platform::store::{PAGE, Page};
 use crate::proto::PingRequest;
 use crate::sched::failover::{self, OwnerProgress};
+use crate::sched::fences::next_epoch;
 use crate::sched::job::JobRow;
 use crate::sched::journal::{
     ESTIMATES_TABLE, INTERFERENCE_KEY, JOB_TABLE, Journal, OWNER_KEY, OWNER_TABLE, OwnerRow,
@@ -54,7 +55,7 @@
         name: settings.name.clone(),
         incarnation: shared.incarnation,
         address: settings.rpc,
-        epoch: before.as_ref().map_or(0, |b| b.row.epoch) + 1,
+        epoch: next_epoch(before.as_ref().map_or(0, |b| b.row.epoch)),
         seq: 0,
         settled: false,
         released: false,
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -307,7 +307,7 @@
         },
         address: server_with_status(status),
         task: "t".into(),
-        epoch: 1,
+        fence: 1,
     };
     let call = async { Workers::new(1).stop(&stop).await };
     crate::program::block_on(call).expect("runtime")
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -44,7 +44,7 @@
             run: start.run,
             spec: &start.payload,
             deadline_ms: start.lease,
-            fence: start.epoch,
+            fence: start.fence,
             last_checkpoint: &start.checkpoint,
             ticket: &start.permit,
         });
@@ -57,7 +57,7 @@
         let body = encode(&RunStop {
             task: &stop.task,
             run: stop.run,
-            fence: stop.epoch,
+            fence: stop.fence,
         });
         let reply = self.send_order(stop.address, "/run-stop", body, &stop.incarnation.id, 0);
         reply.await.map(to_ack)
@@ -69,7 +69,7 @@
             task: &throttle.task,
             run: throttle.run,
             percent: throttle.percent,
-            fence: throttle.epoch,
+            fence: throttle.fence,
         });
         let reply = self.send_order(throttle.address, "/pace", body, &throttle.incarnation.id, 0);
         reply.await.map(to_ack)
@@ -79,7 +79,7 @@
     pub async fn poll(&self, poll: &Poll) -> Reply<Report> {
         let body = encode(&wire::PollRequest {
             deadline_ms: poll.lease,
-            fence: poll.epoch,
+            fence: poll.fence,
             last_seen: poll.acknowledged,
             wait_ms: poll.wait,
         });
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -8,9 +8,9 @@
 //! - Placement: `placement_pass` places waiting tasks in the `order` of their value on the best
 //!   workers by `scoring`, with `gang`, `permits` and `preemption`. `placement` describes a placed
 //!   task.
-//! - Runs: `starts` and `late_starts` start and stop them, `reports` reconciles them with what
-//!   workers report in the order of `sequence`, `completions` ends them (with `completion_log`),
-//!   and `crashes` finds tasks that crash workers.
+//! - Runs: `starts` starts and stops them, `fences` keeps late orders from taking effect, `reports`
+//!   reconciles runs with what workers report in the order of `sequence`, `completions` ends them
+//!   (with `completion_log`), and `crashes` finds tasks that crash workers.
 //! - Workers: `worker` holds the state of one, `directory` and `lost_workers` add and remove them,
 //!   `incarnation` distinguishes their restarts, `poll_schedule` decides when they are polled,
 //!   `cordon` excludes halls, and `addresses` finds workers by address.
@@ -33,6 +33,7 @@
 mod crashes;
 mod directory;
 pub mod failover;
+pub mod fences;
 mod gang;
 mod gauges;
 pub mod history;
@@ -40,7 +41,6 @@
 mod interference;
 pub mod job;
 pub mod journal;
-mod late_starts;
 mod loads;
 mod lost_workers;
 pub mod mechanisms;
--- a/src/sched/breaches.rs
+++ b/src/sched/breaches.rs
@@ -173,7 +173,6 @@
             Self::Recording => "recording",
             Self::Starting => "starting",
             Self::Running(_) => "running",
-            Self::Doubt => "doubt",
             Self::Stopped(_) => "stopped",
             Self::Stopping(_) => "stopping",
         }
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -136,7 +136,8 @@
     }
 
     /// Adds a worker to the known ones.
-    fn insert_worker(&mut self, id: Name, worker: Worker) {
+    fn insert_worker(&mut self, id: Name, mut worker: Worker) {
+        worker.fence = self.initial_fence();
         self.addresses.add(worker.listing.address, id.clone());
         self.workers.insert(id, worker);
     }
--- a/src/sched/incarnation.rs
+++ b/src/sched/incarnation.rs
@@ -8,8 +8,10 @@
 //! arrives.
 //!
 //! Only a report switches the state to a later incarnation, as it lists everything that the
-//! worker runs. Another sign of a later incarnation, in the directory or in the answer to an
-//! order, only triggers a poll at once, and nothing new is started until the report arrives.
+//! worker runs, and only the report of a poll whose fence keeps orders to the earlier incarnation
+//! from reaching the later one. Another sign of a later incarnation, in the directory or in the
+//! answer to an order, only triggers a poll at once, and nothing new is started until the report
+//! arrives.
 
 use std::collections::BTreeSet;
 use std::fmt;
@@ -20,6 +22,7 @@
 use super::message::{Poll, Report};
 use super::owner::Owner;
 use super::placement::{Placement, Stage};
+use super::sequence::Sequence;
 use super::throttling::FULL_SPEED;
 use super::worker::{Worker, max_lease_duration};
 use crate::utils::Name;
@@ -89,9 +92,9 @@
 enum RunResolution {
     /// The later incarnation has the run: the start reached that one.
     Kept,
-    /// The start may still reach the later incarnation.
-    Doubtful,
-    /// The run ended with the earlier incarnation, or never began.
+    /// Neither incarnation has confirmed the start. The later one refuses it.
+    Unstarted,
+    /// The run ended with the earlier incarnation, or its start was not sent.
     Lost,
 }
 
@@ -104,21 +107,17 @@
             Stage::Inherited => Self::Kept,
             Stage::Recording => Self::Lost,
             _ if run.confirmed_at.is_some() => Self::Lost,
-            _ => Self::Doubtful,
+            _ => Self::Unstarted,
         }
     }
 }
 
-/// Returns the placement of a run on the later incarnation. Its stage and speed are reset, as
-/// it is unknown which incarnation has answered a stop or a change of speed.
-fn carry_over(run: Placement, resolution: RunResolution) -> Placement {
+/// Returns the placement of a run on the later incarnation. Its speed is reset, as it is unknown
+/// which incarnation has answered a change of it; a run that was being stopped is stopped again.
+fn carry_over(run: Placement, at: Sequence) -> Placement {
     let stage = match run.stage {
-        Stage::Starting | Stage::Running(_) | Stage::Inherited
-            if resolution == RunResolution::Kept =>
-        {
-            run.stage
-        }
-        _ => Stage::Doubt,
+        Stage::Stopping(_) | Stage::Stopped(_) => Stage::Running(at),
+        stage => stage,
     };
     Placement {
         stage,
@@ -129,39 +128,43 @@
     }
 }
 
-/// Removes the runs that the later incarnation has or may have, and returns their placements
-/// on that one; `reported` holds the runs that it lists.
-fn remove_carried_runs(
+/// Removes the runs with this resolution from a worker, and returns their placements. `reported`
+/// holds the runs that the later incarnation lists.
+fn remove_runs(
     worker: &mut Worker,
     reported: &BTreeSet<(TaskKey, u32)>,
+    resolution: RunResolution,
     now: Millis,
 ) -> Vec<(TaskKey, Placement)> {
-    let mut carried = Vec::new();
-    for (key, run) in &worker.placements {
-        let resolution = RunResolution::of(run, reported.contains(&(*key, run.run)));
-        if resolution != RunResolution::Lost {
-            carried.push((*key, carry_over(run.clone(), resolution)));
-        }
-    }
-    for (key, _) in &carried {
+    let has_resolution = |(key, run): &(&TaskKey, &Placement)| {
+        RunResolution::of(run, reported.contains(&(**key, run.run))) == resolution
+    };
+    let runs = worker.placements.iter().filter(has_resolution);
+    let removed: Vec<_> = runs.map(|(key, run)| (*key, run.clone())).collect();
+    for (key, _) in &removed {
         worker.remove(*key, now);
     }
-    carried
+    removed
+}
+
+/// Returns true once a stop of the run was sent.
+fn is_stopping((_, run): &&(TaskKey, Placement)) -> bool {
+    matches!(run.stage, Stage::Stopping(_) | Stage::Stopped(_))
 }
 
 impl Owner {
-    /// Switches the state of a worker to a later incarnation on its first report.
+    /// Switches the state of a worker to a later incarnation on its report. The poll had a higher
+    /// fence than all orders to the earlier one, so none of these can reach the later one any more.
     pub(super) fn handle_restart(&mut self, name: &Name, report: &Report) {
         let reported = self.reported_runs(report);
         let now = self.now.steady;
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        let carried = remove_carried_runs(worker, &reported, now);
-        let doubtful = carried.iter().filter(|(_, r)| r.stage == Stage::Doubt);
-        let doubtful: Vec<TaskKey> = doubtful.map(|(key, _)| *key).collect();
-        let (boot, tasks) = (worker.boot, carried.len());
-        log::info!(target: "worker", "worker={name} event=started-again boot={:?} before={boot:?} carried={tasks} doubtful={}", report.boot, doubtful.len());
+        let kept = remove_runs(worker, &reported, RunResolution::Kept, now);
+        let unstarted = remove_runs(worker, &reported, RunResolution::Unstarted, now);
+        let (boot, tasks) = (worker.boot, kept.len());
+        log::info!(target: "worker", "worker={name} event=started-again boot={:?} before={boot:?} carried={tasks} unstarted={}", report.boot, unstarted.len());
         crate::metrics::get().new_incarnations.inc();
         let entry = worker.ignored_listing.take();
         let lost: Vec<TaskKey> = worker.placements.keys().copied().collect();
@@ -169,18 +172,22 @@
         self.cancel_reservation(name);
         self.log_incarnation_end(name, IncarnationEnd::Replaced);
         self.record_crash(name, CrashEvidence::Replaced);
-        self.begin_incarnation(name, report.boot, carried);
+        let stopping = kept.iter().filter(is_stopping);
+        let stopping: Vec<TaskKey> = stopping.map(|(key, _)| *key).collect();
+        self.begin_incarnation(name, report.boot, kept);
         // This also stops the other members of a lost run's gang, those on the later
         // incarnation too.
         for key in lost {
             self.release_task(key);
         }
+        for (key, _) in unstarted {
+            self.release_task(key);
+        }
         // A listing with an earlier boot time was ignored until the report confirmed that time.
         if let Some(entry) = entry.filter(|e| e.boot == report.boot) {
             self.apply_listing(name.clone(), *entry);
         }
-        // An incarnation that has answered a stop refuses a late start of the same run.
-        for key in doubtful {
+        for key in stopping {
             self.stop_task(key);
         }
     }
@@ -202,6 +209,7 @@
         carried: Vec<(TaskKey, Placement)>,
     ) {
         let (now, longest) = (self.now.steady, self.settings.longest_lease);
+        let sequence = self.sequence;
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -209,7 +217,7 @@
         // end on a clock that was ahead of this one's.
         worker.begin_incarnation(boot, now + max_lease_duration(longest));
         for (key, run) in carried {
-            worker.insert(key, run);
+            worker.insert(key, carry_over(run, sequence));
         }
     }
 
@@ -227,6 +235,8 @@
 
     /// Polls a worker at once that may be another incarnation than the known one.
     pub(super) fn verify_incarnation(&mut self, name: &Name, by: &str) {
+        // Orders to the known incarnation may still reach the other one.
+        self.raise_fence(name);
         let Some(worker) = self.workers.get_mut(name).filter(|w| !w.unverified) else {
             return;
         };
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -66,7 +66,8 @@
     pub incarnation: u64,
     /// Address at which other boxes reach the owner.
     pub address: SocketAddr,
-    /// Epoch of the owner: one higher than that of the owner before.
+    /// Epoch of the owner: the highest fence of its orders. An owner of the previous release
+    /// uses its epoch, one higher than that of the owner before, as its only fence.
     pub epoch: u64,
     /// Number of the owner's last commit.
     pub seq: u64,
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -146,7 +146,7 @@
 /// Why a worker refused an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
-    /// The worker has received orders of an owner with a higher epoch.
+    /// The worker has received an order with a higher fence.
     Fenced,
     /// A run of the task with the same or a higher number ended or was stopped on the worker.
     Old,
@@ -309,8 +309,8 @@
     pub address: SocketAddr,
     /// End of the lease on the worker's clock; `None` leaves the lease as it is.
     pub lease: Option<Millis>,
-    /// Epoch of the owner.
-    pub epoch: u64,
+    /// Fence: the worker does nothing if it has seen a higher one.
+    pub fence: u64,
     /// Highest acknowledged completion, 0 for none; the worker may forget completions up to it.
     pub acknowledged: u64,
     /// Milliseconds that the worker may wait for a completion before it answers.
@@ -334,8 +334,8 @@
     pub payload: Name,
     /// End of the lease on the worker's clock.
     pub lease: Millis,
-    /// Epoch of the owner.
-    pub epoch: u64,
+    /// Fence: the worker does nothing if it has seen a higher one.
+    pub fence: u64,
     /// Checkpoint to resume from; empty for none.
     pub checkpoint: Name,
     /// The advisor's permit to run the task on the worker; empty where none is needed.
@@ -355,8 +355,8 @@
     pub address: SocketAddr,
     /// Name of the task.
     pub task: String,
-    /// Epoch of the owner.
-    pub epoch: u64,
+    /// Fence: the worker does nothing if it has seen a higher one.
+    pub fence: u64,
 }
 
 /// An order to change the speed of a run.
@@ -372,8 +372,8 @@
     pub address: SocketAddr,
     /// Name of the task.
     pub task: String,
-    /// Epoch of the owner.
-    pub epoch: u64,
+    /// Fence: the worker does nothing if it has seen a higher one.
+    pub fence: u64,
     /// Percent of full speed at which the run may work.
     pub percent: u32,
 }
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -4,11 +4,11 @@
 
 use super::addresses::Addresses;
 use super::crashes::ProvisionalCrash;
+use super::fences::Fences;
 use super::history::History;
 use super::interference::InterferenceModel;
 use super::job::{Job, JobRow, Outcome, Phase, StepKey, TaskKey};
 use super::journal::Journal;
-use super::late_starts::LateStart;
 use super::loads::OwnLoads;
 use super::mechanisms::Mechanisms;
 use super::message::{Action, Answer, Event, Ticket};
@@ -85,8 +85,8 @@
     pub(super) jobs: BTreeMap<u32, Job>,
     /// Number of each job by its id.
     pub(super) job_numbers: HashMap<Name, u32>,
-    /// Starts without an answer that workers may still carry out.
-    pub(super) late_starts: Vec<LateStart>,
+    /// Fences of the orders to workers.
+    pub(super) fences: Fences,
     /// Finished jobs without placed tasks.
     pub(super) history: History,
     /// Jobs whose rows in the store can't be decoded. Their state is unknown to this owner,
@@ -180,6 +180,7 @@
     ) -> Self {
         let mut owner = Self {
             settings,
+            fences: Fences::new(journal.epoch()),
             journal,
             jobs: BTreeMap::new(),
             job_numbers: HashMap::new(),
@@ -211,7 +212,6 @@
             provisional_crashes: Vec::new(),
             last_store_trouble: 0,
             typical_work: HashMap::new(),
-            late_starts: Vec::new(),
             backlog_level: 0.0,
             next_swap: 0,
             next_job: 0,
@@ -387,7 +387,6 @@
         self.expire_leases();
         self.evacuate();
         self.retry_stops();
-        self.stop_late_starts();
         let wall = self.now.wall;
         let scheduled: Vec<u32> = self
             .jobs
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -16,12 +16,10 @@
     Inherited,
     /// The store has not confirmed the placement; no start was sent.
     Recording,
-    /// The start was sent and has no answer yet.
+    /// The start was sent, and neither an answer nor a report has confirmed the run yet.
     Starting,
     /// The worker confirmed the run in this event.
     Running(Sequence),
-    /// The task may be running or may still be started, which only a stop can settle.
-    Doubt,
     /// A stop was answered in this event; the report of a later poll says how the run ended.
     Stopped(Sequence),
     /// A stop of a running task was sent at this time.
@@ -35,6 +33,8 @@
     pub run: u32,
     /// Stage of the run.
     pub stage: Stage,
+    /// Fence of the start; 0 before it was sent, and for a start of an earlier owner.
+    pub fence: u64,
     /// Boot time of the worker that the task was given to, as stored.
     pub boot: BootTime,
     /// Resources reserved for the task.
@@ -92,6 +92,14 @@
         matches!(self.stage, Running(_) | Stopping(_) | Stopped(_))
     }
 
+    /// Returns true if the start was sent with a lower fence and has not been confirmed. Unless the
+    /// answer to a poll with this fence lists the run, its worker refuses the start.
+    pub fn is_fenced_by(&self, fence: u64) -> bool {
+        use Stage::{Starting, Stopped, Stopping};
+        let sent = matches!(self.stage, Starting | Stopping(_) | Stopped(_));
+        sent && self.confirmed_at.is_none() && self.fence < fence
+    }
+
     /// Returns true while the run is confirmed and no stop was sent.
     pub fn is_running(&self) -> bool {
         matches!(self.stage, Stage::Running(_))
--- a/src/sched/placement_pass.rs
+++ b/src/sched/placement_pass.rs
@@ -425,6 +425,7 @@
             boot,
             suspect,
             stage,
+            fence: 0,
             resources: step.reserved(),
             unreserved_cpu: if step.best_effort {
                 step.resources.cpu
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -67,7 +67,7 @@
     pub(super) fn poll_due_workers(&mut self) {
         let now = self.now.steady;
         let may_grant = self.may_grant_leases();
-        let (span, epoch) = (self.settings.lease_length, self.journal.epoch());
+        let span = self.settings.lease_length;
         let mixed_wait = MIXED_POLL_WAIT * (self.workers.len() as u64).max(MIXED_POLL_WORKERS)
             / MIXED_POLL_WORKERS;
         for name in self.take_due_polls() {
@@ -82,7 +82,14 @@
                 true => worker.grant_lease(span, now),
                 false => None,
             };
-            let known = worker.last_answer > 0 && worker.is_incarnation_certain();
+            // The worker learns of a raised fence at once: the answer settles unconfirmed starts.
+            let known = worker.last_answer > 0
+                && worker.is_incarnation_certain()
+                && worker.answered_fence == worker.fence;
+            let acknowledged = worker.next_acknowledgement();
+            if acknowledged > 0 {
+                worker.use_fence();
+            }
             let max_wait = match worker.isolated_job {
                 Some(_) => ISOLATED_POLL_WAIT,
                 None => POLL_WAIT,
@@ -102,8 +109,8 @@
                 sent: now,
                 address: worker.listing.address,
                 lease,
-                epoch,
-                acknowledged: worker.next_acknowledgement(),
+                fence: worker.fence,
+                acknowledged,
                 wait: match (known, mixed) {
                     (false, _) => 0,
                     (true, true) => mixed_wait.min(max_wait),
@@ -117,6 +124,9 @@
     pub(super) fn handle_poll_reply(&mut self, poll: &Poll, reply: Reply<Report>) {
         let now = self.now.steady;
         let name = &poll.incarnation.id;
+        if reply == Reply::Lost {
+            self.raise_fence(name);
+        }
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -131,8 +141,12 @@
             {
                 self.end_incarnation(name, IncarnationEnd::Replaced)
             }
+            Reply::Refused(Refusal::Fenced) if poll.fence < worker.fence => {
+                log::debug!(target: "worker", "worker={name} event=overtaken sent={} fence={}", poll.sent, poll.fence);
+                self.schedule_poll(name, now);
+            }
             Reply::Refused(Refusal::Fenced) => {
-                // An owner with a higher epoch has reached the worker; the next commit of this
+                // A later owner has reached the worker; the next commit of this
                 // owner fails.
                 log::warn!(target: "worker", "worker={name} event=fenced epoch={}", self.journal.epoch());
                 self.schedule_poll(name, now + RETRY_DELAY);
@@ -163,11 +177,17 @@
         let order = compare_report(known, poll.incarnation.clock, &report);
         if order == BootOrder::Earlier && !self.accepts_earlier_boot(worker) {
             self.log_earlier_incarnation(name, report.boot, known, "report");
+            self.raise_fence(name);
             if let Some(worker) = self.workers.get_mut(name) {
                 worker.missed_polls += 1;
             }
             return self.schedule_poll(name, now + RETRY_DELAY);
         }
+        if order != BootOrder::Same && poll.fence <= worker.used_fence {
+            // Orders to the known incarnation may still reach the later one.
+            self.verify_incarnation(name, "report");
+            return self.schedule_poll(name, now);
+        }
         if worker.last_answer == 0 {
             self.end_others_at_address(name, poll);
         }
@@ -191,6 +211,7 @@
         if order == BootOrder::Same {
             worker.completions.acknowledge(poll.acknowledged);
         }
+        worker.answered_fence = worker.answered_fence.max(poll.fence);
         worker.record_clock(report.clock, now);
         worker.answered_at = Some(poll.address);
         worker.last_report = self.sequence;
@@ -350,14 +371,14 @@
     /// report shows the state after an event only if its poll was sent after that event.
     fn handle_missing_runs(&mut self, name: &Name, poll: &Poll, listed: &BTreeSet<TaskKey>) {
         let inherited_lapsed = self.now.steady > self.inherited_leases_end;
-        let Some(worker) = self.workers.get_mut(name) else {
+        let Some(worker) = self.workers.get(name) else {
             return;
         };
         let boot = worker.boot;
         let mut ended = Vec::new();
         let mut unseen = Vec::new();
-        let mut doubtful = Vec::new();
-        for (key, placement) in &mut worker.placements {
+        let mut missing = Vec::new();
+        for (key, placement) in &worker.placements {
             if listed.contains(key) {
                 continue;
             }
@@ -367,15 +388,15 @@
                 // A later incarnation has the run, perhaps at another address.
                 Stage::Inherited if order == BootOrder::Later && !inherited_lapsed => {}
                 Stage::Inherited => ended.push(*key),
+                _ if placement.is_fenced_by(poll.fence) => ended.push(*key),
                 Stage::Stopped(at) if at < poll.sequence => ended.push(*key),
                 Stage::Running(at) if at < poll.sequence => {
-                    placement.stage = Stage::Doubt;
-                    doubtful.push((*key, placement.run, placement.confirmed_at));
+                    missing.push((*key, placement.run, placement.confirmed_at));
                 }
                 _ => {}
             }
         }
-        for (key, run, confirmed_at) in doubtful {
+        for (key, run, confirmed_at) in missing {
             let age = confirmed_at.map_or(0, |at| self.now.steady - at);
             let task = self.task_name(key);
             log::info!(target: "task", "task={task} run={run} event=missing worker={name} age_ms={age}");
--- a/src/sched/starts.rs
+++ b/src/sched/starts.rs
@@ -8,7 +8,6 @@
 use super::owner::Owner;
 use super::placement::Stage;
 use super::spec::Resources;
-use super::worker::Worker;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -64,6 +63,7 @@
             true => worker.grant_lease(span, now),
             false => None,
         };
+        let fence = worker.fence;
         let (Some(lease), Some(permit), Some(placement)) =
             (lease, permit, worker.placements.get_mut(&key))
         else {
@@ -74,13 +74,15 @@
         };
         placement.stage = Stage::Starting;
         placement.placed_at = now;
+        placement.fence = fence;
         self.send_start(key, run, name, lease, permit);
     }
 
     /// Orders a worker to start a run.
     fn send_start(&mut self, key: TaskKey, run: u32, worker: Name, lease: Millis, permit: Name) {
         let known = self.workers.get(&worker);
-        let Some((address, incarnation)) = known.map(|w| (w.listing.address, w.incarnation()))
+        let Some((address, incarnation, fence)) =
+            known.map(|w| (w.listing.address, w.incarnation(), w.fence))
         else {
             return;
         };
@@ -102,7 +104,7 @@
             task,
             payload: job.spec.payload.clone(),
             lease,
-            epoch: self.journal.epoch(),
+            fence,
             checkpoint: job
                 .task(key)
                 .map(|t| t.checkpoint.clone())
@@ -122,7 +124,8 @@
         let (now, sequence) = (self.now.steady, self.sequence);
         let name = &incarnation.id;
         if reply == Reply::Lost {
-            self.add_late_start(key, run, incarnation);
+            log::info!(target: "task", "task={} run={run} event=start-unanswered worker={incarnation}", self.task_name(key));
+            self.raise_fence(name);
         }
         if !self.accept_reply(incarnation, &reply) {
             return;
@@ -136,11 +139,7 @@
                 self.mark_begun(key);
                 self.halt_run(name, key);
             }
-            Reply::Lost if placement.stage == Stage::Starting => {
-                // The start may be carried out seconds later unless a stop is answered first.
-                placement.stage = Stage::Doubt;
-                self.stop_task(key);
-            }
+            // The answer to a poll with the raised fence shows whether it was carried out.
             Reply::Lost => {}
             Reply::NotSent | Reply::NotListening => self.release_task(key),
             Reply::Refused(refusal) => self.handle_start_refusal(key, run, name, refusal),
@@ -225,12 +224,12 @@
     ) {
         let (now, sequence) = (self.now.steady, self.sequence);
         let name = &incarnation.id;
+        if reply == Reply::Lost {
+            self.raise_fence(name);
+        }
         if !self.accept_reply(incarnation, &reply) {
             return;
         }
-        if matches!(reply, Reply::Ok(_)) {
-            self.mark_late_start_stopped(key, run, incarnation);
-        }
         let Some(placement) = self.placement_mut(name, key, run) else {
             return;
         };
@@ -302,7 +301,7 @@
                 return;
             }
             Stage::Inherited | Stage::Stopping(_) | Stage::Stopped(_) => return,
-            Stage::Starting | Stage::Running(_) | Stage::Doubt => {
+            Stage::Starting | Stage::Running(_) => {
                 placement.stage = Stage::Stopping(now);
             }
         }
@@ -328,7 +327,8 @@
         worker: Name,
         address: SocketAddr,
     ) {
-        let Some(incarnation) = self.workers.get(&worker).map(Worker::incarnation) else {
+        let known = self.workers.get(&worker);
+        let Some((incarnation, fence)) = known.map(|w| (w.incarnation(), w.fence)) else {
             return;
         };
         log::info!(target: "task", "task={task} run={run} event=stop worker={incarnation}");
@@ -338,7 +338,7 @@
             incarnation,
             address,
             task,
-            epoch: self.journal.epoch(),
+            fence,
         }));
     }
 }
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod directory;
 mod failover;
+mod fences;
 mod gang;
 mod history;
 mod incarnation;
--- a/src/sched/tests/incarnation.rs
+++ b/src/sched/tests/incarnation.rs
@@ -4,8 +4,8 @@
 
 use super::world::{CALL_TIMEOUT, FakeWorker, World, job, lasting, listing, step};
 use crate::sched::job::JobState;
-use crate::sched::message::{DirectoryEntry, Event, Reply, Report, RunOutcome};
-use crate::sched::spec::{Resources, StepSpec};
+use crate::sched::message::{DirectoryEntry, Event, Poll, Reply, Report, RunOutcome};
+use crate::sched::spec::{JobSpec, Resources, StepSpec};
 use crate::sched::worker::Listing;
 
 /// A worker that restarts under its id numbers its completions from 1 again. The owner took
@@ -307,6 +307,13 @@
     /// The last start that was sent to the worker is carried out, unless the box has given
     /// it up and closed its connection.
     LateStart,
+    /// A poll that acknowledged completions of the earlier incarnation is carried out, unless the
+    /// later one was never polled: until then, its orders have the fence of the earlier one.
+    LatePoll,
+    /// No call reaches the later incarnation from now on.
+    Unreachable,
+    /// Another job is submitted.
+    Submit,
     /// Half a second passes.
     Pause,
     /// All leases end.
@@ -315,7 +322,7 @@
     Takeover,
 }
 
-const STEPS: [RestartStep; 8] = [
+const STEPS: [RestartStep; 11] = [
     RestartStep::OldListing,
     RestartStep::NewListing,
     RestartStep::OldReport,
@@ -324,6 +331,24 @@
     RestartStep::Pause,
     RestartStep::LeasesEnd,
     RestartStep::Takeover,
+    RestartStep::LatePoll,
+    RestartStep::Unreachable,
+    RestartStep::Submit,
+];
+
+/// Steps after which the owner knows the later incarnation.
+const KNOWN_STEPS: [RestartStep; 3] = [
+    RestartStep::Reachable,
+    RestartStep::NewListing,
+    RestartStep::Pause,
+];
+
+/// Steps in which a job of the later incarnation may end while it can't be reached.
+const LATE_POLL_STEPS: [RestartStep; 4] = [
+    RestartStep::Submit,
+    RestartStep::Unreachable,
+    RestartStep::Pause,
+    RestartStep::LatePoll,
 ];
 
 impl Arbitrary for RestartStep {
@@ -332,11 +357,18 @@
     }
 }
 
+/// Returns a job of four small tasks.
+fn short_job() -> JobSpec {
+    job(vec![step(4, 500)])
+}
+
 /// A worker that has restarted, and messages of its earlier incarnation.
 struct Restart {
     world: World,
     old_listing: Listing,
     old_report: Report,
+    old_poll: Poll,
+    submitted: bool,
 }
 
 impl Restart {
@@ -346,10 +378,11 @@
         let mut world = World::new(2);
         world.script = |task, run| match task.as_bytes()[0] {
             b'f' if run < 3 => (300, RunOutcome::Failed),
+            b'm' => (300, RunOutcome::Done),
             b'l' => (600_000, RunOutcome::Done),
             _ => (700, RunOutcome::Done),
         };
-        world.submit("before", job(vec![step(4, 1_000)]));
+        world.submit("before", job(vec![step(16, 500)]));
         world.run(1_500);
         world.submit("lasting", job(vec![lasting(2, 1_000)]));
         world.submit("failing", job(vec![step(2, 1_000)]));
@@ -357,12 +390,15 @@
         world.run(200);
         let before = &world.workers["w0"];
         let (old_listing, old_report) = (before.listing.clone(), before.report(world.now));
+        let old_poll = world.last_acknowledging["w0"].clone();
         world.restart("w0");
         world.workers.get_mut("w0").expect("worker").disconnected = true;
         let mut restart = Self {
             world,
             old_listing,
             old_report,
+            old_poll,
+            submitted: false,
         };
         restart.world.run(2);
         restart
@@ -390,6 +426,18 @@
                     world.deliver_start(&start);
                 }
             }
+            RestartStep::LatePoll => {
+                if world.workers["w0"].polled {
+                    world.deliver_poll(&self.old_poll);
+                }
+            }
+            RestartStep::Unreachable => {
+                world.workers.get_mut("w0").expect("worker").disconnected = true
+            }
+            RestartStep::Submit => {
+                self.submitted = true;
+                world.submit("more", short_job());
+            }
             RestartStep::Pause => world.run(500),
             RestartStep::LeasesEnd => world.run(6_000),
             RestartStep::Takeover => world.take_over(5_000),
@@ -403,11 +451,15 @@
         world.workers.get_mut("w0").expect("worker").disconnected = false;
         world.send_directory();
         world.run(500);
-        world.submit("after", job(vec![step(4, 500)]));
+        world.submit("after", short_job());
         world.run(12_000);
         let mut errors = std::mem::take(&mut world.duplicates);
         errors.append(&mut world.overcommits);
-        for id in ["before", "done", "failing", "after"] {
+        let more = self.submitted.then_some("more");
+        for id in ["before", "done", "failing", "after"]
+            .into_iter()
+            .chain(more)
+        {
             let shown = world.job_state(id);
             if shown != Some(JobState::Completed) {
                 errors.push(format!("{id} is {shown:?}"));
@@ -455,6 +507,15 @@
     }
 }
 
+#[test]
+fn no_order_of_steps_with_a_late_poll_runs_a_task_twice() {
+    for late_steps in permutations(&LATE_POLL_STEPS) {
+        let steps = [&KNOWN_STEPS[..], &late_steps].concat();
+        let errors = errors_after(&steps);
+        assert!(errors.is_empty(), "{steps:?}: {errors:?}");
+    }
+}
+
 #[test]
 fn no_random_steps_after_a_restart_run_a_task_twice() {
     fn property(steps: Vec<RestartStep>) -> TestResult {
--- a/src/sched/tests/late_orders.rs
+++ b/src/sched/tests/late_orders.rs
@@ -9,14 +9,10 @@
 fn acknowledge_four(world: &mut World) -> Poll {
     world.script = |_, _| (300, RunOutcome::Done);
     world.submit("before", job(vec![step(4, 1_000)]));
-    for _ in 0..3_000 {
-        world.run(1);
-        let poll = &world.last_polls["w0"];
-        if poll.acknowledged == 4 {
-            return poll.clone();
-        }
-    }
-    panic!("the completions were not acknowledged");
+    world.run(3_000);
+    let poll = world.last_acknowledging["w0"].clone();
+    assert_eq!(poll.acknowledged, 4);
+    poll
 }
 
 /// Asserts that each of four tasks of a job runs exactly once.
@@ -27,6 +23,27 @@
     assert_eq!(starts.count(), 4, "{:?}", world.starts);
 }
 
+/// A poll with an acknowledgement reached a later incarnation, which numbers its completions from
+/// 1 again: it forgot completions that nobody had read, and their tasks ran again.
+#[test]
+fn a_late_acknowledgement_makes_no_later_incarnation_forget_completions() {
+    let mut world = World::new(1);
+    let late = acknowledge_four(&mut world);
+    world.restart("w0");
+    world.send_directory();
+    world.run(500);
+    world.submit("after", job(vec![step(4, 1_000)]));
+    world.run(100);
+    assert_eq!(world.running().len(), 4);
+    world.workers.get_mut("w0").expect("worker").disconnected = true;
+    world.run(600);
+    assert!(world.running().is_empty());
+    world.deliver_poll(&late);
+    world.workers.get_mut("w0").expect("worker").disconnected = false;
+    world.run(8_000);
+    assert_ran_once(&mut world, "after");
+}
+
 /// Longest lease of the platform in the tests, in milliseconds.
 const LONGEST_LEASE: Millis = 12_000;
 
@@ -71,7 +88,6 @@
     world.send_directory();
     world.run(500);
     acknowledge_four(&mut world);
-    world.run(2_000);
     world.restart_as("w0", |listing| listing.boot = None);
     world.run(1_000);
     world.submit("after", job(vec![step(4, 1_000)]));
--- a/src/sched/tests/sequence.rs
+++ b/src/sched/tests/sequence.rs
@@ -82,8 +82,8 @@
 fn a_report_from_before_a_stop_does_not_release_a_run_that_was_done() {
     let mut instant = Instant::new();
     let (run, incarnation) = (instant.start.run, instant.incarnation());
-    instant.handle(Event::Started(KEY, run, incarnation.clone(), Reply::Lost));
-    instant.report(Vec::new(), Vec::new());
+    instant.world.owner.stop_task(KEY);
+    instant.handle(Event::Tick);
     instant.handle(Event::Stopped(KEY, run, incarnation, instant.ack()));
     instant.report(Vec::new(), Vec::new());
     assert!(instant.world.owner.placed_on.contains_key(&KEY));
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -16,6 +16,7 @@
 use self::workers::EndedAt;
 pub use self::workers::FakeWorker;
 use crate::cordons::Halls;
+use crate::sched::fences::next_epoch;
 use crate::sched::job::{JobRow, JobState, Queue};
 use crate::sched::journal::{JOB_TABLE, Journal, OWNER_KEY, OWNER_TABLE, OwnerRow, SPEC_TABLE};
 use crate::sched::mechanisms::Mechanisms;
@@ -99,6 +100,8 @@
     pub last_commit: u64,
     /// Last poll that was sent, by worker.
     pub last_polls: BTreeMap<Name, Poll>,
+    /// Last poll that acknowledged a completion, by worker.
+    pub last_acknowledging: BTreeMap<Name, Poll>,
     /// Last start that was sent and its time, by worker.
     pub last_starts: BTreeMap<Name, (Millis, Start)>,
     /// Rows of the store, by table and key.
@@ -207,7 +210,8 @@
     /// Returns an owner with `workers` workers that are listed and have answered a poll.
     pub fn new(workers: u16) -> Self {
         let now = 1_000;
-        let journal = Journal::new(owner_row(1), 1, now);
+        let row = owner_row(next_epoch(0));
+        let journal = Journal::new(row.clone(), 1, now);
         let at = Now {
             steady: now,
             wall: now,
@@ -241,18 +245,19 @@
             polls: 0,
             last_commit: 0,
             last_polls: BTreeMap::new(),
+            last_acknowledging: BTreeMap::new(),
             last_starts: BTreeMap::new(),
             rows: BTreeMap::new(),
             version: 1,
             owner_version: 1,
             suspended_until: 0,
-            epoch: 1,
+            epoch: row.epoch,
             random: Random::new(7),
             scheduled: BTreeMap::new(),
             last_serial: 0,
             last_ticket: 0,
         };
-        world.put_owner(&owner_row(1));
+        world.put_owner(&row);
         for number in 0..workers {
             world.add_worker(&format!("w{number}"), 100 + number);
         }
@@ -354,7 +359,7 @@
     /// Replaces the owner as a takeover does; leases from earlier owners end within `inherited` ms.
     pub fn take_over(&mut self, inherited: Millis) {
         self.suspended_until = 0;
-        self.epoch += 1;
+        self.epoch = next_epoch(self.epoch);
         self.version += 1;
         self.owner_version = self.version;
         let row = owner_row(self.epoch);
@@ -452,8 +457,11 @@
                 }
                 Action::Poll(poll) => {
                     self.polls += 1;
-                    self.last_polls
-                        .insert(poll.incarnation.id.clone(), poll.clone());
+                    let id = poll.incarnation.id.clone();
+                    if poll.acknowledged > 0 {
+                        self.last_acknowledging.insert(id.clone(), poll.clone());
+                    }
+                    self.last_polls.insert(id, poll.clone());
                     Call::Poll(poll)
                 }
                 Action::Start(start) => {
--- a/src/sched/tests/world/calls.rs
+++ b/src/sched/tests/world/calls.rs
@@ -63,7 +63,7 @@
 pub enum Scheduled {
     /// A call arrives; false when its reply is lost.
     Call(Call, bool),
-    /// A delayed call is executed if the worker still runs the incarnation started at this time.
+    /// A delayed call arrives that was meant for the incarnation started at this time.
     Delayed(Call, Option<Millis>),
     /// The owner of this epoch receives an event.
     Event(u64, Event),
@@ -108,8 +108,8 @@
         self.schedule(ONE_WAY_DELAY, Scheduled::Call(call, !lost));
     }
 
-    /// Returns the start time of the present incarnation of the called worker.
-    fn incarnation_of(&self, call: &Call) -> Option<Millis> {
+    /// Returns the called worker.
+    fn called_worker(&self, call: &Call) -> Option<&FakeWorker> {
         let id = match call {
             Call::Poll(poll) => &poll.incarnation.id,
             Call::Start(start) => &start.incarnation.id,
@@ -117,13 +117,28 @@
             Call::Throttle(throttle) => &throttle.incarnation.id,
             Call::Commit(..) => return None,
         };
-        self.workers.get(id).map(|w| w.started_at)
+        self.workers.get(id)
+    }
+
+    /// Returns the start time of the present incarnation of the called worker.
+    fn incarnation_of(&self, call: &Call) -> Option<Millis> {
+        self.called_worker(call).map(|w| w.started_at)
     }
 
-    /// Executes a delayed call if the worker still runs the same incarnation.
+    /// Executes a delayed call, also while newer calls do not reach the worker, and on a later
+    /// incarnation than the one that it was meant for. A later one that has received no order can't
+    /// refuse it, whatever the owner does: such a call is dropped.
     pub(super) fn deliver_delayed(&mut self, call: Call, incarnation: Option<Millis>) {
-        if self.incarnation_of(&call) == incarnation {
-            self.deliver(call, false);
+        let has_fence = self.called_worker(&call).is_some_and(FakeWorker::has_fence);
+        if !has_fence && self.incarnation_of(&call) != incarnation {
+            return;
+        }
+        match call {
+            Call::Poll(poll) => drop(self.poll(&poll)),
+            Call::Start(start) => drop(self.start(&start)),
+            Call::Stop(stop) => drop(self.stop(&stop)),
+            Call::Throttle(throttle) => drop(self.throttle(&throttle)),
+            Call::Commit(..) => {}
         }
     }
 
--- a/src/sched/tests/world/interference.rs
+++ b/src/sched/tests/world/interference.rs
@@ -196,10 +196,10 @@
         let Some(worker) = self.workers.get_mut(&throttle.incarnation.id) else {
             return Reply::Lost;
         };
-        if throttle.epoch < worker.epoch {
+        if throttle.fence < worker.fence {
             return Reply::Refused(Refusal::Fenced);
         }
-        worker.epoch = throttle.epoch;
+        worker.fence = throttle.fence;
         let ack = worker.ack(now);
         let run = worker.running.get(&throttle.task).map(|r| r.run);
         let load = worker.loads.get_mut(&throttle.task);
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -61,11 +61,14 @@
     pub edit_report: fn(&mut Report),
     /// When the owner was last notified of a reduced capacity.
     pub shrunk_at: Millis,
+    /// True once this incarnation was polled.
+    pub polled: bool,
     /// Longest lease that it accepts, in milliseconds.
     pub longest_lease: Millis,
     /// When this incarnation started; its clock counts from here.
     pub(super) started_at: Millis,
-    pub(super) epoch: u64,
+    /// Highest fence that it has seen.
+    pub(super) fence: u64,
     lease_end: Millis,
     pub(super) running: BTreeMap<String, FakeRun>,
     /// Loads and measurements of the running tasks.
@@ -94,9 +97,10 @@
             rejects_bad_tasks: false,
             edit_report: |_| (),
             shrunk_at: 0,
+            polled: false,
             longest_lease: SETTINGS.lease_length,
             started_at: 0,
-            epoch: 0,
+            fence: 0,
             lease_end: 0,
             running: BTreeMap::new(),
             loads: Loads::new(),
@@ -108,6 +112,11 @@
         }
     }
 
+    /// Returns true once an order has reached this incarnation, which refuses lower fences then.
+    pub fn has_fence(&self) -> bool {
+        self.fence > 0
+    }
+
     /// Returns the names of the running tasks.
     pub fn tasks(&self) -> impl Iterator<Item = &String> {
         self.running.keys()
@@ -237,10 +246,11 @@
         let Some(worker) = self.workers.get_mut(&poll.incarnation.id) else {
             return Reply::Lost;
         };
-        if poll.epoch < worker.epoch {
+        if poll.fence < worker.fence {
             return Reply::Refused(Refusal::Fenced);
         }
-        worker.epoch = poll.epoch;
+        worker.fence = poll.fence;
+        worker.polled = true;
         worker.extend_lease(poll.lease.unwrap_or(0), now);
         worker
             .unacknowledged
@@ -298,10 +308,10 @@
         let Some(worker) = self.workers.get_mut(&start.incarnation.id) else {
             return Reply::Lost;
         };
-        if start.epoch < worker.epoch {
+        if start.fence < worker.fence {
             return Reply::Refused(Refusal::Fenced);
         }
-        worker.epoch = start.epoch;
+        worker.fence = start.fence;
         if worker.full {
             return Reply::Refused(Refusal::Full);
         }
@@ -431,10 +441,10 @@
         let Some(worker) = self.workers.get_mut(&stop.incarnation.id) else {
             return Reply::Lost;
         };
-        if stop.epoch < worker.epoch {
+        if stop.fence < worker.fence {
             return Reply::Refused(Refusal::Fenced);
         }
-        worker.epoch = stop.epoch;
+        worker.fence = stop.fence;
         let closed = worker.closed_runs.entry(stop.task.clone()).or_insert(0);
         *closed = stop.run.max(*closed);
         if worker
--- a/src/sched/throttling.rs
+++ b/src/sched/throttling.rs
@@ -173,13 +173,13 @@
     ///
     /// `overloaded` is true while a serving task there is too busy or over its target for too long.
     fn order_speeds(&mut self, name: &Name, runs: &[BestEffortRun], overloaded: bool) {
-        let epoch = self.journal.epoch();
         for run in runs {
             let wanted = (run.wanted * f64::from(FULL_SPEED)) as u32 / SPEED_STEP * SPEED_STEP;
             let Some(worker) = self.workers.get_mut(name) else {
                 return;
             };
             let (address, incarnation) = (worker.listing.address, worker.incarnation());
+            let fence = worker.fence;
             let Some(placement) = worker.placements.get_mut(&run.key) else {
                 continue;
             };
@@ -204,9 +204,10 @@
                 incarnation,
                 address,
                 task: job.task_name(run.key),
-                epoch,
+                fence,
                 percent: wanted,
             }));
+            worker.use_fence();
         }
     }
 
@@ -220,6 +221,9 @@
         reply: Reply<OrderAck>,
     ) {
         let name = &incarnation.id;
+        if reply == Reply::Lost {
+            self.raise_fence(name);
+        }
         let accepted = self.accept_reply(incarnation, &reply);
         let Some(placement) = self.placement_mut(name, key, run) else {
             return;
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -101,6 +101,13 @@
     pub boot: BootTime,
     /// True from a sign of another incarnation until the next report.
     pub unverified: bool,
+    /// Fence of the next order.
+    pub fence: u64,
+    /// Highest fence of an order that must not take effect late: any but a stop, or a poll that
+    /// neither extends the lease nor acknowledges a completion.
+    pub used_fence: u64,
+    /// Highest fence of a poll that the worker answered.
+    pub answered_fence: u64,
     /// Largest capacity seen: a worker that has shrunk may grow again.
     pub max_capacity: Resources,
     /// Whether the directory lists the worker.
@@ -163,6 +170,9 @@
             listing,
             ignored_listing: None,
             unverified: false,
+            fence: 0,
+            used_fence: 0,
+            answered_fence: 0,
             presence: Presence::Listed,
             leaves_at: None,
             placements: BTreeMap::new(),
@@ -200,6 +210,8 @@
         self.leaves_at = before.leaves_at;
         self.cordoned = before.cordoned;
         self.poll = before.poll;
+        self.fence = before.fence;
+        self.used_fence = before.used_fence;
         self.leases_end = leases_end.max(before.leases_end);
     }
 
@@ -250,6 +262,11 @@
         self.missed_polls == 0 && !self.unverified
     }
 
+    /// Records that an order with the present fence must not take effect late.
+    pub fn use_fence(&mut self) {
+        self.used_fence = self.fence;
+    }
+
     /// Places a task on the worker.
     pub fn insert(&mut self, key: TaskKey, placement: Placement) {
         self.allocated = self.allocated.plus(placement.resources);
@@ -437,6 +454,7 @@
         let end = clock + span;
         let last = reading.received + max_lease_duration(end - reading.clock);
         self.leases_end = self.leases_end.max(last);
+        self.use_fence();
         Some(end)
     }
 
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -26,6 +26,7 @@
 use deployment::{Deployment, show_job_on};
 use store::Behavior;
 use support::wait_for;
+use willowpoint::sched::fences::FENCES_PER_OWNER;
 
 /// Default duration of a run of a task.
 const TASK_DURATION: Duration = Duration::from_millis(300);
@@ -478,7 +479,11 @@
     let third = (owner + 2) % 3;
     wait_for("two failed loads", || {
         let text = deployment.output(third);
-        text.contains("event=load-failed epoch=2") && text.contains("event=load-failed epoch=3")
+        let failed = |owners: u64| {
+            let epoch = owners * FENCES_PER_OWNER;
+            text.contains(&format!("event=load-failed epoch={epoch} "))
+        };
+        failed(2) && failed(3)
     });
     deployment.store.refuse_reads(None);
     for (number, id) in [(follower, "00000000000000e6"), (owner, "00000000000000e7")] {
