The stand-in of a worker cuts leases down to the longest one

The platform's workers do; the stand-in granted whatever end an order named, so a late order could give a restarted one a lease without end. Its field for the highest fence is named so.

--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -30,6 +30,9 @@
 const HOLD_TIME: Duration = Duration::from_secs(5);
 /// Rate of a worker's clock in percent of real time: the lowest that the protocol allows.
 const CLOCK_RATE: u64 = 98;
+/// Milliseconds of the longest lease that a worker accepts: the default of
+/// `platform.longest-lease`.
+const LONGEST_LEASE: u64 = 4_000;
 /// Time between two checks of a condition that a call waits for.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -44,7 +47,8 @@
     started_at: Instant,
     /// Start of the incarnation in milliseconds since the Unix epoch.
     boot: u64,
-    epoch: u64,
+    /// Highest fence that it has seen.
+    fence: u64,
     /// End of the lease in milliseconds on the worker's clock.
     lease_end: u64,
     /// End of the lease, shared with the record.
@@ -66,7 +70,7 @@
         Self {
             started_at: Instant::now(),
             boot: clock::wall(),
-            epoch: 0,
+            fence: 0,
             lease_end: 0,
             lease: Lease::until(Instant::now()),
             runs: BTreeMap::new(),
@@ -331,18 +335,19 @@
         self.reply_with_clock(StatusCode::CONFLICT, json!({ "reason": reason }))
     }
 
-    /// Refuses an order with a lower epoch. Otherwise adopts the epoch and the lease of the order.
+    /// Refuses an order with a lower fence. Otherwise adopts the fence and the lease of the order,
+    /// which is cut down to the longest one.
     fn reject_fenced(&self, call: &Value) -> Option<Reply> {
-        let epoch = call["fence"].as_u64().unwrap_or(0);
-        let known_epoch = self.state().epoch;
-        if epoch < known_epoch {
+        let fence = call["fence"].as_u64().unwrap_or(0);
+        let known_fence = self.state().fence;
+        if fence < known_fence {
             return Some(self.conflict("fence"));
         }
         let mut state = self.state();
-        state.epoch = epoch;
-        state.lease_end = state
-            .lease_end
-            .max(call["deadlineMs"].as_u64().unwrap_or(0));
+        state.fence = fence;
+        let wanted = call["deadlineMs"].as_u64().unwrap_or(0);
+        let granted = wanted.min(state.clock() + LONGEST_LEASE);
+        state.lease_end = state.lease_end.max(granted);
         let end = state.started_at + Duration::from_millis(state.lease_end * 100 / CLOCK_RATE);
         state.lease.extend(Instant::now(), end);
         None
