An id that is admitted again is remembered for the whole retention

A request that must run at most once could run twice: the second send was admitted although the first had run.

Cause: a request that provably did not run is forgotten, so that its id may be admitted again, but the time at which the first admission expired stayed. If the caller issued the id again later, that time ended the memory of the second admission as well. From then until the second issue counted as too old, a resend was taken for new.

Now an id keeps the time at which it expires, and that time is removed with it.

Test on the code before:

an_id_that_is_issued_again_after_it_did_not_run_is_remembered_for_the_whole_ retention ... FAILED, panicked at src/dedup/tests.rs:70:5: assertion `left == right` failed, left: Admitted, right: Ran

Ruled out: a request that was not admitted forgets no id of another, as its shard is reset before it ends (`handle_admission`).

--- a/src/dedup.rs
+++ b/src/dedup.rs
@@ -55,6 +55,14 @@
     Ran,
 }
 
+/// An id that is remembered.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    state: State,
+    /// Wall clock, in ms, at which the id expires.
+    end: Millis,
+}
+
 /// A dedup shard that this box owns.
 #[derive(Clone, Debug)]
 pub struct DedupShard {
@@ -63,7 +71,7 @@
     timings: DedupTimings,
     /// Wall clock in ms at the start of the ownership; 0 if there was no earlier owner.
     owned_since: Millis,
-    ids: HashMap<Name, State>,
+    ids: HashMap<Name, Entry>,
     /// Ids in the order of the wall clock, in ms, at which they expire.
     expirations: BTreeMap<(Millis, Name), ()>,
 }
@@ -101,8 +109,8 @@
         issued: Millis,
         sole_until: Millis,
     ) -> Admission {
-        if let Some(state) = self.ids.get(id) {
-            return match state {
+        if let Some(entry) = self.ids.get(id) {
+            return match entry.state {
                 State::Running => Admission::Running,
                 State::Ran => Admission::Ran,
             };
@@ -118,22 +126,25 @@
         if !first_send && self.owned_since > 0 && issued <= self.owned_since + skew {
             return Admission::PredatesOwner;
         }
-        self.ids.insert(id.clone(), State::Running);
         let end = issued + retention + skew;
+        let state = State::Running;
+        self.ids.insert(id.clone(), Entry { state, end });
         self.expirations.insert((end, id.clone()), ());
         Admission::Admitted
     }
 
     /// Records that an admitted request has run or may have run.
     pub fn mark_ran(&mut self, id: &Name) {
-        if let Some(state) = self.ids.get_mut(id) {
-            *state = State::Ran;
+        if let Some(entry) = self.ids.get_mut(id) {
+            entry.state = State::Ran;
         }
     }
 
     /// Forgets an admitted request that provably did not run, so that it may be sent again.
     pub fn mark_not_run(&mut self, id: &Name) {
-        self.ids.remove(id);
+        if let Some(entry) = self.ids.remove(id) {
+            self.expirations.remove(&(entry.end, id.clone()));
+        }
     }
 
     /// Forgets ids whose requests are refused as too old at `wall`.
--- a/src/dedup/tests.rs
+++ b/src/dedup/tests.rs
@@ -56,3 +56,18 @@
         Admission::IssuedInFuture
     );
 }
+
+/// The id was forgotten when its first admission expired, and the resend was admitted as well.
+#[test]
+fn an_id_that_is_issued_again_after_it_did_not_run_is_remembered_for_the_whole_retention() {
+    let mut shard = DedupShard::new(1, 5_000, TIMINGS);
+    let id: Name = "a".into();
+    assert_eq!(shard.admit(5_000, &id, 5_000, 0), Admission::Admitted);
+    shard.mark_not_run(&id);
+    assert_eq!(shard.admit(5_500, &id, 5_500, 0), Admission::Admitted);
+    shard.mark_ran(&id);
+    shard.forget_expired(6_100);
+    assert_eq!(shard.admit(6_100, &id, 5_500, 0), Admission::Ran);
+    shard.forget_expired(6_510);
+    assert!(shard.is_empty());
+}
