A run that is not the present one of its task frees no quota

A team got more cores than its quota.

Cause: the end of any run of a known task was subtracted from the cores of its team, before it was checked whether it is the present run. Only a start and the adoption of a held task's run add to this count. So a held task of an earlier owner that was reported as finished, and a run that the cell stopped because its task needs none, gave back cores that this owner had never counted, and another task started beside the counted one.

Now the cores are subtracted only if the run is the present one of its task, and the finished run of a held task is first made that, which counts it.

--- a/src/cell/outcome.rs
+++ b/src/cell/outcome.rs
@@ -94,18 +94,28 @@
         }
     }
 
-    /// Subtracts a run from the cores of its team. Returns the shard and the task's index if
-    /// this is the present run of the task.
+    /// Subtracts a run from the cores of its team if it is the present run of its task: only
+    /// these are counted. Returns the shard and the task's index in this case.
     fn release_quota(&mut self, run: &Run) -> Option<(&mut JobShard, usize)> {
         let (shard, index) = self.find_task(&run.job, run.task)?;
+        if shard.states[index] != TaskState::Running(run.id) {
+            return None;
+        }
         let team = shard.row.spec.team.clone();
         if let Some(used) = self.team_cores.get_mut(&team) {
             *used = used.saturating_sub(u64::from(run.size.cores));
         }
-        let (shard, index) = self
-            .find_task(&run.job, run.task)
-            .filter(|(_, i)| *i == index)?;
-        (shard.states[index] == TaskState::Running(run.id)).then_some((shard, index))
+        self.find_task(&run.job, run.task)
+    }
+
+    /// Makes a run the present one of its task and adds it to the cores of its team.
+    fn assign_run(&mut self, job: &Name, task: u32, id: RunId, cores: u32) {
+        let Some((shard, index)) = self.find_task(job, task) else {
+            return;
+        };
+        shard.states[index] = TaskState::Running(id);
+        let team = shard.row.spec.team.clone();
+        *self.team_cores.entry(team).or_default() += u64::from(cores);
     }
 
     /// Handles the outcome of a stop.
@@ -263,11 +273,9 @@
         match shard.states[index] {
             TaskState::Running(id) if id == report.id => None,
             TaskState::Held => {
-                shard.states[index] = TaskState::Running(report.id);
-                let team = shard.row.spec.team.clone();
                 let urgent = shard.row.spec.urgent;
                 let saved = shard.row.tasks[index].saved;
-                *self.team_cores.entry(team).or_default() += u64::from(report.size.cores);
+                self.assign_run(&report.job, report.task, report.id, report.size.cores);
                 let worker = self.workers.get_mut(name)?;
                 worker.update_run(report.id, |r| {
                     r.urgent = urgent;
@@ -312,7 +320,7 @@
             }
             // A task is done whichever of its runs has finished.
             TaskState::Held if report.state == RunState::Finished => {
-                shard.states[index] = TaskState::Running(run.id);
+                self.assign_run(&run.job, run.task, run.id, run.size.cores);
                 self.record_run_end(now, name, run, report.state, report.progress);
             }
             // The task may have a later run: its progress is saved, and the task stays held.
--- a/src/cell/tests.rs
+++ b/src/cell/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the decisions of one cell.
 
 use super::*;
-use crate::job::{JobShardRow, Spec, TaskRow, VersionedShard};
+use crate::job::{JobShardRow, Phase, Spec, TaskRow, VersionedShard};
 use crate::lease::WriteOutcome;
 
 const SHAPE: Shape = Shape {
@@ -435,3 +435,81 @@
     answer(&mut cell, late + 10, 0, idle_reply());
     assert_eq!(starts(&cell.tick(late + 20, late * 1_000)).len(), 1);
 }
+
+/// Returns a report of a run of the first task of a job of `shard`.
+fn run_report(id: RunId, job: &str, cores: u32, state: RunState) -> RunReport {
+    RunReport {
+        id,
+        job: job.into(),
+        task: 0,
+        kind: "k".into(),
+        size: shard(job, 1, cores).row.spec.size,
+        state,
+        progress: 0,
+        share: 1_000,
+        usage: 0,
+    }
+}
+
+/// Has a worker report an ended run of an earlier owner beside the counted run of another job of
+/// the same team, whose quota allows one of them at a time, and returns the starts that follow.
+fn starts_after_foreign_end(state: RunState) -> Vec<(Name, Run)> {
+    let mut cell = Cell::new("h/r".into(), 2, 0, Policy::default(), TIMINGS);
+    cell.set_workers(&[listed_worker(0)], &Default::default());
+    let quota = Quota {
+        cores: 1_500,
+        weight: 1,
+    };
+    cell.quotas.insert("t".into(), quota);
+    let mut held = shard("held", 1, 1_000);
+    held.row.epoch = 1;
+    cell.load_shards(0, vec![held]);
+    answer(&mut cell, 10, 0, idle_reply());
+    cell.add_new_shard(20, shard("new", 2, 1_000));
+    let first = starts(&cell.tick(30, 30_000));
+    assert_eq!(first.len(), 1, "the quota allows one task");
+    cell.finish_start(40, &first[0].0, first[0].1.id, CallOutcome::Done(0));
+    let mut reply = idle_reply();
+    reply.runs = vec![
+        run_report(first[0].1.id, "new", 1_000, RunState::Running),
+        run_report(1 << 32, "held", 1_000, state),
+    ];
+    answer(&mut cell, 100, 0, reply);
+    starts(&cell.tick(110, 110_000))
+}
+
+/// The cores of the ended run were taken off those of the counted one, so that the team got more
+/// than its quota.
+#[test]
+fn the_end_of_a_run_that_was_never_counted_frees_no_quota() {
+    for state in [RunState::Finished, RunState::Failed, RunState::Stopped] {
+        let again = starts_after_foreign_end(state);
+        assert!(again.is_empty(), "{state:?}: {again:?}");
+    }
+}
+
+/// A run that the cell stops because its task has another one, or none, was never counted.
+#[test]
+fn a_run_that_the_cell_did_not_want_frees_no_quota() {
+    let mut cell = cell(1);
+    let quota = Quota {
+        cores: 1_500,
+        weight: 1,
+    };
+    cell.quotas.insert("t".into(), quota);
+    cell.add_new_shard(0, shard("new", 2, 1_000));
+    let mut cancelled = shard("over", 2, 1_000);
+    cancelled.row.tasks[0].phase = Phase::Done;
+    cell.add_new_shard(0, cancelled);
+    let first = starts(&cell.tick(10, 10_000)).remove(0);
+    cell.finish_start(15, &first.0, first.1.id, CallOutcome::Done(0));
+    let mut reply = idle_reply();
+    reply.runs = vec![
+        run_report(first.1.id, &first.1.job, 1_000, RunState::Running),
+        run_report(7, "over", 1_000, RunState::Running),
+    ];
+    answer(&mut cell, 100, 0, reply);
+    cell.finish_stop(110, 110_000, &"w0".into(), 7, CallOutcome::Done(0));
+    let again = starts(&cell.tick(120, 120_000));
+    assert!(again.is_empty(), "{again:?}");
+}
