A run in a state that a box does not know is not taken for lost

A task could run in two places, or run again after it had ended, where a worker of a later build reports a run in a new state.

Cause: the conversion of a worker's reply dropped such a run. The cell looks for confirmed runs that a reply does not list, records them as stopped, and starts their tasks again.

Now such a run is reported as running: it keeps its place and its lease, and is not acknowledged as ended.

Test on the code before:

a_run_in_an_unknown_state_is_reported_as_running ... FAILED panicked at src/entry/tests.rs:26:5: left: [(1, Finished)], right: [(1, Finished), (2, Running), (3, Running)]

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -10,6 +10,8 @@
 mod operators;
 mod peers;
 mod platform_client;
+#[cfg(test)]
+mod tests;
 mod workers;
 
 use std::rc::Rc;
--- /dev/null
+++ b/src/entry/tests.rs
@@ -0,0 +1,27 @@
+//! Tests of the conversion of workers' replies.
+
+use super::workers::poll_reply;
+use crate::cell::RunState;
+use crate::proto;
+
+/// The row was dropped. The cell took the run for lost, and started its task elsewhere.
+#[test]
+fn a_run_in_an_unknown_state_is_reported_as_running() {
+    let run = |run, state| proto::Run {
+        run,
+        state,
+        ..proto::Run::default()
+    };
+    let finished = proto::RunState::Finished as i32;
+    let reply = poll_reply(proto::SyncReply {
+        runs: vec![run(1, finished), run(2, 99), run(3, 0)],
+        ..proto::SyncReply::default()
+    });
+    let runs: Vec<_> = reply.runs.iter().map(|r| (r.id, r.state)).collect();
+    let expected = [
+        (1, RunState::Finished),
+        (2, RunState::Running),
+        (3, RunState::Running),
+    ];
+    assert_eq!(runs, expected);
+}
--- a/src/entry/workers.rs
+++ b/src/entry/workers.rs
@@ -206,13 +206,14 @@
     }
 }
 
-fn poll_reply(reply: proto::SyncReply) -> PollReply {
+/// Converts the reply to a poll from its message.
+pub(super) fn poll_reply(reply: proto::SyncReply) -> PollReply {
     PollReply {
         refused: reply.refused,
         shape: shape_from_proto(reply.shape.unwrap_or_default()),
         tickets: reply.tickets,
         foreign_requests: reply.foreign,
-        runs: reply.runs.into_iter().filter_map(run_report).collect(),
+        runs: reply.runs.into_iter().map(run_report).collect(),
         samples: reply.samples.into_iter().map(sample_from_proto).collect(),
         leaving: reply.leaving,
     }
@@ -229,17 +230,17 @@
     }
 }
 
-/// Converts a run's report from its message; `None` if its state is unknown.
-fn run_report(run: proto::Run) -> Option<RunReport> {
+/// Converts a run's report from its message. A run in an unknown state counts as running: it is
+/// neither taken for lost nor acknowledged as ended.
+fn run_report(run: proto::Run) -> RunReport {
     let state = match run.state() {
-        proto::RunState::Running => RunState::Running,
+        proto::RunState::Running | proto::RunState::Unknown => RunState::Running,
         proto::RunState::Finished => RunState::Finished,
         proto::RunState::Failed => RunState::Failed,
         proto::RunState::Stopped => RunState::Stopped,
-        proto::RunState::Unknown => return None,
     };
     let size = run.size.unwrap_or_default();
-    Some(RunReport {
+    RunReport {
         id: run.run,
         job: run.job.into(),
         task: run.task,
@@ -253,7 +254,7 @@
         progress: run.progress,
         share: run.throttle,
         usage: run.usage,
-    })
+    }
 }
 
 fn sample_from_proto(sample: proto::Sample) -> Sample {
