A cell leaves the runs of a job that it can't read as they are

A task ran again after it had ended, and running tasks were stopped, where a box could not decode the row of their job shard and the next owner could.

Cause: a scan skips the rows that do not decode. The runs of such a job have no task in the cell, so running ones were stopped and ended ones acknowledged, which the worker then forgot without anyone having recorded the end.

Now a scan gives the cell the jobs whose rows do not decode. Their running runs go on, their ended runs are not acknowledged.

Test on the code before (with the new function as a stub without effect):

the_runs_of_an_unreadable_job_are_neither_stopped_nor_acknowledged ... FAILED, panicked at src/cell/tests.rs:530:5: [Stop { worker: "w0", rpc: 127.0.0.2:1, run: 7, checkpoint: false }]

--- a/src/cell/outcome.rs
+++ b/src/cell/outcome.rs
@@ -265,10 +265,14 @@
     }
 
     /// Assigns a reported run to its task if the task is held. Stops the run when it has no
-    /// task, or when the task does not need it.
+    /// task, or when the task does not need it. Does nothing when the job can't be read.
     fn adopt_run(&mut self, name: &Name, report: &RunReport, now: Millis) -> Option<Action> {
+        let unreadable = self.unreadable_jobs.contains(&report.job);
         let Some((shard, index)) = self.find_task(&report.job, report.task) else {
-            return self.stop_once(name, report.id);
+            return match unreadable {
+                true => None,
+                false => self.stop_once(name, report.id),
+            };
         };
         match shard.states[index] {
             TaskState::Running(id) if id == report.id => None,
@@ -311,8 +315,13 @@
 
     /// Applies a worker's report on a run that has ended.
     fn apply_end(&mut self, now: Millis, name: &Name, run: &Run, report: &RunReport) {
+        let unreadable = self.unreadable_jobs.contains(&run.job);
         let Some((shard, index)) = self.find_task(&run.job, run.task) else {
-            return self.acknowledge(name, run.id);
+            // An owner that can read the job still has to record the end.
+            if !unreadable {
+                self.acknowledge(name, run.id);
+            }
+            return;
         };
         match shard.states[index] {
             TaskState::Running(id) if id == run.id => {
--- a/src/cell/shard.rs
+++ b/src/cell/shard.rs
@@ -1,6 +1,6 @@
 //! Job shards: the tasks of a job that belong to one cell, and the state of each task.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::Action;
 use super::runs::{Run, RunId};
@@ -135,6 +135,11 @@
         self.loaded_at = now;
     }
 
+    /// Replaces the jobs with a row that can't be decoded.
+    pub fn set_unreadable(&mut self, jobs: BTreeSet<Name>) {
+        self.unreadable_jobs = jobs;
+    }
+
     /// Adds a job shard that was read later, unless it is known or has ended.
     pub fn add_new_shard(&mut self, now: Millis, versioned: VersionedShard) {
         // The read may be older than the end of the job shard.
--- a/src/cell/state.rs
+++ b/src/cell/state.rs
@@ -113,6 +113,8 @@
     pub workers: BTreeMap<Name, Worker>,
     /// Job shards by key.
     pub shards: BTreeMap<Name, JobShard>,
+    /// Jobs with a row of this cell that can't be decoded. Their runs are left as they are.
+    pub(super) unreadable_jobs: BTreeSet<Name>,
     /// Row versions of the job shards that ended under this epoch, by key.
     pub ended_shards: BTreeMap<Name, u64>,
     /// Tasks evicted under this epoch.
@@ -164,6 +166,7 @@
             capacity_share: 1.0,
             workers: BTreeMap::new(),
             shards: BTreeMap::new(),
+            unreadable_jobs: BTreeSet::new(),
             ended_shards: BTreeMap::new(),
             evictions: 0,
             finished_tasks: 0,
--- a/src/cell/tests.rs
+++ b/src/cell/tests.rs
@@ -513,3 +513,20 @@
     let again = starts(&cell.tick(120, 120_000));
     assert!(again.is_empty(), "{again:?}");
 }
+
+/// The end of a run was acknowledged and a running one was stopped if their job's row did not decode,
+/// though a later build may be able to read it.
+#[test]
+fn the_runs_of_an_unreadable_job_are_neither_stopped_nor_acknowledged() {
+    let mut cell = cell(1);
+    cell.set_unreadable(["torn".into()].into());
+    let mut reply = idle_reply();
+    reply.runs = vec![
+        run_report(7, "torn", 1_000, RunState::Running),
+        run_report(8, "torn", 1_000, RunState::Finished),
+        run_report(9, "removed", 1_000, RunState::Finished),
+    ];
+    let actions = answer(&mut cell, 100, 0, reply);
+    assert!(actions.is_empty(), "{actions:?}");
+    assert_eq!(cell.workers["w0"].acks, [9]);
+}
--- a/src/engine/job_shards.rs
+++ b/src/engine/job_shards.rs
@@ -1,5 +1,7 @@
 //! Reads job shards, writes them in groups and cancels their jobs.
 
+use std::collections::BTreeSet;
+
 use super::ownership::cell_key;
 use super::state::Engine;
 use super::table_calls::{Purpose, rows};
@@ -154,16 +156,24 @@
             // A cell starts no task without its job shards, so a failed scan is retried at once.
             return self.scan_shards(name, out);
         };
-        let versioned = rows.iter().filter_map(|row| {
-            decode(row).map(|shard| VersionedShard {
-                key: row.key.clone(),
-                version: row.version,
-                row: shard,
-            })
-        });
+        let mut versioned = Vec::new();
+        let mut unreadable = BTreeSet::new();
+        for row in rows {
+            match decode(row) {
+                Some(shard) => versioned.push(VersionedShard {
+                    key: row.key.clone(),
+                    version: row.version,
+                    row: shard,
+                }),
+                None => unreadable.extend(job::shard_job(&row.key).map(Name::from)),
+            }
+        }
+        cell.set_unreadable(unreadable);
         match self.scanned_at.contains_key(name) {
-            true => versioned.for_each(|v| cell.add_new_shard(now.millis, v)),
-            false => cell.load_shards(now.millis, versioned.collect()),
+            true => versioned
+                .into_iter()
+                .for_each(|v| cell.add_new_shard(now.millis, v)),
+            false => cell.load_shards(now.millis, versioned),
         }
         let first = self.scanned_at.insert(name.clone(), now.millis).is_none();
         if first {
--- a/src/job.rs
+++ b/src/job.rs
@@ -141,6 +141,13 @@
     format!("{SHARD_PREFIX}{cell}/")
 }
 
+/// Returns the job in a job shard's key, or none if the key is malformed.
+pub fn shard_job(key: &str) -> Option<&str> {
+    let (_, name) = key.rsplit_once('/')?;
+    let (job, _) = name.rsplit_once('.')?;
+    Some(job)
+}
+
 /// Returns the cell in a job shard's key, such as `HALL/RACK`, or none if the key is malformed.
 pub fn shard_cell(key: &str) -> Option<&str> {
     let rest = key.strip_prefix(SHARD_PREFIX)?;
--- a/src/job/tests.rs
+++ b/src/job/tests.rs
@@ -77,5 +77,7 @@
 #[test]
 fn the_key_of_a_job_shard_contains_its_cell() {
     let key = shard_key("leon-1/r1", "job.7", 3);
+    assert_eq!(shard_job(&key), Some("job.7"));
+    assert_eq!(shard_job("lot/leon-1/job"), None);
     assert_eq!(shard_cell(&key), Some("leon-1/r1"));
 }
