Simulation of owners whose process is stopped, with drawn orders of handling

What lies in the sockets of a box that was stopped is handled in any order, its timers have run meanwhile, half of the calls that it was about to send leave only when it resumes, and another box may have become the owner; workers move, end, are cut off, lose their entry, or another entry names their address. None of the tests played that. 16 stops of 1 ms to 11 s in each simulation, judged by the check for duplicates and by whether all jobs end.

--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -20,6 +20,7 @@
 mod order;
 mod overload;
 mod pass_cost;
+mod pauses;
 mod permits;
 mod predecessors;
 mod random;
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod crashes;
 mod interference;
+mod pauses;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,6 +14,7 @@
 use self::calls::{Call, Scheduled};
 pub use self::crashes::Crashes;
 pub use self::interference::SimulatedInterference;
+use self::pauses::ReplacedOwner;
 use self::workers::EndedAt;
 pub use self::workers::FakeWorker;
 use crate::cordons::Halls;
@@ -110,8 +112,12 @@
     pub version: u64,
     /// Version of the owner row.
     pub owner_version: u64,
-    /// Time until which the owner's machine is suspended.
+    /// Time until which the owner's machine is suspended or its process stopped.
     suspended_until: Millis,
+    /// True from a stop of the owner's process until it resumes.
+    process_stopped: bool,
+    /// A stopped owner that another one has replaced.
+    replaced: Option<ReplacedOwner>,
     epoch: u64,
     random: Random,
     /// Calls and events to come, by time and serial number.
@@ -251,6 +257,8 @@
             version: 1,
             owner_version: 1,
             suspended_until: 0,
+            process_stopped: false,
+            replaced: None,
             epoch: row.epoch,
             random: Random::new(7),
             scheduled: BTreeMap::new(),
@@ -300,7 +308,7 @@
 
     /// Delivers an event to the owner. While its machine is suspended, events are queued and
     /// delivered in order when it resumes.
-    fn notify(&mut self, event: Event) {
+    pub fn notify(&mut self, event: Event) {
         match self.now < self.suspended_until {
             true => self.schedule(0, Scheduled::Event(self.epoch, event)),
             false => self.handle(event),
@@ -358,7 +366,13 @@
 
     /// Replaces the owner as a takeover does; leases from earlier owners end within `inherited` ms.
     pub fn take_over(&mut self, inherited: Millis) {
+        drop(self.replace_owner(inherited));
+    }
+
+    /// Replaces the owner as a takeover does, and returns it.
+    fn replace_owner(&mut self, inherited: Millis) -> Owner {
         self.suspended_until = 0;
+        self.process_stopped = false;
         self.epoch = next_epoch(self.epoch);
         self.version += 1;
         self.owner_version = self.version;
@@ -370,7 +384,8 @@
         };
         let journal = Journal::new(row, self.owner_version, self.now);
         let jobs = self.stored_jobs();
-        self.owner = Owner::new(self.settings, journal, jobs, self.now + inherited, at);
+        let next = Owner::new(self.settings, journal, jobs, self.now + inherited, at);
+        let before = std::mem::replace(&mut self.owner, next);
         let torn = self.torn.iter().cloned().collect();
         self.owner.mark_unreadable(torn);
         self.read_history(self.epoch, None);
@@ -378,6 +393,7 @@
             self.handle(Event::Cordoned(self.cordoned.clone()));
         }
         self.send_directory();
+        before
     }
 
     /// Cordons exactly these halls and notifies the owner.
@@ -418,6 +434,7 @@
             self.end_due_runs();
             self.measure_workers();
             self.apply_due_crashes();
+            self.resume_if_due();
             while let Some(entry) = self
                 .scheduled
                 .first_entry()
@@ -429,13 +446,14 @@
                         self.deliver_delayed(call, incarnation)
                     }
                     Scheduled::Event(epoch, event) if epoch == self.epoch => self.handle(event),
-                    Scheduled::Event(..) => {}
+                    Scheduled::Event(epoch, event) => self.handle_replaced(epoch, event),
                     Scheduled::History(epoch, from) => self.read_history(epoch, from),
                 }
             }
             if self.now.is_multiple_of(5) && self.now >= self.suspended_until {
                 self.handle(Event::Tick);
             }
+            self.tick_replaced();
         }
     }
 
@@ -484,7 +502,7 @@
                     writes,
                 } => {
                     self.last_commit = number;
-                    Call::Commit(number, version, writes)
+                    Call::Commit(self.epoch, number, version, writes)
                 }
             };
             self.send(call);
--- a/src/sched/tests/world/calls.rs
+++ b/src/sched/tests/world/calls.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use super::{FakeWorker, World};
+use crate::sched::fences::FENCES_PER_OWNER;
 use crate::sched::history::HistoryPage;
 use crate::sched::journal::{HISTORY_TABLE, OWNER_KEY, OWNER_TABLE};
 use crate::sched::message::{
@@ -56,7 +57,23 @@
     Start(Start),
     Stop(Stop),
     Throttle(Throttle),
-    Commit(u64, u64, Vec<Write>),
+    /// A commit: epoch of the owner, number, expected version and writes.
+    Commit(u64, u64, u64, Vec<Write>),
+}
+
+impl Call {
+    /// Returns the epoch of the owner that made the call.
+    pub(super) fn epoch(&self) -> u64 {
+        let fence = match self {
+            Self::Poll(poll) => poll.fence,
+            Self::Start(start) => start.fence,
+            Self::Stop(stop) => stop.fence,
+            Self::Throttle(throttle) => throttle.fence,
+            Self::Commit(epoch, ..) => *epoch,
+        };
+        // The epochs in a world are multiples of the number of fences.
+        fence.next_multiple_of(FENCES_PER_OWNER)
+    }
 }
 
 /// A call or event at a later time.
@@ -144,16 +161,12 @@
 
     /// Executes a call that has reached its worker or the store, and schedules its reply.
     pub(super) fn deliver(&mut self, call: Call, answered: bool) {
+        let epoch = call.epoch();
         let event = match call {
-            Call::Commit(number, version, writes) => {
+            Call::Commit(_, number, version, writes) => {
                 if self.store_down {
-                    return self.schedule(
-                        CALL_TIMEOUT,
-                        Scheduled::Event(
-                            self.epoch,
-                            Event::CommitEnded(number, CommitOutcome::Unknown),
-                        ),
-                    );
+                    let event = Event::CommitEnded(number, CommitOutcome::Unknown);
+                    return self.schedule(CALL_TIMEOUT, Scheduled::Event(epoch, event));
                 }
                 Event::CommitEnded(number, self.commit(version, writes))
             }
@@ -192,7 +205,7 @@
         let is_lost = is_timeout(&event);
         if answered {
             let after = if is_lost { CALL_TIMEOUT } else { ONE_WAY_DELAY };
-            self.schedule(after, Scheduled::Event(self.epoch, event));
+            self.schedule(after, Scheduled::Event(epoch, event));
         }
     }
 
@@ -225,7 +238,7 @@
         let mut at = self.now + after;
         if !matches!(due, Scheduled::Call(..) | Scheduled::Delayed(..)) {
             // A suspended box receives nothing.
-            at = at.max(self.suspended_until);
+            at = at.max(self.resumption_of(&due));
         }
         self.scheduled.insert((at, self.last_serial), due);
     }
@@ -348,6 +361,6 @@
         Call::Start(s) => Event::Started(s.key, s.run, s.incarnation.clone(), Reply::Lost),
         Call::Stop(s) => Event::Stopped(s.key, s.run, s.incarnation.clone(), Reply::Lost),
         Call::Throttle(throttle) => World::throttle_event(throttle.clone(), Reply::Lost),
-        Call::Commit(number, _, _) => Event::CommitEnded(*number, CommitOutcome::Unknown),
+        Call::Commit(_, number, ..) => Event::CommitEnded(*number, CommitOutcome::Unknown),
     }
 }
