--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -12,7 +12,7 @@
 use willowpoint::utils::random::Random;
 use willowpoint::web::{Reply, Request};
 
-use super::calls::{CallFate, CallFaults};
+use super::calls::{CallFate, CallFaults, Gate, HeldCall};
 use super::record::{Lease, Record, TaskRun};
 use super::store::Store;
 
@@ -106,6 +106,8 @@
     order_delay: Arc<Mutex<Duration>>,
     /// Faults of each call, and the generator that they and the order of reports are drawn from.
     call_faults: Arc<Mutex<(CallFaults, Random)>>,
+    /// Gate of the polls that acknowledge completions.
+    pub gate: Gate,
 }
 
 impl Worker {
@@ -120,6 +122,7 @@
             record,
             started: Arc::default(),
             order_delay: Arc::default(),
+            gate: Gate::default(),
             call_faults: Arc::new(Mutex::new((CallFaults::default(), Random::new(0)))),
         }
     }
@@ -265,12 +268,15 @@
         if fate.order_lost {
             return no_answer().await;
         }
-        let delay = fate.order_delay;
-        let reply = if delay.is_zero() {
+        let (delay, held) = (fate.order_delay, self.hold_back(&request));
+        let reply = if delay.is_zero() && held.is_none() {
             self.execute(request).await
         } else {
             let delayed = monoio::spawn(async move {
                 sleep(delay).await;
+                while held.as_ref().is_some_and(|call| !call.is_released()) {
+                    sleep(POLL_INTERVAL).await;
+                }
                 self.execute(request).await
             });
             delayed.await
@@ -282,6 +288,13 @@
         reply
     }
 
+    /// Holds a poll that acknowledges completions, if the gate is closed.
+    fn hold_back(&self, request: &Request) -> Option<HeldCall> {
+        let call = serde_json::from_slice::<Value>(&request.body).ok()?;
+        let acknowledges = call["lastSeen"].as_u64() > Some(0);
+        acknowledges.then(|| self.gate.hold()).flatten()
+    }
+
     /// Draws what happens to the next call.
     fn draw_fate(&self) -> CallFate {
         let mut state = self.call_faults.lock().expect("the lock is not poisoned");
--- a/tools/soak/src/platform.rs
+++ b/tools/soak/src/platform.rs
@@ -1,6 +1,7 @@
 //! Boxes as processes, with stand-ins for the store and the workers. The modules are shared with
 //! the tests of the platform, which also use parts that a soak run does not.
 
+#[allow(dead_code)]
 #[path = "../../../tests/platform/calls.rs"]
 pub mod calls;
 #[allow(dead_code)]
