--- a/tests/platform/silence.rs
+++ b/tests/platform/silence.rs
@@ -10,6 +10,8 @@
 
 /// Longest delay of answers: somewhat less than a box waits for one.
 const ANSWER_DELAY: Duration = Duration::from_millis(650);
+/// Time between two cuts of all connections, in which many calls are carried out.
+const CUT_INTERVAL: Duration = Duration::from_millis(200);
 /// Jobs of a test, each of two steps.
 const JOBS: u64 = 8;
 /// Tasks in a step of these jobs.
@@ -101,6 +103,7 @@
     submit_jobs(&deployment);
     wait_for("all tasks to have ended", || {
         deployment.links.iter().for_each(Link::cut);
+        std::thread::sleep(CUT_INTERVAL);
         deployment.record().done.len() == JOBS as usize * TASKS as usize * 2
     });
     assert_completed(&deployment);
