--- a/tests/platform/silence.rs
+++ b/tests/platform/silence.rs
@@ -12,6 +12,8 @@
 const ANSWER_DELAY: Duration = Duration::from_millis(650);
 /// Time between two cuts of all connections, in which many calls are carried out.
 const CUT_INTERVAL: Duration = Duration::from_millis(200);
+/// Duration of tasks that end while their worker is out of reach, within its lease.
+const MEDIUM_DURATION: Duration = Duration::from_millis(1_000);
 /// Jobs of a test, each of two steps.
 const JOBS: u64 = 8;
 /// Tasks in a step of these jobs.
@@ -124,3 +126,37 @@
     deployment.links[0].set_closed(true);
     assert_completed(&deployment);
 }
+
+/// Guards against ends that are acknowledged and were never received: a poll of a former incarnation
+/// is carried out late, on one that numbers its completions anew.
+#[test]
+fn a_late_poll_acknowledges_no_completion_of_a_later_incarnation() {
+    let deployment = Deployment::start(1, 1, MEDIUM_DURATION);
+    let (worker, link) = (&deployment.workers[0], &deployment.links[0]);
+    deployment.submit_until_accepted("00000000000000a1", 4);
+    deployment.wait_completed("00000000000000a1");
+    worker.gate.set_closed(true);
+    deployment.submit_until_accepted("00000000000000a2", 4);
+    deployment.wait_completed("00000000000000a2");
+    wait_for("a poll that is held", || worker.gate.held() > 0);
+    worker.restart();
+    worker.register_again();
+    worker.gate.set_closed(false);
+    deployment.submit_until_accepted("00000000000000a3", 4);
+    wait_for("runs of the later incarnation", || {
+        deployment.record().running.len() == 4
+    });
+    let unreachable = CallFaults {
+        lost_orders: 1.0,
+        ..CallFaults::default()
+    };
+    worker.set_call_faults(unreachable);
+    link.cut();
+    wait_for("their ends", || deployment.record().running.is_empty());
+    worker.gate.release();
+    wait_for("the late polls", || worker.gate.held() == 0);
+    worker.set_call_faults(CallFaults::default());
+    link.cut();
+    deployment.wait_completed("00000000000000a3");
+    assert_ran(&deployment, "00000000000000a3", 4);
+}
