The failure of a task on a bad worker is taken back once

A task could get more attempts than its limit of failures allows.

Cause: a worker that keeps failing tasks is quarantined, and the last failure of each task that failed there last is not counted. The note where a task failed last stays, as the task is not started there again; so with the next quarantine of the same worker another failure was taken back, one on a sound worker.

Now a task whose last failure was taken back is noted until it fails again.

Test on the code before:

a_failure_is_taken_back_once ... FAILED panicked at src/cell/tests.rs:595:5: assertion `left == right` failed: one on w1, left: 0, right: 1

--- a/src/cell/outcome.rs
+++ b/src/cell/outcome.rs
@@ -160,6 +160,7 @@
             RunState::Failed => {
                 task.failures += 1;
                 shard.failed_on.insert(index, name.clone());
+                shard.discounted.remove(&index);
                 if task.failures >= failures {
                     task.phase = Phase::Failed;
                 }
@@ -400,15 +401,16 @@
     }
 }
 
-/// Takes back one failure of each task whose last failed run was on worker `name`.
+/// Takes back the last failure of each task that failed last on worker `name`, once.
 fn discount_failures(shard: &mut JobShard, name: &Name) {
     let affected: Vec<usize> = shard
         .failed_on
         .iter()
-        .filter(|(_, worker)| *worker == name)
+        .filter(|(index, worker)| *worker == name && !shard.discounted.contains(index))
         .map(|(index, _)| *index)
         .collect();
     for index in affected {
+        shard.discounted.insert(index);
         let task = &mut shard.row.tasks[index];
         task.failures = task.failures.saturating_sub(1);
         if task.phase == Phase::Failed {
--- a/src/cell/shard.rs
+++ b/src/cell/shard.rs
@@ -73,6 +73,8 @@
     pub(super) acks: Vec<(Name, RunId)>,
     /// Worker of the last failed run of each task.
     pub(super) failed_on: BTreeMap<usize, Name>,
+    /// Tasks whose last failure is not counted.
+    pub(super) discounted: BTreeSet<usize>,
     /// Number of young runs of each task that were lost under this owner.
     pub(super) lost_runs: BTreeMap<usize, u32>,
 }
@@ -98,6 +100,7 @@
             needs_reread: false,
             acks: Vec::new(),
             failed_on: BTreeMap::new(),
+            discounted: BTreeSet::new(),
             lost_runs: BTreeMap::new(),
         }
     }
--- a/src/cell/tests.rs
+++ b/src/cell/tests.rs
@@ -530,3 +530,67 @@
     assert!(actions.is_empty(), "{actions:?}");
     assert_eq!(cell.workers["w0"].acks, [9]);
 }
+
+/// Returns a reply of a worker with these runs; with false, it accepts no new work.
+fn reply_with(runs: Vec<RunReport>, accepts: bool) -> PollReply {
+    PollReply {
+        runs,
+        leaving: !accepts,
+        ..idle_reply()
+    }
+}
+
+/// Returns a report of a run of a task of a job.
+fn task_report(id: RunId, job: &str, task: u32, state: RunState) -> RunReport {
+    RunReport {
+        task,
+        ..run_report(id, job, 100, state)
+    }
+}
+
+/// A worker in quarantine fails further tasks. A failure on it that was taken back already was taken
+/// back once more, and with it the one on a sound worker.
+#[test]
+fn a_failure_is_taken_back_once() {
+    use RunState::{Failed, Running};
+    let mut cell = Cell::new("h/r".into(), 2, 0, Policy::default(), TIMINGS);
+    cell.policy.failure_limit = 10;
+    let listed: Vec<ListedWorker> = (0..4).map(listed_worker).collect();
+    cell.set_workers(&listed, &Default::default());
+    let stored = ["j", "k"].map(|job| {
+        let mut stored = shard(job, 2, 100);
+        stored.row.epoch = 1;
+        stored
+    });
+    let key = stored[0].key.clone();
+    cell.load_shards(0, stored.into());
+    let others = |state| {
+        let runs = [(11, "j", 1), (12, "k", 0), (13, "k", 1)];
+        runs.map(|(id, job, task)| task_report(id, job, task, state))
+    };
+    answer(&mut cell, 10, 0, reply_with(others(Running).into(), true));
+    answer(
+        &mut cell,
+        10,
+        1,
+        reply_with(vec![task_report(10, "j", 0, Running)], false),
+    );
+    answer(
+        &mut cell,
+        20,
+        1,
+        reply_with(vec![task_report(10, "j", 0, Failed)], false),
+    );
+    cell.write_shards();
+    cell.finish_write(&key, WriteOutcome::Committed);
+    let (worker, run) = starts(&cell.tick(30, 30_000)).remove(0);
+    assert_eq!((&*worker, &*run.job, run.task), ("w0", "j", 0));
+    let mut runs = vec![task_report(run.id, "j", 0, Failed)];
+    runs.extend(others(Failed).into_iter().skip(1));
+    runs.push(task_report(11, "j", 1, Running));
+    answer(&mut cell, 40, 0, reply_with(runs, true));
+    assert!(cell.workers["w0"].quarantined_until > 40);
+    assert_eq!(cell.shards[&key].row.tasks[0].failures, 1, "one on w1");
+    answer(&mut cell, 50, 0, reply_with(others(Failed).into(), true));
+    assert_eq!(cell.shards[&key].row.tasks[0].failures, 1, "one on w1");
+}
