Soak: an end that is lost with its worker unacknowledged counts as a lost run

The owner never learnt of the end and counted two crashes rightly; the check counted one, as the stand-in ends runs in time now and so a run that is over counts no longer as active at the restart.

--- a/tests/platform/record.rs
+++ b/tests/platform/record.rs
@@ -112,7 +112,8 @@
     pub unknown_prefix: Option<String>,
     /// Number of workers that each of these tasks has crashed.
     pub crashes: BTreeMap<String, u32>,
-    /// Number of runs of each task that were lost in a restart of their worker.
+    /// Number of runs of each task that were lost in a restart of their worker, while they were
+    /// active or before their end was acknowledged.
     pub lost_runs: BTreeMap<String, u32>,
     /// Tasks with a run that has ended as done.
     pub done: BTreeSet<String>,
@@ -181,6 +182,12 @@
         *self.lost_runs.entry(run.task.clone()).or_insert(0) += 1;
     }
 
+    /// Records that an incarnation has ended before the end of a run as done was acknowledged. Its
+    /// owner may not know of the end, and counts the run as lost.
+    pub fn lose_end(&mut self, run: &TaskRun) {
+        *self.lost_runs.entry(run.task.clone()).or_insert(0) += 1;
+    }
+
     /// Returns true when a task was done and its end was acknowledged.
     pub fn is_acknowledged(&self, task: &str) -> bool {
         self.acknowledged.contains(task)
--- a/tests/platform/silence.rs
+++ b/tests/platform/silence.rs
@@ -99,6 +99,20 @@
     assert_eq!(starts, Some(1), "no task is started again");
 }
 
+#[test]
+fn an_end_that_is_lost_with_its_worker_counts_as_a_lost_run() {
+    let deployment = Deployment::start(1, 1, TASK_DURATION);
+    let (worker, task) = (&deployment.workers[0], "00000000000000b0.0.0.0");
+    worker.gate.set_closed(true);
+    deployment.submit_until_accepted("00000000000000b0", 1);
+    wait_for("the end of the task", || {
+        deployment.record().done.contains(task)
+    });
+    worker.restart();
+    worker.gate.set_closed(false);
+    assert_eq!(deployment.record().lost_runs.get(task), Some(&1));
+}
+
 #[test]
 fn connections_closed_in_the_middle_of_calls_start_no_task_again() {
     let deployment = Deployment::start(2, 4, TASK_DURATION);
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -209,11 +209,7 @@
     pub fn restart(&self) {
         self.end_due_runs();
         let lost = std::mem::replace(&mut *self.state(), WorkerState::new());
-        let mut record = self.record();
-        let now = Instant::now();
-        for active in lost.runs.values() {
-            record.lose(&active.run, now);
-        }
+        self.lose(&lost);
     }
 
     /// Ends this incarnation with all its runs, as a worker that leaves does.
@@ -222,10 +218,18 @@
         let lost = std::mem::replace(&mut *self.state(), WorkerState::new());
         self.state().down = true;
         self.unlist();
+        self.lose(&lost);
+    }
+
+    /// Records the runs and the unacknowledged ends that are lost with an incarnation.
+    fn lose(&self, lost: &WorkerState) {
         let (mut record, now) = (self.record(), Instant::now());
         for active in lost.runs.values() {
             record.lose(&active.run, now);
         }
+        for (_, run, _) in lost.unacknowledged.iter().filter(|e| e.2 == "done") {
+            record.lose_end(run);
+        }
     }
 
     /// Starts the next incarnation after one that has left, under another id.
