Tests: a block of ports is claimed against runs with smaller blocks too

Since blocks have 900 ports, a run of a version with blocks of 300 could claim ports in the middle of one. Listeners share their ports (monoio sets SO_REUSEPORT), so two deployments answered each other's calls without an error.

No decision of a box was at fault.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -13,14 +13,19 @@
 /// First port of all blocks, number of blocks (one for each concurrent test run), and ports per
 /// block.
 const PORT_BLOCKS: (u16, u32, u16) = (12_000, 20, 900);
+/// Distance of the ports of a block that mark it as used, and size of the smallest block that other
+/// versions of these tests may use.
+const CLAIM_INTERVAL: usize = 300;
 /// Time between two checks of a condition that is waited for.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A range of ports that is reserved for this test run.
 struct PortBlock {
     first: u16,
-    /// Occupies the first port, so that concurrent test runs take other blocks.
-    _claim: TcpListener,
+    /// Occupy the first port and every `CLAIM_INTERVAL`-th one after it, so that concurrent test
+    /// runs take other blocks. Boxes share ports, so two deployments could answer each other's
+    /// calls.
+    _claims: Vec<TcpListener>,
 }
 
 impl PortBlock {
@@ -28,15 +33,20 @@
         let start = std::process::id() % PORT_BLOCKS.1;
         for number in 0..PORT_BLOCKS.1 {
             let first = PORT_BLOCKS.0 + ((start + number) % PORT_BLOCKS.1) as u16 * PORT_BLOCKS.2;
-            if let Ok(claim) = TcpListener::bind(("127.0.0.1", first)) {
+            if let Ok(claims) = Self::occupy(first) {
                 return Self {
                     first,
-                    _claim: claim,
+                    _claims: claims,
                 };
             }
         }
         panic!("no block of ports is free: other test runs use all of them");
     }
+
+    fn occupy(first: u16) -> std::io::Result<Vec<TcpListener>> {
+        let ports = (first..first + PORT_BLOCKS.2).step_by(CLAIM_INTERVAL);
+        ports.map(|p| TcpListener::bind(("127.0.0.1", p))).collect()
+    }
 }
 
 /// Returns an unused address. Its port is below the range of ephemeral ports, so that no outgoing
