Simulation of several owners on one set of workers

Boxes replace each other while the owner before goes on: its machine is suspended, it is cut off from the store, or it answers no pings, and some workers are reached by one of the owners only. What a new owner waits for is computed from the stored rows, as in the daemon; its predecessor is pinged until it answers, and handles nothing afterwards. Checked: no task runs in two places, none starts again after its end as done, and all jobs complete. No fault was found.

The fake world tags each call with the epoch of its owner. Before, the answer to a call of an earlier owner that was delivered after a takeover reached the new owner as its own.

Joined with the simulation of stopped processes: both keep earlier owners in world/owners.rs; a replaced owner whose process was stopped is one of them, with the order of what it handles drawn. Epochs follow the fences of the owners.

--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -27,6 +27,7 @@
 mod resizing;
 mod rolling_restart;
 mod sequence;
+mod several_owners;
 mod suspension;
 mod swaps;
 mod takeover;
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod crashes;
 mod interference;
+mod owners;
 mod pauses;
 mod workers;
 
@@ -14,7 +15,7 @@
 use self::calls::{Call, Scheduled};
 pub use self::crashes::Crashes;
 pub use self::interference::SimulatedInterference;
-use self::pauses::ReplacedOwner;
+use self::owners::EarlierOwners;
 use self::workers::EndedAt;
 pub use self::workers::FakeWorker;
 use crate::cordons::Halls;
@@ -116,9 +117,9 @@
     suspended_until: Millis,
     /// True from a stop of the owner's process until it resumes.
     process_stopped: bool,
-    /// A stopped owner that another one has replaced.
-    replaced: Option<ReplacedOwner>,
     epoch: u64,
+    /// Earlier owners that still act, and what each owner can't reach.
+    earlier: EarlierOwners,
     random: Random,
     /// Calls and events to come, by time and serial number.
     scheduled: BTreeMap<(Millis, u64), Scheduled>,
@@ -258,8 +259,8 @@
             owner_version: 1,
             suspended_until: 0,
             process_stopped: false,
-            replaced: None,
             epoch: row.epoch,
+            earlier: EarlierOwners::default(),
             random: Random::new(7),
             scheduled: BTreeMap::new(),
             last_serial: 0,
@@ -366,17 +367,16 @@
 
     /// Replaces the owner as a takeover does; leases from earlier owners end within `inherited` ms.
     pub fn take_over(&mut self, inherited: Millis) {
-        drop(self.replace_owner(inherited));
+        self.begin_owner(owner_row(next_epoch(self.epoch)), inherited);
     }
 
-    /// Replaces the owner as a takeover does, and returns it.
-    fn replace_owner(&mut self, inherited: Millis) -> Owner {
+    /// Begins the term of the owner of a row, and returns the owner before it.
+    fn begin_owner(&mut self, row: OwnerRow, inherited: Millis) -> Owner {
         self.suspended_until = 0;
         self.process_stopped = false;
-        self.epoch = next_epoch(self.epoch);
+        self.epoch = row.epoch;
         self.version += 1;
         self.owner_version = self.version;
-        let row = owner_row(self.epoch);
         self.put_owner(&row);
         let at = Now {
             steady: self.now,
@@ -441,19 +441,21 @@
                 .filter(|e| e.key().0 <= self.now)
             {
                 match entry.remove() {
-                    Scheduled::Call(call, answered) => self.deliver(call, answered),
+                    Scheduled::Call(epoch, call, answered) => self.deliver(epoch, call, answered),
                     Scheduled::Delayed(call, incarnation) => {
                         self.deliver_delayed(call, incarnation)
                     }
                     Scheduled::Event(epoch, event) if epoch == self.epoch => self.handle(event),
-                    Scheduled::Event(epoch, event) => self.handle_replaced(epoch, event),
+                    Scheduled::Event(epoch, event) => self.handle_as(epoch, event),
                     Scheduled::History(epoch, from) => self.read_history(epoch, from),
                 }
             }
             if self.now.is_multiple_of(5) && self.now >= self.suspended_until {
                 self.handle(Event::Tick);
             }
-            self.tick_replaced();
+            if self.now.is_multiple_of(5) {
+                self.tick_earlier_owners();
+            }
         }
     }
 
@@ -502,7 +504,7 @@
                     writes,
                 } => {
                     self.last_commit = number;
-                    Call::Commit(self.epoch, number, version, writes)
+                    Call::Commit(number, version, writes)
                 }
             };
             self.send(call);
--- a/src/sched/tests/world/calls.rs
+++ b/src/sched/tests/world/calls.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 
 use super::{FakeWorker, World};
-use crate::sched::fences::FENCES_PER_OWNER;
 use crate::sched::history::HistoryPage;
 use crate::sched::journal::{HISTORY_TABLE, OWNER_KEY, OWNER_TABLE};
 use crate::sched::message::{
@@ -59,29 +58,14 @@
     Start(Start),
     Stop(Stop),
     Throttle(Throttle),
-    /// A commit: epoch of the owner, number, expected version and writes.
-    Commit(u64, u64, u64, Vec<Write>),
-}
-
-impl Call {
-    /// Returns the epoch of the owner that made the call.
-    pub(super) fn epoch(&self) -> u64 {
-        let fence = match self {
-            Self::Poll(poll) => poll.fence,
-            Self::Start(start) => start.fence,
-            Self::Stop(stop) => stop.fence,
-            Self::Throttle(throttle) => throttle.fence,
-            Self::Commit(epoch, ..) => *epoch,
-        };
-        // The epochs in a world are multiples of the number of fences.
-        fence.next_multiple_of(FENCES_PER_OWNER)
-    }
+    /// A commit: number, expected version and writes.
+    Commit(u64, u64, Vec<Write>),
 }
 
 /// A call or event at a later time.
 pub enum Scheduled {
-    /// A call arrives; false when its reply is lost.
-    Call(Call, bool),
+    /// A call of the owner of this epoch arrives; false when its reply is lost.
+    Call(u64, Call, bool),
     /// A delayed call arrives that was meant for the incarnation started at this time.
     Delayed(Call, Option<Millis>),
     /// The owner of this epoch receives an event.
@@ -131,19 +115,12 @@
             let event = lost_reply(&call);
             self.schedule(CALL_TIMEOUT, Scheduled::Event(self.epoch, event));
         }
-        self.schedule(ONE_WAY_DELAY, Scheduled::Call(call, !lost));
+        self.schedule(ONE_WAY_DELAY, Scheduled::Call(self.epoch, call, !lost));
     }
 
     /// Returns the called worker.
     fn called_worker(&self, call: &Call) -> Option<&FakeWorker> {
-        let id = match call {
-            Call::Poll(poll) => &poll.incarnation.id,
-            Call::Start(start) => &start.incarnation.id,
-            Call::Stop(stop) => &stop.incarnation.id,
-            Call::Throttle(throttle) => &throttle.incarnation.id,
-            Call::Commit(..) => return None,
-        };
-        self.workers.get(id)
+        self.workers.get(worker_of(call)?)
     }
 
     /// Returns the start time of the present incarnation of the called worker.
@@ -168,15 +145,15 @@
         }
     }
 
-    /// Executes a call that has reached its worker or the store, and schedules its reply.
-    pub(super) fn deliver(&mut self, call: Call, answered: bool) {
-        let epoch = call.epoch();
+    /// Executes a call of the owner of an epoch that has reached its worker or the store, and
+    /// schedules its reply.
+    pub(super) fn deliver(&mut self, epoch: u64, call: Call, answered: bool) {
+        if self.is_cut(epoch, worker_of(&call)) {
+            let event = lost_reply(&call);
+            return self.schedule(CALL_TIMEOUT, Scheduled::Event(epoch, event));
+        }
         let event = match call {
-            Call::Commit(_, number, version, writes) => {
-                if self.store_down {
-                    let event = Event::CommitEnded(number, CommitOutcome::Unknown);
-                    return self.schedule(CALL_TIMEOUT, Scheduled::Event(epoch, event));
-                }
+            Call::Commit(number, version, writes) => {
                 Event::CommitEnded(number, self.commit(version, writes))
             }
             Call::Poll(poll) if self.interference.simulated_workers > 0 && poll.wait > 0 => {
@@ -184,7 +161,7 @@
                 let in_breach = worker.is_some_and(FakeWorker::reports_breach);
                 let wait = self.interference.poll_wait(poll.wait, in_breach);
                 let due = Call::Poll(Poll { wait: 0, ..poll });
-                return self.schedule(wait, Scheduled::Call(due, answered));
+                return self.schedule(wait, Scheduled::Call(epoch, due, answered));
             }
             Call::Poll(poll) => {
                 let reply = self.dispatch(&poll.incarnation.id, poll.address, |world| {
@@ -241,13 +218,13 @@
         format!("{worker} until {}", self.now + ADVICE_VALIDITY).into()
     }
 
-    /// Schedules a call or event `after` ms from now, or later if the owner is suspended.
+    /// Schedules a call or event `after` ms from now, or later if its owner is suspended.
     pub(super) fn schedule(&mut self, after: Millis, due: Scheduled) {
         self.last_serial += 1;
         let mut at = self.now + after;
-        if !matches!(due, Scheduled::Call(..) | Scheduled::Delayed(..)) {
+        if let Scheduled::Event(epoch, _) | Scheduled::History(epoch, _) = &due {
             // A suspended box receives nothing.
-            at = at.max(self.resumption_of(&due));
+            at = at.max(self.resumes_at(*epoch));
         }
         self.scheduled.insert((at, self.last_serial), due);
     }
@@ -259,11 +236,12 @@
             return;
         }
         self.suspended_until = self.now + span;
-        let resumed = self.suspended_until;
+        let (resumed, epoch) = (self.suspended_until, self.epoch);
         let shifted = std::mem::take(&mut self.scheduled).into_iter();
         let shift = |((at, serial), due): ((Millis, u64), Scheduled)| {
             let at = match &due {
                 Scheduled::Call(..) | Scheduled::Delayed(..) => at,
+                Scheduled::Event(of, _) | Scheduled::History(of, _) if *of != epoch => at,
                 Scheduled::Event(_, event) if is_timeout(event) => at + span,
                 Scheduled::Event(..) | Scheduled::History(..) => at.max(resumed),
             };
@@ -351,6 +329,17 @@
     }
 }
 
+/// Returns the id of the called worker, or `None` for a call to the store.
+fn worker_of(call: &Call) -> Option<&Name> {
+    match call {
+        Call::Poll(poll) => Some(&poll.incarnation.id),
+        Call::Start(start) => Some(&start.incarnation.id),
+        Call::Stop(stop) => Some(&stop.incarnation.id),
+        Call::Throttle(throttle) => Some(&throttle.incarnation.id),
+        Call::Commit(..) => None,
+    }
+}
+
 /// Returns true if an event reports that a call of the owner timed out.
 fn is_timeout(event: &Event) -> bool {
     matches!(
@@ -370,6 +359,6 @@
         Call::Start(s) => Event::Started(s.key, s.run, s.incarnation.clone(), Reply::Lost),
         Call::Stop(s) => Event::Stopped(s.key, s.run, s.incarnation.clone(), Reply::Lost),
         Call::Throttle(throttle) => World::throttle_event(throttle.clone(), Reply::Lost),
-        Call::Commit(_, number, ..) => Event::CommitEnded(*number, CommitOutcome::Unknown),
+        Call::Commit(number, ..) => Event::CommitEnded(*number, CommitOutcome::Unknown),
     }
 }
--- a/src/sched/tests/world/pauses.rs
+++ b/src/sched/tests/world/pauses.rs
@@ -3,19 +3,13 @@
 
 use std::collections::VecDeque;
 
-use super::World;
 use super::calls::Scheduled;
+use super::owners::EarlierOwner;
+use super::{World, owner_row};
+use crate::sched::fences::next_epoch;
 use crate::sched::message::Event;
-use crate::sched::owner::Owner;
 use crate::utils::clock::Millis;
 
-/// A stopped owner that another one has replaced. It learns of that from its next commit.
-pub(super) struct ReplacedOwner {
-    owner: Owner,
-    epoch: u64,
-    resumes: Millis,
-}
-
 /// Where events come from; those of one source are handled in their order.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Source {
@@ -49,49 +43,45 @@
         self.process_stopped = true;
         for ((at, serial), due) in std::mem::take(&mut self.scheduled) {
             let at = match &due {
-                Scheduled::Call(call, _)
-                    if call.epoch() == self.epoch && self.random.chance(0.5) =>
-                {
+                Scheduled::Call(epoch, ..) if *epoch == self.epoch && self.random.chance(0.5) => {
                     resumed + 1
                 }
                 Scheduled::Call(..) | Scheduled::Delayed(..) => at,
+                Scheduled::Event(epoch, _) | Scheduled::History(epoch, _)
+                    if *epoch != self.epoch =>
+                {
+                    at
+                }
                 Scheduled::Event(..) | Scheduled::History(..) => at.max(resumed),
             };
             self.scheduled.insert((at, serial), due);
         }
     }
 
-    /// Replaces the stopped owner, which goes on when its process resumes.
+    /// Replaces the stopped owner, which goes on when its process resumes, until it learns of that
+    /// from its next commit.
     pub fn replace_stopped_owner(&mut self, inherited: Millis) {
-        let (epoch, resumes) = (self.epoch, self.suspended_until);
-        let owner = self.replace_owner(inherited);
-        self.replaced = Some(ReplacedOwner {
+        let (epoch, suspended_until) = (self.epoch, self.suspended_until);
+        let owner = self.begin_owner(owner_row(next_epoch(epoch)), inherited);
+        let earlier = EarlierOwner {
             owner,
-            epoch,
-            resumes,
-        });
-    }
-
-    /// Returns until when the owner that receives an event is stopped or suspended.
-    pub(super) fn resumption_of(&self, due: &Scheduled) -> Millis {
-        let replaced = self.replaced.as_ref();
-        let replaced = replaced.filter(|r| matches!(due, Scheduled::Event(e, _) if *e == r.epoch));
-        replaced.map_or(self.suspended_until, |r| r.resumes)
+            suspended_until,
+            process_stopped: true,
+        };
+        self.earlier.owners.insert(epoch, earlier);
     }
 
     /// Draws the order of the events that have arrived while a process was stopped.
     pub(super) fn resume_if_due(&mut self) {
-        if self.process_stopped && self.now >= self.suspended_until {
+        let now = self.now;
+        if self.process_stopped && now >= self.suspended_until {
             self.process_stopped = false;
             self.draw_order(self.epoch);
         }
-        let resumed = |r: &ReplacedOwner| r.resumes == self.now;
-        if let Some(epoch) = self
-            .replaced
-            .as_ref()
-            .filter(|r| resumed(r))
-            .map(|r| r.epoch)
-        {
+        let earlier = self.earlier.owners.iter();
+        let resumed = earlier.filter(|(_, e)| e.process_stopped && e.suspended_until == now);
+        let epochs: Vec<u64> = resumed.map(|(epoch, _)| *epoch).collect();
+        for epoch in epochs {
             self.draw_order(epoch);
         }
     }
@@ -123,25 +113,4 @@
             self.scheduled.insert(key, Scheduled::Event(owner, event));
         }
     }
-
-    /// Has a replaced owner handle an event, unless its term has ended.
-    pub(super) fn handle_replaced(&mut self, epoch: u64, event: Event) {
-        let Some(mut replaced) = self.replaced.take_if(|r| r.epoch == epoch) else {
-            return;
-        };
-        let current = std::mem::replace(&mut self.epoch, epoch);
-        std::mem::swap(&mut self.owner, &mut replaced.owner);
-        self.handle(event);
-        std::mem::swap(&mut self.owner, &mut replaced.owner);
-        self.epoch = current;
-        self.replaced = Some(replaced).filter(|r| !r.owner.is_deposed());
-    }
-
-    /// Lets a replaced owner do what is due.
-    pub(super) fn tick_replaced(&mut self) {
-        let resumed = |r: &&ReplacedOwner| self.now >= r.resumes;
-        if let Some(epoch) = self.replaced.as_ref().filter(resumed).map(|r| r.epoch) {
-            self.handle_replaced(epoch, Event::Tick);
-        }
-    }
 }
