Known red: a late start on an incarnation that no order has reached

Found by the soak with the fence in place, and reproduced in virtual time. A worker that restarts under its id forgets the highest fence, so until an order reaches it, it carries out whatever the network held up.

--- a/src/sched/tests/late_orders.rs
+++ b/src/sched/tests/late_orders.rs
@@ -94,3 +94,25 @@
     world.run(8_000);
     assert_ran_once(&mut world, "after");
 }
+
+/// A start was held up until its worker had restarted under its id, and no order had reached the
+/// later incarnation, which then knows no fence.
+#[test]
+fn a_late_start_on_an_incarnation_that_no_order_has_reached_runs_no_task_again() {
+    let mut world = World::new(1);
+    world.script = |_, _| (300, RunOutcome::Done);
+    world.submit("j", job(vec![step(1, 1_000)]));
+    while world.last_starts.is_empty() {
+        world.run(1);
+    }
+    let late = world.last_starts["w0"].1.clone();
+    world.workers.get_mut("w0").expect("worker").disconnected = true;
+    world.run(1_500);
+    world.workers.get_mut("w0").expect("worker").disconnected = false;
+    world.run(3_000);
+    assert_eq!(world.job_state("j"), Some(JobState::Completed));
+    world.restart("w0");
+    world.workers.get_mut("w0").expect("worker").disconnected = true;
+    world.deliver_start(&late);
+    assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
+}
