--- a/src/sched.rs
+++ b/src/sched.rs
@@ -12,7 +12,7 @@
 //!   reconciles runs with what workers report in the order of `sequence`, `completions` ends them
 //!   (with `completion_log`), and `crashes` finds tasks that crash workers.
 //! - Workers: `worker` holds the state of one, `directory` and `lost_workers` add and remove them,
-//!   `incarnation` distinguishes their restarts, `poll_schedule` decides when they are polled,
+//!   `incarnation` distinguishes their restarts, `poll_schedule` and `polls` poll them,
 //!   `cordon` excludes halls, and `addresses` finds workers by address.
 //! - Interference: `gauges` records reported loads (with `recently_ended`, `loads` and `breaches`),
 //!   `interference` learns from them how best-effort tasks slow serving tasks beside them
@@ -51,6 +51,7 @@
 mod placement;
 mod placement_pass;
 mod poll_schedule;
+mod polls;
 pub mod predecessors;
 mod preemption;
 mod recently_ended;
