An answer that waited in a paused box does not prove that a leaving worker has ended

Callers could see a task run in two places. A leaving worker is taken for ended when its connection is refused shortly after its last answer, as its entry can't have lapsed within that time. The time of that answer was the one at which it was handled: a box that was stopped for three seconds handles an old answer, then the lapse of the entry of a worker behind a firewall, and gives its runs up with lease left.

The time at which the answered poll was sent counts now. Leaving workers are polled with waits of 300 ms, so that one that ends is still found at once.

--- a/src/sched/polls.rs
+++ b/src/sched/polls.rs
@@ -11,6 +11,8 @@
 const POLL_WAIT: Millis = 1_000;
 /// The same for a worker that is isolated for a suspect, so that the isolation ends soon.
 const ISOLATED_POLL_WAIT: Millis = 200;
+/// The same for a worker that has announced its end, which a recent poll has to prove.
+const LEAVING_POLL_WAIT: Millis = 300;
 /// The same for a worker with best-effort tasks beside serving tasks, whose tail latencies are
 /// measured over half a second.
 const MIXED_POLL_WAIT: Millis = 400;
@@ -27,12 +29,13 @@
 
 /// Returns true when a worker has ended as announced, given that its connection was refused. A
 /// worker that is cut off may also refuse connections, and its listing lapses after three
-/// heartbeats of silence; one that goes sooner was removed by the worker at its end.
+/// heartbeats of silence; one that goes sooner was removed by the worker at its end. The answer
+/// may have waited while this box was paused, so the time of its poll counts.
 fn has_left(worker: &Worker, poll: &Poll, now: Millis) -> bool {
     is_polled(worker, poll)
         && worker.is_known_at(poll.address)
         && worker.is_leave_announced()
-        && now < worker.last_answer + LAPSE_SILENCE
+        && now < worker.answered_sent + LAPSE_SILENCE
 }
 
 impl Owner {
@@ -65,6 +68,7 @@
             }
             let max_wait = match worker.isolated_job {
                 Some(_) => ISOLATED_POLL_WAIT,
+                None if worker.listing.leaving => LEAVING_POLL_WAIT,
                 None => POLL_WAIT,
             };
             let mixed = worker.colocation.is_mixed();
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -81,7 +81,8 @@
         }
         worker.answered_fence = worker.answered_fence.max(poll.fence);
         worker.record_clock(report.clock, now);
-        worker.answered_at = Some(poll.address);
+        worker.answer_address = Some(poll.address);
+        worker.answered_sent = poll.sent;
         worker.last_report = self.sequence;
         self.apply_report(name, poll, report);
     }
--- a/src/sched/tests/directory.rs
+++ b/src/sched/tests/directory.rs
@@ -331,3 +331,25 @@
         "a larger capacity triggers a placement"
     );
 }
+
+/// The answer to a poll and the removal of the entry wait while the process of the owner is
+/// stopped, and are handled in any order.
+#[test]
+fn an_answer_that_waited_while_the_owner_was_stopped_does_not_prove_a_leave() {
+    for seed in 0..20 {
+        let mut world = two_busy_workers();
+        world.seed(seed);
+        world.faults.refused_cuts = true;
+        leave(&mut world, "w0", 30_000);
+        world.run(500);
+        world.stop_process(LISTING_LAPSE + 200);
+        world.run(5);
+        world.workers.get_mut("w0").expect("worker").disconnected = true;
+        world.run(LISTING_LAPSE);
+        let entry = ("w0".into(), DirectoryEntry::Removed);
+        world.notify(Event::DirectoryChanged(vec![entry]));
+        world.run(400);
+        assert!(world.duplicates.is_empty(), "{seed} {:?}", world.duplicates);
+        assert_eq!(world.starts.len(), 2, "{seed} {:?}", world.starts);
+    }
+}
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -133,7 +133,9 @@
     /// When the worker last answered a poll; 0 for never.
     pub last_answer: Millis,
     /// Address at which the known incarnation last answered a poll; none if it never did.
-    pub answered_at: Option<SocketAddr>,
+    pub answer_address: Option<SocketAddr>,
+    /// When the poll that the worker answered last was sent; 0 for none.
+    pub answered_sent: Millis,
     /// Event in which the known incarnation last answered a poll.
     pub last_report: Sequence,
     /// Completions that the worker has reported.
@@ -184,7 +186,8 @@
             poll: PollState::Due(now),
             missed_polls: 0,
             last_answer: 0,
-            answered_at: None,
+            answer_address: None,
+            answered_sent: 0,
             last_report: Sequence::default(),
             completions: CompletionLog::default(),
             failures: 0,
@@ -236,7 +239,7 @@
     /// Returns true when the known incarnation is known at this address and no other: by its
     /// answers, and by its listing.
     pub fn is_known_at(&self, address: SocketAddr) -> bool {
-        let answered = self.answered_at.is_none_or(|at| at == address);
+        let answered = self.answer_address.is_none_or(|at| at == address);
         let ignored = self.ignored_listing.as_ref();
         answered
             && self.listing.address == address
@@ -247,7 +250,7 @@
     /// Returns true when the known incarnation has ended, given that another worker answers at
     /// this address.
     pub fn is_replaced_at(&self, address: SocketAddr) -> bool {
-        let located = self.answered_at.is_some() || self.presence == Presence::Listed;
+        let located = self.answer_address.is_some() || self.presence == Presence::Listed;
         let later = |run: &Placement| compare_boots(self.boot, run.boot) == BootOrder::Later;
         located && self.is_known_at(address) && !self.placements.values().any(later)
     }
