Nothing is acknowledged while an order without an answer may have reached a later incarnation

Callers could see a task that was done run again. A worker answers a poll, restarts under its id, and its later incarnation carries out a start of before to its end. The owner handles the answer of the earlier one, stores its completions, and acknowledges them with the next poll: the later incarnation forgets the end of that run, and the start counts as one that was never carried out. Raising the fence did not help, as the first poll with the raised fence carried the acknowledgement.

Completions are acknowledged only once the present fence was answered and each start that was sent there is confirmed. The next poll waits 25 ms in that case, as it would be answered at once.

--- a/src/sched/completions.rs
+++ b/src/sched/completions.rs
@@ -12,7 +12,7 @@
 
 /// Milliseconds from the time when all completions of a worker are stored to the next poll of
 /// it, so that more completions gather.
-const BATCH_DELAY: Millis = 25;
+pub(super) const BATCH_DELAY: Millis = 25;
 /// Failed runs in a row after which a worker is quarantined.
 const QUARANTINE_FAILURES: u32 = 3;
 /// Milliseconds of the first quarantine, doubled with each further failure up to 8 times that.
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -92,12 +92,17 @@
         matches!(self.stage, Running(_) | Stopping(_) | Stopped(_))
     }
 
+    /// Returns true if the start was sent and has not been confirmed.
+    pub fn is_unconfirmed(&self) -> bool {
+        use Stage::{Starting, Stopped, Stopping};
+        let sent = matches!(self.stage, Starting | Stopping(_) | Stopped(_));
+        sent && self.confirmed_at.is_none()
+    }
+
     /// Returns true if the start was sent with a lower fence and has not been confirmed. Unless the
     /// answer to a poll with this fence lists the run, its worker refuses the start.
     pub fn is_fenced_by(&self, fence: u64) -> bool {
-        use Stage::{Starting, Stopped, Stopping};
-        let sent = matches!(self.stage, Starting | Stopping(_) | Stopped(_));
-        sent && self.confirmed_at.is_none() && self.fence < fence
+        self.is_unconfirmed() && self.fence < fence
     }
 
     /// Returns true while the run is confirmed and no stop was sent.
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use super::completion_log::{CompletionLog, Coverage};
+use super::completion_log::Coverage;
+use super::completions::BATCH_DELAY;
 use super::history::NO_TASK;
 use super::incarnation::{BootOrder, compare_boots, compare_report};
 use super::job::{Outcome, TaskKey, parse_task_name};
@@ -10,6 +11,7 @@
 use super::owner::Owner;
 use super::placement::{Placement, Stage};
 use super::throttling::FULL_SPEED;
+use super::worker::Worker;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -33,6 +35,18 @@
     pub run: &'a ActiveRun,
 }
 
+/// Returns the milliseconds until the next poll of a worker that has answered.
+fn poll_delay(worker: &Worker) -> Millis {
+    let log = &worker.completions;
+    if !log.all_stored() || log.is_stalled() {
+        STORE_DELAY
+    } else if worker.withholds_acknowledgement() && worker.answered_fence == worker.fence {
+        BATCH_DELAY
+    } else {
+        0
+    }
+}
+
 impl Owner {
     /// Handles the report in the reply to a poll, from any incarnation of the worker.
     pub(super) fn handle_report(&mut self, poll: &Poll, report: Report) {
@@ -101,12 +115,10 @@
         self.reconcile_runs(name, poll, &running, held, coverage);
         self.clear_suspects(name);
         self.adjust_speeds(name, &running);
-        let worker = self.workers.get(name);
-        let waits = |log: &CompletionLog| !log.all_stored() || log.is_stalled();
-        let delay = match worker.is_some_and(|w| waits(&w.completions)) {
-            true => STORE_DELAY,
-            false => 0,
+        let Some(worker) = self.workers.get(name) else {
+            return;
         };
+        let delay = poll_delay(worker);
         self.schedule_poll(name, self.now.steady + delay);
     }
 
--- a/src/sched/tests/late_orders.rs
+++ b/src/sched/tests/late_orders.rs
@@ -2,7 +2,8 @@
 
 use super::world::{World, job, lasting, step};
 use crate::sched::job::JobState;
-use crate::sched::message::{Poll, RunOutcome};
+use crate::sched::message::{DirectoryEntry, Event, OrderAck, Poll, Reply, RunOutcome};
+use crate::sched::predecessors::PredecessorState;
 use crate::utils::clock::Millis;
 
 /// Runs a job of four tasks on worker `w0`, and returns the poll that acknowledges all of them.
@@ -116,3 +117,142 @@
     world.deliver_start(&late);
     assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
 }
+
+/// The answer to a start that a later incarnation has carried out.
+#[derive(Clone, Copy)]
+enum StartAnswer {
+    None,
+    Lost,
+    /// It shows the boot time of the later incarnation.
+    Restarted,
+}
+
+/// Has a worker answer a poll and restart under its id, and the later incarnation carry out a start
+/// of before to its end. The owner handles the answer to the start, and then that to the poll.
+fn handle_stale_answer(answer: StartAnswer) {
+    let mut world = World::new(1);
+    world.script = |task, _| match task.starts_with("after") {
+        true => (100, RunOutcome::Done),
+        false => (300, RunOutcome::Done),
+    };
+    world.submit("before", job(vec![step(4, 500)]));
+    world.run(200);
+    world.workers.get_mut("w0").expect("worker").disconnected = true;
+    world.submit("after", job(vec![step(1, 1_000)]));
+    while world.workers["w0"].held_ends() < 4 {
+        world.run(1);
+    }
+    // A poll is open. The earlier incarnation answers it; the answer is under way.
+    let poll = world.last_polls["w0"].clone();
+    let report = world.workers["w0"].report(world.now);
+    let (_, start) = world.last_starts["w0"].clone();
+    assert!(start.task.starts_with("after"), "{}", start.task);
+    assert_eq!((poll.acknowledged, report.ended.len()), (0, 4));
+    // It restarts under its id, carries the start out, and the run ends.
+    world.restart("w0");
+    world.workers.get_mut("w0").expect("worker").disconnected = true;
+    let boot = world.workers["w0"].listing.boot;
+    world.run(2);
+    world.deliver_start(&start);
+    world.run(150);
+    assert_eq!(world.workers["w0"].held_ends(), 1);
+    let reply = match answer {
+        StartAnswer::None => None,
+        StartAnswer::Lost => Some(Reply::Lost),
+        StartAnswer::Restarted => Some(Reply::Ok(OrderAck { clock: 2, boot })),
+    };
+    if let Some(reply) = reply {
+        world.handle(Event::Started(
+            start.key,
+            start.run,
+            start.incarnation.clone(),
+            reply,
+        ));
+    }
+    // Only now the answer to the poll is handled.
+    world.workers.get_mut("w0").expect("worker").disconnected = false;
+    world.handle(Event::Polled(poll, Reply::Ok(report)));
+    world.run(100);
+    world.send_directory();
+    world.run(10_000);
+    assert!(
+        world.duplicates.is_empty(),
+        "{:?} {:?}",
+        world.duplicates,
+        world.starts
+    );
+}
+
+#[test]
+fn an_older_answer_does_not_clear_a_doubt_of_the_incarnation() {
+    handle_stale_answer(StartAnswer::Restarted);
+}
+
+/// Its first poll with the raised fence acknowledged the end of the run that the start had begun.
+#[test]
+fn nothing_is_acknowledged_before_a_raised_fence_was_answered() {
+    handle_stale_answer(StartAnswer::Lost);
+}
+
+#[test]
+fn nothing_is_acknowledged_while_a_start_has_no_answer() {
+    handle_stale_answer(StartAnswer::None);
+}
+
+#[test]
+fn the_longest_lease_of_a_restarted_worker_is_waited_for_by_the_next_owner() {
+    let mut world = World::new(1);
+    world.settings.longest_lease = LONGEST_LEASE;
+    world.owner.change_settings(world.settings);
+    world.script = |_, _| (600_000, RunOutcome::Done);
+    world.submit("lasting", job(vec![lasting(4, 1_000)]));
+    world.run(30_000);
+    let late = world.last_polls["w0"].clone();
+    assert!(late.lease.is_some());
+    world.restart("w0");
+    world.workers.get_mut("w0").expect("worker").longest_lease = LONGEST_LEASE;
+    world.deliver_poll(&late);
+    world.send_directory();
+    world.run(500);
+    assert_eq!(world.running().len(), 4);
+    world.workers.get_mut("w0").expect("worker").disconnected = true;
+    let inherited = PredecessorState::Ended.lease_end(&world.settings, 0);
+    world.take_over(inherited);
+    world.add_worker("w1", 7_100);
+    world.send_directory();
+    world.run(20_000);
+    assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
+}
+
+#[test]
+fn the_longest_lease_of_a_restarted_worker_that_is_listed_again_is_waited_for() {
+    let mut world = World::new(1);
+    world.settings.longest_lease = LONGEST_LEASE;
+    world.owner.change_settings(world.settings);
+    world.run(30_000);
+    world.script = |task, _| match task.starts_with("first") {
+        true => (3_000, RunOutcome::Done),
+        false => (600_000, RunOutcome::Done),
+    };
+    world.submit("first", job(vec![step(1, 1_000)]));
+    world.run(1_000);
+    let late = world.last_polls["w0"].clone();
+    assert!(late.lease.is_some());
+    world.run(5_000);
+    let entry = ("w0".into(), DirectoryEntry::Removed);
+    world.handle(Event::DirectoryChanged(vec![entry]));
+    world.run(500);
+    assert!(!world.owner.workers.contains_key("w0"));
+    world.restart("w0");
+    world.workers.get_mut("w0").expect("worker").longest_lease = LONGEST_LEASE;
+    world.deliver_poll(&late);
+    world.send_directory();
+    world.submit("lasting", job(vec![lasting(4, 1_000)]));
+    world.run(500);
+    assert_eq!(world.running().len(), 4);
+    world.workers.get_mut("w0").expect("worker").disconnected = true;
+    world.add_worker("w1", 7_100);
+    world.send_directory();
+    world.run(20_000);
+    assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
+}
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -470,9 +470,21 @@
     /// is nothing new to acknowledge. Returns 0 also while another incarnation could receive
     /// it: completions are numbered anew there, and it would forget unreported ones.
     pub fn next_acknowledgement(&self) -> u64 {
-        match self.is_incarnation_certain() {
+        match self.is_settled() {
             true => self.completions.next_acknowledgement().unwrap_or(0),
             false => 0,
         }
     }
+
+    /// Returns true while completions that may be forgotten are not acknowledged.
+    pub fn withholds_acknowledgement(&self) -> bool {
+        self.completions.next_acknowledgement().is_some() && !self.is_settled()
+    }
+
+    /// Returns true when no order without an answer may have reached a later incarnation, which
+    /// would then hold completions that the owner does not know of.
+    fn is_settled(&self) -> bool {
+        let unconfirmed = self.placements.values().any(Placement::is_unconfirmed);
+        self.is_incarnation_certain() && self.answered_fence == self.fence && !unconfirmed
+    }
 }
