The lease of a worker whose report does not decode as a whole is left to end

A task could wait forever. A report with a row that names no run shows no other run as missing, so a start without an answer, or a run that an earlier owner had placed there, was never released, while each further poll extended the lease of its worker.

On the code before, a_lost_start_on_a_worker_with_malformed_reports_runs_elsewhere: not completed after 60 s, with a free worker beside.

Such a poll counts as one without an answer now: what can be read of the report is applied, but the lease is not extended, nothing new is started there, and its tasks are released once the lease has ended. An unknown outcome is not concerned, as its row decodes.

--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -38,7 +38,9 @@
 /// Returns the milliseconds until the next poll of a worker that has answered.
 fn poll_delay(worker: &Worker) -> Millis {
     let log = &worker.completions;
-    if !log.all_stored() || log.is_stalled() {
+    if worker.missed_polls > 0 {
+        RETRY_DELAY
+    } else if !log.all_stored() || log.is_stalled() {
         STORE_DELAY
     } else if worker.withholds_acknowledgement() && worker.answered_fence == worker.fence {
         BATCH_DELAY
@@ -115,9 +117,13 @@
         self.reconcile_runs(name, poll, &running, held, coverage);
         self.clear_suspects(name);
         self.adjust_speeds(name, &running);
-        let Some(worker) = self.workers.get(name) else {
+        let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
+        if report.unreadable > 0 {
+            // What the rows would tell is unknown: its lease is left to end.
+            worker.missed_polls += 1;
+        }
         let delay = poll_delay(worker);
         self.schedule_poll(name, self.now.steady + delay);
     }
--- a/src/sched/tests/late_orders.rs
+++ b/src/sched/tests/late_orders.rs
@@ -199,6 +199,29 @@
     handle_stale_answer(StartAnswer::None);
 }
 
+/// Reports with a row that does not decode show no run as missing, so the task waited forever.
+#[test]
+fn a_lost_start_on_a_worker_with_malformed_reports_runs_elsewhere() {
+    let mut world = World::new(1);
+    world.script = |_, _| (300, RunOutcome::Done);
+    let worker = world.workers.get_mut("w0").expect("worker");
+    worker.edit_report = |r| r.unreadable = 1;
+    world.run(2_000);
+    world.workers.get_mut("w0").expect("worker").disconnected = true;
+    world.submit("j", job(vec![step(1, 1_000)]));
+    world.run(100);
+    world.workers.get_mut("w0").expect("worker").disconnected = false;
+    world.add_worker("w1", 7_100);
+    world.send_directory();
+    world.run(60_000);
+    assert_eq!(
+        world.job_state("j"),
+        Some(JobState::Completed),
+        "starts {:?}",
+        world.starts
+    );
+}
+
 #[test]
 fn the_longest_lease_of_a_restarted_worker_is_waited_for_by_the_next_owner() {
     let mut world = World::new(1);
