A box that waited to replace the owner reads its row again before it commits

Cause: every box that suspects the owner waits 0.42 to 0.84 s and then commits itself as the next one, on the condition that the row is unchanged. The store carries out the commits to one part one after the other, 200 a second, also those that fail. The delay grows with the boxes: 0.05 s for ten.

Change: the row is read again after the wait, and a box that finds another one follows it. At the first start the boxes wait 0 to 400 ms before that. A read costs nothing of the part's writes.

The test counts the commits of 60 boxes; before, each sent one.

--- a/src/daemon/follower.rs
+++ b/src/daemon/follower.rs
@@ -26,6 +26,8 @@
 /// Longest extra delay in milliseconds before a takeover; it differs by box, so that not all
 /// boxes try at once.
 const STAGGER: u64 = 120;
+/// The same in milliseconds for a cell that has had no owner, when all boxes start at once.
+const FIRST_STAGGER: u64 = 400;
 
 /// Checks the owner again and again while this box is not the owner, until the process ends;
 /// a message on `checks` asks for a check at once.
@@ -65,7 +67,7 @@
         }
         match read_owner(shared).await {
             Ok(None) if shared.is_stopping() => {}
-            Ok(None) => acquire_cell(shared, None).await,
+            Ok(None) => acquire_first(shared).await,
             Ok(known) => adopt_owner(shared, known),
             Err(e) => pause_after_failure(&e).await,
         }
@@ -103,6 +105,17 @@
     }
 }
 
+/// Acquires a cell that has had no owner, unless another box does so first.
+async fn acquire_first(shared: &Rc<Shared>) {
+    let stagger = stable(&[&shared.settings.name]) % FIRST_STAGGER;
+    sleep(Duration::from_millis(stagger)).await;
+    match read_owner(shared).await {
+        Ok(None) => acquire_cell(shared, None).await,
+        Ok(known) => adopt_owner(shared, known),
+        Err(e) => pause_after_failure(&e).await,
+    }
+}
+
 /// Returns true when no box holds the cell by this owner's row: the owner has released the
 /// cell, or the row is from this box, which is not serving.
 pub(super) fn is_vacant(shared: &Shared, row: &OwnerRow) -> bool {
@@ -153,7 +166,7 @@
 }
 
 /// Takes over from the owner `before`, unless another box has done so.
-async fn replace_owner(shared: &Rc<Shared>, before: &KnownOwner) {
+pub(super) async fn replace_owner(shared: &Rc<Shared>, before: &KnownOwner) {
     if learn_later_owner_from_peers(shared).await || !refresh_owner(shared).await {
         return;
     }
@@ -178,9 +191,13 @@
     let pause = failover::takeover_delay(shared.settings.cores, &known.row, vacant, stagger);
     if pause > 0 {
         sleep(Duration::from_millis(pause)).await;
+        // Every box that suspects the owner waits here. The store carries out the commits to the
+        // cell one after the other, so those that must fail would hold up the next owner's.
+        if !refresh_owner(shared).await {
+            return;
+        }
     }
-    let current = shared.owner();
-    let same = current.is_some_and(|c| c.row.epoch == known.row.epoch);
+    let same = shared.owner().is_some_and(|c| c.version == known.version);
     if same && shared.local_epoch().is_none() && !shared.is_stopping() {
         acquire_cell(shared, Some(known)).await;
     }
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the parts of the daemon.
 
 mod change_of_owner;
+mod many_boxes;
 
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
