Callers whose jobs wait at an owner that the store no longer serves are refused truly

Change: a job that no commit holds, or only commits that certainly failed, is withdrawn after 0.6 s without a confirmed commit, and its callers are told so with the time until the next owner serves. Boxes name the epoch of the owner that they ask; once a later owner answers, the doubt about an earlier one is over, as that one stores nothing more.

Tests: such a job is refused, never starts and is taken when it comes again, while one in a commit on its way is not refused; only a later owner ends a doubt; an owner of another epoch gives no answer.

--- a/src/daemon/frontend.rs
+++ b/src/daemon/frontend.rs
@@ -82,25 +82,26 @@
 /// to another box if it changes meanwhile.
 async fn ask_owner(shared: &Rc<Shared>, request: &JobRequest, caller_timeout: Millis) -> Answer {
     let start = clock::now();
-    // Set once an attempt may have reached an owner: the request may already have taken effect.
-    let mut in_doubt = false;
+    let mut doubt = Doubt::default();
     let mut tries = 0;
     loop {
         let spent = clock::now() - start;
         if spent >= caller_timeout.min(HOLD_LIMIT) {
-            return give_up(request, in_doubt, "no-owner", spent);
+            return give_up(request, doubt, "no-owner", spent);
         }
         if tries > 0 && is_cut_off(shared) {
-            return give_up(request, in_doubt, "cut-off", spent);
+            return give_up(request, doubt, "cut-off", spent);
         }
         tries += 1;
         let left = caller_timeout.min(ANSWER_LIMIT) - spent;
         match try_owner(shared, request, left).await {
-            Ok(Answer::Refused(_) | Answer::Unknown) if in_doubt && changes_state(request) => {
-                return give_up(request, in_doubt, "earlier-try-in-doubt", spent);
+            Ok((Answer::Refused(_) | Answer::Unknown, epoch))
+                if changes_state(request) && !doubt.is_resolved_by(epoch) =>
+            {
+                return give_up(request, doubt, "earlier-try-in-doubt", spent);
             }
-            Ok(answer) => return answer,
-            Err(Failure::AnswerLost) => in_doubt = true,
+            Ok((answer, _)) => return answer,
+            Err(Failure::AnswerLost(epoch)) => doubt.add(epoch),
             Err(Failure::NotDelivered) => {}
         }
         shared.check_owner_now();
@@ -119,8 +120,9 @@
 }
 
 /// Logs that the request is given up, and returns the answer for the caller.
-fn give_up(request: &JobRequest, in_doubt: bool, reason: &str, spent: Millis) -> Answer {
+fn give_up(request: &JobRequest, doubt: Doubt, reason: &str, spent: Millis) -> Answer {
     let (kind, id) = kind_and_subject(request);
+    let in_doubt = doubt.is_open();
     log::info!(target: "desk", "job={id} event=given-up ask={kind} reason={reason} doubt={in_doubt} spent_ms={spent}");
     match in_doubt && changes_state(request) {
         true => Answer::InDoubt,
@@ -132,21 +134,46 @@
 enum Failure {
     /// The request did not reach an owner.
     NotDelivered,
-    /// The request may have reached the owner.
-    AnswerLost,
+    /// The request may have reached the owner of this epoch.
+    AnswerLost(u64),
 }
 
-/// Makes one attempt to get the owner's answer within `left` milliseconds.
+/// Whether an attempt whose answer was lost may have made a request take effect.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Doubt {
+    /// Latest epoch of an owner that may have the request; 0 for none.
+    epoch: u64,
+}
+
+impl Doubt {
+    /// Adds an attempt to reach the owner of an epoch whose answer was lost.
+    pub fn add(&mut self, epoch: u64) {
+        self.epoch = self.epoch.max(epoch);
+    }
+
+    /// Returns true when the request may have taken effect.
+    pub fn is_open(self) -> bool {
+        self.epoch > 0
+    }
+
+    /// Returns true when the answer of the owner of an epoch says whether the request has taken
+    /// effect: that owner has loaded all that earlier ones stored, and they store nothing more.
+    pub fn is_resolved_by(self, epoch: u64) -> bool {
+        self.epoch < epoch
+    }
+}
+
+/// Makes one attempt to get the owner's answer within `left` milliseconds. Returns the answer and
+/// the owner's epoch.
 async fn try_owner(
     shared: &Rc<Shared>,
     request: &JobRequest,
     left: Millis,
-) -> Result<Answer, Failure> {
-    if shared.local_epoch().is_some() {
-        return match ask_local_owner(shared, request.clone(), left).await {
-            Some(answer) => Ok(answer),
-            None => Err(Failure::AnswerLost),
-        };
+) -> Result<(Answer, u64), Failure> {
+    if let Some(epoch) = shared.local_epoch() {
+        let answer = ask_local_owner(shared, epoch, request.clone(), left).await;
+        let answer = answer.ok_or(Failure::AnswerLost(epoch))?;
+        return Ok((answer, epoch));
     }
     let Some(owner) = shared.owner().filter(|o| !o.row.released) else {
         return Err(Failure::NotDelivered);
@@ -154,27 +181,37 @@
     if owner.row.address == shared.settings.rpc {
         return Err(Failure::NotDelivered);
     }
-    let left = left.min(TRY_TIMEOUT);
+    let (left, epoch) = (left.min(TRY_TIMEOUT), owner.row.epoch);
     let message = AskRequest {
         ask: crate::table::encode(request),
         left,
+        epoch,
     };
     let call = |c| async move { ClusterClient::new(c).ask(message).await };
     match shared.channel(owner.row.address).call(left, call).await {
         Ok(AskReply { answer }) if answer.is_empty() => Err(Failure::NotDelivered),
-        Ok(AskReply { answer }) => serde_json::from_slice(&answer).map_err(|e| {
-            log::error!(target: "desk", "event=malformed-answer cause=\"{e}\"");
-            Failure::AnswerLost
-        }),
+        Ok(AskReply { answer }) => match serde_json::from_slice(&answer) {
+            Ok(answer) => Ok((answer, epoch)),
+            Err(e) => {
+                log::error!(target: "desk", "event=malformed-answer cause=\"{e}\"");
+                Err(Failure::AnswerLost(epoch))
+            }
+        },
         Err(CallError::NotSent(_)) => Err(Failure::NotDelivered),
-        Err(_) => Err(Failure::AnswerLost),
+        Err(_) => Err(Failure::AnswerLost(epoch)),
     }
 }
 
-/// Returns the answer of the owner in this process, or `None` after `left` milliseconds.
-pub async fn ask_local_owner(shared: &Shared, request: JobRequest, left: Millis) -> Option<Answer> {
+/// Returns the answer of the owner of an epoch in this process, or `None` after `left`
+/// milliseconds.
+pub async fn ask_local_owner(
+    shared: &Shared,
+    epoch: u64,
+    request: JobRequest,
+    left: Millis,
+) -> Option<Answer> {
     let (reply, answer) = oneshot::channel();
-    shared.send_to_owner(Message::Request(request, reply));
+    shared.send_to_owner(Message::Request(epoch, request, reply));
     timeout(Duration::from_millis(left), answer)
         .await
         .ok()?
--- a/src/daemon/message.rs
+++ b/src/daemon/message.rs
@@ -8,8 +8,9 @@
 
 /// A message to the owner's task.
 pub enum Message {
-    /// A caller's request, and where its answer is sent.
-    Request(JobRequest, oneshot::Sender<Answer>),
+    /// A caller's request to the owner of an epoch, and where its answer is sent. The owner of
+    /// another epoch gives no answer.
+    Request(u64, JobRequest, oneshot::Sender<Answer>),
     /// This box has become the owner: its state, its epoch, and the milliseconds that acquiring
     /// the cell and loading took.
     Begin(Box<Owner>, u64, Millis),
--- a/src/daemon/owner_task.rs
+++ b/src/daemon/owner_task.rs
@@ -92,7 +92,7 @@
                 shared.send_to_owner(Message::Release);
             }
         }
-        (Message::Request(request, reply), Some(local)) => {
+        (Message::Request(epoch, request, reply), Some(local)) if epoch == local.term.epoch => {
             let ticket = local.next_ticket;
             local.next_ticket += 1;
             local.pending.insert(ticket, reply);
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -38,14 +38,19 @@
 }
 
 /// Passes a forwarded job request to the owner in this process; an empty reply says that this
-/// box is not the owner.
-async fn handle_request(shared: Rc<Shared>, request: AskRequest) -> Result<AskReply, Status> {
+/// box is not the owner that is asked.
+pub(super) async fn handle_request(
+    shared: Rc<Shared>,
+    request: AskRequest,
+) -> Result<AskReply, Status> {
     let job_request = serde_json::from_slice(&request.ask)
         .map_err(|e| Status::invalid_argument(e.to_string()))?;
-    if shared.local_epoch().is_none() {
+    // Boxes of the previous release name no epoch.
+    let is_asked = |epoch: &u64| request.epoch == 0 || request.epoch == *epoch;
+    let Some(epoch) = shared.local_epoch().filter(is_asked) else {
         return Ok(AskReply::default());
-    }
-    match frontend::ask_local_owner(&shared, job_request, request.left).await {
+    };
+    match frontend::ask_local_owner(&shared, epoch, job_request, request.left).await {
         Some(answer) => Ok(AskReply {
             answer: encode(&answer),
         }),
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -9,6 +9,7 @@
 use futures::channel::mpsc::{self, UnboundedReceiver};
 
 use super::downtime::Downtime;
+use super::frontend::Doubt;
 use super::history::decode_page;
 use super::message::Message;
 use super::peer_addresses::PeerAddresses;
@@ -266,3 +267,17 @@
     assert!(!addresses.needs_refresh(5_999));
     assert!(addresses.needs_refresh(6_000));
 }
+
+/// Guards against a refusal that is called true although the owner that was asked first may have
+/// stored the job, and against doubt that the next owner could end.
+#[test]
+fn only_the_answer_of_a_later_owner_ends_the_doubt_about_a_lost_one() {
+    let mut doubt = Doubt::default();
+    assert!(!doubt.is_open() && doubt.is_resolved_by(7));
+    doubt.add(7);
+    assert!(doubt.is_open());
+    assert!(!doubt.is_resolved_by(6) && !doubt.is_resolved_by(7));
+    assert!(doubt.is_resolved_by(8));
+    doubt.add(5);
+    assert!(!doubt.is_resolved_by(7), "the latest owner counts");
+}
--- a/src/daemon/tests/change_of_owner.rs
+++ b/src/daemon/tests/change_of_owner.rs
@@ -15,12 +15,12 @@
 use crate::daemon::commits::commit_as_owner;
 use crate::daemon::follower::is_vacant;
 use crate::daemon::message::Message;
-use crate::daemon::peers::{self, handle_ping};
+use crate::daemon::peers::{self, handle_ping, handle_request};
 use crate::daemon::shared::{Loading, Shared};
 use crate::daemon::takeover::notify_predecessor;
 use crate::daemon::{owner_task, shared};
 use crate::program::block_on;
-use crate::proto::PingRequest;
+use crate::proto::{AskRequest, PingRequest};
 use crate::rpc::bridge::Bridge;
 use crate::sched::job::JobState;
 use crate::sched::journal::OwnerRow;
@@ -59,7 +59,8 @@
 /// Sends the owner's task a query of a job; the receiver gets the answer, if there is one.
 fn send_query(shared: &Shared, id: &str) -> oneshot::Receiver<Answer> {
     let (reply, answer) = oneshot::channel();
-    shared.send_to_owner(Message::Request(JobRequest::Show(id.into()), reply));
+    let epoch = shared.local_epoch().unwrap_or(EPOCH);
+    shared.send_to_owner(Message::Request(epoch, JobRequest::Show(id.into()), reply));
     answer
 }
 
@@ -287,3 +288,29 @@
     })
     .expect("runtime");
 }
+
+/// Guards against a request that an owner other than the one asked takes in: whether its refusal is
+/// true depends on which owners may have the request.
+#[test]
+fn a_forwarded_request_is_answered_by_the_owner_of_its_epoch_only() {
+    let _terms = lock_terms();
+    block_on(async {
+        let shared = serving_box().await;
+        let ask = |epoch| AskRequest {
+            ask: encode(&JobRequest::Show("j".into())),
+            left: 1_000,
+            epoch,
+        };
+        let answered = async |epoch| {
+            let reply = handle_request(shared.clone(), ask(epoch)).await;
+            !reply.expect("reply").answer.is_empty()
+        };
+        assert!(answered(EPOCH).await);
+        assert!(!answered(EPOCH - 1).await && !answered(EPOCH + 1).await);
+        assert!(
+            answered(0).await,
+            "boxes of the previous release name no epoch"
+        );
+    })
+    .expect("runtime");
+}
--- a/src/sched/history.rs
+++ b/src/sched/history.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::admission::RETRY_AFTER;
+use super::admission::{RETRY_AFTER, outage_retry_after};
 use super::job::{Outcome, TaskKey, parse_task_name};
 use super::message::{Answer, JobRequest, Ticket};
 use super::owner::Owner;
@@ -170,7 +170,7 @@
         let parked = self.history.take_parked();
         log::info!(target: "job", "event=refused reason=store-away parked={} silent_ms={silent}", parked.len());
         for (ticket, _) in parked {
-            self.reply(ticket, Answer::Refused(RETRY_AFTER));
+            self.reply(ticket, Answer::Refused(outage_retry_after(silent)));
         }
     }
 
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -5,7 +5,7 @@
 //! without an answer can no longer take effect once a later commit has.
 
 use std::collections::btree_map::Entry;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -146,6 +146,8 @@
     /// The same jobs, with the actions that wait for their rows.
     changed: BTreeMap<u32, Vec<AfterCommit>>,
     in_flight: Option<InFlight>,
+    /// Jobs of commits whose outcome is unknown, until a later commit has stored them.
+    doubtful: BTreeSet<u32>,
     /// When the next commit may be sent.
     next_commit: Millis,
     /// When the last call was sent by which the store confirmed this owner: a commit that
@@ -176,6 +178,7 @@
             queue: VecDeque::new(),
             changed: BTreeMap::new(),
             in_flight: None,
+            doubtful: BTreeSet::new(),
             next_commit: now,
             confirmed: now,
             next_confirm: now,
@@ -228,6 +231,17 @@
         }
     }
 
+    /// Forgets the changes of a job that the store does not have, and returns the actions that
+    /// waited for them; `None` if a commit with the job may take effect.
+    pub fn withdraw(&mut self, job: u32) -> Option<Vec<AfterCommit>> {
+        let mut in_flight = self.in_flight.iter().flat_map(|commit| &commit.jobs);
+        if self.doubtful.contains(&job) || in_flight.any(|(number, _)| *number == job) {
+            return None;
+        }
+        self.queue.retain(|queued| *queued != job);
+        self.changed.remove(&job)
+    }
+
     /// Records in the owner's row that no earlier owner can extend a lease any more.
     pub fn mark_predecessors_ended(&mut self) {
         self.row.settled = true;
@@ -338,6 +352,9 @@
                 self.in_doubt = false;
                 self.released = commit.released;
                 self.next_commit = now + COMMIT_PAUSE;
+                for (job, _) in &commit.jobs {
+                    self.doubtful.remove(job);
+                }
                 return CommitResolution::Stored(commit.jobs);
             }
             CommitOutcome::Conflict(row) => {
@@ -349,6 +366,8 @@
             CommitOutcome::NotDone => self.next_commit = now + RETRY_PAUSE,
             CommitOutcome::Unknown => {
                 self.in_doubt = true;
+                self.doubtful
+                    .extend(commit.jobs.iter().map(|(job, _)| *job));
                 // Without a pause, a store that resets connections would be called in a
                 // busy loop.
                 self.next_commit = now.max(commit.sent + RETRY_PAUSE);
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -408,6 +408,7 @@
         self.export_longest_breach();
         self.archive_finished();
         self.refuse_parked();
+        self.refuse_unsent_jobs();
         self.own_loads.remove_stale(self.now.steady);
         self.saturated = false;
     }
--- a/src/sched/placement_pass.rs
+++ b/src/sched/placement_pass.rs
@@ -418,7 +418,7 @@
     }
 
     /// Undoes the allocation of a task whose placement was not recorded.
-    fn deallocate(&mut self, key: TaskKey, name: &Name) {
+    pub(super) fn deallocate(&mut self, key: TaskKey, name: &Name) {
         self.ranking = None;
         self.placed_on.remove(&key);
         if let Some(worker) = self.workers.get_mut(name) {
--- a/src/sched/tests/admission.rs
+++ b/src/sched/tests/admission.rs
@@ -1,6 +1,7 @@
 //! Tests of admission control: which jobs are refused at once.
 
 use super::world::{World, job, lasting, step};
+use crate::sched::job::JobState;
 use crate::sched::message::Answer;
 use crate::sched::spec::StepSpec;
 
@@ -77,3 +78,32 @@
     assert_eq!(world.answers.get(&after_outage), Some(&Answer::Accepted));
     assert!(world.starts.iter().all(|s| !s.0.starts_with("j2")));
 }
+
+/// An owner that is cut off from the store kept such callers waiting until it was replaced; they
+/// then learned only that their jobs might have been accepted.
+#[test]
+fn jobs_that_no_commit_holds_are_refused_once_the_store_is_away() {
+    let mut world = World::new(2);
+    world.submit("before", job(vec![step(1, 1_000)]));
+    world.run(30);
+    world.store_down = true;
+    let sent = world.submit("sent", job(vec![step(1, 1_000)]));
+    world.run(10);
+    let waiting = world.submit("waiting", job(vec![step(2, 1_000)]));
+    world.run(650);
+    assert!(is_refused(&world, waiting));
+    assert_eq!(world.answers.get(&sent), None, "the commit may take effect");
+    world.store_down = false;
+    world.run(3_000);
+    assert!(
+        world
+            .starts
+            .iter()
+            .all(|start| !start.0.starts_with("waiting"))
+    );
+    assert_eq!(world.answers.get(&sent), Some(&Answer::Accepted));
+    let again = world.submit("waiting", job(vec![step(2, 1_000)]));
+    world.run(3_000);
+    assert_eq!(world.answers.get(&again), Some(&Answer::Accepted));
+    assert_eq!(world.job_state("waiting"), Some(JobState::Completed));
+}
