A new owner uses each page of the directory at once, and passes over silent workers cheaply

Change: each page is passed to the owner as it arrives; a job is unservable only by a whole directory. Workers that accept no tasks count an eighth of those that are scored. The new limit of 0.6 s holds for new jobs only; other requests wait for the owner's confirmation as before.

Tests: no job is refused as too large by the first page; 400 silent workers hardly add to the cost of 20 steps.

--- a/src/daemon/feeds.rs
+++ b/src/daemon/feeds.rs
@@ -23,68 +23,87 @@
 
 /// Follows the configuration and the cordoned halls until the process ends.
 pub async fn follow_config(shared: Rc<Shared>) {
-    let apply = |page: Page, whole: bool| {
-        shared.apply_cordons(config::cordon_changes(&page), whole.then_some(page.version));
+    let apply = |page: Page, as_of: Option<u64>| {
+        shared.apply_cordons(config::cordon_changes(&page), as_of);
         let rows = page.rows.into_iter();
         for row in rows.filter(|r| &*r.key == config::KEY) {
             shared.apply_config(row, "store");
         }
     };
-    follow_table(&shared, config::TABLE, apply, || true).await;
+    let read = async || {
+        let page = shared.store.read_all(config::TABLE, "", READ_TIMEOUT);
+        let page = page.await?;
+        let version = page.version;
+        apply(page, Some(version));
+        Ok(version)
+    };
+    let change = |page| apply(page, None);
+    follow_table(&shared, config::TABLE, read, change, || true).await;
 }
 
 /// Follows the directory while the owner of `epoch` is in this process.
 pub async fn follow_directory(shared: Rc<Shared>, epoch: u64) {
-    let apply = |page: Page, whole: bool| {
-        let entries = directory::decode_entries(page, &shared.queues());
-        let event = match whole {
-            true => Event::Directory(entries),
-            false => Event::DirectoryChanged(entries),
+    let send = |event| shared.send_to_owner(Message::Event(epoch, event));
+    let decode = |page| directory::decode_entries(page, &shared.queues());
+    // Each page is passed on at once, so that an owner of thousands of workers polls and uses the
+    // first ones while it reads the others.
+    let read = async || {
+        let mut whole = Vec::new();
+        let apply = |page| {
+            let entries = decode(page);
+            whole.extend(entries.iter().cloned());
+            send(Event::DirectoryChanged(entries));
         };
-        shared.send_to_owner(Message::Event(epoch, event));
+        let store = &shared.store;
+        let version = store.read_pages(directory::TABLE, "", READ_TIMEOUT, apply);
+        let version = version.await?;
+        send(Event::Directory(whole));
+        Ok(version)
     };
+    let change = |page| send(Event::DirectoryChanged(decode(page)));
     let is_local = || shared.local_epoch() == Some(epoch);
     while is_local() {
         // Entries of services that the configuration does not name are skipped, so the table is
         // read anew when the named services change.
         let services = shared.queues().services().clone();
         let is_active = || is_local() && *shared.queues().services() == services;
-        follow_table(&shared, directory::TABLE, apply, is_active).await;
+        follow_table(&shared, directory::TABLE, read, change, is_active).await;
     }
 }
 
-/// Reads a table and then waits for its changes, while `is_active`. Calls `apply` with each page,
-/// and with true if the page is the whole table.
+/// Has `read` apply a whole table and return its version, and then waits for the changes, while
+/// `is_active`. Calls `change` with each page of changes.
 async fn follow_table(
     shared: &Shared,
     table: &str,
-    apply: impl Fn(Page, bool),
+    read: impl AsyncFn() -> Result<u64, StoreError>,
+    change: impl Fn(Page),
     is_active: impl Fn() -> bool,
 ) {
     let mut version = None;
     let mut healthy = true;
     while is_active() {
-        let read = match version {
-            None => shared.store.read_all(table, "", READ_TIMEOUT).await,
+        let answer = match version {
+            None => read().await,
             Some(version) => {
-                shared
-                    .store
-                    .wait_for_changes(table, version, FEED_WAIT)
-                    .await
+                let page = shared.store.wait_for_changes(table, version, FEED_WAIT);
+                page.await.map(|page| {
+                    let version = page.version;
+                    if !page.rows.is_empty() || !page.deleted.is_empty() {
+                        change(page);
+                    }
+                    version
+                })
             }
         };
-        match read {
-            Ok(page) => {
+        match answer {
+            Ok(reached) => {
                 shared.record_store_answer();
                 if !healthy {
                     log::info!(target: "store", "event=feed-regained table={table}");
                     healthy = true;
                 }
-                let whole = version.is_none();
-                version = Some(page.version);
-                if whole || !page.rows.is_empty() || !page.deleted.is_empty() {
-                    apply(page, whole);
-                }
+                version = Some(reached);
             }
             Err(StoreError::HistoryGone) => {
                 log::info!(target: "store", "event=feed-forgotten table={table} version={version:?}");
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -52,7 +52,7 @@
 impl std::error::Error for StoreError {}
 
 /// Rows of a table as of one version of the store.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Page {
     /// The rows; in a feed, those that changed.
     pub rows: Vec<table::Row>,
@@ -144,14 +144,34 @@
         part: &str,
         limit: Millis,
     ) -> Result<Page, StoreError> {
-        let mut whole = self.read_page(table, part, "", PAGE, limit).await?;
-        // A feed from the first page's version on finds changes made between two pages.
-        while let Some(from) = whole.next.take() {
-            let page = self.read_page(table, part, &from, PAGE, limit).await?;
-            whole.rows.extend(page.rows);
-            whole.next = page.next;
+        let mut rows = Vec::new();
+        let add = |page: Page| rows.extend(page.rows);
+        let version = self.read_pages(table, part, limit, add).await?;
+        Ok(Page {
+            rows,
+            version,
+            ..Page::default()
+        })
+    }
+
+    /// Reads all rows of a part of a table and calls `apply` with each page as it arrives. Returns
+    /// the version of the first page: a feed from there on finds changes made between two pages.
+    pub async fn read_pages(
+        &self,
+        table: &str,
+        part: &str,
+        limit: Millis,
+        mut apply: impl FnMut(Page),
+    ) -> Result<u64, StoreError> {
+        let mut version = None;
+        let mut next = Some(String::new());
+        while let Some(from) = next {
+            let mut page = self.read_page(table, part, &from, PAGE, limit).await?;
+            next = page.next.take();
+            version.get_or_insert(page.version);
+            apply(page);
         }
-        Ok(whole)
+        Ok(version.unwrap_or(0))
     }
 
     /// Reads up to `count` rows of a part of a table, starting at key `from`.
--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -16,9 +16,11 @@
 use super::worker::{Presence, Worker};
 use crate::utils::clock::Millis;
 
-/// Milliseconds without a confirmed commit after which the store counts as unavailable: a hundred
-/// times its usual response time, and less than a box waits for the answer to a forwarded job.
-const OUTAGE_AFTER: Millis = 600;
+/// Milliseconds without a confirmed commit after which the store counts as unavailable:
+/// several times its usual response time, also when it is slow.
+pub(super) const OUTAGE_AFTER: Millis = 1_000;
+/// The same for new jobs: less than a box waits for the answer to a job that it has forwarded.
+const NEW_JOB_OUTAGE_AFTER: Millis = 600;
 /// The same once a commit has failed, as a store that resets connections or answers 503 is
 /// recognised at once. Longer than the pause between an idle owner's commits, and than it takes
 /// to find the outcome of two commits in a row whose answers were lost, which is no outage.
@@ -66,20 +68,21 @@
 impl Owner {
     /// Returns why a job can't be accepted now, or `None` if it can.
     pub(super) fn rejection(&self, spec: &JobSpec, service: &str) -> Option<Rejection> {
-        let away = self.store_outage().map(Rejection::StoreAway);
+        let outage = self.store_outage(NEW_JOB_OUTAGE_AFTER);
+        let away = outage.map(Rejection::StoreAway);
         away.or_else(|| {
             self.unservable_step(spec, service)
                 .map(Rejection::Unservable)
         })
     }
 
-    /// Returns the milliseconds since the last confirmed commit if they are too many to accept
-    /// jobs, or `None` otherwise.
-    pub(super) fn store_outage(&self) -> Option<Millis> {
+    /// Returns the milliseconds since the last confirmed commit if there are more than `after` and
+    /// than a slow store takes, or `None` otherwise.
+    pub(super) fn store_outage(&self, after: Millis) -> Option<Millis> {
         let silent = self.now.steady - self.journal.last_confirmed();
         let limit = match self.journal.last_commit_failed() {
             true => OUTAGE_AFTER_FAILURE,
-            false => OUTAGE_AFTER,
+            false => after,
         };
         let slow = (self.journal.last_commit_duration() * OUTAGE_COMMITS).min(MAX_OUTAGE_AFTER);
         (silent > limit.max(slow)).then_some(silent)
@@ -89,7 +92,7 @@
     /// commit that was sent. Otherwise their callers would wait until the next owner serves, and
     /// then learn only that their jobs may have been accepted.
     pub(super) fn refuse_unsent_jobs(&mut self) {
-        let Some(silent) = self.store_outage() else {
+        let Some(silent) = self.store_outage(NEW_JOB_OUTAGE_AFTER) else {
             return;
         };
         let new = self.jobs.iter().filter(|(_, job)| !job.stored);
@@ -127,8 +130,8 @@
 
     /// Returns the first step of which no worker of the service could hold a task. Workers count
     /// as empty and with the most capacity that they have had, as one that has shrunk may grow
-    /// again. Returns `None` while no worker of the service is known, as the directory may not
-    /// have been read yet.
+    /// again. Returns `None` while no worker of the service is known, and until the whole directory
+    /// was read.
     fn unservable_step(&self, spec: &JobSpec, service: &str) -> Option<usize> {
         let known = |w: &&Worker| {
             let there = !matches!(w.presence, Presence::Removed | Presence::Unusable);
@@ -138,6 +141,9 @@
             let mut workers = self.workers.values().filter(known);
             workers.any(|w| could_ever_hold(w, step))
         };
+        if !self.directory_read {
+            return None;
+        }
         self.workers.values().find(known)?;
         spec.steps.iter().position(|step| !holds(step))
     }
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -30,6 +30,7 @@
         let removed = removed.map(|id| (id.clone(), DirectoryEntry::Removed));
         let changes = removed.collect::<Vec<_>>().into_iter().chain(entries);
         self.apply_directory_changes(changes.collect());
+        self.directory_read = true;
     }
 
     /// Applies changes of the directory.
--- a/src/sched/history.rs
+++ b/src/sched/history.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::admission::{RETRY_AFTER, outage_retry_after};
+use super::admission::{OUTAGE_AFTER, RETRY_AFTER, outage_retry_after};
 use super::job::{Outcome, TaskKey, parse_task_name};
 use super::message::{Answer, JobRequest, Ticket};
 use super::owner::Owner;
@@ -164,7 +164,7 @@
         if self.history.parked.is_empty() {
             return;
         }
-        let Some(silent) = self.store_outage() else {
+        let Some(silent) = self.store_outage(OUTAGE_AFTER) else {
             return;
         };
         let parked = self.history.take_parked();
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -97,6 +97,8 @@
     pub(super) ready: BTreeMap<TaskKey, Millis>,
     /// Workers by id.
     pub(super) workers: BTreeMap<Name, Worker>,
+    /// True once the whole directory was read.
+    pub(super) directory_read: bool,
     /// Index of the workers by address.
     pub(super) addresses: WorkerIndex<SocketAddr>,
     /// Index of the workers by rack.
@@ -193,6 +195,7 @@
             unreadable_jobs: BTreeSet::new(),
             ready: BTreeMap::new(),
             workers: BTreeMap::new(),
+            directory_read: false,
             addresses: WorkerIndex::default(),
             racks: WorkerIndex::default(),
             cordoned_halls: None,
--- a/src/sched/placement_pass.rs
+++ b/src/sched/placement_pass.rs
@@ -24,6 +24,9 @@
 /// workers a pass examines about 50,000, and passes without a pause leave an owner with half a
 /// core no time for leases and reports.
 const EXAMINED_PER_MS: u64 = 1_000;
+/// Number of workers that accept no tasks which take as long to pass over as one worker takes to be
+/// examined. A new owner places tasks before most workers have answered it.
+const PASSED_OVER_PER_EXAMINATION: usize = 8;
 /// Most tasks that are placed in one pass, so that other events are not delayed.
 const MAX_PLACED: usize = 200;
 /// Most failed attempts in one pass to place best-effort tasks of one service and label. Where one
@@ -309,7 +312,8 @@
         };
         let (best, ranking) = self.with_request(key, rack, ranked);
         if is_new {
-            self.workers_examined += ranking.examined as u64;
+            let passed_over = ranking.passed_over / PASSED_OVER_PER_EXAMINATION;
+            self.workers_examined += (ranking.examined + passed_over) as u64;
             if let Some(last) = &ranking.last_examined {
                 self.next_candidate = last.clone();
             }
--- a/src/sched/scoring.rs
+++ b/src/sched/scoring.rs
@@ -78,8 +78,10 @@
     pub step: StepKey,
     /// True when the scores are for suspects, which prefer workers with little to lose.
     pub suspects: bool,
-    /// Number of workers that were examined.
+    /// Number of workers that were examined and accept tasks.
     pub examined: usize,
+    /// Number of workers that were passed over because they accept no tasks.
+    pub passed_over: usize,
     /// Id of the last worker that was examined, unless all were.
     pub last_examined: Option<Name>,
     /// Scores and ids of the workers, the best on top.
@@ -93,10 +95,14 @@
         request: &PlacementRequest<'_>,
         now: Millis,
     ) -> Self {
-        let mut examined = 0;
+        let (mut examined, mut passed_over) = (0, 0);
         let mut last_examined = None;
         let mut scored = Vec::new();
         for worker in workers {
+            if !worker.accepts_tasks(now) {
+                passed_over += 1;
+                continue;
+            }
             examined += 1;
             if !fits_now(worker, request, now) {
                 continue;
@@ -112,6 +118,7 @@
             step: request.key.step_key(),
             suspects: request.suspect,
             examined,
+            passed_over,
             last_examined,
             by_score: scored.into(),
         }
--- a/src/sched/tests/admission.rs
+++ b/src/sched/tests/admission.rs
@@ -107,3 +107,19 @@
     assert_eq!(world.answers.get(&again), Some(&Answer::Accepted));
     assert_eq!(world.job_state("waiting"), Some(JobState::Completed));
 }
+
+/// A new owner reads the directory page by page, and the larger workers may be on a later one.
+#[test]
+fn no_job_is_refused_as_too_large_before_the_whole_directory_is_read() {
+    let mut world = World::new(0);
+    world.owner.directory_read = false;
+    world.add_worker("w0", 100);
+    world.send_listing("w0");
+    world.run(50);
+    let early = world.submit("early", job(vec![step(1, 8_000)]));
+    world.run(50);
+    assert_eq!(world.answers.get(&early), Some(&Answer::Accepted));
+    world.send_directory();
+    let late = world.submit("late", job(vec![step(1, 8_000)]));
+    assert!(is_refused(&world, late));
+}
--- a/src/sched/tests/mass_restart.rs
+++ b/src/sched/tests/mass_restart.rs
@@ -113,3 +113,24 @@
     assert_eq!(world.starts.len(), 300);
     assert_eq!(used.len(), 300, "each task has a worker of its own");
 }
+
+/// An owner of 6,002 workers that had just begun paused its passes for 0.6 s after it had examined
+/// workers for 100 steps, most of which had not answered yet.
+#[test]
+fn workers_that_have_not_answered_hardly_delay_the_next_pass() {
+    let mut world = World::new(8);
+    for number in 0..400 {
+        let id = format!("x{number:03}");
+        world.add_worker(&id, 1_000 + number);
+        world.workers.get_mut(&*id).expect("worker").disconnected = true;
+    }
+    world.send_directory();
+    world.run(100);
+    let before = world.owner.workers_examined;
+    for number in 0..20 {
+        world.submit(&format!("j{number}"), job(vec![lasting(1, 3_000 + number)]));
+    }
+    world.run(20);
+    let examined = world.owner.workers_examined - before;
+    assert!(examined <= 20 * 2 * (8 + 400 / 8), "{examined}");
+}
