The first polls of workers are spread, those of workers with tasks first

Cause: a new owner polled all workers in one turn. That time grows with the workers; at 12,000 the owner would be unconfirmed for longer than the 1.5 s after which other boxes replace it.

Change: four first polls a millisecond, in the order of the directory's pages, workers that the stored jobs name first, as the leases of their runs end soon.

--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -33,8 +33,10 @@
         self.directory_read = true;
     }
 
-    /// Applies changes of the directory.
-    pub(super) fn apply_directory_changes(&mut self, changes: Vec<(Name, DirectoryEntry)>) {
+    /// Applies changes of the directory, first those of workers that are known to have tasks: their
+    /// leases end soon.
+    pub(super) fn apply_directory_changes(&mut self, mut changes: Vec<(Name, DirectoryEntry)>) {
+        changes.sort_by_key(|(id, _)| !self.unadopted.contains_key(id));
         for (id, entry) in changes {
             match entry {
                 DirectoryEntry::Listed(listing) if self.is_unchanged(&id, &listing) => {}
@@ -72,7 +74,7 @@
         }
         self.insert_worker(id.clone(), worker);
         self.adopt_tasks(&id);
-        self.schedule_poll(&id, now);
+        self.schedule_first_poll(&id);
     }
 
     /// Applies the listing of a known worker.
