--- a/src/daemon/follower.rs
+++ b/src/daemon/follower.rs
@@ -126,7 +126,7 @@
 
 /// Reads the owner's row again, and acquires the cell if the row is vacant.
 async fn acquire_if_vacant(shared: &Rc<Shared>) {
-    if !reread_owner(shared).await {
+    if !refresh_before_takeover(shared).await {
         return;
     }
     if let Some(known) = shared.owner().filter(|s| is_vacant(shared, &s.row)) {
@@ -156,7 +156,7 @@
 /// Reads the owner's row from the store; returns false when that failed or another box knew a later
 /// owner. A box that the store does not serve reads nothing: it would wait for an answer while other
 /// boxes learn of the next owner.
-async fn reread_owner(shared: &Shared) -> bool {
+async fn refresh_before_takeover(shared: &Shared) -> bool {
     if learn_later_owner_from_peers(shared).await || !shared.store_serves() {
         return false;
     }
@@ -187,7 +187,7 @@
     cause: Option<TakeoverCause>,
 ) {
     let asked = clock::now();
-    if !reread_owner(shared).await {
+    if !refresh_before_takeover(shared).await {
         return;
     }
     let took = clock::now() - asked;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -52,7 +52,7 @@
 impl std::error::Error for StoreError {}
 
 /// Rows of a table as of one version of the store.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct Page {
     /// The rows; in a feed, those that changed.
     pub rows: Vec<table::Row>,
--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -33,9 +33,9 @@
 /// Milliseconds after which the caller of a job that no worker could hold should retry. Larger
 /// workers are added within several seconds, if at all, and earlier retries would fail.
 const UNSERVABLE_RETRY_AFTER: Millis = 5_000;
-/// Milliseconds from the last commit of an owner that the store no longer serves until the next
-/// owner serves.
-const TAKEOVER_TIME: Millis = 2_200;
+/// Milliseconds from the last commit of an owner that the store no longer serves until another
+/// one serves.
+const TAKEOVER_TIME: Millis = 1_600;
 /// Milliseconds after which a refused caller should retry: about the duration of a takeover or
 /// a short outage.
 pub const RETRY_AFTER: Millis = 500;
