--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -33,10 +33,8 @@
         self.directory_read = true;
     }
 
-    /// Applies changes of the directory, first those of workers that are known to have tasks: their
-    /// leases end soon.
-    pub(super) fn apply_directory_changes(&mut self, mut changes: Vec<(Name, DirectoryEntry)>) {
-        changes.sort_by_key(|(id, _)| !self.unadopted.contains_key(id));
+    /// Applies changes of the directory.
+    pub(super) fn apply_directory_changes(&mut self, changes: Vec<(Name, DirectoryEntry)>) {
         for (id, entry) in changes {
             match entry {
                 DirectoryEntry::Listed(listing) if self.is_unchanged(&id, &listing) => {}
@@ -74,7 +72,7 @@
         }
         self.insert_worker(id.clone(), worker);
         self.adopt_tasks(&id);
-        self.schedule_first_poll(&id);
+        self.schedule_poll(&id, now);
     }
 
     /// Applies the listing of a known worker.
