--- a/src/daemon/follower.rs
+++ b/src/daemon/follower.rs
@@ -23,8 +23,6 @@
 /// Milliseconds between two pings from a box with fewer cores than the owner's row asks for.
 /// Larger boxes take over before it does, and each ping costs the owner work.
 const SMALLER_BOX_PING_INTERVAL: Millis = 600;
-/// Longest time that a box reads the owner's row before a takeover: twice what a slow store takes.
-const TAKEOVER_READ_LIMIT: Duration = Duration::from_millis(600);
 /// Longest extra delay in milliseconds before a takeover; it differs by box, so that not all
 /// boxes try at once.
 const STAGGER: u64 = 120;
@@ -126,7 +124,7 @@
 
 /// Reads the owner's row again, and acquires the cell if the row is vacant.
 async fn acquire_if_vacant(shared: &Rc<Shared>) {
-    if !refresh_before_takeover(shared).await {
+    if learn_later_owner_from_peers(shared).await || !refresh_owner(shared).await {
         return;
     }
     if let Some(known) = shared.owner().filter(|s| is_vacant(shared, &s.row)) {
@@ -153,18 +151,6 @@
     }
 }
 
-/// Reads the owner's row from the store; returns false when that failed or another box knew a later
-/// owner. A box that the store does not serve reads nothing: it would wait for an answer while other
-/// boxes learn of the next owner.
-async fn refresh_before_takeover(shared: &Shared) -> bool {
-    if learn_later_owner_from_peers(shared).await || !shared.store_serves() {
-        return false;
-    }
-    // The store may have stopped serving this box since its last answer.
-    let read = timeout(TAKEOVER_READ_LIMIT, refresh_owner(shared));
-    read.await.unwrap_or(false)
-}
-
 /// Reads the owner's row from the store; returns false when that failed.
 async fn refresh_owner(shared: &Shared) -> bool {
     match read_owner(shared).await {
@@ -186,8 +172,14 @@
     before: &KnownOwner,
     cause: Option<TakeoverCause>,
 ) {
+    if learn_later_owner_from_peers(shared).await {
+        return;
+    }
+    if learn_later_owner_from_peers(shared).await {
+        return;
+    }
     let asked = clock::now();
-    if !refresh_before_takeover(shared).await {
+    if !refresh_owner(shared).await {
         return;
     }
     let took = clock::now() - asked;
