--- a/src/daemon/follower.rs
+++ b/src/daemon/follower.rs
@@ -172,9 +172,6 @@
     before: &KnownOwner,
     cause: Option<TakeoverCause>,
 ) {
-    if learn_later_owner_from_peers(shared).await {
-        return;
-    }
     if learn_later_owner_from_peers(shared).await {
         return;
     }
