--- a/src/daemon/feeds.rs
+++ b/src/daemon/feeds.rs
@@ -57,6 +57,7 @@
         let store = &shared.store;
         let version = store.read_pages(directory::TABLE, "", READ_TIMEOUT, apply);
         let version = version.await?;
+        // Only the whole directory shows which known workers are listed no more.
         send(Event::Directory(whole));
         Ok(version)
     };
--- a/src/daemon/follower.rs
+++ b/src/daemon/follower.rs
@@ -166,7 +166,7 @@
 }
 
 /// Takes over from the owner `before`, unless another box has done so, or the owner is suspected
-/// only because the store is slow.
+/// only because the store is slow. `cause` is `None` when the cell is vacant.
 pub(super) async fn replace_owner(
     shared: &Rc<Shared>,
     before: &KnownOwner,
--- a/src/daemon/tests/many_boxes.rs
+++ b/src/daemon/tests/many_boxes.rs
@@ -70,8 +70,8 @@
     }
 }
 
-/// The store carries out commits to one cell one after the other. 587 boxes that suspected the same
-/// owner each sent one, and those of the next owner waited behind them for 1.5 s.
+/// The store carries out commits to one part one after the other, so the next owner's commits would
+/// wait behind those of all boxes that suspect the owner.
 #[test]
 fn most_boxes_that_suspect_an_owner_read_who_replaced_it_instead_of_trying() {
     block_on(async {
--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -76,8 +76,9 @@
         })
     }
 
-    /// Returns the milliseconds since the last confirmed commit if there are more than `after` and
-    /// than a slow store takes, or `None` otherwise.
+    /// Returns the milliseconds since the last confirmed commit if there are more than `after`, or
+    /// than `OUTAGE_AFTER_FAILURE` once a commit has failed; `None` otherwise, and while a slow store
+    /// explains them.
     pub(super) fn store_outage(&self, after: Millis) -> Option<Millis> {
         let silent = self.now.steady - self.journal.last_confirmed();
         let limit = match self.journal.last_commit_failed() {
--- a/src/sched/placement_pass.rs
+++ b/src/sched/placement_pass.rs
@@ -24,8 +24,8 @@
 /// workers a pass examines about 50,000, and passes without a pause leave an owner with half a
 /// core no time for leases and reports.
 const EXAMINED_PER_MS: u64 = 1_000;
-/// Number of workers that accept no tasks which take as long to pass over as one worker takes to be
-/// examined. A new owner places tasks before most workers have answered it.
+/// Passing over this many workers that accept no tasks counts as examining one worker. A new owner
+/// places tasks before most workers have answered it.
 const PASSED_OVER_PER_EXAMINATION: usize = 8;
 /// Most tasks that are placed in one pass, so that other events are not delayed.
 const MAX_PLACED: usize = 200;
--- a/src/sched/tests/admission.rs
+++ b/src/sched/tests/admission.rs
@@ -79,8 +79,8 @@
     assert!(world.starts.iter().all(|s| !s.0.starts_with("j2")));
 }
 
-/// An owner that is cut off from the store kept such callers waiting until it was replaced; they
-/// then learned only that their jobs might have been accepted.
+/// Otherwise the callers wait until the owner is replaced, and then learn only that their jobs may
+/// have been accepted.
 #[test]
 fn jobs_that_no_commit_holds_are_refused_once_the_store_is_away() {
     let mut world = World::new(2);
--- a/src/sched/tests/mass_restart.rs
+++ b/src/sched/tests/mass_restart.rs
@@ -40,9 +40,8 @@
     world
 }
 
-/// Tasks that had just started on a restarted worker may have caused the restart. A ranking of the
-/// workers for each of them took an owner of 6,002 workers 6 ms, and 20 s for all: 3,000 tasks
-/// waited while most workers were idle.
+/// Tasks that had just started on a restarted worker are suspects. With a ranking for each of them,
+/// thousands of tasks wait while most workers are idle.
 #[test]
 fn tasks_of_workers_that_restart_at_once_run_again_at_the_cost_of_a_ranking_for_each_step() {
     let mut world = busy_world();
@@ -114,8 +113,8 @@
     assert_eq!(used.len(), 300, "each task has a worker of its own");
 }
 
-/// An owner of 6,002 workers that had just begun paused its passes for 0.6 s after it had examined
-/// workers for 100 steps, most of which had not answered yet.
+/// An owner that has just begun has not heard from most workers yet, and must not pause its passes
+/// for as long as if it had scored them.
 #[test]
 fn workers_that_have_not_answered_hardly_delay_the_next_pass() {
     let mut world = World::new(8);
