--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -27,6 +27,7 @@
 mod random;
 mod resizing;
 mod rolling_restart;
+mod rotation;
 mod sequence;
 mod several_owners;
 mod suspension;
