Lasting tasks that do not all fit take turns, the one away longest first

Cause: the order of overdue tasks did not depend on how long they had waited; a pass preempted six runs at most, and passes were 107 ms apart, so that 500 that waited needed 9 s; the smallest run gave way each time; one run only was preempted for a task.

Ruled out: swaps for best-effort tasks (8 a second, 16 of 362 workers).

--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -34,8 +34,11 @@
 enum Urgency {
     /// Resources are reserved for the task and would be idle while others are placed first.
     Reserved,
-    /// The task should already run.
-    Overdue,
+    /// The lasting task has run and should already run again.
+    Restart,
+    /// The lasting task has never run and should already run. Restarts precede it: with too little
+    /// capacity for all, each further task that runs shortens the turns of the others.
+    FirstStart,
     /// The task has no urgency.
     Usual,
 }
@@ -50,9 +53,22 @@
 /// Weight of a new job in the moving average of its queue's typical work.
 const TYPICAL_WORK_WEIGHT: f64 = 0.05;
 
-/// Sort key of an entry, lowest first: urgency, priority of the queue, whether the task is
-/// lasting, prospect, relative cost and due time of the round, and the entry itself.
-type Rank = (Urgency, u32, bool, Prospect, u64, Millis, OrderEntry);
+/// Sort key of an entry, lowest first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    urgency: Urgency,
+    /// Priority of the queue.
+    priority: u32,
+    /// Since when an overdue task waits; 0 for other tasks.
+    since: Millis,
+    lasting: bool,
+    prospect: Prospect,
+    /// Relative cost of the round.
+    cost: u64,
+    /// When the round is due.
+    due: Millis,
+    entry: OrderEntry,
+}
 
 /// What decides the rank of a round of a job.
 #[derive(Clone, Copy)]
@@ -95,10 +111,9 @@
             let compute = || self.round_value(job, key.round as usize);
             let value = *values.entry((key.job, key.round)).or_insert_with(compute);
             let lasting = job.step(*key).lasting;
-            let urgency = match reserved {
-                true => Urgency::Reserved,
-                false if self.is_overdue(*key, *since) => Urgency::Overdue,
-                false => Urgency::Usual,
+            let (urgency, since) = match reserved {
+                true => (Urgency::Reserved, 0),
+                false => self.urgency(*key, *since),
             };
             let entry = match reserved || lasting {
                 true => OrderEntry::Task(*key),
@@ -107,24 +122,19 @@
             if entry == OrderEntry::Step(step) {
                 last = Some(step);
             }
-            let priority = job.row.queue.priority;
-            let RoundValue {
-                prospect,
-                relative_cost,
-                due,
-            } = value;
-            ranks.push((
+            ranks.push(Rank {
                 urgency,
-                priority,
+                priority: job.row.queue.priority,
+                since,
                 lasting,
-                prospect,
-                relative_cost,
-                due,
+                prospect: value.prospect,
+                cost: value.relative_cost,
+                due: value.due,
                 entry,
-            ));
+            });
         }
         ranks.sort_unstable();
-        ranks.into_iter().map(|rank| rank.6).collect()
+        ranks.into_iter().map(|rank| rank.entry).collect()
     }
 
     /// Returns the prospect, relative cost and due time of a round of a job.
@@ -176,16 +186,20 @@
         tasks
     }
 
-    /// Returns true when a task that waits since `since` is lasting and should be placed before
-    /// all others.
-    pub(super) fn is_overdue(&self, key: TaskKey, since: Millis) -> bool {
-        let job = &self.jobs[&key.job];
-        let wait = if self.interrupted.contains(&key) {
-            RESTART_OVERDUE
-        } else {
-            FIRST_START_OVERDUE
+    /// Returns the urgency of a task without a reservation that waits since `since`, and since when
+    /// it waits if it is overdue.
+    fn urgency(&self, key: TaskKey, since: Millis) -> (Urgency, Millis) {
+        if !self.jobs[&key.job].step(key).lasting {
+            return (Urgency::Usual, 0);
+        }
+        let (urgency, since, wait) = match self.interrupted.get(&key) {
+            Some(at) => (Urgency::Restart, *at, RESTART_OVERDUE),
+            None => (Urgency::FirstStart, since, FIRST_START_OVERDUE),
         };
-        job.step(key).lasting && self.now.steady >= since + wait
+        match self.now.steady >= since + wait {
+            true => (urgency, since),
+            false => (Urgency::Usual, 0),
+        }
     }
 }
 
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -118,8 +118,9 @@
     pub(super) deferred: HashMap<TaskKey, Deferral>,
     /// Permits to run steps on workers, as the advisor gave them.
     pub(super) permits: BTreeMap<StepKey, Permits>,
-    /// Lasting tasks that have run, and are being stopped or wait for their next start.
-    pub(super) interrupted: BTreeSet<TaskKey>,
+    /// Lasting tasks that have run, and are being stopped or wait for their next start, with the
+    /// time since when they do.
+    pub(super) interrupted: BTreeMap<TaskKey, Millis>,
     /// Scores of the workers for the step placed last in this placement pass.
     pub(super) ranking: Option<Ranking>,
     /// Id from which on workers are examined for the next ranking.
@@ -205,7 +206,7 @@
             failed_on: HashMap::new(),
             deferred: HashMap::new(),
             permits: BTreeMap::new(),
-            interrupted: BTreeSet::new(),
+            interrupted: BTreeMap::new(),
             ranking: None,
             next_candidate: Name::from(""),
             reservations: BTreeMap::new(),
@@ -452,7 +453,7 @@
                     };
                     self.ready.entry(key).or_insert(self.now.steady);
                     if lasting && task.run > 0 {
-                        self.interrupted.insert(key);
+                        self.interrupted.entry(key).or_insert(self.now.steady);
                     }
                 }
             }
@@ -510,7 +511,7 @@
                 self.ready.insert(key, self.now.steady);
             }
             if lasting {
-                self.interrupted.insert(key);
+                self.mark_interrupted(key, self.now.steady);
             }
             if gang {
                 self.stop_gang(key);
--- a/src/sched/preemption.rs
+++ b/src/sched/preemption.rs
@@ -4,10 +4,13 @@
 //! only loses the time in which it does not run, while a task that ends loses all of its value
 //! if it misses its due time.
 
-use super::job::{StepKey, TaskKey};
+use std::collections::BTreeMap;
+
+use super::job::TaskKey;
 use super::owner::Owner;
+use super::permits::Permits;
 use super::placement::{Placement, Stage};
-use super::scoring::could_run;
+use super::scoring::{PlacementRequest, could_run};
 use super::spec::Resources;
 use super::worker::Worker;
 use crate::utils::Name;
@@ -16,13 +19,16 @@
 /// Milliseconds that a run lasts at least before it is preempted. A stop and the next start take
 /// about one second, so that preempting shorter runs would cost more than it gains.
 pub(super) const MIN_RUN_TIME: Millis = 3_000;
+/// Milliseconds that a lasting task runs at least before another one takes its place. With shorter
+/// turns the workers would be idle for too much of the time.
+const MIN_TURN: Millis = 6_000;
 /// One in this many lasting tasks may be interrupted at the same time.
 const INTERRUPTED_DIVISOR: usize = 12;
-/// Milliseconds after which an interrupted lasting task may preempt another one, so that each is
-/// interrupted for a short time only.
-const MAX_INTERRUPTION: Millis = 2_500;
-/// Most waiting tasks for which one placement pass searches victims, as each search examines all
-/// runs.
+/// Milliseconds after which an interrupted lasting task preempts another one. The platform allows
+/// 6 s, and the stop of one and the start of the other take up to 1.5 s.
+const MAX_INTERRUPTION: Millis = 3_000;
+/// Most waiting tasks that end for which one placement pass searches victims, as each search may
+/// examine all runs.
 const MAX_SEARCHES: usize = 6;
 
 /// Resources of a worker that are kept for a waiting task.
@@ -34,19 +40,43 @@
     pub resources: Resources,
 }
 
-/// Cost of preempting a run, its task and its worker. The run with the lowest cost is preempted.
-type Victim = (u64, TaskKey, Name);
+/// Cost of a preemption. The run with the lowest cost is preempted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Cost {
+    /// Thousandths of cores that the run uses, and has used in vain if it is stopped.
+    Work(u64),
+    /// When the turn of a lasting task began: the longest one ends first.
+    Turn(Millis),
+}
+
+/// A run that could be preempted.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Victim {
+    cost: Cost,
+    key: TaskKey,
+    worker: Name,
+}
 
-/// Search for victims in one placement pass. The tasks of a step follow each other in the order
-/// and have the same possible victims, so that one search per step keeps passes short on full
-/// workers.
+/// Properties of a waiting task that decide which runs it may preempt, and in which order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Claim {
+    /// Service whose workers may run the task.
+    service: Name,
+    /// Priority of the queue of the task.
+    priority: u32,
+    /// True when lasting tasks may be preempted.
+    include_lasting: bool,
+    /// True when an interrupted lasting task is to run again.
+    restart: bool,
+}
+
+/// Search for victims in one placement pass. Its result is used for all tasks with the same claim,
+/// so that passes stay short on full workers.
 pub(super) struct VictimSearch {
-    /// Number of tasks for which resources may still be freed.
+    /// Number of tasks that end for which resources may still be freed.
     searches_left: usize,
-    /// The search that found `victims`: its step, and whether lasting tasks may be interrupted.
-    searched_for: Option<(StepKey, bool)>,
-    /// Runs that could be preempted, the lowest cost last.
-    victims: Vec<Victim>,
+    /// The claim searched for last and the runs that it could preempt, the lowest cost first.
+    found: Option<(Claim, Vec<Victim>)>,
 }
 
 impl VictimSearch {
@@ -54,12 +84,11 @@
     pub fn new() -> Self {
         Self {
             searches_left: MAX_SEARCHES,
-            searched_for: None,
-            victims: Vec::new(),
+            found: None,
         }
     }
 
-    /// Returns true when resources are freed for no more tasks in this pass.
+    /// Returns true when resources are freed for no more tasks that end in this pass.
     pub fn is_exhausted(&self) -> bool {
         self.searches_left == 0
     }
@@ -78,7 +107,7 @@
         let obsolete: Vec<(TaskKey, Name)> = obsolete.map(|(k, n)| (*k, n.clone())).collect();
         let runs = |key: &TaskKey| self.placement_of(*key).is_none_or(Placement::is_running);
         let resumed = |key: &&TaskKey| !self.ready.contains_key(*key) && runs(key);
-        let resumed: Vec<TaskKey> = self.interrupted.iter().filter(resumed).copied().collect();
+        let resumed: Vec<TaskKey> = self.interrupted.keys().filter(resumed).copied().collect();
         for (key, name) in obsolete {
             self.reservations.remove(&key);
             let worker = self.workers.get_mut(&name);
@@ -91,6 +120,11 @@
         }
     }
 
+    /// Marks a lasting task as interrupted since a time, unless it already is.
+    pub(super) fn mark_interrupted(&mut self, key: TaskKey, since: Millis) {
+        self.interrupted.entry(key).or_insert(since);
+    }
+
     /// Cancels the reservation on a worker, so that its task may be placed elsewhere.
     pub(super) fn cancel_reservation(&mut self, name: &Name) {
         let worker = self.workers.get_mut(name);
@@ -108,148 +142,211 @@
         self.reservations.insert(key, name.clone());
     }
 
-    /// Preempts a run for a waiting task that fits nowhere, if the task may preempt others.
+    /// Preempts runs for a waiting task that fits nowhere, if the task may preempt others.
     pub(super) fn free_resources_for(&mut self, key: TaskKey, search: &mut VictimSearch) {
-        if search.searches_left == 0 {
-            return;
-        }
         let step = self.jobs[&key.job].step(key);
-        let since = self.ready.get(&key).copied().unwrap_or(self.now.steady);
         if step.best_effort || step.gang || self.reservations.contains_key(&key) {
             return;
         }
-        if !step.lasting {
-            search.searches_left -= 1;
-            return self.preempt(key, search);
-        }
-        if self.is_overdue(key, since)
-            && self.interrupted.contains(&key)
-            && self.now.steady >= since + MAX_INTERRUPTION
-        {
+        if step.lasting {
+            if self.is_interrupted_for_long(key) {
+                self.preempt(key, search);
+            }
+        } else if search.searches_left > 0 {
             search.searches_left -= 1;
             self.preempt(key, search);
         }
     }
 
-    /// Stops the run with the lowest cost that frees enough resources for a waiting task.
+    /// Returns true when an interrupted lasting task should run again at once.
+    fn is_interrupted_for_long(&self, key: TaskKey) -> bool {
+        let since = self.interrupted.get(&key);
+        since.is_some_and(|at| self.now.steady >= at + MAX_INTERRUPTION)
+    }
+
+    /// Stops the runs with the lowest cost that free enough resources for a waiting task.
     fn preempt(&mut self, key: TaskKey, search: &mut VictimSearch) {
         if !self.settings.mechanisms.preempt {
             return;
         }
-        let step = self.jobs[&key.job].step(key);
-        let resources = step.reserved();
-        let include_lasting = self.may_interrupt_lasting() || self.interrupted.contains(&key);
-        let kind = (key.step_key(), include_lasting);
-        if search.searched_for != Some(kind) {
-            search.searched_for = Some(kind);
-            search.victims = self.victims(key, resources, include_lasting);
+        let claim = self.claim(key);
+        let restart = claim.restart;
+        let found = search.found.take().filter(|(last, _)| *last == claim);
+        let (claim, mut victims) = found.unwrap_or_else(|| {
             self.workers_examined += self.workers.len() as u64;
+            let victims = self.victims(&claim);
+            (claim, victims)
+        });
+        let mut chosen = Vec::from_iter(self.next_victim(key, &victims));
+        if chosen.is_empty() && restart {
+            chosen = self.next_victims(key, &victims);
         }
-        let Some((_, victim, name)) = self.next_victim(search, resources) else {
+        victims.retain(|victim| !chosen.contains(victim));
+        search.found = Some((claim, victims));
+        self.preempt_all(key, chosen);
+    }
+
+    /// Stops runs of one worker, whose resources are reserved for a waiting task.
+    fn preempt_all(&mut self, key: TaskKey, victims: Vec<Victim>) {
+        let Some(name) = victims.first().map(|victim| victim.worker.clone()) else {
             return;
         };
-        let (task, other) = (self.task_name(victim), self.task_name(key));
-        log::info!(target: "task", "task={task} event=preempted worker={name} for={other}");
-        if self.jobs[&victim.job].step(victim).lasting {
-            self.interrupted.insert(victim);
-        }
+        let resources = self.jobs[&key.job].step(key).reserved();
         self.reserve_on(key, resources, &name);
         self.ranking = None;
-        self.stop_task(victim);
+        let since = self.interrupted.get(&key).copied();
+        let away = self.now.steady - since.unwrap_or(self.now.steady);
+        for victim in victims {
+            let (task, other) = (self.task_name(victim.key), self.task_name(key));
+            log::info!(target: "task", "task={task} event=preempted worker={name} for={other} away_ms={away}");
+            if self.jobs[&victim.key.job].step(victim.key).lasting {
+                self.mark_interrupted(victim.key, self.now.steady);
+            }
+            self.stop_task(victim.key);
+        }
     }
 
-    /// Returns the run with the lowest cost that frees enough resources for a task of the searched
-    /// step. Runs may have been stopped and resources reserved since the search.
-    fn next_victim(&self, search: &mut VictimSearch, resources: Resources) -> Option<Victim> {
-        let still_valid = |(_, key, name): &Victim| {
-            let Some(worker) = self.workers.get(name) else {
-                return false;
-            };
-            let run = worker.placements.get(key).filter(|run| run.is_running());
-            run.is_some_and(|run| worker.fits_without(run, resources)) && self.may_disrupt(*key)
-        };
-        while let Some(victim) = search.victims.pop() {
-            if still_valid(&victim) {
-                return Some(victim);
-            }
+    /// Returns the claim of a waiting task.
+    fn claim(&self, key: TaskKey) -> Claim {
+        let job = &self.jobs[&key.job];
+        let restart = self.interrupted.contains_key(&key);
+        Claim {
+            service: job.row.queue.service.clone(),
+            priority: job.row.queue.priority,
+            include_lasting: restart || self.may_interrupt_lasting(),
+            restart,
         }
-        None
     }
 
-    /// Returns the runs any of which could be preempted for a task, the lowest cost last.
-    fn victims(&self, key: TaskKey, resources: Resources, include_lasting: bool) -> Vec<Victim> {
-        let mut victims: Vec<Victim> = self.with_request(key, "", |request| {
-            let candidate = |w: &&Worker| could_run(w, request, self.now.steady);
-            let workers = self.workers.values().filter(candidate);
-            let victims = workers.flat_map(|w| self.victims_on(w, key, resources, include_lasting));
-            victims.collect()
-        });
-        victims.sort_unstable_by(|a, b| b.cmp(a));
-        victims
+    /// Returns the run with the lowest cost that alone frees enough resources for a task.
+    fn next_victim(&self, key: TaskKey, victims: &[Victim]) -> Option<Victim> {
+        self.with_request(key, "", |request| {
+            let enough = |victim: &&Victim| {
+                let target = self.preemptible_run(victim, request);
+                target
+                    .is_some_and(|(w, run)| w.fits_without(run.resources, request.step.reserved()))
+            };
+            victims.iter().find(enough).cloned()
+        })
     }
 
-    /// Returns the runs on a worker any of which could be preempted for a task, lasting ones only
-    /// if `include_lasting` is true.
-    fn victims_on(
+    /// Returns runs of one worker, those with the lowest cost, that together free enough resources
+    /// for a task; none if there are no such runs.
+    fn next_victims(&self, key: TaskKey, victims: &[Victim]) -> Vec<Victim> {
+        self.with_request(key, "", |request| {
+            let mut groups: BTreeMap<&Name, (Resources, Vec<&Victim>)> = BTreeMap::new();
+            for victim in victims {
+                let Some((worker, run)) = self.preemptible_run(victim, request) else {
+                    continue;
+                };
+                let (freed, group) = groups.entry(&victim.worker).or_default();
+                // Two tasks of one step may not be disrupted together even if either may alone.
+                let step = victim.key.step_key();
+                if group.iter().any(|other| other.key.step_key() == step) {
+                    continue;
+                }
+                *freed = freed.plus(run.resources);
+                group.push(victim);
+                if worker.fits_without(*freed, request.step.reserved()) {
+                    return group.iter().copied().cloned().collect();
+                }
+            }
+            Vec::new()
+        })
+    }
+
+    /// Returns the run of a victim and its worker if it may still be stopped for a task. Since the
+    /// search, it may have been stopped or resources of its worker reserved.
+    fn preemptible_run(
         &self,
-        worker: &Worker,
-        key: TaskKey,
-        resources: Resources,
-        include_lasting: bool,
-    ) -> Vec<Victim> {
+        victim: &Victim,
+        request: &PlacementRequest<'_>,
+    ) -> Option<(&Worker, &Placement)> {
+        let now = self.now.steady;
+        let worker = self.workers.get(&victim.worker)?;
+        let run = worker.placements.get(&victim.key)?;
+        let permitted = |permits: &Permits| permits.allows(&victim.worker, now);
+        let may_stop = run.is_running()
+            && worker.reservation.is_none()
+            && could_run(worker, request, now)
+            && request.permits.is_none_or(permitted)
+            && self.may_disrupt(victim.key);
+        may_stop.then_some((worker, run))
+    }
+
+    /// Returns the runs that a claim could preempt, the lowest cost first.
+    fn victims(&self, claim: &Claim) -> Vec<Victim> {
         let now = self.now.steady;
-        let name = &worker.listing.id;
-        let permits = self.permits.get(&key.step_key());
-        let any = worker.placements.len() > worker.count_non_preemptible(include_lasting);
-        if !any || permits.is_some_and(|p| !p.allows(name, now)) {
+        let candidate = |w: &&Worker| w.listing.service == claim.service && w.accepts_tasks(now);
+        let workers = self.workers.values().filter(candidate);
+        let mut victims: Vec<Victim> = workers.flat_map(|w| self.victims_on(w, claim)).collect();
+        victims.sort_unstable();
+        victims
+    }
+
+    /// Returns the runs on a worker that a claim could preempt.
+    fn victims_on(&self, worker: &Worker, claim: &Claim) -> Vec<Victim> {
+        let count = worker.count_non_preemptible(claim.include_lasting);
+        if worker.placements.len() <= count {
             return Vec::new();
         }
-        let preemptible = |run: &Placement| {
-            now >= run.placed_at + MIN_RUN_TIME && (include_lasting || !run.lasting)
-        };
-        let runs = worker.placements.iter();
-        let victims =
-            runs.filter(|(_, run)| worker.fits_without(run, resources) && preemptible(run));
-        let costs = victims.filter_map(|(victim, run)| {
-            let cost = self.preemption_cost(key, *victim, run)?;
-            Some((cost, *victim, name.clone()))
+        let victims = worker.placements.iter().filter_map(|(key, run)| {
+            let cost = self.preemption_cost(claim, *key, run)?;
+            Some(Victim {
+                cost,
+                key: *key,
+                worker: worker.listing.id.clone(),
+            })
         });
-        costs.collect()
+        victims.collect()
     }
 
-    /// Returns the cost of stopping a run for a task, or `None` when it may not be stopped.
-    fn preemption_cost(&self, key: TaskKey, victim: TaskKey, run: &Placement) -> Option<u64> {
-        let own = self.jobs.get(&key.job)?.row.queue.priority;
+    /// Returns the cost of stopping a run for a claim, or `None` when it may not be stopped.
+    fn preemption_cost(&self, claim: &Claim, victim: TaskKey, run: &Placement) -> Option<Cost> {
         let job = self.jobs.get(&victim.job).filter(|j| j.is_open())?;
         let step = job.step(victim);
         if !run.is_running() || step.gang || step.best_effort {
             return None;
         }
-        let other = job.row.queue.priority;
-        if other < own || (other == own && !step.lasting) {
+        let age = self.now.steady - run.placed_at;
+        let priority = job.row.queue.priority;
+        if priority < claim.priority || age < MIN_RUN_TIME {
             return None;
         }
         if step.lasting {
-            // A task over its latency target loses least, as it runs badly on this worker.
-            let over = run.gauge.as_ref().is_some_and(|g| g.breach.is_some());
-            return Some(if over { run.cpu / 2 } else { run.cpu });
+            return self.lasting_cost(claim, run);
         }
-        let done = (self.now.steady - run.placed_at) * run.cpu / 1_000;
-        Some(if step.checkpoints {
-            run.cpu
-        } else {
-            run.cpu + done
-        })
+        if priority == claim.priority {
+            return None;
+        }
+        let done = age * run.cpu / 1_000;
+        Some(Cost::Work(match step.checkpoints {
+            true => run.cpu,
+            false => run.cpu + done,
+        }))
+    }
+
+    /// Returns the cost of stopping the run of a lasting task for a claim, or `None` when it may
+    /// not be stopped.
+    fn lasting_cost(&self, claim: &Claim, run: &Placement) -> Option<Cost> {
+        if !claim.include_lasting {
+            return None;
+        }
+        // A task over its latency target loses least, as it runs badly on this worker.
+        let over = run.gauge.as_ref().is_some_and(|g| g.breach.is_some());
+        if !claim.restart {
+            return Some(Cost::Work(if over { run.cpu / 2 } else { run.cpu }));
+        }
+        let had_turn = self.now.steady >= run.placed_at + MIN_TURN;
+        had_turn.then_some(Cost::Turn(run.placed_at))
     }
 
     /// Returns true when another lasting task may be interrupted: few are, and none of them waits
     /// for long.
     fn may_interrupt_lasting(&self) -> bool {
-        let waits_long = |key: &TaskKey| {
-            let since = self.ready.get(key);
-            since.is_some_and(|at| self.now.steady >= at + MAX_INTERRUPTION)
-        };
-        if self.interrupted.iter().any(waits_long) {
+        let waits_long =
+            |key: &TaskKey| self.ready.contains_key(key) && self.is_interrupted_for_long(*key);
+        if self.interrupted.keys().any(waits_long) {
             return false;
         }
         let all: u32 = self.workers.values().map(|w| w.lasting_tasks).sum();
--- a/src/sched/swaps.rs
+++ b/src/sched/swaps.rs
@@ -161,8 +161,8 @@
         ) else {
             return false;
         };
-        let fits = worker_a.fits_without(run_a, run_b.resources)
-            && worker_b.fits_without(run_b, run_a.resources);
+        let fits = worker_a.fits_without(run_a.resources, run_b.resources)
+            && worker_b.fits_without(run_b.resources, run_a.resources);
         fits && self.could_run_on(a.key, worker_b) && self.could_run_on(b.key, worker_a)
     }
 
@@ -173,7 +173,7 @@
             log::info!(target: "task", "task={task} event=swapped worker={} with={}", mover.worker, other.worker);
             let resources = self.jobs[&other.key.job].step(other.key).reserved();
             self.reserve_on(other.key, resources, &mover.worker);
-            self.interrupted.insert(mover.key);
+            self.mark_interrupted(mover.key, self.now.steady);
         }
         self.stop_task(a.key);
         self.stop_task(b.key);
--- a/src/sched/tests/order.rs
+++ b/src/sched/tests/order.rs
@@ -176,7 +176,7 @@
     world.run(3_500);
     // Another lasting task is interrupted, so no lasting task may be preempted.
     world.submit_with_priority("waiting", job(vec![lasting(1, 4_000)]), 9);
-    let waiting: Vec<_> = world.owner.ready.keys().copied().collect();
+    let waiting = world.owner.ready.clone();
     world.owner.interrupted.extend(waiting);
     world.submit("high", job(vec![step(1, 4_000)]));
     world.run(1_500);
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -398,10 +398,11 @@
         self.reservation.as_ref().map(|r| r.key)
     }
 
-    /// Returns true when a task would fit in place of a run, and the worker has no reservation.
-    pub fn fits_without(&self, run: &Placement, resources: Resources) -> bool {
+    /// Returns true when a task would fit in place of runs with the resources `freed`, and the
+    /// worker has no reservation.
+    pub fn fits_without(&self, freed: Resources, resources: Resources) -> bool {
         let total = self.allocated.plus(resources);
-        self.reservation.is_none() && total.within(self.listing.capacity.plus(run.resources))
+        self.reservation.is_none() && total.within(self.listing.capacity.plus(freed))
     }
 
     /// Returns how many times these resources fit into the free ones, in thousandths, by the
