The longest lease of a restarted worker is waited for by later owners and after a removal

What callers would see: a lasting task runs in two places for some seconds.

Cause: a poll carried out late by a worker that has started again under its id extends its lease to the platform's longest one. Only the owner that saw the restart waited for that; it forgot it with the removed worker, the next owner never knew, and an owner that first heard of the worker after the restart did not either.

Change: the bound is the first answer to a poll with the raised fence and the longest lease. It is stored as a flag with the tasks placed before it, kept with the id of a removed worker, and presumed at the first answer of a worker whose clock shows that it has just started, if other owners came before.

A further test, green before and after, holds that nothing waits longer without a restart.

Ruled out: waiting for all workers after each takeover (6 s more for each lost task); a bound by the worker's start (22 s in place of 12).

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -41,6 +41,7 @@
 pub mod job;
 pub mod journal;
 mod loads;
+mod long_leases;
 mod lost_workers;
 pub mod mechanisms;
 pub mod message;
--- a/src/sched/directory.rs
+++ b/src/sched/directory.rs
@@ -151,6 +151,7 @@
     /// Removes a worker from the known ones.
     pub(super) fn remove_worker(&mut self, id: &Name) {
         if let Some(worker) = self.workers.remove(id) {
+            self.remember_removed(id);
             self.addresses.remove(&worker.listing.address, id);
             self.racks.remove(&worker.listing.rack, id);
         }
@@ -263,7 +264,9 @@
 
     /// Places the tasks on a new worker that the store holds as placed on it.
     fn adopt_tasks(&mut self, id: &Name) {
-        for key in self.unadopted.remove(id).unwrap_or_default() {
+        let tasks = self.unadopted.remove(id).unwrap_or_default();
+        self.adopt_long_lease(id, &tasks);
+        for key in tasks {
             if self.placed_on.get(&key) != Some(id) {
                 continue;
             }
--- a/src/sched/incarnation.rs
+++ b/src/sched/incarnation.rs
@@ -174,7 +174,9 @@
         self.record_crash(name, CrashEvidence::Replaced);
         let stopping = kept.iter().filter(is_stopping);
         let stopping: Vec<TaskKey> = stopping.map(|(key, _)| *key).collect();
+        let carried: Vec<TaskKey> = kept.iter().map(|(key, _)| *key).collect();
         self.begin_incarnation(name, report.boot, kept);
+        self.store_long_leases(&carried);
         // This also stops the other members of a lost run's gang, those on the later
         // incarnation too.
         for key in lost {
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -99,6 +99,10 @@
     /// Boot time of the worker that the task was last given to, if that worker reports one.
     #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
     pub boot: BootTime,
+    /// True when the lease of that worker may have been extended by an order to an earlier
+    /// incarnation, up to the longest lease.
+    #[serde(rename = "h", default, skip_serializing_if = "std::ops::Not::not")]
+    pub long_lease: bool,
     /// Number of the last run; 0 before the first.
     #[serde(rename = "r", default)]
     pub run: u32,
--- /dev/null
+++ b/src/sched/long_leases.rs
@@ -0,0 +1,128 @@
+//! Leases of the longest length that the platform allows.
+//!
+//! A poll sets the end of a lease on the clock of one incarnation of a worker. Carried out late by
+//! the next incarnation under the same id, whose clock begins anew, it extends the lease as far as
+//! the worker allows. This ends once the later incarnation has answered a poll with a higher fence,
+//! so such a lease ends within the longest length after that answer.
+//!
+//! A worker that this owner has not heard of before may have been known to an earlier owner, or to
+//! this one until it was removed. Whether a task was placed on a worker with such a lease is stored
+//! with the task, for the next owner.
+
+use std::collections::BTreeMap;
+
+use super::job::TaskKey;
+use super::owner::Owner;
+use super::worker::max_lease_duration;
+use crate::utils::Name;
+use crate::utils::clock::Millis;
+
+/// Longest time in milliseconds after which an order is still carried out. The platform's pages say
+/// "seconds".
+const MAX_ORDER_DELAY: Millis = 15_000;
+
+/// What an owner knows of incarnations of workers before those that it has heard of.
+#[derive(Clone, Debug, Default)]
+pub(super) struct EarlierIncarnations {
+    /// Removed workers, with the time of their removal.
+    removed: BTreeMap<Name, Millis>,
+    /// True when earlier owners may have sent orders.
+    has_predecessors: bool,
+    /// When leases of the longest length that were granted before this owner began have ended.
+    leases_end: Millis,
+}
+
+impl EarlierIncarnations {
+    /// Returns the knowledge of an owner that begins at `now`.
+    pub fn new(has_predecessors: bool, longest_lease: Millis, now: Millis) -> Self {
+        Self {
+            removed: BTreeMap::new(),
+            has_predecessors,
+            leases_end: now + max_lease_duration(longest_lease),
+        }
+    }
+
+    /// Returns true when orders to an earlier incarnation of a worker may exist.
+    fn may_have_orders(&self, name: &Name) -> bool {
+        self.has_predecessors || self.removed.contains_key(name)
+    }
+}
+
+impl Owner {
+    /// Remembers a worker that is removed for as long as an order to it may have an effect.
+    pub(super) fn remember_removed(&mut self, name: &Name) {
+        let (now, span) = (self.now.steady, self.longest_effect());
+        let removed = &mut self.earlier.removed;
+        removed.retain(|_, at| now < *at + span);
+        removed.insert(name.clone(), now);
+    }
+
+    /// Returns the milliseconds after which an order has no effect on a lease any more.
+    fn longest_effect(&self) -> Millis {
+        MAX_ORDER_DELAY + max_lease_duration(self.settings.longest_lease)
+    }
+
+    /// Extends the presumed end of the leases of a worker that has answered its first poll, by
+    /// `clock` milliseconds on the clock that began with the incarnation.
+    pub(super) fn presume_long_lease(&mut self, name: &Name, clock: Millis) {
+        if !self.earlier.may_have_orders(name) {
+            return;
+        }
+        let since_last = clock.saturating_sub(MAX_ORDER_DELAY);
+        let left = max_lease_duration(self.settings.longest_lease).saturating_sub(since_last);
+        let end = self.now.steady + left;
+        if let Some(worker) = self.workers.get_mut(name).filter(|_| left > 0) {
+            log::info!(target: "worker", "worker={} event=long-lease-possible clock={clock} ends_in_ms={left}", worker.incarnation());
+            worker.extend_lease_end(end);
+        }
+    }
+
+    /// Returns true when a worker may have a lease that lasts longer than those of this owner.
+    pub(super) fn may_have_long_lease(&self, name: &Name) -> bool {
+        let own = self.now.steady + max_lease_duration(self.settings.lease_length);
+        let worker = self.workers.get(name);
+        worker.is_some_and(|w| w.lease_end() > own)
+    }
+
+    /// Returns true when an earlier owner stored with one of these tasks that the lease of their
+    /// worker may have been of the longest length.
+    fn have_long_lease(&self, tasks: &[TaskKey]) -> bool {
+        let stored = |key: &TaskKey| self.jobs.get(&key.job)?.task(*key);
+        let is_long = |key: &TaskKey| stored(key).is_some_and(|task| task.long_lease);
+        tasks.iter().any(is_long)
+    }
+
+    /// Returns when every lease of a worker that was granted by earlier owners has ended; `tasks`
+    /// are those that they placed on it.
+    pub(super) fn inherited_lease_end(&self, tasks: &[TaskKey]) -> Millis {
+        match self.have_long_lease(tasks) {
+            true => self.inherited_leases_end.max(self.earlier.leases_end),
+            false => self.inherited_leases_end,
+        }
+    }
+
+    /// Extends the presumed end of the leases of a worker that becomes known, if an earlier owner
+    /// stored with one of its tasks that a lease may be of the longest length.
+    pub(super) fn adopt_long_lease(&mut self, name: &Name, tasks: &[TaskKey]) {
+        if !self.have_long_lease(tasks) {
+            return;
+        }
+        let end = self.earlier.leases_end;
+        if let Some(worker) = self.workers.get_mut(name) {
+            log::info!(target: "worker", "worker={name} event=long-lease-stored tasks={} ends_in_ms={}", tasks.len(), end.saturating_sub(self.now.steady));
+            worker.extend_lease_end(end);
+        }
+    }
+
+    /// Stores with the runs that a later incarnation has carried over that its lease may be of the
+    /// longest length.
+    pub(super) fn store_long_leases(&mut self, tasks: &[TaskKey]) {
+        for key in tasks {
+            let job = self.jobs.get_mut(&key.job);
+            if let Some(task) = job.and_then(|job| job.task_mut(*key)) {
+                task.long_lease = true;
+                self.journal.mark_changed(key.job);
+            }
+        }
+    }
+}
--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -125,8 +125,12 @@
         if self.now.steady <= self.inherited_leases_end {
             return;
         }
-        let unadopted = std::mem::take(&mut self.unadopted);
-        for (name, keys) in unadopted {
+        let now = self.now.steady;
+        let ended = |tasks: &[TaskKey]| now > self.inherited_lease_end(tasks);
+        let lapsed = self.unadopted.iter().filter(|(_, tasks)| ended(tasks));
+        let names: Vec<Name> = lapsed.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            let keys = self.unadopted.remove(&name).unwrap_or_default();
             let still_placed = |key: &TaskKey| self.placed_on.get(key) == Some(&name);
             let lost: Vec<TaskKey> = keys.into_iter().filter(still_placed).collect();
             self.count_lapsed_runs(lost.len());
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -10,6 +10,7 @@
 use super::job::{Job, JobRow, Outcome, Phase, StepKey, TaskKey};
 use super::journal::Journal;
 use super::loads::OwnLoads;
+use super::long_leases::EarlierIncarnations;
 use super::mechanisms::Mechanisms;
 use super::message::{Action, Answer, Event, Ticket};
 use super::permits::Permits;
@@ -137,6 +138,8 @@
     pub(super) sequence: Sequence,
     /// When all leases granted by earlier owners have certainly ended.
     pub(super) inherited_leases_end: Millis,
+    /// What is known of incarnations of workers before those that this owner has heard of.
+    pub(super) earlier: EarlierIncarnations,
     /// True after a placement pass that placed nothing, until the state changes.
     pub(super) saturated: bool,
     /// When the next placement pass may run.
@@ -186,8 +189,11 @@
         inherited_leases_end: Millis,
         now: Now,
     ) -> Self {
+        let has_predecessors = inherited_leases_end > now.steady;
+        let longest_lease = settings.longest_lease;
         let mut owner = Self {
             settings,
+            earlier: EarlierIncarnations::new(has_predecessors, longest_lease, now.steady),
             fences: Fences::new(journal.epoch()),
             journal,
             jobs: BTreeMap::new(),
--- a/src/sched/placement_pass.rs
+++ b/src/sched/placement_pass.rs
@@ -434,10 +434,12 @@
     fn record_placement(&mut self, key: TaskKey, run: u32, name: Name) {
         self.ready.remove(&key);
         let boot = self.workers.get(&name).and_then(|w| w.boot);
+        let long_lease = self.may_have_long_lease(&name);
         let job = self.jobs.get_mut(&key.job);
         if let Some(task) = job.and_then(|j| j.task_mut(key)) {
             task.run = run;
             task.boot = boot;
+            task.long_lease = long_lease;
             task.phase = Phase::Placed(name);
         }
         self.journal
--- a/src/sched/tests/late_orders.rs
+++ b/src/sched/tests/late_orders.rs
@@ -279,3 +279,60 @@
     world.run(20_000);
     assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
 }
+
+/// Returns a world whose worker `w0` runs four lasting tasks with leases of the owner's length,
+/// while it accepts leases up to `LONGEST_LEASE`, and its last poll with a lease.
+fn world_with_late_poll() -> (World, Poll) {
+    let mut world = World::new(1);
+    world.settings.longest_lease = LONGEST_LEASE;
+    world.owner.change_settings(world.settings);
+    world.script = |_, _| (600_000, RunOutcome::Done);
+    world.submit("lasting", job(vec![lasting(4, 1_000)]));
+    world.run(30_000);
+    let late = world.last_polls["w0"].clone();
+    assert!(late.lease.is_some());
+    (world, late)
+}
+
+/// The worker restarted and got the longest lease before the next owner first reached it.
+#[test]
+fn the_longest_lease_of_a_worker_that_restarted_at_a_change_of_owner_is_waited_for() {
+    let (mut world, late) = world_with_late_poll();
+    world.restart("w0");
+    world.workers.get_mut("w0").expect("worker").longest_lease = LONGEST_LEASE;
+    world.deliver_poll(&late);
+    world.take_over(PredecessorState::Ended.lease_end(&world.settings, 0));
+    world.run(3_000);
+    assert_eq!(
+        world.running().len(),
+        4,
+        "they run on the later incarnation"
+    );
+    world.workers.get_mut("w0").expect("worker").disconnected = true;
+    world.add_worker("w1", 7_100);
+    world.send_directory();
+    world.run(20_000);
+    assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
+    assert_eq!(world.running().len(), 4, "they run elsewhere in the end");
+}
+
+/// A worker that has been up for longer than orders are delayed has no lease but those of owners.
+#[test]
+fn the_longest_lease_is_not_waited_for_after_a_change_of_owner_without_a_restart() {
+    let (mut world, _) = world_with_late_poll();
+    world.take_over(PredecessorState::Ended.lease_end(&world.settings, 0));
+    world.add_worker("w1", 7_100);
+    world.send_directory();
+    world.run(500);
+    world.workers.get_mut("w0").expect("worker").disconnected = true;
+    let lost = world.now;
+    world.run(8_000);
+    assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
+    let elsewhere = world.starts.iter().filter(|start| &*start.2 == "w1");
+    let restarted: Vec<Millis> = elsewhere.map(|start| start.3 - lost).collect();
+    assert_eq!(restarted.len(), 4);
+    assert!(
+        restarted.iter().all(|after| *after < 6_000),
+        "{restarted:?}"
+    );
+}
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -467,6 +467,11 @@
         self.leases_end
     }
 
+    /// Includes leases that end by `end` in `leases_end`.
+    pub fn extend_lease_end(&mut self, end: Millis) {
+        self.leases_end = self.leases_end.max(end);
+    }
+
     /// Returns the completion up to which the worker may forget its ended runs; 0 when there
     /// is nothing new to acknowledge. Returns 0 also while another incarnation could receive
     /// it: completions are numbered anew there, and it would forget unreported ones.
