Runs with the least work give way to lasting tasks again; lost tasks are away since their lease ended

A test over every order of a late start: it runs a task again in just those in which the task ended before the restart and no order reaches the later incarnation before it.

--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -59,21 +59,13 @@
         }
     }
 
-    /// Releases all tasks of a worker. Lasting ones may not have run since its last answer.
+    /// Releases all tasks of a worker.
     fn release_worker_tasks(&mut self, name: &Name) {
         let Some(worker) = self.workers.get(name) else {
             return;
         };
-        let last_seen = match worker.last_answer {
-            0 => self.now.steady,
-            answered => answered,
-        };
-        let placements = worker.placements.iter();
-        let tasks: Vec<(TaskKey, bool)> = placements.map(|(key, p)| (*key, p.lasting)).collect();
-        for (key, lasting) in tasks {
-            if lasting {
-                self.mark_interrupted(key, last_seen);
-            }
+        let keys: Vec<TaskKey> = worker.placements.keys().copied().collect();
+        for key in keys {
             self.release_task(key);
         }
     }
--- a/src/sched/preemption.rs
+++ b/src/sched/preemption.rs
@@ -40,19 +40,11 @@
     pub resources: Resources,
 }
 
-/// Cost of a preemption. The run with the lowest cost is preempted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Cost {
-    /// Thousandths of cores that the run uses, and has used in vain if it is stopped.
-    Work(u64),
-    /// When the turn of a lasting task began: the longest one ends first.
-    Turn(Millis),
-}
-
 /// A run that could be preempted.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Victim {
-    cost: Cost,
+    /// Thousandths of cores that the run uses, and has used in vain if it is stopped.
+    cost: u64,
     key: TaskKey,
     worker: Name,
 }
@@ -302,7 +294,7 @@
     }
 
     /// Returns the cost of stopping a run for a claim, or `None` when it may not be stopped.
-    fn preemption_cost(&self, claim: &Claim, victim: TaskKey, run: &Placement) -> Option<Cost> {
+    fn preemption_cost(&self, claim: &Claim, victim: TaskKey, run: &Placement) -> Option<u64> {
         let job = self.jobs.get(&victim.job).filter(|j| j.is_open())?;
         let step = job.step(victim);
         if !run.is_running() || step.gang || step.best_effort {
@@ -320,25 +312,24 @@
             return None;
         }
         let done = age * run.cpu / 1_000;
-        Some(Cost::Work(match step.checkpoints {
+        Some(match step.checkpoints {
             true => run.cpu,
             false => run.cpu + done,
-        }))
+        })
     }
 
     /// Returns the cost of stopping the run of a lasting task for a claim, or `None` when it may
     /// not be stopped.
-    fn lasting_cost(&self, claim: &Claim, run: &Placement) -> Option<Cost> {
+    fn lasting_cost(&self, claim: &Claim, run: &Placement) -> Option<u64> {
         if !claim.include_lasting {
             return None;
         }
+        if claim.restart && self.now.steady < run.placed_at + MIN_TURN {
+            return None;
+        }
         // A task over its latency target loses least, as it runs badly on this worker.
         let over = run.gauge.as_ref().is_some_and(|g| g.breach.is_some());
-        if !claim.restart {
-            return Some(Cost::Work(if over { run.cpu / 2 } else { run.cpu }));
-        }
-        let had_turn = self.now.steady >= run.placed_at + MIN_TURN;
-        had_turn.then_some(Cost::Turn(run.placed_at))
+        Some(if over { run.cpu / 2 } else { run.cpu })
     }
 
     /// Returns true when another lasting task may be interrupted: few are, and none of them waits
--- a/src/sched/tests/late_orders.rs
+++ b/src/sched/tests/late_orders.rs
@@ -336,3 +336,88 @@
         "{restarted:?}"
     );
 }
+
+/// What happens to a worker after a start that has no answer and is held up by the network.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LateStartStep {
+    /// The worker can be reached until the task has run again to its end.
+    Rerun,
+    /// The worker restarts under its id and can't be reached.
+    Restart,
+    /// An order of the owner reaches the worker.
+    Reach,
+    /// The start is carried out.
+    Deliver,
+}
+
+/// Returns all orders of the steps of a late start.
+fn late_start_orders() -> Vec<Vec<LateStartStep>> {
+    use LateStartStep::{Deliver, Reach, Rerun, Restart};
+    let steps = [Rerun, Restart, Reach, Deliver];
+    let mut orders = vec![Vec::new()];
+    for step in steps {
+        let extend = |order: Vec<LateStartStep>| {
+            (0..=order.len()).map(move |at| {
+                let mut longer = order.clone();
+                longer.insert(at, step);
+                longer
+            })
+        };
+        orders = orders.into_iter().flat_map(extend).collect();
+    }
+    orders
+}
+
+/// Performs the steps of a late start, and returns whether the task ran again after its end.
+fn runs_again(order: &[LateStartStep]) -> bool {
+    let mut world = World::new(1);
+    world.script = |_, _| (300, RunOutcome::Done);
+    world.submit("j", job(vec![step(1, 1_000)]));
+    while world.last_starts.is_empty() {
+        world.run(1);
+    }
+    let late = world.last_starts["w0"].1.clone();
+    let disconnect = |world: &mut World, disconnected: bool| {
+        world.workers.get_mut("w0").expect("worker").disconnected = disconnected;
+    };
+    disconnect(&mut world, true);
+    world.run(1_500);
+    for step in order {
+        match step {
+            LateStartStep::Rerun => {
+                disconnect(&mut world, false);
+                world.run(8_000);
+                disconnect(&mut world, true);
+            }
+            LateStartStep::Reach => {
+                disconnect(&mut world, false);
+                while !world.workers["w0"].has_fence() {
+                    world.run(1);
+                }
+                disconnect(&mut world, true);
+            }
+            LateStartStep::Restart => world.restart("w0"),
+            LateStartStep::Deliver => world.deliver_start(&late),
+        }
+        world.run(100);
+    }
+    !world.duplicates.is_empty()
+}
+
+/// A late start runs a task again in just those orders in which the task was run to its end before
+/// the worker restarted, and no order reaches the later incarnation before the start does. Up to
+/// the start, the owner sees the same as when the start was lost. It would have to leave the task
+/// waiting after each unanswered start, for as long as an order may be late.
+#[test]
+fn a_late_start_runs_a_task_again_only_before_any_order_reaches_the_later_incarnation() {
+    use LateStartStep::{Deliver, Reach, Rerun, Restart};
+    let orders = late_start_orders();
+    assert_eq!(orders.len(), 24);
+    for order in orders {
+        let at = |step| order.iter().position(|s| *s == step);
+        let unreached =
+            at(Restart) < at(Deliver) && !(at(Restart) < at(Reach) && at(Reach) < at(Deliver));
+        let expected = at(Rerun) < at(Restart) && unreached;
+        assert_eq!(runs_again(&order), expected, "{order:?}");
+    }
+}
