A box that is not ready after its start says what it waits for

A thread writes ticks of the runtime, steps of the engine, configuration, known boxes and the silence of the table after 5, 10, 20, 40, 80 and 160 s, until the box is ready.

Its test holds the platform's answers back.

--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -4,12 +4,15 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use futures::StreamExt;
 use futures::channel::{mpsc, oneshot};
 
 use super::dispatch::{EndpointSend, forward, send_to_endpoint};
 use super::platform_client::PlatformClient;
+use super::startup::Progress;
 use super::{peers, workers};
 use crate::engine::{Action, Engine, Event, Greeting, Now, Query, Verdict, View};
 use crate::options::EntrySettings;
@@ -174,11 +177,18 @@
     last_ticket: u64,
     /// Begins the drain of the servers; `None` once it has begun.
     drain_trigger: Option<DrainTrigger>,
+    /// Progress of the start, which counts the processed messages.
+    progress: Arc<Progress>,
 }
 
 impl EngineDriver {
     /// Returns the task for an engine; `drain_trigger` ends the servers on a planned stop.
-    pub fn new(engine: Engine, context: Rc<Context>, drain_trigger: DrainTrigger) -> Self {
+    pub fn new(
+        engine: Engine,
+        context: Rc<Context>,
+        drain_trigger: DrainTrigger,
+        progress: Arc<Progress>,
+    ) -> Self {
         Self {
             engine,
             context,
@@ -187,6 +197,7 @@
             queries: HashMap::new(),
             last_ticket: 0,
             drain_trigger: Some(drain_trigger),
+            progress,
         }
     }
 
@@ -199,6 +210,7 @@
             };
             let now = Now::read();
             let actions = self.engine.step(now, event);
+            self.progress.steps.fetch_add(1, Ordering::Relaxed);
             self.context.send_until.set(self.engine.send_until());
             for action in actions {
                 self.execute(action);
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the conversion of workers' replies.
 
+use super::startup::report_due;
 use super::workers::poll_reply;
 use crate::cell::RunState;
 use crate::proto;
@@ -25,3 +26,9 @@
     ];
     assert_eq!(runs, expected);
 }
+
+#[test]
+fn a_start_is_reported_a_limited_number_of_times() {
+    let due: Vec<_> = (0..8).map_while(report_due).collect();
+    assert_eq!(due, [5_000, 10_000, 20_000, 40_000, 80_000, 160_000]);
+}
--- a/tests/processes/deployment.rs
+++ b/tests/processes/deployment.rs
@@ -412,6 +412,24 @@
         });
     }
 
+    /// Waits until the log of a box has a line that contains a text, and returns the line.
+    pub fn wait_for_log(&self, index: usize, text: &str) -> String {
+        let log = self.boxes[index].settings.with_extension("log");
+        let mut found = None;
+        eventually(|| {
+            let content = std::fs::read_to_string(&log).unwrap_or_default();
+            let line = content.lines().find(|line| line.contains(text));
+            found = line.map(str::to_string);
+            found.is_some()
+        });
+        found.unwrap_or_else(|| {
+            panic!(
+                "timed out waiting for: {text:?} in the log of e{index}; {}",
+                self.diagnostics(index)
+            )
+        })
+    }
+
     /// Blocks or unblocks all answers of the platform to the first box.
     pub fn block_answers(&self, blocked: bool) {
         self.answers_blocked.store(blocked, Ordering::Relaxed);
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -170,6 +170,20 @@
     assert!(answered > 0, "no request was answered");
 }
 
+/// A box that hung in its start had written that it starts, and nothing more.
+#[test]
+fn a_box_that_does_not_become_ready_logs_what_it_waits_for() {
+    let mut deployment = Deployment::start(1, 2);
+    deployment.create_service();
+    deployment.kill(0);
+    deployment.block_answers(true);
+    deployment.start_box(0);
+    let line = deployment.wait_for_log(0, "not ready");
+    assert!(line.contains("boxes=1 table_silence_ms=5"), "{line}");
+    deployment.block_answers(false);
+    deployment.wait_until_ready(0);
+}
+
 #[test]
 fn a_request_half_sent_during_a_planned_stop_is_answered() {
     let mut deployment = Deployment::start(3, 4);
