A task for which no victims are left ends the search for all larger ones

With the search shared by all tasks of a pass, each task that found nothing looked at all runs: a pass of a fleet with thousands of waiting tasks would have examined each run for each of them. Resources for which nothing was left are remembered for the pass, and the runs of a worker that was chosen are left out, as it has a reservation. No other decision: victims only become fewer within a pass.

--- a/src/sched/preemption.rs
+++ b/src/sched/preemption.rs
@@ -51,7 +51,7 @@
 
 /// Properties of a waiting task that decide which runs it may preempt, and in which order.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct Claim {
+struct Criteria {
     /// Service whose workers may run the task.
     service: Name,
     /// Priority of the queue of the task.
@@ -62,13 +62,22 @@
     restart: bool,
 }
 
-/// Search for victims in one placement pass. Its result is used for all tasks with the same claim,
-/// so that passes stay short on full workers.
+/// Runs that tasks with the same criteria could preempt.
+struct FoundVictims {
+    criteria: Criteria,
+    /// The runs, the lowest cost first.
+    victims: Vec<Victim>,
+    /// Resources for which no victims are left, on any worker.
+    unmet: Vec<Resources>,
+}
+
+/// Search for victims in one placement pass. Its result is used for all tasks with the same
+/// criteria, so that passes stay short on full workers.
 pub(super) struct VictimSearch {
     /// Number of tasks that end for which resources may still be freed.
     searches_left: usize,
-    /// The claim searched for last and the runs that it could preempt, the lowest cost first.
-    found: Option<(Claim, Vec<Victim>)>,
+    /// Result of the last search.
+    found: Option<FoundVictims>,
 }
 
 impl VictimSearch {
@@ -161,23 +170,41 @@
         if !self.settings.mechanisms.preempt {
             return;
         }
-        let claim = self.claim(key);
-        let restart = claim.restart;
-        let found = search.found.take().filter(|(last, _)| *last == claim);
-        let (claim, mut victims) = found.unwrap_or_else(|| {
+        let criteria = self.victim_criteria(key);
+        let found = search.found.take().filter(|f| f.criteria == criteria);
+        let mut found = found.unwrap_or_else(|| {
             self.workers_examined += self.workers.len() as u64;
-            let victims = self.victims(&claim);
-            (claim, victims)
+            FoundVictims {
+                victims: self.victims(&criteria),
+                criteria,
+                unmet: Vec::new(),
+            }
         });
-        let mut chosen = Vec::from_iter(self.next_victim(key, &victims));
-        if chosen.is_empty() && restart {
-            chosen = self.next_victims(key, &victims);
-        }
-        victims.retain(|victim| !chosen.contains(victim));
-        search.found = Some((claim, victims));
+        let chosen = self.choose_victims(key, &mut found);
+        search.found = Some(found);
         self.preempt_all(key, chosen);
     }
 
+    /// Chooses the runs to stop for a task, and removes the runs of their worker from the found ones.
+    fn choose_victims(&self, key: TaskKey, found: &mut FoundVictims) -> Vec<Victim> {
+        let step = self.jobs[&key.job].step(key);
+        let resources = step.reserved();
+        if found.unmet.iter().any(|unmet| unmet.within(resources)) {
+            return Vec::new();
+        }
+        let mut chosen = Vec::from_iter(self.next_victim(key, &found.victims));
+        if chosen.is_empty() && found.criteria.restart {
+            chosen = self.next_victims(key, &found.victims);
+        }
+        let has_limits = !step.label.is_empty() || step.max_per_worker > 0;
+        match chosen.first().map(|victim| victim.worker.clone()) {
+            Some(worker) => found.victims.retain(|victim| victim.worker != worker),
+            None if has_limits || self.permits.contains_key(&key.step_key()) => {}
+            None => found.unmet.push(resources),
+        }
+        chosen
+    }
+
     /// Stops runs of one worker, whose resources are reserved for a waiting task.
     fn preempt_all(&mut self, key: TaskKey, victims: Vec<Victim>) {
         let Some(name) = victims.first().map(|victim| victim.worker.clone()) else {
@@ -198,11 +225,11 @@
         }
     }
 
-    /// Returns the claim of a waiting task.
-    fn claim(&self, key: TaskKey) -> Claim {
+    /// Returns the criteria of a waiting task for its victims.
+    fn victim_criteria(&self, key: TaskKey) -> Criteria {
         let job = &self.jobs[&key.job];
         let restart = self.interrupted.contains_key(&key);
-        Claim {
+        Criteria {
             service: job.row.queue.service.clone(),
             priority: job.row.queue.priority,
             include_lasting: restart || self.may_interrupt_lasting(),
@@ -213,10 +240,11 @@
     /// Returns the run with the lowest cost that alone frees enough resources for a task.
     fn next_victim(&self, key: TaskKey, victims: &[Victim]) -> Option<Victim> {
         self.with_request(key, "", |request| {
+            let resources = request.step.reserved();
             let enough = |victim: &&Victim| {
+                let fits = |w: &Worker, run: &Placement| w.fits_without(run.resources, resources);
                 let target = self.preemptible_run(victim, request);
-                target
-                    .is_some_and(|(w, run)| w.fits_without(run.resources, request.step.reserved()))
+                target.is_some_and(|(worker, run)| fits(worker, run))
             };
             victims.iter().find(enough).cloned()
         })
@@ -266,24 +294,24 @@
         may_stop.then_some((worker, run))
     }
 
-    /// Returns the runs that a claim could preempt, the lowest cost first.
-    fn victims(&self, claim: &Claim) -> Vec<Victim> {
+    /// Returns the runs that meet criteria, the lowest cost first.
+    fn victims(&self, criteria: &Criteria) -> Vec<Victim> {
         let now = self.now.steady;
-        let candidate = |w: &&Worker| w.listing.service == claim.service && w.accepts_tasks(now);
+        let candidate = |w: &&Worker| w.listing.service == criteria.service && w.accepts_tasks(now);
         let workers = self.workers.values().filter(candidate);
-        let mut victims: Vec<Victim> = workers.flat_map(|w| self.victims_on(w, claim)).collect();
+        let mut victims: Vec<Victim> = workers.flat_map(|w| self.victims_on(w, criteria)).collect();
         victims.sort_unstable();
         victims
     }
 
-    /// Returns the runs on a worker that a claim could preempt.
-    fn victims_on(&self, worker: &Worker, claim: &Claim) -> Vec<Victim> {
-        let count = worker.count_non_preemptible(claim.include_lasting);
+    /// Returns the runs on a worker that meet criteria.
+    fn victims_on(&self, worker: &Worker, criteria: &Criteria) -> Vec<Victim> {
+        let count = worker.count_non_preemptible(criteria.include_lasting);
         if worker.placements.len() <= count {
             return Vec::new();
         }
         let victims = worker.placements.iter().filter_map(|(key, run)| {
-            let cost = self.preemption_cost(claim, *key, run)?;
+            let cost = self.preemption_cost(criteria, *key, run)?;
             Some(Victim {
                 cost,
                 key: *key,
@@ -293,8 +321,13 @@
         victims.collect()
     }
 
-    /// Returns the cost of stopping a run for a claim, or `None` when it may not be stopped.
-    fn preemption_cost(&self, claim: &Claim, victim: TaskKey, run: &Placement) -> Option<u64> {
+    /// Returns the cost of stopping a run, or `None` when it does not meet criteria.
+    fn preemption_cost(
+        &self,
+        criteria: &Criteria,
+        victim: TaskKey,
+        run: &Placement,
+    ) -> Option<u64> {
         let job = self.jobs.get(&victim.job).filter(|j| j.is_open())?;
         let step = job.step(victim);
         if !run.is_running() || step.gang || step.best_effort {
@@ -302,13 +335,13 @@
         }
         let age = self.now.steady - run.placed_at;
         let priority = job.row.queue.priority;
-        if priority < claim.priority || age < MIN_RUN_TIME {
+        if priority < criteria.priority || age < MIN_RUN_TIME {
             return None;
         }
         if step.lasting {
-            return self.lasting_cost(claim, run);
+            return self.lasting_cost(criteria, run);
         }
-        if priority == claim.priority {
+        if priority == criteria.priority {
             return None;
         }
         let done = age * run.cpu / 1_000;
@@ -318,13 +351,13 @@
         })
     }
 
-    /// Returns the cost of stopping the run of a lasting task for a claim, or `None` when it may
-    /// not be stopped.
-    fn lasting_cost(&self, claim: &Claim, run: &Placement) -> Option<u64> {
-        if !claim.include_lasting {
+    /// Returns the cost of stopping the run of a lasting task, or `None` when it does not meet
+    /// criteria.
+    fn lasting_cost(&self, criteria: &Criteria, run: &Placement) -> Option<u64> {
+        if !criteria.include_lasting {
             return None;
         }
-        if claim.restart && self.now.steady < run.placed_at + MIN_TURN {
+        if criteria.restart && self.now.steady < run.placed_at + MIN_TURN {
             return None;
         }
         // A task over its latency target loses least, as it runs badly on this worker.
