--- a/src/sched/long_leases.rs
+++ b/src/sched/long_leases.rs
@@ -49,27 +49,30 @@
 }
 
 impl Owner {
-    /// Remembers a worker that is removed for as long as an order to it may have an effect.
+    /// Remembers that a worker was removed.
     pub(super) fn remember_removed(&mut self, name: &Name) {
-        let (now, span) = (self.now.steady, self.longest_effect());
-        let removed = &mut self.earlier.removed;
-        removed.retain(|_, at| now < *at + span);
-        removed.insert(name.clone(), now);
+        let now = self.now.steady;
+        self.earlier.removed.insert(name.clone(), now);
     }
 
-    /// Returns the milliseconds after which an order has no effect on a lease any more.
-    fn longest_effect(&self) -> Millis {
-        MAX_ORDER_DELAY + max_lease_duration(self.settings.longest_lease)
+    /// Forgets removed workers once orders to them have no effect on leases any more.
+    pub(super) fn forget_removed(&mut self) {
+        let span = MAX_ORDER_DELAY + max_lease_duration(self.settings.longest_lease);
+        let now = self.now.steady;
+        self.earlier.removed.retain(|_, at| now < *at + span);
     }
 
-    /// Extends the presumed end of the leases of a worker that has answered its first poll, by
-    /// `clock` milliseconds on the clock that began with the incarnation.
+    /// Extends the presumed end of the leases of a worker that has answered its first poll, if an
+    /// order to an earlier incarnation may have extended them. `clock` is the reading of its clock,
+    /// which began with the incarnation.
     pub(super) fn presume_long_lease(&mut self, name: &Name, clock: Millis) {
         if !self.earlier.may_have_orders(name) {
             return;
         }
-        let since_last = clock.saturating_sub(MAX_ORDER_DELAY);
-        let left = max_lease_duration(self.settings.longest_lease).saturating_sub(since_last);
+        let longest = max_lease_duration(self.settings.longest_lease);
+        // No earlier order was carried out any more after `MAX_ORDER_DELAY` of this incarnation.
+        let elapsed = clock.saturating_sub(MAX_ORDER_DELAY);
+        let left = longest.saturating_sub(elapsed);
         let end = self.now.steady + left;
         if let Some(worker) = self.workers.get_mut(name).filter(|_| left > 0) {
             log::info!(target: "worker", "worker={} event=long-lease-possible clock={clock} ends_in_ms={left}", worker.incarnation());
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -61,6 +61,7 @@
     priority: u32,
     /// Since when an overdue task waits; 0 for other tasks.
     since: Millis,
+    /// Tasks that end precede lasting ones.
     lasting: bool,
     prospect: Prospect,
     /// Relative cost of the round.
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -189,6 +189,7 @@
         inherited_leases_end: Millis,
         now: Now,
     ) -> Self {
+        // The first owner inherits no leases.
         let has_predecessors = inherited_leases_end > now.steady;
         let longest_lease = settings.longest_lease;
         let mut owner = Self {
@@ -402,6 +403,7 @@
         }
         self.expire_lapsed_listings();
         self.expire_leases();
+        self.forget_removed();
         self.evacuate();
         self.retry_stops();
         let wall = self.now.wall;
