--- a/tests/processes/deployment.rs
+++ b/tests/processes/deployment.rs
@@ -403,13 +403,20 @@
         let other = (index + 1) % self.boxes.len();
         let address = self.boxes[other].rpc.to_string();
         let expected = self.workers.len();
-        wait_for("the successors", || {
+        let mut listed = String::new();
+        let succeeded = eventually(|| {
             let output = command_at(&address, &["worker", "list"]);
             let value: serde_json::Value = serde_json::from_str(&output.text).unwrap_or_default();
             let workers = value["workers"].as_array().cloned().unwrap_or_default();
-            let open = workers.iter().filter(|w| w["state"] == "open");
-            open.count() == expected
+            let open = workers.iter().filter(|w| w["state"] == "open").count();
+            listed = output.text;
+            open == expected
         });
+        assert!(
+            succeeded,
+            "timed out waiting for: the successors; workers: {listed}; {}",
+            self.diagnostics(other)
+        );
     }
 
     /// Waits until the log of a box has a line that contains a text, and returns the line.
