The search for victims of a task that ends takes only runs that free enough

With one search for all tasks of a pass, each task that ends looked at all runs, the small ones with all checks.

--- a/src/sched/preemption.rs
+++ b/src/sched/preemption.rs
@@ -60,6 +60,8 @@
     include_lasting: bool,
     /// True when an interrupted lasting task is to run again.
     restart: bool,
+    /// Resources that one run has to free; none for a restart, for which several may be stopped.
+    freed: Option<Resources>,
 }
 
 /// Runs that tasks with the same criteria could preempt.
@@ -234,6 +236,7 @@
             priority: job.row.queue.priority,
             include_lasting: restart || self.may_interrupt_lasting(),
             restart,
+            freed: (!restart).then(|| job.step(key).reserved()),
         }
     }
 
@@ -242,14 +245,22 @@
         self.with_request(key, "", |request| {
             let resources = request.step.reserved();
             let enough = |victim: &&Victim| {
-                let fits = |w: &Worker, run: &Placement| w.fits_without(run.resources, resources);
-                let target = self.preemptible_run(victim, request);
-                target.is_some_and(|(worker, run)| fits(worker, run))
+                self.frees_alone(victim, resources)
+                    && self.preemptible_run(victim, request).is_some()
             };
             victims.iter().find(enough).cloned()
         })
     }
 
+    /// Returns true when the resources of a run are enough for a task.
+    fn frees_alone(&self, victim: &Victim, resources: Resources) -> bool {
+        let worker = self.workers.get(&victim.worker);
+        worker.is_some_and(|w| {
+            let run = w.placements.get(&victim.key);
+            run.is_some_and(|run| w.fits_without(run.resources, resources))
+        })
+    }
+
     /// Returns runs of one worker, those with the lowest cost, that together free enough resources
     /// for a task; none if there are no such runs.
     fn next_victims(&self, key: TaskKey, victims: &[Victim]) -> Vec<Victim> {
@@ -310,7 +321,13 @@
         if worker.placements.len() <= count {
             return Vec::new();
         }
-        let victims = worker.placements.iter().filter_map(|(key, run)| {
+        let frees_enough = |run: &Placement| {
+            let fits = |resources| worker.fits_without(run.resources, resources);
+            criteria.freed.is_none_or(fits)
+        };
+        let runs = worker.placements.iter();
+        let runs = runs.filter(|(_, run)| frees_enough(run));
+        let victims = runs.filter_map(|(key, run)| {
             let cost = self.preemption_cost(criteria, *key, run)?;
             Some(Victim {
                 cost,
