--- a/src/entry.rs
+++ b/src/entry.rs
@@ -28,7 +28,6 @@
 use crate::utils::drain::Drain;
 use crate::utils::{clock, listen, signals};
 use driver::{Context, EngineDriver, Message};
-use startup::Progress;
 
 /// Milliseconds between two ticks of the engine.
 const TICK_INTERVAL: u64 = 25;
@@ -52,10 +51,9 @@
         dedup_timings: DedupTimings::default(),
     });
     log::info!(target: "entry", "box {} listens for callers on {}", engine.id(), settings.web);
-    let progress = Arc::new(Progress::default());
-    startup::watch(progress.clone());
     let (sender, receiver) = mpsc::unbounded();
     let context = Rc::new(Context::new(settings, sender));
+    startup::watch(context.progress.clone());
     let limits = context.settings.limits;
     let callers = context.clone();
     let (trigger, drain) = Drain::new();
@@ -65,22 +63,21 @@
     let bridge = crate::rpc::bridge::Bridge::start(context.clone());
     monoio::spawn(peers::serve(rpc, drain, bridge, limits.body));
     monoio::spawn(admin::serve(admin, context.clone()));
-    monoio::spawn(send_ticks(context.clone(), stop_flag, progress.clone()));
-    monoio::spawn(startup::follow(context.clone(), progress.clone()));
-    EngineDriver::new(engine, context, trigger, progress.clone())
+    monoio::spawn(send_ticks(context.clone(), stop_flag));
+    monoio::spawn(startup::follow(context.clone()));
+    EngineDriver::new(engine, context, trigger)
         .run(receiver)
         .await;
-    progress.finish();
     Ok(())
 }
 
 /// Sends ticks to the engine until it has stopped, and a stop event with each while a planned stop
 /// is requested.
-async fn send_ticks(context: Rc<Context>, stop_flag: StopFlag, progress: Arc<Progress>) {
+async fn send_ticks(context: Rc<Context>, stop_flag: StopFlag) {
     let mut interval = monoio::time::interval(Duration::from_millis(TICK_INTERVAL));
     loop {
         interval.tick().await;
-        progress.ticks.fetch_add(1, Ordering::Relaxed);
+        context.progress.ticks.fetch_add(1, Ordering::Relaxed);
         let stopping = signals::stop_requested() || stop_flag.load(Ordering::Relaxed);
         if stopping {
             context.send(Message::Event(Event::Stop));
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -108,6 +108,8 @@
     pub pool: Pool,
     /// Client of the platform's table and directory.
     pub platform: PlatformClient,
+    /// Progress of the start of the box.
+    pub progress: Arc<Progress>,
     /// gRPC channels to boxes and workers by address.
     channels: std::cell::RefCell<HashMap<SocketAddr, Channel>>,
     /// Time until which requests and calls may be sent to workers, in ms on the boot-time clock.
@@ -122,6 +124,7 @@
         Self {
             pool: Pool::new(max_reply),
             platform: PlatformClient::new(settings.platform, settings.call_timeout),
+            progress: Arc::default(),
             channels: Default::default(),
             send_until: Cell::new(0),
             settings,
@@ -177,18 +180,11 @@
     last_ticket: u64,
     /// Begins the drain of the servers; `None` once it has begun.
     drain_trigger: Option<DrainTrigger>,
-    /// Progress of the start, which counts the processed messages.
-    progress: Arc<Progress>,
 }
 
 impl EngineDriver {
     /// Returns the task for an engine; `drain_trigger` ends the servers on a planned stop.
-    pub fn new(
-        engine: Engine,
-        context: Rc<Context>,
-        drain_trigger: DrainTrigger,
-        progress: Arc<Progress>,
-    ) -> Self {
+    pub fn new(engine: Engine, context: Rc<Context>, drain_trigger: DrainTrigger) -> Self {
         Self {
             engine,
             context,
@@ -197,7 +193,6 @@
             queries: HashMap::new(),
             last_ticket: 0,
             drain_trigger: Some(drain_trigger),
-            progress,
         }
     }
 
@@ -210,7 +205,7 @@
             };
             let now = Now::read();
             let actions = self.engine.step(now, event);
-            self.progress.steps.fetch_add(1, Ordering::Relaxed);
+            self.context.progress.steps.fetch_add(1, Ordering::Relaxed);
             self.context.send_until.set(self.engine.send_until());
             for action in actions {
                 self.execute(action);
--- a/src/entry/startup.rs
+++ b/src/entry/startup.rs
@@ -33,35 +33,30 @@
     /// Milliseconds since the table last answered.
     table_silence: AtomicU64,
     /// True once the box is ready, or ends.
-    over: AtomicBool,
+    is_over: AtomicBool,
 }
 
 impl Progress {
     /// Records a view of the state of the box.
-    pub fn record(&self, status: &StatusView) {
+    fn record(&self, status: &StatusView) {
         self.config.store(status.config, Ordering::Relaxed);
         self.boxes.store(status.boxes as u64, Ordering::Relaxed);
         self.table_silence
             .store(status.table_silence, Ordering::Relaxed);
     }
-
-    /// Ends the reports.
-    pub fn finish(&self) {
-        self.over.store(true, Ordering::Relaxed);
-    }
 }
 
 /// Returns the report of a start that began `age` milliseconds ago. Without ticks, the thread of the
 /// runtime hangs; without steps, the engine does; otherwise the box waits for the table.
-pub fn report(progress: &Progress, age: Millis) -> String {
+fn report(progress: &Progress, age: Millis) -> String {
     let read = |value: &AtomicU64| value.load(Ordering::Relaxed);
     let (ticks, steps) = (read(&progress.ticks), read(&progress.steps));
     let (config, boxes) = (read(&progress.config), read(&progress.boxes));
     // A table that has never answered is silent since the start.
     let silence = read(&progress.table_silence).min(age);
     format!(
-        "not ready {age} ms after the start: ticks={ticks} steps={steps} config={config} \
-         boxes={boxes} table_silence_ms={silence}"
+        "event=not-ready age_ms={age} ticks={ticks} steps={steps} config={config} boxes={boxes} \
+         table_silence_ms={silence}"
     )
 }
 
@@ -78,7 +73,7 @@
     thread::spawn(move || {
         let mut number = 0;
         while let Some(due) = report_due(number)
-            && !progress.over.load(Ordering::Relaxed)
+            && !progress.is_over.load(Ordering::Relaxed)
         {
             let age = began.elapsed().as_millis() as Millis;
             if age >= due {
@@ -90,8 +85,9 @@
     });
 }
 
-/// Records the state of the box until it is ready.
-pub async fn follow(context: Rc<Context>, progress: Arc<Progress>) {
+/// Records the state of the box until it is ready or ends, and then ends the reports.
+pub async fn follow(context: Rc<Context>) {
+    let progress = &context.progress;
     while let Some(View::Status(status)) = context.query(Query::Status).await {
         progress.record(&status);
         if status.ready {
@@ -99,5 +95,5 @@
         }
         monoio::time::sleep(CHECK_INTERVAL).await;
     }
-    progress.finish();
+    progress.is_over.store(true, Ordering::Relaxed);
 }
--- a/src/sched/long_leases.rs
+++ b/src/sched/long_leases.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 
 use super::job::TaskKey;
-use super::owner::Owner;
+use super::owner::{Owner, OwnerSettings};
 use super::worker::max_lease_duration;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -22,23 +22,25 @@
 const MAX_ORDER_DELAY: Millis = 15_000;
 
 /// What an owner knows of incarnations of workers before those that it has heard of.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug)]
 pub(super) struct EarlierIncarnations {
     /// Removed workers, with the time of their removal.
     removed: BTreeMap<Name, Millis>,
     /// True when earlier owners may have sent orders.
     has_predecessors: bool,
     /// When leases of the longest length that were granted before this owner began have ended.
-    leases_end: Millis,
+    long_leases_end: Millis,
 }
 
 impl EarlierIncarnations {
-    /// Returns the knowledge of an owner that begins at `now`.
-    pub fn new(has_predecessors: bool, longest_lease: Millis, now: Millis) -> Self {
+    /// Returns the knowledge of an owner that begins at `now`. All leases of earlier owners that
+    /// are not of the longest length end by `inherited_leases_end`.
+    pub fn new(settings: &OwnerSettings, inherited_leases_end: Millis, now: Millis) -> Self {
         Self {
             removed: BTreeMap::new(),
-            has_predecessors,
-            leases_end: now + max_lease_duration(longest_lease),
+            // The first owner inherits no leases.
+            has_predecessors: inherited_leases_end > now,
+            long_leases_end: now + max_lease_duration(settings.longest_lease),
         }
     }
 
@@ -99,7 +101,7 @@
     /// are those that they placed on it.
     pub(super) fn inherited_lease_end(&self, tasks: &[TaskKey]) -> Millis {
         match self.have_long_lease(tasks) {
-            true => self.inherited_leases_end.max(self.earlier.leases_end),
+            true => self.inherited_leases_end.max(self.earlier.long_leases_end),
             false => self.inherited_leases_end,
         }
     }
@@ -110,7 +112,7 @@
         if !self.have_long_lease(tasks) {
             return;
         }
-        let end = self.earlier.leases_end;
+        let end = self.earlier.long_leases_end;
         if let Some(worker) = self.workers.get_mut(name) {
             log::info!(target: "worker", "worker={name} event=long-lease-stored tasks={} ends_in_ms={}", tasks.len(), end.saturating_sub(self.now.steady));
             worker.extend_lease_end(end);
--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -114,10 +114,10 @@
     /// Releases tasks that are stored as placed on workers that this owner never saw listed, once
     /// the leases granted by earlier owners have ended.
     fn release_unlisted_tasks(&mut self) {
-        if self.now.steady <= self.inherited_leases_end {
+        let now = self.now.steady;
+        if now <= self.inherited_leases_end {
             return;
         }
-        let now = self.now.steady;
         let ended = |tasks: &[TaskKey]| now > self.inherited_lease_end(tasks);
         let lapsed = self.unadopted.iter().filter(|(_, tasks)| ended(tasks));
         let names: Vec<Name> = lapsed.map(|(name, _)| name.clone()).collect();
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -43,6 +43,13 @@
     Usual,
 }
 
+impl Urgency {
+    /// Returns true for a task that should already run.
+    fn is_overdue(self) -> bool {
+        matches!(self, Self::Restart | Self::FirstStart)
+    }
+}
+
 /// Longest time that the critical path takes, in tenths of its declared time. Under high
 /// load it takes 11 to 14: the longest task of a step takes longer than its typical one, starts
 /// take time, and best-effort tasks are throttled.
@@ -112,8 +119,9 @@
             let compute = || self.round_value(job, key.round as usize);
             let value = *values.entry((key.job, key.round)).or_insert_with(compute);
             let lasting = job.step(*key).lasting;
-            let (urgency, since) = match reserved {
-                true => (Urgency::Reserved, 0),
+            let since = self.interrupted.get(key).unwrap_or(since);
+            let urgency = match reserved {
+                true => Urgency::Reserved,
                 false => self.urgency(*key, *since),
             };
             let entry = match reserved || lasting {
@@ -126,7 +134,7 @@
             ranks.push(Rank {
                 urgency,
                 priority: job.row.queue.priority,
-                since,
+                since: if urgency.is_overdue() { *since } else { 0 },
                 lasting,
                 prospect: value.prospect,
                 cost: value.relative_cost,
@@ -187,19 +195,17 @@
         tasks
     }
 
-    /// Returns the urgency of a task without a reservation that waits since `since`, and since when
-    /// it waits if it is overdue.
-    fn urgency(&self, key: TaskKey, since: Millis) -> (Urgency, Millis) {
+    /// Returns the urgency of a task without a reservation that is interrupted or waits since
+    /// `since`.
+    fn urgency(&self, key: TaskKey, since: Millis) -> Urgency {
+        let waited = self.now.steady - since;
         if !self.jobs[&key.job].step(key).lasting {
-            return (Urgency::Usual, 0);
+            return Urgency::Usual;
         }
-        let (urgency, since, wait) = match self.interrupted.get(&key) {
-            Some(at) => (Urgency::Restart, *at, RESTART_OVERDUE),
-            None => (Urgency::FirstStart, since, FIRST_START_OVERDUE),
-        };
-        match self.now.steady >= since + wait {
-            true => (urgency, since),
-            false => (Urgency::Usual, 0),
+        match self.interrupted.contains_key(&key) {
+            true if waited >= RESTART_OVERDUE => Urgency::Restart,
+            false if waited >= FIRST_START_OVERDUE => Urgency::FirstStart,
+            _ => Urgency::Usual,
         }
     }
 }
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -189,12 +189,9 @@
         inherited_leases_end: Millis,
         now: Now,
     ) -> Self {
-        // The first owner inherits no leases.
-        let has_predecessors = inherited_leases_end > now.steady;
-        let longest_lease = settings.longest_lease;
+        let earlier = EarlierIncarnations::new(&settings, inherited_leases_end, now.steady);
         let mut owner = Self {
             settings,
-            earlier: EarlierIncarnations::new(has_predecessors, longest_lease, now.steady),
             fences: Fences::new(journal.epoch()),
             journal,
             jobs: BTreeMap::new(),
@@ -222,6 +219,7 @@
             now,
             sequence: Sequence::default(),
             inherited_leases_end,
+            earlier,
             saturated: false,
             next_pass: 0,
             interference: InterferenceModel::default(),
@@ -519,7 +517,7 @@
                 self.ready.insert(key, self.now.steady);
             }
             if lasting {
-                self.mark_interrupted(key, self.now.steady);
+                self.mark_interrupted(key);
             }
             if gang {
                 self.stop_gang(key);
--- a/src/sched/preemption.rs
+++ b/src/sched/preemption.rs
@@ -3,6 +3,9 @@
 //! Tasks of a lower priority are preempted, and lasting tasks of an equal one. A lasting task
 //! only loses the time in which it does not run, while a task that ends loses all of its value
 //! if it misses its due time.
+//!
+//! Lasting tasks that do not all fit take turns: one that was interrupted for a while takes the place
+//! of one that has run for a while, or of several on one worker.
 
 use std::collections::BTreeMap;
 
@@ -45,11 +48,13 @@
 struct Victim {
     /// Thousandths of cores that the run uses, and has used in vain if it is stopped.
     cost: u64,
+    /// Task of the run.
     key: TaskKey,
+    /// Worker of the run.
     worker: Name,
 }
 
-/// Properties of a waiting task that decide which runs it may preempt, and in which order.
+/// What decides which runs a waiting task may preempt, and in which order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Criteria {
     /// Service whose workers may run the task.
@@ -58,12 +63,18 @@
     priority: u32,
     /// True when lasting tasks may be preempted.
     include_lasting: bool,
-    /// True when an interrupted lasting task is to run again.
-    restart: bool,
-    /// Resources that one run has to free; none for a restart, for which several may be stopped.
+    /// Resources that one run has to free; none for an interrupted lasting task that is to run
+    /// again, for which several runs may be stopped.
     freed: Option<Resources>,
 }
 
+impl Criteria {
+    /// Returns true when an interrupted lasting task is to run again.
+    fn is_restart(&self) -> bool {
+        self.freed.is_none()
+    }
+}
+
 /// Runs that tasks with the same criteria could preempt.
 struct FoundVictims {
     criteria: Criteria,
@@ -123,9 +134,9 @@
         }
     }
 
-    /// Marks a lasting task as interrupted since a time, unless it already is.
-    pub(super) fn mark_interrupted(&mut self, key: TaskKey, since: Millis) {
-        self.interrupted.entry(key).or_insert(since);
+    /// Marks a lasting task as interrupted from now on, unless it already is.
+    pub(super) fn mark_interrupted(&mut self, key: TaskKey) {
+        self.interrupted.entry(key).or_insert(self.now.steady);
     }
 
     /// Cancels the reservation on a worker, so that its task may be placed elsewhere.
@@ -184,31 +195,38 @@
         });
         let chosen = self.choose_victims(key, &mut found);
         search.found = Some(found);
-        self.preempt_all(key, chosen);
+        self.stop_victims(key, chosen);
     }
 
     /// Chooses the runs to stop for a task, and removes the runs of their worker from the found ones.
     fn choose_victims(&self, key: TaskKey, found: &mut FoundVictims) -> Vec<Victim> {
-        let step = self.jobs[&key.job].step(key);
-        let resources = step.reserved();
+        let resources = self.jobs[&key.job].step(key).reserved();
         if found.unmet.iter().any(|unmet| unmet.within(resources)) {
             return Vec::new();
         }
-        let mut chosen = Vec::from_iter(self.next_victim(key, &found.victims));
-        if chosen.is_empty() && found.criteria.restart {
-            chosen = self.next_victims(key, &found.victims);
+        let mut chosen = Vec::from_iter(self.find_victim(key, &found.victims));
+        if chosen.is_empty() && found.criteria.is_restart() {
+            chosen = self.find_victim_group(key, &found.victims);
         }
-        let has_limits = !step.label.is_empty() || step.max_per_worker > 0;
-        match chosen.first().map(|victim| victim.worker.clone()) {
-            Some(worker) => found.victims.retain(|victim| victim.worker != worker),
-            None if has_limits || self.permits.contains_key(&key.step_key()) => {}
-            None => found.unmet.push(resources),
+        if let Some(worker) = chosen.first().map(|victim| victim.worker.clone()) {
+            // The worker has a reservation now.
+            found.victims.retain(|victim| victim.worker != worker);
+        } else if !self.is_restricted(key) {
+            found.unmet.push(resources);
         }
         chosen
     }
 
+    /// Returns true when a task may not run on every worker that has the resources. That it finds
+    /// no victims then says nothing of other tasks.
+    fn is_restricted(&self, key: TaskKey) -> bool {
+        let step = self.jobs[&key.job].step(key);
+        let is_advised = self.permits.contains_key(&key.step_key());
+        !step.label.is_empty() || step.max_per_worker > 0 || is_advised
+    }
+
     /// Stops runs of one worker, whose resources are reserved for a waiting task.
-    fn preempt_all(&mut self, key: TaskKey, victims: Vec<Victim>) {
+    fn stop_victims(&mut self, key: TaskKey, victims: Vec<Victim>) {
         let Some(name) = victims.first().map(|victim| victim.worker.clone()) else {
             return;
         };
@@ -221,7 +239,7 @@
             let (task, other) = (self.task_name(victim.key), self.task_name(key));
             log::info!(target: "task", "task={task} event=preempted worker={name} for={other} away_ms={away}");
             if self.jobs[&victim.key.job].step(victim.key).lasting {
-                self.mark_interrupted(victim.key, self.now.steady);
+                self.mark_interrupted(victim.key);
             }
             self.stop_task(victim.key);
         }
@@ -230,18 +248,17 @@
     /// Returns the criteria of a waiting task for its victims.
     fn victim_criteria(&self, key: TaskKey) -> Criteria {
         let job = &self.jobs[&key.job];
-        let restart = self.interrupted.contains_key(&key);
+        let step = job.step(key);
         Criteria {
             service: job.row.queue.service.clone(),
             priority: job.row.queue.priority,
-            include_lasting: restart || self.may_interrupt_lasting(),
-            restart,
-            freed: (!restart).then(|| job.step(key).reserved()),
+            include_lasting: step.lasting || self.may_interrupt_lasting(),
+            freed: (!step.lasting).then(|| step.reserved()),
         }
     }
 
     /// Returns the run with the lowest cost that alone frees enough resources for a task.
-    fn next_victim(&self, key: TaskKey, victims: &[Victim]) -> Option<Victim> {
+    fn find_victim(&self, key: TaskKey, victims: &[Victim]) -> Option<Victim> {
         self.with_request(key, "", |request| {
             let resources = request.step.reserved();
             let enough = |victim: &&Victim| {
@@ -263,7 +280,7 @@
 
     /// Returns runs of one worker, those with the lowest cost, that together free enough resources
     /// for a task; none if there are no such runs.
-    fn next_victims(&self, key: TaskKey, victims: &[Victim]) -> Vec<Victim> {
+    fn find_victim_group(&self, key: TaskKey, victims: &[Victim]) -> Vec<Victim> {
         self.with_request(key, "", |request| {
             let mut groups: BTreeMap<&Name, (Resources, Vec<&Victim>)> = BTreeMap::new();
             for victim in victims {
@@ -374,7 +391,7 @@
         if !criteria.include_lasting {
             return None;
         }
-        if criteria.restart && self.now.steady < run.placed_at + MIN_TURN {
+        if criteria.is_restart() && self.now.steady < run.placed_at + MIN_TURN {
             return None;
         }
         // A task over its latency target loses least, as it runs badly on this worker.
--- a/src/sched/swaps.rs
+++ b/src/sched/swaps.rs
@@ -173,7 +173,7 @@
             log::info!(target: "task", "task={task} event=swapped worker={} with={}", mover.worker, other.worker);
             let resources = self.jobs[&other.key.job].step(other.key).reserved();
             self.reserve_on(other.key, resources, &mover.worker);
-            self.mark_interrupted(mover.key, self.now.steady);
+            self.mark_interrupted(mover.key);
         }
         self.stop_task(a.key);
         self.stop_task(b.key);
--- a/src/sched/tests/world/crashes.rs
+++ b/src/sched/tests/world/crashes.rs
@@ -77,7 +77,6 @@
     pub(super) fn apply_due_crashes(&mut self) {
         let now = self.now;
         let crash_delays = &self.crashes.crash_delays;
-        let runs_may_crash = !crash_delays.is_empty();
         let fatal = |worker: &FakeWorker| {
             let mut runs = worker.start_times();
             runs.any(|(task, began)| {
@@ -86,7 +85,7 @@
                     .is_some_and(|delay| began + delay <= now)
             })
         };
-        let crashing = self.workers.values().filter(|w| runs_may_crash && fatal(w));
+        let crashing = self.workers.values().filter(|w| fatal(w));
         let crashing: Vec<Name> = crashing.map(|w| w.listing.id.clone()).collect();
         for id in crashing {
             self.crash(&id);
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -71,8 +71,6 @@
     pub(super) fence: u64,
     lease_end: Millis,
     pub(super) running: BTreeMap<String, FakeRun>,
-    /// No run ends by itself before this time.
-    next_end_due: Millis,
     /// Loads and measurements of the running tasks.
     pub(super) loads: Loads,
     /// Highest run of each task that ended or was stopped here; starts up to it are refused.
@@ -105,7 +103,6 @@
             fence: 0,
             lease_end: 0,
             running: BTreeMap::new(),
-            next_end_due: Millis::MAX,
             loads: Loads::new(),
             closed_runs: BTreeMap::new(),
             unacknowledged: Vec::new(),
@@ -209,12 +206,6 @@
         report
     }
 
-    /// Adds a run of a task.
-    fn begin_run(&mut self, task: &str, run: FakeRun) {
-        self.next_end_due = self.next_end_due.min(run.ends_at);
-        self.running.insert(task.into(), run);
-    }
-
     /// Ends the run of a task, if there is one, and keeps its completion for the next reports.
     fn end_run(&mut self, task: &str, outcome: RunOutcome, now: Millis) {
         let Some(run) = self.running.remove(task) else {
@@ -351,7 +342,7 @@
             ends_at: now + span,
             outcome,
         };
-        worker.begin_run(&start.task, run);
+        worker.running.insert(start.task.clone(), run);
         let id = start.incarnation.id.clone();
         self.track_load(&id, &start.task);
         self.starts.push((start.task.clone(), start.run, id, now));
@@ -373,7 +364,7 @@
             ends_at: now + span,
             outcome: RunOutcome::Done,
         };
-        worker.begin_run(task, run);
+        worker.running.insert(task.into(), run);
     }
 
     /// Restarts a worker under its id without its former state. The owner learns of the new
@@ -474,9 +465,6 @@
             if lapsed {
                 worker.lapsed_at = now;
             }
-            if !lapsed && now < worker.next_end_due {
-                continue;
-            }
             let due: Vec<(String, RunOutcome)> = worker
                 .running
                 .iter()
@@ -495,8 +483,6 @@
             for (task, outcome) in due {
                 worker.end_run(&task, outcome, now);
             }
-            let ends = worker.running.values().map(|run| run.ends_at);
-            worker.next_end_due = ends.min().unwrap_or(Millis::MAX);
         }
     }
 }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -178,7 +178,7 @@
     deployment.kill(0);
     deployment.block_answers(true);
     deployment.start_box(0);
-    let line = deployment.wait_for_log(0, "not ready");
+    let line = deployment.wait_for_log(0, "event=not-ready");
     assert!(line.contains("boxes=1 table_silence_ms=5"), "{line}");
     deployment.block_answers(false);
     deployment.wait_until_ready(0);
