--- a/src/sched.rs
+++ b/src/sched.rs
@@ -59,6 +59,7 @@
 mod requests;
 mod scoring;
 pub mod sequence;
+mod settings;
 pub mod spec;
 mod starts;
 mod swaps;
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -11,13 +11,13 @@
 use super::journal::Journal;
 use super::loads::OwnLoads;
 use super::long_leases::EarlierIncarnations;
-use super::mechanisms::Mechanisms;
 use super::message::{Action, Answer, Event, Ticket};
 use super::permits::Permits;
 use super::placement::Placement;
 use super::poll_schedule::PollSchedule;
 use super::scoring::Ranking;
 use super::sequence::Sequence;
+pub use super::settings::OwnerSettings;
 use super::spec::JobSpec;
 use super::starts::Deferral;
 use super::worker::{Worker, max_lease_duration};
@@ -27,38 +27,6 @@
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
-/// Best-effort tasks are halted after this fraction (1/n) of the longest allowed breach of a
-/// latency target; the rest allows for reports and orders that get lost.
-const HALT_DIVISOR: Millis = 4;
-
-/// Durations and mechanisms that the platform and the settings give an owner.
-#[derive(Clone, Copy, Debug)]
-pub struct OwnerSettings {
-    /// Length of a lease that is granted to a worker, in milliseconds.
-    pub lease_length: Millis,
-    /// Longest lease that a worker accepts, in milliseconds; it cuts a longer one down to this.
-    pub longest_lease: Millis,
-    /// Longest time that an owner extends leases without a confirmed commit, in milliseconds.
-    pub max_unconfirmed: Millis,
-    /// Least time that a worker runs on after its listing was removed, in milliseconds.
-    pub drain_time: Millis,
-    /// Longest time that best-effort tasks may keep a serving task over its latency target, in
-    /// milliseconds.
-    pub max_breach: Millis,
-    /// Time for which the state of a finished job can be queried, in milliseconds.
-    pub retention: Millis,
-    /// Mechanisms that are enabled.
-    pub mechanisms: Mechanisms,
-}
-
-impl OwnerSettings {
-    /// Returns the time over its target after which all best-effort tasks beside a serving task
-    /// are halted, whatever the interference model predicts, in milliseconds.
-    pub(super) fn halt_after(&self) -> Millis {
-        self.max_breach / HALT_DIVISOR
-    }
-}
-
 /// Readings of this box's clocks at the time of an event.
 #[derive(Clone, Copy, Debug)]
 pub struct Now {
