--- a/review/standin.rs
+++ b/review/standin.rs
@@ -1,5 +1,5 @@
 //! Stand-ins of the users' store, workers and clients, and the scenarios of the scripts in this
-//! folder. They follow PROTOCOL.md: each comment that begins with "Pages:" names the sentence.
+//! folder. They follow the users' PROTOCOL.md; comments name the section that a behavior is from.
 //! Standard library only; `build.sh` compiles it with rustc.
 
 use std::collections::{BTreeMap, HashMap};
@@ -31,6 +31,8 @@
 const STOP_MS: u64 = 100;
 /// `bounds.contactMs` and the 4 s of the rule LOST: calm before a judged span.
 const CALM_MS: u64 = 7_000;
+/// Longest time of a script.
+const LIMIT_S: u64 = 110;
 /// `bounds.finish_s`.
 const FINISH_MS: u64 = 14_000;
 /// Boxes and workers of the site recoge-ya, with the thousandths of cores and the MB of a worker.
@@ -398,7 +400,7 @@
 struct Store {
     rows: Mutex<Rows>,
     changed: Condvar,
-    /// Pages: a single part takes its transactions one after another.
+    /// Transactions of a part are executed in turn (store section).
     part: Mutex<()>,
     record: Arc<Record>,
     start: Instant,
@@ -456,7 +458,7 @@
             let size = decoded_len(put.get("value").text());
             let largest = rows.largest.entry(key(put).0).or_default();
             *largest = size.max(*largest);
-            // Pages: `value` (base64 of `row_bytes` at most). Nothing of the call is done.
+            // Row size limit (store section). A refused transaction has no effect.
             if size > ROW_BYTES {
                 rows.oversized += 1;
                 if rows.oversized <= 20 || rows.oversized % 50 == 0 {
@@ -470,7 +472,7 @@
                 return (400, format!("{{\"error\":\"row of {size} bytes\"}}"));
             }
         }
-        // Pages: at most 100 entries and 1 MB.
+        // Limits of a transaction (store section).
         if expected.len() + puts.len() + removes.len() > MAX_ENTRIES || body.len() > MAX_TX_BYTES {
             self.record.line("store: refuses transaction with too many entries or bytes");
             return (400, "{\"error\":\"too large\"}".into());
@@ -508,7 +510,7 @@
         let mut found: Vec<_> = in_table.take(limit + 1).collect();
         let mut more = found.len() > limit;
         found.truncate(limit);
-        // Pages: at most 500 or 1 MB.
+        // Limits of a page (store section).
         let mut bytes = 0;
         let fit = found.iter().take_while(|(_, r)| {
             bytes += r.0.as_ref().map_or(0, String::len);
@@ -665,7 +667,7 @@
 
 struct WorkerState {
     id: String,
-    /// Beginning of the present life; its clock counts from there.
+    /// Beginning of the present incarnation; its clock counts from there.
     born: Instant,
     up: bool,
     /// True while no packet passes between the worker and the boxes; it runs on.
@@ -678,7 +680,7 @@
     last_run: HashMap<String, u32>,
     seq: u64,
     next_beat: Instant,
-    /// When the entry of the earlier life goes.
+    /// When the entry of the earlier incarnation goes.
     old_entry: Option<(String, Instant)>,
     connections: Vec<TcpStream>,
 }
@@ -698,10 +700,10 @@
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
-/// Returns a new id of the form that the pages' examples have.
+/// Returns a new id: ten characters, as long as those of the protocol.
 fn worker_id() -> String {
     let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
-    let mixed = (number.wrapping_mul(0x9e37_79b9) ^ 0x7f3a_91c2) & 0xffff_ffff;
+    let mixed = (number.wrapping_mul(0x9e37_79b9) ^ 0x5bd1_e995) & 0xffff_ffff;
     format!("i-{mixed:08x}")
 }
 
@@ -804,15 +806,25 @@
         if req.path == "/health" {
             return Some((200, "{}".into()));
         }
-        // Pages: `X-Expect-Instance` names the intended life; any other answers 421.
+        // An order for another incarnation is misdirected (tasks section).
         if req.headers.get("x-expect-instance").is_some_and(|id| *id != state.id) {
             return Some((421, String::new()));
         }
         let body = parse_json(&req.body)?;
         let fence = body.get("fence").num().unwrap_or(0);
         let clock = |state: &WorkerState| ("clockMs", n(Self::clock(state)));
-        let refuse = |state: &WorkerState, reason: &str| Some((409, obj(vec![clock(state), ("reason", s(reason))]).to_string()));
-        // Pages: a worker does nothing for a lower fence than the highest it has seen.
+        let order = req.path.clone();
+        let refuse = |state: &WorkerState, reason: &str| {
+            if order != "/hold" {
+                self.record.line(&format!(
+                    "worker {}: refuses {order} of {} fence {fence}: {reason}",
+                    state.id,
+                    body.get("task").text()
+                ));
+            }
+            Some((409, obj(vec![clock(state), ("reason", s(reason))]).to_string()))
+        };
+        // Fencing (tasks section).
         if fence < state.fence {
             return refuse(&state, "fence");
         }
@@ -825,8 +837,8 @@
                 if asked <= Self::clock(&state) {
                     return refuse(&state, "late");
                 }
-                // Pages: the deadline applies to everything that runs there and never shortens; it
-                // is also taken from a start that receives `old` or `room`.
+                // One lease for all runs of the worker, also extended by a refused start (tasks
+                // section).
                 self.extend(&mut state, asked);
                 if state.running.get(&task).is_some_and(|r| r.run == run) {
                     return Some((200, obj(vec![clock(&state)]).to_string()));
@@ -867,6 +879,7 @@
                 Some((200, obj(vec![clock(&state)]).to_string()))
             }
             "/run-stop" => {
+                self.record.line(&format!("worker {}: stop of {task} run {run} fence {fence}", state.id));
                 let last = state.last_run.entry(task.clone()).or_default();
                 *last = run.max(*last);
                 if let Some(active) = state.running.get_mut(&task).filter(|r| r.run == run) {
@@ -879,20 +892,20 @@
                 if let Some(asked) = body.get("deadlineMs").num() {
                     self.extend(&mut state, asked);
                 }
-                // Pages: ends up to `lastSeen` are forgotten, while the others come again.
+                // Acknowledged completions are dropped (tasks section).
                 let seen = body.get("lastSeen").num().unwrap_or(0);
                 state.finished.retain(|end| end.0 > seen);
                 let wait = body.get("waitMs").num().unwrap_or(0).min(2_000);
                 let until = Instant::now() + Duration::from_millis(wait);
-                let life = state.id.clone();
-                while state.finished.is_empty() && state.up && state.id == life {
+                let incarnation = state.id.clone();
+                while state.finished.is_empty() && state.up && state.id == incarnation {
                     let left = until.saturating_duration_since(Instant::now());
                     if left.is_zero() {
                         break;
                     }
                     state = self.changed.wait_timeout(state, left).unwrap().0;
                 }
-                if !state.up || state.id != life {
+                if !state.up || state.id != incarnation {
                     return None;
                 }
                 let running = state.running.iter().map(|(task, r)| {
@@ -911,7 +924,7 @@
     }
 
     fn extend(&self, state: &mut WorkerState, asked: u64) {
-        // Pages: a longer lease than `maxHoldMs` is cut down to that.
+        // Upper limit of a lease (tasks section).
         let end = asked.min(Self::clock(state) + MAX_HOLD_MS);
         state.deadline = state.deadline.max(end);
     }
@@ -1008,13 +1021,13 @@
         for connection in state.connections.drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
-        // Pages: the entry goes after three heartbeats of silence.
+        // The directory entry expires (discovery section).
         let gone = Instant::now() + Duration::from_millis(3 * BEAT_MS);
         state.old_entry = Some((state.id.clone(), gone));
         self.changed.notify_all();
     }
 
-    /// Pages: after a crash it carries a new id, runs nothing and has seen no fencing token.
+    /// Starts the next incarnation after a crash: a new id and no state (tasks section).
     fn restart(self: &Arc<Self>) {
         let listener = loop {
             match TcpListener::bind(self.address) {
@@ -1032,7 +1045,7 @@
             state.ends = 0;
             state.seq = 0;
             state.next_beat = Instant::now();
-            self.record.line(&format!("worker {}: is a new life at {}", state.id, self.address));
+            self.record.line(&format!("worker {}: restarted at {}", state.id, self.address));
         }
         self.listening.store(true, Ordering::Relaxed);
         self.clone().accept(listener);
@@ -1057,7 +1070,7 @@
 // ---------------------------------------------------------------- deployment
 
 const SERVICE: &str = "ledger";
-const HOST: &str = "nony24.example";
+const HOST: &str = "jobs.review.test";
 
 /// Boxes, workers, the store, and the jobs of the clients.
 struct Deployment {
@@ -1071,6 +1084,8 @@
     /// End of the last disruption.
     disturbed: Mutex<Instant>,
     breaks: Mutex<BTreeMap<String, String>>,
+    /// True once the rule was broken.
+    is_broken: Arc<AtomicBool>,
 }
 
 /// The processes that were started.
@@ -1091,6 +1106,16 @@
     early
 }
 
+/// Ends all processes after `LIMIT_S`, so that a script never runs for longer than it may.
+fn limit_time(breaks: Arc<AtomicBool>) {
+    thread::spawn(move || {
+        thread::sleep(Duration::from_secs(LIMIT_S));
+        println!("time limit of {LIMIT_S} s reached");
+        end_processes();
+        std::process::exit(if breaks.load(Ordering::Relaxed) { 1 } else { 2 });
+    });
+}
+
 /// Ends all processes and exits: the case could not run.
 fn give_up(record: &Record, why: &str) -> ! {
     record.say(&format!("{why}: the case could not run"));
@@ -1184,7 +1209,9 @@
             folder: temp,
             disturbed: Mutex::new(start),
             breaks: Mutex::default(),
+            is_broken: Arc::default(),
         };
+        limit_time(deployment.is_broken.clone());
         deployment.run_workers();
         let subnet = 1 + std::process::id() % 250;
         for number in 0..boxes {
@@ -1264,8 +1291,7 @@
             .say(&format!("{} boxes are ready, {} workers", self.boxes.len(), self.workers.len()));
     }
 
-    /// Hands a job in, at up to `tries` boxes in turn while there is no final answer. Pages: after
-    /// silence, a broken connection, a 502 or a 504, the same ID arrives again, at any daemon.
+    /// Submits a job, at up to `tries` boxes in turn while the outcome is in doubt (jobs section).
     fn submit(&self, def: JobDef, at: usize, tries: usize) -> bool {
         let id = def.id.clone();
         let mut tasks = BTreeMap::new();
@@ -1330,6 +1356,7 @@
     }
 
     fn broken(&self, subject: &str, text: String) {
+        self.is_broken.store(true, Ordering::Relaxed);
         let mut breaks = self.breaks.lock().unwrap();
         if breaks.insert(subject.to_string(), text.clone()).is_none() && breaks.len() <= 12 {
             self.record.say(&format!("BROKEN {text}"));
@@ -1466,10 +1493,10 @@
             let accepted = jobs.values().filter(|j| j.accepted.is_some()).count();
             let completed = jobs.values().filter(|j| j.completed.is_some()).count();
             self.record
-                .say(&format!("jobs: {} handed in, {accepted} accepted, {completed} shown as completed", jobs.len()));
+                .say(&format!("jobs: {} submitted, {accepted} accepted, {completed} shown as completed", jobs.len()));
         }
         for text in end_processes() {
-            self.broken(&text.clone(), text);
+            self.record.say(&text);
         }
         if std::env::var("KEEP").is_ok() {
             println!("logs of the boxes: {}", self.folder.display());
@@ -1491,9 +1518,9 @@
 
 // ---------------------------------------------------------------- scenarios
 
-const RECON: &str = "/lohu930/";
-const RUN: &str = "/pufi791/";
-const WATCH: &str = "/pule252/";
+const RECON: &str = "/small/";
+const RUN: &str = "/batch/";
+const WATCH: &str = "/standing/";
 
 fn job_id(number: u64) -> String {
     format!("{:016x}", (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15))
@@ -1526,7 +1553,7 @@
     }
 }
 
-/// Hands in a small job every `gap` ms until `stop`.
+/// Submits a small job every `gap` ms until `stop`.
 fn small_traffic(d: &Arc<Deployment>, gap: u64, stop: &Arc<AtomicBool>) {
     let (d, stop) = (d.clone(), stop.clone());
     thread::spawn(move || {
@@ -1683,7 +1710,7 @@
     }
     d.record.say(&format!("the task was started {starts} times, {failed} of its runs ended `failed`, no worker crashed, nobody cancelled; {running} runs now; the job is shown as {state:?}"));
     match state.as_deref() {
-        // Pages: only ends `failed` count as attempts.
+        // Only failed runs are attempts (rule LOST).
         Some(shown @ ("failed" | "cancelled")) if failed < 4 => d.broken(
             &id,
             format!("LOST: job {id} is shown as {shown} without cause: {failed} runs ended `failed`, maxAttempts is 4"),
