Takeover: leases of an owner that is gone are waited for until its followers stop confirming it

Cause: without the store an owner may go on for workers.unconfirmed (10 s), and its successor can't tell such an owner from one that is gone. It held the tasks of each worker that it could not reach for 10 s and a lease.

Ruled out: the notice (sent, no answer), the load (38 to 60 ms), the detection of silent workers.

Fix: after 1.5 s without the store an owner extends leases only while each follower that its row lists confirms it: pings return readings of the owner's clock. A box that tries to replace the owner returns none any more, so a listed box waits for 1.5 s and a lease. A chain hands on what is left of the wait. A shorter workers.unconfirmed alone would cost all runs in an outage of the store; this costs them only if a follower is lost in the outage as well.

late_orders.rs: PredecessorState::lease_end is gone, the tests use the same figure by max_lease_duration. lease_end_covers_leases_of_earlier_owners tests the same cases by rows.

--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -163,6 +163,8 @@
             epoch: next_epoch(0),
             seq: 0,
             settled: true,
+            inherited: Some(0),
+            followers: Vec::new(),
             released: false,
             cores: 0,
         };
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,6 +3,7 @@
 
 mod admin;
 mod commits;
+mod confirmations;
 mod downtime;
 mod feeds;
 mod follower;
@@ -75,6 +76,7 @@
     monoio::spawn(feeds::follow_config(shared.clone()));
     monoio::spawn(owner_task::run(shared.clone(), messages));
     monoio::spawn(follower::run(shared.clone(), checks));
+    monoio::spawn(follower::keep_confirming(shared.clone()));
     let mut suspension = SuspensionDetector::start();
     let mut ready = false;
     while !signals::stop_requested() {
--- a/src/daemon/follower.rs
+++ b/src/daemon/follower.rs
@@ -49,6 +49,22 @@
     }
 }
 
+/// Pings the owner while calls to the store hold up the check of it, until the process ends. Without
+/// the store the owner extends leases for as long as each follower confirms it.
+pub async fn keep_confirming(shared: Rc<Shared>) {
+    loop {
+        sleep(Duration::from_millis(PING_INTERVAL)).await;
+        if shared.local_epoch().is_some() || shared.loading().is_some() {
+            continue;
+        }
+        let due = |epoch| shared.confirmations().is_due(epoch, clock::now());
+        if let Some(known) = shared.owner().filter(|known| due(known.row.epoch)) {
+            // The next check assesses the owner.
+            let _ = pings::ping_owner(&shared, &known.row).await;
+        }
+    }
+}
+
 /// Returns the milliseconds until the next check of the owner.
 fn check_interval(shared: &Shared) -> Millis {
     let smaller =
@@ -92,7 +108,12 @@
     };
     let (cores, epoch, now) = (shared.settings.cores, known.row.epoch, clock::now());
     match failover::assess_owner(cores, epoch, known.progress, pong, now) {
-        Assessment::Follow(progress) => shared.set_progress(epoch, progress),
+        Assessment::Follow(progress) => {
+            shared.set_progress(epoch, progress);
+            if !shared.confirmations().permits(&known) && shared.store_serves() {
+                refresh_owner(shared).await;
+            }
+        }
         Assessment::CheckRow(progress) => {
             shared.set_progress(epoch, progress);
             acquire_if_vacant(shared).await;
@@ -200,7 +221,8 @@
     if shared.is_stopping() {
         return;
     }
-    let stagger = stable(&[&shared.settings.name]) % STAGGER;
+    let stagger = stable(&[&shared.settings.name]) % STAGGER
+        + failover::unlisted_box_delay(shared.settings.rpc, &known.row);
     let vacant = is_vacant(shared, &known.row);
     let pause = failover::takeover_delay(shared.settings.cores, &known.row, vacant, stagger);
     if pause > 0 {
--- a/src/daemon/message.rs
+++ b/src/daemon/message.rs
@@ -1,5 +1,7 @@
 //! Messages to the task that runs the owner in this process.
 
+use std::net::SocketAddr;
+
 use futures::channel::oneshot;
 
 use crate::sched::message::{Answer, Event, JobRequest};
@@ -18,6 +20,8 @@
     Event(u64, Event),
     /// The predecessor of the owner of this epoch has ended: it extends no lease any more.
     PredecessorEnded(u64),
+    /// The box at this address has confirmed the owner of an epoch as of a reading of its clock.
+    Confirmed(u64, SocketAddr, Millis),
     /// An owner of this later epoch exists.
     Superseded(u64),
     /// The owner's settings, reloaded.
--- a/src/daemon/owner_task.rs
+++ b/src/daemon/owner_task.rs
@@ -104,6 +104,9 @@
         (Message::PredecessorEnded(epoch), Some(local)) if epoch == local.term.epoch => {
             local.owner.record_predecessor_end(now());
         }
+        (Message::Confirmed(epoch, address, clock), Some(local)) if epoch == local.term.epoch => {
+            local.owner.record_follower(address, clock, now());
+        }
         (Message::Superseded(epoch), Some(current)) if epoch > current.term.epoch => {
             end_term(shared, local, "superseded");
         }
--- a/src/daemon/pings.rs
+++ b/src/daemon/pings.rs
@@ -21,7 +21,14 @@
 
 /// Pings the owner, and records whether it serves this box.
 pub async fn ping_owner(shared: &Shared, owner: &OwnerRow) -> Result<PingReply, CallError> {
-    let reply = send_ping(shared, owner.address, ping_request(shared, owner.epoch)).await;
+    let known = shared
+        .owner()
+        .filter(|known| known.row.epoch == owner.epoch);
+    let request = PingRequest {
+        confirms: known.map_or(0, |known| shared.confirmations().reading_for(&known)),
+        ..ping_request(shared, owner.epoch)
+    };
+    let reply = send_ping(shared, owner.address, request).await;
     let serves = |r: &PingReply| r.owner && r.epoch == owner.epoch;
     let served = reply.as_ref().is_ok_and(serves);
     shared.record_owner_serving(served);
@@ -29,6 +36,10 @@
         shared.set_last_followed(owner);
     }
     if let Ok(reply) = &reply {
+        if served {
+            let mut confirmations = shared.confirmations();
+            confirmations.record_reply(reply.epoch, reply.clock, clock::now());
+        }
         add_addresses(shared, reply);
     }
     reply
@@ -106,6 +117,7 @@
         return;
     }
     log::info!(target: "member", "event=owner-told owner={} epoch={} known={known} version={version}", row.name, row.epoch);
+    shared.confirmations().bar(version);
     let progress = OwnerProgress {
         at: clock::now(),
         pages: None,
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -7,6 +7,7 @@
 
 use futures::channel::mpsc::UnboundedSender;
 
+use super::confirmations::Confirmations;
 use super::downtime::Downtime;
 use super::message::Message;
 use super::peer_addresses::PeerAddresses;
@@ -79,6 +80,7 @@
     cordons: RefCell<Cordons>,
     owner: RefCell<Option<KnownOwner>>,
     last_followed: RefCell<Option<OwnerRow>>,
+    confirmations: RefCell<Confirmations>,
     local_epoch: Cell<Option<u64>>,
     loading: Cell<Option<Loading>>,
     downtime: Downtime,
@@ -112,6 +114,7 @@
             cordons: RefCell::default(),
             owner: RefCell::default(),
             last_followed: RefCell::default(),
+            confirmations: RefCell::default(),
             local_epoch: Cell::new(None),
             loading: Cell::new(None),
             downtime: Downtime::new(clock::now()),
@@ -222,6 +225,11 @@
         *self.last_followed.borrow_mut() = Some(row.clone());
     }
 
+    /// Returns what this box confirms to the owner. The borrow must not be held across an await.
+    pub fn confirmations(&self) -> RefMut<'_, Confirmations> {
+        self.confirmations.borrow_mut()
+    }
+
     /// Sets the progress of the known owner if it is of this epoch.
     pub fn set_progress(&self, epoch: u64, progress: OwnerProgress) {
         let mut owner = self.owner.borrow_mut();
--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -25,7 +25,9 @@
 };
 use crate::sched::message::{CommitOutcome, Write};
 use crate::sched::owner::{Owner, StoredJob};
-use crate::sched::predecessors::{PredecessorState, owners_to_notify};
+use crate::sched::predecessors::{
+    PredecessorState, inherited_followers, inherited_span, owners_to_notify,
+};
 use crate::sched::spec::JobSpec;
 use crate::table::{Row, decode, encode};
 use crate::utils::Name;
@@ -61,12 +63,21 @@
         epoch: next_epoch(before.as_ref().map_or(0, |b| b.row.epoch)),
         seq: 0,
         settled: false,
+        inherited: None,
+        followers: inherited_followers(before.as_ref().map(|b| &b.row), settings.rpc),
         released: false,
         cores: failover::wanted_cores(settings.cores, before.as_ref().map(|b| &b.row)),
     };
     let predecessor = PredecessorState::from_row(before.as_ref().map(|b| &b.row), &row);
     row.settled = predecessor.all_ended();
+    let span = inherited_span(
+        before.as_ref().map(|b| &b.row),
+        &row,
+        &shared.owner_settings(),
+    );
+    row.inherited = Some(span);
     let version = before.as_ref().map_or(0, |b| b.version);
+    shared.confirmations().bar(version);
     let sent = clock::now();
     match commit_if_version(shared, version, &[owner_write(&row)], ACQUIRE_TIMEOUT).await {
         CommitOutcome::Done(version) => take_over(shared, row, version, sent, before).await,
@@ -103,7 +114,7 @@
     sent: Millis,
     before: Option<KnownOwner>,
 ) {
-    let epoch = row.epoch;
+    let (epoch, acquired) = (row.epoch, clock::now());
     shared.set_loading(Some(Loading { epoch, pages: 0 }));
     let Some(stored) = load_state(shared, epoch).await else {
         if shared.is_stopping() && shared.is_loading(epoch) {
@@ -117,10 +128,13 @@
         return shared.set_loading(None);
     };
     let (settings, now) = (shared.owner_settings(), now());
-    let predecessor = PredecessorState::from_row(before.as_ref().map(|b| &b.row), &row);
-    let inherited = predecessor.lease_end(&settings, now.steady);
+    let span = inherited_span(before.as_ref().map(|b| &b.row), &row, &settings);
+    let inherited = acquired + span;
     let took = now.steady - sent;
-    log::info!(target: "owner", "event=owner-begins epoch={epoch} jobs={} unreadable={} load_ms={took}", stored.jobs.len(), stored.unreadable.len());
+    let listed = before
+        .as_ref()
+        .is_some_and(|b| b.row.followers.contains(&row.address));
+    log::info!(target: "owner", "event=owner-begins epoch={epoch} jobs={} unreadable={} load_ms={took} inherited_ms={span} listed={listed}", stored.jobs.len(), stored.unreadable.len());
     shared.set_owner(Some(KnownOwner {
         row: row.clone(),
         version,
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the parts of the daemon.
 
 mod change_of_owner;
+mod confirmations;
 mod many_boxes;
 
 use std::net::SocketAddr;
@@ -88,6 +89,8 @@
         epoch,
         seq: 0,
         settled: true,
+        inherited: Some(0),
+        followers: Vec::new(),
         released: false,
         cores: 0,
     }
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -32,6 +32,7 @@
 mod directory;
 pub mod failover;
 pub mod fences;
+pub mod followers;
 mod gauges;
 pub mod history;
 pub mod incarnation;
--- a/src/sched/failover.rs
+++ b/src/sched/failover.rs
@@ -4,12 +4,17 @@
 //! be a box with the most cores: one with few cores would soon be too busy to answer pings, and
 //! one owner after the other would be replaced.
 
+use std::net::SocketAddr;
+
 use super::journal::OwnerRow;
 use crate::utils::clock::Millis;
 
 /// Milliseconds that a box with fewer cores than an owner should have waits longer before it
 /// replaces the owner: the time of a larger box's commit and its staggered start.
 const SMALLER_BOX_DELAY: Millis = 300;
+/// Milliseconds that a box which the owner's row does not list waits longer: the staggered start and
+/// the commit of those that it lists.
+const UNLISTED_BOX_DELAY: Millis = 200;
 /// Shortest term of an owner, in milliseconds, before it releases the cell for a box with more
 /// cores. Without it, a box that keeps leaving and coming back would move the cell each time.
 const MIN_TERM: Millis = 3_000;
@@ -178,6 +183,15 @@
     delay + smaller_box_delay(cores, before)
 }
 
+/// Returns the milliseconds that a box at this address waits longer than the listed followers of the
+/// owner before it replaces it. A listed one waits much less for the owner's leases.
+pub fn unlisted_box_delay(address: SocketAddr, before: &OwnerRow) -> Millis {
+    match before.followers.is_empty() || before.followers.contains(&address) {
+        true => 0,
+        false => UNLISTED_BOX_DELAY,
+    }
+}
+
 /// Returns true while no other box can have replaced an owner whose last successful commit was
 /// sent at `confirmed`.
 pub fn holds_cell(confirmed: Millis, now: Millis) -> bool {
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use super::followers::{CONFIRMATION_SPAN, Followers};
 use super::incarnation::Incarnation;
 use super::job::TaskKey;
 use super::message::{Answer, CommitOutcome, Ticket, Write};
@@ -77,6 +78,14 @@
     /// True once no earlier owner can extend a lease on a worker.
     #[serde(default)]
     pub settled: bool,
+    /// Milliseconds from the writing of this row within which the leases granted by earlier owners
+    /// end, unless it is `settled`; none in the row of an owner of the previous release.
+    #[serde(default)]
+    pub inherited: Option<Millis>,
+    /// Addresses of the boxes that all have to confirm the owner for it to extend leases while the
+    /// store does not.
+    #[serde(default)]
+    pub followers: Vec<SocketAddr>,
     /// True once the owner has released the cell.
     #[serde(default)]
     pub released: bool,
@@ -163,6 +172,10 @@
     /// When the last call was sent by which the store confirmed this owner: a commit that
     /// took effect, or the read after the load.
     confirmed: Millis,
+    /// The boxes that confirm this owner.
+    followers: Followers,
+    /// When the leases granted by earlier owners have ended.
+    inherited_end: Millis,
     /// When an owner without changes confirms itself again. A new owner does so at once: its
     /// row did not change while it loaded, and other boxes may wait for such a change.
     next_confirm: Millis,
@@ -183,6 +196,8 @@
     /// confirmed by a call sent at `now`.
     pub fn new(row: OwnerRow, version: u64, now: Millis) -> Self {
         Self {
+            followers: Followers::new(&row.followers, now),
+            inherited_end: now + row.inherited.unwrap_or(0),
             row,
             version,
             queue: WriteQueue::default(),
@@ -210,6 +225,30 @@
         self.confirmed
     }
 
+    /// Returns true while no other box can have replaced this owner, or a box that has replaced it
+    /// waits until the leases that this owner extends now have ended. Leases are extended for at
+    /// most `longest` milliseconds without the store.
+    pub fn may_extend_leases(&self, longest: Millis, now: Millis) -> bool {
+        let unconfirmed = now.saturating_sub(self.confirmed);
+        let vouched = || self.followers.all_confirm(now);
+        unconfirmed < longest && (unconfirmed < CONFIRMATION_SPAN || vouched())
+    }
+
+    /// Records a ping that has returned the clock reading `confirmed` of this owner.
+    pub fn record_ping(&mut self, follower: SocketAddr, confirmed: Millis, now: Millis) {
+        self.followers.record_ping(follower, confirmed, now);
+    }
+
+    /// Returns a follower that has not confirmed this owner for a while, if there is one.
+    pub fn unconfirming(&self, now: Millis) -> Option<SocketAddr> {
+        self.followers.unconfirming(now)
+    }
+
+    /// Sets when the leases granted by earlier owners have ended.
+    pub fn set_inherited_end(&mut self, at: Millis) {
+        self.inherited_end = at;
+    }
+
     /// Returns the milliseconds that the last successful commit took.
     pub fn last_commit_duration(&self) -> Millis {
         self.last_duration
@@ -307,6 +346,8 @@
             return None;
         }
         self.row.seq += 1;
+        self.row.followers = self.followers.listed(now);
+        self.row.inherited = Some(self.inherited_end.saturating_sub(now));
         let mut writes = Vec::new();
         let mut jobs = Vec::new();
         let mut bytes = 0;
@@ -365,6 +406,8 @@
                 self.in_doubt = false;
                 self.released = commit.released;
                 self.next_commit = now + COMMIT_PAUSE;
+                // The row was changed last when this commit was built.
+                self.followers.forget_unlisted(&self.row.followers, now);
                 for (job, _) in &commit.jobs {
                     self.doubtful.remove(job);
                 }
--- a/src/sched/long_leases.rs
+++ b/src/sched/long_leases.rs
@@ -33,13 +33,11 @@
 }
 
 impl EarlierIncarnations {
-    /// Returns the knowledge of an owner that begins at `now`. All leases of earlier owners that
-    /// are not of the longest length end by `inherited_leases_end`.
-    pub fn new(settings: &OwnerSettings, inherited_leases_end: Millis, now: Millis) -> Self {
+    /// Returns the knowledge of an owner that begins at `now`.
+    pub fn new(settings: &OwnerSettings, has_predecessors: bool, now: Millis) -> Self {
         Self {
             removed: BTreeMap::new(),
-            // The first owner inherits no leases.
-            has_predecessors: inherited_leases_end > now,
+            has_predecessors,
             long_leases_end: now + max_lease_duration(settings.longest_lease),
         }
     }
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -6,7 +6,7 @@
 use super::admission::Admission;
 use super::copies::running::Copies;
 use super::crashes::ProvisionalCrash;
-use super::fences::Fences;
+use super::fences::{Fences, next_epoch};
 use super::history::History;
 use super::job::{Job, JobRow, Outcome, Phase, StepKey, TaskKey};
 use super::journal::Journal;
@@ -155,6 +155,8 @@
     pub(super) next_estimates: Millis,
     /// Number of runs that were released because the lease of their worker had ended.
     pub(super) lapsed_runs: u64,
+    /// True while leases are extended, as last logged.
+    extends_leases: bool,
     /// True once another box owns the cell.
     pub(super) deposed: bool,
 }
@@ -175,7 +177,9 @@
         inherited_leases_end: Millis,
         now: Now,
     ) -> Self {
-        let earlier = EarlierIncarnations::new(&settings, inherited_leases_end, now.steady);
+        // The first owner inherits no leases.
+        let has_predecessors = journal.epoch() > next_epoch(0);
+        let earlier = EarlierIncarnations::new(&settings, has_predecessors, now.steady);
         let mut owner = Self {
             settings,
             fences: Fences::new(journal.epoch()),
@@ -226,8 +230,10 @@
             next_sweep: 0,
             next_estimates: 0,
             lapsed_runs: 0,
+            extends_leases: true,
             deposed: false,
         };
+        owner.journal.set_inherited_end(inherited_leases_end);
         for job in stored_jobs {
             owner.load_job(Job::from_stored(job.id, job.spec, job.row));
         }
@@ -281,8 +287,17 @@
     /// Returns true while this owner may grant and extend leases: the next owner waits for leases
     /// that this one granted for some time after its last confirmation.
     pub(super) fn may_grant_leases(&self) -> bool {
-        let confirmed = self.journal.last_confirmed() + self.settings.max_unconfirmed;
-        self.now.steady < confirmed && !self.is_releasing()
+        let longest = self.settings.max_unconfirmed;
+        let confirmed = self.journal.may_extend_leases(longest, self.now.steady);
+        confirmed && !self.is_releasing()
+    }
+
+    /// Records a ping of another box that has returned the clock reading `confirmed` of this box.
+    pub fn record_follower(&mut self, address: SocketAddr, confirmed: Millis, now: Now) {
+        // A reading ahead of the clock would confirm this owner for longer than the box did.
+        if confirmed > 0 && confirmed <= now.steady {
+            self.journal.record_ping(address, confirmed, now.steady);
+        }
     }
 
     /// Returns true once another box owns the cell.
@@ -395,6 +410,7 @@
         if self.now.steady > self.journal.last_confirmed() + STORE_SILENCE {
             self.last_store_trouble = self.now.steady;
         }
+        self.log_lease_extension();
         self.expire_lapsed_listings();
         self.expire_leases();
         self.forget_removed();
@@ -423,6 +439,20 @@
         self.saturated = false;
     }
 
+    /// Logs when this owner stops extending leases or does so again, with the follower that has not
+    /// confirmed it, if any.
+    fn log_lease_extension(&mut self) {
+        let (now, extends) = (self.now.steady, self.may_grant_leases());
+        if extends == self.extends_leases {
+            return;
+        }
+        self.extends_leases = extends;
+        let (epoch, releasing) = (self.journal.epoch(), self.is_releasing());
+        let unconfirmed = now.saturating_sub(self.journal.last_confirmed());
+        let silent = self.journal.unconfirming(now).map(|a| a.to_string());
+        log::info!(target: "owner", "event=lease-extension epoch={epoch} extends={extends} releasing={releasing} unconfirmed_ms={unconfirmed} silent_follower={}", silent.as_deref().unwrap_or("none"));
+    }
+
     /// Marks jobs whose rows can't be decoded.
     pub fn mark_unreadable(&mut self, ids: Vec<Name>) {
         self.unreadable_jobs.extend(ids);
--- a/src/sched/predecessors.rs
+++ b/src/sched/predecessors.rs
@@ -1,5 +1,8 @@
 //! What earlier owners may still do to workers when a new owner begins.
 
+use std::net::SocketAddr;
+
+use super::followers::CONFIRMATION_SPAN;
 use super::journal::OwnerRow;
 use super::owner::OwnerSettings;
 use super::worker::max_lease_duration;
@@ -25,7 +28,7 @@
         match before {
             None => Self::Absent,
             Some(row) if !row.settled => Self::EarlierMayServe,
-            Some(row) if row.released || row.is_from_box(&own.name, own.address) => Self::Ended,
+            Some(row) if has_ended(row, own) => Self::Ended,
             Some(_) => Self::MayServe,
         }
     }
@@ -34,18 +37,46 @@
     pub fn all_ended(self) -> bool {
         self <= Self::Ended
     }
+}
 
-    /// Returns when all leases granted by earlier owners have certainly ended, for a new
-    /// owner that begins at `now`.
-    pub fn lease_end(self, settings: &OwnerSettings, now: Millis) -> Millis {
-        match self {
-            Self::Absent => now,
-            Self::Ended => now + max_lease_duration(settings.lease_length),
-            Self::MayServe | Self::EarlierMayServe => {
-                now + settings.max_unconfirmed + max_lease_duration(settings.lease_length)
-            }
-        }
-    }
+/// Returns the milliseconds from the commit that replaced the row `before` by the row `own` within
+/// which all leases granted by earlier owners end.
+///
+/// A predecessor whose end is not known extends leases for as long as its followers confirm it. A
+/// listed follower confirms it no more once it has replaced it. For a box that is not listed, the
+/// predecessor may go on for as long as any owner does without the store.
+pub fn inherited_span(
+    before: Option<&OwnerRow>,
+    own: &OwnerRow,
+    settings: &OwnerSettings,
+) -> Millis {
+    let Some(before) = before else {
+        return 0;
+    };
+    let lease = max_lease_duration(settings.lease_length);
+    let longest = settings.max_unconfirmed + lease;
+    let last = match has_ended(before, own) {
+        true => lease,
+        false if before.followers.contains(&own.address) => longest.min(CONFIRMATION_SPAN + lease),
+        false => longest,
+    };
+    let earlier = match before.settled {
+        true => 0,
+        false => before.inherited.unwrap_or(longest),
+    };
+    last.max(earlier)
+}
+
+/// Returns true when the owner of the row `before` extends no lease any more.
+fn has_ended(before: &OwnerRow, own: &OwnerRow) -> bool {
+    before.released || before.is_from_box(&own.name, own.address)
+}
+
+/// Returns the followers that a new owner takes over from its predecessor. They are listed from its
+/// first row on, so that each of them can replace it at once.
+pub fn inherited_followers(before: Option<&OwnerRow>, own: SocketAddr) -> Vec<SocketAddr> {
+    let listed = before.iter().flat_map(|row| &row.followers);
+    listed.filter(|a| **a != own).copied().collect()
 }
 
 /// Returns the owners on other boxes that a new owner notifies of its epoch, each with true
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -13,6 +13,7 @@
 mod failover;
 mod fences;
 mod floor;
+mod followers;
 mod gang;
 mod history;
 mod incarnation;
--- a/src/sched/tests/journal.rs
+++ b/src/sched/tests/journal.rs
@@ -15,6 +15,8 @@
         epoch: 1,
         seq: 0,
         settled: true,
+        inherited: Some(0),
+        followers: Vec::new(),
         released: false,
         cores: 0,
     }
--- a/src/sched/tests/late_orders.rs
+++ b/src/sched/tests/late_orders.rs
@@ -3,7 +3,7 @@
 use super::world::{World, job, lasting, step};
 use crate::sched::job::JobState;
 use crate::sched::message::{DirectoryEntry, Event, OrderAck, Poll, Reply, RunOutcome};
-use crate::sched::predecessors::PredecessorState;
+use crate::sched::worker::max_lease_duration;
 use crate::utils::clock::Millis;
 
 /// Runs a job of four tasks on worker `w0`, and returns the poll that acknowledges all of them.
@@ -239,7 +239,7 @@
     world.run(500);
     assert_eq!(world.running().len(), 4);
     world.workers.get_mut("w0").expect("worker").disconnected = true;
-    let inherited = PredecessorState::Ended.lease_end(&world.settings, 0);
+    let inherited = max_lease_duration(world.settings.lease_length);
     world.take_over(inherited);
     world.add_worker("w1", 7_100);
     world.send_directory();
@@ -301,7 +301,7 @@
     world.restart("w0");
     world.workers.get_mut("w0").expect("worker").longest_lease = LONGEST_LEASE;
     world.deliver_poll(&late);
-    world.take_over(PredecessorState::Ended.lease_end(&world.settings, 0));
+    world.take_over(max_lease_duration(world.settings.lease_length));
     world.run(3_000);
     assert_eq!(
         world.running().len(),
@@ -320,7 +320,7 @@
 #[test]
 fn the_longest_lease_is_not_waited_for_after_a_change_of_owner_without_a_restart() {
     let (mut world, _) = world_with_late_poll();
-    world.take_over(PredecessorState::Ended.lease_end(&world.settings, 0));
+    world.take_over(max_lease_duration(world.settings.lease_length));
     world.add_worker("w1", 7_100);
     world.send_directory();
     world.run(500);
--- a/src/sched/tests/predecessors.rs
+++ b/src/sched/tests/predecessors.rs
@@ -1,8 +1,11 @@
 //! Tests of what a new owner concludes from its predecessor's row.
 
 use super::world::{SETTINGS, owner_row};
+use crate::sched::followers::CONFIRMATION_SPAN;
 use crate::sched::journal::OwnerRow;
-use crate::sched::predecessors::{PredecessorState, owners_to_notify};
+use crate::sched::predecessors::{
+    PredecessorState, inherited_followers, inherited_span, owners_to_notify,
+};
 use crate::sched::worker::max_lease_duration;
 
 #[test]
@@ -48,17 +51,27 @@
 
 #[test]
 fn lease_end_covers_leases_of_earlier_owners() {
-    let (now, lease) = (7_000, max_lease_duration(SETTINGS.lease_length));
-    let end = |state: PredecessorState| state.lease_end(&SETTINGS, now) - now;
-    assert_eq!(end(PredecessorState::Absent), 0);
-    assert_eq!(end(PredecessorState::Ended), lease);
-    assert_eq!(
-        end(PredecessorState::MayServe),
-        SETTINGS.max_unconfirmed + lease
-    );
+    let lease = max_lease_duration(SETTINGS.lease_length);
+    let own = owner_row(2);
+    let span = |before: Option<&OwnerRow>| inherited_span(before, &own, &SETTINGS);
+    let longest = SETTINGS.max_unconfirmed + lease;
+    assert_eq!(span(None), 0, "there was no earlier owner");
+    let served = owner_row(1);
+    assert_eq!(span(Some(&served)), longest, "it may go on unconfirmed");
+    let released = OwnerRow {
+        released: true,
+        ..served.clone()
+    };
+    assert_eq!(span(Some(&released)), lease, "it has ended");
+    let earlier_release = OwnerRow {
+        settled: false,
+        inherited: None,
+        ..released
+    };
     assert_eq!(
-        end(PredecessorState::EarlierMayServe),
-        SETTINGS.max_unconfirmed + lease
+        span(Some(&earlier_release)),
+        longest,
+        "one before may go on"
     );
 }
 
@@ -131,3 +144,46 @@
         assert!(!settled(&late, &next), "{}", next.name);
     }
 }
+
+/// Guards against a wait for the longest time that any owner may go on, by a box whose silence ends
+/// the leases of its predecessor much sooner.
+#[test]
+fn a_listed_follower_waits_only_until_its_last_confirmation_has_lapsed() {
+    let lease = max_lease_duration(SETTINGS.lease_length);
+    let own = OwnerRow {
+        address: ([127, 0, 0, 1], 2).into(),
+        ..owner_row(2)
+    };
+    let listing = |address| OwnerRow {
+        followers: vec![([127, 0, 0, 1], 7).into(), address],
+        ..owner_row(1)
+    };
+    let span = |before: &OwnerRow| inherited_span(Some(before), &own, &SETTINGS);
+    assert_eq!(span(&listing(own.address)), CONFIRMATION_SPAN + lease);
+    let other = listing(([127, 0, 0, 1], 3).into());
+    assert_eq!(span(&other), SETTINGS.max_unconfirmed + lease);
+    let followers = inherited_followers(Some(&listing(own.address)), own.address);
+    assert_eq!(followers, [([127, 0, 0, 1], 7).into()]);
+}
+
+/// Guards against a chain of takeovers in which each owner waits anew for all owners before it, and
+/// against one that forgets what the last one still waited for.
+#[test]
+fn what_an_owner_still_waits_for_is_handed_on_to_the_next_one() {
+    let lease = max_lease_duration(SETTINGS.lease_length);
+    let own = OwnerRow {
+        address: ([127, 0, 0, 1], 2).into(),
+        ..owner_row(3)
+    };
+    let before = |settled, left| OwnerRow {
+        settled,
+        inherited: Some(left),
+        followers: vec![own.address],
+        ..owner_row(2)
+    };
+    let span = |row: OwnerRow| inherited_span(Some(&row), &own, &SETTINGS);
+    let listed = CONFIRMATION_SPAN + lease;
+    assert_eq!(span(before(false, listed + 700)), listed + 700);
+    assert_eq!(span(before(false, 20)), listed);
+    assert_eq!(span(before(true, listed + 700)), listed);
+}
--- a/src/sched/tests/several_owners.rs
+++ b/src/sched/tests/several_owners.rs
@@ -1,7 +1,7 @@
 //! Randomised simulations of boxes that replace each other as owners, while earlier owners are
 //! suspended, cut off from the store or from workers, and act on late.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::random::seeds;
 use super::world::{Faults, World, job, step};
@@ -23,6 +23,9 @@
 const CHANGES: u64 = 32;
 /// Milliseconds between two random changes.
 const CHANGE_INTERVAL: Millis = 1_500;
+/// Milliseconds between two pings of a follower, and the highest delay of one that is late.
+const FOLLOWER_INTERVAL: Millis = 200;
+const MAX_PING_DELAY: u64 = 3_000;
 /// Milliseconds between two pings that notify a predecessor.
 const PING_INTERVAL: Millis = 50;
 /// Milliseconds from one takeover to the next: mostly so long that all leases of earlier owners have
@@ -46,6 +49,14 @@
     last: bool,
 }
 
+/// A follower's ping on its way to the owner of an epoch.
+struct Ping {
+    arrives: Millis,
+    from: u16,
+    epoch: u64,
+    clock: Millis,
+}
+
 /// Boxes that replace each other as the owner.
 struct Cluster {
     world: World,
@@ -59,6 +70,15 @@
     next_takeover: Millis,
     /// Until when the box of the owner of an epoch answers no pings.
     silent: BTreeMap<u64, Millis>,
+    /// Highest epoch that each box has acquired. It confirms no owner before.
+    acquired: BTreeMap<u16, u64>,
+    /// Last clock reading that a box has from the owner of an epoch.
+    readings: BTreeMap<(u16, u64), Millis>,
+    pings: Vec<Ping>,
+    /// Boxes that can't reach the owner of an epoch.
+    cut_followers: BTreeSet<(u16, u64)>,
+    /// How often a listed follower replaced an owner that may have gone on.
+    listed: usize,
     /// How often a new owner learned that its predecessor has ended.
     proofs: usize,
 }
@@ -82,6 +102,11 @@
             notices: Vec::new(),
             next_takeover: 0,
             silent: BTreeMap::new(),
+            acquired: BTreeMap::new(),
+            readings: BTreeMap::new(),
+            pings: Vec::new(),
+            cut_followers: BTreeSet::new(),
+            listed: 0,
             proofs: 0,
         }
     }
@@ -91,6 +116,57 @@
         for _ in 0..span / PING_INTERVAL {
             self.world.run(PING_INTERVAL);
             self.notify_predecessors();
+            self.deliver_pings();
+            if self.world.now.is_multiple_of(FOLLOWER_INTERVAL) {
+                self.ping_owners();
+            }
+        }
+    }
+
+    /// Has each box ping all owners that it may still confirm, also those that were replaced.
+    fn ping_owners(&mut self) {
+        let mut owners = self.boxes.clone();
+        owners.push((self.world.owner_epoch(), self.serving));
+        for (epoch, owner) in owners {
+            for from in (0..BOXES).filter(|number| *number != owner) {
+                if self.acquired.get(&from).is_some_and(|own| *own > epoch) {
+                    continue;
+                }
+                let delay = match self.random.below(10) {
+                    0 => continue,
+                    1 => self.random.below(MAX_PING_DELAY),
+                    _ => 0,
+                };
+                let clock = self.readings.get(&(from, epoch)).copied();
+                self.pings.push(Ping {
+                    arrives: self.world.now + delay,
+                    from,
+                    epoch,
+                    clock: clock.unwrap_or(0),
+                });
+            }
+        }
+        self.deliver_pings();
+    }
+
+    /// Delivers the pings that have arrived, and the replies to them.
+    fn deliver_pings(&mut self) {
+        let now = self.world.now;
+        let due = |ping: &Ping| ping.arrives <= now;
+        let (due, later) = std::mem::take(&mut self.pings).into_iter().partition(due);
+        self.pings = later;
+        let due: Vec<Ping> = due;
+        for ping in due {
+            let cut = self.cut_followers.contains(&(ping.from, ping.epoch));
+            let silent = self.silent.get(&ping.epoch).is_some_and(|at| now < *at);
+            if cut || silent {
+                continue;
+            }
+            let address = ([127, 0, 0, 1], 1 + ping.from).into();
+            let reply = self.world.ping_owner(ping.epoch, address, ping.clock);
+            if let Some(clock) = reply.filter(|_| self.random.chance(0.9)) {
+                self.readings.insert((ping.from, ping.epoch), clock);
+            }
         }
     }
 
@@ -131,6 +207,8 @@
         let name: Name = format!("box-{next}").into();
         let (before, row) = self.world.take_over_beside(name, 1 + next);
         self.boxes.push((epoch, self.serving));
+        self.acquired.insert(next, row.epoch);
+        self.listed += usize::from(!restarted && before.followers.contains(&row.address));
         if restarted {
             self.world.kill_earlier_owner(epoch);
         }
@@ -187,7 +265,7 @@
         }
         let worker = self.random_worker();
         let epoch = self.random_epoch();
-        match self.random.below(18) {
+        match self.random.below(20) {
             0 | 1 => self.world.suspend(100 + self.random.below(MAX_SUSPENSION)),
             2..=4 => self.world.toggle_worker(epoch, worker),
             5 => self.world.toggle_store(epoch),
@@ -197,6 +275,12 @@
                     worker.disconnected = !worker.disconnected;
                 }
             }
+            9 | 10 => {
+                let cut = (self.random.below(u64::from(BOXES)) as u16, epoch);
+                if !self.cut_followers.remove(&cut) {
+                    self.cut_followers.insert(cut);
+                }
+            }
             8 => {
                 self.world.faults = Faults {
                     lost_replies: 0.2 * self.random.unit(),
@@ -217,6 +301,7 @@
             worker.disconnected = false;
         }
         self.silent.clear();
+        self.cut_followers.clear();
         self.run(MAX_SUSPENSION);
         self.take_over(true);
         self.run(MAX_SUSPENSION);
@@ -230,10 +315,20 @@
     }
 }
 
-/// Simulates random changes drawn from a seed. Returns the errors, and how often a new owner
-/// learned that its predecessor has ended.
-fn simulate(seed: u64) -> (Vec<String>, usize) {
+/// What a simulation has shown.
+struct Outcome {
+    errors: Vec<String>,
+    /// How often a new owner learned that its predecessor has ended.
+    proofs: usize,
+    /// How often a listed follower replaced an owner that may have gone on.
+    listed: usize,
+}
+
+/// Simulates random changes drawn from a seed. New owners wait `span_cut` ms less than they should
+/// for the leases of earlier ones.
+fn simulate(seed: u64, span_cut: Millis) -> Outcome {
     let mut cluster = Cluster::new(seed);
+    cluster.world.span_cut = span_cut;
     let mut jobs = Vec::new();
     for number in 0..CHANGES {
         let id = format!("job-{number}");
@@ -262,7 +357,11 @@
     }
     let running = cluster.world.running().into_iter();
     errors.extend(running.map(|run| format!("{run:?} still runs")));
-    (errors, cluster.proofs)
+    Outcome {
+        errors,
+        proofs: cluster.proofs,
+        listed: cluster.listed,
+    }
 }
 
 /// An owner whose machine resumes after it was replaced extends leases until it learns of its end.
@@ -301,16 +400,26 @@
 
 #[test]
 fn no_task_runs_twice_while_earlier_owners_act_late() {
-    let mut proofs = 0;
+    let (mut proofs, mut listed) = (0, 0);
     let mut failed = Vec::new();
     for seed in seeds() {
-        let (errors, count) = simulate(seed);
-        proofs += count;
-        if !errors.is_empty() {
-            eprintln!("seed {seed}: {errors:?}");
+        let outcome = simulate(seed, 0);
+        proofs += outcome.proofs;
+        listed += outcome.listed;
+        if !outcome.errors.is_empty() {
+            eprintln!("seed {seed}: {:?}", outcome.errors);
             failed.push(seed);
         }
     }
+    eprintln!("proofs {proofs} listed {listed}");
     assert!(failed.is_empty(), "seeds {failed:?}");
     assert!(proofs > 0, "no predecessor has answered");
+    assert!(listed > 0, "no listed follower has taken over");
+}
+
+/// Guards against a simulation that would not notice a new owner which waits too short a time.
+#[test]
+fn a_wait_that_is_too_short_by_a_second_runs_tasks_twice() {
+    let runs_twice = |seed| !simulate(seed, 1_000).errors.is_empty();
+    assert!(seeds().any(runs_twice));
 }
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -69,6 +69,8 @@
     pub torn: BTreeSet<Name>,
     /// True while no page of the finished jobs can be read.
     pub history_withheld: bool,
+    /// Milliseconds by which a listed follower waits less for inherited leases than it should.
+    pub span_cut: Millis,
     /// Settings of the next owner.
     pub settings: OwnerSettings,
     /// Returns duration and outcome of a run by task name and run number.
@@ -223,6 +225,8 @@
         epoch,
         seq: 0,
         settled: true,
+        inherited: Some(0),
+        followers: Vec::new(),
         released: false,
         cores: 0,
     }
@@ -249,6 +253,7 @@
             cordons_withheld: false,
             torn: BTreeSet::new(),
             history_withheld: false,
+            span_cut: 0,
             settings: SETTINGS,
             script: |_, _| (1_000, RunOutcome::Done),
             crashes: Crashes::default(),
--- a/src/sched/tests/world/owners.rs
+++ b/src/sched/tests/world/owners.rs
@@ -1,13 +1,14 @@
 //! Simulates owners that go on after another box has taken over, and what single owners can't reach.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use super::World;
 use crate::sched::fences::next_epoch;
 use crate::sched::journal::{OWNER_KEY, OWNER_TABLE, OwnerRow};
 use crate::sched::message::Event;
 use crate::sched::owner::Owner;
-use crate::sched::predecessors::PredecessorState;
+use crate::sched::predecessors::{PredecessorState, inherited_followers, inherited_span};
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 
@@ -53,7 +54,11 @@
         };
         let state = PredecessorState::from_row(Some(&before), &row);
         row.settled = state.all_ended();
-        let inherited = state.lease_end(&self.settings, self.now) - self.now;
+        row.followers = inherited_followers(Some(&before), row.address);
+        let span = inherited_span(Some(&before), &row, &self.settings);
+        row.inherited = Some(span);
+        let listed = before.followers.contains(&row.address) && state >= PredecessorState::MayServe;
+        let inherited = span - if listed { self.span_cut } else { 0 };
         let (epoch, suspended_until) = (self.epoch, self.suspended_until);
         let owner = self.begin_owner(row.clone(), inherited);
         let earlier = EarlierOwner {
@@ -65,6 +70,22 @@
         (before, row)
     }
 
+    /// Has the box at `address` ping the owner of an epoch, with a reading of the owner's clock.
+    /// Returns the reading in the reply; `None` while the owner answers nothing.
+    pub fn ping_owner(&mut self, epoch: u64, address: SocketAddr, clock: Millis) -> Option<Millis> {
+        if self.resumes_at(epoch) > self.now {
+            return None;
+        }
+        let now = self.clock();
+        let owner = match self.earlier.owners.get_mut(&epoch) {
+            Some(earlier) => &mut earlier.owner,
+            None if epoch == self.epoch => &mut self.owner,
+            None => return None,
+        };
+        owner.record_follower(address, clock, now);
+        Some(self.now)
+    }
+
     /// Returns the owner's row as stored.
     fn stored_owner_row(&self) -> OwnerRow {
         let value = &self.rows[&(OWNER_TABLE, OWNER_KEY.into())];
