Crashes: in an outage, runs of unknown age are no suspects

Cause: a new owner has no report of workers that were gone before it began. Each run there counted as listed for 0 ms and so as the possible cause of the crash, also where many workers failed at once. Suspects start only on isolated workers, one worker in four.

Evidence: event=crashed tasks=15 suspects=15 for each worker, 175 times crash-counted with cause=Shared or Sole and count=Outage.

Without the fix tasks_of_many_workers_lost_before_a_takeover_are_no_suspects fails (132 of 144).

--- a/src/sched/crashes.rs
+++ b/src/sched/crashes.rs
@@ -146,13 +146,22 @@
     run.confirmed_at.map_or(0, age)
 }
 
+/// Returns true for a run that an earlier owner started and that no report has listed since. Most
+/// such runs had lasted for long; after an outage there are so many of them that isolating a worker
+/// for each would keep their tasks waiting.
+fn is_of_unknown_age(run: &Placement) -> bool {
+    run.stage == Stage::Inherited && run.confirmed_at.is_none() && !run.suspect
+}
+
 /// Attributes the crash of a worker to the runs that were lost with it.
 fn attribute_crash(worker: &Worker, context: CrashContext) -> Vec<Attribution> {
     let is_sent = |run: &Placement| run.stage != Stage::Recording;
     let runs = || worker.placements.iter().filter(|(_, run)| is_sent(run));
     let isolated = runs().find(|(_, run)| run.suspect).map(|(key, _)| key.job);
     let may_have_caused = |key: &TaskKey, run: &Placement| {
-        listed_for(worker, run) < SUSPECT_AGE && isolated.is_none_or(|job| job == key.job)
+        !(context.outage && is_of_unknown_age(run))
+            && listed_for(worker, run) < SUSPECT_AGE
+            && isolated.is_none_or(|job| job == key.job)
     };
     let mut jobs = runs()
         .filter(|(key, run)| may_have_caused(key, run))
--- a/src/sched/tests/followers.rs
+++ b/src/sched/tests/followers.rs
@@ -198,3 +198,29 @@
         [FOLLOWER]
     );
 }
+
+/// Guards against tasks that wait for their turn on an isolated worker: a new owner does not know for
+/// how long runs had lasted that were lost before it began, and took each for the cause of a crash.
+#[test]
+fn tasks_of_many_workers_lost_before_a_takeover_are_no_suspects() {
+    const JOBS: usize = 144;
+    let mut world = World::new(24);
+    world.script = |_, _| (600_000, RunOutcome::Done);
+    // A worker is isolated for the suspects of one job.
+    for number in 0..JOBS {
+        world.submit(&format!("lasting{number}"), job(vec![lasting(1, 250)]));
+    }
+    run_confirmed(&mut world, 4_000);
+    assert_eq!(world.running().len(), JOBS);
+    let epoch = world.owner_epoch();
+    let ids: Vec<_> = world.workers.keys().cloned().collect();
+    for id in ids.iter().step_by(2) {
+        world.workers.get_mut(id).expect("worker").disconnected = true;
+    }
+    run_confirmed(&mut world, 1_000);
+    world.take_over_beside("next".into(), PORT);
+    world.kill_earlier_owner(epoch);
+    world.run(CONFIRMATION_SPAN + max_lease_duration(SETTINGS.lease_length) + START_TIME);
+    assert_eq!(world.running().len(), JOBS);
+    assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
+}
