Lost workers: a run that this owner has never seen counts as away since it began

Callers saw: lasting tasks that fitted nowhere took another one's place only 3 s after the release of their runs, though they had not run since before the takeover.

Cause: the time away counted from the release, which after a takeover comes later than a lease's end.

Without the fix the_time_away_of_a_lasting_task_counts_from_its_last_run fails (three of four tasks wait after 9 s).

silent_ms of a worker that never answered showed the age of the box.

--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -64,12 +64,24 @@
         let Some(worker) = self.workers.get(name) else {
             return;
         };
-        let keys: Vec<TaskKey> = worker.placements.keys().copied().collect();
+        let (keys, unseen) = (worker.placements.keys(), worker.last_answer == 0);
+        let keys: Vec<TaskKey> = keys.copied().collect();
         for key in keys {
+            if unseen {
+                self.mark_unseen(key);
+            }
             self.release_run(key, name);
         }
     }
 
+    /// Marks a lasting task whose run this owner has never seen as interrupted since its beginning.
+    fn mark_unseen(&mut self, key: TaskKey) {
+        let job = self.jobs.get(&key.job);
+        if job.is_some_and(|job| job.is_open() && job.step(key).lasting) {
+            self.interrupted.entry(key).or_insert(self.began);
+        }
+    }
+
     /// Releases the tasks of silent workers whose leases have certainly ended, and removes
     /// unlisted workers without tasks.
     pub(super) fn expire_leases(&mut self) {
@@ -130,13 +142,14 @@
             for key in lost {
                 let task = self.task_name(key);
                 log::info!(target: "task", "task={task} event=lapsed worker={name} listed=false");
+                self.mark_unseen(key);
                 self.release_run(key, &name);
             }
         }
     }
 
     /// Logs the runs of a silent worker whose leases have certainly ended, with the time since
-    /// these ends and since its last answer.
+    /// these ends and since its last answer or, without one, the beginning of this owner.
     fn log_lapsed_runs(&self, name: &Name) {
         let Some(worker) = self.workers.get(name) else {
             return;
@@ -144,7 +157,7 @@
         let (now, incarnation) = (self.now.steady, worker.incarnation());
         let own = now.saturating_sub(worker.lease_end());
         let inherited = now.saturating_sub(self.inherited_leases_end);
-        let silent = now.saturating_sub(worker.last_answer);
+        let silent = now.saturating_sub(worker.last_answer.max(self.began));
         for (key, run) in &worker.placements {
             let task = self.task_name(*key);
             let (run, stage) = (run.run, run.stage);
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -147,6 +147,8 @@
     pub(super) backlog_level: f64,
     /// When swaps of serving tasks are next considered.
     pub(super) next_swap: Millis,
+    /// When this owner began.
+    pub(super) began: Millis,
     /// Number of the next job.
     next_job: u32,
     /// When the next sweep for due and expired state runs.
@@ -226,6 +228,7 @@
             drains: Drains::default(),
             backlog_level: 0.0,
             next_swap: 0,
+            began: now.steady,
             next_job: 0,
             next_sweep: 0,
             next_estimates: 0,
--- a/src/sched/tests/followers.rs
+++ b/src/sched/tests/followers.rs
@@ -18,6 +18,8 @@
 const PING_INTERVAL: Millis = 200;
 /// Milliseconds within which a task that could run does so, by the promise of the platform.
 const START_TIME: Millis = 3_000;
+/// Longest time in milliseconds from the last run of a lasting task to the next, by the same promise.
+const MAX_AWAY: Millis = 6_000 + START_TIME;
 const LONGEST: Millis = SETTINGS.max_unconfirmed;
 
 const fn address(port: u16) -> SocketAddr {
@@ -224,3 +226,26 @@
     assert_eq!(world.running().len(), JOBS);
     assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
 }
+
+/// Guards against lasting tasks that wait on full workers as if they had run until their leases
+/// ended: the platform wants them back within 6 s of their last run, and allows 3 s more.
+#[test]
+fn the_time_away_of_a_lasting_task_counts_from_its_last_run() {
+    let mut world = World::new(4);
+    world.script = |_, _| (600_000, RunOutcome::Done);
+    world.submit("lasting", job(vec![lasting(16, 1_000)]));
+    run_confirmed(&mut world, 10_000);
+    assert_eq!(world.running().len(), 16, "the workers are full");
+    let epoch = world.owner_epoch();
+    let running = world.running().into_iter();
+    let lost: Vec<String> = running.filter(|r| &*r.1 == "w0").map(|r| r.0).collect();
+    world.workers.get_mut("w0").expect("worker").disconnected = true;
+    run_confirmed(&mut world, 400);
+    let (before, last_run) = (world.starts.len(), world.now);
+    world.take_over_beside("next".into(), PORT);
+    world.kill_earlier_owner(epoch);
+    world.run(MAX_AWAY);
+    let again: Vec<&String> = world.starts[before..].iter().map(|s| &s.0).collect();
+    let waiting = lost.iter().filter(|task| !again.contains(task));
+    assert_eq!(waiting.count(), 0, "{again:?} {} ms", world.now - last_run);
+}
