Lost workers: a worker that has answered the new owner waits for no earlier one

Callers would see: tasks of a worker that is lost within seconds after a takeover wait for as long as the predecessor may go on, 14.3 s where the new owner was not listed as its follower.

Cause: the wait was one figure for all workers. A worker that has answered a poll of the new owner has seen its fence and refuses orders of earlier owners, so what these may have granted ends one lease after that answer. Later incarnations under the same id keep the longer bounds of long_leases.rs.

--- a/src/sched/long_leases.rs
+++ b/src/sched/long_leases.rs
@@ -62,6 +62,18 @@
         self.earlier.removed.retain(|_, at| now < *at + span);
     }
 
+    /// Extends the presumed end of the leases of a worker that has answered its first poll by those
+    /// that earlier owners may have granted until then.
+    pub(super) fn bound_inherited_lease(&mut self, name: &Name) {
+        if !self.earlier.may_have_orders(name) {
+            return;
+        }
+        let end = self.now.steady + max_lease_duration(self.settings.lease_length);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.extend_lease_end(end);
+        }
+    }
+
     /// Extends the presumed end of the leases of a worker that has answered its first poll, if an
     /// order to an earlier incarnation may have extended them. `clock` is the reading of its clock,
     /// which began with the incarnation.
--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -5,6 +5,7 @@
 use super::owner::Owner;
 use super::worker::{Presence, Worker};
 use crate::utils::Name;
+use crate::utils::clock::Millis;
 
 /// How an incarnation of a worker has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,12 +83,20 @@
         }
     }
 
+    /// Returns when every lease of a worker has certainly ended. A worker that has answered this
+    /// owner refuses the orders of earlier ones, which have lower fences.
+    pub(super) fn leases_end_on(&self, worker: &Worker) -> Millis {
+        match worker.last_answer {
+            0 => worker.lease_end().max(self.inherited_leases_end),
+            _ => worker.lease_end(),
+        }
+    }
+
     /// Releases the tasks of silent workers whose leases have certainly ended, and removes
     /// unlisted workers without tasks.
     pub(super) fn expire_leases(&mut self) {
         let now = self.now.steady;
-        let inherited = self.inherited_leases_end;
-        let ended = |w: &Worker| now > w.lease_end().max(inherited);
+        let ended = |w: &Worker| now > self.leases_end_on(w);
         let silent = |w: &&Worker| !w.is_answering(now) && ended(w) && w.missed_polls > 0;
         let ended: Vec<Name> = self
             .workers
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -74,6 +74,7 @@
         }
         if worker.last_answer == 0 {
             self.end_others_at_address(name, poll);
+            self.bound_inherited_lease(name);
             self.presume_long_lease(name, report.clock);
         }
         if order != BootOrder::Same {
--- a/src/sched/tests/followers.rs
+++ b/src/sched/tests/followers.rs
@@ -249,3 +249,18 @@
     let waiting = lost.iter().filter(|task| !again.contains(task));
     assert_eq!(waiting.count(), 0, "{again:?} {} ms", world.now - last_run);
 }
+
+/// Guards against a wait for an earlier owner by a worker that refuses its orders: it has answered the
+/// next one, whose fence is higher.
+#[test]
+fn a_worker_that_has_answered_waits_for_no_lease_of_an_earlier_owner() {
+    let mut world = world_with_follower();
+    let epoch = world.owner_epoch();
+    world.toggle_store(epoch);
+    world.take_over_beside("unlisted".into(), PORT + 1);
+    world.run(1_000);
+    world.workers.get_mut("w0").expect("worker").disconnected = true;
+    world.run(max_lease_duration(SETTINGS.lease_length) + START_TIME);
+    assert_eq!(count_on(&world, "w1"), 4, "{:?}", world.starts);
+    assert!(world.duplicates.is_empty(), "{:?}", world.duplicates);
+}
