--- a/src/daemon/owner_task.rs
+++ b/src/daemon/owner_task.rs
@@ -105,7 +105,7 @@
             local.owner.record_predecessor_end(now());
         }
         (Message::Confirmed(epoch, address, clock), Some(local)) if epoch == local.term.epoch => {
-            local.owner.record_follower(address, clock, now());
+            local.owner.record_confirmation(address, clock, now());
         }
         (Message::Superseded(epoch), Some(current)) if epoch > current.term.epoch => {
             end_term(shared, local, "superseded");
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -71,7 +71,7 @@
         // The cell belongs to a later owner, so this box must not begin with what it loads.
         shared.set_loading(None);
     }
-    record_confirmation(shared, ping);
+    forward_confirmation(shared, ping);
     if shared.local_epoch().is_some() && ping.cores > shared.settings.cores {
         shared.send_to_owner(Message::LargerBox(ping.cores));
     }
@@ -98,8 +98,8 @@
     }
 }
 
-/// Passes on to the owner in this process that the pinging box confirms it.
-fn record_confirmation(shared: &Shared, ping: &PingRequest) {
+/// Tells the owner in this process that the pinging box confirms it, if it does.
+fn forward_confirmation(shared: &Shared, ping: &PingRequest) {
     let own = shared.local_epoch().filter(|epoch| *epoch == ping.epoch);
     // Boxes of the previous release confirm nothing.
     if let (Some(epoch), Ok(address), 1..) = (own, ping.address.parse(), ping.confirms) {
--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -56,27 +56,23 @@
 /// write took effect.
 pub async fn acquire_cell(shared: &Rc<Shared>, before: Option<KnownOwner>) {
     let settings = &shared.settings;
+    let replaced = before.as_ref().map(|known| &known.row);
     let mut row = OwnerRow {
         name: settings.name.clone(),
         incarnation: shared.incarnation,
         address: settings.rpc,
-        epoch: next_epoch(before.as_ref().map_or(0, |b| b.row.epoch)),
+        epoch: next_epoch(replaced.map_or(0, |row| row.epoch)),
         seq: 0,
         settled: false,
         inherited: None,
-        followers: inherited_followers(before.as_ref().map(|b| &b.row), settings.rpc),
+        followers: inherited_followers(replaced, settings.rpc),
         released: false,
-        cores: failover::wanted_cores(settings.cores, before.as_ref().map(|b| &b.row)),
+        cores: failover::wanted_cores(settings.cores, replaced),
     };
-    let predecessor = PredecessorState::from_row(before.as_ref().map(|b| &b.row), &row);
-    row.settled = predecessor.all_ended();
-    let span = inherited_span(
-        before.as_ref().map(|b| &b.row),
-        &row,
-        &shared.owner_settings(),
-    );
-    row.inherited = Some(span);
+    row.settled = PredecessorState::from_row(replaced, &row).all_ended();
+    row.inherited = Some(inherited_span(replaced, &row, &shared.owner_settings()));
     let version = before.as_ref().map_or(0, |b| b.version);
+    // From here on the predecessor may be replaced, so this box confirms it no more.
     shared.confirmations().bar(version);
     let sent = clock::now();
     match commit_if_version(shared, version, &[owner_write(&row)], ACQUIRE_TIMEOUT).await {
@@ -128,7 +124,7 @@
         return shared.set_loading(None);
     };
     let (settings, now) = (shared.owner_settings(), now());
-    let span = inherited_span(before.as_ref().map(|b| &b.row), &row, &settings);
+    let span = row.inherited.unwrap_or_default();
     let inherited = acquired + span;
     let took = now.steady - sent;
     let listed = before
--- a/src/sched/followers.rs
+++ b/src/sched/followers.rs
@@ -51,7 +51,7 @@
     }
 
     /// Records a ping that has returned the clock reading `confirmed` of the owner.
-    pub fn record_ping(&mut self, address: SocketAddr, confirmed: Millis, now: Millis) {
+    pub fn record_confirmation(&mut self, address: SocketAddr, confirmed: Millis, now: Millis) {
         let follower = self.boxes.entry(address).or_insert(Follower {
             heard: now,
             confirmed: None,
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -197,7 +197,7 @@
     pub fn new(row: OwnerRow, version: u64, now: Millis) -> Self {
         Self {
             followers: Followers::new(&row.followers, now),
-            inherited_end: now + row.inherited.unwrap_or(0),
+            inherited_end: now,
             row,
             version,
             queue: WriteQueue::default(),
@@ -235,8 +235,8 @@
     }
 
     /// Records a ping that has returned the clock reading `confirmed` of this owner.
-    pub fn record_ping(&mut self, follower: SocketAddr, confirmed: Millis, now: Millis) {
-        self.followers.record_ping(follower, confirmed, now);
+    pub fn record_confirmation(&mut self, follower: SocketAddr, confirmed: Millis, now: Millis) {
+        self.followers.record_confirmation(follower, confirmed, now);
     }
 
     /// Returns a follower that has not confirmed this owner for a while, if there is one.
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -296,10 +296,11 @@
     }
 
     /// Records a ping of another box that has returned the clock reading `confirmed` of this box.
-    pub fn record_follower(&mut self, address: SocketAddr, confirmed: Millis, now: Now) {
+    pub fn record_confirmation(&mut self, address: SocketAddr, confirmed: Millis, now: Now) {
         // A reading ahead of the clock would confirm this owner for longer than the box did.
         if confirmed > 0 && confirmed <= now.steady {
-            self.journal.record_ping(address, confirmed, now.steady);
+            let at = now.steady;
+            self.journal.record_confirmation(address, confirmed, at);
         }
     }
 
