--- a/src/sched/tests/failover.rs
+++ b/src/sched/tests/failover.rs
@@ -3,7 +3,7 @@
 use super::world::owner_row;
 use crate::sched::failover::{
     Assessment, OwnerProgress, Pong, TakeoverCause, assess_owner, offered_cores, should_release_to,
-    should_replace, smaller_box_delay, takeover_delay, wanted_cores,
+    should_replace, smaller_box_delay, takeover_delay, unlisted_box_delay, wanted_cores,
 };
 use crate::sched::journal::OwnerRow;
 use crate::utils::clock::Millis;
@@ -160,6 +160,25 @@
     );
 }
 
+/// Guards against a takeover by a box that has to wait longest for the leases of the owner, while one
+/// of the owner's followers could take over.
+#[test]
+fn followers_that_the_row_lists_take_over_before_other_boxes() {
+    let address = |port: u16| ([127, 0, 0, 1], port).into();
+    let before = OwnerRow {
+        followers: vec![address(2), address(3)],
+        ..owner_row(1)
+    };
+    assert_eq!(unlisted_box_delay(address(2), &before), 0);
+    assert!(unlisted_box_delay(address(4), &before) > 0);
+    let unlisted = owner_row(1);
+    assert_eq!(
+        unlisted_box_delay(address(4), &unlisted),
+        0,
+        "all wait alike"
+    );
+}
+
 /// A slow store confirms an owner late, and a box that replaced it would be confirmed as late.
 #[test]
 fn an_owner_without_commits_is_replaced_later_while_the_store_is_slow() {
