--- a/src/sched/tests/followers.rs
+++ b/src/sched/tests/followers.rs
@@ -76,6 +76,22 @@
     world
 }
 
+/// Number of jobs in `world_of_small_jobs`: so many that all workers would be isolated for a while,
+/// as a worker is isolated for the suspects of one job.
+const JOBS: usize = 144;
+
+/// Returns a world of 24 workers, half full, that run jobs of one lasting task each.
+fn world_of_small_jobs() -> World {
+    let mut world = World::new(24);
+    world.script = |_, _| (600_000, RunOutcome::Done);
+    for number in 0..JOBS {
+        world.submit(&format!("lasting{number}"), job(vec![lasting(1, 250)]));
+    }
+    run_confirmed(&mut world, 4_000);
+    assert_eq!(world.running().len(), JOBS);
+    world
+}
+
 /// Guards against standing tasks of dead workers that wait for as long as any owner may go on
 /// without the store, although their owner was lost for good.
 #[test]
@@ -205,15 +221,7 @@
 /// how long runs had lasted that were lost before it began, and took each for the cause of a crash.
 #[test]
 fn tasks_of_many_workers_lost_before_a_takeover_are_no_suspects() {
-    const JOBS: usize = 144;
-    let mut world = World::new(24);
-    world.script = |_, _| (600_000, RunOutcome::Done);
-    // A worker is isolated for the suspects of one job.
-    for number in 0..JOBS {
-        world.submit(&format!("lasting{number}"), job(vec![lasting(1, 250)]));
-    }
-    run_confirmed(&mut world, 4_000);
-    assert_eq!(world.running().len(), JOBS);
+    let mut world = world_of_small_jobs();
     let epoch = world.owner_epoch();
     let ids: Vec<_> = world.workers.keys().cloned().collect();
     for id in ids.iter().step_by(2) {
@@ -269,13 +277,7 @@
 /// first reached them.
 #[test]
 fn tasks_of_many_workers_restarted_at_a_takeover_are_no_suspects() {
-    const JOBS: usize = 144;
-    let mut world = World::new(24);
-    world.script = |_, _| (600_000, RunOutcome::Done);
-    for number in 0..JOBS {
-        world.submit(&format!("lasting{number}"), job(vec![lasting(1, 250)]));
-    }
-    run_confirmed(&mut world, 4_000);
+    let mut world = world_of_small_jobs();
     let epoch = world.owner_epoch();
     let ids: Vec<_> = world.workers.keys().cloned().collect();
     for id in ids.iter().step_by(2) {
