Confirmations: epoch and version instead of the known owner, so that no files depend on each other in a circle

layers::files_of_a_folder_have_no_cyclic_dependencies failed on the commits since (confirmations used shared and the reverse). No change of behaviour.

--- a/src/daemon/confirmations.rs
+++ b/src/daemon/confirmations.rs
@@ -1,7 +1,6 @@
 //! What this box returns to the owner that it follows: readings of the owner's clock, which confirm
 //! that this box had not replaced the owner when it received them.
 
-use super::shared::KnownOwner;
 use crate::sched::followers::CONFIRMATION_SPAN;
 use crate::utils::clock::Millis;
 
@@ -44,15 +43,15 @@
         self.barred = self.barred.max(version);
     }
 
-    /// Returns true while this box confirms the owner of a row.
-    pub fn permits(&self, known: &KnownOwner) -> bool {
-        known.version > self.barred
+    /// Returns true while this box confirms the owner by its row of this version.
+    pub fn permits(&self, version: u64) -> bool {
+        version > self.barred
     }
 
-    /// Returns the reading to return to the owner; 0 for none.
-    pub fn reading_for(&self, known: &KnownOwner) -> Millis {
-        let reading = self.reading.filter(|r| r.epoch == known.row.epoch);
-        let permitted = reading.filter(|_| self.permits(known));
+    /// Returns the reading to return to the owner of an epoch, whose row has this version; 0 for none.
+    pub fn reading_for(&self, epoch: u64, version: u64) -> Millis {
+        let reading = self.reading.filter(|r| r.epoch == epoch);
+        let permitted = reading.filter(|_| self.permits(version));
         permitted.map_or(0, |reading| reading.clock)
     }
 
--- a/src/daemon/follower.rs
+++ b/src/daemon/follower.rs
@@ -110,7 +110,7 @@
     match failover::assess_owner(cores, epoch, known.progress, pong, now) {
         Assessment::Follow(progress) => {
             shared.set_progress(epoch, progress);
-            if !shared.confirmations().permits(&known) && shared.store_serves() {
+            if !shared.confirmations().permits(known.version) && shared.store_serves() {
                 refresh_owner(shared).await;
             }
         }
--- a/src/daemon/pings.rs
+++ b/src/daemon/pings.rs
@@ -25,7 +25,10 @@
         .owner()
         .filter(|known| known.row.epoch == owner.epoch);
     let request = PingRequest {
-        confirms: known.map_or(0, |known| shared.confirmations().reading_for(&known)),
+        confirms: known.map_or(0, |known| {
+            let confirmations = shared.confirmations();
+            confirmations.reading_for(owner.epoch, known.version)
+        }),
         ..ping_request(shared, owner.epoch)
     };
     let reply = send_ping(shared, owner.address, request).await;
--- a/src/daemon/tests/confirmations.rs
+++ b/src/daemon/tests/confirmations.rs
@@ -6,9 +6,8 @@
 use crate::daemon::message::Message;
 use crate::daemon::peers::handle_ping;
 use crate::daemon::pings::follow_later_owner;
-use crate::daemon::shared::{KnownOwner, Shared};
+use crate::daemon::shared::Shared;
 use crate::proto::PingRequest;
-use crate::sched::failover::OwnerProgress;
 use crate::table::encode;
 use crate::utils::clock;
 
@@ -18,14 +17,6 @@
 /// Reading of the owner's clock in its last reply.
 const CLOCK: u64 = 5_000;
 
-fn known_owner(epoch: u64, version: u64) -> KnownOwner {
-    KnownOwner {
-        row: owner_row(epoch),
-        version,
-        progress: OwnerProgress { at: 0, pages: None },
-    }
-}
-
 /// Returns a box that has read the owner's row and had a reply from the owner.
 fn follower() -> Shared {
     let shared = shared_state();
@@ -39,15 +30,18 @@
 #[test]
 fn a_box_confirms_no_owner_that_it_may_have_replaced() {
     let shared = follower();
-    let reading = |known: &KnownOwner| shared.confirmations().reading_for(known);
-    assert_eq!(reading(&known_owner(EPOCH, VERSION)), CLOCK);
-    assert_eq!(reading(&known_owner(EPOCH + 1, VERSION)), 0, "not from it");
+    let reading = |epoch, version| shared.confirmations().reading_for(epoch, version);
+    assert_eq!(reading(EPOCH, VERSION), CLOCK);
+    assert_eq!(reading(EPOCH + 1, VERSION), 0, "not from it");
     shared.confirmations().bar(VERSION);
-    assert_eq!(reading(&known_owner(EPOCH, VERSION)), 0);
+    assert_eq!(reading(EPOCH, VERSION), 0);
     shared.confirmations().bar(VERSION - 1);
-    assert_eq!(reading(&known_owner(EPOCH, VERSION)), 0);
-    let later = known_owner(EPOCH, VERSION + 1);
-    assert_eq!(reading(&later), CLOCK, "a newer row voids the attempt");
+    assert_eq!(reading(EPOCH, VERSION), 0);
+    assert_eq!(
+        reading(EPOCH, VERSION + 1),
+        CLOCK,
+        "a newer row voids the attempt"
+    );
 }
 
 /// Guards against a restarted box that confirms an owner which it replaced before its restart.
@@ -55,11 +49,12 @@
 fn a_box_confirms_no_owner_whose_row_it_has_not_read_itself() {
     let shared = follower();
     follow_later_owner(&shared, encode(&owner_row(EPOCH)), VERSION);
-    let known = shared.owner().expect("it follows the owner");
-    assert_eq!(shared.confirmations().reading_for(&known), 0);
-    assert!(!shared.confirmations().permits(&known), "it reads the row");
-    let read = known_owner(EPOCH, VERSION + 1);
-    assert_eq!(shared.confirmations().reading_for(&read), CLOCK);
+    let known = shared.owner().map(|known| known.version);
+    assert_eq!(known, Some(VERSION), "it follows the owner");
+    let confirmations = shared.confirmations();
+    assert_eq!(confirmations.reading_for(EPOCH, VERSION), 0);
+    assert!(!confirmations.permits(VERSION), "it reads the row");
+    assert_eq!(confirmations.reading_for(EPOCH, VERSION + 1), CLOCK);
 }
 
 /// Guards against an owner that loses its followers while their checks wait for the store.
