--- a/src/sched/incarnation.rs
+++ b/src/sched/incarnation.rs
@@ -251,10 +251,8 @@
     /// Returns true when the known incarnation has been silent for so long that a report with
     /// an earlier boot time is accepted as that of its successor.
     pub(super) fn accepts_earlier_boot(&self, worker: &Worker) -> bool {
-        self.now.steady
-            > self
-                .leases_end_on(worker)
-                .max(worker.last_answer + EARLIER_BOOT_DELAY)
+        let leases_end = self.leases_end_on(worker);
+        self.now.steady > leases_end.max(worker.last_answer + EARLIER_BOOT_DELAY)
     }
 
     /// Ends the other workers whose address is the one at which this worker has answered a poll.
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -230,8 +230,8 @@
     /// most `longest` milliseconds without the store.
     pub fn may_extend_leases(&self, longest: Millis, now: Millis) -> bool {
         let unconfirmed = now.saturating_sub(self.confirmed);
-        let vouched = || self.followers.all_confirm(now);
-        unconfirmed < longest && (unconfirmed < CONFIRMATION_SPAN || vouched())
+        let recent = unconfirmed < CONFIRMATION_SPAN;
+        unconfirmed < longest && (recent || self.followers.all_confirm(now))
     }
 
     /// Records a ping that has returned the clock reading `confirmed` of this owner.
--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -75,7 +75,8 @@
         }
     }
 
-    /// Marks a lasting task whose run this owner has never seen as interrupted since its beginning.
+    /// Marks a lasting task, whose run no worker has reported to this owner, as interrupted since
+    /// this owner began.
     fn mark_unseen(&mut self, key: TaskKey) {
         let job = self.jobs.get(&key.job);
         if job.is_some_and(|job| job.is_open() && job.step(key).lasting) {
--- a/src/sched/tests/several_owners.rs
+++ b/src/sched/tests/several_owners.rs
@@ -74,6 +74,7 @@
     acquired: BTreeMap<u16, u64>,
     /// Last clock reading that a box has from the owner of an epoch.
     readings: BTreeMap<(u16, u64), Millis>,
+    /// Pings on their way.
     pings: Vec<Ping>,
     /// Boxes that can't reach the owner of an epoch.
     cut_followers: BTreeSet<(u16, u64)>,
@@ -153,10 +154,8 @@
     fn deliver_pings(&mut self) {
         let now = self.world.now;
         let due = |ping: &Ping| ping.arrives <= now;
-        let (due, later) = std::mem::take(&mut self.pings).into_iter().partition(due);
-        self.pings = later;
-        let due: Vec<Ping> = due;
-        for ping in due {
+        let arrived: Vec<Ping> = self.pings.extract_if(.., |ping| due(ping)).collect();
+        for ping in arrived {
             let cut = self.cut_followers.contains(&(ping.from, ping.epoch));
             let silent = self.silent.get(&ping.epoch).is_some_and(|at| now < *at);
             if cut || silent {
@@ -324,8 +323,8 @@
     listed: usize,
 }
 
-/// Simulates random changes drawn from a seed. New owners wait `span_cut` ms less than they should
-/// for the leases of earlier ones.
+/// Simulates random changes drawn from a seed. Listed followers that take over wait `span_cut` ms less
+/// than they should for the leases of earlier owners.
 fn simulate(seed: u64, span_cut: Millis) -> Outcome {
     let mut cluster = Cluster::new(seed);
     cluster.world.span_cut = span_cut;
@@ -411,7 +410,6 @@
             failed.push(seed);
         }
     }
-    eprintln!("proofs {proofs} listed {listed}");
     assert!(failed.is_empty(), "seeds {failed:?}");
     assert!(proofs > 0, "no predecessor has answered");
     assert!(listed > 0, "no listed follower has taken over");
