Crashes: a run that lasts for long clears the counts of its task

What callers saw: a standing job is shown as `failed` after its second crash shortly after a start, however many hours it has run well in between (by reading; shown in virtual time, five crashes 20 s apart, each run stopped for another reason).

Cause: crashes and losses were stored with the task and never went back; only outages did, and only if the long run itself ended with its worker. At one crash a week a standing job ended within weeks.

Now the end of any run that its worker had listed for 10 s clears all counts. A task that crashes its workers sooner than that is bounded as before.

`crashes_before_a_long_run_are_forgotten`, red on.

--- a/src/sched/crashes.rs
+++ b/src/sched/crashes.rs
@@ -15,6 +15,8 @@
 //! Where many workers fail at once, the cause is an outage rather than a task. A run that had
 //! lasted for a while then counts an outage, of which far more are allowed, and the crash of a
 //! suspect's worker counts as a loss.
+//!
+//! A run that lasts for long clears the counts of its task.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -29,7 +31,8 @@
 /// Milliseconds from the first report of a run until a crash is no longer attributed to its
 /// start: 30 times what a task that crashes its worker takes, including the delay of a report.
 const SUSPECT_AGE: Millis = 300;
-/// Milliseconds from the first report of a run until it is excluded as the cause of a crash.
+/// Milliseconds from the first report of a run until it is excluded as the cause of a crash, and
+/// its task of all earlier ones.
 ///
 /// Shorter runs are counted, since many short runs that all end with their workers are no
 /// coincidence, although a single one may be.
@@ -414,8 +417,9 @@
         }
     }
 
-    /// Clears the outages of a task whose run on a worker has lasted for long.
-    pub(super) fn clear_outages_after_long_run(&mut self, key: TaskKey, name: &Name) {
+    /// Clears the counts of a task whose run on a worker has lasted for long: it has caused no
+    /// crash, and none of earlier ones is held against it for as long as its job lasts.
+    pub(super) fn clear_crashes_after_long_run(&mut self, key: TaskKey, name: &Name) {
         let worker = self.workers.get(name);
         let long = worker.is_some_and(|worker| {
             let run = worker.placements.get(&key);
@@ -423,7 +427,7 @@
         });
         let job = self.jobs.get_mut(&key.job).filter(|_| long);
         if let Some(task) = job.and_then(|job| job.task_mut(key)) {
-            task.outages = 0;
+            task.clear_crashes();
         }
     }
 
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -149,6 +149,14 @@
     pub fn suspected_crashes(&self) -> usize {
         (self.crashes + self.losses) as usize + self.unresolved.len()
     }
+
+    /// Forgets all workers that were lost with the task.
+    pub fn clear_crashes(&mut self) {
+        self.crashes = 0;
+        self.losses = 0;
+        self.unresolved.clear();
+        self.outages = 0;
+    }
 }
 
 /// A worker that fell silent while it ran a task, or was about to.
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -551,7 +551,7 @@
         let Some(name) = self.placed_on.remove(&key) else {
             return;
         };
-        self.clear_outages_after_long_run(key, &name);
+        self.clear_crashes_after_long_run(key, &name);
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.remove(key, self.now.steady);
         }
--- a/src/sched/tests/losses.rs
+++ b/src/sched/tests/losses.rs
@@ -213,6 +213,31 @@
     assert_eq!(world.job_state("g"), Some(JobState::Completed));
 }
 
+/// Counts that are never cleared end each standing job some day.
+#[test]
+fn crashes_before_a_long_run_are_forgotten() {
+    let mut world = standing_world(4);
+    for _ in 0..5 {
+        world.run(100);
+        let worker = world.running()[0].1.clone();
+        world.crash(&worker);
+        world.run(20_000);
+        let worker = world.running()[0].1.clone();
+        // Ends the long run otherwise than by a crash.
+        let worker = world.workers.get_mut(&worker).expect("worker");
+        worker.listing.leaving = true;
+        let listing = worker.listing.clone();
+        let entry = DirectoryEntry::Listed(listing.clone());
+        world.handle(Event::DirectoryChanged(vec![(listing.id.clone(), entry)]));
+        world.run(2_000);
+        let worker = world.workers.get_mut(&listing.id).expect("worker");
+        worker.listing.leaving = false;
+        world.send_listing(&listing.id);
+    }
+    assert_eq!(world.job_state("j"), Some(JobState::Running));
+    assert_eq!(world.running().len(), 1);
+}
+
 /// The previous release counted workers that were silent like crashed ones, in the field `l`.
 #[test]
 fn silent_workers_that_the_previous_release_counted_are_ignored() {
