Crashes: a crash under a task that is done is not counted

What callers saw: a job is shown as `failed` while its next step runs, though no run failed (by reading; shown in virtual time). A task whose worker crashed once, and whose next run ended well on a worker that was cut off, was started again; the crash of that third worker was known 3.4 s later, when the task was done, counted as its second and failed the job.

Cause: a crash was left out for tasks that are done only where their step is speculative. Now it is for all, and a task that is done keeps no counts.

`a_job_is_not_given_up_for_a_task_that_is_done`: Some(Failed) before, Some(Running) and then Some(Completed) now.

--- a/src/sched/crashes.rs
+++ b/src/sched/crashes.rs
@@ -324,17 +324,12 @@
     /// Counts a crash for a task, and fails its job if the task is abandoned.
     fn count_crash(&mut self, attribution: &Attribution, failed: &FailedWorker) {
         let &Attribution { key, cause, .. } = attribution;
-        let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.is_open()) else {
+        let job = self.jobs.get_mut(&key.job).filter(|job| job.is_open());
+        let task = job.and_then(|job| job.task_mut(key));
+        // Another run of a task that is done has ended successfully: this one was not needed.
+        let Some(task) = task.filter(|task| task.phase != Phase::Done) else {
             return;
         };
-        let speculative = job.step(key).speculative;
-        let Some(task) = job.task_mut(key) else {
-            return;
-        };
-        // The other run of a speculative task has ended successfully.
-        if task.phase == Phase::Done && speculative {
-            return;
-        }
         let category = attribution.category.after_outages(task, failed.evidence);
         task.suspect = cause.makes_suspect();
         match category {
--- a/src/sched/placing/gang.rs
+++ b/src/sched/placing/gang.rs
@@ -38,6 +38,7 @@
             if let Some(task) = job.task_mut(*peer) {
                 task.phase = Phase::Done;
                 task.copy = None;
+                task.clear_crashes();
             }
         }
         for peer in peers {
--- a/src/sched/tests/losses.rs
+++ b/src/sched/tests/losses.rs
@@ -238,6 +238,50 @@
     assert_eq!(world.running().len(), 1);
 }
 
+/// The crash of a worker on which a later, needless run was is known seconds later. It failed the job
+/// while its next step ran.
+#[test]
+fn a_job_is_not_given_up_for_a_task_that_is_done() {
+    let mut world = World::new(6);
+    world.script = |task, _| match task.starts_with("j.0.0") {
+        true => (2_000, RunOutcome::Done),
+        false => (20_000, RunOutcome::Done),
+    };
+    let second = StepSpec {
+        depends_on: vec![0],
+        ..step(1, 500)
+    };
+    world.submit("j", job(vec![step(1, 500), second]));
+    world.run(100);
+    let worker = world.starts[0].2.clone();
+    world.crash(&worker);
+    while world.starts.len() < 2 {
+        world.run(10);
+    }
+    // The second run ends well while its worker is cut off.
+    let cut_off = world.starts[1].2.clone();
+    world
+        .workers
+        .get_mut(&cut_off)
+        .expect("worker")
+        .disconnected = true;
+    while world.starts.len() < 3 {
+        world.run(10);
+    }
+    world.run(50);
+    let worker = world.starts[2].2.clone();
+    world.crash(&worker);
+    world
+        .workers
+        .get_mut(&cut_off)
+        .expect("worker")
+        .disconnected = false;
+    world.run(10_000);
+    assert_eq!(world.job_state("j"), Some(JobState::Running));
+    world.run(20_000);
+    assert_eq!(world.job_state("j"), Some(JobState::Completed));
+}
+
 /// The previous release counted workers that were silent like crashed ones, in the field `l`.
 #[test]
 fn silent_workers_that_the_previous_release_counted_are_ignored() {
