--- a/src/sched.rs
+++ b/src/sched.rs
@@ -6,7 +6,8 @@
 //! - Jobs: `spec` and `job` hold their descriptions and state, `requests` handles callers' requests,
 //!   `journal` (with `write_queue`) and `commits` store changes, and `history` keeps finished jobs.
 //! - [`admission`] decides which submitted jobs are accepted.
-//! - [`shares`] orders the waiting tasks, and [`placing`] places them on workers.
+//! - `ready` holds the tasks that wait for a worker, [`shares`] orders them, and [`placing`] places
+//!   them.
 //! - [`learned`] holds estimates that are learned from reports.
 //! - [`copies`] runs tasks twice that are late.
 //! - [`polls`] decides when workers are polled.
@@ -49,6 +50,7 @@
 mod placing;
 mod polls;
 pub mod predecessors;
+mod ready;
 mod recently_ended;
 mod reports;
 mod requests;
--- a/src/sched/losses.rs
+++ b/src/sched/losses.rs
@@ -73,7 +73,7 @@
 pub(super) struct Losses {
     workers: Vec<LostWorker>,
     /// Held tasks, with the time since when they are.
-    held: BTreeMap<TaskKey, Millis>,
+    pub held: BTreeMap<TaskKey, Millis>,
 }
 
 impl Losses {
@@ -154,47 +154,6 @@
         self.gang_or_self(key).iter().any(exceeds)
     }
 
-    /// Holds a task that could wait for a worker otherwise.
-    pub(super) fn hold_task(&mut self, key: TaskKey) {
-        let now = self.now.steady;
-        let since = *self.losses.held.entry(key).or_insert(now);
-        let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
-        if let Some(counts) = task.map(CrashCounts::of).filter(|_| since == now) {
-            let task = self.task_name(key);
-            log::warn!(target: "task", "task={task} event=held {counts}");
-        }
-        self.export_held_tasks();
-    }
-
-    /// Lets a held task, and the other members of its gang, wait for a worker if nothing is in the
-    /// way any more.
-    pub(super) fn release_held(&mut self, key: TaskKey) {
-        if self.must_hold(key) {
-            return;
-        }
-        let members = self.gang_or_self(key).into_iter();
-        let held = members.filter_map(|member| Some((member, self.losses.held.remove(&member)?)));
-        let held: Vec<(TaskKey, Millis)> = held.collect();
-        if held.is_empty() {
-            return;
-        }
-        for (member, since) in held {
-            let (task, held) = (self.task_name(member), self.now.steady - since);
-            log::info!(target: "task", "task={task} event=resumed held_ms={held}");
-            let job = self.jobs.get(&member.job).filter(|job| job.is_open());
-            if job.is_some_and(|job| job.step(member).lasting) {
-                self.interrupted.insert(member, since);
-            }
-        }
-        self.export_held_tasks();
-        self.queue_ready_tasks(key.job);
-    }
-
-    fn export_held_tasks(&self) {
-        let held = self.losses.held.len() as i64;
-        crate::metrics::get().held_tasks.set(held);
-    }
-
     /// Tracks the unresolved losses of a job that was read from the store.
     pub(super) fn load_losses(&mut self, number: u32) {
         let Some(job) = self.jobs.get(&number).filter(|job| job.is_open()) else {
@@ -284,6 +243,8 @@
     /// Resolves losses by the time that has passed, while the store keeps the directory up to date.
     pub(super) fn review_losses(&mut self) {
         self.prune_losses();
+        let held = self.losses.held.len() as i64;
+        crate::metrics::get().held_tasks.set(held);
         let now = self.now.steady;
         let up_to_date = now >= self.last_store_trouble + STORE_OUTAGE_WINDOW;
         if self.losses.workers.is_empty() || !up_to_date || !self.directory_read {
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -14,7 +14,7 @@
 use super::learned::interference::InterferenceModel;
 use super::learned::loads::OwnLoads;
 use super::long_leases::EarlierIncarnations;
-use super::losses::{Losses, may_exceed_crashes};
+use super::losses::Losses;
 use super::message::{Action, Answer, Event, Ticket};
 use super::placing::permits::Permits;
 use super::placing::placement::Placement;
@@ -26,7 +26,7 @@
 pub use super::settings::OwnerSettings;
 use super::shares::drains::Drains;
 use super::shares::ledger::Shares;
-use super::spec::{JobSpec, StepSpec};
+use super::spec::JobSpec;
 use super::starts::Deferral;
 use super::worker::{Worker, max_lease_duration};
 use crate::cordons::Halls;
@@ -475,48 +475,6 @@
         }
     }
 
-    /// Adds the waiting tasks of a job whose dependencies are done to the ready tasks.
-    pub(super) fn queue_ready_tasks(&mut self, number: u32) {
-        let Some(job) = self.jobs.get(&number) else {
-            return;
-        };
-        if !job.is_open() {
-            return;
-        }
-        let mut held = Vec::new();
-        for round in 0..job.row.rounds.len() {
-            for step in 0..job.spec.steps.len() {
-                if !job.dependencies_done(round, step) {
-                    continue;
-                }
-                let tasks = &job.row.rounds[round][step];
-                let StepSpec { lasting, gang, .. } = job.spec.steps[step];
-                let gang_held = gang && tasks.iter().any(may_exceed_crashes);
-                let tasks = tasks.iter().enumerate();
-                for (index, task) in tasks.filter(|(_, t)| t.phase == Phase::Waiting) {
-                    let key = TaskKey {
-                        job: number,
-                        round: round as u32,
-                        step: step as u32,
-                        index: index as u32,
-                    };
-                    if gang_held || may_exceed_crashes(task) {
-                        held.push(key);
-                        continue;
-                    }
-                    self.ready.entry(key).or_insert(self.now.steady);
-                    if lasting && task.run > 0 {
-                        self.interrupted.entry(key).or_insert(self.now.steady);
-                    }
-                }
-            }
-        }
-        for key in held {
-            self.hold_task(key);
-        }
-        self.saturated = false;
-    }
-
     /// Sets the final outcome of a job. Its runs are stopped once the store has the outcome.
     pub(super) fn finish_job(&mut self, number: u32, outcome: Outcome) {
         let Some(job) = self.jobs.get_mut(&number) else {
@@ -544,43 +502,4 @@
         let job = self.jobs.get(&key.job);
         job.map(|j| j.task_name(key)).unwrap_or_default()
     }
-
-    /// Releases a task from its worker. Its copy takes the place of the run; without a copy, the
-    /// task waits for its next start if its job is open.
-    pub(super) fn release_task(&mut self, key: TaskKey) {
-        let Some(name) = self.placed_on.remove(&key) else {
-            return;
-        };
-        self.clear_crashes_after_long_run(key, &name);
-        if let Some(worker) = self.workers.get_mut(&name) {
-            worker.remove(key, self.now.steady);
-        }
-        self.saturated = false;
-        if self.promote_copy(key) {
-            return;
-        }
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
-        };
-        let Some(task) = job.task_mut(key) else {
-            return;
-        };
-        if matches!(task.phase, Phase::Placed(_)) {
-            task.phase = Phase::Waiting;
-            let open = job.is_open();
-            let (gang, lasting) = (job.step(key).gang, job.step(key).lasting);
-            self.journal.mark_changed(key.job);
-            if open && self.must_hold(key) {
-                self.hold_task(key);
-            } else if open {
-                self.ready.insert(key, self.now.steady);
-            }
-            if lasting {
-                self.mark_interrupted(key);
-            }
-            if gang {
-                self.stop_gang(key);
-            }
-        }
-    }
 }
