--- a/src/sched/crashes.rs
+++ b/src/sched/crashes.rs
@@ -21,7 +21,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use super::job::{Loss, Outcome, Phase, Task, TaskKey};
+use super::job::{LostIncarnation, Outcome, Phase, Task, TaskKey};
 use super::owner::Owner;
 use super::placing::placement::{Placement, Stage};
 use super::worker::Worker;
@@ -98,7 +98,7 @@
 /// A worker that failed with runs.
 pub(super) struct FailedWorker {
     /// The incarnation that failed.
-    pub loss: Loss,
+    pub incarnation: LostIncarnation,
     /// Where it ran; none if this owner has never seen it listed.
     pub address: Option<SocketAddr>,
     /// How the failure was noticed.
@@ -264,7 +264,7 @@
         crate::metrics::get().worker_crashes.inc();
         log::info!(target: "worker", "worker={name} event=crashed how={evidence:?} tasks={tasks} suspects={suspects} others={others}");
         let failed = FailedWorker {
-            loss: Loss {
+            incarnation: LostIncarnation {
                 worker: name.clone(),
                 boot: worker.boot,
             },
@@ -336,7 +336,7 @@
             CrashCategory::Crash => task.crashes += 1,
             CrashCategory::Loss => task.losses += 1,
             CrashCategory::Outage => task.outages += 1,
-            CrashCategory::Silence => self.losses.record(task, key, failed, self.now.steady),
+            CrashCategory::Silence => self.unresolved.record(task, key, failed, self.now.steady),
         }
         let (run, counts) = (task.run, CrashCounts::of(task));
         let sole = category == CrashCategory::Crash && cause == CrashCause::Sole;
@@ -349,7 +349,7 @@
             });
         }
         self.journal.mark_changed(key.job);
-        let (task, worker) = (self.task_name(key), &failed.loss.worker);
+        let (task, worker) = (self.task_name(key), &failed.incarnation.worker);
         log::info!(target: "task", "task={task} run={run} event=crash-counted worker={worker} cause={cause:?} count={category:?} {counts}");
         if proven || self.has_exceeded_crashes(key) {
             self.abandon_task(key);
@@ -401,7 +401,7 @@
                 provisional: category == CrashCategory::Loss,
             };
             let failed = FailedWorker {
-                loss: Loss {
+                incarnation: LostIncarnation {
                     worker: name.clone(),
                     boot,
                 },
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -122,7 +122,7 @@
     /// Workers that were lost with a run of the task, and of which it is not known whether they
     /// crashed.
     #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
-    pub unresolved: Vec<Loss>,
+    pub unresolved: Vec<LostIncarnation>,
     /// Number of workers that were lost with the task at the same time as many others.
     #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
     pub outages: u32,
@@ -159,9 +159,9 @@
     }
 }
 
-/// A worker that fell silent while it ran a task, or was about to.
+/// Incarnation of a worker that was lost while it ran a task, or was about to.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Loss {
+pub struct LostIncarnation {
     /// Id of the worker.
     #[serde(rename = "p")]
     pub worker: Name,
--- a/src/sched/losses.rs
+++ b/src/sched/losses.rs
@@ -18,7 +18,7 @@
 use super::crashes::{CrashCounts, FailedWorker};
 use super::directory::STORE_OUTAGE_WINDOW;
 use super::incarnation::{BootOrder, BootTime, compare_boots};
-use super::job::{Loss, Task, TaskKey};
+use super::job::{LostIncarnation, Task, TaskKey};
 use super::lost_workers::IncarnationEnd;
 use super::owner::{Owner, OwnerSettings};
 use super::worker::{Presence, Worker};
@@ -50,7 +50,7 @@
 #[derive(Debug)]
 struct LostWorker {
     /// The lost incarnation.
-    loss: Loss,
+    incarnation: LostIncarnation,
     /// Where it ran; none if this owner has never seen it listed.
     address: Option<SocketAddr>,
     /// When its runs were released, or this owner began.
@@ -64,30 +64,37 @@
 impl LostWorker {
     /// Returns true when this is an incarnation of the worker with an id.
     fn is_of(&self, id: &Name) -> bool {
-        self.loss.worker == *id
+        self.incarnation.worker == *id
     }
 }
 
-/// The unresolved losses of an owner's tasks.
+/// Workers that were lost with tasks of an owner, and of which it is not known whether they crashed.
 #[derive(Debug, Default)]
-pub(super) struct Losses {
+pub(super) struct UnresolvedLosses {
     workers: Vec<LostWorker>,
     /// Held tasks, with the time since when they are.
     pub held: BTreeMap<TaskKey, Millis>,
 }
 
-impl Losses {
+impl UnresolvedLosses {
     /// Records that a task was lost with a worker that fell silent.
     pub fn record(&mut self, task: &mut Task, key: TaskKey, failed: &FailedWorker, now: Millis) {
-        if !task.unresolved.contains(&failed.loss) {
-            task.unresolved.push(failed.loss.clone());
+        if !task.unresolved.contains(&failed.incarnation) {
+            task.unresolved.push(failed.incarnation.clone());
         }
-        self.track(key, &failed.loss, failed.address, now);
+        self.track(key, &failed.incarnation, failed.address, now);
     }
 
     /// Adds a task to those that were lost with a worker.
-    fn track(&mut self, key: TaskKey, loss: &Loss, address: Option<SocketAddr>, now: Millis) {
-        let known = self.workers.iter_mut().find(|lost| lost.loss == *loss);
+    fn track(
+        &mut self,
+        key: TaskKey,
+        incarnation: &LostIncarnation,
+        address: Option<SocketAddr>,
+        now: Millis,
+    ) {
+        let mut known = self.workers.iter_mut();
+        let known = known.find(|lost| lost.incarnation == *incarnation);
         if let Some(lost) = known {
             lost.since = now;
             lost.presumed = false;
@@ -95,7 +102,7 @@
             return;
         }
         self.workers.push(LostWorker {
-            loss: loss.clone(),
+            incarnation: incarnation.clone(),
             address,
             since: now,
             presumed: false,
@@ -105,9 +112,9 @@
 
     /// Returns how many workers have crashed under a task, known or presumed.
     fn count_crashes(&self, task: &Task) -> usize {
-        let presumed = |loss: &&Loss| {
+        let presumed = |incarnation: &&LostIncarnation| {
             let mut lost = self.workers.iter().filter(|lost| lost.presumed);
-            lost.any(|lost| lost.loss == **loss)
+            lost.any(|lost| lost.incarnation == **incarnation)
         };
         let unresolved = task.unresolved.iter().filter(presumed).count();
         (task.crashes + task.losses) as usize + unresolved
@@ -118,6 +125,22 @@
         self.held.retain(|key, _| !is_over(key));
     }
 
+    /// Returns the lost incarnations for which `matches` returns true.
+    fn find(&self, matches: impl Fn(&&LostWorker) -> bool) -> Vec<LostIncarnation> {
+        let found = self.workers.iter().filter(matches);
+        found.map(|lost| lost.incarnation.clone()).collect()
+    }
+
+    /// Marks a worker as presumed to have crashed, and returns the tasks that were lost with it.
+    fn presume_crashed(&mut self, incarnation: &LostIncarnation) -> Vec<TaskKey> {
+        let mut workers = self.workers.iter_mut();
+        let Some(lost) = workers.find(|lost| lost.incarnation == *incarnation) else {
+            return Vec::new();
+        };
+        lost.presumed = true;
+        lost.tasks.iter().copied().collect()
+    }
+
     /// Removes and returns the workers for which `is_resolved` returns true.
     fn take(&mut self, is_resolved: impl Fn(&LostWorker) -> bool) -> Vec<LostWorker> {
         self.workers
@@ -141,7 +164,7 @@
     /// Returns true when so many workers have crashed under a task that it is abandoned.
     pub(super) fn has_exceeded_crashes(&self, key: TaskKey) -> bool {
         let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
-        task.is_some_and(|task| self.losses.count_crashes(task) >= MAX_FAILURES)
+        task.is_some_and(|task| self.unresolved.count_crashes(task) >= MAX_FAILURES)
     }
 
     /// Returns true when a task must not be started until more is known of the workers that it was
@@ -161,8 +184,8 @@
         };
         let now = self.now.steady;
         for (key, task) in job.tasks(number) {
-            for loss in &task.unresolved {
-                self.losses.track(key, loss, None, now);
+            for incarnation in &task.unresolved {
+                self.unresolved.track(key, incarnation, None, now);
             }
         }
     }
@@ -173,28 +196,33 @@
         resolution: Resolution,
         is_resolved: impl Fn(&LostWorker) -> bool,
     ) {
-        for lost in self.losses.take(is_resolved) {
+        for lost in self.unresolved.take(is_resolved) {
             for key in &lost.tasks {
-                self.resolve_loss(*key, &lost.loss, resolution);
+                self.resolve_loss(*key, &lost.incarnation, resolution);
             }
         }
     }
 
     /// Resolves a loss of a task. Has no effect if it was cleared meanwhile.
-    fn resolve_loss(&mut self, key: TaskKey, loss: &Loss, resolution: Resolution) {
+    fn resolve_loss(
+        &mut self,
+        key: TaskKey,
+        incarnation: &LostIncarnation,
+        resolution: Resolution,
+    ) {
         let job = self.jobs.get_mut(&key.job).filter(|job| job.is_open());
         let task = job.and_then(|job| job.task_mut(key));
-        let Some(task) = task.filter(|task| task.unresolved.contains(loss)) else {
+        let Some(task) = task.filter(|task| task.unresolved.contains(incarnation)) else {
             return;
         };
-        task.unresolved.retain(|other| other != loss);
+        task.unresolved.retain(|other| other != incarnation);
         match resolution {
             Resolution::Survived => task.suspect &= task.suspected_crashes() > 0,
             Resolution::Crashed => task.losses += 1,
         }
         let counts = CrashCounts::of(task);
         self.journal.mark_changed(key.job);
-        let (task, worker) = (self.task_name(key), &loss.worker);
+        let (task, worker) = (self.task_name(key), &incarnation.worker);
         log::info!(target: "task", "task={task} event=loss-resolved worker={worker} how={resolution:?} {counts}");
         if self.has_exceeded_crashes(key) {
             return self.abandon_task(key);
@@ -205,7 +233,7 @@
     /// Resolves the losses of earlier and of the present incarnation of a worker that has answered.
     /// `restarted` is true when the answer has shown that it is a later one than was known.
     pub(super) fn resolve_answered(&mut self, name: &Name, boot: BootTime, restarted: bool) {
-        let order = |lost: &LostWorker| compare_boots(lost.loss.boot, boot);
+        let order = |lost: &LostWorker| compare_boots(lost.incarnation.boot, boot);
         self.resolve_losses(Resolution::Crashed, |lost| {
             let later = order(lost) == BootOrder::Later;
             lost.is_of(name) && (later || (restarted && order(lost) == BootOrder::Same))
@@ -218,14 +246,15 @@
     /// Resolves the losses of workers at the address at which another one has answered.
     pub(super) fn resolve_replaced_at(&mut self, address: SocketAddr, name: &Name) {
         let may_have_moved = |lost: &&LostWorker| {
-            let known = self.workers.get(&lost.loss.worker);
+            let known = self.workers.get(&lost.incarnation.worker);
             known.is_some_and(|worker| !worker.is_known_at(address))
         };
-        let there = |lost: &&LostWorker| lost.address == Some(address) && !lost.is_of(name);
-        let there = self.losses.workers.iter().filter(there);
-        let replaced = there.filter(|lost| !may_have_moved(lost));
-        let replaced: Vec<Loss> = replaced.map(|lost| lost.loss.clone()).collect();
-        self.resolve_losses(Resolution::Crashed, |lost| replaced.contains(&lost.loss));
+        let replaced = self.unresolved.find(|lost| {
+            lost.address == Some(address) && !lost.is_of(name) && !may_have_moved(lost)
+        });
+        self.resolve_losses(Resolution::Crashed, |lost| {
+            replaced.contains(&lost.incarnation)
+        });
     }
 
     /// Resolves the loss of an incarnation of a worker that has certainly ended.
@@ -236,71 +265,72 @@
             IncarnationEnd::Left => Resolution::Survived,
         };
         self.resolve_losses(resolution, |lost| {
-            lost.is_of(name) && lost.loss.boot == boot
+            lost.is_of(name) && lost.incarnation.boot == boot
         });
     }
 
     /// Resolves losses by the time that has passed, while the store keeps the directory up to date.
     pub(super) fn review_losses(&mut self) {
         self.prune_losses();
-        let held = self.losses.held.len() as i64;
+        let held = self.unresolved.held.len() as i64;
         crate::metrics::get().held_tasks.set(held);
         let now = self.now.steady;
         let up_to_date = now >= self.last_store_trouble + STORE_OUTAGE_WINDOW;
-        if self.losses.workers.is_empty() || !up_to_date || !self.directory_read {
+        if self.unresolved.workers.is_empty() || !up_to_date || !self.directory_read {
             return;
         }
         let lapse = lapse_time(&self.settings);
-        let outlived =
-            |lost: &&LostWorker| now >= lost.since + lapse && self.is_still_listed(&lost.loss);
-        let survivors = self.losses.workers.iter().filter(outlived);
-        let survivors: Vec<Loss> = survivors.map(|lost| lost.loss.clone()).collect();
-        self.resolve_losses(Resolution::Survived, |lost| survivors.contains(&lost.loss));
+        let outlived = |lost: &&LostWorker| {
+            now >= lost.since + lapse && self.is_still_listed(&lost.incarnation)
+        };
+        let survivors = self.unresolved.find(outlived);
+        self.resolve_losses(Resolution::Survived, |lost| {
+            survivors.contains(&lost.incarnation)
+        });
         self.presume_crashes();
     }
 
     /// Presumes that workers have crashed which have neither answered nor been listed for long.
     fn presume_crashes(&mut self) {
         let now = self.now.steady;
-        let mut lost = std::mem::take(&mut self.losses.workers);
-        let is_due = |lost: &&mut LostWorker| {
+        let is_due = |lost: &&LostWorker| {
             let due = !lost.presumed && now >= lost.since + PRESUMPTION_DELAY;
-            due && !self.is_still_listed(&lost.loss)
+            due && !self.is_still_listed(&lost.incarnation)
         };
-        let mut keys = Vec::new();
-        for worker in lost.iter_mut().filter(is_due) {
-            worker.presumed = true;
-            log::info!(target: "worker", "worker={} event=presumed-crashed tasks={}", worker.loss.worker, worker.tasks.len());
-            keys.extend(worker.tasks.iter().copied());
-        }
-        self.losses.workers = lost;
-        for key in keys {
-            if self.has_exceeded_crashes(key) {
-                self.abandon_task(key);
+        for incarnation in self.unresolved.find(is_due) {
+            let tasks = self.unresolved.presume_crashed(&incarnation);
+            log::info!(target: "worker", "worker={} event=presumed-crashed tasks={}", incarnation.worker, tasks.len());
+            for key in tasks {
+                if self.has_exceeded_crashes(key) {
+                    self.abandon_task(key);
+                }
             }
         }
     }
 
     /// Returns true while the directory lists a lost incarnation of a worker.
-    fn is_still_listed(&self, loss: &Loss) -> bool {
+    fn is_still_listed(&self, incarnation: &LostIncarnation) -> bool {
         let is_same = |worker: &&Worker| {
-            let order = compare_boots(loss.boot, worker.listing.boot);
+            let order = compare_boots(incarnation.boot, worker.listing.boot);
             worker.presence == Presence::Listed && order == BootOrder::Same
         };
-        self.workers.get(&loss.worker).filter(is_same).is_some()
+        let worker = self.workers.get(&incarnation.worker);
+        worker.filter(is_same).is_some()
     }
 
     /// Forgets the losses of tasks whose jobs have ended, or whose counts were cleared.
     fn prune_losses(&mut self) {
         let jobs = &self.jobs;
-        for lost in &mut self.losses.workers {
-            let loss = &lost.loss;
+        for lost in &mut self.unresolved.workers {
+            let incarnation = &lost.incarnation;
             lost.tasks.retain(|key| {
                 let job = jobs.get(&key.job).filter(|job| job.is_open());
                 let task = job.and_then(|job| job.task(*key));
-                task.is_some_and(|task| task.unresolved.contains(loss))
+                task.is_some_and(|task| task.unresolved.contains(incarnation))
             });
         }
-        self.losses.workers.retain(|lost| !lost.tasks.is_empty());
+        self.unresolved
+            .workers
+            .retain(|lost| !lost.tasks.is_empty());
     }
 }
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -14,7 +14,7 @@
 use super::learned::interference::InterferenceModel;
 use super::learned::loads::OwnLoads;
 use super::long_leases::EarlierIncarnations;
-use super::losses::Losses;
+use super::losses::UnresolvedLosses;
 use super::message::{Action, Answer, Event, Ticket};
 use super::placing::permits::Permits;
 use super::placing::placement::Placement;
@@ -136,7 +136,7 @@
     /// Counted crashes that become an outage if enough others follow at once.
     pub(super) provisional_crashes: Vec<ProvisionalCrash>,
     /// Workers that fell silent with runs, and the tasks that are held because of them.
-    pub(super) losses: Losses,
+    pub(super) unresolved: UnresolvedLosses,
     /// When the store last failed, was slow or gave no answer.
     pub(super) last_store_trouble: Millis,
     /// Moving average of the declared work of a job, by queue.
@@ -225,7 +225,7 @@
             admission: Admission::default(),
             crash_times: VecDeque::new(),
             provisional_crashes: Vec::new(),
-            losses: Losses::default(),
+            unresolved: UnresolvedLosses::default(),
             last_store_trouble: 0,
             typical_work: HashMap::new(),
             shares: Shares::default(),
@@ -486,7 +486,7 @@
         log::info!(target: "job", "job={} event=end outcome={outcome:?}", job.id);
         self.journal.mark_changed(number);
         self.ready.retain(|key, _| key.job != number);
-        self.losses.forget_held(|key| key.job == number);
+        self.unresolved.forget_held(|key| key.job == number);
         self.permits.retain(|step, _| step.job != number);
     }
 
--- a/src/sched/placing/gang.rs
+++ b/src/sched/placing/gang.rs
@@ -43,7 +43,7 @@
         }
         for peer in peers {
             self.ready.remove(&peer);
-            self.losses.forget_held(|key| *key == peer);
+            self.unresolved.forget_held(|key| *key == peer);
             self.failed_on.remove(&peer);
         }
     }
--- a/src/sched/ready.rs
+++ b/src/sched/ready.rs
@@ -93,7 +93,7 @@
     /// Holds a task that could wait for a worker otherwise.
     pub(super) fn hold_task(&mut self, key: TaskKey) {
         let now = self.now.steady;
-        let since = *self.losses.held.entry(key).or_insert(now);
+        let since = *self.unresolved.held.entry(key).or_insert(now);
         let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
         if let Some(counts) = task.map(CrashCounts::of).filter(|_| since == now) {
             let task = self.task_name(key);
@@ -108,7 +108,8 @@
             return;
         }
         let members = self.gang_or_self(key).into_iter();
-        let held = members.filter_map(|member| Some((member, self.losses.held.remove(&member)?)));
+        let held =
+            members.filter_map(|member| Some((member, self.unresolved.held.remove(&member)?)));
         let held: Vec<(TaskKey, Millis)> = held.collect();
         if held.is_empty() {
             return;
