--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -8,6 +8,7 @@
 mod completions;
 mod copies;
 mod cordon;
+mod crash_bounds;
 mod crashes;
 mod directory;
 mod failover;
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod crashes;
+mod cuts;
 mod interference;
 mod owners;
 mod pauses;
@@ -14,6 +15,7 @@
 pub use self::calls::{CALL_TIMEOUT, Faults};
 use self::calls::{Call, Scheduled};
 pub use self::crashes::Crashes;
+pub use self::cuts::Cuts;
 pub use self::interference::{Harm, SimulatedInterference};
 use self::owners::EarlierOwners;
 use self::workers::EndedAt;
