Tests: a test of an unlisted worker waits until that worker can get tasks

By the box's log the job was accepted 1 ms before the workers were listed; i-1 and i-2 answered 2 and 3 ms before i-0, and got all six tasks at once. i-0 was unlisted with `tasks=0`, so it was removed and polled no more, and nothing could fall silent. The set-up was wrong, not the owner.

The test submits its job once i-0 has answered; what it asserts is unchanged.

--- a/tests/platform/silence.rs
+++ b/tests/platform/silence.rs
@@ -25,13 +25,15 @@
 fn runs_of_an_unlisted_worker_that_misses_a_poll_are_not_started_again() {
     let deployment = Deployment::start(1, 3, LONG_DURATION);
     let worker = &deployment.workers[0];
-    deployment.submit_until_accepted("0000000000000010", 6);
-    wait_for("running tasks", || deployment.record().running.len() == 6);
     let is_logged = |event: &str| {
         let text = deployment.output(0);
         let mut lines = text.lines();
         lines.any(|l| l.contains("worker=i-0") && l.contains(event))
     };
+    // All tasks fit on the other workers, and without any the worker is not polled after its removal.
+    wait_for("the worker to answer", || is_logged("event=answers"));
+    deployment.submit_until_accepted("0000000000000010", 6);
+    wait_for("running tasks", || deployment.record().running.len() == 6);
     worker.unlist();
     wait_for("the removal of the worker", || is_logged("event=unlisted"));
     let lost = CallFaults {
