--- a/src/sched/crashes.rs
+++ b/src/sched/crashes.rs
@@ -130,8 +130,8 @@
 }
 
 impl CrashCategory {
-    /// Returns how an outage counts for a task with its earlier failures. A silent worker that has
-    /// not crashed costs the task nothing in the end, so only the first one is left uncounted.
+    /// Returns how an outage counts for a task with its earlier failures. From the second one on, a
+    /// silent worker counts as an unresolved loss, which is dropped if the worker lives.
     fn after_outages(self, task: &Task, evidence: CrashEvidence) -> Self {
         let first = task.outages == 0 && task.suspected_crashes() == 0;
         match (self, evidence) {
--- a/src/sched/losses.rs
+++ b/src/sched/losses.rs
@@ -231,7 +231,8 @@
     }
 
     /// Resolves the losses of earlier and of the present incarnation of a worker that has answered.
-    /// `restarted` is true when the answer has shown that it is a later one than was known.
+    /// `restarted` is true when the answer has shown that it is a later one than was known; without
+    /// boot times only the worker's clock shows that.
     pub(super) fn resolve_answered(&mut self, name: &Name, boot: BootTime, restarted: bool) {
         let order = |lost: &LostWorker| compare_boots(lost.incarnation.boot, boot);
         self.resolve_losses(Resolution::Crashed, |lost| {
