Owner: a log line tells what an owner that is late does

An owner that answers pings late could be short of processor for decisions, for calls, or wait for the store; the logs did not tell these apart. event=owner-load has, at most once a second, the lateness, the age of the last commit, the calls in progress, and the decisions by kind of event.

--- a/src/daemon/owner_task.rs
+++ b/src/daemon/owner_task.rs
@@ -150,6 +150,7 @@
     };
     shared.set_confirmed(current.owner.last_confirmed());
     current.term.update_gauges(&current.owner, clock::now());
+    current.term.flush(&current.owner, clock::now());
 }
 
 /// Ends the term of an owner that was replaced or released the cell.
@@ -172,10 +173,10 @@
         if let Event::CommitEnded(_, outcome) = &event {
             self.adapt_answer_wait(outcome);
         }
-        let (kind, begun) = (event.kind(), clock::micros());
+        let (kind, ends_call, begun) = (event.kind(), event.ends_call(), clock::micros());
         let actions = self.owner.handle_event(event, now());
-        let ended = clock::micros();
-        self.term.record_spent(kind, ended - begun, ended / 1_000);
+        self.term
+            .record_event(kind, ends_call, clock::micros() - begun);
         for action in actions {
             self.perform(shared, action);
         }
@@ -216,24 +217,28 @@
                 }
             }
             Action::Poll(poll) => {
+                self.term.record_call();
                 spawn_call(shared, epoch, async move |shared| {
                     let reply = shared.workers.poll(&poll).await;
                     Event::Polled(poll, reply)
                 });
             }
             Action::Start(start) => {
+                self.term.record_call();
                 spawn_call(shared, epoch, async move |shared| {
                     let reply = shared.workers.start(&start).await;
                     Event::Started(start.key, start.run, start.incarnation, reply)
                 });
             }
             Action::Stop(stop) => {
+                self.term.record_call();
                 spawn_call(shared, epoch, async move |shared| {
                     let reply = shared.workers.stop(&stop).await;
                     Event::Stopped(stop.key, stop.run, stop.incarnation, reply)
                 });
             }
             Action::Throttle(throttle) => {
+                self.term.record_call();
                 spawn_call(shared, epoch, async move |shared| {
                     let reply = shared.workers.throttle(&throttle).await;
                     Event::Throttled(
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -12,6 +12,16 @@
 
 /// Milliseconds between two updates of the counters of time spent.
 const FLUSH_INTERVAL: Millis = 1_000;
+/// Lateness in milliseconds from which on an owner logs its load: half of the time within which it
+/// has to answer a ping.
+const LOGGED_LATENESS: Millis = 175;
+
+/// Number of events of one kind, and the time spent on decisions about them.
+#[derive(Clone, Copy, Default)]
+struct Spent {
+    events: u64,
+    micros: u64,
+}
 
 /// The time in which one owner serves, with its measurements.
 pub struct Term {
@@ -23,10 +33,14 @@
     load_ms: Millis,
     /// Milliseconds by which the owner's loop was late.
     lateness: RecentPeak,
-    /// Microseconds spent on decisions by kind of event, not yet added to the counters.
-    spent: BTreeMap<&'static str, u64>,
+    /// Decisions by kind of event since the counters were last updated.
+    spent: BTreeMap<&'static str, Spent>,
+    /// Greatest lateness since then.
+    flush_lateness: Millis,
     /// When the counters were last updated.
     flushed: Millis,
+    /// Number of calls to workers in progress.
+    calls: u64,
     /// When the owner was first seen to be releasing the cell.
     releasing_since: Option<Millis>,
 }
@@ -44,7 +58,9 @@
             load_ms,
             lateness: RecentPeak::default(),
             spent: BTreeMap::new(),
+            flush_lateness: 0,
             flushed: now,
+            calls: 0,
             releasing_since: None,
         }
     }
@@ -52,22 +68,53 @@
     /// Records by how many milliseconds the owner's loop was late.
     pub fn record_lateness(&mut self, by: Millis, now: Millis) {
         self.lateness.record(by, now);
+        self.flush_lateness = self.flush_lateness.max(by);
+    }
+
+    /// Records that a call to a worker has begun.
+    pub fn record_call(&mut self) {
+        self.calls += 1;
+    }
+
+    /// Records that an event of a kind was handled, and how many microseconds the decisions took.
+    pub fn record_event(&mut self, kind: &'static str, ends_call: bool, micros: u64) {
+        if ends_call {
+            self.calls = self.calls.saturating_sub(1);
+        }
+        let spent = self.spent.entry(kind).or_default();
+        spent.events += 1;
+        spent.micros += micros;
     }
 
-    /// Records how many microseconds the decisions about an event took. The counters are
-    /// updated once a second, as there are thousands of events per second.
-    pub fn record_spent(&mut self, event: &'static str, micros: u64, now: Millis) {
-        *self.spent.entry(event).or_default() += micros;
+    /// Updates the counters once a second, as there are thousands of events per second, and logs the
+    /// load of an owner that was late.
+    pub fn flush(&mut self, owner: &Owner, now: Millis) {
         if now < self.flushed + FLUSH_INTERVAL {
             return;
         }
-        self.flushed = now;
-        for (event, micros) in std::mem::take(&mut self.spent) {
+        let spent = std::mem::take(&mut self.spent);
+        for (event, spent) in &spent {
             let counter = metrics::get()
                 .decision_time
                 .get_or_create(&EventLabel { event });
-            counter.inc_by(micros);
+            counter.inc_by(spent.micros);
+        }
+        if self.flush_lateness >= LOGGED_LATENESS {
+            self.log_load(owner, &spent, now);
         }
+        self.flush_lateness = 0;
+        self.flushed = now;
+    }
+
+    /// Logs what an owner that is late does.
+    fn log_load(&self, owner: &Owner, spent: &BTreeMap<&'static str, Spent>, now: Millis) {
+        let (jobs, _, waiting) = owner.sizes();
+        let kinds = spent
+            .iter()
+            .map(|(kind, s)| format!("{kind}:{}:{}", s.events, s.micros / 1_000));
+        let decisions = kinds.collect::<Vec<_>>().join(",");
+        let unconfirmed = now.saturating_sub(owner.last_confirmed());
+        log::info!(target: "owner", "event=owner-load epoch={} late_ms={} span_ms={} unconfirmed_ms={unconfirmed} jobs={jobs} waiting={waiting} calls={} decisions={decisions}", self.epoch, self.flush_lateness, now - self.flushed, self.calls);
     }
 
     /// Returns for how many milliseconds the owner has been releasing the cell. Meanwhile it
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -294,6 +294,14 @@
             Self::Tick => "tick",
         }
     }
+
+    /// Returns true for an event that ends a call to a worker.
+    pub fn ends_call(&self) -> bool {
+        matches!(
+            self,
+            Self::Polled(..) | Self::Started(..) | Self::Stopped(..) | Self::Throttled(..)
+        )
+    }
 }
 
 /// A poll of a worker: extends its lease and asks for its report.
