--- a/src/sched.rs
+++ b/src/sched.rs
@@ -47,6 +47,7 @@
 pub mod mechanisms;
 pub mod message;
 pub mod owner;
+mod pacing;
 mod placing;
 mod polls;
 pub mod predecessors;
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod admission_load;
 mod admission_parts;
+mod collapse;
 mod completion_log;
 mod completions;
 mod copies;
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -6,6 +6,8 @@
 mod interference;
 mod owners;
 mod pauses;
+mod processor;
+mod successors;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,6 +20,8 @@
 pub use self::cuts::Cuts;
 pub use self::interference::{Harm, SimulatedInterference};
 use self::owners::EarlierOwners;
+pub use self::processor::{Costs, Processor, Turns, Usage};
+pub use self::successors::Successors;
 use self::workers::EndedAt;
 pub use self::workers::FakeWorker;
 use crate::cordons::Halls;
@@ -107,6 +111,12 @@
     pub harm: Harm,
     /// Factor by which runs outside the rack of their step take longer.
     pub far_factor: u64,
+    /// The thread of the owner's box; without one, decisions take no time.
+    pub processor: Option<Processor>,
+    /// Boxes that follow the owner.
+    pub successors: Successors,
+    /// When runs ended as done.
+    pub done: Vec<Millis>,
     /// Successful runs whose end was acknowledged under the lease in which they ended, by task.
     acknowledged: BTreeMap<String, BTreeSet<EndedAt>>,
     /// When such an end was first acknowledged, as done or after the last attempt, by task.
@@ -272,6 +282,9 @@
             longest_breach: 0,
             harm: Harm::default(),
             far_factor: 1,
+            processor: None,
+            successors: Successors::default(),
+            done: Vec::new(),
             acknowledged: BTreeMap::new(),
             closed_at: BTreeMap::new(),
             speculative: BTreeSet::new(),
@@ -341,7 +354,18 @@
     pub fn notify(&mut self, event: Event) {
         match self.now < self.suspended_until {
             true => self.schedule(0, Scheduled::Event(self.epoch, event)),
-            false => self.handle(event),
+            false => self.receive(event),
+        }
+    }
+
+    /// Has the owner handle an event now, or as soon as its box gets to it.
+    fn receive(&mut self, event: Event) {
+        if self.successors.is_vacant() {
+            return;
+        }
+        match &mut self.processor {
+            Some(processor) => processor.receive(event),
+            None => self.handle(event),
         }
     }
 
@@ -427,7 +451,7 @@
         }
         self.read_history(self.epoch, None);
         if !self.cordons_withheld {
-            self.handle(Event::Cordoned(self.cordoned.clone()));
+            self.notify(Event::Cordoned(self.cordoned.clone()));
         }
         self.send_directory();
         before
@@ -482,13 +506,17 @@
                     Scheduled::Delayed(call, incarnation) => {
                         self.deliver_delayed(call, incarnation)
                     }
-                    Scheduled::Event(epoch, event) if epoch == self.epoch => self.handle(event),
+                    Scheduled::Event(epoch, event) if epoch == self.epoch => self.receive(event),
                     Scheduled::Event(epoch, event) => self.handle_as(epoch, event),
                     Scheduled::History(epoch, from) => self.read_history(epoch, from),
                 }
             }
-            if self.now.is_multiple_of(5) && self.now >= self.suspended_until {
-                self.handle(Event::Tick);
+            match self.processor.is_some() {
+                true => self.run_thread(),
+                false if self.now.is_multiple_of(5) && self.now >= self.suspended_until => {
+                    self.handle(Event::Tick);
+                }
+                false => {}
             }
             if self.now.is_multiple_of(5) {
                 self.tick_earlier_owners();
@@ -506,6 +534,14 @@
 
     /// Has the owner handle an event and carries out its actions.
     pub fn handle(&mut self, event: Event) {
+        for call in self.decide(event) {
+            self.send(call);
+        }
+    }
+
+    /// Has the owner handle an event, passes its answers on and returns its calls.
+    fn decide(&mut self, event: Event) -> Vec<Call> {
+        let mut calls = Vec::new();
         for action in self.owner.handle_event(event, self.clock()) {
             let call = match action {
                 Action::Reply(ticket, answer) => {
@@ -546,7 +582,8 @@
                     Call::Commit(number, version, writes)
                 }
             };
-            self.send(call);
+            calls.push(call);
         }
+        calls
     }
 }
--- a/src/sched/tests/world/calls.rs
+++ b/src/sched/tests/world/calls.rs
@@ -16,6 +16,8 @@
 /// Milliseconds after which the owner gives up a call without a reply.
 pub const CALL_TIMEOUT: Millis = 700;
 
+/// Milliseconds between two looks at a worker that holds a poll.
+const HELD_POLL_INTERVAL: Millis = 10;
 /// Milliseconds that the advisor takes to answer.
 const ADVICE_DELAY: Millis = 40;
 /// Milliseconds for which permits are valid.
@@ -163,6 +165,12 @@
                 let due = Call::Poll(Poll { wait: 0, ..poll });
                 return self.schedule(wait, Scheduled::Call(epoch, due, answered));
             }
+            Call::Poll(poll) if self.is_held(&poll) => {
+                let wait = poll.wait.saturating_sub(HELD_POLL_INTERVAL);
+                let later = Call::Poll(Poll { wait, ..poll });
+                let due = Scheduled::Call(epoch, later, answered);
+                return self.schedule(HELD_POLL_INTERVAL, due);
+            }
             Call::Poll(poll) => {
                 let reply = self.dispatch(&poll.incarnation.id, poll.address, |world| {
                     world.poll(&poll)
@@ -195,6 +203,14 @@
         }
     }
 
+    /// Returns true while a worker holds a poll because no run has ended on it. Without a simulated
+    /// processor, polls are answered at once.
+    fn is_held(&self, poll: &Poll) -> bool {
+        let worker = self.workers.get(&poll.incarnation.id);
+        let holds = |w: &FakeWorker| !w.disconnected && !w.has_end_after(poll.acknowledged);
+        self.processor.is_some() && poll.wait > 0 && worker.is_some_and(holds)
+    }
+
     /// Answers a request to the advisor: workers in `permitted` may run any step.
     pub(super) fn answer_advice(&mut self, request: AdviceRequest) {
         self.advice_requests.push(request.workers.len());
--- a/src/sched/tests/world/owners.rs
+++ b/src/sched/tests/world/owners.rs
@@ -87,7 +87,7 @@
     }
 
     /// Returns the owner's row as stored.
-    fn stored_owner_row(&self) -> OwnerRow {
+    pub(super) fn stored_owner_row(&self) -> OwnerRow {
         let value = &self.rows[&(OWNER_TABLE, OWNER_KEY.into())];
         serde_json::from_slice(value).expect("row")
     }
--- /dev/null
+++ b/src/sched/tests/world/processor.rs
@@ -0,0 +1,242 @@
+//! Simulates the thread of the owner's box: each decision takes time, and what arrives meanwhile
+//! waits.
+//!
+//! The owner's task handles messages in turns. Between two turns the other tasks of the thread send
+//! the calls that the owner has asked for, receive what has arrived and answer pings.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use super::World;
+use super::calls::Call;
+use crate::sched::job::StepKey;
+use crate::sched::message::{Event, JobRequest, Ticket};
+use crate::utils::clock::Millis;
+
+/// Microseconds that work takes with a whole processor.
+pub struct Costs {
+    /// Handling an event.
+    pub event: u64,
+    /// Examining a worker in a placement pass.
+    pub worker: u64,
+    /// Considering a waiting step in a placement pass.
+    pub step: u64,
+    /// Making or answering a call, or receiving a message.
+    pub call: u64,
+    /// Loading a job when the owner begins.
+    pub load: u64,
+}
+
+/// How the owner's task takes turns with the other tasks of its thread.
+#[derive(Clone, Copy)]
+pub struct Turns {
+    /// Milliseconds after which a turn ends; without a limit it ends when no message waits.
+    pub longest: Option<Millis>,
+    /// True when answers to commits are handled before other messages.
+    pub commits_first: bool,
+    /// True when requests are dropped whose callers no longer wait.
+    pub drops_gone: bool,
+}
+
+/// What a processor was used for, and how often.
+#[derive(Clone, Copy, Default, Debug)]
+pub struct Usage {
+    /// Microseconds of all work.
+    pub busy: u64,
+    /// Microseconds of events with a placement pass.
+    pub passes: u64,
+    /// Number of commits that were answered.
+    pub commits: u64,
+    /// Longest time in milliseconds from a turn's start to its end.
+    pub longest_turn: Millis,
+}
+
+/// The thread of the owner's box.
+pub struct Processor {
+    /// Share of a processor that the box has, from 0 to 1.
+    share: f64,
+    turns: Turns,
+    costs: Costs,
+    pub usage: Usage,
+    /// Time in microseconds at which the thread is free for the next work.
+    free_at: u64,
+    /// When the present turn began, and when it ends at the latest, in microseconds.
+    turn: (u64, u64),
+    /// When the owner next has work without a message.
+    next_tick: Millis,
+    /// Messages and replies that have reached the box and were not received.
+    arrived: Vec<Event>,
+    /// Pings that have reached the box, by number of the pinging box.
+    pub(super) pings: Vec<usize>,
+    /// Messages that wait for the owner's task.
+    queue: VecDeque<Event>,
+    /// Calls to make.
+    outgoing: Vec<Call>,
+    /// Requests whose callers no longer wait.
+    gone: BTreeSet<Ticket>,
+    /// When the store last confirmed the owner, as of the end of the last turn.
+    pub(super) confirmed: Millis,
+}
+
+impl Processor {
+    /// Returns a thread with this share of a processor.
+    pub fn new(share: f64, turns: Turns, costs: Costs) -> Self {
+        Self {
+            share,
+            turns,
+            costs,
+            usage: Usage::default(),
+            free_at: 0,
+            turn: (0, 0),
+            next_tick: 0,
+            arrived: Vec::new(),
+            pings: Vec::new(),
+            queue: VecDeque::new(),
+            outgoing: Vec::new(),
+            gone: BTreeSet::new(),
+            confirmed: 0,
+        }
+    }
+
+    /// Spends the time that work takes which takes `micros` with a whole processor, and returns it.
+    fn spend(&mut self, micros: u64) -> u64 {
+        let took = (micros as f64 / self.share) as u64;
+        self.free_at += took;
+        self.usage.busy += took;
+        took
+    }
+
+    /// Drops what an owner before has left, and begins to load `jobs` jobs.
+    pub(super) fn begin_load(&mut self, jobs: usize, now: Millis) -> Millis {
+        self.clear();
+        let took = self.costs.load * jobs as u64;
+        self.free_at = self.free_at.max(now * 1_000);
+        self.spend(took);
+        self.confirmed = now;
+        self.free_at.div_ceil(1_000)
+    }
+
+    /// Drops all that waits for the owner or comes from it.
+    pub(super) fn clear(&mut self) {
+        self.arrived.clear();
+        self.queue.clear();
+        self.outgoing.clear();
+        self.pings.clear();
+        self.turn = (0, 0);
+    }
+
+    /// Receives an event of the owner.
+    pub(super) fn receive(&mut self, event: Event) {
+        self.arrived.push(event);
+    }
+
+    /// Returns true when the turn of the owner's task is over.
+    fn turn_is_over(&self) -> bool {
+        self.queue.is_empty() || self.free_at >= self.turn.1
+    }
+}
+
+impl World {
+    /// Sends a job request to the owner, and returns the ticket of its answer in `answers`.
+    pub fn post(&mut self, request: JobRequest) -> Ticket {
+        self.last_ticket += 1;
+        self.notify(Event::Request(self.last_ticket, request));
+        self.last_ticket
+    }
+
+    /// Records that the caller of a request waits no longer.
+    pub fn leave(&mut self, ticket: Ticket) {
+        if let Some(processor) = &mut self.processor {
+            processor.gone.insert(ticket);
+        }
+    }
+
+    /// Has the following boxes and the owner's thread do what they begin in this millisecond.
+    pub(super) fn run_thread(&mut self) {
+        self.run_successors();
+        if self.owner.is_released() && !self.successors.is_vacant() {
+            self.kill_owner();
+        }
+        if self.successors.is_vacant() {
+            return;
+        }
+        let Some(mut processor) = self.processor.take() else {
+            return;
+        };
+        let end = (self.now + 1) * 1_000;
+        processor.free_at = processor.free_at.max(self.now * 1_000);
+        while processor.free_at < end && self.work(&mut processor) {}
+        self.processor = Some(processor);
+    }
+
+    /// Does the next piece of work; returns false if there is none.
+    fn work(&mut self, processor: &mut Processor) -> bool {
+        if processor.turn_is_over() {
+            self.run_other_tasks(processor);
+            if processor.queue.is_empty() && self.now >= processor.next_tick {
+                processor.queue.push_back(Event::Tick);
+            }
+            let longest = processor
+                .turns
+                .longest
+                .map_or(u64::MAX / 2, |ms| ms * 1_000);
+            processor.turn = (processor.free_at, processor.free_at + longest);
+        }
+        let Some(event) = processor.queue.pop_front() else {
+            return false;
+        };
+        self.decide_in_time(processor, event);
+        if processor.turn_is_over() {
+            processor.confirmed = self.owner.last_confirmed();
+            let took = (processor.free_at - processor.turn.0) / 1_000;
+            processor.usage.longest_turn = processor.usage.longest_turn.max(took);
+        }
+        true
+    }
+
+    /// Runs the tasks beside the owner's: they make calls, answer pings and receive messages.
+    fn run_other_tasks(&mut self, processor: &mut Processor) {
+        let costs = processor.costs.call;
+        for call in std::mem::take(&mut processor.outgoing) {
+            processor.spend(costs);
+            self.send(call);
+        }
+        for pinging in std::mem::take(&mut processor.pings) {
+            processor.spend(costs);
+            self.answer_ping(pinging, processor.confirmed);
+        }
+        for event in std::mem::take(&mut processor.arrived) {
+            processor.spend(costs);
+            let is_commit = matches!(event, Event::CommitEnded(..));
+            match is_commit && processor.turns.commits_first {
+                true => processor.queue.push_front(event),
+                false => processor.queue.push_back(event),
+            }
+        }
+    }
+
+    /// Has the owner handle an event, and spends the time that this takes.
+    fn decide_in_time(&mut self, processor: &mut Processor, event: Event) {
+        if let Event::Request(ticket, _) = &event {
+            if processor.gone.remove(ticket) && processor.turns.drops_gone {
+                return;
+            }
+        }
+        let (examined, pass) = (self.owner.workers_examined, self.owner.next_pass);
+        processor.usage.commits += u64::from(matches!(event, Event::CommitEnded(..)));
+        let calls = self.decide(event);
+        let costs = &processor.costs;
+        let mut micros = costs.event + costs.call * calls.len() as u64;
+        let passed = self.owner.next_pass != pass;
+        if passed {
+            micros += (self.owner.workers_examined - examined) * costs.worker;
+            let waiting = self.owner.ready.keys().map(|key| key.step_key());
+            let waiting: BTreeSet<StepKey> = waiting.collect();
+            micros += waiting.len() as u64 * costs.step;
+        }
+        processor.outgoing.extend(calls);
+        let took = processor.spend(micros);
+        processor.usage.passes += if passed { took } else { 0 };
+        self.owner.record_decision_time(took);
+        processor.next_tick = self.now + self.owner.due_in(self.clock());
+    }
+}
--- a/src/sched/tests/world/workers.rs
+++ b/src/sched/tests/world/workers.rs
@@ -147,6 +147,11 @@
         self.unacknowledged.len()
     }
 
+    /// Returns true when the worker holds a completion with a higher number.
+    pub(super) fn has_end_after(&self, number: u64) -> bool {
+        self.unacknowledged.iter().any(|e| e.number > number)
+    }
+
     /// Returns true when the worker holds a completion of a task that is not acknowledged.
     pub fn holds_end_of(&self, task: &str) -> bool {
         self.unacknowledged.iter().any(|e| &*e.task == task)
@@ -566,6 +571,9 @@
                 })
                 .collect();
             for (task, outcome) in due {
+                if outcome == RunOutcome::Done {
+                    self.done.push(now);
+                }
                 worker.end_run(&task, outcome, now);
             }
         }
