--- a/src/sched/tests/collapse.rs
+++ b/src/sched/tests/collapse.rs
@@ -1,25 +1,29 @@
 //! Tests of a cell whose owner is short of processor: what a burst or a series of stops leaves behind
 //! must not keep it from serving once they are over.
 
-use super::world::{Costs, Processor, Turns, World, job, lasting, queue};
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::random::seeds;
+use super::world::{Costs, FakeWorker, Processor, Turns, Usage, World, job, lasting, queue};
 use crate::sched::job::Queue;
 use crate::sched::message::{Answer, JobRequest, RunOutcome, Ticket};
 use crate::sched::spec::{JobSpec, Resources, StepSpec};
+use crate::utils::Name;
 use crate::utils::clock::Millis;
 use crate::utils::random::Random;
 
-/// Workers of a test, with 160 processors in all.
-const WORKERS: u16 = 40;
+/// Workers of a test, with 96 processors in all.
+const WORKERS: u16 = 24;
 /// Boxes that may replace the owner.
 const SUCCESSORS: u16 = 4;
 /// Processors that the usual load keeps busy.
-const USUAL: u64 = 70;
+const USUAL: u64 = 42;
 /// Processors that the load of a burst would keep busy.
 const BURST: u64 = USUAL * 26 / 10;
 /// Milliseconds of a burst, or of a series of stops.
 const TROUBLE: Millis = 5_000;
 /// Lasting tasks of a test.
-const LASTING: u32 = 12;
+const LASTING: u32 = 8;
 /// Milliseconds between two looks of the callers at the clock.
 const LOOK: Millis = 10;
 /// Milliseconds after which a caller sends an unanswered request again.
@@ -36,11 +40,11 @@
 
 /// What work takes with a whole processor.
 const COSTS: Costs = Costs {
-    event: 150,
-    worker: 4,
-    step: 10,
-    call: 50,
-    load: 150,
+    event: 700,
+    worker: 9,
+    step: 20,
+    call: 300,
+    load: 250,
 };
 
 /// A caller with one job.
@@ -59,16 +63,26 @@
     world: World,
     random: Random,
     callers: Vec<Caller>,
+    /// Number of the last job.
     jobs: u64,
     /// Thousandths of processors times milliseconds that are to be submitted.
     owed: i64,
+    /// When each lasting task was last seen to run.
+    last_seen: BTreeMap<String, Millis>,
+    /// Longest time in milliseconds for which each did not run.
+    longest_gaps: BTreeMap<String, Millis>,
+    /// Number of owners that were stopped or killed.
+    ends: usize,
 }
 
 impl Cell {
     fn new(share: f64, seed: u64) -> Self {
         let mut world = World::new(WORKERS);
         world.seed(seed);
-        world.script = |_, _| (1_000, RunOutcome::Done);
+        world.script = |task, _| match task.starts_with("lasting") {
+            true => (1_000_000, RunOutcome::Done),
+            false => (1_000, RunOutcome::Done),
+        };
         world.processor = Some(Processor::new(share, TURNS, COSTS));
         world.add_successors(SUCCESSORS);
         let to = Queue {
@@ -76,30 +90,34 @@
             ..queue()
         };
         world.submit_to(to, "lasting", job(vec![lasting(LASTING, 500)]));
+        let mut random = Random::new(seed);
         Self {
             world,
-            random: Random::new(seed),
+            jobs: random.below(1_000),
+            random,
             callers: Vec::new(),
-            jobs: 0,
             owed: 0,
+            last_seen: BTreeMap::new(),
+            longest_gaps: BTreeMap::new(),
+            ends: 0,
         }
     }
 
-    /// Adds a caller with a drawn job, and returns its work.
+    /// Adds a caller with the next job of a cycle of sizes, and returns its work.
     fn add_caller(&mut self) -> i64 {
-        let count = 1 + self.random.below(8) as u32;
-        let cpu = 500 + 50 * self.random.below(20);
+        self.jobs += 1;
+        let count = 2 + (self.jobs % 5) as u32;
+        let cpu = 500 + 100 * (self.jobs * 3 % 10);
         let step = StepSpec {
             count,
             resources: Resources {
                 cpu,
-                memory: 100 + self.random.below(8),
+                memory: 100 + self.jobs % 7,
                 gpu: 0,
             },
             estimate: 1_000,
             ..StepSpec::default()
         };
-        self.jobs += 1;
         self.callers.push(Caller {
             id: format!("j{}", self.jobs),
             spec: job(vec![step]),
@@ -154,9 +172,54 @@
             }
             self.look();
             self.world.run(LOOK);
+            self.look_at_lasting();
+        }
+    }
+
+    /// Records which lasting tasks run.
+    fn look_at_lasting(&mut self) {
+        let now = self.world.now;
+        let workers = self.world.workers.values();
+        let running: BTreeSet<&String> = workers.flat_map(FakeWorker::tasks).collect();
+        for task in (0..LASTING).map(|index| format!("lasting.0.0.{index}")) {
+            let runs = running.contains(&task);
+            let seen = self.last_seen.entry(task.clone()).or_insert(now);
+            let gap = self.longest_gaps.entry(task).or_default();
+            *gap = (now - *seen).max(*gap);
+            *seen = if runs { now } else { *seen };
+        }
+    }
+
+    /// Crashes a drawn worker that runs a lasting task.
+    fn crash_lasting(&mut self) {
+        let runs_lasting = |w: &&FakeWorker| w.tasks().any(|t| t.starts_with("lasting"));
+        let workers = self.world.workers.values().filter(runs_lasting);
+        let ids: Vec<Name> = workers.map(|w| w.listing.id.clone()).collect();
+        if !ids.is_empty() {
+            let drawn = self.random.below(ids.len() as u64) as usize;
+            self.world.crash(&ids[drawn]);
         }
     }
 
+    /// Stops or kills the owner.
+    fn end_owner(&mut self) {
+        self.ends += 1;
+        // A successor waits for leases of an owner that it can't ask.
+        for seen in self.last_seen.values_mut() {
+            *seen = self.world.now;
+        }
+        match self.random.below(2) {
+            0 => self.world.stop_owner(),
+            _ => self.world.kill_owner(),
+        }
+    }
+
+    /// Returns what the processor was used for since the last call.
+    fn reset_usage(&mut self) -> Usage {
+        let processor = self.world.processor.as_mut().expect("a processor");
+        std::mem::take(&mut processor.usage)
+    }
+
     /// Returns how many runs a second were done in the last `span` milliseconds.
     fn done_in(&self, span: Millis) -> f64 {
         let from = self.world.now - span;
@@ -169,6 +232,14 @@
 const SHARES: [f64; 4] = [1.0, 0.6, 0.5, 0.35];
 /// Milliseconds before the trouble.
 const BEFORE: Millis = 4_000;
+/// Workers with lasting tasks that crash in a burst.
+const CRASHES: u64 = 2;
+/// Ends of owners in a series.
+const ENDS: u64 = 5;
+/// Processors that the load of a series keeps busy.
+const SERIES: u64 = 66;
+/// Milliseconds between two of them.
+const END_INTERVAL: Millis = 2_000;
 /// Milliseconds within which work has its former rate again.
 const RECOVERY: Millis = 5_000;
 /// Milliseconds in which that rate is measured.
@@ -176,36 +247,85 @@
 /// Milliseconds within which a lasting task that has lost its worker runs again.
 const LASTING_GAP: Millis = 9_000;
 
-/// Returns what a cell does wrong after a burst.
-fn errors_after_burst(share: f64, seed: u64) -> Vec<String> {
-    let mut cell = Cell::new(share, seed);
-    cell.run(BEFORE, USUAL);
-    let before = cell.done_in(BEFORE / 2);
-    cell.run(TROUBLE, BURST);
+/// Returns what a cell does wrong whose trouble has ended; `before` is its former rate.
+fn errors_after_trouble(cell: &mut Cell, before: f64) -> Vec<String> {
     cell.run(RECOVERY, USUAL);
-    let passed = cell.world.now;
+    cell.reset_usage();
     cell.run(MEASURED, USUAL);
-    let after = cell.done_in(cell.world.now - passed);
-    let mut errors = Vec::new();
+    let (after, usage) = (cell.done_in(MEASURED), cell.reset_usage());
+    let mut errors = std::mem::take(&mut cell.world.duplicates);
     if after < 0.9 * before {
-        errors.push(format!("{after:.0} of {before:.0} runs a second"));
+        let commits = usage.commits * 1_000 / MEASURED;
+        let passes = usage.passes / (MEASURED * 10);
+        errors.push(format!(
+            "{after:.0} of {before:.0} runs a second, {commits} commits a second, {passes} % of the time in passes"
+        ));
+    }
+    for (task, gap) in &cell.longest_gaps {
+        if *gap > LASTING_GAP {
+            errors.push(format!("{task} did not run for {gap} ms"));
+        }
     }
-    let takeovers = cell.world.successors.takeovers.len();
-    if takeovers > 1 {
-        errors.push(format!("{takeovers} takeovers"));
+    let ends = cell.ends;
+    let late = cell.world.successors.takeovers.len() - ends;
+    if late > 1 {
+        errors.push(format!("{late} owners replaced for lateness"));
     }
     errors
 }
 
+/// Returns what a cell does wrong after a burst in which workers crash.
+fn errors_after_burst(share: f64, seed: u64) -> Vec<String> {
+    let mut cell = Cell::new(share, seed);
+    cell.run(BEFORE, USUAL);
+    let before = cell.done_in(BEFORE / 2);
+    for _ in 0..CRASHES {
+        cell.run(TROUBLE / CRASHES, BURST);
+        cell.crash_lasting();
+    }
+    errors_after_trouble(&mut cell, before)
+}
+
+/// Returns what a cell does wrong after stops and kills of owners in series.
+fn errors_after_series(share: f64, seed: u64) -> Vec<String> {
+    let mut cell = Cell::new(share, seed);
+    cell.run(BEFORE, USUAL);
+    let before = cell.done_in(BEFORE / 2);
+    for number in 0..ENDS {
+        cell.end_owner();
+        if number == 1 {
+            cell.crash_lasting();
+        }
+        cell.run(END_INTERVAL, SERIES);
+    }
+    errors_after_trouble(&mut cell, before)
+}
+
+/// Returns the errors of all shares and some seeds.
+fn errors_of(play: fn(f64, u64) -> Vec<String>) -> Vec<String> {
+    let cases = seeds()
+        .step_by(6)
+        .flat_map(|seed| SHARES.map(|share| (share, seed)));
+    let start = |(share, seed)| (share, seed, std::thread::spawn(move || play(share, seed)));
+    let threads: Vec<_> = cases.map(start).collect();
+    let ended = threads.into_iter().flat_map(|(share, seed, thread)| {
+        let errors = thread.join().expect("no panic").into_iter();
+        errors.map(move |e| format!("share {share}, seed {seed}: {e}"))
+    });
+    ended.collect()
+}
+
 /// An owner that is late for a while is replaced, its successor has the same work and that of the
 /// takeover, and is late as well.
 #[test]
 fn a_burst_leaves_no_series_of_late_owners_behind() {
-    let mut errors = Vec::new();
-    for share in SHARES {
-        for error in errors_after_burst(share, 3) {
-            errors.push(format!("share {share}: {error}"));
-        }
-    }
+    let errors = errors_of(errors_after_burst);
+    assert!(errors.is_empty(), "{errors:#?}");
+}
+
+/// Each owner hears of all runs again and waits for the leases of those before it.
+#[test]
+fn owners_that_end_in_series_leave_no_series_of_late_owners_behind() {
+    let errors = errors_of(errors_after_series);
     assert!(errors.is_empty(), "{errors:#?}");
 }
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -14,8 +14,8 @@
 
 use bytes::Bytes;
 
+use self::calls::Scheduled;
 pub use self::calls::{CALL_TIMEOUT, Faults};
-use self::calls::{Call, Scheduled};
 pub use self::crashes::Crashes;
 pub use self::cuts::Cuts;
 pub use self::interference::{Harm, SimulatedInterference};
@@ -31,9 +31,7 @@
     ESTIMATES_TABLE, JOB_TABLE, Journal, LEARNED_KEY, OWNER_KEY, OWNER_TABLE, OwnerRow, SPEC_TABLE,
 };
 use crate::sched::mechanisms::Mechanisms;
-use crate::sched::message::{
-    Action, Answer, DirectoryEntry, Event, JobRequest, Poll, RunOutcome, Start,
-};
+use crate::sched::message::{Answer, DirectoryEntry, Event, JobRequest, Poll, RunOutcome, Start};
 use crate::sched::owner::{Now, Owner, OwnerSettings, StoredJob};
 use crate::sched::spec::{JobSpec, Resources, StepSpec};
 use crate::sched::worker::Listing;
@@ -358,17 +356,6 @@
         }
     }
 
-    /// Has the owner handle an event now, or as soon as its box gets to it.
-    fn receive(&mut self, event: Event) {
-        if self.successors.is_vacant() {
-            return;
-        }
-        match &mut self.processor {
-            Some(processor) => processor.receive(event),
-            None => self.handle(event),
-        }
-    }
-
     /// Sends a job request to the owner and returns the ticket of its answer in `answers`.
     pub fn request(&mut self, request: JobRequest) -> u64 {
         self.last_ticket += 1;
@@ -531,59 +518,4 @@
             wall: self.now,
         }
     }
-
-    /// Has the owner handle an event and carries out its actions.
-    pub fn handle(&mut self, event: Event) {
-        for call in self.decide(event) {
-            self.send(call);
-        }
-    }
-
-    /// Has the owner handle an event, passes its answers on and returns its calls.
-    fn decide(&mut self, event: Event) -> Vec<Call> {
-        let mut calls = Vec::new();
-        for action in self.owner.handle_event(event, self.clock()) {
-            let call = match action {
-                Action::Reply(ticket, answer) => {
-                    self.answers.insert(ticket, answer);
-                    continue;
-                }
-                Action::Poll(poll) => {
-                    self.polls += 1;
-                    let id = poll.incarnation.id.clone();
-                    if poll.acknowledged > 0 {
-                        self.last_acknowledging.insert(id.clone(), poll.clone());
-                    }
-                    self.last_polls.insert(id, poll.clone());
-                    Call::Poll(poll)
-                }
-                Action::Start(start) => {
-                    let sent = (self.now, start.clone());
-                    self.sent_starts
-                        .insert((start.task.clone(), start.run), self.now);
-                    self.last_starts.insert(start.incarnation.id.clone(), sent);
-                    Call::Start(start)
-                }
-                Action::Stop(stop) => Call::Stop(stop),
-                Action::RequestAdvice(request) => {
-                    self.answer_advice(request);
-                    continue;
-                }
-                Action::Throttle(throttle) => {
-                    self.ordered_speeds.push(throttle.percent);
-                    Call::Throttle(throttle)
-                }
-                Action::Commit {
-                    number,
-                    version,
-                    writes,
-                } => {
-                    self.last_commit = number;
-                    Call::Commit(number, version, writes)
-                }
-            };
-            calls.push(call);
-        }
-        calls
-    }
 }
--- a/src/sched/tests/world/calls.rs
+++ b/src/sched/tests/world/calls.rs
@@ -6,7 +6,8 @@
 use crate::sched::history::HistoryPage;
 use crate::sched::journal::{HISTORY_TABLE, OWNER_KEY, OWNER_TABLE};
 use crate::sched::message::{
-    Advice, AdviceRequest, CommitOutcome, Event, Poll, Refusal, Reply, Start, Stop, Throttle, Write,
+    Action, Advice, AdviceRequest, CommitOutcome, Event, Poll, Refusal, Reply, Start, Stop,
+    Throttle, Write,
 };
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -77,6 +78,72 @@
 }
 
 impl World {
+    /// Has the owner handle an event now, or as soon as its box gets to it.
+    pub(super) fn receive(&mut self, event: Event) {
+        if self.successors.is_vacant() {
+            return;
+        }
+        match &mut self.processor {
+            Some(processor) => processor.receive(event),
+            None => self.handle(event),
+        }
+    }
+
+    /// Has the owner handle an event and carries out its actions.
+    pub fn handle(&mut self, event: Event) {
+        for call in self.decide(event) {
+            self.send(call);
+        }
+    }
+
+    /// Has the owner handle an event, passes its answers on and returns its calls.
+    pub(super) fn decide(&mut self, event: Event) -> Vec<Call> {
+        let mut calls = Vec::new();
+        for action in self.owner.handle_event(event, self.clock()) {
+            let call = match action {
+                Action::Reply(ticket, answer) => {
+                    self.answers.insert(ticket, answer);
+                    continue;
+                }
+                Action::Poll(poll) => {
+                    self.polls += 1;
+                    let id = poll.incarnation.id.clone();
+                    if poll.acknowledged > 0 {
+                        self.last_acknowledging.insert(id.clone(), poll.clone());
+                    }
+                    self.last_polls.insert(id, poll.clone());
+                    Call::Poll(poll)
+                }
+                Action::Start(start) => {
+                    let sent = (self.now, start.clone());
+                    self.sent_starts
+                        .insert((start.task.clone(), start.run), self.now);
+                    self.last_starts.insert(start.incarnation.id.clone(), sent);
+                    Call::Start(start)
+                }
+                Action::Stop(stop) => Call::Stop(stop),
+                Action::RequestAdvice(request) => {
+                    self.answer_advice(request);
+                    continue;
+                }
+                Action::Throttle(throttle) => {
+                    self.ordered_speeds.push(throttle.percent);
+                    Call::Throttle(throttle)
+                }
+                Action::Commit {
+                    number,
+                    version,
+                    writes,
+                } => {
+                    self.last_commit = number;
+                    Call::Commit(number, version, writes)
+                }
+            };
+            calls.push(call);
+        }
+        calls
+    }
+
     /// Sends a call, subject to the simulated faults.
     pub(super) fn send(&mut self, call: Call) {
         if matches!(call, Call::Throttle(_)) && self.faults.lost_throttles > 0 {
--- a/src/sched/tests/world/processor.rs
+++ b/src/sched/tests/world/processor.rs
@@ -38,16 +38,12 @@
 }
 
 /// What a processor was used for, and how often.
-#[derive(Clone, Copy, Default, Debug)]
+#[derive(Default)]
 pub struct Usage {
-    /// Microseconds of all work.
-    pub busy: u64,
     /// Microseconds of events with a placement pass.
     pub passes: u64,
     /// Number of commits that were answered.
     pub commits: u64,
-    /// Longest time in milliseconds from a turn's start to its end.
-    pub longest_turn: Millis,
 }
 
 /// The thread of the owner's box.
@@ -59,8 +55,8 @@
     pub usage: Usage,
     /// Time in microseconds at which the thread is free for the next work.
     free_at: u64,
-    /// When the present turn began, and when it ends at the latest, in microseconds.
-    turn: (u64, u64),
+    /// Time in microseconds at which the present turn ends at the latest.
+    turn_end: u64,
     /// When the owner next has work without a message.
     next_tick: Millis,
     /// Messages and replies that have reached the box and were not received.
@@ -86,7 +82,7 @@
             costs,
             usage: Usage::default(),
             free_at: 0,
-            turn: (0, 0),
+            turn_end: 0,
             next_tick: 0,
             arrived: Vec::new(),
             pings: Vec::new(),
@@ -101,16 +97,14 @@
     fn spend(&mut self, micros: u64) -> u64 {
         let took = (micros as f64 / self.share) as u64;
         self.free_at += took;
-        self.usage.busy += took;
         took
     }
 
-    /// Drops what an owner before has left, and begins to load `jobs` jobs.
+    /// Begins to load `jobs` jobs on another box, and returns when they are loaded.
     pub(super) fn begin_load(&mut self, jobs: usize, now: Millis) -> Millis {
         self.clear();
-        let took = self.costs.load * jobs as u64;
-        self.free_at = self.free_at.max(now * 1_000);
-        self.spend(took);
+        self.free_at = now * 1_000;
+        self.spend(self.costs.load * jobs as u64);
         self.confirmed = now;
         self.free_at.div_ceil(1_000)
     }
@@ -121,7 +115,8 @@
         self.queue.clear();
         self.outgoing.clear();
         self.pings.clear();
-        self.turn = (0, 0);
+        self.turn_end = 0;
+        self.next_tick = 0;
     }
 
     /// Receives an event of the owner.
@@ -131,7 +126,7 @@
 
     /// Returns true when the turn of the owner's task is over.
     fn turn_is_over(&self) -> bool {
-        self.queue.is_empty() || self.free_at >= self.turn.1
+        self.queue.is_empty() || self.free_at >= self.turn_end
     }
 }
 
@@ -175,11 +170,8 @@
             if processor.queue.is_empty() && self.now >= processor.next_tick {
                 processor.queue.push_back(Event::Tick);
             }
-            let longest = processor
-                .turns
-                .longest
-                .map_or(u64::MAX / 2, |ms| ms * 1_000);
-            processor.turn = (processor.free_at, processor.free_at + longest);
+            let longest = processor.turns.longest.map_or(u64::MAX, |ms| ms * 1_000);
+            processor.turn_end = processor.free_at.saturating_add(longest);
         }
         let Some(event) = processor.queue.pop_front() else {
             return false;
@@ -187,8 +179,6 @@
         self.decide_in_time(processor, event);
         if processor.turn_is_over() {
             processor.confirmed = self.owner.last_confirmed();
-            let took = (processor.free_at - processor.turn.0) / 1_000;
-            processor.usage.longest_turn = processor.usage.longest_turn.max(took);
         }
         true
     }
@@ -216,10 +206,11 @@
 
     /// Has the owner handle an event, and spends the time that this takes.
     fn decide_in_time(&mut self, processor: &mut Processor, event: Event) {
-        if let Event::Request(ticket, _) = &event {
-            if processor.gone.remove(ticket) && processor.turns.drops_gone {
-                return;
-            }
+        if let Event::Request(ticket, _) = &event
+            && processor.gone.remove(ticket)
+            && processor.turns.drops_gone
+        {
+            return;
         }
         let (examined, pass) = (self.owner.workers_examined, self.owner.next_pass);
         processor.usage.commits += u64::from(matches!(event, Event::CommitEnded(..)));
--- a/src/sched/tests/world/successors.rs
+++ b/src/sched/tests/world/successors.rs
@@ -5,6 +5,7 @@
 use super::World;
 use crate::sched::failover::{
     Assessment, OwnerProgress, Pong, assess_owner, should_replace, takeover_delay,
+    unlisted_box_delay,
 };
 use crate::sched::fences::next_epoch;
 use crate::sched::journal::{JOB_TABLE, OwnerRow};
@@ -21,6 +22,8 @@
 const STAGGER: Millis = 120;
 /// Milliseconds in which a loading owner reads one more page.
 const PAGE_TIME: Millis = 50;
+/// Milliseconds after which a killed box has restarted.
+const RESTART_TIME: Millis = 1_500;
 /// Thousandths of cores of each box.
 const CORES: u32 = 500;
 /// Port of the first box.
@@ -57,6 +60,8 @@
 pub struct Successors {
     boxes: Vec<FollowingBox>,
     load: Option<Load>,
+    /// Epoch of the owner that learns at this time that no earlier one acts.
+    notice: Option<(u64, Millis)>,
     /// True from the end of the owner's process until another box replaces it.
     killed: bool,
     /// When owners were replaced.
@@ -132,6 +137,7 @@
 
     /// Has each following box do what is due.
     pub(super) fn run_successors(&mut self) {
+        self.notify_of_predecessor();
         if self
             .successors
             .load
@@ -145,6 +151,15 @@
         }
     }
 
+    /// Tells the owner that no earlier one acts, once that is known.
+    fn notify_of_predecessor(&mut self) {
+        let (epoch, now) = (self.epoch, self.clock());
+        let is_due = |(of, at): &mut (u64, Millis)| *of == epoch && *at <= now.steady;
+        if self.successors.notice.take_if(is_due).is_some() {
+            self.owner.record_predecessor_end(now);
+        }
+    }
+
     fn run_successor(&mut self, number: usize) {
         let now = self.now;
         let vacant = self.successors.is_vacant();
@@ -198,7 +213,8 @@
                 follower.progress = progress;
             }
             Assessment::Replace(cause) if should_replace(cause, READ_TIME) => {
-                let delay = takeover_delay(CORES, &row, row.released, follower.stagger);
+                let stagger = follower.stagger + unlisted_box_delay(follower.address, &row);
+                let delay = takeover_delay(CORES, &row, row.released, stagger);
                 follower.claim = Some((now + READ_TIME + delay, version));
             }
             Assessment::Replace(_) => {}
@@ -216,7 +232,8 @@
             cores: CORES,
             ..super::owner_row(next_epoch(before.epoch))
         };
-        row.settled = PredecessorState::from_row(Some(&before), &row).all_ended();
+        let state = PredecessorState::from_row(Some(&before), &row);
+        row.settled = state.all_ended();
         row.followers = inherited_followers(Some(&before), address);
         let span = inherited_span(Some(&before), &row, &self.settings);
         row.inherited = Some(span);
@@ -235,6 +252,13 @@
             };
         }
         self.successors.boxes[number].address = before.address;
+        let restart = if self.successors.killed {
+            RESTART_TIME
+        } else {
+            0
+        };
+        let last = state == PredecessorState::MayServe;
+        self.successors.notice = last.then_some((row.epoch, now + restart));
         self.successors.killed = false;
         self.successors.takeovers.push(now);
         self.successors.load = Some(Load {
