--- a/src/sched/tests/collapse.rs
+++ b/src/sched/tests/collapse.rs
@@ -230,6 +230,8 @@
 
 /// Shares of a processor that the owner's box has.
 const SHARES: [f64; 4] = [1.0, 0.6, 0.5, 0.35];
+/// Every so many seeds one is played, as each takes seconds.
+const SEED_STEP: usize = 6;
 /// Milliseconds before the trouble.
 const BEFORE: Millis = 4_000;
 /// Workers with lasting tasks that crash in a burst.
@@ -303,16 +305,20 @@
 
 /// Returns the errors of all shares and some seeds.
 fn errors_of(play: fn(f64, u64) -> Vec<String>) -> Vec<String> {
-    let cases = seeds()
-        .step_by(6)
-        .flat_map(|seed| SHARES.map(|share| (share, seed)));
-    let start = |(share, seed)| (share, seed, std::thread::spawn(move || play(share, seed)));
-    let threads: Vec<_> = cases.map(start).collect();
-    let ended = threads.into_iter().flat_map(|(share, seed, thread)| {
-        let errors = thread.join().expect("no panic").into_iter();
+    let errors_at = |share: f64, seed: u64| {
+        let errors = play(share, seed).into_iter();
         errors.map(move |e| format!("share {share}, seed {seed}: {e}"))
-    });
-    ended.collect()
+    };
+    let all_seeds = |share| {
+        seeds()
+            .step_by(SEED_STEP)
+            .flat_map(move |s| errors_at(share, s))
+    };
+    std::thread::scope(|scope| {
+        let threads = SHARES.map(|share| scope.spawn(move || all_seeds(share).collect()));
+        let errors = threads.map(|thread| thread.join().expect("no panic"));
+        errors.into_iter().flat_map(|e: Vec<String>| e).collect()
+    })
 }
 
 /// An owner that is late for a while is replaced, its successor has the same work and that of the
