--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -14,7 +14,7 @@
 const FLUSH_INTERVAL: Millis = 1_000;
 /// Lateness in milliseconds from which on an owner logs its load: half of the time within which it
 /// has to answer a ping.
-const LOGGED_LATENESS: Millis = 175;
+const LOGGED_LATENESS: Millis = 100;
 
 /// Number of events of one kind, and the time spent on decisions about them.
 #[derive(Clone, Copy, Default)]
@@ -114,7 +114,8 @@
             .map(|(kind, s)| format!("{kind}:{}:{}", s.events, s.micros / 1_000));
         let decisions = kinds.collect::<Vec<_>>().join(",");
         let unconfirmed = now.saturating_sub(owner.last_confirmed());
-        log::info!(target: "owner", "event=owner-load epoch={} late_ms={} span_ms={} unconfirmed_ms={unconfirmed} jobs={jobs} waiting={waiting} calls={} decisions={decisions}", self.epoch, self.flush_lateness, now - self.flushed, self.calls);
+        let limit = owner.start_limit().unwrap_or(0.0);
+        log::info!(target: "owner", "event=owner-load epoch={} late_ms={} span_ms={} unconfirmed_ms={unconfirmed} jobs={jobs} waiting={waiting} calls={} start_limit={limit:.0} decisions={decisions}", self.epoch, self.flush_lateness, now - self.flushed, self.calls);
     }
 
     /// Returns for how many milliseconds the owner has been releasing the cell. Meanwhile it
--- a/src/sched/admission/forecast.rs
+++ b/src/sched/admission/forecast.rs
@@ -21,6 +21,10 @@
 /// run times, and 30 doublings of costs give few enough cells to send with each ping.
 const BANDS_PER_DOUBLING: f64 = 2.0;
 
+/// Milliseconds for which any job may wait for its starts: the start rate varies by as much within a
+/// second.
+const SHORTEST_TURN: Millis = 500;
+
 /// Work of tasks with reserved processors, and of best-effort tasks.
 pub(in crate::sched) type Lanes = [f64; 2];
 
@@ -45,6 +49,8 @@
     pub on_time: Lanes,
     /// Waiting work of jobs that will be late.
     pub late: Lanes,
+    /// Waiting tasks of both.
+    pub tasks: f64,
 }
 
 /// Inputs of the forecast.
@@ -52,6 +58,8 @@
 pub(in crate::sched) struct Load {
     /// Rate at which work ends; 0 while unknown.
     pub rates: Lanes,
+    /// Tasks that the owner starts per millisecond; 0 while its box keeps up with all.
+    pub start_rate: f64,
     /// Work by place in the order.
     pub cells: Vec<Cell>,
     /// Declared work of a typical job, by queue.
@@ -67,6 +75,8 @@
     pub band: u8,
     /// Declared work.
     pub work: Lanes,
+    /// Number of tasks.
+    pub tasks: f64,
     /// Declared duration of the critical path.
     pub ideal: Millis,
     /// Milliseconds in which the job must end to be on time.
@@ -112,6 +122,7 @@
         for (sum, work) in self.cells[index].on_time.iter_mut().zip(job.work) {
             *sum += work;
         }
+        self.cells[index].tasks += job.tasks;
     }
 }
 
@@ -129,8 +140,11 @@
             return None;
         }
         let mut work = Lanes::default();
+        let mut tasks = 0.0;
         for step in &spec.steps {
-            work[lane(step.best_effort)] += f64::from(step.count) * task_work(step);
+            let count = f64::from(step.count);
+            work[lane(step.best_effort)] += count * task_work(step);
+            tasks += count;
         }
         let total = work[0] + work[1];
         let typical = load.typical.get(&queue.name).copied().unwrap_or(total);
@@ -138,6 +152,7 @@
             priority: queue.priority,
             band: band(relative_cost(total, total, typical)),
             work,
+            tasks,
             ideal,
             allowed: allowed(queue, ideal),
             waited,
@@ -166,16 +181,52 @@
     turns.max_by_key(|f| f.end)
 }
 
-/// Returns the demand and forecast of a job if it would end worthless.
+/// A job that can't be served.
+pub(in crate::sched) struct Overload {
+    /// The job.
+    pub job: Demand,
+    /// When it would end.
+    pub wait: Forecast,
+    /// Rate at which work of its kind is done, per millisecond.
+    pub rate: f64,
+}
+
+/// Returns the demand and forecast of a job if it would end worthless by the capacity of the workers,
+/// or could not start in time by what the owner's box can see to.
 pub(in crate::sched) fn overload(
     load: &Load,
     spec: &JobSpec,
     queue: &Queue,
     waited: Millis,
-) -> Option<(Demand, Forecast)> {
+) -> Option<Overload> {
     let job = Demand::of(spec, queue, spec.ideal_duration(), waited, load)?;
+    if let Some(wait) = start_forecast(load, &job)
+        && wait.turn > job.on_time_left().max(SHORTEST_TURN)
+    {
+        let work = job.work[0] + job.work[1];
+        let rate = work / job.tasks * load.start_rate;
+        return Some(Overload { job, wait, rate });
+    }
     let wait = forecast(load, &job)?;
-    (wait.end > job.left()).then_some((job, wait))
+    let rate = load.rates.iter().sum();
+    (wait.end > job.left()).then_some(Overload { job, wait, rate })
+}
+
+/// Returns the forecast of a job by the rate at which the owner starts tasks; `None` while its box
+/// keeps up. All waiting tasks of the same and higher priority count: they are started in the order of
+/// their prospects, so that one that waits for longer than others is overtaken until it is late.
+pub(in crate::sched) fn start_forecast(load: &Load, job: &Demand) -> Option<Forecast> {
+    if load.start_rate <= 0.0 {
+        return None;
+    }
+    let cells = load.cells.iter();
+    let ahead = cells.filter(|cell| cell.priority <= job.priority);
+    let turn = ahead.map(|cell| cell.tasks).sum::<f64>() / load.start_rate;
+    let own = (job.tasks / load.start_rate).max(job.ideal as f64);
+    Some(Forecast {
+        turn: turn as Millis,
+        end: (turn + own) as Millis,
+    })
 }
 
 /// Returns the forecast of the work of one lane.
--- a/src/sched/admission/overload.rs
+++ b/src/sched/admission/overload.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use super::forecast::{Cell, Demand, Lanes, Load, band, lane, overload};
+use super::forecast::{Cell, Demand, Lanes, Load, Overload, band, lane, overload};
 use super::rejection::Rejection;
 use crate::sched::job::{Job, Phase, Queue, TaskKey};
 use crate::sched::owner::Owner;
@@ -30,8 +30,7 @@
         let now = self.now.steady;
         let admission = &mut self.admission;
         let waited = admission.returns.waited(id, now);
-        let (job, wait) = overload(&admission.load, spec, queue, waited)?;
-        let rate = admission.load.rates.iter().sum();
+        let Overload { job, wait, rate } = overload(&admission.load, spec, queue, waited)?;
         let retry = admission.returns.retry_after(&job, wait, rate, now);
         admission.returns.remember(id, now);
         crate::metrics::get().load_refusals.inc();
@@ -87,14 +86,16 @@
         let now = self.now.steady;
         let waits = self.waiting_lanes();
         self.admission.throughput.observe(waits, now);
-        let cells = match waits {
-            [false, false] => Vec::new(),
-            _ => self.waiting_cells(),
+        let start_rate = self.start_limit().map_or(0.0, |limit| limit / 1_000.0);
+        let cells = match waits != [false; 2] || start_rate > 0.0 {
+            true => self.waiting_cells(),
+            false => Vec::new(),
         };
         let typical = self.typical_work.iter();
         let throughput = &self.admission.throughput;
         self.admission.load = Load {
             rates: throughput.rates(now),
+            start_rate,
             cells,
             typical: typical.map(|(q, work)| (q.clone(), *work)).collect(),
         };
@@ -125,7 +126,7 @@
         };
         for job in self.jobs.values().filter(|j| j.is_open()) {
             for round in 0..job.row.rounds.len() {
-                let work = waiting_work(job, round);
+                let (work, tasks) = waiting_work(job, round);
                 let prospect = prospect(job, round, self.now.wall).0;
                 if work == Lanes::default() || prospect == Prospect::Worthless {
                     continue;
@@ -138,20 +139,24 @@
                 };
                 sums[0] += work[0];
                 sums[1] += work[1];
+                cell.tasks += tasks;
             }
         }
         cells.into_values().collect()
     }
 }
 
-/// Returns the declared work of the tasks of a round that wait, also for earlier steps.
-fn waiting_work(job: &Job, round: usize) -> Lanes {
+/// Returns the declared work of the tasks of a round that wait, also for earlier steps, and their
+/// number.
+fn waiting_work(job: &Job, round: usize) -> (Lanes, f64) {
     let mut work = Lanes::default();
+    let mut count = 0.0;
     for (tasks, step) in job.row.rounds[round].iter().zip(&job.spec.steps) {
         if !step.lasting {
-            let waiting = tasks.iter().filter(|t| t.phase == Phase::Waiting).count();
-            work[lane(step.best_effort)] += waiting as f64 * task_work(step);
+            let waiting = tasks.iter().filter(|t| t.phase == Phase::Waiting).count() as f64;
+            work[lane(step.best_effort)] += waiting * task_work(step);
+            count += waiting;
         }
     }
-    work
+    (work, count)
 }
--- a/src/sched/completions.rs
+++ b/src/sched/completions.rs
@@ -185,7 +185,7 @@
 
     /// Records that a completion is stored, so that the worker may forget it.
     pub(super) fn acknowledge_completion(&mut self, incarnation: &Incarnation, number: u64) {
-        let now = self.now.steady;
+        let next = self.now.steady + self.batch_delay();
         let name = &incarnation.id;
         // A later incarnation numbers its completions from 1 again.
         let worker = self
@@ -197,7 +197,7 @@
         };
         worker.completions.mark_stored(number);
         if worker.completions.all_stored() && matches!(worker.poll, PollState::Due(_)) {
-            self.schedule_poll(name, now + BATCH_DELAY);
+            self.schedule_poll(name, next);
         }
     }
 }
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -16,6 +16,7 @@
 use super::long_leases::EarlierIncarnations;
 use super::losses::UnresolvedLosses;
 use super::message::{Action, Answer, Event, Ticket};
+use super::pacing::{Repeated, StartRate};
 use super::placing::permits::Permits;
 use super::placing::placement::Placement;
 use super::placing::racks::RackWaits;
@@ -155,7 +156,11 @@
     /// Number of the next job.
     next_job: u32,
     /// When the next sweep for due and expired state runs.
-    next_sweep: Millis,
+    pub(super) next_sweep: Millis,
+    /// What the current event has caused of the work that is repeated.
+    pub(super) repeated: Repeated,
+    /// Limit of the tasks that are started per second.
+    pub(super) start_rate: StartRate,
     /// When the learned estimates are written next.
     pub(super) next_estimates: Millis,
     /// Number of runs that were released because the lease of their worker had ended.
@@ -235,6 +240,8 @@
             began: now.steady,
             next_job: 0,
             next_sweep: 0,
+            repeated: Repeated::default(),
+            start_rate: StartRate::default(),
             next_estimates: 0,
             lapsed_runs: 0,
             extends_leases: true,
@@ -364,6 +371,7 @@
         self.learned.note_gap(self.now.steady, now.steady);
         self.now = now;
         self.sequence.advance();
+        self.repeated = Repeated::default();
         match event {
             Event::Request(ticket, request) => self.handle_request(ticket, request),
             Event::Directory(listings) => self.replace_directory(listings),
@@ -371,6 +379,7 @@
             Event::Cordoned(halls) => self.set_cordoned_halls(halls),
             Event::Polled(poll, reply) => self.handle_poll_reply(&poll, reply),
             Event::Started(key, run, incarnation, reply) => {
+                self.start_rate.record_answer();
                 self.handle_start_reply(key, run, &incarnation, reply)
             }
             Event::Stopped(key, run, incarnation, reply) => {
@@ -389,6 +398,7 @@
         }
         if now.steady >= self.next_sweep {
             self.next_sweep = now.steady + SWEEP_INTERVAL;
+            self.repeated.swept = true;
             self.sweep();
         }
         // An owner that releases the cell extends no leases: the next owner relies on that.
@@ -437,6 +447,7 @@
             self.queue_ready_tasks(number);
         }
         self.update_backlog_level();
+        self.start_rate.adjust(self.now.steady);
         self.update_admission();
         self.shares.advance(wall);
         self.export_longest_breach();
--- a/src/sched/placing/pass.rs
+++ b/src/sched/placing/pass.rs
@@ -142,22 +142,30 @@
             return;
         }
         self.next_pass = now + PASS_INTERVAL + self.ready.len() as u64 / WAITING_PER_MS;
+        let allowed = self.start_rate.allowance(now).min(MAX_PLACED);
+        if allowed == 0 {
+            self.next_pass = now + PASS_INTERVAL;
+            return;
+        }
+        self.repeated.placed = true;
         self.ranking = None;
         self.prune_reservations();
         let before = self.workers_examined;
-        let count = self.run_pass();
+        let count = self.run_pass(allowed);
+        self.start_rate.record_starts(count);
         self.next_pass += (self.workers_examined - before) / EXAMINED_PER_MS;
         self.saturated = count == 0;
         self.update_drains();
     }
 
-    /// Tries to place each waiting task in order. Returns the number of placed tasks.
-    fn run_pass(&mut self) -> usize {
+    /// Tries to place each waiting task in order, until `most` are placed. Returns the number of
+    /// placed tasks.
+    fn run_pass(&mut self, most: usize) -> usize {
         let mut pass = Pass::new();
         let mut count = 0;
         for entry in self.placement_order() {
             for key in self.waiting_tasks(entry) {
-                if count >= MAX_PLACED {
+                if count >= most {
                     return count;
                 }
                 if !self.ready.contains_key(&key) {
--- a/src/sched/reports.rs
+++ b/src/sched/reports.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 
 use super::completion_log::Coverage;
-use super::completions::BATCH_DELAY;
 use super::crashes::CrashEvidence;
 use super::history::NO_TASK;
 use super::incarnation::{BootOrder, compare_boots, compare_report};
@@ -36,15 +35,16 @@
     pub run: &'a ActiveRun,
 }
 
-/// Returns the milliseconds until the next poll of a worker that has answered.
-fn poll_delay(worker: &Worker) -> Millis {
+/// Returns the milliseconds until the next poll of a worker that has answered; `batch` are those in
+/// which ends gather.
+fn poll_delay(worker: &Worker, batch: Millis) -> Millis {
     let log = &worker.completions;
     if worker.missed_polls > 0 {
         RETRY_DELAY
     } else if !log.all_stored() || log.is_stalled() {
         STORE_DELAY
     } else if worker.withholds_acknowledgement() && worker.answered_fence == worker.fence {
-        BATCH_DELAY
+        batch
     } else {
         0
     }
@@ -130,6 +130,7 @@
         self.clear_suspects(name);
         self.observe_running(name, &running);
         self.adjust_speeds(name, &running);
+        let batch = self.batch_delay();
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -137,7 +138,7 @@
             // What the rows would tell is unknown: its lease is left to end.
             worker.missed_polls += 1;
         }
-        let delay = poll_delay(worker);
+        let delay = poll_delay(worker, batch);
         self.schedule_poll(name, self.now.steady + delay);
     }
 
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -29,6 +29,7 @@
 mod mass_restart;
 mod order;
 mod overload;
+mod pacing;
 mod pass_cost;
 mod pauses;
 mod permits;
--- a/src/sched/tests/admission_parts.rs
+++ b/src/sched/tests/admission_parts.rs
@@ -1,11 +1,13 @@
 //! Tests of the parts of the admission by load: forecast, retry times, and throughput.
 
-use crate::sched::admission::forecast::{Cell, Demand, Forecast, Load, forecast};
+use crate::sched::admission::forecast::{
+    Cell, Demand, Forecast, Load, forecast, overload, start_forecast,
+};
 use crate::sched::admission::returns::{
     MAX_REMEMBERED, MAX_RETRY, MIN_RETRY, RETRY_WINDOW, Returns,
 };
 use crate::sched::admission::throughput::{MEASURED_AFTER, Throughput};
-use crate::sched::tests::world::{job, lasting, queue};
+use crate::sched::tests::world::{job, lasting, queue, step};
 use crate::utils::Name;
 
 /// Returns a load with 10 cores and this many core-seconds that wait ahead of `demand`.
@@ -28,6 +30,7 @@
         priority: 0,
         band: 10,
         work: [1e6, 0.0],
+        tasks: 1.0,
         ideal: 1_000,
         allowed: 3_000,
         waited: 0,
@@ -110,6 +113,32 @@
     assert_eq!(throughput.rates(21_000), [0.0; 2]);
 }
 
+/// A box that is short of processor accepted jobs that it started only when they were worthless.
+#[test]
+fn the_turn_comes_when_the_owner_has_started_the_tasks_ahead() {
+    let mut behind = load(0.0);
+    behind.cells[0].tasks = 1_200.0;
+    assert_eq!(start_forecast(&behind, &demand()), None, "keeps up");
+    behind.start_rate = 0.4;
+    let wait = start_forecast(&behind, &demand()).expect("forecast");
+    assert_eq!((wait.turn, wait.end), (3_000, 4_000));
+    behind.cells[0].priority = 1;
+    let wait = start_forecast(&behind, &demand()).expect("forecast");
+    assert_eq!(wait.turn, 0, "a lower priority");
+}
+
+#[test]
+fn a_job_that_the_owner_cant_start_in_time_is_refused() {
+    let mut behind = load(0.0);
+    behind.start_rate = 0.4;
+    let job = job(vec![step(3, 1_000)]);
+    let queue = queue();
+    assert!(overload(&behind, &job, &queue, 0).is_none());
+    behind.cells[0].tasks = 40_000.0;
+    let refused = overload(&behind, &job, &queue, 0).expect("refused");
+    assert_eq!(refused.wait.turn, 100_000);
+}
+
 /// Callers refused together must not return together.
 #[test]
 fn retry_times_follow_the_order_of_refusals_at_the_measured_rate() {
