Owner's task: turns of 10 ms, and what decides about ownership first

It now yields after 10 ms by a timer, as the runtime sees to timers only when no task is ready; outcomes of commits and messages about ownership are handled first, requests and replies in turns; requests whose callers have gone are not carried out. Tests: daemon/tests/inbox.rs. The test of a deposed owner awaits its first answer, as the outcome of a commit now overtakes a request; its assertions are unchanged.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -9,6 +9,7 @@
 mod follower;
 mod frontend;
 mod history;
+mod inbox;
 mod message;
 mod owner_row;
 mod owner_task;
@@ -35,6 +36,7 @@
 use crate::utils::suspension::SuspensionDetector;
 use crate::utils::{listen, signals};
 use crate::{logs, web};
+use inbox::Inbox;
 use shared::Shared;
 
 /// Time between two checks for signals, and between two writes of log lines.
@@ -74,7 +76,7 @@
         monoio::spawn(admin::serve(listener, shared.clone()));
     }
     monoio::spawn(feeds::follow_config(shared.clone()));
-    monoio::spawn(owner_task::run(shared.clone(), messages));
+    monoio::spawn(owner_task::run(shared.clone(), Inbox::new(messages)));
     monoio::spawn(follower::run(shared.clone(), checks));
     monoio::spawn(follower::keep_confirming(shared.clone()));
     let mut suspension = SuspensionDetector::start();
--- a/src/daemon/message.rs
+++ b/src/daemon/message.rs
@@ -8,6 +8,14 @@
 use crate::sched::owner::{Owner, OwnerSettings};
 use crate::utils::clock::Millis;
 
+/// A message to the owner's task, and when it was sent.
+pub struct Sent {
+    /// When the message was sent.
+    pub at: Millis,
+    /// The message.
+    pub message: Message,
+}
+
 /// A message to the owner's task.
 pub enum Message {
     /// A caller's request to the owner of an epoch, and where its answer is sent. The owner of
--- a/src/daemon/owner_task.rs
+++ b/src/daemon/owner_task.rs
@@ -5,14 +5,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures::StreamExt;
-use futures::channel::{mpsc, oneshot};
-use monoio::time::timeout;
+use futures::channel::oneshot;
+use monoio::time::sleep;
 
 use super::commits::commit_as_owner;
 use super::feeds;
 use super::history;
-use super::message::Message;
+use super::inbox::Inbox;
+use super::message::{Message, Sent};
 use super::shared::{Shared, now};
 use super::term::Term;
 use crate::sched::failover;
@@ -20,6 +20,11 @@
 use crate::sched::owner::Owner;
 use crate::utils::clock::{self, Millis};
 
+/// Milliseconds for which messages are handled before other tasks of the box run: answers to pings
+/// and the answers of the store and the workers wait meanwhile.
+const TURN: Millis = 10;
+/// Pause after a turn with which messages are left.
+const TURN_PAUSE: Duration = Duration::from_millis(1);
 /// Bounds of the wait for a commit's answer, in milliseconds, before its outcome is looked up:
 /// many times the usual answer time, and the answer time of a slow store.
 const ANSWER_WAIT: std::ops::RangeInclusive<Millis> = 120..=900;
@@ -40,33 +45,46 @@
 }
 
 /// Handles messages and timeouts until the process ends.
-pub async fn run(shared: Rc<Shared>, mut messages: mpsc::UnboundedReceiver<Message>) {
+pub async fn run(shared: Rc<Shared>, mut inbox: Inbox) {
     let mut local: Option<LocalOwner> = None;
-    let mut woke = clock::now();
     loop {
         let wait = local.as_ref().map_or(1_000, |l| l.owner.due_in(now()));
-        let message = timeout(Duration::from_millis(wait), messages.next()).await;
-        let due = woke + wait;
-        woke = clock::now();
-        if let Some(local) = &mut local {
-            // The time that handling the last messages took counts as well: an owner that gets
-            // too little processor time loses it there.
-            local.term.record_lateness(woke.saturating_sub(due), woke);
+        if !inbox.wait(Duration::from_millis(wait)).await {
+            return;
         }
-        let mut next = match message {
-            Ok(Some(message)) => Some(message),
-            Ok(None) => return,
-            Err(_) => Some(tick_message(&local)),
-        };
-        while let Some(message) = next {
-            // A later owner relies on an ended term to act no more, whatever is queued for it.
-            end_if_over(&shared, &mut local);
-            handle_message(&shared, &mut local, message);
-            next = messages.try_recv().ok();
+        take_turn(&shared, &mut local, &mut inbox);
+        if !inbox.is_empty() {
+            // A timer, as the runtime sees to timers only when no task is ready to run.
+            sleep(TURN_PAUSE).await;
+        }
+    }
+}
+
+/// Handles messages for the length of a turn.
+fn take_turn(shared: &Rc<Shared>, local: &mut Option<LocalOwner>, inbox: &mut Inbox) {
+    let began = clock::now();
+    let mut next = inbox.next();
+    if next.is_none() {
+        let message = tick_message(local);
+        next = Some(Sent { at: began, message });
+    }
+    while let Some(Sent { at, message }) = next {
+        let now = clock::now();
+        if let Some(local) = local {
+            let lag = now.saturating_sub(at);
+            local.owner.record_lag(lag);
+            local.term.record_lateness(lag, now);
         }
-        update_gauges(&shared, &mut local);
-        end_if_over(&shared, &mut local);
+        // A later owner relies on an ended term to act no more, whatever is queued for it.
+        end_if_over(shared, local);
+        handle_message(shared, local, message);
+        next = match clock::now() < began + TURN {
+            true => inbox.next(),
+            false => None,
+        };
     }
+    update_gauges(shared, local);
+    end_if_over(shared, local);
 }
 
 /// Returns the message that is handled when a wait ends without a message.
@@ -92,6 +110,8 @@
                 shared.send_to_owner(Message::Release);
             }
         }
+        // Nobody waits for the answer any more, so the request is not carried out.
+        (Message::Request(_, _, reply), _) if reply.is_canceled() => {}
         (Message::Request(epoch, request, reply), Some(local)) if epoch == local.term.epoch => {
             let ticket = local.next_ticket;
             local.next_ticket += 1;
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -9,7 +9,7 @@
 
 use super::confirmations::Confirmations;
 use super::downtime::Downtime;
-use super::message::Message;
+use super::message::{Message, Sent};
 use super::peer_addresses::PeerAddresses;
 use crate::cordons::{CordonChange, Cordons, Halls};
 use crate::options::daemon::Settings;
@@ -73,7 +73,7 @@
     pub workers: Workers,
     /// Client of the advisor.
     pub advisor: Advisor,
-    owner_sender: UnboundedSender<Message>,
+    owner_sender: UnboundedSender<Sent>,
     check_sender: UnboundedSender<()>,
     queues: RefCell<Rc<Queues>>,
     config: RefCell<Option<Row>>,
@@ -97,7 +97,7 @@
     pub fn new(
         settings: Settings,
         incarnation: u64,
-        owner_sender: UnboundedSender<Message>,
+        owner_sender: UnboundedSender<Sent>,
         check_sender: UnboundedSender<()>,
     ) -> Self {
         Self {
@@ -128,8 +128,9 @@
 
     /// Sends a message to the owner's task.
     pub fn send_to_owner(&self, message: Message) {
+        let at = clock::now();
         // The task ends only with the process.
-        let _ = self.owner_sender.unbounded_send(message);
+        let _ = self.owner_sender.unbounded_send(Sent { at, message });
     }
 
     /// Has the follower check the owner at once.
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -2,17 +2,18 @@
 
 mod change_of_owner;
 mod confirmations;
+mod inbox;
 mod many_boxes;
 
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use futures::channel::mpsc::{self, UnboundedReceiver};
+use futures::channel::mpsc;
 
 use super::downtime::Downtime;
 use super::frontend::Doubt;
 use super::history::decode_page;
-use super::message::Message;
+use super::inbox::Inbox;
 use super::peer_addresses::PeerAddresses;
 use super::shared::{KnownOwner, Shared};
 use super::takeover::decode_jobs;
@@ -199,12 +200,12 @@
 }
 
 /// Returns the state of a box without a configuration, and the messages to its owner's task.
-fn shared_with_messages() -> (Shared, UnboundedReceiver<Message>) {
+fn shared_with_messages() -> (Shared, Inbox) {
     shared_with_store(([127, 0, 0, 1], 4).into())
 }
 
 /// Returns the same for a box that uses the store at this address.
-fn shared_with_store(store: SocketAddr) -> (Shared, UnboundedReceiver<Message>) {
+fn shared_with_store(store: SocketAddr) -> (Shared, Inbox) {
     let text = "[box]\nname = \"b\"\nhall = \"h1\"\nweb = \"127.0.0.1:1\"\n\
         admin = \"127.0.0.1:2\"\nrpc = \"127.0.0.1:3\"\n[platform]\nstore = \"127.0.0.1:4\"\n";
     let mut settings = daemon::parse("b.toml", text).expect("settings");
@@ -213,7 +214,7 @@
     let (check_sender, _) = mpsc::unbounded();
     (
         Shared::new(settings, 1, owner_sender, check_sender),
-        messages,
+        Inbox::new(messages),
     )
 }
 
--- a/src/daemon/tests/change_of_owner.rs
+++ b/src/daemon/tests/change_of_owner.rs
@@ -14,7 +14,7 @@
 use super::{lock_terms, owner, owner_row, shared_state, shared_with_messages, shared_with_store};
 use crate::daemon::commits::commit_as_owner;
 use crate::daemon::follower::is_vacant;
-use crate::daemon::message::Message;
+use crate::daemon::message::{Message, Sent};
 use crate::daemon::peers::{self, handle_ping, handle_request};
 use crate::daemon::shared::{Loading, Shared};
 use crate::daemon::takeover::notify_predecessor;
@@ -123,11 +123,11 @@
     block_on(async {
         let shared = serving_box().await;
         let before = send_query(&shared, "j");
-        // The first event has sent the first commit.
+        // The first event has sent the first commit, whose outcome is handled before requests.
+        assert_eq!(before.await, Ok(Answer::State(JobState::Queued)));
         let conflict = Event::CommitEnded(1, CommitOutcome::Conflict(None));
         shared.send_to_owner(Message::Event(EPOCH, conflict));
         let after = send_query(&shared, "j");
-        assert_eq!(before.await, Ok(Answer::State(JobState::Queued)));
         assert_eq!(
             after.await.ok(),
             None,
@@ -176,7 +176,7 @@
         ..PingRequest::default()
     };
     notify_predecessor(Rc::new(shared), before, notice, true).await;
-    matches!(messages.try_recv(), Ok(Message::PredecessorEnded(epoch)) if epoch == EPOCH + 1)
+    matches!(messages.next(), Some(Sent { message: Message::PredecessorEnded(epoch), .. }) if epoch == EPOCH + 1)
 }
 
 /// Guards against a shortened wait for leases that the predecessor, elsewhere by now, extends.
--- a/src/daemon/tests/confirmations.rs
+++ b/src/daemon/tests/confirmations.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use super::{lock_terms, owner_row, shared_state, shared_with_messages};
-use crate::daemon::message::Message;
+use crate::daemon::message::{Message, Sent};
 use crate::daemon::peers::handle_ping;
 use crate::daemon::pings::follow_later_owner;
 use crate::daemon::shared::Shared;
@@ -87,7 +87,7 @@
         };
         let reply = handle_ping(&shared, &ping);
         assert!(reply.owner && reply.clock > 0, "the owner sends its clock");
-        matches!(messages.try_recv(), Ok(Message::Confirmed(EPOCH, at, CLOCK)) if at.port() == 9)
+        matches!(messages.next(), Some(Sent { message: Message::Confirmed(EPOCH, at, CLOCK), .. }) if at.port() == 9)
     };
     assert!(confirmed(EPOCH, CLOCK));
     assert!(!confirmed(EPOCH, 0), "it confirms nothing");
--- /dev/null
+++ b/src/daemon/tests/inbox.rs
@@ -0,0 +1,86 @@
+//! Tests of the order in which the owner's task handles messages.
+
+use futures::channel::oneshot;
+use monoio::time::sleep;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::{lock_terms, owner, shared_with_messages};
+use crate::daemon::inbox::Inbox;
+use crate::daemon::message::{Message, Sent};
+use crate::daemon::owner_task;
+use crate::daemon::shared::{self, Loading};
+use crate::program::block_on;
+use crate::sched::message::{CommitOutcome, Event, JobRequest};
+
+/// Epoch of the messages.
+const EPOCH: u64 = 7;
+
+/// Returns the kinds of the waiting messages in the order in which they are handled.
+fn kinds(inbox: &mut Inbox) -> Vec<&'static str> {
+    let kind = |Sent { message, .. }| match message {
+        Message::Event(_, event) => event.kind(),
+        Message::Request(..) => "request",
+        Message::Superseded(_) => "superseded",
+        _ => "other",
+    };
+    std::iter::from_fn(|| inbox.next()).map(kind).collect()
+}
+
+/// Behind hundreds of replies, the outcome of a commit came so late that other boxes took the owner for
+/// gone; and with all requests first, no report of a worker was handled for seconds.
+#[test]
+fn what_decides_about_ownership_comes_first_and_then_requests_and_replies_in_turns() {
+    let (shared, mut inbox) = shared_with_messages();
+    let (reply, _answer) = oneshot::channel();
+    let show = JobRequest::Show("j".into());
+    shared.send_to_owner(Message::Event(EPOCH, Event::Tick));
+    shared.send_to_owner(Message::Event(EPOCH, Event::Directory(Vec::new())));
+    shared.send_to_owner(Message::Request(EPOCH, show.clone(), reply));
+    let (reply, _later) = oneshot::channel();
+    shared.send_to_owner(Message::Request(EPOCH, show, reply));
+    let outcome = CommitOutcome::NotDone;
+    shared.send_to_owner(Message::Event(EPOCH, Event::CommitEnded(3, outcome)));
+    shared.send_to_owner(Message::Superseded(EPOCH + 1));
+    assert_eq!(
+        kinds(&mut inbox),
+        [
+            "written",
+            "superseded",
+            "request",
+            "tick",
+            "request",
+            "directory"
+        ]
+    );
+    assert!(inbox.is_empty());
+}
+
+/// An owner that is behind served requests whose callers had long gone.
+#[test]
+fn a_request_whose_caller_has_gone_is_not_carried_out() {
+    let _terms = lock_terms();
+    block_on(async {
+        let (shared, inbox) = shared_with_messages();
+        let shared = Rc::new(shared);
+        shared.set_loading(Some(Loading {
+            epoch: EPOCH,
+            pages: 0,
+        }));
+        let owner = owner(shared::now().steady);
+        shared.send_to_owner(Message::Begin(Box::new(owner), EPOCH, 0));
+        let (reply, gone) = oneshot::channel();
+        drop(gone);
+        let cancel = JobRequest::Cancel("j".into());
+        shared.send_to_owner(Message::Request(EPOCH, cancel, reply));
+        let (reply, answer) = oneshot::channel();
+        let show = JobRequest::Show("j".into());
+        shared.send_to_owner(Message::Request(EPOCH, show, reply));
+        monoio::spawn(owner_task::run(shared.clone(), inbox));
+        let answer = answer.await.expect("an owner answers");
+        let text = format!("{answer:?}");
+        assert!(!text.contains("Cancelled"), "{text}");
+        sleep(Duration::from_millis(1)).await;
+    })
+    .expect("runtime");
+}
