--- a/src/daemon/feeds.rs
+++ b/src/daemon/feeds.rs
@@ -18,6 +18,9 @@
 /// is noticed only after this wait, and a configuration has to be in force 2 s after the store
 /// accepted it.
 const FEED_WAIT: Millis = 800;
+/// Pause between two reads of the directory's changes. Each worker writes its entry once per heartbeat,
+/// so that of hundreds of workers some entry changes every few milliseconds.
+const DIRECTORY_PAUSE: Duration = Duration::from_millis(50);
 /// Pause after a failed read or feed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -38,7 +41,10 @@
         Ok(version)
     };
     let change = |page| apply(page, None);
-    follow_table(&shared, config::TABLE, read, change, || true).await;
+    follow_table(&shared, config::TABLE, read, change, Duration::ZERO, || {
+        true
+    })
+    .await;
 }
 
 /// Follows the directory while the owner of `epoch` is in this process.
@@ -68,17 +74,26 @@
         // read anew when the named services change.
         let services = shared.queues().services().clone();
         let is_active = || is_local() && *shared.queues().services() == services;
-        follow_table(&shared, directory::TABLE, read, change, is_active).await;
+        follow_table(
+            &shared,
+            directory::TABLE,
+            read,
+            change,
+            DIRECTORY_PAUSE,
+            is_active,
+        )
+        .await;
     }
 }
 
 /// Has `read` apply a whole table and return its version, and then waits for the changes, while
-/// `is_active`. Calls `change` with each page of changes.
+/// `is_active`. Calls `change` with each page of changes, and pauses after it.
 async fn follow_table(
     shared: &Shared,
     table: &str,
     read: impl AsyncFn() -> Result<u64, StoreError>,
     change: impl Fn(Page),
+    pause: Duration,
     is_active: impl Fn() -> bool,
 ) {
     let mut version = None;
@@ -99,12 +114,16 @@
         };
         match answer {
             Ok(reached) => {
+                let changed = version.is_some_and(|known| known < reached);
                 shared.record_store_answer();
                 if !healthy {
                     log::info!(target: "store", "event=feed-regained table={table}");
                     healthy = true;
                 }
                 version = Some(reached);
+                if changed {
+                    sleep(pause).await;
+                }
             }
             Err(StoreError::HistoryGone) => {
                 log::info!(target: "store", "event=feed-forgotten table={table} version={version:?}");
