--- a/src/sched/admission/forecast.rs
+++ b/src/sched/admission/forecast.rs
@@ -192,7 +192,7 @@
 }
 
 /// Returns the demand and forecast of a job if it would end worthless by the capacity of the workers,
-/// or could not start in time by what the owner's box can see to.
+/// or could not start in time by what the owner's box can process.
 pub(in crate::sched) fn overload(
     load: &Load,
     spec: &JobSpec,
--- a/src/sched/pacing.rs
+++ b/src/sched/pacing.rs
@@ -2,8 +2,8 @@
 //!
 //! Placement passes and sweeps go through all that waits: where the box is slow, the next one would
 //! be due as soon as one ends, and leave no time for commits, leases and reports. And each start
-//! causes calls and reports later: more starts than the box can see to would have all replies wait,
-//! those about urgent tasks among them.
+//! causes calls and reports later: with more starts than the box can process, all replies wait, those
+//! about urgent tasks among them.
 
 use super::completions::BATCH_DELAY;
 use super::owner::Owner;
@@ -37,7 +37,7 @@
 /// of the time that short tasks take.
 const LONG_BATCH_DELAY: Millis = 250;
 
-/// What an event has caused of the work that is repeated.
+/// Periodic work that the current event has caused.
 #[derive(Clone, Copy, Default)]
 pub(super) struct Repeated {
     /// A placement pass.
@@ -57,9 +57,9 @@
     updated: Millis,
     /// When the limit was last adjusted.
     adjusted: Millis,
-    /// Number of replies since then, and the milliseconds that they have waited in all.
-    replies: (u64, Millis),
-    /// Mean time that replies waited in the interval before.
+    /// Number of messages since then, and the milliseconds that they have waited in all.
+    messages: (u64, Millis),
+    /// Mean time that messages waited in the interval before.
     lag: Millis,
     /// Number of starts since then that were answered.
     answered: u32,
@@ -68,10 +68,10 @@
 }
 
 impl StartRate {
-    /// Records for how long a reply has waited.
+    /// Records for how long a message has waited to be handled.
     pub fn record_lag(&mut self, lag: Millis) {
-        self.replies.0 += 1;
-        self.replies.1 += lag;
+        self.messages.0 += 1;
+        self.messages.1 += lag;
     }
 
     /// Records that a start was answered.
@@ -106,8 +106,8 @@
         }
         let answered = f64::from(self.answered) * 1_000.0 / span as f64;
         self.rate += (answered - self.rate) * RATE_WEIGHT;
-        let (replies, waited) = self.replies;
-        let lag = waited.checked_div(replies).unwrap_or(0);
+        let (messages, waited) = self.messages;
+        let lag = waited.checked_div(messages).unwrap_or(0);
         let known = self.limit.unwrap_or(MAX_RATE);
         let limit = match lag > LAG_LIMIT {
             // The replies to starts under an earlier limit still wait.
@@ -118,7 +118,7 @@
         self.limit = Some(limit).filter(|l| *l < MAX_RATE);
         self.lag = lag;
         self.adjusted = now;
-        self.replies = (0, 0);
+        self.messages = (0, 0);
         self.answered = 0;
     }
 }
--- a/src/sched/tests/pacing.rs
+++ b/src/sched/tests/pacing.rs
@@ -8,7 +8,7 @@
 /// Milliseconds of a simulated step.
 const STEP: Millis = 10;
 
-/// A box that sees to a number of replies per step, while as many tasks wait as it may start.
+/// A box that processes a number of replies per step, while as many tasks wait as it may start.
 struct SlowBox {
     rate: StartRate,
     /// Replies per step.
@@ -67,9 +67,9 @@
     assert_eq!(host.rate.limit, None);
 }
 
-/// More starts than the box can see to had all replies wait, those about urgent tasks among them.
+/// With more starts than the box can process, all replies waited, those about urgent tasks among them.
 #[test]
-fn replies_do_not_wait_behind_more_starts_than_a_box_can_see_to() {
+fn replies_do_not_wait_behind_more_starts_than_a_box_can_process() {
     for capacity in [5, 10, 20] {
         let mut host = SlowBox::new(capacity);
         host.run(5_000, 30);
