Readability: one order of messages for the owner's task and its simulation, terms and comments

The simulation had an order of its own, with requests always first; both use sched/backlog.rs now. Calls in progress are counted in one place, the pause of the directory feed is where its changes are applied, a limit of starts is logged as none rather than 0, lateness counts late wakes again, the threshold of owner-load follows the time-out of pings as its comment said. The daemon hands the decision time to the owner in one function, which has a test.

--- a/src/daemon/feeds.rs
+++ b/src/daemon/feeds.rs
@@ -40,11 +40,8 @@
         apply(page, Some(version));
         Ok(version)
     };
-    let change = |page| apply(page, None);
-    follow_table(&shared, config::TABLE, read, change, Duration::ZERO, || {
-        true
-    })
-    .await;
+    let change = async |page| apply(page, None);
+    follow_table(&shared, config::TABLE, read, change, || true).await;
 }
 
 /// Follows the directory while the owner of `epoch` is in this process.
@@ -67,33 +64,27 @@
         send(Event::Directory(whole));
         Ok(version)
     };
-    let change = |page| send(Event::DirectoryChanged(decode(page)));
+    let change = async |page| {
+        send(Event::DirectoryChanged(decode(page)));
+        sleep(DIRECTORY_PAUSE).await;
+    };
     let is_local = || shared.local_epoch() == Some(epoch);
     while is_local() {
         // Entries of services that the configuration does not name are skipped, so the table is
         // read anew when the named services change.
         let services = shared.queues().services().clone();
         let is_active = || is_local() && *shared.queues().services() == services;
-        follow_table(
-            &shared,
-            directory::TABLE,
-            read,
-            change,
-            DIRECTORY_PAUSE,
-            is_active,
-        )
-        .await;
+        follow_table(&shared, directory::TABLE, read, &change, is_active).await;
     }
 }
 
 /// Has `read` apply a whole table and return its version, and then waits for the changes, while
-/// `is_active`. Calls `change` with each page of changes, and pauses after it.
+/// `is_active`. Calls `change` with each page of changes.
 async fn follow_table(
     shared: &Shared,
     table: &str,
     read: impl AsyncFn() -> Result<u64, StoreError>,
-    change: impl Fn(Page),
-    pause: Duration,
+    change: impl AsyncFn(Page),
     is_active: impl Fn() -> bool,
 ) {
     let mut version = None;
@@ -103,27 +94,26 @@
             None => read().await,
             Some(version) => {
                 let page = shared.store.wait_for_changes(table, version, FEED_WAIT);
-                page.await.map(|page| {
-                    let version = page.version;
-                    if !page.rows.is_empty() || !page.deleted.is_empty() {
-                        change(page);
+                match page.await {
+                    Ok(page) => {
+                        let version = page.version;
+                        if !page.rows.is_empty() || !page.deleted.is_empty() {
+                            change(page).await;
+                        }
+                        Ok(version)
                     }
-                    version
-                })
+                    Err(e) => Err(e),
+                }
             }
         };
         match answer {
             Ok(reached) => {
-                let changed = version.is_some_and(|known| known < reached);
                 shared.record_store_answer();
                 if !healthy {
                     log::info!(target: "store", "event=feed-regained table={table}");
                     healthy = true;
                 }
                 version = Some(reached);
-                if changed {
-                    sleep(pause).await;
-                }
             }
             Err(StoreError::HistoryGone) => {
                 log::info!(target: "store", "event=feed-forgotten table={table} version={version:?}");
--- a/src/daemon/owner_task.rs
+++ b/src/daemon/owner_task.rs
@@ -15,16 +15,14 @@
 use super::message::{Message, Sent};
 use super::shared::{Shared, now};
 use super::term::Term;
+use crate::sched::backlog::TIME_SLICE;
 use crate::sched::failover;
 use crate::sched::message::{Action, Answer, CommitOutcome, Event, Ticket};
 use crate::sched::owner::Owner;
 use crate::utils::clock::{self, Millis};
 
-/// Milliseconds for which messages are handled before other tasks of the box run: answers to pings
-/// and the answers of the store and the workers wait meanwhile.
-const TURN: Millis = 10;
-/// Pause after a turn with which messages are left.
-const TURN_PAUSE: Duration = Duration::from_millis(1);
+/// Pause after a time slice that leaves messages waiting.
+const SLICE_PAUSE: Duration = Duration::from_millis(1);
 /// Bounds of the wait for a commit's answer, in milliseconds, before its outcome is looked up:
 /// many times the usual answer time, and the answer time of a slow store.
 const ANSWER_WAIT: std::ops::RangeInclusive<Millis> = 120..=900;
@@ -49,19 +47,25 @@
     let mut local: Option<LocalOwner> = None;
     loop {
         let wait = local.as_ref().map_or(1_000, |l| l.owner.due_in(now()));
+        let due = clock::now() + wait;
         if !inbox.wait(Duration::from_millis(wait)).await {
             return;
         }
-        take_turn(&shared, &mut local, &mut inbox);
+        if let Some(local) = &mut local {
+            let woke = clock::now();
+            local.term.record_lateness(woke.saturating_sub(due), woke);
+        }
+        run_time_slice(&shared, &mut local, &mut inbox);
         if !inbox.is_empty() {
-            // A timer, as the runtime sees to timers only when no task is ready to run.
-            sleep(TURN_PAUSE).await;
+            // The runtime handles timers only when no task is ready to run, so a task that yields
+            // without a timer would hold up those of all others.
+            sleep(SLICE_PAUSE).await;
         }
     }
 }
 
-/// Handles messages for the length of a turn.
-fn take_turn(shared: &Rc<Shared>, local: &mut Option<LocalOwner>, inbox: &mut Inbox) {
+/// Handles messages for a time slice.
+fn run_time_slice(shared: &Rc<Shared>, local: &mut Option<LocalOwner>, inbox: &mut Inbox) {
     let began = clock::now();
     let mut next = inbox.next();
     if next.is_none() {
@@ -78,7 +82,7 @@
         // A later owner relies on an ended term to act no more, whatever is queued for it.
         end_if_over(shared, local);
         handle_message(shared, local, message);
-        next = match clock::now() < began + TURN {
+        next = match clock::now() < began + TIME_SLICE {
             true => inbox.next(),
             false => None,
         };
@@ -142,6 +146,20 @@
     }
 }
 
+/// Has the owner handle an event, and tells it how long that took by a clock in microseconds. Returns
+/// the actions and that time.
+pub(super) fn decide(
+    owner: &mut Owner,
+    event: Event,
+    micros: impl Fn() -> u64,
+) -> (Vec<Action>, u64) {
+    let begun = micros();
+    let actions = owner.handle_event(event, now());
+    let spent = micros() - begun;
+    owner.record_decision_time(spent);
+    (actions, spent)
+}
+
 /// Returns the local owner at the beginning of its term.
 fn begin_term(owner: Owner, epoch: u64, load_ms: Millis) -> LocalOwner {
     LocalOwner {
@@ -193,11 +211,11 @@
         if let Event::CommitEnded(_, outcome) = &event {
             self.adapt_answer_wait(outcome);
         }
-        let (kind, ends_call, begun) = (event.kind(), event.ends_call(), clock::micros());
-        let actions = self.owner.handle_event(event, now());
-        let spent = clock::micros() - begun;
-        self.owner.record_decision_time(spent);
-        self.term.record_event(kind, ends_call, spent);
+        let (kind, ends_call) = (event.kind(), event.ends_call());
+        let (actions, spent) = decide(&mut self.owner, event, clock::micros);
+        let begun = actions.iter().filter(|action| action.begins_call());
+        self.term.record_calls(begun.count(), ends_call);
+        self.term.record_event(kind, spent);
         for action in actions {
             self.perform(shared, action);
         }
@@ -238,28 +256,24 @@
                 }
             }
             Action::Poll(poll) => {
-                self.term.record_call();
                 spawn_call(shared, epoch, async move |shared| {
                     let reply = shared.workers.poll(&poll).await;
                     Event::Polled(poll, reply)
                 });
             }
             Action::Start(start) => {
-                self.term.record_call();
                 spawn_call(shared, epoch, async move |shared| {
                     let reply = shared.workers.start(&start).await;
                     Event::Started(start.key, start.run, start.incarnation, reply)
                 });
             }
             Action::Stop(stop) => {
-                self.term.record_call();
                 spawn_call(shared, epoch, async move |shared| {
                     let reply = shared.workers.stop(&stop).await;
                     Event::Stopped(stop.key, stop.run, stop.incarnation, reply)
                 });
             }
             Action::Throttle(throttle) => {
-                self.term.record_call();
                 spawn_call(shared, epoch, async move |shared| {
                     let reply = shared.workers.throttle(&throttle).await;
                     Event::Throttled(
--- a/src/daemon/pings.rs
+++ b/src/daemon/pings.rs
@@ -17,7 +17,7 @@
 /// Milliseconds between two pings to the owner.
 pub const PING_INTERVAL: Millis = 200;
 /// Timeout of a ping in milliseconds: a hundred round trips.
-const PING_TIMEOUT: Millis = 350;
+pub const PING_TIMEOUT: Millis = 350;
 
 /// Pings the owner, and records whether it serves this box.
 pub async fn ping_owner(shared: &Shared, owner: &OwnerRow) -> Result<PingReply, CallError> {
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 
+use super::pings::PING_TIMEOUT;
 use crate::metrics::{self, EventLabel, OwnerEndLabel};
 use crate::sched::owner::Owner;
 use crate::utils::clock::{self, Millis};
@@ -14,7 +15,7 @@
 const FLUSH_INTERVAL: Millis = 1_000;
 /// Lateness in milliseconds from which on an owner logs its load: half of the time within which it
 /// has to answer a ping.
-const LOGGED_LATENESS: Millis = 100;
+const LOGGED_LATENESS: Millis = PING_TIMEOUT / 2;
 
 /// Number of events of one kind, and the time spent on decisions about them.
 #[derive(Clone, Copy, Default)]
@@ -31,7 +32,7 @@
     pub began: Millis,
     /// Milliseconds from the commit that made this box the owner until it served.
     load_ms: Millis,
-    /// Milliseconds by which the owner's loop was late.
+    /// Milliseconds by which messages were handled late, or a wait ended late.
     lateness: RecentPeak,
     /// Decisions by kind of event since the counters were last updated.
     spent: BTreeMap<&'static str, Spent>,
@@ -40,7 +41,7 @@
     /// When the counters were last updated.
     flushed: Millis,
     /// Number of calls to workers in progress.
-    calls: u64,
+    calls: usize,
     /// When the owner was first seen to be releasing the cell.
     releasing_since: Option<Millis>,
 }
@@ -65,22 +66,19 @@
         }
     }
 
-    /// Records by how many milliseconds the owner's loop was late.
+    /// Records by how many milliseconds a message was handled late, or a wait ended late.
     pub fn record_lateness(&mut self, by: Millis, now: Millis) {
         self.lateness.record(by, now);
         self.flush_lateness = self.flush_lateness.max(by);
     }
 
-    /// Records that a call to a worker has begun.
-    pub fn record_call(&mut self) {
-        self.calls += 1;
+    /// Records that an event has begun calls to workers, and whether it has ended one.
+    pub fn record_calls(&mut self, begun: usize, ended: bool) {
+        self.calls = (self.calls + begun).saturating_sub(usize::from(ended));
     }
 
     /// Records that an event of a kind was handled, and how many microseconds the decisions took.
-    pub fn record_event(&mut self, kind: &'static str, ends_call: bool, micros: u64) {
-        if ends_call {
-            self.calls = self.calls.saturating_sub(1);
-        }
+    pub fn record_event(&mut self, kind: &'static str, micros: u64) {
         let spent = self.spent.entry(kind).or_default();
         spent.events += 1;
         spent.micros += micros;
@@ -114,8 +112,9 @@
             .map(|(kind, s)| format!("{kind}:{}:{}", s.events, s.micros / 1_000));
         let decisions = kinds.collect::<Vec<_>>().join(",");
         let unconfirmed = now.saturating_sub(owner.last_confirmed());
-        let limit = owner.start_limit().unwrap_or(0.0);
-        log::info!(target: "owner", "event=owner-load epoch={} late_ms={} span_ms={} unconfirmed_ms={unconfirmed} jobs={jobs} waiting={waiting} calls={} start_limit={limit:.0} decisions={decisions}", self.epoch, self.flush_lateness, now - self.flushed, self.calls);
+        let limit = owner.start_limit().map(|limit| format!("{limit:.0}"));
+        let limit = limit.as_deref().unwrap_or("none");
+        log::info!(target: "owner", "event=owner-load epoch={} late_ms={} span_ms={} unconfirmed_ms={unconfirmed} jobs={jobs} waiting={waiting} calls={} start_limit={limit} decisions={decisions}", self.epoch, self.flush_lateness, now - self.flushed, self.calls);
     }
 
     /// Returns for how many milliseconds the owner has been releasing the cell. Meanwhile it
--- a/src/daemon/tests/inbox.rs
+++ b/src/daemon/tests/inbox.rs
@@ -1,10 +1,12 @@
-//! Tests of the order in which the owner's task handles messages.
+//! Tests of the order in which the owner's task handles messages, and of what it tells the owner.
 
-use futures::channel::oneshot;
-use monoio::time::sleep;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::channel::oneshot;
+use monoio::time::sleep;
+
 use super::{lock_terms, owner, shared_with_messages};
 use crate::daemon::inbox::Inbox;
 use crate::daemon::message::{Message, Sent};
@@ -31,7 +33,7 @@
 /// Behind hundreds of replies, the outcome of a commit came so late that other boxes took the owner for
 /// gone; and with all requests first, no report of a worker was handled for seconds.
 #[test]
-fn what_decides_about_ownership_comes_first_and_then_requests_and_replies_in_turns() {
+fn what_decides_about_ownership_comes_first_and_then_requests_and_replies_alternately() {
     let (shared, mut inbox) = shared_with_messages();
     let (reply, _answer) = oneshot::channel();
     let show = JobRequest::Show("j".into());
@@ -85,3 +87,16 @@
     })
     .expect("runtime");
 }
+
+/// Without the measured time, sweeps and placement passes follow each other on a slow box.
+#[test]
+fn the_owner_learns_how_long_its_decisions_took() {
+    let mut owner = owner(shared::now().steady);
+    let clock = Cell::new(0);
+    // Each reading is 50 ms after the one before.
+    let micros = || clock.replace(clock.get() + 50_000);
+    let (_, spent) = owner_task::decide(&mut owner, Event::Tick, micros);
+    assert_eq!(spent, 50_000);
+    let wait = owner.due_in(shared::now());
+    assert!(wait > 200, "the next sweep is due in {wait} ms");
+}
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -17,13 +17,14 @@
 //!   whether silent workers have crashed.
 //! - Workers: `worker` holds the state of one, `directory` and `lost_workers` add and remove them,
 //!   `incarnation` distinguishes their restarts, and `cordon` excludes halls.
-//! - `pacing` limits the time that the owner spends on work that may wait.
+//! - `backlog` orders what waits for the owner, and `pacing` limits the time that the owner spends on work that may wait.
 //! - Interference: `gauges` records reported loads (with `recently_ended` and `breaches`), and
 //!   `throttling` limits how best-effort tasks slow serving tasks beside them (`colocation`).
 //! - Owners: `predecessors` describes what earlier owners may still do, `failover` decides which
 //!   box takes over next, and `mechanisms` lists which parts of the scheduler are enabled.
 
 mod admission;
+pub mod backlog;
 mod breaches;
 mod colocation;
 mod commits;
--- a/src/sched/admission/forecast.rs
+++ b/src/sched/admission/forecast.rs
@@ -23,7 +23,7 @@
 
 /// Milliseconds for which any job may wait for its starts: the start rate varies by as much within a
 /// second.
-const SHORTEST_TURN: Millis = 500;
+const MIN_START_WAIT: Millis = 500;
 
 /// Work of tasks with reserved processors, and of best-effort tasks.
 pub(in crate::sched) type Lanes = [f64; 2];
@@ -201,7 +201,7 @@
 ) -> Option<Overload> {
     let job = Demand::of(spec, queue, spec.ideal_duration(), waited, load)?;
     if let Some(wait) = start_forecast(load, &job)
-        && wait.turn > job.on_time_left().max(SHORTEST_TURN)
+        && wait.turn > job.on_time_left().max(MIN_START_WAIT)
     {
         let work = job.work[0] + job.work[1];
         let rate = work / job.tasks * load.start_rate;
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -411,3 +411,13 @@
         writes: Vec<Write>,
     },
 }
+
+impl Action {
+    /// Returns true for an action that begins a call to a worker.
+    pub fn begins_call(&self) -> bool {
+        matches!(
+            self,
+            Self::Poll(_) | Self::Start(_) | Self::Stop(_) | Self::Throttle(_)
+        )
+    }
+}
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -16,7 +16,7 @@
 use super::long_leases::EarlierIncarnations;
 use super::losses::UnresolvedLosses;
 use super::message::{Action, Answer, Event, Ticket};
-use super::pacing::{Repeated, StartRate};
+use super::pacing::Pacing;
 use super::placing::permits::Permits;
 use super::placing::placement::Placement;
 use super::placing::racks::RackWaits;
@@ -157,10 +157,8 @@
     next_job: u32,
     /// When the next sweep for due and expired state runs.
     pub(super) next_sweep: Millis,
-    /// What the current event has caused of the work that is repeated.
-    pub(super) repeated: Repeated,
-    /// Limit of the tasks that are started per second.
-    pub(super) start_rate: StartRate,
+    /// Pace of passes, sweeps and starts.
+    pub(super) pacing: Pacing,
     /// When the learned estimates are written next.
     pub(super) next_estimates: Millis,
     /// Number of runs that were released because the lease of their worker had ended.
@@ -240,8 +238,7 @@
             began: now.steady,
             next_job: 0,
             next_sweep: 0,
-            repeated: Repeated::default(),
-            start_rate: StartRate::default(),
+            pacing: Pacing::default(),
             next_estimates: 0,
             lapsed_runs: 0,
             extends_leases: true,
@@ -371,7 +368,7 @@
         self.learned.note_gap(self.now.steady, now.steady);
         self.now = now;
         self.sequence.advance();
-        self.repeated = Repeated::default();
+        (self.pacing.placed, self.pacing.swept) = (false, false);
         match event {
             Event::Request(ticket, request) => self.handle_request(ticket, request),
             Event::Directory(listings) => self.replace_directory(listings),
@@ -379,7 +376,7 @@
             Event::Cordoned(halls) => self.set_cordoned_halls(halls),
             Event::Polled(poll, reply) => self.handle_poll_reply(&poll, reply),
             Event::Started(key, run, incarnation, reply) => {
-                self.start_rate.record_answer();
+                self.pacing.starts.record_answer();
                 self.handle_start_reply(key, run, &incarnation, reply)
             }
             Event::Stopped(key, run, incarnation, reply) => {
@@ -398,7 +395,7 @@
         }
         if now.steady >= self.next_sweep {
             self.next_sweep = now.steady + SWEEP_INTERVAL;
-            self.repeated.swept = true;
+            self.pacing.swept = true;
             self.sweep();
         }
         // An owner that releases the cell extends no leases: the next owner relies on that.
@@ -447,7 +444,7 @@
             self.queue_ready_tasks(number);
         }
         self.update_backlog_level();
-        self.start_rate.adjust(self.now.steady);
+        self.pacing.starts.adjust(self.now.steady);
         self.update_admission();
         self.shares.advance(wall);
         self.export_longest_breach();
--- a/src/sched/pacing.rs
+++ b/src/sched/pacing.rs
@@ -37,13 +37,15 @@
 /// of the time that short tasks take.
 const LONG_BATCH_DELAY: Millis = 250;
 
-/// Periodic work that the current event has caused.
-#[derive(Clone, Copy, Default)]
-pub(super) struct Repeated {
-    /// A placement pass.
+/// Periodic work that the current event has caused, and the limit of starts.
+#[derive(Default)]
+pub(super) struct Pacing {
+    /// True after a placement pass.
     pub placed: bool,
-    /// A sweep for due and expired state.
+    /// True after a sweep for due and expired state.
     pub swept: bool,
+    /// Limit of the tasks that are started per second.
+    pub starts: StartRate,
 }
 
 /// Limit of the tasks that are started per second.
@@ -124,13 +126,14 @@
 }
 
 impl Owner {
-    /// Records how many microseconds handling the last event took on this box.
+    /// Records how many microseconds handling the last event took on this box, and sets the next pass
+    /// and sweep accordingly.
     pub fn record_decision_time(&mut self, micros: u64) {
         let next = |parts: u64| self.now.steady + micros * parts / 1_000;
-        if self.repeated.placed {
+        if self.pacing.placed {
             self.next_pass = self.next_pass.max(next(PASS_PARTS));
         }
-        if self.repeated.swept {
+        if self.pacing.swept {
             self.next_sweep = self.next_sweep.max(next(SWEEP_PARTS));
         }
     }
@@ -146,11 +149,11 @@
 
     /// Returns the limit of starts per second; `None` while the box keeps up.
     pub fn start_limit(&self) -> Option<f64> {
-        self.start_rate.limit
+        self.pacing.starts.limit
     }
 
     /// Records for how many milliseconds an event has waited to be handled.
     pub fn record_lag(&mut self, lag: Millis) {
-        self.start_rate.record_lag(lag);
+        self.pacing.starts.record_lag(lag);
     }
 }
--- a/src/sched/placing/pass.rs
+++ b/src/sched/placing/pass.rs
@@ -141,18 +141,18 @@
         if self.saturated || now < self.next_pass || self.journal.in_doubt() {
             return;
         }
-        self.next_pass = now + PASS_INTERVAL + self.ready.len() as u64 / WAITING_PER_MS;
-        let allowed = self.start_rate.allowance(now).min(MAX_PLACED);
+        self.next_pass = now + PASS_INTERVAL;
+        let allowed = self.pacing.starts.allowance(now).min(MAX_PLACED);
         if allowed == 0 {
-            self.next_pass = now + PASS_INTERVAL;
             return;
         }
-        self.repeated.placed = true;
+        self.next_pass += self.ready.len() as u64 / WAITING_PER_MS;
+        self.pacing.placed = true;
         self.ranking = None;
         self.prune_reservations();
         let before = self.workers_examined;
         let count = self.run_pass(allowed);
-        self.start_rate.record_starts(count);
+        self.pacing.starts.record_starts(count);
         self.next_pass += (self.workers_examined - before) / EXAMINED_PER_MS;
         self.saturated = count == 0;
         self.update_drains();
--- a/src/sched/tests/collapse.rs
+++ b/src/sched/tests/collapse.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::random::seeds;
-use super::world::{Costs, FakeWorker, Processor, Turns, Usage, World, job, lasting, queue};
+use super::world::{Costs, FakeWorker, Processor, Usage, World, job, lasting, queue};
 use crate::sched::job::Queue;
 use crate::sched::message::{Answer, JobRequest, RunOutcome, Ticket};
 use crate::sched::spec::{JobSpec, Resources, StepSpec};
@@ -31,13 +31,6 @@
 /// Milliseconds after which a caller gives up.
 const PATIENCE: Millis = 3_000;
 
-/// How the owner's task takes turns.
-const TURNS: Turns = Turns {
-    longest: Some(10),
-    urgent_first: true,
-    drops_gone: true,
-};
-
 /// What work takes with a whole processor.
 const COSTS: Costs = Costs {
     event: 700,
@@ -83,7 +76,7 @@
             true => (1_000_000, RunOutcome::Done),
             false => (1_000, RunOutcome::Done),
         };
-        world.processor = Some(Processor::new(share, TURNS, COSTS));
+        world.processor = Some(Processor::new(share, COSTS));
         world.add_successors(SUCCESSORS);
         let to = Queue {
             priority: 5,
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -20,7 +20,7 @@
 pub use self::cuts::Cuts;
 pub use self::interference::{Harm, SimulatedInterference};
 use self::owners::EarlierOwners;
-pub use self::processor::{Costs, Processor, Turns, Usage};
+pub use self::processor::{Costs, Processor, Usage};
 pub use self::successors::Successors;
 use self::workers::EndedAt;
 pub use self::workers::FakeWorker;
--- a/src/sched/tests/world/processor.rs
+++ b/src/sched/tests/world/processor.rs
@@ -1,13 +1,14 @@
 //! Simulates the thread of the owner's box: each decision takes time, and what arrives meanwhile
 //! waits.
 //!
-//! The owner's task handles messages in turns. Between two turns the other tasks of the thread send
+//! The owner's task handles messages in time slices. Between two of them the other tasks of the thread send
 //! the calls that the owner has asked for, receive what has arrived and answer pings.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 use super::World;
 use super::calls::Call;
+use crate::sched::backlog::{Backlog, Class, TIME_SLICE};
 use crate::sched::job::StepKey;
 use crate::sched::message::{Event, JobRequest, Ticket};
 use crate::utils::clock::Millis;
@@ -26,17 +27,6 @@
     pub load: u64,
 }
 
-/// How the owner's task takes turns with the other tasks of its thread.
-#[derive(Clone, Copy)]
-pub struct Turns {
-    /// Milliseconds after which a turn ends; without a limit it ends when no message waits.
-    pub longest: Option<Millis>,
-    /// True when answers to commits are handled before requests, and these before other messages.
-    pub urgent_first: bool,
-    /// True when requests are dropped whose callers no longer wait.
-    pub drops_gone: bool,
-}
-
 /// What a processor was used for, and how often.
 #[derive(Default)]
 pub struct Usage {
@@ -53,13 +43,12 @@
 pub struct Processor {
     /// Share of a processor that the box has, from 0 to 1.
     share: f64,
-    turns: Turns,
     costs: Costs,
     pub usage: Usage,
     /// Time in microseconds at which the thread is free for the next work.
     free_at: u64,
-    /// Time in microseconds at which the present turn ends at the latest.
-    turn_end: u64,
+    /// Time in microseconds at which the present time slice ends at the latest.
+    slice_end: u64,
     /// When the owner next has work without a message.
     next_tick: Millis,
     /// Messages and replies that have reached the box and were not received.
@@ -67,29 +56,28 @@
     /// Pings that have reached the box, by number of the pinging box.
     pub(super) pings: Vec<usize>,
     /// Messages that wait for the owner's task.
-    queue: VecDeque<Waiting>,
+    backlog: Backlog<Waiting>,
     /// Calls to make.
     outgoing: Vec<Call>,
     /// Requests whose callers no longer wait.
     gone: BTreeSet<Ticket>,
-    /// When the store last confirmed the owner, as of the end of the last turn.
+    /// When the store last confirmed the owner, as of the end of the last time slice.
     pub(super) confirmed: Millis,
 }
 
 impl Processor {
     /// Returns a thread with this share of a processor.
-    pub fn new(share: f64, turns: Turns, costs: Costs) -> Self {
+    pub fn new(share: f64, costs: Costs) -> Self {
         Self {
             share,
-            turns,
             costs,
             usage: Usage::default(),
             free_at: 0,
-            turn_end: 0,
+            slice_end: 0,
             next_tick: 0,
             arrived: Vec::new(),
             pings: Vec::new(),
-            queue: VecDeque::new(),
+            backlog: Backlog::default(),
             outgoing: Vec::new(),
             gone: BTreeSet::new(),
             confirmed: 0,
@@ -115,10 +103,10 @@
     /// Drops all that waits for the owner or comes from it.
     pub(super) fn clear(&mut self) {
         self.arrived.clear();
-        self.queue.clear();
+        self.backlog = Backlog::default();
         self.outgoing.clear();
         self.pings.clear();
-        self.turn_end = 0;
+        self.slice_end = 0;
         self.next_tick = 0;
     }
 
@@ -127,24 +115,14 @@
         self.arrived.push((now, event));
     }
 
-    /// Removes and returns the event that is handled next.
-    fn next(&mut self) -> Option<Waiting> {
-        let rank = |event: &Event| match event {
-            Event::CommitEnded(..) => 0,
-            Event::Request(..) => 1,
-            _ => 2,
-        };
-        let ranks = self.queue.iter().enumerate();
-        let first = match self.turns.urgent_first {
-            true => ranks.min_by_key(|(at, (_, event))| (rank(event), *at))?.0,
-            false => 0,
-        };
-        self.queue.remove(first)
+    /// Adds an event that arrived at `at` to those that wait for the owner's task.
+    fn push(&mut self, at: Millis, event: Event) {
+        self.backlog.push(Class::of(&event), (at, event));
     }
 
-    /// Returns true when the turn of the owner's task is over.
-    fn turn_is_over(&self) -> bool {
-        self.queue.is_empty() || self.free_at >= self.turn_end
+    /// Returns true when the time slice of the owner's task is over.
+    fn slice_is_over(&self) -> bool {
+        self.backlog.is_empty() || self.free_at >= self.slice_end
     }
 }
 
@@ -183,20 +161,19 @@
 
     /// Does the next piece of work; returns false if there is none.
     fn work(&mut self, processor: &mut Processor) -> bool {
-        if processor.turn_is_over() {
+        if processor.slice_is_over() {
             self.run_other_tasks(processor);
-            if processor.queue.is_empty() && self.now >= processor.next_tick {
-                processor.queue.push_back((self.now, Event::Tick));
+            if processor.backlog.is_empty() && self.now >= processor.next_tick {
+                processor.push(self.now, Event::Tick);
             }
-            let longest = processor.turns.longest.map_or(u64::MAX, |ms| ms * 1_000);
-            processor.turn_end = processor.free_at.saturating_add(longest);
+            processor.slice_end = processor.free_at + TIME_SLICE * 1_000;
         }
-        let Some((at, event)) = processor.next() else {
+        let Some((at, event)) = processor.backlog.pop() else {
             return false;
         };
         self.owner.record_lag(self.now - at);
         self.decide_in_time(processor, event);
-        if processor.turn_is_over() {
+        if processor.slice_is_over() {
             processor.confirmed = self.owner.last_confirmed();
         }
         true
@@ -213,9 +190,9 @@
             processor.spend(costs);
             self.answer_ping(pinging, processor.confirmed);
         }
-        for waiting in std::mem::take(&mut processor.arrived) {
+        for (at, event) in std::mem::take(&mut processor.arrived) {
             processor.spend(costs);
-            processor.queue.push_back(waiting);
+            processor.push(at, event);
         }
     }
 
@@ -223,7 +200,6 @@
     fn decide_in_time(&mut self, processor: &mut Processor, event: Event) {
         if let Event::Request(ticket, _) = &event
             && processor.gone.remove(ticket)
-            && processor.turns.drops_gone
         {
             return;
         }
