--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -444,19 +444,6 @@
         self.state.1.notify_all();
     }
 
-    fn drop_row(&self, table: &str, key: &str) {
-        let mut s = self.state.0.lock().unwrap();
-        s.ver += 1;
-        let ver = s.ver;
-        s.rows
-            .insert((table.into(), "".into(), key.into()), (None, ver));
-        self.state.1.notify_all();
-    }
-
-    fn over_limit(&self) -> u64 {
-        self.state.0.lock().unwrap().over_limit
-    }
-
     fn handle(&self, r: Request) -> Answer {
         if self.state.0.lock().unwrap().down {
             return Some((503, "{}".into()));
@@ -639,6 +626,8 @@
     after: Vec<usize>,
     saves: bool,
     lasts: bool,
+    /// Every run fails by the job's own fault.
+    fails: bool,
     apart: usize,
     /// What the tasks run, the tail that they must stay under, and whether they fill.
     image: String,
@@ -692,6 +681,7 @@
 
 struct Life {
     id: String,
+    born: u64,
     started: Instant,
     fence: u64,
     deadline: u64,
@@ -705,6 +695,9 @@
 #[derive(Clone)]
 struct Worker {
     number: usize,
+    /// While true, starts are left unanswered and are carried out once it is false again.
+    late: Arc<AtomicBool>,
+    held: Arc<Mutex<Vec<Request>>>,
     address: SocketAddr,
     life: Arc<(Mutex<Life>, Condvar)>,
     world: Arc<Mutex<World>>,
@@ -723,6 +716,8 @@
     restore_ms: u64,
     heartbeat: u64,
     guards: bool,
+    /// Workers tell when they started, and come back under the id that they had.
+    born: bool,
 }
 
 const SERVICE: &str = "pedidos";
@@ -738,6 +733,8 @@
         let listener = listen();
         let worker = Self {
             number,
+            late: Arc::default(),
+            held: Arc::default(),
             address: listener.local_addr().unwrap(),
             life: Arc::new((
                 Mutex::new(Life::new(format!("i-{:08x}", 0x7f3a_0000 + number * 257))),
@@ -768,55 +765,14 @@
         let (cpu, mem) = self.rules.capacity;
         let seq = self.record.ms();
         let value = format!(
-            "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"leon-norte\",\"version\":\"1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":{seq},\"capacity\":{{\"cpu\":{cpu},\"memMb\":{mem},\"gpu\":0}},\"labels\":[\"a\",\"{}\"]}}",
+            "{{{}\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"leon-norte\",\"version\":\"1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":{seq},\"capacity\":{{\"cpu\":{cpu},\"memMb\":{mem},\"gpu\":0}},\"labels\":[\"a\",\"{}\"]}}",
+            self.born(),
             self.address,
             self.label()
         );
         self.store.put("servers", &id, &value);
     }
 
-    /// Ends the worker without a word; the next life starts `down` ms later at the same address,
-    /// with a new id.
-    fn crash(&self, down: u64) {
-        let old = {
-            let mut l = self.life.0.lock().unwrap();
-            if !l.up {
-                return;
-            }
-            self.end_due(&mut l);
-            l.up = false;
-            let tasks: Vec<String> = l.active.keys().cloned().collect();
-            let now = self.record.ms();
-            let mut world = self.world.lock().unwrap();
-            for a in l.active.values() {
-                world.runs[a.index].ended = Some((now, "crashed"));
-            }
-            drop(world);
-            l.active.clear();
-            self.record
-                .say(format!("worker {} crashes with runs of {tasks:?}", l.id));
-            l.id.clone()
-        };
-        let me = self.clone();
-        thread::spawn(move || {
-            thread::sleep(Duration::from_millis(down));
-            let n = old.len();
-            let next = format!(
-                "{}{:04x}",
-                &old[..n - 4],
-                (u64::from_str_radix(&old[n - 4..], 16).unwrap() + 1) & 0xffff
-            );
-            *me.life.0.lock().unwrap() = Life::new(next.clone());
-            me.record
-                .say(format!("worker at the address of {old} is back as {next}"));
-            me.register();
-            // The entry of the life that is over goes after three heartbeats of silence.
-            let silence = 3 * me.rules.heartbeat;
-            thread::sleep(Duration::from_millis(silence.saturating_sub(down)));
-            me.store.drop_row("servers", &old);
-        });
-    }
-
     fn tick(&self) {
         let mut l = self.life.0.lock().unwrap();
         if l.up {
@@ -863,7 +819,12 @@
                 a.saved = format!("{:08x}{}", total as u64, &task[8..16]);
             }
             if since >= a.left_ms {
-                self.end(l, &task, "done");
+                let how = if self.info(&task).fails {
+                    "failed"
+                } else {
+                    "done"
+                };
+                self.end(l, &task, how);
             }
         }
     }
@@ -925,6 +886,71 @@
     }
 
     fn handle(&self, r: Request) -> Answer {
+        if r.path == "/run-start"
+            && self.late.load(Ordering::Relaxed)
+            && self.life.0.lock().unwrap().up
+        {
+            let task = J::parse(&r.body)
+                .map(|b| format!("{} run {}", b.get("task").str(), b.get("run").num()));
+            self.record.say(format!(
+                "worker {}: the start of {} stays unanswered",
+                self.id(),
+                task.unwrap_or_default()
+            ));
+            self.held.lock().unwrap().push(r);
+            return None;
+        }
+        let (status, body) = self.carry_out(r)?;
+        let born = self.born();
+        match body.strip_prefix('{') {
+            Some(rest) if rest.starts_with("\"clockMs\"") => {
+                Some((status, format!("{{{born}{rest}")))
+            }
+            _ => Some((status, body)),
+        }
+    }
+
+    /// Returns the field that tells when the worker started, if workers tell that here.
+    fn born(&self) -> String {
+        match self.rules.born {
+            true => format!("\"born\":{},", self.life.0.lock().unwrap().born),
+            false => String::new(),
+        }
+    }
+
+    /// Ends the worker without a word; the next life starts under the same id `down` ms later, and
+    /// carries out what was left unanswered.
+    fn restart(&self, down: u64) {
+        {
+            let mut l = self.life.0.lock().unwrap();
+            self.end_due(&mut l);
+            l.up = false;
+            let now = self.record.ms();
+            let mut world = self.world.lock().unwrap();
+            for a in l.active.values() {
+                world.runs[a.index].ended = Some((now, "crashed"));
+            }
+            drop(world);
+            l.active.clear();
+            self.record.say(format!("worker {} crashes", l.id));
+        }
+        self.late.store(false, Ordering::Relaxed);
+        let me = self.clone();
+        thread::spawn(move || {
+            pause(down);
+            let id = me.id();
+            *me.life.0.lock().unwrap() = Life::new(id.clone());
+            me.record.say(format!("worker {id} is back under its id"));
+            for r in me.held.lock().unwrap().drain(..) {
+                let answer = me.carry_out(r);
+                me.record
+                    .say(format!("worker {id} carries out a held start: {answer:?}"));
+            }
+            me.register();
+        });
+    }
+
+    fn carry_out(&self, r: Request) -> Answer {
         if self.hang.load(Ordering::Relaxed) || !self.life.0.lock().unwrap().up {
             return None;
         }
@@ -998,6 +1024,19 @@
                     .unwrap_or(0);
                 let began = self.record.ms();
                 let mut world = self.world.lock().unwrap();
+                if let Some(other) = world
+                    .runs
+                    .iter()
+                    .find(|o| o.task == task && o.ended.is_none())
+                    .cloned()
+                {
+                    let text = format!(
+                        "TWICE: start of {task} run {run} on {} at {began} while run {} is at work on {} since {}",
+                        l.id, other.run, other.worker, other.began
+                    );
+                    self.record.say(&text);
+                    world.broken.push(text);
+                }
                 let index = world.runs.len();
                 world.runs.push(Run {
                     task: task.clone(),
@@ -1121,6 +1160,10 @@
     fn new(id: String) -> Self {
         Self {
             id,
+            born: std::time::SystemTime::now()
+                .duration_since(std::time::UNIX_EPOCH)
+                .unwrap()
+                .as_millis() as u64,
             started: Instant::now(),
             fence: 0,
             deadline: 0,
@@ -1489,6 +1532,7 @@
     restore_ms: 250,
     heartbeat: 1_100,
     guards: true,
+    born: false,
 };
 
 fn job_id(n: u64) -> String {
@@ -1564,32 +1608,14 @@
     }
 }
 
-/// One large job comes beside small ones: the rows that the system keeps of it outgrow a row of
-/// the store.
-fn large_job(record: Record, trouble: bool) -> ! {
-    let d = Deployment::start(record, 3, 66, RULES, |_| {});
-    pause(1_000);
-    // The same 1,350 tasks: as one job, or as 50 jobs.
-    let parts = if trouble { 1 } else { 50 };
-    let step = |count: usize, ms| StepInfo {
-        count: count / parts,
-        ms,
-        cpu: 250,
-        mem: 256,
-        saves: true,
-        ..Default::default()
-    };
-    let steps = [step(50, 3_000), step(1_300, 25_000)];
-    let mut accepted = Vec::new();
-    for n in 0..parts as u64 {
-        let id = job_id(n);
-        if d.submit(&id, "large", &steps, "") {
-            accepted.push((id, d.record.ms()));
-        }
-    }
-    // Small jobs of other clients follow.
+/// Hands in two small jobs a second for `span` ms, waits for `finish` ms, and returns the jobs that
+/// stood still.
+fn small_jobs(d: &Deployment, span: u64, finish: u64) -> (usize, Vec<String>) {
     let mut small = Vec::new();
-    for n in 0..40u64 {
+    let end = d.record.ms() + span;
+    let mut n = 0;
+    while d.record.ms() < end {
+        n += 1;
         let id = job_id(1_000 + n);
         let part = StepInfo {
             count: 4,
@@ -1610,13 +1636,19 @@
         }
         pause(400);
     }
-    pause(10_000);
-    record_jobs(&d, &accepted[..1]);
-    record_jobs(&d, &small);
-    let capacity = RULES.capacity.0 * 66;
+    pause(finish);
+    let broken = idle_jobs(d, &small);
+    (small.len(), broken)
+}
+
+/// Returns what to say of the jobs that had nothing running for over 3 s although the turn of a step
+/// had come and under half of the processors were in use.
+fn idle_jobs(d: &Deployment, jobs: &[(String, u64)]) -> Vec<String> {
+    record_jobs(d, jobs);
     let mut broken = Vec::new();
-    for (id, at) in &small {
-        let (from, idle, used) = longest_idle(&d, id, *at);
+    for (id, at) in jobs {
+        let (from, idle, used) = longest_idle(d, id, *at);
+        let capacity = RULES.capacity.0 * d.workers.len() as u64;
         if idle > 3_000 && used * 2 < capacity {
             broken.push(format!("job {id} had nothing running for {idle} ms from {from} on while the turn of a step had come, with at most {used} of {capacity} thousandths of cores in use"));
         }
@@ -1624,130 +1656,99 @@
     for text in &broken {
         d.record.say(text);
     }
-    d.record.say(format!(
-        "transactions that the store refused because of its limits: {}",
-        d.store.over_limit()
-    ));
+    broken
+}
+
+/// Jobs come that can never be done, beside sound ones.
+fn hopeless_jobs(record: Record, trouble: bool) -> ! {
+    let d = Deployment::start(record, 3, 66, RULES, |_| {});
+    pause(1_000);
+    // With TROUBLE=0 the same jobs can be done.
+    let step = StepInfo {
+        count: 32,
+        ms: 150,
+        cpu: 1_800,
+        mem: 3_200,
+        fails: trouble,
+        ..Default::default()
+    };
+    let mut sound = Vec::new();
+    for n in 0..6 {
+        d.submit(&job_id(n), "hopeless", &vec![step.clone(); 3], "");
+        for k in 0..6 {
+            let id = job_id(3_000 + n * 100 + k);
+            let part = StepInfo {
+                count: 4,
+                ms: 800,
+                cpu: 500,
+                mem: 256,
+                ..Default::default()
+            };
+            if d.submit(&id, "sound", &[part], "") {
+                sound.push((id, d.record.ms()));
+            }
+            pause(240);
+        }
+    }
+    let (count, mut broken) = small_jobs(&d, 20_000, 14_000);
+    broken.extend(idle_jobs(&d, &sound));
     match broken.len() {
-        0 => d.finish(0, "held: no small job stood still for 3 s"),
+        0 => d.finish(0, "held: no sound job stood still for 3 s"),
         n => d.finish(
             1,
             &format!(
-                "broken: {n} of {} accepted small jobs stood still for over 3 s; the first: {}",
-                small.len(),
+                "broken: {n} of {} accepted sound jobs stood still for over 3 s; the first: {}",
+                count + sound.len(),
                 broken[0]
             ),
         ),
     }
 }
 
-/// A job comes whose steps run at many times: the row that the system keeps of it outgrows a row of
-/// the store.
-fn long_schedule(record: Record, trouble: bool) -> ! {
-    let d = Deployment::start(record, 3, 66, RULES, |_| {});
-    pause(1_000);
-    // The same 62 times of 32 tasks: as one job, or as jobs of 4 times each.
-    let (times, every) = (62u64, 700u64);
-    let step = StepInfo {
-        count: 32,
-        ms: 2_500,
-        cpu: 500,
-        mem: 256,
-        saves: true,
-        ..Default::default()
+/// Workers leave starts unanswered, restart under their ids, and carry the starts out then.
+fn late_start(record: Record, trouble: bool) -> ! {
+    let rules = Rules {
+        born: true,
+        ..RULES
     };
-    let wall = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .unwrap()
-        .as_millis() as u64;
-    let first = wall + 1_000;
-    let each = if trouble { times } else { 4 };
-    for n in 0..times.div_ceil(each) {
-        let runs = each.min(times - n * each);
-        let extra = format!(
-            ",\"maxRuns\":{runs},\"initialDelayMs\":{},\"intervalMs\":{every}",
-            first + n * each * every
-        );
-        d.submit(&job_id(n), "times", &[step.clone()], &extra);
-    }
-    let mut small = Vec::new();
-    for n in 0..130u64 {
+    let d = Deployment::start(record, 3, 10, rules, |_| {});
+    pause(1_000);
+    let mut jobs = Vec::new();
+    for n in 0..100u64 {
         let id = job_id(1_000 + n);
         let part = StepInfo {
-            count: 4,
-            ms: 800,
-            cpu: 500,
+            count: 3,
+            ms: 5_000,
+            cpu: 800,
             mem: 256,
             ..Default::default()
         };
-        let parts = [
-            part.clone(),
-            StepInfo {
-                after: vec![0],
-                ..part
-            },
-        ];
-        if d.submit(&id, "small", &parts, "") {
-            small.push((id, d.record.ms()));
+        let worker = &d.workers[(n / 20) as usize * 2];
+        if trouble && n % 20 == 3 {
+            worker.late.store(true, Ordering::Relaxed);
         }
-        pause(400);
-        if d.record.ms() > 52_000 {
-            break;
+        if d.submit(&id, "small", &[part], "") {
+            jobs.push((id, d.record.ms()));
         }
-    }
-    pause(14_000);
-    record_jobs(&d, &small);
-    let mut broken = Vec::new();
-    for (id, at) in &small {
-        let state = d.state(id).unwrap_or("no answer".into());
-        d.record.say(format!("GET {id}: {state}"));
-        let (from, idle, used) = longest_idle(&d, id, *at);
-        if idle > 3_000 && used * 2 < RULES.capacity.0 * 66 {
-            broken.push(format!("job {id} had nothing running for {idle} ms from {from} on while the turn of a step had come, with at most {used} thousandths of cores in use; it is shown as {state}"));
+        if trouble && n % 20 == 5 {
+            worker.restart(5_000);
         }
+        pause(500);
     }
-    // The times of the schedule that were due over 3 s ago and haven't begun.
-    let now = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
+    pause(14_000);
+    record_jobs(&d, &jobs);
+    let broken: Vec<String> = d
+        .world
+        .lock()
         .unwrap()
-        .as_millis() as u64;
-    for n in 0..times {
-        let (id, k, due) = (job_id(n / each), n % each, first + n * every);
-        let prefix = format!("{id}.{k}.");
-        let begun = d
-            .world
-            .lock()
-            .unwrap()
-            .runs
-            .iter()
-            .any(|r| r.task.starts_with(&prefix));
-        if !begun && now > due + 3_000 {
-            broken.push(format!(
-                "job {id} has nothing running, though its time {k} was due {} ms ago",
-                now - due
-            ));
-        }
-    }
-    for n in 0..times.div_ceil(each) {
-        d.record
-            .say(format!("GET {}: {:?}", job_id(n), d.state(&job_id(n))));
-    }
-    for text in &broken {
-        d.record.say(text);
-    }
-    d.record.say(format!(
-        "transactions that the store refused because of its limits: {}",
-        d.store.over_limit()
-    ));
+        .broken
+        .iter()
+        .filter(|b| b.starts_with("TWICE"))
+        .cloned()
+        .collect();
     match broken.len() {
-        0 => d.finish(0, "held: no job stood still for 3 s"),
-        n => d.finish(
-            1,
-            &format!(
-                "broken: {n} times a job stood still for over 3 s; the first: {}",
-                broken[0]
-            ),
-        ),
+        0 => d.finish(0, "held: no task ran twice at the same time"),
+        n => d.finish(1, &format!("broken {n} times; the first: {}", broken[0])),
     }
 }
 
@@ -1820,87 +1821,6 @@
     }
 }
 
-/// One of ten workers goes down and up by turns while jobs run.
-fn flapping_worker(record: Record, trouble: bool) -> ! {
-    let d = Deployment::start(record, 3, 10, RULES, |_| {});
-    pause(1_000);
-    if trouble {
-        let worker = d.workers[3].clone();
-        thread::spawn(move || {
-            for _ in 0..3 {
-                for _ in 0..4 {
-                    worker.crash(700);
-                    pause(1_400);
-                }
-                pause(6_000);
-            }
-        });
-    }
-    let mut jobs = Vec::new();
-    for n in 0..80u64 {
-        let id = job_id(1_000 + n);
-        let part = StepInfo {
-            count: 6,
-            ms: 2_000,
-            cpu: 1_800,
-            mem: 3_200,
-            ..Default::default()
-        };
-        if d.submit(&id, "small", &[part], "") {
-            jobs.push((id, d.record.ms()));
-        }
-        pause(420);
-    }
-    pause(14_000);
-    record_jobs(&d, &jobs);
-    let mut broken = Vec::new();
-    for (id, _) in &jobs {
-        let state = d.state(id).unwrap_or("no answer".into());
-        let world = d.world.lock().unwrap();
-        let failed = world
-            .runs
-            .iter()
-            .filter(|r| r.task.starts_with(id.as_str()) && r.ended.is_some_and(|e| e.1 == "failed"))
-            .count();
-        let lost: Vec<String> = world
-            .runs
-            .iter()
-            .filter(|r| {
-                r.task.starts_with(id.as_str()) && r.ended.is_some_and(|e| e.1 == "crashed")
-            })
-            .map(|r| {
-                format!(
-                    "{} run {} on {} at work from {} to {}",
-                    r.task,
-                    r.run,
-                    r.worker,
-                    r.began,
-                    r.ended.unwrap().0
-                )
-            })
-            .collect();
-        drop(world);
-        d.record.say(format!(
-            "GET {id}: {state}; {failed} ends failed; lost with their worker: {}",
-            lost.join(", ")
-        ));
-        if state == "failed" && failed == 0 {
-            broken.push(format!("job {id} is shown as failed without a single end `failed`; lost with their worker: {}", lost.join(", ")));
-        }
-    }
-    match broken.len() {
-        0 => d.finish(0, "held: no job is shown as failed without cause"),
-        n => d.finish(
-            1,
-            &format!(
-                "broken: {n} of {} accepted jobs are shown as failed without cause; the first: {}",
-                jobs.len(),
-                broken[0]
-            ),
-        ),
-    }
-}
-
 /// Jobs that fill come at once beside jobs that last, of whose steps one task may be away.
 fn filler_burst(record: Record, trouble: bool) -> ! {
     let d = Deployment::start(record, 3, 16, RULES, |_| {});
@@ -1985,10 +1905,9 @@
     let record = Record::new(Path::new(path));
     record.say(format!("case {case} with TROUBLE={}", u8::from(trouble)));
     match case.as_str() {
-        "large-job" => large_job(record, trouble),
-        "long-schedule" => long_schedule(record, trouble),
+        "hopeless-jobs" => hopeless_jobs(record, trouble),
+        "late-start" => late_start(record, trouble),
         "foreign-entries" => foreign_entries(record, trouble),
-        "flapping-worker" => flapping_worker(record, trouble),
         "filler-burst" => filler_burst(record, trouble),
         _ => std::process::exit(2),
     }
