--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -656,6 +656,9 @@
     noted: BTreeSet<(String, u64)>,
     /// Rules that were broken.
     broken: Vec<String>,
+    /// Orders that reached a worker or were held up, and starts among them that stay unanswered.
+    orders: u64,
+    unanswered: u64,
     /// Jobs whose cancelling was sent.
     cancelled: BTreeSet<String>,
 }
@@ -720,7 +723,7 @@
     born: bool,
 }
 
-const SERVICE: &str = "pedidos";
+const SERVICE: &str = "packing";
 
 impl Worker {
     fn start(
@@ -737,7 +740,7 @@
             held: Arc::default(),
             address: listener.local_addr().unwrap(),
             life: Arc::new((
-                Mutex::new(Life::new(format!("i-{:08x}", 0x7f3a_0000 + number * 257))),
+                Mutex::new(Life::new(format!("worker-{:03}", 101 + number))),
                 Condvar::new(),
             )),
             world: world.clone(),
@@ -757,7 +760,7 @@
     }
 
     fn label(&self) -> String {
-        format!("r1-{}", self.number / 8)
+        format!("rack-{}", self.number / 8)
     }
 
     fn register(&self) {
@@ -765,7 +768,7 @@
         let (cpu, mem) = self.rules.capacity;
         let seq = self.record.ms();
         let value = format!(
-            "{{{}\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"leon-norte\",\"version\":\"1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":{seq},\"capacity\":{{\"cpu\":{cpu},\"memMb\":{mem},\"gpu\":0}},\"labels\":[\"a\",\"{}\"]}}",
+            "{{{}\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"hall-1\",\"version\":\"1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":{seq},\"capacity\":{{\"cpu\":{cpu},\"memMb\":{mem},\"gpu\":0}},\"labels\":[\"plain\",\"{}\"]}}",
             self.born(),
             self.address,
             self.label()
@@ -886,6 +889,7 @@
     }
 
     fn handle(&self, r: Request) -> Answer {
+        self.world.lock().unwrap().orders += 1;
         if r.path == "/run-start"
             && self.late.load(Ordering::Relaxed)
             && self.life.0.lock().unwrap().up
@@ -897,6 +901,7 @@
                 self.id(),
                 task.unwrap_or_default()
             ));
+            self.world.lock().unwrap().unanswered += 1;
             self.held.lock().unwrap().push(r);
             return None;
         }
@@ -1266,7 +1271,7 @@
     fn start(number: usize, folder: &Path, store: SocketAddr) -> Self {
         let p = free_ports(4);
         let text = format!(
-            "[box]\nname = \"front-leon-norte-{number}\"\nhall = \"leon-norte\"\ncores = 0.25\ndescriptors = 4100\nweb = \"{}\"\nadmin = \"{}\"\nrpc = \"{}\"\nmetrics = \"{}\"\n\n[platform]\nstore = \"{store}\"\ndrain = \"2000ms\"\ngrace = \"6s\"\nlongest-lease = \"6000ms\"\nheartbeat = \"1100ms\"\nlongest-over = \"4000ms\"\nfar-factor = 2\n\n[jobs]\nremember = \"120s\"\n\n[mechanisms]\nadmission = true\nshares = true\nlearning = true\ncopies = false\nspreading = true\nsnapshot = true\n\n[log]\nformat = \"text\"\nlevel = \"info\"\n",
+            "[box]\nname = \"box-{number}\"\nhall = \"hall-1\"\ncores = 0.25\ndescriptors = 4100\nweb = \"{}\"\nadmin = \"{}\"\nrpc = \"{}\"\nmetrics = \"{}\"\n\n[platform]\nstore = \"{store}\"\ndrain = \"2000ms\"\ngrace = \"6s\"\nlongest-lease = \"6000ms\"\nheartbeat = \"1100ms\"\nlongest-over = \"4000ms\"\nfar-factor = 2\n\n[jobs]\nremember = \"120s\"\n\n[mechanisms]\nadmission = true\nshares = true\nlearning = true\ncopies = false\nspreading = true\nsnapshot = true\n\n[log]\nformat = \"text\"\nlevel = \"info\"\n",
             p[0], p[1], p[2], p[3]
         );
         let settings = folder.join(format!("box-{number}.conf"));
@@ -1314,8 +1319,8 @@
 
 // ---------------------------------------------------------------- deployment
 
-const HOST: &str = "nony24.example";
-const PATH: &str = "/lohu930/";
+const HOST: &str = "jobs.test";
+const PATH: &str = "/pack/";
 
 struct Deployment {
     record: Record,
@@ -1339,7 +1344,7 @@
         std::fs::create_dir_all(&folder).unwrap();
         let store = Store::start(record.clone());
         store.put("op", "config", &format!(
-            "{{\"version\":7,\"routes\":[{{\"name\":\"lohu930\",\"host\":\"{HOST}\",\"pathPrefix\":\"{PATH}\",\"type\":\"unsafe\",\"timeoutMs\":3000,\"targetLatencyMs\":1000,\"priority\":0,\"service\":\"{SERVICE}\",\"maxAttempts\":3,\"stretch\":2.0}}],\"services\":[{{\"name\":\"{SERVICE}\",\"enforcesCapacity\":{}}}],\"limits\":{{}}}}",
+            "{{\"version\":7,\"routes\":[{{\"name\":\"pack\",\"host\":\"{HOST}\",\"pathPrefix\":\"{PATH}\",\"type\":\"unsafe\",\"timeoutMs\":3000,\"targetLatencyMs\":1000,\"priority\":0,\"service\":\"{SERVICE}\",\"maxAttempts\":3,\"stretch\":2.0}}],\"services\":[{{\"name\":\"{SERVICE}\",\"enforcesCapacity\":{}}}],\"limits\":{{}}}}",
             rules.guards
         ));
         before(&store);
@@ -1536,7 +1541,7 @@
 };
 
 fn job_id(n: u64) -> String {
-    format!("{:016x}", 0x5c0e_7a21_d94b_0000u64 + n)
+    format!("{:016x}", 0x0a0b_0c0d_0e0f_0000u64 + n)
 }
 
 /// Returns when each job's longest span began in which nothing of it ran although the turn of one
@@ -1725,13 +1730,24 @@
         };
         let worker = &d.workers[(n / 20) as usize * 2];
         if trouble && n % 20 == 3 {
+            let mut world = d.world.lock().unwrap();
+            (world.orders, world.unanswered) = (0, 0);
+            drop(world);
             worker.late.store(true, Ordering::Relaxed);
         }
+        if trouble && n % 20 == 14 {
+            let world = d.world.lock().unwrap();
+            let (all, held) = (world.orders, world.unanswered);
+            drop(world);
+            d.record.say(format!(
+                "in 5.5 s {held} of {all} orders stayed unanswered and are carried out late"
+            ));
+        }
         if d.submit(&id, "small", &[part], "") {
             jobs.push((id, d.record.ms()));
         }
         if trouble && n % 20 == 5 {
-            worker.restart(5_000);
+            worker.restart(5_400);
         }
         pause(500);
     }
@@ -1859,10 +1875,11 @@
     let mut fills = Vec::new();
     if trouble {
         d.record.say("the jobs that fill come");
-        for n in 0..40u64 {
+        // A burst of 4 s, and then the usual rate for 6 s.
+        for n in 0..25u64 {
             let id = job_id(5_000 + n);
             let step = StepInfo {
-                count: 12,
+                count: 16,
                 ms: 2_000,
                 cpu: 1_800,
                 mem: 3_200,
@@ -1873,7 +1890,7 @@
             if d.submit(&id, "fills", &[step], "") {
                 fills.push((id, d.record.ms()));
             }
-            pause(250);
+            pause(if n < 16 { 240 } else { 660 });
         }
     } else {
         pause(10_000);
