--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -59,6 +59,8 @@
     pub queues: &'static [QueueSettings],
     /// Number of racks that the workers are on, in turn.
     pub racks: usize,
+    /// Further lines of the section about the box in the settings file of each box.
+    pub machine: &'static str,
     /// Further text of the settings file of each box.
     pub settings: &'static str,
 }
@@ -70,6 +72,7 @@
         priority: 0,
     }],
     racks: 1,
+    machine: "",
     settings: "",
 };
 
@@ -242,8 +245,8 @@
         let settings = self.folder.join(format!("e{number}.toml"));
         let text = format!(
             "[box]\nname = \"e{number}\"\nhall = \"h1\"\nweb = \"{web}\"\nadmin = \"{admin}\"\n\
-             rpc = \"{rpc}\"\n[platform]\nstore = \"{}\"\n{}",
-            self.proxies[number], self.profile.settings
+             rpc = \"{rpc}\"\n{}[platform]\nstore = \"{}\"\n{}",
+            self.profile.machine, self.proxies[number], self.profile.settings
         );
         std::fs::write(&settings, text).expect("the settings can be written");
         let line = format!("serve --config {}", settings.display());
@@ -474,6 +477,30 @@
         assert_eq!(unsafe { libc::kill(id, signal) }, 0);
     }
 
+    /// Returns the id of a box's process.
+    pub fn process_id(&self, number: usize) -> u32 {
+        self.boxes[number].child.id()
+    }
+
+    /// Returns true while a box's process has not ended.
+    pub fn is_running(&mut self, number: usize) -> bool {
+        let status = self.boxes[number].child.try_wait();
+        status.expect("the status of the box is known").is_none()
+    }
+
+    /// Limits the file descriptors of a box from now on.
+    pub fn limit_descriptors(&self, number: usize, count: usize) {
+        let limit = libc::rlimit {
+            rlim_cur: count as libc::rlim_t,
+            rlim_max: count as libc::rlim_t,
+        };
+        let id = self.process_id(number) as libc::pid_t;
+        let old = std::ptr::null_mut();
+        // SAFETY: the child was started here and has not been waited for, and `limit` is readable.
+        let result = unsafe { libc::prlimit(id, libc::RLIMIT_NOFILE, &raw const limit, old) };
+        assert_eq!(result, 0, "{}", std::io::Error::last_os_error());
+    }
+
     /// Waits for the end of a box and returns its exit code.
     pub fn wait_end(&mut self, number: usize) -> Option<i32> {
         let child = &mut self.boxes[number].child;
--- a/tools/soak/src/platform.rs
+++ b/tools/soak/src/platform.rs
@@ -39,6 +39,7 @@
 pub const PROFILE: Profile = Profile {
     queues: &[queue(PATH, 0), queue("/orders/", 1), queue("/reports/", 2)],
     racks: 2,
+    machine: "",
     settings: "[mechanisms]\nadmission = true\nshares = true\nlearning = true\n\
                copies = true\nspreading = true\nsnapshot = true\n",
 };
