One account of all that callers make a box hold

Callers saw: a box ended for lack of memory, or no ordinary caller was served, while a crowd of connections stayed open.

Cause: limits.body times limits.connections is 4 GiB, and nothing bounded the sum. Chunks were kept one by one (some 40 bytes a chunk of 1 byte). Connections could take all descriptors, also those for the store, and a full server refused whoever came next, so that silent connections locked all others out for limits.idle.

Change: web::account decides, as plain state, which connections and unfinished requests are kept. Each connection has room for a small request; larger ones share a pool, from which the request that has been incomplete longest makes way. For a new connection the one idle longest is closed, then the one whose request has been incomplete longest. What was read whole is never evicted. The limits follow from box.memory and box.descriptors (two fifths of the memory, a quarter of the descriptors). A request has limits.request, limits.stall and its answer limits.answer; a refusal in the middle of a request (413, 408, 503 with Retry-After) says not-run and lingers so that it is read. Readiness and metrics have small limits of their own. Log lines of exceeded limits and failed accepts are bounded.

Ruled out: a smaller body limit (the sum counts); refusing newcomers when full (locks out ordinary callers); evicting the largest (a crowd of middling bodies would lock out one large honest request).

--- a/benches/path.rs
+++ b/benches/path.rs
@@ -132,6 +132,7 @@
         method: Method::GET,
         uri: Uri::from_static("/x"),
         headers,
+        charge: None,
         body: "small".into(),
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -55,7 +55,6 @@
     logs::enable_batching();
     monoio::spawn(flush_logs());
     log::info!(target: "daemon", "event=start box={} life={incarnation} web={} rpc={}", settings.name, settings.web, settings.rpc);
-    let limits = settings.limits;
     let drain_limit = settings
         .stop_timeout
         .saturating_sub(LEAVE_DELAY.as_millis() as Millis);
@@ -68,9 +67,10 @@
         check_sender,
     ));
     let (trigger, drain) = Drain::new();
-    let callers = shared.clone();
-    let handle = move |request| frontend::handle(callers.clone(), request);
-    monoio::spawn(web::server::serve(web, limits, drain.clone(), handle));
+    let (served, callers) = (shared.clone(), shared.callers.clone());
+    let handle = move |request| frontend::handle(served.clone(), request);
+    let serving = web::server::serve_callers(web, callers, drain.clone(), handle);
+    monoio::spawn(serving);
     monoio::spawn(peers::serve(rpc, Bridge::start(shared.clone())));
     for listener in [Some(admin), metrics].into_iter().flatten() {
         monoio::spawn(admin::serve(listener, shared.clone()));
--- a/src/daemon/admin.rs
+++ b/src/daemon/admin.rs
@@ -8,16 +8,16 @@
 use super::shared::Shared;
 use crate::metrics;
 use crate::utils::drain::Drain;
+use crate::web::server::Limits;
 use crate::web::{self, Reply};
 
 /// Serves `/ready` and `/metrics` until the process ends.
 pub async fn serve(listener: TcpListener, shared: Rc<Shared>) {
-    let limits = shared.settings.limits;
     let handle = move |request| {
         let reply = respond(&shared, &request);
         std::future::ready(reply)
     };
-    web::server::serve(listener, limits, Drain::never(), handle).await;
+    web::server::serve(listener, Limits::ADMIN, Drain::never(), handle).await;
 }
 
 /// Returns the reply to a request.
@@ -37,5 +37,6 @@
     metrics
         .other_boxes
         .set(shared.peer_addresses().count() as i64);
+    shared.callers.update_gauges();
     metrics.encode()
 }
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -24,6 +24,7 @@
 use crate::sched::owner::{Now, OwnerSettings};
 use crate::table::Row;
 use crate::utils::clock::{self, Millis};
+use crate::web::callers::Callers;
 
 /// Part of the store in which the owner keeps everything.
 pub const STORE_PART: &str = "main";
@@ -67,6 +68,8 @@
     /// Start of this process in milliseconds since the Unix epoch; distinguishes incarnations of
     /// the box.
     pub incarnation: u64,
+    /// Account of all that callers make this box hold.
+    pub callers: Rc<Callers>,
     /// Client of the platform's store.
     pub store: Store,
     /// Client of the workers.
@@ -101,6 +104,7 @@
         check_sender: UnboundedSender<()>,
     ) -> Self {
         Self {
+            callers: Callers::new(settings.limits),
             store: Store::new(settings.store),
             workers: Workers::new(settings.idle_connections),
             advisor: Advisor::new(settings.advisor),
--- a/src/daemon/tests/change_of_owner.rs
+++ b/src/daemon/tests/change_of_owner.rs
@@ -243,7 +243,11 @@
         head: 16 << 10,
         body: 1 << 20,
         connections: 10,
+        memory: 1 << 30,
         idle: 10_000,
+        request: 10_000,
+        stall: 10_000,
+        answer: 10_000,
     };
     let handle = move |request: Request| {
         let rows = rows.to_string();
--- a/src/daemon/tests/many_boxes.rs
+++ b/src/daemon/tests/many_boxes.rs
@@ -33,7 +33,11 @@
         head: 16 << 10,
         body: 1 << 20,
         connections: 2 * BOXES,
+        memory: 1 << 30,
         idle: 10_000,
+        request: 10_000,
+        stall: 10_000,
+        answer: 10_000,
     };
     let handle = move |request: Request| {
         let before = commits.get();
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -9,13 +9,13 @@
 use crate::engine::{Query, View};
 use crate::metrics;
 use crate::utils::drain::Drain;
+use crate::web::server::Limits;
 use crate::web::{self, Reply};
 
 /// Serves `/health`, `/ready` and `/metrics` until the process ends.
 pub async fn serve(listener: TcpListener, context: Rc<Context>) {
-    let limits = context.settings.limits;
     let handle = move |request| handle(context.clone(), request);
-    web::server::serve(listener, limits, Drain::never(), handle).await;
+    web::server::serve(listener, Limits::ADMIN, Drain::never(), handle).await;
 }
 
 async fn handle(context: Rc<Context>, request: web::Request) -> Reply {
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -264,6 +264,7 @@
         method: message.method.parse().map_err(|_| malformed())?,
         uri: message.path.parse().map_err(|_| malformed())?,
         headers: parse_headers(&message.headers).ok_or_else(malformed)?,
+        charge: None,
         body: message.body,
     };
     let meta = message.meta.ok_or_else(malformed)?;
--- a/src/load.rs
+++ b/src/load.rs
@@ -132,6 +132,7 @@
             method: Method::POST,
             uri: Uri::from_static("/load"),
             headers,
+            charge: None,
             body,
         },
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -50,6 +50,16 @@
     pub by: &'static str,
 }
 
+/// Label of a limit on callers that was exceeded.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct CallerLimitLabel {
+    /// `connections`, `memory`, `slow`, `unread` or `size`.
+    pub by: &'static str,
+}
+
+/// Gauge that other values replace.
+pub type Level = Gauge<i64, AtomicI64>;
+
 /// Label of an invariant.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct RuleLabel {
@@ -74,6 +84,16 @@
     pub forwarded_requests: Counter,
     /// Rows read from the table that did not decode.
     pub undecoded_rows: Counter,
+    /// Connections closed and requests refused because callers exceeded a limit.
+    pub caller_limits: Family<CallerLimitLabel, Counter>,
+    /// Open connections of callers.
+    pub caller_connections: Level,
+    /// Most open connections of callers.
+    pub caller_connection_limit: Level,
+    /// Bytes that large requests of callers hold.
+    pub caller_pool_bytes: Level,
+    /// Most bytes that large requests of callers may hold.
+    pub caller_pool_limit: Level,
     /// Messages that were malformed or too large.
     pub malformed_messages: Counter,
     /// Cells that this box owns.
@@ -230,6 +250,11 @@
             request_seconds: Histogram::new(registration::REQUEST_BUCKETS),
             forwarded_requests: Counter::default(),
             undecoded_rows: Counter::default(),
+            caller_limits: Family::default(),
+            caller_connections: Gauge::default(),
+            caller_connection_limit: Gauge::default(),
+            caller_pool_bytes: Gauge::default(),
+            caller_pool_limit: Gauge::default(),
             malformed_messages: Counter::default(),
             owned_cells: Gauge::default(),
             config_version: Gauge::default(),
@@ -286,6 +311,7 @@
         };
         registration::register_owner(&mut registry, &metrics);
         registration::register_histograms(&mut registry, &metrics);
+        registration::register_callers(&mut registry, &metrics);
         registration::register_entry_daemon(&mut registry, &metrics);
         Self {
             registry,
--- a/src/metrics/registration.rs
+++ b/src/metrics/registration.rs
@@ -227,6 +227,35 @@
     );
 }
 
+/// Registers the metrics of what callers hold.
+pub(super) fn register_callers(registry: &mut Registry, m: &Metrics) {
+    registry.register(
+        "caller_limits",
+        "Limits on callers exceeded, by cause",
+        m.caller_limits.clone(),
+    );
+    registry.register(
+        "caller_connections",
+        "Open connections of callers",
+        m.caller_connections.clone(),
+    );
+    registry.register(
+        "caller_connections_max",
+        "Most open connections of callers",
+        m.caller_connection_limit.clone(),
+    );
+    registry.register(
+        "caller_pool_bytes",
+        "Memory of large requests",
+        m.caller_pool_bytes.clone(),
+    );
+    registry.register(
+        "caller_pool_bytes_max",
+        "Most memory of large requests",
+        m.caller_pool_limit.clone(),
+    );
+}
+
 /// Registers the metrics that are mostly those of the `entry` daemon.
 pub(super) fn register_entry_daemon(registry: &mut Registry, m: &Metrics) {
     registry.register("table_calls", "Calls to the table", m.table_calls.clone());
--- a/src/options/check.rs
+++ b/src/options/check.rs
@@ -4,10 +4,12 @@
 
 use super::reader::Reader;
 use super::{EntrySettings, daemon};
+use crate::web::server::Limits;
 
 /// Reports settings of the `entry` daemon that contradict each other.
 pub fn entry(settings: &EntrySettings, reader: &mut Reader) {
     check_addresses(settings, reader);
+    check_limits(settings.limits, reader);
     let (lease_timings, intervals) = (settings.lease_timings, settings.intervals);
     let mut check = |holds: bool, key: &str, problem: &str, hint: &str| {
         if !holds {
@@ -58,6 +60,7 @@
     all.extend(settings.advisor.map(|a| ("platform.advisor", a)));
     check_distinct(&all, reader);
     check_reachable(&[all[1], all[3]], reader);
+    check_limits(settings.limits, reader);
     if settings.owner.max_unconfirmed < settings.owner.lease_length {
         let problem = "is less than workers.lease";
         let hint = "lengthen it, or shorten workers.lease";
@@ -65,6 +68,15 @@
     }
 }
 
+/// Reports limits on callers under which no request of the largest size could be read.
+fn check_limits(limits: Limits, reader: &mut Reader) {
+    if limits.head + limits.body > limits.memory / 2 {
+        let problem = "is, with limits.head, more than half of limits.memory";
+        let hint = "lower it, or raise limits.memory or box.memory";
+        reader.report("limits.body", problem, hint);
+    }
+}
+
 fn check_addresses(settings: &EntrySettings, reader: &mut Reader) {
     let all = [
         ("box.web", settings.web),
--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -58,6 +58,47 @@
 /// 890 workers and its orders fit into 4,096 descriptors.
 const IDLE_SHARE: f64 = 0.375;
 
+/// Share of the file descriptors that callers' connections may use. The others are for the store,
+/// other boxes, workers and the readiness checks.
+const CALLER_DESCRIPTORS: f64 = 0.25;
+/// Default memory of a box in megabytes: that of the smallest machine.
+const DEFAULT_MEMORY: f64 = 160.0;
+/// Accepted amounts of memory in megabytes.
+const MEMORY_RANGE: std::ops::RangeInclusive<f64> = 64.0..=1_048_576.0;
+/// Bytes of a megabyte.
+const MEGABYTE: f64 = 1_048_576.0;
+/// Share of the memory that callers' connections and requests may use.
+const CALLER_MEMORY: f64 = 0.4;
+
+/// What the platform gives a box.
+struct Machine {
+    /// Number of file descriptors.
+    descriptors: f64,
+    /// Bytes of memory.
+    memory: f64,
+}
+
+impl Machine {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        let descriptors = reader.number("box.descriptors", DEFAULT_DESCRIPTORS, DESCRIPTORS_RANGE);
+        let memory = reader.number("box.memory", DEFAULT_MEMORY, MEMORY_RANGE) * MEGABYTE;
+        Self {
+            descriptors,
+            memory,
+        }
+    }
+
+    /// Returns the default limits on callers.
+    fn limits(&self) -> Limits {
+        let connections = (self.descriptors * CALLER_DESCRIPTORS) as usize;
+        Limits {
+            connections: Limits::DEFAULT.connections.min(connections),
+            memory: (self.memory * CALLER_MEMORY) as usize,
+            ..Limits::DEFAULT
+        }
+    }
+}
+
 /// Settings of the `serve` daemon, after all checks.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -121,12 +162,12 @@
     let mut reader = Reader::new(file, text).map_err(|f| vec![f])?;
     let grace = reader.duration("platform.grace", DEFAULT_GRACE, MIN_GRACE..=HOUR);
     let longest = reader.duration("platform.longest-lease", DEFAULT_LEASE, 500..=HOUR);
+    let machine = Machine::read(&mut reader);
     let settings = Settings {
         name: reader.name("box.name").into(),
         hall: reader.name("box.hall").into(),
         cores: (reader.number("box.cores", 1.0, 0.0..=MAX_CORES) * MILLICORES_PER_CORE) as u32,
-        idle_connections: (reader.number("box.descriptors", DEFAULT_DESCRIPTORS, DESCRIPTORS_RANGE)
-            * IDLE_SHARE) as usize,
+        idle_connections: (machine.descriptors * IDLE_SHARE) as usize,
         web: reader.address("box.web"),
         rpc: reader.address("box.rpc"),
         admin: reader.address("box.admin"),
@@ -151,7 +192,7 @@
             mechanisms: mechanisms(&mut reader),
         },
         stop_timeout: grace - STOP_MARGIN,
-        limits: limits(&mut reader),
+        limits: limits(&mut reader, machine.limits()),
         logs: logs(&mut reader),
     };
     check::daemon(&settings, &mut reader);
--- a/src/options/entry.rs
+++ b/src/options/entry.rs
@@ -45,7 +45,7 @@
         call_timeout: reader.duration("platform.patience", 2_000, 10..=MINUTE),
         lease_timings: lease_timings(&mut reader),
         intervals: intervals(&mut reader),
-        limits: limits(&mut reader),
+        limits: limits(&mut reader, Limits::DEFAULT),
         policy: policy(&mut reader),
         trace_share: reader.fraction("trace.sample", 0.01),
         logs: logs(&mut reader),
@@ -79,12 +79,18 @@
     }
 }
 
-pub(super) fn limits(reader: &mut Reader) -> Limits {
+/// Reads the limits on callers, whose defaults depend on the machine.
+pub(super) fn limits(reader: &mut Reader, default: Limits) -> Limits {
+    let connections = default.connections as u64;
     Limits {
-        head: reader.size("limits.head", 16 << 10, 512..=1 << 20) as usize,
-        body: reader.size("limits.body", 1 << 20, 1..=64 << 20) as usize,
-        connections: reader.count("limits.connections", 4_096, 1..=60_000) as usize,
-        idle: reader.duration("limits.idle", MINUTE, 10..=HOUR),
+        head: reader.size("limits.head", default.head as u64, 512..=1 << 20) as usize,
+        body: reader.size("limits.body", default.body as u64, 1..=64 << 20) as usize,
+        connections: reader.count("limits.connections", connections, 1..=60_000) as usize,
+        memory: reader.size("limits.memory", default.memory as u64, 1 << 20..=1 << 40) as usize,
+        idle: reader.duration("limits.idle", default.idle, 10..=HOUR),
+        request: reader.duration("limits.request", default.request, 10..=HOUR),
+        stall: reader.duration("limits.stall", default.stall, 10..=HOUR),
+        answer: reader.duration("limits.answer", default.answer, 10..=HOUR),
     }
 }
 
--- a/src/options/tests.rs
+++ b/src/options/tests.rs
@@ -84,6 +84,7 @@
         ("zone", "leon"),
         ("limits.cpuShare", "0.25"),
         ("limits.maxFds", "8192"),
+        ("limits.memoryMb", "260"),
         ("listen.front", "10.0.0.1:8161"),
         ("listen.ready", "10.0.0.1:8167"),
         ("ip", "10.0.0.1"),
@@ -107,6 +108,7 @@
     let text = section(template, "advice", !advisor.is_empty());
     let text = section(&text, "limits.cpuShare", !advisor.is_empty());
     let text = section(&text, "limits.maxFds", !advisor.is_empty());
+    let text = section(&text, "limits.memoryMb", !advisor.is_empty());
     let text = section(&text, "bounds.harm_ms", !advisor.is_empty());
     let text = section(&text, "bounds.far_x", !advisor.is_empty());
     let text = section(&text, "heartbeatMs", !advisor.is_empty());
@@ -133,6 +135,11 @@
         assert_eq!(settings.owner.far_factor, far_factor);
         let heartbeat = if port.is_some() { 1_500 } else { 1_100 };
         assert_eq!(settings.owner.heartbeat, heartbeat);
+        let megabytes = if port.is_some() { 260.0 } else { 160.0 };
+        let share = (megabytes * 1_048_576.0 * 0.4) as usize;
+        assert_eq!(settings.limits.memory, share);
+        let connections = if port.is_some() { 2_048 } else { 1_024 };
+        assert_eq!(settings.limits.connections, connections);
         assert_eq!(settings.cores, if port.is_some() { 250 } else { 1_000 });
         assert_eq!(
             settings.idle_connections,
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -44,6 +44,7 @@
         uri: path.parse().expect("path"),
         headers,
         body: body.to_string().into(),
+        charge: None,
     }
 }
 
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -296,6 +296,7 @@
         uri,
         headers,
         body: body.unwrap_or_default(),
+        charge: None,
     };
     pool.call(address, request, limit, || true).await
 }
--- a/src/standin/worker/serve.rs
+++ b/src/standin/worker/serve.rs
@@ -337,7 +337,11 @@
         head: 64 << 10,
         body: 64 << 20,
         connections: options.shape.connections as usize,
+        memory: 1 << 30,
         idle: 600_000,
+        request: 600_000,
+        stall: 600_000,
+        answer: 600_000,
     };
     let endpoint = shared.clone();
     let handle = move |request| handle_request(endpoint.clone(), request);
--- a/src/utils.rs
+++ b/src/utils.rs
@@ -4,6 +4,7 @@
 pub mod drain;
 pub mod hash;
 pub mod listen;
+pub mod log_limit;
 pub mod peak;
 pub mod random;
 pub mod signals;
--- a/src/utils/listen.rs
+++ b/src/utils/listen.rs
@@ -10,7 +10,8 @@
 use monoio::net::{TcpListener, TcpStream};
 
 use super::drain::Drain;
-use super::sockets;
+use super::log_limit::LogLimit;
+use super::{clock, sockets};
 
 /// Pause after a failed accept, in which file descriptors may become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -50,6 +51,7 @@
 /// `closing_a_listener_resets_no_connection`.
 pub async fn accept_all(listener: TcpListener, drain: &Drain, serve: impl Fn(TcpStream)) {
     let mut begun = Box::pin(drain.begun());
+    let log_limit = LogLimit::default();
     loop {
         let accepted = match select(Box::pin(listener.accept()), begun.as_mut()).await {
             Either::Left((accepted, _)) => accepted,
@@ -61,7 +63,9 @@
                 serve(stream);
             }
             Err(e) => {
-                log::warn!(target: "listen", "accept failed: {e}");
+                if let Some(count) = log_limit.admit(clock::now()) {
+                    log::warn!(target: "listen", "accept failed: {e} count={count}");
+                }
                 monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- a/src/web.rs
+++ b/src/web.rs
@@ -1,13 +1,19 @@
 //! HTTP/1.1 server and client for callers and endpoints, with limits on heads and bodies.
 
+pub mod account;
+pub mod callers;
 pub mod client;
 mod read_limit;
+mod reader;
 pub mod server;
 
 #[cfg(test)]
 mod tests;
 
+use std::rc::Rc;
+
 use bytes::Bytes;
+use callers::Charge;
 use http::{HeaderMap, Method, StatusCode, Uri, Version};
 use monoio_http::common::body::{Body, BodyExt};
 use monoio_http::common::error::HttpError;
@@ -24,6 +30,9 @@
     pub headers: HeaderMap,
     /// Message body.
     pub body: Bytes,
+    /// Memory that the request holds in the account of its callers; `None` for requests of this
+    /// process.
+    pub charge: Option<Rc<Charge>>,
 }
 
 /// HTTP reply with its whole body.
@@ -63,6 +72,10 @@
     Malformed(String),
     /// The message exceeds the size limit.
     TooLarge,
+    /// The message did not arrive in time.
+    Slow,
+    /// There is no memory for the message, or it made way for others.
+    NoRoom,
 }
 
 impl std::fmt::Display for WebError {
@@ -74,6 +87,8 @@
             Self::Lost(reason) => write!(f, "answer lost: {reason}"),
             Self::Malformed(reason) => write!(f, "malformed message: {reason}"),
             Self::TooLarge => f.write_str("message larger than the limit"),
+            Self::Slow => f.write_str("message did not arrive in time"),
+            Self::NoRoom => f.write_str("too many requests at once"),
         }
     }
 }
--- /dev/null
+++ b/src/web/account.rs
@@ -0,0 +1,204 @@
+//! Decides which callers' connections and unfinished requests are kept, within limits on the number
+//! of connections and on the memory of requests.
+//!
+//! Each connection has room for a small request of its own. The memory that larger requests take
+//! beyond it comes from a pool that all connections share. When the pool is exhausted, the request
+//! that has been incomplete for the longest time makes way; when all connections are in use, the
+//! one that has been idle for the longest time does, or else the one whose request has been
+//! incomplete for the longest time. A request that was read completely is never evicted, as its
+//! caller relies on the answer.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
+
+use crate::utils::clock::Millis;
+
+/// Identifies a connection within an account.
+pub type ConnectionId = u64;
+
+/// Limits of an account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Capacity {
+    /// Most open connections.
+    pub connections: usize,
+    /// Most bytes of the pool.
+    pub pool: usize,
+}
+
+/// Error: everything within the limits is in use by requests that can't be evicted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Exhausted;
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// It waits for the next request.
+    Idle,
+    /// It reads a request.
+    Reading,
+    /// Its request is being handled, or the answer is being sent.
+    Handling,
+}
+
+/// An open connection.
+#[derive(Clone, Copy, Debug)]
+struct Connection {
+    phase: Phase,
+    /// When the phase began.
+    since: Millis,
+    /// Bytes of the pool that its incomplete request holds.
+    pooled: usize,
+}
+
+/// Open connections, and the pool for large requests.
+#[derive(Debug)]
+pub struct Account {
+    capacity: Capacity,
+    connections: BTreeMap<ConnectionId, Connection>,
+    /// Bytes of the pool that are in use.
+    pooled: usize,
+    next: ConnectionId,
+}
+
+impl Account {
+    /// Returns an account without connections.
+    pub fn new(capacity: Capacity) -> Self {
+        Self {
+            capacity,
+            connections: BTreeMap::new(),
+            pooled: 0,
+            next: 0,
+        }
+    }
+
+    /// Returns the limits.
+    pub fn capacity(&self) -> Capacity {
+        self.capacity
+    }
+
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Returns the bytes of the pool that are in use.
+    pub fn pooled(&self) -> usize {
+        self.pooled
+    }
+
+    /// Adds a connection; returns its id, and the connection that is evicted for it, if any.
+    pub fn open(&mut self, now: Millis) -> Result<(ConnectionId, Option<ConnectionId>), Exhausted> {
+        let mut evicted = None;
+        if self.connections.len() >= self.capacity.connections {
+            let victim = self.longest(Phase::Idle, |_| true);
+            let victim = victim.or_else(|| self.longest(Phase::Reading, |_| true));
+            evicted = Some(victim.ok_or(Exhausted)?);
+        }
+        evicted.into_iter().for_each(|id| self.close(id));
+        let connection = Connection {
+            phase: Phase::Idle,
+            since: now,
+            pooled: 0,
+        };
+        let id = self.next;
+        self.next += 1;
+        self.connections.insert(id, connection);
+        Ok((id, evicted))
+    }
+
+    /// Records that the first bytes of a request have arrived.
+    pub fn begin_request(&mut self, id: ConnectionId, now: Millis) {
+        self.enter(id, Phase::Reading, now);
+    }
+
+    /// Sets how many bytes of the pool an incomplete request holds; returns the connections that
+    /// are evicted for it. The request itself makes way if it has been incomplete for the longest
+    /// time.
+    pub fn resize(
+        &mut self,
+        id: ConnectionId,
+        bytes: usize,
+    ) -> Result<Vec<ConnectionId>, Exhausted> {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return Err(Exhausted);
+        };
+        self.pooled = self.pooled - connection.pooled + bytes;
+        connection.pooled = bytes;
+        let mut evicted = Vec::new();
+        while self.pooled > self.capacity.pool {
+            // The request itself holds bytes, so there is always one.
+            let victim = self.longest(Phase::Reading, |c| c.pooled > 0);
+            let victim = victim.filter(|victim| *victim != id);
+            let Some(victim) = victim else {
+                self.close(id);
+                return Err(Exhausted);
+            };
+            self.close(victim);
+            evicted.push(victim);
+        }
+        Ok(evicted)
+    }
+
+    /// Records that a request was read completely, so that it is not evicted any more. The bytes
+    /// that it holds stay in use until they are released; returns their number.
+    pub fn end_reading(&mut self, id: ConnectionId, now: Millis) -> usize {
+        self.enter(id, Phase::Handling, now);
+        let connection = self.connections.get_mut(&id);
+        connection.map_or(0, |c| std::mem::take(&mut c.pooled))
+    }
+
+    /// Takes bytes of the pool for a request that was read completely; returns the connections that
+    /// are evicted for it.
+    pub fn take(&mut self, bytes: usize) -> Result<Vec<ConnectionId>, Exhausted> {
+        let evictable: usize = self.connections.values().map(|c| c.pooled).sum();
+        if self.pooled - evictable + bytes > self.capacity.pool {
+            return Err(Exhausted);
+        }
+        let mut evicted = Vec::new();
+        while self.pooled + bytes > self.capacity.pool {
+            let victim = self.longest(Phase::Reading, |c| c.pooled > 0);
+            let victim = victim.ok_or(Exhausted)?;
+            self.close(victim);
+            evicted.push(victim);
+        }
+        self.pooled += bytes;
+        Ok(evicted)
+    }
+
+    /// Returns bytes to the pool that [`Self::take`] or [`Self::end_reading`] left in use.
+    pub fn release(&mut self, bytes: usize) {
+        self.pooled -= bytes;
+    }
+
+    /// Records that a request was answered, and that the connection waits for the next one.
+    pub fn end_request(&mut self, id: ConnectionId, now: Millis) {
+        self.enter(id, Phase::Idle, now);
+    }
+
+    /// Removes a connection, if it is still there, with the bytes of its incomplete request.
+    pub fn close(&mut self, id: ConnectionId) {
+        let removed = self.connections.remove(&id);
+        self.pooled -= removed.map_or(0, |c| c.pooled);
+    }
+
+    fn enter(&mut self, id: ConnectionId, phase: Phase, now: Millis) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.phase = phase;
+            connection.since = now;
+        }
+    }
+
+    /// Returns the connection that has been in a phase for the longest time, among those for which
+    /// `may` returns true.
+    fn longest(&self, phase: Phase, may: impl Fn(&Connection) -> bool) -> Option<ConnectionId> {
+        let those = self
+            .connections
+            .iter()
+            .filter(|(_, c)| c.phase == phase && may(c));
+        those
+            .min_by_key(|(id, c)| (c.since, **id))
+            .map(|(id, _)| *id)
+    }
+}
--- a/src/web/read_limit.rs
+++ b/src/web/read_limit.rs
@@ -29,11 +29,6 @@
         self.0.get() == 0
     }
 
-    /// Returns true if nothing has been read since the budget was set to `bytes`.
-    pub fn is_untouched(&self, bytes: usize) -> bool {
-        self.0.get() == bytes
-    }
-
     fn consume(&self, bytes: usize) {
         self.0.set(self.0.get().saturating_sub(bytes));
     }
--- a/src/web/tests.rs
+++ b/src/web/tests.rs
@@ -77,6 +77,7 @@
         uri: "/".parse().unwrap(),
         headers: headers(&[("host", "x")]),
         body: bytes::Bytes::new(),
+        charge: None,
     };
     let pool = Pool::new(1 << 10);
     let count = || unanswered_calls("http");
@@ -126,6 +127,7 @@
         uri: "/".parse().unwrap(),
         headers: headers(&[("host", "x")]),
         body: bytes::Bytes::new(),
+        charge: None,
     };
     let pool = Pool::new(1 << 10).with_max_idle(3);
     let call = async |address| pool.call(address, request(), REPLY_TIMEOUT, || true).await;
@@ -162,6 +164,7 @@
         uri: "/".parse().unwrap(),
         headers: headers(&[("host", "x")]),
         body: bytes::Bytes::new(),
+        charge: None,
     };
     let pool = Pool::new(1 << 10);
     crate::program::block_on(async {
@@ -206,6 +209,7 @@
         uri: "/".parse().unwrap(),
         headers: headers(&[("host", "x")]),
         body: bytes::Bytes::new(),
+        charge: None,
     };
     for stopped_after in [0, 5, 20, 50] {
         let pool = Pool::new(1 << 10);
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -40,7 +40,11 @@
     head: 16 << 10,
     body: 1 << 20,
     connections: 1_000,
+    memory: 1 << 30,
     idle: 600_000,
+    request: 600_000,
+    stall: 600_000,
+    answer: 600_000,
 };
 
 /// A queue of the configuration.
