A job's parsed form is bounded and counted until it is answered

Callers saw: the box ended for lack of memory after 48 whole bodies of 1 MiB that parse into very many empty steps.

Cause: a step of three bytes of text takes some 200 bytes parsed, again as much in the owner's queue, and each gave several messages in the answer and in one log line. Nothing counted what waits between parsing and the answer.

Change: lists of a job are read up to the task limit, as each step has a task. The parsed form is charged to the account of callers until its answer, also what other boxes forward, for which small requests have a reserve; the body is dropped before. Without room the request is refused as not taken, which is true: the owner has not seen it. An invalid job gets eight messages at most. Messages of other boxes are bounded at 256 KiB.

--- a/src/daemon/frontend.rs
+++ b/src/daemon/frontend.rs
@@ -17,6 +17,7 @@
 use crate::sched::RETRY_AFTER;
 use crate::sched::message::{Answer, JobRequest};
 use crate::utils::clock::{self, Millis};
+use crate::web::callers::Charge;
 use crate::web::{Reply, Request};
 
 /// Longest time in milliseconds that a request waits for an owner to accept it: enough for a
@@ -33,6 +34,9 @@
 /// Timeout in milliseconds of one attempt to reach an owner in another box. The connection may
 /// be dead; a retry is safe because the owner recognizes a request that it has already seen.
 const TRY_TIMEOUT: Millis = 700;
+/// Copies of a job's description in memory until it is answered: one here, and one on its way to
+/// the owner.
+const COPIES: usize = 2;
 /// Milliseconds of the caller's timeout reserved for sending the reply.
 const REPLY_RESERVE: Millis = 100;
 
@@ -53,8 +57,13 @@
         }
     };
     let caller_timeout = ingress::caller_timeout(&request).saturating_sub(REPLY_RESERVE);
+    let Ok(charge) = shared.callers.charge(COPIES * job_request.memory()) else {
+        return ingress::to_reply(&Answer::Refused(RETRY_AFTER));
+    };
+    // The body is not needed any more, and the answer may take a while.
+    drop(request);
     let start = clock::micros();
-    let answer = ask_owner(&shared, &job_request, caller_timeout).await;
+    let answer = ask_owner(&shared, &job_request, Rc::new(charge), caller_timeout).await;
     let took = clock::micros() - start;
     crate::metrics::get()
         .request_seconds
@@ -80,7 +89,12 @@
 
 /// Sends the request to the owner until it is answered or the time is up; follows the owner
 /// to another box if it changes meanwhile.
-async fn ask_owner(shared: &Rc<Shared>, request: &JobRequest, caller_timeout: Millis) -> Answer {
+async fn ask_owner(
+    shared: &Rc<Shared>,
+    request: &JobRequest,
+    charge: Rc<Charge>,
+    caller_timeout: Millis,
+) -> Answer {
     let start = clock::now();
     let mut doubt = Doubt::default();
     let mut tries = 0;
@@ -94,7 +108,7 @@
         }
         tries += 1;
         let left = caller_timeout.min(ANSWER_LIMIT) - spent;
-        match try_owner(shared, request, left).await {
+        match try_owner(shared, request, &charge, left).await {
             Ok((Answer::Refused(_) | Answer::Unknown, epoch))
                 if changes_state(request) && !doubt.is_resolved_by(epoch) =>
             {
@@ -168,10 +182,12 @@
 async fn try_owner(
     shared: &Rc<Shared>,
     request: &JobRequest,
+    charge: &Rc<Charge>,
     left: Millis,
 ) -> Result<(Answer, u64), Failure> {
     if let Some(epoch) = shared.local_epoch() {
-        let answer = ask_local_owner(shared, epoch, request.clone(), left).await;
+        let (request, charge) = (request.clone(), charge.clone());
+        let answer = ask_local_owner(shared, epoch, request, charge, left).await;
         let answer = answer.ok_or(Failure::AnswerLost(epoch))?;
         return Ok((answer, epoch));
     }
@@ -203,15 +219,16 @@
 }
 
 /// Returns the answer of the owner of an epoch in this process, or `None` after `left`
-/// milliseconds.
+/// milliseconds. The request may wait for the owner longer than that, with its charge.
 pub async fn ask_local_owner(
     shared: &Shared,
     epoch: u64,
     request: JobRequest,
+    charge: Rc<Charge>,
     left: Millis,
 ) -> Option<Answer> {
     let (reply, answer) = oneshot::channel();
-    shared.send_to_owner(Message::Request(epoch, request, reply));
+    shared.send_to_owner(Message::Request(epoch, request, Some(charge), reply));
     timeout(Duration::from_millis(left), answer)
         .await
         .ok()?
--- a/src/daemon/message.rs
+++ b/src/daemon/message.rs
@@ -1,12 +1,14 @@
 //! Messages to the task that runs the owner in this process.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use futures::channel::oneshot;
 
 use crate::sched::message::{Answer, Event, JobRequest};
 use crate::sched::owner::{Owner, OwnerSettings};
 use crate::utils::clock::Millis;
+use crate::web::callers::Charge;
 
 /// A message to the owner's task, and when it was sent.
 pub struct Sent {
@@ -18,9 +20,9 @@
 
 /// A message to the owner's task.
 pub enum Message {
-    /// A caller's request to the owner of an epoch, and where its answer is sent. The owner of
-    /// another epoch gives no answer.
-    Request(u64, JobRequest, oneshot::Sender<Answer>),
+    /// A caller's request to the owner of an epoch, the memory that it holds, and where its answer
+    /// is sent. The owner of another epoch gives no answer.
+    Request(u64, JobRequest, Option<Rc<Charge>>, oneshot::Sender<Answer>),
     /// This box has become the owner: its state, its epoch, and the milliseconds that acquiring
     /// the cell and loading took.
     Begin(Box<Owner>, u64, Millis),
--- a/src/daemon/owner_task.rs
+++ b/src/daemon/owner_task.rs
@@ -20,6 +20,7 @@
 use crate::sched::message::{Action, Answer, CommitOutcome, Event, Ticket};
 use crate::sched::owner::Owner;
 use crate::utils::clock::{self, Millis};
+use crate::web::callers::Charge;
 
 /// Pause after a time slice that leaves messages waiting.
 const SLICE_PAUSE: Duration = Duration::from_millis(1);
@@ -33,8 +34,7 @@
 struct LocalOwner {
     owner: Owner,
     term: Term,
-    /// Where the answers to pending requests are sent.
-    pending: HashMap<Ticket, oneshot::Sender<Answer>>,
+    pending: HashMap<Ticket, PendingRequest>,
     next_ticket: Ticket,
     /// Milliseconds after which the outcome of an unanswered commit is looked up.
     answer_wait: Millis,
@@ -42,6 +42,14 @@
     commit_sent: Millis,
 }
 
+/// A request that the owner has not answered.
+struct PendingRequest {
+    /// Where the answer is sent.
+    reply: oneshot::Sender<Answer>,
+    /// Memory that the request holds until it is answered.
+    _charge: Option<Rc<Charge>>,
+}
+
 /// Handles messages and timeouts until the process ends.
 pub async fn run(shared: Rc<Shared>, mut inbox: Inbox) {
     let mut local: Option<LocalOwner> = None;
@@ -115,11 +123,14 @@
             }
         }
         // Nobody waits for the answer any more, so the request is not carried out.
-        (Message::Request(_, _, reply), _) if reply.is_canceled() => {}
-        (Message::Request(epoch, request, reply), Some(local)) if epoch == local.term.epoch => {
+        (Message::Request(.., reply), _) if reply.is_canceled() => {}
+        (Message::Request(epoch, request, _charge, reply), Some(local))
+            if epoch == local.term.epoch =>
+        {
             let ticket = local.next_ticket;
             local.next_ticket += 1;
-            local.pending.insert(ticket, reply);
+            let pending = PendingRequest { reply, _charge };
+            local.pending.insert(ticket, pending);
             local.apply_event(shared, Event::Request(ticket, request));
         }
         (Message::Event(epoch, event), Some(local)) if epoch == local.term.epoch => {
@@ -250,9 +261,9 @@
         let epoch = self.term.epoch;
         match action {
             Action::Reply(ticket, answer) => {
-                if let Some(reply) = self.pending.remove(&ticket) {
+                if let Some(pending) = self.pending.remove(&ticket) {
                     // Sending fails only if the caller is gone and needs no answer.
-                    let _ = reply.send(answer);
+                    let _ = pending.reply.send(answer);
                 }
             }
             Action::Poll(poll) => {
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -12,10 +12,15 @@
 use crate::proto::cluster_server::{Cluster, ClusterServer};
 use crate::proto::{AskReply, AskRequest, PingReply, PingRequest};
 use crate::rpc::{self, bridge::Bridge};
+use crate::sched::RETRY_AFTER;
+use crate::sched::message::{Answer, JobRequest};
 use crate::table::encode;
 use crate::utils::clock;
 use crate::utils::drain::Drain;
 
+/// Largest message of another box in bytes: twice a job or a configuration of the store's row size.
+const MAX_MESSAGE: usize = 256 << 10;
+
 /// gRPC service that other boxes call.
 struct Service {
     bridge: Bridge<Shared>,
@@ -43,14 +48,23 @@
     shared: Rc<Shared>,
     request: AskRequest,
 ) -> Result<AskReply, Status> {
-    let job_request = serde_json::from_slice(&request.ask)
+    let job_request: JobRequest = serde_json::from_slice(&request.ask)
         .map_err(|e| Status::invalid_argument(e.to_string()))?;
     // Boxes of the previous release name no epoch.
     let is_asked = |epoch: &u64| request.epoch == 0 || request.epoch == *epoch;
     let Some(epoch) = shared.local_epoch().filter(is_asked) else {
         return Ok(AskReply::default());
     };
-    match frontend::ask_local_owner(&shared, epoch, job_request, request.left).await {
+    let Ok(charge) = shared.callers.charge_forwarded(job_request.memory()) else {
+        return Ok(AskReply {
+            answer: encode(&Answer::Refused(RETRY_AFTER)),
+        });
+    };
+    // The encoded request is not needed any more, and its answer may take a while.
+    let left = request.left;
+    drop(request);
+    let charge = Rc::new(charge);
+    match frontend::ask_local_owner(&shared, epoch, job_request, charge, left).await {
         Some(answer) => Ok(AskReply {
             answer: encode(&answer),
         }),
@@ -125,7 +139,7 @@
 
 /// Serves other boxes until the process ends.
 pub async fn serve(listener: TcpListener, bridge: Bridge<Shared>) {
-    let service = ClusterServer::new(Service { bridge });
+    let service = ClusterServer::new(Service { bridge }).max_decoding_message_size(MAX_MESSAGE);
     rpc::server::serve(listener, Drain::never(), move |request| {
         let mut service = service.clone();
         async move {
--- a/src/options/check.rs
+++ b/src/options/check.rs
@@ -70,8 +70,8 @@
 
 /// Reports limits on callers under which no request of the largest size could be read.
 fn check_limits(limits: Limits, reader: &mut Reader) {
-    if limits.head + limits.body > limits.memory / 2 {
-        let problem = "is, with limits.head, more than half of limits.memory";
+    if limits.head + limits.body > limits.memory / 4 {
+        let problem = "is, with limits.head, more than a quarter of limits.memory";
         let hint = "lower it, or raise limits.memory or box.memory";
         reader.report("limits.body", problem, hint);
     }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -15,6 +15,7 @@
     Answer, CommitOutcome, DirectoryEntry, JobRequest, OrderAck, Refusal, Reply as OrderResult,
     Report, RunOutcome, Stop,
 };
+use crate::sched::spec::TASK_LIMIT;
 use crate::table::Row;
 use crate::utils::Name;
 use crate::web::{Reply, Request};
@@ -404,3 +405,27 @@
     let unnumbered = report("", r#"[0,"a.0.0.0",1,"done",""]"#);
     assert_eq!((unnumbered.ended.len(), unnumbered.unreadable), (0, 1));
 }
+
+/// The parsed form of such a job takes up to 70 times the memory of its text.
+#[test]
+fn lists_of_a_job_are_read_up_to_the_task_limit_only() {
+    let list = |entry: &str, count: u64| vec![entry; count as usize].join(",");
+    let steps = |count| format!(r#"{{"steps":[{}]}}"#, list(r#"{"count":1}"#, count));
+    let after = |count| {
+        format!(
+            r#"{{"steps":[{{"count":1,"after":[{}]}}]}}"#,
+            list("0", count)
+        )
+    };
+    let path = "/q/0123456789abcdef";
+    let submit = |body: &str| ingress::parse_request(&request(Method::POST, path, body), &queues());
+    for job in [steps(TASK_LIMIT), after(TASK_LIMIT)] {
+        assert!(submit(&job).is_ok());
+    }
+    for job in [steps(TASK_LIMIT + 1), after(TASK_LIMIT + 1)] {
+        let reply = submit(&job).expect_err("refused");
+        assert_eq!(reply.status, StatusCode::BAD_REQUEST);
+        let text = String::from_utf8_lossy(&reply.body);
+        assert!(text.contains("at most 2000 entries"), "{text}");
+    }
+}
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -1,12 +1,15 @@
 //! The platform's messages as they are on the wire, and a function to make a call.
 
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
-use serde::{Deserialize, Serialize};
+use serde::de::{Error, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
 
+use crate::sched::spec::TASK_LIMIT;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
 use crate::web::client::Pool;
@@ -23,6 +26,7 @@
 pub struct Job {
     #[serde(default)]
     pub spec: Name,
+    #[serde(deserialize_with = "bounded_list")]
     pub steps: Vec<Step>,
     #[serde(default)]
     pub max_runs: u32,
@@ -41,6 +45,7 @@
     pub mem_mb: u64,
     pub gpu: u64,
     pub estimate_ms: Millis,
+    #[serde(deserialize_with = "bounded_list")]
     pub after: Vec<usize>,
     pub saves_progress: bool,
     pub gang: bool,
@@ -60,6 +65,37 @@
     pub may_miss: Option<u32>,
 }
 
+/// Decodes a list of at most `TASK_LIMIT` entries, as each step has a task. A longer one is not
+/// read to its end: it may take many times as much memory as its text.
+fn bounded_list<'de, D, T>(deserializer: D) -> Result<Vec<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    struct Entries<T>(PhantomData<T>);
+
+    impl<'de, T: Deserialize<'de>> Visitor<'de> for Entries<T> {
+        type Value = Vec<T>;
+
+        fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+            write!(f, "a list of at most {TASK_LIMIT} entries")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<Vec<T>, A::Error> {
+            let mut entries = Vec::new();
+            while let Some(entry) = list.next_element()? {
+                if entries.len() as u64 == TASK_LIMIT {
+                    return Err(Error::invalid_length(entries.len() + 1, &self));
+                }
+                entries.push(entry);
+            }
+            Ok(entries)
+        }
+    }
+
+    deserializer.deserialize_seq(Entries(PhantomData))
+}
+
 /// An order to start a run.
 #[derive(Serialize)]
 #[serde(rename_all = "camelCase")]
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -39,6 +39,14 @@
 }
 
 impl JobRequest {
+    /// Returns the bytes that the description of a submitted job takes in memory.
+    pub fn memory(&self) -> usize {
+        match self {
+            Self::Submit { spec, .. } => spec.memory(),
+            Self::Cancel(_) | Self::Show(_) | Self::Count(_) => 0,
+        }
+    }
+
     /// Returns the id of the job or the name of the queue that the request concerns.
     pub fn subject(&self) -> &Name {
         match self {
--- a/src/sched/spec.rs
+++ b/src/sched/spec.rs
@@ -8,6 +8,9 @@
 /// Most tasks of one job over all rounds, so that its row stays within the store's row size.
 pub const TASK_LIMIT: u64 = 2_000;
 
+/// Most messages about an invalid job: they go into the answer and into the log.
+const MAX_ERRORS: usize = 8;
+
 /// Largest amount of any resource of a task: far more than any machine has, and small enough
 /// that sums and products of amounts are exact.
 pub const RESOURCE_LIMIT: u64 = 1 << 40;
@@ -162,6 +165,16 @@
 }
 
 impl JobSpec {
+    /// Returns the bytes that the description takes in memory.
+    pub fn memory(&self) -> usize {
+        let step = |s: &StepSpec| {
+            let names = s.image.len() + s.label.len() + s.rack.len();
+            size_of::<StepSpec>() + names + size_of_val(&*s.depends_on)
+        };
+        let steps: usize = self.steps.iter().map(step).sum();
+        size_of::<Self>() + self.payload.len() + steps
+    }
+
     /// Returns the duration of the critical path by the declared estimates, in milliseconds.
     pub fn ideal_duration(&self) -> Millis {
         self.critical_path(|step| self.steps[step].estimate)
@@ -178,7 +191,7 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Returns a message for each rule that the description violates.
+    /// Returns a message for each rule that the description violates, up to `MAX_ERRORS`.
     pub fn validation_errors(&self) -> Vec<String> {
         let mut errors = Vec::new();
         if self.steps.is_empty() {
@@ -219,6 +232,7 @@
         if self.schedule.is_some_and(beyond) {
             errors.push(format!("the schedule has a time above {TIME_LIMIT} ms"));
         }
+        errors.truncate(MAX_ERRORS);
         errors
     }
 }
--- a/src/web/account.rs
+++ b/src/web/account.rs
@@ -25,6 +25,8 @@
     pub connections: usize,
     /// Most bytes of the pool.
     pub pool: usize,
+    /// Bytes beyond the pool that only small requests may take.
+    pub reserve: usize,
 }
 
 /// Error: everything within the limits is in use by requests that can't be evicted.
@@ -57,8 +59,10 @@
 pub struct Account {
     capacity: Capacity,
     connections: BTreeMap<ConnectionId, Connection>,
-    /// Bytes of the pool that are in use.
+    /// Bytes of the pool and its reserve that are in use.
     pooled: usize,
+    /// Those of them that incomplete requests hold.
+    incomplete: usize,
     next: ConnectionId,
 }
 
@@ -69,6 +73,7 @@
             capacity,
             connections: BTreeMap::new(),
             pooled: 0,
+            incomplete: 0,
             next: 0,
         }
     }
@@ -83,7 +88,7 @@
         self.connections.len()
     }
 
-    /// Returns the bytes of the pool that are in use.
+    /// Returns the bytes of the pool and its reserve that are in use.
     pub fn pooled(&self) -> usize {
         self.pooled
     }
@@ -125,10 +130,11 @@
             return Err(Exhausted);
         };
         self.pooled = self.pooled - connection.pooled + bytes;
+        self.incomplete = self.incomplete - connection.pooled + bytes;
+        let grows = bytes > connection.pooled;
         connection.pooled = bytes;
         let mut evicted = Vec::new();
-        while self.pooled > self.capacity.pool {
-            // The request itself holds bytes, so there is always one.
+        while grows && self.pooled > self.capacity.pool {
             let victim = self.longest(Phase::Reading, |c| c.pooled > 0);
             let victim = victim.filter(|victim| *victim != id);
             let Some(victim) = victim else {
@@ -146,18 +152,21 @@
     pub fn end_reading(&mut self, id: ConnectionId, now: Millis) -> usize {
         self.enter(id, Phase::Handling, now);
         let connection = self.connections.get_mut(&id);
-        connection.map_or(0, |c| std::mem::take(&mut c.pooled))
+        let bytes = connection.map_or(0, |c| std::mem::take(&mut c.pooled));
+        self.incomplete -= bytes;
+        bytes
     }
 
-    /// Takes bytes of the pool for a request that was read completely; returns the connections that
-    /// are evicted for it.
-    pub fn take(&mut self, bytes: usize) -> Result<Vec<ConnectionId>, Exhausted> {
-        let evictable: usize = self.connections.values().map(|c| c.pooled).sum();
-        if self.pooled - evictable + bytes > self.capacity.pool {
+    /// Takes bytes of the pool for a request that was read completely, and also of the reserve if
+    /// it is small; returns the connections that are evicted for it.
+    pub fn take(&mut self, bytes: usize, small: bool) -> Result<Vec<ConnectionId>, Exhausted> {
+        let reserve = if small { self.capacity.reserve } else { 0 };
+        let limit = self.capacity.pool + reserve;
+        if self.pooled - self.incomplete + bytes > limit {
             return Err(Exhausted);
         }
         let mut evicted = Vec::new();
-        while self.pooled + bytes > self.capacity.pool {
+        while self.pooled + bytes > limit {
             let victim = self.longest(Phase::Reading, |c| c.pooled > 0);
             let victim = victim.ok_or(Exhausted)?;
             self.close(victim);
@@ -180,7 +189,9 @@
     /// Removes a connection, if it is still there, with the bytes of its incomplete request.
     pub fn close(&mut self, id: ConnectionId) {
         let removed = self.connections.remove(&id);
-        self.pooled -= removed.map_or(0, |c| c.pooled);
+        let bytes = removed.map_or(0, |c| c.pooled);
+        self.pooled -= bytes;
+        self.incomplete -= bytes;
     }
 
     fn enter(&mut self, id: ConnectionId, phase: Phase, now: Millis) {
--- a/src/web/callers.rs
+++ b/src/web/callers.rs
@@ -62,12 +62,14 @@
 
 impl Callers {
     /// Returns an account without connections. Half of the memory is for connections and their
-    /// small requests, and half for what larger requests need beyond that.
+    /// small requests, an eighth for small requests that other boxes forward, and the rest for what
+    /// larger requests need.
     pub fn new(limits: Limits) -> Rc<Self> {
-        let half = limits.memory / 2;
+        let (half, eighth) = (limits.memory / 2, limits.memory / 8);
         let capacity = Capacity {
             connections: limits.connections.min(half / CONNECTION_BYTES).max(1),
-            pool: half,
+            pool: limits.memory - half - eighth,
+            reserve: eighth,
         };
         let account = Account::new(capacity);
         Rc::new(Self {
@@ -92,10 +94,19 @@
         Some((Slot { account, id }, eviction))
     }
 
-    /// Takes memory for a request beyond that of its connection, until the returned charge is
-    /// dropped.
+    /// Takes memory for the decoded form of a request, beyond that of its connection, until the
+    /// returned charge is dropped.
     pub fn charge(self: &Rc<Self>, bytes: usize) -> Result<Charge, Exhausted> {
-        let taken = self.account.borrow_mut().take(bytes);
+        self.take(bytes.saturating_sub(SMALL_REQUEST), false)
+    }
+
+    /// Takes memory for the decoded form of a request that another box has forwarded.
+    pub fn charge_forwarded(self: &Rc<Self>, bytes: usize) -> Result<Charge, Exhausted> {
+        self.take(bytes, bytes <= SMALL_REQUEST)
+    }
+
+    fn take(self: &Rc<Self>, bytes: usize, small: bool) -> Result<Charge, Exhausted> {
+        let taken = self.account.borrow_mut().take(bytes, small);
         let evicted = taken.inspect_err(|_| self.report(Cause::Memory))?;
         self.evict(&evicted, Cause::Memory);
         Ok(self.hold(bytes))
