A job that the store can never keep is refused at once

Callers saw: one POST of a job of 1,500 plain steps (88 kB), or of 260 steps with long `after` lists, was answered 504, and every other submission 503 for as long as the owner lived.

Cause: a caller's body decides what the owner must store, and nothing compared it with the store's row size. The store refuses the commit, and the owner tries it again, with all other jobs' rows, for ever.

Change: a job is accepted only if its description and the state of its tasks, all placed on the workers with the longest ids, fit into a row (platform.row-bytes, from the platform's row_bytes); else 400 with the reason, at the box that the caller asked, before the owner sees it. What tasks collect beyond that (crashes, then checkpoints) is left out of a row that would be too large, so that a job that runs does not outgrow its row. Rows of learned estimates that are too large are not written.

Ruled out: a limit on steps or tasks alone (names and dependencies count); several rows for a job (a change of what all releases read).

Evidence: both jobs in tests/platform/large_jobs.rs were answered 504 on and are answered 400 now, and the next job is accepted and runs; a property test: rows of accepted jobs fit whatever their tasks collect. The store's stand-in refuses rows over 65,536 bytes and transactions over 1 MiB.

--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -169,6 +169,7 @@
             cores: 0,
         };
         let settings = OwnerSettings {
+            row_bytes: 65_536,
             lease_length: 4_000,
             longest_lease: 4_000,
             max_unconfirmed: 10_000,
--- a/src/daemon/frontend.rs
+++ b/src/daemon/frontend.rs
@@ -15,6 +15,7 @@
 use crate::proto::{AskReply, AskRequest};
 use crate::rpc::client::CallError;
 use crate::sched::RETRY_AFTER;
+use crate::sched::job_rows::{self, WorkerNames};
 use crate::sched::message::{Answer, JobRequest};
 use crate::utils::clock::{self, Millis};
 use crate::web::callers::Charge;
@@ -56,6 +57,11 @@
             return *reply;
         }
     };
+    if let Some(reason) = invalidity(&job_request, shared.settings.owner.row_bytes) {
+        let id = job_request.subject();
+        log::warn!(target: "desk", "job={id} event=invalid reason=\"{reason}\"");
+        return ingress::to_reply(&Answer::Invalid(reason));
+    }
     let caller_timeout = ingress::caller_timeout(&request).saturating_sub(REPLY_RESERVE);
     let Ok(charge) = shared.callers.charge(COPIES * job_request.memory()) else {
         return ingress::to_reply(&Answer::Refused(RETRY_AFTER));
@@ -76,6 +82,18 @@
     ingress::to_reply(&answer)
 }
 
+/// Returns why a job can never be accepted, whatever its owner knows of the workers. Refusing it
+/// here keeps it from the owner.
+fn invalidity(request: &JobRequest, row_bytes: usize) -> Option<String> {
+    let JobRequest::Submit { spec, queue, .. } = request else {
+        return None;
+    };
+    let mut errors = spec.validation_errors();
+    let names = WorkerNames::default();
+    errors.extend(job_rows::storage_error(spec, queue, names, row_bytes));
+    (!errors.is_empty()).then(|| errors.join("; "))
+}
+
 /// Returns the request's kind as logged, and the job id or queue name that it is about.
 fn kind_and_subject(request: &JobRequest) -> (&'static str, &str) {
     let kind = match request {
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -101,6 +101,7 @@
 fn owner(now: u64) -> Owner {
     let row = owner_row(7);
     let settings = OwnerSettings {
+        row_bytes: 65_536,
         lease_length: 4_000,
         longest_lease: 4_000,
         max_unconfirmed: 10_000,
--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -43,6 +43,11 @@
 /// Default time for which the state of a finished job can be queried, in milliseconds.
 const DEFAULT_RETENTION: Millis = 120_000;
 
+/// Default largest value of a row in the store, in bytes.
+const DEFAULT_ROW: u64 = 65_536;
+/// Accepted sizes of a row: from what a job of a few steps needs.
+const ROW_RANGE: std::ops::RangeInclusive<u64> = 4_096..=1 << 24;
+
 /// Largest number of cores of a box.
 const MAX_CORES: f64 = 1_024.0;
 /// Thousandths in one core.
@@ -189,6 +194,7 @@
             max_breach: reader.duration("platform.longest-over", DEFAULT_MAX_BREACH, 1_000..=HOUR),
             far_factor: reader.number("platform.far-factor", DEFAULT_FAR_FACTOR, FAR_FACTOR_RANGE),
             retention: reader.duration("jobs.remember", DEFAULT_RETENTION, 1_000..=HOUR),
+            row_bytes: reader.count("platform.row-bytes", DEFAULT_ROW, ROW_RANGE) as usize,
             mechanisms: mechanisms(&mut reader),
         },
         stop_timeout: grace - STOP_MARGIN,
--- a/src/options/tests.rs
+++ b/src/options/tests.rs
@@ -85,6 +85,7 @@
         ("limits.cpuShare", "0.25"),
         ("limits.maxFds", "8192"),
         ("limits.memoryMb", "260"),
+        ("platform.row_bytes", "32768"),
         ("listen.front", "10.0.0.1:8161"),
         ("listen.ready", "10.0.0.1:8167"),
         ("ip", "10.0.0.1"),
@@ -109,6 +110,7 @@
     let text = section(&text, "limits.cpuShare", !advisor.is_empty());
     let text = section(&text, "limits.maxFds", !advisor.is_empty());
     let text = section(&text, "limits.memoryMb", !advisor.is_empty());
+    let text = section(&text, "platform.row_bytes", !advisor.is_empty());
     let text = section(&text, "bounds.harm_ms", !advisor.is_empty());
     let text = section(&text, "bounds.far_x", !advisor.is_empty());
     let text = section(&text, "heartbeatMs", !advisor.is_empty());
@@ -135,6 +137,8 @@
         assert_eq!(settings.owner.far_factor, far_factor);
         let heartbeat = if port.is_some() { 1_500 } else { 1_100 };
         assert_eq!(settings.owner.heartbeat, heartbeat);
+        let row = if port.is_some() { 32_768 } else { 65_536 };
+        assert_eq!(settings.owner.row_bytes, row);
         let megabytes = if port.is_some() { 260.0 } else { 160.0 };
         let share = (megabytes * 1_048_576.0 * 0.4) as usize;
         assert_eq!(settings.limits.memory, share);
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -4,7 +4,8 @@
 //! both defined in `message`.
 //!
 //! - Jobs: `spec` and `job` hold their descriptions and state, `requests` handles callers' requests,
-//!   `journal` (with `write_queue`) and `commits` store changes, and `history` keeps finished jobs.
+//!   `journal` (with `write_queue`) and `commits` store changes as `job_rows`, and
+//!   `history` keeps finished jobs.
 //! - [`admission`] decides which submitted jobs are accepted.
 //! - `ready` holds the tasks that wait for a worker, [`shares`] orders them, and [`placing`] places
 //!   them.
@@ -41,6 +42,7 @@
 pub mod history;
 pub mod incarnation;
 pub mod job;
+pub mod job_rows;
 pub mod journal;
 mod learned;
 mod long_leases;
--- a/src/sched/commits.rs
+++ b/src/sched/commits.rs
@@ -3,13 +3,12 @@
 use std::collections::HashMap;
 
 use bytes::Bytes;
-use serde::Serialize;
 
-use super::history::HistoryRow;
 use super::job::{Job, Outcome, TaskKey};
+use super::job_rows::{job_writes, remove};
 use super::journal::{
-    AfterCommit, CommitResolution, ESTIMATES_TABLE, HISTORY_TABLE, INTERFERENCE_KEY, JOB_TABLE,
-    LEARNED_KEY, SPEC_TABLE, spare_entries,
+    AfterCommit, CommitResolution, ESTIMATES_TABLE, HISTORY_TABLE, INTERFERENCE_KEY, LEARNED_KEY,
+    spare_entries,
 };
 use super::message::{Action, CommitOutcome, Write};
 use super::owner::Owner;
@@ -28,13 +27,14 @@
     /// Sends the changed rows if a commit is due.
     pub(super) fn commit_if_due(&mut self) {
         let (jobs, placed_on) = (&mut self.jobs, &self.placed_on);
+        let limit = self.settings.row_bytes;
         let rows = |number| {
             let Some(job) = jobs.get_mut(&number) else {
                 return Vec::new();
             };
             job.archived =
                 job.stored && !job.is_open() && has_no_placed_task(placed_on, number, job);
-            job_writes(job)
+            job_writes(job, limit)
         };
         let Some((number, version, mut writes)) = self.journal.build_commit(self.now.steady, rows)
         else {
@@ -73,7 +73,16 @@
             key: key.into(),
             value: Some(value),
         };
-        factors.into_iter().chain(learned).map(write).collect()
+        // A commit with a row that is too large would be refused with those of all jobs in it.
+        let fits = |(key, value): &(&str, Bytes)| {
+            let fits = value.len() <= self.settings.row_bytes;
+            if !fits {
+                log::error!(target: "journal", "event=row-too-large key={key} bytes={}", value.len());
+            }
+            fits
+        };
+        let rows = factors.into_iter().chain(learned);
+        rows.filter(fits).map(write).collect()
     }
 
     /// Handles the outcome of a commit.
@@ -136,40 +145,3 @@
     !job.tasks(number)
         .any(|(key, _)| placed_on.contains_key(&key))
 }
-
-fn put(table: &'static str, id: &Name, row: &impl Serialize) -> Write {
-    Write {
-        table,
-        key: id.clone(),
-        value: Some(crate::table::encode(row)),
-    }
-}
-
-fn remove(table: &'static str, id: &Name) -> Write {
-    Write {
-        table,
-        key: id.clone(),
-        value: None,
-    }
-}
-
-/// Returns the writes that bring the stored rows of a job up to date.
-fn job_writes(job: &mut Job) -> Vec<Write> {
-    job.sent_outcome = job.row.outcome;
-    if job.archived {
-        let finished = HistoryRow {
-            outcome: job.row.outcome,
-            ended: job.row.ended,
-        };
-        return vec![
-            put(HISTORY_TABLE, &job.id, &finished),
-            remove(JOB_TABLE, &job.id),
-            remove(SPEC_TABLE, &job.id),
-        ];
-    }
-    let mut writes = vec![put(JOB_TABLE, &job.id, &job.row)];
-    if !job.stored {
-        writes.push(put(SPEC_TABLE, &job.id, &*job.spec));
-    }
-    writes
-}
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::incarnation::BootTime;
+use super::job_rows::Detail;
 use super::shares::groups::GroupId;
 use super::spec::{JobSpec, StepSpec};
 use crate::utils::Name;
@@ -270,6 +271,8 @@
     pub sent_outcome: Outcome,
     /// True once the store is known to have the job.
     pub stored: bool,
+    /// What the latest commit says of each task.
+    pub stored_detail: Detail,
     /// True when the latest commit replaces the job's rows by a small row of the history.
     pub archived: bool,
     /// Group of the job in the shares; `None` for a job that they do not track.
@@ -293,6 +296,7 @@
             stored_outcome: Outcome::Open,
             sent_outcome: Outcome::Open,
             stored: false,
+            stored_detail: Detail::Full,
             archived: false,
             group: None,
         };
@@ -311,6 +315,7 @@
             sent_outcome: row.outcome,
             row,
             stored: true,
+            stored_detail: Detail::Full,
             archived: false,
             group: None,
         }
--- a/src/sched/requests.rs
+++ b/src/sched/requests.rs
@@ -2,6 +2,7 @@
 
 use super::failover;
 use super::job::{Job, Outcome, Queue};
+use super::job_rows::{self, WorkerNames};
 use super::journal::AfterCommit;
 use super::message::{Answer, JobRequest, Ticket};
 use super::owner::Owner;
@@ -33,7 +34,8 @@
         if self.history.get(&id).is_some() {
             return self.reply(ticket, Answer::Accepted);
         }
-        let errors = spec.validation_errors();
+        let mut errors = spec.validation_errors();
+        errors.extend(self.storage_error(&spec, &queue));
         if !errors.is_empty() {
             log::warn!(target: "job", "job={id} event=invalid findings={errors:?}");
             return self.reply(ticket, Answer::Invalid(errors.join("; ")));
@@ -59,6 +61,18 @@
         self.queue_ready_tasks(number);
     }
 
+    /// Returns why the rows of a job may outgrow those of the store, if they may.
+    fn storage_error(&self, spec: &JobSpec, queue: &Queue) -> Option<String> {
+        let limit = self.settings.row_bytes;
+        // Most jobs are far too small to need a look at the workers.
+        job_rows::storage_error(spec, queue, WorkerNames::LONGEST, limit)?;
+        let names = WorkerNames {
+            longest: self.workers.keys().map(|id| id.len()).max().unwrap_or(0),
+            boots: self.workers.values().any(|w| w.boot.is_some()),
+        };
+        job_rows::storage_error(spec, queue, names, limit)
+    }
+
     /// Answers once the store has the current outcome of a job.
     fn answer_once_stored(&mut self, ticket: Ticket, number: u32, answer: Answer) {
         let job = &self.jobs[&number];
--- a/src/sched/settings.rs
+++ b/src/sched/settings.rs
@@ -27,6 +27,8 @@
     pub far_factor: f64,
     /// Time for which the state of a finished job can be queried, in milliseconds.
     pub retention: Millis,
+    /// Largest value of a row in the store, in bytes.
+    pub row_bytes: usize,
     /// Mechanisms that are enabled.
     pub mechanisms: Mechanisms,
 }
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -20,6 +20,7 @@
 mod history;
 mod incarnation;
 mod interference;
+mod job_rows;
 mod jobs;
 mod journal;
 mod late_orders;
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -50,6 +50,7 @@
     max_breach: 4_500,
     far_factor: 2.0,
     retention: 60_000,
+    row_bytes: 65_536,
     mechanisms: Mechanisms::ON,
 };
 
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -5,12 +5,13 @@
 use std::path::{Path, PathBuf};
 
 /// Sources of the daemon, whose log lines have a target and an event.
-const SOURCES: [&str; 5] = [
+const SOURCES: [&str; 6] = [
     "src/daemon.rs",
     "src/daemon",
     "src/sched",
     "src/platform",
     "src/queues.rs",
+    "src/web",
 ];
 /// Events, with their targets, whose names are composed at run time.
 const COMPOSED: [(&str, &str); 2] = [("desk", "submit"), ("desk", "cancel")];
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod duplicates;
 mod faults;
+mod large_jobs;
 #[allow(dead_code)] // the soak tool uses more of this module than these tests
 mod link;
 #[path = "../support/proxy.rs"]
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use http::{Method, StatusCode};
 use monoio::time::sleep;
 use serde_json::{Value, json};
@@ -12,6 +14,10 @@
 
 /// How long a call without an answer is kept open; its client has given up by then.
 const HOLD_TIME: Duration = Duration::from_secs(5);
+/// Largest value of a row in bytes.
+const MAX_ROW: usize = 65_536;
+/// Largest transaction in bytes.
+const MAX_TRANSACTION: usize = 1 << 20;
 /// Time between two checks for a change that a feed waits for.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -48,6 +54,8 @@
     behavior: Behavior,
     /// Delay of each answer.
     delay: Duration,
+    /// Key of the rows whose writes are refused.
+    unwritable_key: Option<String>,
     /// Table whose reads are refused.
     unreadable_table: Option<String>,
     /// Number of pages read from each table.
@@ -77,6 +85,11 @@
         self.state().unreadable_table = table.map(String::from);
     }
 
+    /// Refuses transactions that put rows with a key from now on; `None` allows all keys.
+    pub fn refuse_writes(&self, key: Option<&str>) {
+        self.state().unwritable_key = key.map(String::from);
+    }
+
     /// Sets the delay of each answer from now on.
     pub fn set_delay(&self, delay: Duration) {
         self.state().delay = delay;
@@ -96,8 +109,7 @@
 
     /// Writes a row of a part of a table, as boxes do.
     pub fn put_in(&self, table: &str, part: &str, key: &str, value: &Value) {
-        use base64::Engine;
-        let text = base64::engine::general_purpose::STANDARD.encode(value.to_string());
+        let text = STANDARD.encode(value.to_string());
         let mut state = self.state();
         state.version += 1;
         let version = state.version;
@@ -178,6 +190,11 @@
         };
         let mut state = self.state();
         state.transactions += 1;
+        if body.len() > MAX_TRANSACTION
+            || entries(&call, "put").iter().any(|p| is_refused(&state, p))
+        {
+            return Reply::text(StatusCode::BAD_REQUEST, "a row is too large");
+        }
         let conditions = entries(&call, "expectedRevision");
         let version = |state: &StoreState, entry: &Value| {
             let row = state.rows.get(&key_of(entry)).filter(|r| r.value.is_some());
@@ -271,6 +288,13 @@
     call[name].as_array().cloned().unwrap_or_default()
 }
 
+/// Returns true for a row that is too large, and for one whose writes are refused.
+fn is_refused(state: &StoreState, put: &Value) -> bool {
+    let value = put["value"].as_str().unwrap_or_default();
+    let size = STANDARD.decode(value).map_or(0, |bytes| bytes.len());
+    size > MAX_ROW || put["key"].as_str() == state.unwritable_key.as_deref()
+}
+
 /// Returns table, part and key of an entry.
 fn key_of(entry: &Value) -> (String, String, String) {
     let text = |name: &str| entry[name].as_str().unwrap_or_default().to_string();
