A row that the store refuses costs its own job alone

Callers saw: while the store refused one row, no other submission was accepted (504, then 503); with several boxes each refusal that lasted cost a change of owner.

Cause: the owner took the store's refusal of a commit (400) for a lost answer and sent the same jobs again, without an end.

Change: a refused commit has an outcome of its own, as much in doubt as before (something between may have answered). The next commits hold half as many jobs until the refused one is alone. That job is then written alone, once a second, as its row may fit again, and the store counts as serving.

Evidence: a_row_that_the_store_refuses_costs_its_own_job_alone (three boxes) was red on: another job never completed within 60 s; green now, 20 other jobs complete under the same owner, and the job itself once its row is accepted.

--- a/src/daemon/takeover.rs
+++ b/src/daemon/takeover.rs
@@ -98,6 +98,7 @@
         CommitOutcome::Conflict(_) => "conflict",
         CommitOutcome::NotDone => "not-done",
         CommitOutcome::Unknown => "unknown",
+        CommitOutcome::Refused => "refused",
     }
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -291,7 +291,10 @@
             let text = String::from_utf8_lossy(&reply.body);
             log::error!(target: "store", "event=commit-refused status={status} body=\"{text}\"");
             // A proxy may answer so although the store applies the commit.
-            CommitOutcome::Unknown
+            match status {
+                StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE => CommitOutcome::Refused,
+                _ => CommitOutcome::Unknown,
+            }
         }
     }
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -342,13 +342,21 @@
 
 #[test]
 fn a_commit_answered_with_an_unexpected_status_may_have_taken_effect() {
-    for status in [302, 400, 404, 408, 500, 502, 504] {
+    for status in [302, 404, 408, 500, 502, 504] {
         assert_eq!(
             outcome_of_commit(status),
             CommitOutcome::Unknown,
             "{status}"
         );
     }
+    // The journal takes these for in doubt, too.
+    for status in [400, 413] {
+        assert_eq!(
+            outcome_of_commit(status),
+            CommitOutcome::Refused,
+            "{status}"
+        );
+    }
     for status in [429, 503] {
         assert_eq!(
             outcome_of_commit(status),
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -4,7 +4,7 @@
 //! both defined in `message`.
 //!
 //! - Jobs: `spec` and `job` hold their descriptions and state, `requests` handles callers' requests,
-//!   `journal` (with `write_queue`) and `commits` store changes as `job_rows`, and
+//!   `journal` (with `write_queue` and `refused_jobs`) and `commits` store changes as `job_rows`, and
 //!   `history` keeps finished jobs.
 //! - [`admission`] decides which submitted jobs are accepted.
 //! - `ready` holds the tasks that wait for a worker, [`shares`] orders them, and [`placing`] places
@@ -57,6 +57,7 @@
 pub mod predecessors;
 mod ready;
 mod recently_ended;
+mod refused_jobs;
 mod reports;
 mod requests;
 pub mod sequence;
--- a/src/sched/commits.rs
+++ b/src/sched/commits.rs
@@ -89,6 +89,12 @@
     pub(super) fn handle_commit_outcome(&mut self, number: u64, outcome: CommitOutcome) {
         match self.journal.resolve(number, outcome, self.now.steady) {
             CommitResolution::Retry => self.history.finish_expiry(false),
+            CommitResolution::Unstorable(number) => {
+                self.history.finish_expiry(false);
+                if let Some(job) = self.jobs.get(&number) {
+                    log::error!(target: "job", "job={} event=row-refused stored={}", job.id, job.stored);
+                }
+            }
             CommitResolution::Deposed => {
                 self.deposed = true;
             }
--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -15,6 +15,7 @@
 use super::incarnation::Incarnation;
 use super::job::TaskKey;
 use super::message::{Answer, CommitOutcome, Ticket, Write};
+use super::refused_jobs::RefusedJobs;
 use super::write_queue::WriteQueue;
 use crate::utils::Name;
 use crate::utils::clock::Millis;
@@ -143,6 +144,8 @@
     Stored(Vec<(u32, Vec<AfterCommit>)>),
     /// The jobs will be written again.
     Retry,
+    /// The store refuses the rows of this job. It will be written again from time to time.
+    Unstorable(u32),
     /// Another box owns the cell.
     Deposed,
 }
@@ -165,6 +168,8 @@
     /// The same jobs, with the actions that wait for their rows.
     changed: BTreeMap<u32, Vec<AfterCommit>>,
     in_flight: Option<InFlight>,
+    /// Jobs of refused commits.
+    refused: RefusedJobs,
     /// Jobs of commits whose outcome is unknown, until a later commit has stored them.
     doubtful: BTreeSet<u32>,
     /// When the next commit may be sent.
@@ -203,6 +208,7 @@
             queue: WriteQueue::default(),
             changed: BTreeMap::new(),
             in_flight: None,
+            refused: RefusedJobs::default(),
             doubtful: BTreeSet::new(),
             next_commit: now,
             confirmed: now,
@@ -291,6 +297,7 @@
             return None;
         }
         self.queue.remove(job);
+        self.refused.forget(job);
         self.changed.remove(&job)
     }
 
@@ -325,7 +332,7 @@
     /// Returns when the next commit is due; `None` while one is in flight.
     pub fn next_due(&self) -> Option<Millis> {
         let confirm_at = match self.queue.is_empty() && !self.is_releasing() {
-            true => self.next_confirm,
+            true => self.next_confirm.min(self.refused.next_retry()),
             false => 0,
         };
         self.in_flight
@@ -340,7 +347,8 @@
         now: Millis,
         mut rows: impl FnMut(u32) -> Vec<Write>,
     ) -> Option<(u64, u64, Vec<Write>)> {
-        let confirm_due = now >= self.next_confirm || self.is_releasing();
+        let confirm_due =
+            now >= self.next_confirm.min(self.refused.next_retry()) || self.is_releasing();
         let blocked = self.in_flight.is_some() || now < self.next_commit || self.released;
         if blocked || (self.queue.is_empty() && !confirm_due) {
             return None;
@@ -352,8 +360,15 @@
         let mut jobs = Vec::new();
         let mut bytes = 0;
         let most = MAX_COMMIT_ENTRIES - RESERVED_ENTRIES - MAX_JOB_ENTRIES;
-        while writes.len() <= most && bytes < COMMIT_BYTES {
-            let Some(job) = self.queue.pop(writes.len() < most / 2) else {
+        let alone = self.refused.take_due(now);
+        let most_jobs = self.refused.most_jobs();
+        while writes.len() <= most && bytes < COMMIT_BYTES && jobs.len() < most_jobs {
+            let next = match alone {
+                Some(job) if jobs.is_empty() => Some(job),
+                Some(_) => None,
+                None => self.queue.pop(writes.len() < most / 2),
+            };
+            let Some(job) = next else {
                 break;
             };
             let actions = self.changed.remove(&job).unwrap_or_default();
@@ -397,7 +412,7 @@
             return CommitResolution::Retry;
         };
         self.failed = matches!(outcome, CommitOutcome::NotDone | CommitOutcome::Unknown);
-        match outcome {
+        match outcome.clone() {
             CommitOutcome::Done(version) => {
                 self.version = version;
                 self.confirmed = commit.sent;
@@ -410,6 +425,7 @@
                 self.followers.forget_unlisted(&self.row.followers, now);
                 for (job, _) in &commit.jobs {
                     self.doubtful.remove(job);
+                    self.refused.forget(*job);
                 }
                 return CommitResolution::Stored(commit.jobs);
             }
@@ -420,7 +436,7 @@
                 self.next_commit = now;
             }
             CommitOutcome::NotDone => self.next_commit = now + RETRY_PAUSE,
-            CommitOutcome::Unknown => {
+            CommitOutcome::Unknown | CommitOutcome::Refused => {
                 self.in_doubt = true;
                 self.doubtful
                     .extend(commit.jobs.iter().map(|(job, _)| *job));
@@ -429,6 +445,13 @@
                 self.next_commit = now.max(commit.sent + RETRY_PAUSE);
             }
         }
+        if outcome == CommitOutcome::Refused {
+            let jobs = commit.jobs.iter().map(|(job, _)| *job);
+            if let Some(job) = self.refused.record(jobs.collect(), now) {
+                self.hold_back(commit.jobs);
+                return CommitResolution::Unstorable(job);
+            }
+        }
         self.requeue(commit.jobs);
         CommitResolution::Retry
     }
@@ -453,6 +476,16 @@
         own
     }
 
+    /// Keeps the actions of a job that is written again later and alone.
+    fn hold_back(&mut self, jobs: Vec<(u32, Vec<AfterCommit>)>) {
+        for (job, mut actions) in jobs {
+            self.queue.remove(job);
+            let later = self.changed.entry(job).or_default();
+            actions.append(later);
+            *later = actions;
+        }
+    }
+
     /// Puts the jobs of a commit that is to be written again back to the front of the queue.
     fn requeue(&mut self, jobs: Vec<(u32, Vec<AfterCommit>)>) {
         for (job, mut actions) in jobs.into_iter().rev() {
--- a/src/sched/message.rs
+++ b/src/sched/message.rs
@@ -211,6 +211,9 @@
     NotDone,
     /// The commit may take effect, now or later.
     Unknown,
+    /// The store refuses the commit for what it contains. It may take effect all the same, as
+    /// something between may have answered.
+    Refused,
 }
 
 /// A change of one row in a commit.
--- a/src/sched/tests/journal.rs
+++ b/src/sched/tests/journal.rs
@@ -1,5 +1,8 @@
 //! Tests of group commits: commits in doubt, releases, and limits of the store.
 
+use std::collections::BTreeMap;
+use std::ops::Range;
+
 use crate::sched::journal::{
     AfterCommit, CommitResolution, HISTORY_TABLE, JOB_TABLE, Journal, OwnerRow, spare_entries,
 };
@@ -192,3 +195,84 @@
     assert!(others * 10 >= jobs.len() * 4, "{others} of {}", jobs.len());
     assert!(others * 10 <= jobs.len() * 6, "{others} of {}", jobs.len());
 }
+
+/// Builds and ends commits within a time, of which the store refuses those with a row of job
+/// `refused`. Returns when each job was stored first.
+fn commit_within(journal: &mut Journal, refused: u32, time: Range<u64>) -> BTreeMap<u32, u64> {
+    let mut stored = BTreeMap::new();
+    let mut version = 1;
+    let job_row = |job: u32| {
+        vec![Write {
+            table: JOB_TABLE,
+            key: job.to_string().into(),
+            value: None,
+        }]
+    };
+    for now in time {
+        let Some((number, _, writes)) = journal.build_commit(now, job_row) else {
+            continue;
+        };
+        let key = refused.to_string();
+        let outcome = match writes.iter().any(|w| *w.key == *key) {
+            true => CommitOutcome::Refused,
+            false => CommitOutcome::Done(version + 1),
+        };
+        if let CommitResolution::Stored(jobs) = journal.resolve(number, outcome, now + 1) {
+            version += 1;
+            for (job, _) in jobs {
+                stored.entry(job).or_insert(now);
+            }
+        }
+    }
+    stored
+}
+
+/// The jobs of a refused commit were written together again and again, and with them all others.
+#[test]
+fn a_refused_job_is_found_and_holds_up_no_other() {
+    for refused in [0, 17, 89] {
+        let mut journal = Journal::new(row("box-a", 77), 1, 0);
+        (0..90).for_each(|job| journal.mark_changed(job));
+        let stored = commit_within(&mut journal, refused, 0..1_000);
+        let expected: Vec<u32> = (0..90).filter(|job| *job != refused).collect();
+        assert_eq!(stored.keys().copied().collect::<Vec<_>>(), expected);
+        journal.mark_changed(refused);
+        journal.mark_changed(200);
+        let stored = commit_within(&mut journal, refused, 1_000..2_000);
+        assert!(stored[&200] < 1_100, "its next change is not tried at once");
+    }
+}
+
+/// Something between may answer so although the store applies the commit.
+#[test]
+fn a_refused_commit_is_in_doubt_as_one_without_an_answer() {
+    let mut journal = Journal::new(row("box-a", 77), 1, 0);
+    journal.mark_changed(5);
+    journal.mark_changed(6);
+    let (number, ..) = journal
+        .build_commit(10, |_| Vec::new())
+        .expect("a commit is due");
+    journal.resolve(number, CommitOutcome::Refused, 20);
+    assert!(journal.in_doubt());
+    assert!(journal.withdraw(5).is_none() && journal.withdraw(6).is_none());
+    let (number, version, _) = journal
+        .build_commit(100, |_| Vec::new())
+        .expect("the commit is retried");
+    assert_eq!(version, 1);
+    let own = CommitOutcome::Conflict(Some((9, encode(&row("box-a", 77)))));
+    assert_eq!(journal.resolve(number, own, 110), CommitResolution::Retry);
+}
+
+#[test]
+fn a_refused_job_is_stored_once_its_row_is_accepted() {
+    let mut journal = Journal::new(row("box-a", 77), 1, 0);
+    journal.run_after_commit(3, AfterCommit::Reply(8, Answer::Accepted));
+    journal.mark_changed(4);
+    assert!(!commit_within(&mut journal, 3, 0..900).contains_key(&3));
+    assert!(
+        journal.withdraw(3).is_none(),
+        "an earlier commit may take effect"
+    );
+    let stored = commit_within(&mut journal, 99, 900..3_000);
+    assert!(stored.contains_key(&3));
+}
--- a/tests/platform/large_jobs.rs
+++ b/tests/platform/large_jobs.rs
@@ -3,7 +3,8 @@
 use serde_json::{Value, json};
 
 use super::deployment::PATH;
-use super::{Deployment, SHORT_DURATION, assert_ran};
+use super::support::wait_for;
+use super::{Deployment, LONG_DURATION, SHORT_DURATION, assert_ran};
 
 /// Returns a step with one task.
 fn step() -> Value {
@@ -54,3 +55,25 @@
 fn a_large_job_that_the_store_can_keep_is_accepted() {
     assert_status(&plain_job(500), 200);
 }
+
+/// Guards against a row that the store refuses for whatever reason: it must not hold up the commits
+/// of other jobs, nor cost the owner its cell.
+#[test]
+fn a_row_that_the_store_refuses_costs_its_own_job_alone() {
+    let deployment = Deployment::start(3, 3, LONG_DURATION);
+    deployment.submit_until_accepted("00000000000000ff", 2);
+    wait_for("running tasks", || deployment.record().running.len() == 2);
+    let owner = deployment.owner();
+    deployment.wait_served();
+    deployment.store.refuse_writes(Some("00000000000000ff"));
+    for number in 0..20 {
+        deployment.submit_until_accepted(&format!("00000000000001{number:02x}"), 1);
+    }
+    for number in 0..20 {
+        deployment.wait_completed(&format!("00000000000001{number:02x}"));
+    }
+    assert_eq!(deployment.owner(), owner, "the owner keeps its cell");
+    deployment.store.refuse_writes(None);
+    deployment.wait_completed("00000000000000ff");
+    assert_ran(&deployment, "00000000000000ff", 2);
+}
