Accepted jobs have a limit that the box's memory gives

Callers saw nothing yet: by reading, an owner accepts jobs without an end, and a crowd of valid jobs of 1,000 tasks (some 320 kB each) fills its memory.

Change: three tenths of box.memory are for accepted jobs, counted from their description and tasks; jobs of over 64 KiB may use half of it, so that small ones find room. Beyond that a job is refused as not taken, to come back after 2 s; the line event=refused says NoMemory. A new owner loads all jobs.

Evidence: a unit test in virtual time (large ones refused at the limit, a small one accepted, nothing counted once they are over). Not shown on a process: not run.

--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -170,6 +170,7 @@
         };
         let settings = OwnerSettings {
             row_bytes: 65_536,
+            job_memory: usize::MAX,
             lease_length: 4_000,
             longest_lease: 4_000,
             max_unconfirmed: 10_000,
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -102,6 +102,7 @@
     let row = owner_row(7);
     let settings = OwnerSettings {
         row_bytes: 65_536,
+        job_memory: usize::MAX,
         lease_length: 4_000,
         longest_lease: 4_000,
         max_unconfirmed: 10_000,
--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -75,6 +75,10 @@
 /// Share of the memory that callers' connections and requests may use.
 const CALLER_MEMORY: f64 = 0.4;
 
+/// Share of the memory that the accepted jobs may use while this box is the owner. The rest is for
+/// the state of workers, answers of the store and workers, and the allocator.
+const JOB_MEMORY: f64 = 0.3;
+
 /// What the platform gives a box.
 struct Machine {
     /// Number of file descriptors.
@@ -195,6 +199,7 @@
             far_factor: reader.number("platform.far-factor", DEFAULT_FAR_FACTOR, FAR_FACTOR_RANGE),
             retention: reader.duration("jobs.remember", DEFAULT_RETENTION, 1_000..=HOUR),
             row_bytes: reader.count("platform.row-bytes", DEFAULT_ROW, ROW_RANGE) as usize,
+            job_memory: (machine.memory * JOB_MEMORY) as usize,
             mechanisms: mechanisms(&mut reader),
         },
         stop_timeout: grace - STOP_MARGIN,
--- a/src/sched/admission/rejection.rs
+++ b/src/sched/admission/rejection.rs
@@ -8,6 +8,7 @@
 //! Jobs that arrived just before an outage was noticed are refused as well, unless a commit with
 //! them was sent: that one may still take effect.
 
+use crate::sched::job::Job;
 use crate::sched::journal::AfterCommit;
 use crate::sched::message::Answer;
 use crate::sched::owner::Owner;
@@ -33,6 +34,11 @@
 /// Milliseconds after which the caller of a job that no worker could hold should retry. Larger
 /// workers are added within several seconds, if at all, and earlier retries would fail.
 const UNSERVABLE_RETRY_AFTER: Millis = 5_000;
+/// Milliseconds after which the caller of a job should retry that has no room beside the accepted
+/// ones: some of them end within seconds.
+const FULL_RETRY_AFTER: Millis = 2_000;
+/// Bytes of a small job in memory: about 200 tasks.
+const SMALL_JOB: usize = 64 << 10;
 /// Milliseconds from the last commit of an owner that the store no longer serves until another
 /// one serves.
 const TAKEOVER_TIME: Millis = 1_600;
@@ -47,6 +53,8 @@
     StoreAway(Millis),
     /// No worker of the service could hold a task of the step with this index.
     Unservable(usize),
+    /// The accepted jobs take this many bytes, and this one does not fit beside them.
+    NoMemory(usize),
     /// The job would end worthless by the measured load; its caller should retry after this many
     /// milliseconds.
     Overload(Millis),
@@ -58,6 +66,7 @@
         match self {
             Self::StoreAway(silent) => outage_retry_after(silent),
             Self::Unservable(_) => UNSERVABLE_RETRY_AFTER,
+            Self::NoMemory(_) => FULL_RETRY_AFTER,
             Self::Overload(retry) => retry,
         }
     }
@@ -74,10 +83,17 @@
     pub(in crate::sched) fn rejection(&self, spec: &JobSpec, service: &str) -> Option<Rejection> {
         let outage = self.store_outage(NEW_JOB_OUTAGE_AFTER);
         let away = outage.map(Rejection::StoreAway);
-        away.or_else(|| {
-            self.unservable_step(spec, service)
-                .map(Rejection::Unservable)
-        })
+        let unservable = || self.unservable_step(spec, service);
+        away.or_else(|| unservable().map(Rejection::Unservable))
+            .or_else(|| self.exceeds_memory(spec).map(Rejection::NoMemory))
+    }
+
+    /// Returns the bytes that the accepted jobs take if a job has no room beside them. Half of the
+    /// memory for jobs is kept for small ones.
+    fn exceeds_memory(&self, spec: &JobSpec) -> Option<usize> {
+        let (bytes, most) = (Job::memory(spec), self.settings.job_memory);
+        let limit = if bytes > SMALL_JOB { most / 2 } else { most };
+        (self.job_bytes + bytes > limit).then_some(self.job_bytes)
     }
 
     /// Returns the milliseconds since the last confirmed commit if there are more than `after`, or
@@ -119,11 +135,10 @@
         for (key, worker) in placed {
             self.deallocate(key, &worker);
         }
-        let Some(job) = self.jobs.remove(&number) else {
+        let Some(job) = self.remove_job(number) else {
             return;
         };
         log::info!(target: "job", "job={} event=withdrawn reason=store-away silent_ms={silent}", job.id);
-        self.job_numbers.remove(&job.id);
         self.shares.withdraw(number);
         self.ready.retain(|key, _| key.job != number);
         self.permits.retain(|step, _| step.job != number);
--- a/src/sched/history.rs
+++ b/src/sched/history.rs
@@ -176,10 +176,9 @@
 
     /// Moves a job to the history once the commit that archives its rows took effect.
     pub(super) fn move_to_history(&mut self, number: u32) {
-        let Some(job) = self.jobs.remove(&number) else {
+        let Some(job) = self.remove_job(number) else {
             return;
         };
-        self.job_numbers.remove(&job.id);
         self.failed_on.retain(|key, _| key.job != number);
         self.deferred.retain(|key, _| key.job != number);
         let row = HistoryRow {
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -30,6 +30,10 @@
     pub advised: bool,
 }
 
+/// Bytes that a task takes in memory: its state, its place among the waiting or placed tasks, and
+/// what is learned of it. Checkpoints and crashes may add to that.
+const TASK_BYTES: usize = 320;
+
 /// Identifies a task at its current owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskKey {
@@ -321,6 +325,11 @@
         }
     }
 
+    /// Returns the bytes that a job takes in memory until its end, with all of its rounds.
+    pub fn memory(spec: &JobSpec) -> usize {
+        size_of::<Self>() + spec.memory() + spec.task_count() as usize * TASK_BYTES
+    }
+
     fn add_round(&mut self) {
         let tasks = |step: &StepSpec| vec![Task::default(); step.count as usize];
         self.row
--- a/src/sched/owner.rs
+++ b/src/sched/owner.rs
@@ -153,6 +153,8 @@
     pub(super) next_swap: Millis,
     /// When this owner began.
     pub(super) began: Millis,
+    /// Bytes that the jobs take in memory.
+    pub(super) job_bytes: usize,
     /// Number of the next job.
     next_job: u32,
     /// When the next sweep for due and expired state runs.
@@ -236,6 +238,7 @@
             backlog_level: 0.0,
             next_swap: 0,
             began: now.steady,
+            job_bytes: 0,
             next_job: 0,
             next_sweep: 0,
             pacing: Pacing::default(),
@@ -275,12 +278,21 @@
         let number = self.next_job;
         self.next_job += 1;
         self.job_numbers.insert(job.id.clone(), number);
+        self.job_bytes += Job::memory(&job.spec);
         self.jobs.insert(number, job);
         self.learn_typical_work(number);
         self.track_shares(number);
         number
     }
 
+    /// Removes a job that is over or was never accepted.
+    pub(super) fn remove_job(&mut self, number: u32) -> Option<Job> {
+        let job = self.jobs.remove(&number)?;
+        self.job_numbers.remove(&job.id);
+        self.job_bytes -= Job::memory(&job.spec);
+        Some(job)
+    }
+
     /// Returns the numbers of jobs, workers and waiting tasks, for metrics.
     pub fn sizes(&self) -> (usize, usize, usize) {
         (self.jobs.len(), self.workers.len(), self.ready.len())
--- a/src/sched/settings.rs
+++ b/src/sched/settings.rs
@@ -29,6 +29,8 @@
     pub retention: Millis,
     /// Largest value of a row in the store, in bytes.
     pub row_bytes: usize,
+    /// Most bytes that the accepted jobs may take in memory.
+    pub job_memory: usize,
     /// Mechanisms that are enabled.
     pub mechanisms: Mechanisms,
 }
--- a/src/sched/spec.rs
+++ b/src/sched/spec.rs
@@ -165,6 +165,13 @@
 }
 
 impl JobSpec {
+    /// Returns the number of tasks over all rounds.
+    pub fn task_count(&self) -> u64 {
+        let tasks: u64 = self.steps.iter().map(|s| u64::from(s.count)).sum();
+        let rounds = self.schedule.map_or(1, |s| u64::from(s.rounds));
+        tasks.saturating_mul(rounds)
+    }
+
     /// Returns the bytes that the description takes in memory.
     pub fn memory(&self) -> usize {
         let step = |s: &StepSpec| {
@@ -197,11 +204,10 @@
         if self.steps.is_empty() {
             errors.push("a job needs at least one step".to_string());
         }
-        let tasks: u64 = self.steps.iter().map(|s| u64::from(s.count)).sum();
-        let rounds = self.schedule.map_or(1, |s| u64::from(s.rounds));
-        if tasks.saturating_mul(rounds) > TASK_LIMIT {
+        let tasks = self.task_count();
+        if tasks > TASK_LIMIT {
             errors.push(format!(
-                "the job has {tasks} tasks per round and {rounds} rounds: more than {TASK_LIMIT} tasks"
+                "the job has {tasks} tasks over all rounds: more than {TASK_LIMIT}"
             ));
         }
         for (index, step) in self.steps.iter().enumerate() {
--- a/src/sched/tests/admission.rs
+++ b/src/sched/tests/admission.rs
@@ -1,8 +1,9 @@
 //! Tests of admission control: which jobs are refused at once.
 
-use super::world::{World, job, lasting, step};
-use crate::sched::job::JobState;
-use crate::sched::message::Answer;
+use super::world::{SETTINGS, World, job, lasting, step};
+use crate::sched::job::{Job, JobState};
+use crate::sched::message::{Answer, JobRequest};
+use crate::sched::owner::OwnerSettings;
 use crate::sched::spec::StepSpec;
 
 /// Returns a step that needs a worker with a label.
@@ -123,3 +124,33 @@
     let late = world.submit("late", job(vec![step(1, 8_000)]));
     assert!(is_refused(&world, late));
 }
+
+/// Large jobs may use half of the memory for jobs, so that a crowd of them locks out no small one.
+#[test]
+fn large_jobs_without_room_are_refused_and_small_ones_are_accepted() {
+    let mut world = World::new(1);
+    let settings = OwnerSettings {
+        job_memory: 1 << 20,
+        ..SETTINGS
+    };
+    world.owner.change_settings(settings);
+    let large = || job(vec![step(400, 1_000)]);
+    let tickets: Vec<u64> = (0..6)
+        .map(|n| world.submit(&format!("large{n}"), large()))
+        .collect();
+    let small = world.submit("small", job(vec![step(4, 1_000)]));
+    world.run(100);
+    let fitting = settings.job_memory / 2 / Job::memory(&large());
+    for (ticket, number) in tickets.iter().zip(0..) {
+        assert_eq!(is_refused(&world, *ticket), number >= fitting, "{number}");
+    }
+    assert_eq!(world.answers.get(&small), Some(&Answer::Accepted));
+    for n in 0..fitting {
+        world.request(JobRequest::Cancel(format!("large{n}").into()));
+    }
+    world.run(20_000);
+    assert_eq!(world.owner.job_bytes, 0, "jobs that are over take nothing");
+    let again = world.submit("again", large());
+    world.run(100);
+    assert_eq!(world.answers.get(&again), Some(&Answer::Accepted));
+}
--- a/src/sched/tests/world.rs
+++ b/src/sched/tests/world.rs
@@ -51,6 +51,7 @@
     far_factor: 2.0,
     retention: 60_000,
     row_bytes: 65_536,
+    job_memory: usize::MAX,
     mechanisms: Mechanisms::ON,
 };
 
