Bound what another box may send unread

Cause, by reading: a connection of another box had a window of 1 MiB; with all boxes of the fleet at once that is more than a small box has. 512 KiB a connection, 256 KiB a call, are several times a forwarded job.

--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -18,6 +18,10 @@
 
 /// Largest number of calls in progress on one connection.
 const MAX_STREAMS: u32 = 4_096;
+/// Bytes that a client may send on one connection before they are read.
+const CONNECTION_WINDOW: u32 = 512 << 10;
+/// Bytes of one call that a client may send before they are read.
+const STREAM_WINDOW: u32 = 256 << 10;
 
 /// Accepts connections until `drain` begins and passes each call to `handle`.
 ///
@@ -53,6 +57,8 @@
     });
     let serving = http2::Builder::new(MonoioExecutor)
         .max_concurrent_streams(MAX_STREAMS)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .initial_stream_window_size(STREAM_WINDOW)
         .serve_connection(MonoioIo::new(stream), service);
     let mut serving = pin!(serving);
     let ended = match select(serving.as_mut(), pin!(drain.begun())).await {
