--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -1,8 +1,10 @@
 //! Injects the faults of a plan and undoes them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
+use crate::crowds;
 use crate::pauses::{self, Pauses};
 use crate::plan::{Fault, Kind, Plan, Target};
 use crate::platform::calls::CallFaults;
@@ -37,6 +39,8 @@
     index: usize,
     /// Pauses of the affected boxes.
     pauses: Option<Pauses>,
+    /// Keeps a crowd coming.
+    _crowd: Option<Arc<()>>,
     /// Time at which the store forgets its history next, or at which a worker ends; `u64::MAX`
     /// once it has ended.
     next: u64,
@@ -57,6 +61,7 @@
         Self {
             fault,
             index,
+            _crowd: None,
             pauses: rhythm.map(|rhythm| Pauses::new(rhythm, fault.at, fault.at)),
             next,
         }
@@ -159,7 +164,12 @@
         );
         *self.counts.entry(fault.kind).or_insert(0) += 1;
         self.inject(deployment, &fault, index);
-        self.active.push(Active::new(fault, index));
+        let mut active = Active::new(fault, index);
+        if fault.kind == Kind::Crowd {
+            let address = deployment.addresses()[index];
+            active._crowd = Some(crowds::start(address, fault.at));
+        }
+        self.active.push(active);
         self.update_calls(deployment);
     }
 
@@ -248,7 +258,8 @@
             | Kind::StoreSilent
             | Kind::StoreBusy
             | Kind::StoreMute
-            | Kind::StoreSlow => {}
+            | Kind::StoreSlow
+            | Kind::Crowd => {}
         }
     }
 
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod checks;
 mod client;
+mod crowds;
 mod faults;
 mod jobs;
 mod pauses;
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -111,12 +111,15 @@
     StarveBoxes,
     /// A worker runs its tasks at a quarter of its speed.
     SlowWorker,
+    /// A crowd of misbehaving callers opens connections to a box.
+    Crowd,
 }
 
 /// The kinds of faults that plans were generated from at first. Seeds depend on the list.
 pub const BASIC_KINDS: &[Kind] = KINDS.split_at(16).0;
 
-/// Kinds that are drawn one by one. Seeds depend on the list; slow workers are drawn in series.
+/// Kinds that are drawn one by one. Seeds depend on the list; slow workers and crowds are drawn in
+/// series.
 pub const KINDS: [Kind; 29] = [
     Kind::StopBox,
     Kind::KillBox,
@@ -336,8 +339,8 @@
     vec![burst(20, SHORT_BURST), burst(50, LONG_BURST)]
 }
 
-/// Draws a series of faults around the beginning of a burst: slow workers before it, then others of
-/// which each begins before the one before it ends. The owner is killed in each series.
+/// Draws a series of faults around the beginning of a burst: slow workers and a crowd before it,
+/// then others of which each begins before the one before it ends. The owner is killed in each series.
 fn draw_series(seed: u64, burst: &Burst, workers: usize) -> Vec<Fault> {
     let mut random = Random::new(seed ^ BURST_SEED);
     let slow_at = burst.at.saturating_sub(SLOW_LEAD).max(FIRST_FAULT);
@@ -350,6 +353,15 @@
         target: Target::Number(first + number),
     };
     let mut series: Vec<Fault> = (0..workers.div_ceil(SLOW_PART)).map(slow).collect();
+    series.push(Fault {
+        at: slow_at,
+        span,
+        kind: Kind::Crowd,
+        target: match first % 2 {
+            0 => Target::Owner,
+            _ => Target::Number(first),
+        },
+    });
     let mut kinds = vec![Kind::KillBox];
     kinds.extend((0..SERIES_LENGTH).map(|_| {
         let kind = random.below(SERIES_KINDS.len() as u64);
--- a/tools/soak/src/platform.rs
+++ b/tools/soak/src/platform.rs
@@ -5,6 +5,9 @@
 #[path = "../../../tests/platform/calls.rs"]
 pub mod calls;
 #[allow(dead_code)]
+#[path = "../../../tests/support/crowd.rs"]
+pub mod crowd;
+#[allow(dead_code)]
 #[path = "../../../tests/platform/deployment.rs"]
 pub mod deployment;
 #[path = "../../../tests/platform/link.rs"]
