Shares of the memory whose sum fits into the smallest machine; bounded send buffers

By reading: a caller that sends many requests on one connection and takes no answer fills the kernel's send buffer (4 MiB by default), and an evicted one kept its descriptor until its reply was sent. Send buffers are bounded like receive buffers, and the reply to an evicted caller has 50 ms.

Callers get three tenths of the memory and accepted jobs a quarter: of 160 MB, 48 and 40 beside 9 MB of the process and 38 MB for 490 workers.

--- a/src/options/daemon.rs
+++ b/src/options/daemon.rs
@@ -73,11 +73,11 @@
 /// Bytes of a megabyte.
 const MEGABYTE: f64 = 1_048_576.0;
 /// Share of the memory that callers' connections and requests may use.
-const CALLER_MEMORY: f64 = 0.4;
+const CALLER_MEMORY: f64 = 0.3;
 
 /// Share of the memory that the accepted jobs may use while this box is the owner. The rest is for
 /// the state of workers, answers of the store and workers, and the allocator.
-const JOB_MEMORY: f64 = 0.3;
+const JOB_MEMORY: f64 = 0.25;
 
 /// What the platform gives a box.
 struct Machine {
--- a/src/options/tests.rs
+++ b/src/options/tests.rs
@@ -140,7 +140,7 @@
         let row = if port.is_some() { 32_768 } else { 65_536 };
         assert_eq!(settings.owner.row_bytes, row);
         let megabytes = if port.is_some() { 260.0 } else { 160.0 };
-        let share = (megabytes * 1_048_576.0 * 0.4) as usize;
+        let share = (megabytes * 1_048_576.0 * 0.3) as usize;
         assert_eq!(settings.limits.memory, share);
         let connections = if port.is_some() { 2_048 } else { 1_024 };
         assert_eq!(settings.limits.connections, connections);
--- a/src/utils/sockets.rs
+++ b/src/utils/sockets.rs
@@ -4,7 +4,7 @@
 use std::os::fd::{AsRawFd, RawFd};
 
 use libc::{BPF_ABS, BPF_ALU, BPF_AND, BPF_B, BPF_JEQ, BPF_JMP, BPF_K, BPF_LD, BPF_RET};
-use libc::{IPPROTO_TCP, SO_ATTACH_FILTER, SO_KEEPALIVE, SO_RCVBUF, SOL_SOCKET};
+use libc::{IPPROTO_TCP, SO_ATTACH_FILTER, SO_KEEPALIVE, SO_RCVBUF, SO_SNDBUF, SOL_SOCKET};
 use libc::{TCP_KEEPCNT, TCP_KEEPIDLE, TCP_KEEPINTVL, TCP_USER_TIMEOUT};
 
 /// Idle time after which the peer is probed, in seconds.
@@ -17,15 +17,16 @@
 /// detect that the peer of an idle connection is silent, and no longer than a worker's lease.
 const USER_TIMEOUT: libc::c_int = 4_000;
 
-/// Bytes that a caller may send before they are read; the kernel keeps twice as many. Unread bytes
-/// count as memory of this process.
-const RECEIVE_BUFFER: libc::c_int = 16 << 10;
+/// Bytes that a caller may send before they are read, and that may be sent to it before it reads
+/// them; the kernel keeps twice as many. These bytes count as memory of this process.
+const BUFFER_SIZE: libc::c_int = 16 << 10;
 
-/// Limits the unread bytes of each connection that a listener accepts.
-pub fn limit_receive_buffer(listener: &impl AsRawFd) {
-    let fd = listener.as_raw_fd();
-    if let Err(e) = set_option(fd, SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER) {
-        log::debug!(target: "sockets", "cannot limit the receive buffers: {e}");
+/// Limits the bytes that the kernel keeps of each connection that a listener accepts.
+pub fn limit_buffers(listener: &impl AsRawFd) {
+    for name in [SO_RCVBUF, SO_SNDBUF] {
+        if let Err(e) = set_option(listener.as_raw_fd(), SOL_SOCKET, name, BUFFER_SIZE) {
+            log::debug!(target: "sockets", "cannot limit the buffers of connections: {e}");
+        }
     }
 }
 
--- a/src/web/server.rs
+++ b/src/web/server.rs
@@ -30,6 +30,8 @@
 /// Time in which a caller that is refused in the middle of its request may read the reply. Closing
 /// a connection with unread bytes resets it, and the reply could be lost.
 const LINGER: Duration = Duration::from_millis(500);
+/// Time in which the reply to an evicted caller must be sent.
+const EVICTED_REPLY: Duration = Duration::from_millis(50);
 /// Bytes that are read at a time from a caller that is refused.
 const DISCARD_SIZE: usize = 16 << 10;
 /// Seconds after which a caller that found no room should come back: others have been answered or
@@ -63,7 +65,7 @@
         head: 16 << 10,
         body: 1 << 20,
         connections: 4_096,
-        memory: 64 << 20,
+        memory: 48 << 20,
         idle: 60_000,
         request: 15_000,
         stall: 3_000,
@@ -102,7 +104,7 @@
     F: Future<Output = Reply> + 'static,
 {
     let handle = Rc::new(handle);
-    sockets::limit_receive_buffer(&listener);
+    sockets::limit_buffers(&listener);
     let accept = |stream: TcpStream| {
         let Some((slot, eviction)) = callers.open() else {
             return;
@@ -212,7 +214,9 @@
     /// Tells an evicted caller that its incomplete request was not run, without waiting for it.
     async fn end_evicted(&mut self) -> Result<(), WebError> {
         if self.reader.has_begun() {
-            self.send(error_reply(&WebError::NoRoom), false).await?;
+            // A caller that takes no answers must not keep the connection, whose place is taken.
+            let reply = self.send(error_reply(&WebError::NoRoom), false);
+            let _ = timeout(EVICTED_REPLY, reply).await;
         }
         Err(WebError::NoRoom)
     }
