A new caller finds room while all connections are being answered

Cause: a request that was read is never evicted, and a connection with further requests in its buffer is never idle, so there was no connection to close.

Change: an eighth of the connections is kept for that case; the connection opened first then ends after its answer.

--- a/src/web/account.rs
+++ b/src/web/account.rs
@@ -6,7 +6,8 @@
 //! that has been incomplete for the longest time makes way; when all connections are in use, the
 //! one that has been idle for the longest time does, or else the one whose request has been
 //! incomplete for the longest time. A request that was read completely is never evicted, as its
-//! caller relies on the answer.
+//! caller relies on the answer; if all connections have such requests, the one that was opened first
+//! is retired, which means that it ends after its answer.
 
 #[cfg(test)]
 mod tests;
@@ -21,8 +22,10 @@
 /// Limits of an account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Capacity {
-    /// Most open connections.
+    /// Most open connections, without those that are to end.
     pub connections: usize,
+    /// Most open connections beyond that, while others are to end.
+    pub overflow: usize,
     /// Most bytes of the pool.
     pub pool: usize,
     /// Bytes beyond the pool that only small requests may take.
@@ -52,6 +55,8 @@
     since: Millis,
     /// Bytes of the pool that its incomplete request holds.
     pooled: usize,
+    /// True if it ends after its answer.
+    retired: bool,
 }
 
 /// Open connections, and the pool for large requests.
@@ -93,19 +98,23 @@
         self.pooled
     }
 
-    /// Adds a connection; returns its id, and the connection that is evicted for it, if any.
+    /// Adds a connection; returns its id, and the connection that is evicted for it, if any. A
+    /// connection may be retired for it instead.
     pub fn open(&mut self, now: Millis) -> Result<(ConnectionId, Option<ConnectionId>), Exhausted> {
         let mut evicted = None;
         if self.connections.len() >= self.capacity.connections {
             let victim = self.longest(Phase::Idle, |_| true);
-            let victim = victim.or_else(|| self.longest(Phase::Reading, |_| true));
-            evicted = Some(victim.ok_or(Exhausted)?);
+            evicted = victim.or_else(|| self.longest(Phase::Reading, |_| true));
+            if evicted.is_none() {
+                self.retire_first()?;
+            }
         }
         evicted.into_iter().for_each(|id| self.close(id));
         let connection = Connection {
             phase: Phase::Idle,
             since: now,
             pooled: 0,
+            retired: false,
         };
         let id = self.next;
         self.next += 1;
@@ -113,6 +122,22 @@
         Ok((id, evicted))
     }
 
+    /// Retires the connection that was opened first, if there is room for another one until it ends.
+    fn retire_first(&mut self) -> Result<(), Exhausted> {
+        let most = self.capacity.connections + self.capacity.overflow;
+        if self.connections.len() >= most {
+            return Err(Exhausted);
+        }
+        let first = self.connections.values_mut().find(|c| !c.retired);
+        first.ok_or(Exhausted)?.retired = true;
+        Ok(())
+    }
+
+    /// Returns true if a connection ends after its answer.
+    pub fn is_retired(&self, id: ConnectionId) -> bool {
+        self.connections.get(&id).is_some_and(|c| c.retired)
+    }
+
     /// Records that the first bytes of a request have arrived.
     pub fn begin_request(&mut self, id: ConnectionId, now: Millis) {
         self.enter(id, Phase::Reading, now);
--- a/src/web/callers.rs
+++ b/src/web/callers.rs
@@ -19,6 +19,9 @@
 /// Bytes of buffers that a connection may use outside of the pool: room for a head and a small body.
 pub const SMALL_REQUEST: usize = 24 << 10;
 
+/// One of so many connections is kept for new callers while all others are being answered.
+const OVERFLOW_SHARE: usize = 8;
+
 /// Why a connection was closed or a request was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
@@ -66,8 +69,11 @@
     /// larger requests need.
     pub fn new(limits: Limits) -> Rc<Self> {
         let (half, eighth) = (limits.memory / 2, limits.memory / 8);
+        let most = limits.connections.min(half / CONNECTION_BYTES).max(1);
+        let overflow = most / OVERFLOW_SHARE;
         let capacity = Capacity {
-            connections: limits.connections.min(half / CONNECTION_BYTES).max(1),
+            connections: most - overflow,
+            overflow,
             pool: limits.memory - half - eighth,
             reserve: eighth,
         };
@@ -88,6 +94,13 @@
             return None;
         };
         self.evict(evicted.as_slice(), Cause::Connections);
+        let retires = {
+            let account = self.account.borrow();
+            account.connections() > account.capacity().connections
+        };
+        if retires {
+            self.report(Cause::Connections);
+        }
         let (keep, eviction) = oneshot::channel();
         self.kept.borrow_mut().insert(id, keep);
         let account = self.clone();
@@ -144,12 +157,11 @@
         let (account, metrics) = (self.account.borrow(), metrics::get());
         let set = |gauge: &metrics::Level, value: usize| gauge.set(value as i64);
         set(&metrics.caller_connections, account.connections());
-        set(
-            &metrics.caller_connection_limit,
-            account.capacity().connections,
-        );
+        let capacity = account.capacity();
+        let most = capacity.connections + capacity.overflow;
+        set(&metrics.caller_connection_limit, most);
         set(&metrics.caller_pool_bytes, account.pooled());
-        set(&metrics.caller_pool_limit, account.capacity().pool);
+        set(&metrics.caller_pool_limit, capacity.pool + capacity.reserve);
     }
 }
 
@@ -183,6 +195,11 @@
         self.account.hold(bytes)
     }
 
+    /// Returns true if the connection is to end after its answer.
+    pub fn is_retired(&self) -> bool {
+        self.account.account.borrow().is_retired(self.id)
+    }
+
     /// Records that the request was answered.
     pub fn end_request(&self) {
         let mut account = self.account.account.borrow_mut();
--- a/src/web/server.rs
+++ b/src/web/server.rs
@@ -158,7 +158,8 @@
             let reply = handle(request).await;
             let keep_alive = keep_alive
                 && keeps_alive(Version::HTTP_11, &reply.headers)
-                && !self.drain.has_begun();
+                && !self.drain.has_begun()
+                && !self.reader.slot().is_retired();
             self.send(reply, keep_alive).await?;
             if !keep_alive {
                 let closed = self.reader.stream().shutdown().await;
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -145,6 +145,30 @@
     withstand(Kind::PartialHead, IDLE_CROWD);
 }
 
+#[test]
+fn callers_that_read_no_answers_stay_within_memory() {
+    withstand(Kind::UnreadAnswers, BODY_CROWD);
+}
+
+/// The platform sends callers to boxes that answer here, and collects metrics.
+#[test]
+fn connections_to_the_readiness_address_leave_it_to_others() {
+    let _turn = wait_turn();
+    let mut deployment = Deployment::start_with(1, 1, TASK_DURATION, PROFILE);
+    deployment.wait_served();
+    deployment.limit_descriptors(0, MACHINE_DESCRIPTORS);
+    let address = deployment.admin_address(0);
+    let monitor = Monitor::start(deployment.process_id(0), address);
+    let _crowd = Crowd::gather(address, Kind::PartialHead, IDLE_CROWD, &TARGET);
+    support::wait_for("readiness", || deployment.is_ready(0));
+    deployment.submit_until_accepted("00000000000000aa", 1);
+    assert!(deployment.is_running(0), "the process has ended");
+    let peak = monitor.peak();
+    let sockets = MACHINE_DESCRIPTORS - FILE_DESCRIPTORS;
+    assert!(peak.descriptors <= sockets, "{peak:?}");
+    assert!(peak.memory <= MACHINE_MEMORY, "{peak:?}");
+}
+
 #[test]
 fn a_single_request_of_the_largest_size_is_served_in_calm() {
     let _turn = wait_turn();
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -420,6 +420,11 @@
         self.boxes.iter().map(|process| process.web).collect()
     }
 
+    /// Returns the address of a box for readiness checks and metrics.
+    pub fn admin_address(&self, number: usize) -> SocketAddr {
+        self.boxes[number].admin
+    }
+
     /// Returns the record of what the workers ran, for use by other threads.
     pub fn shared_record(&self) -> Arc<Mutex<Record>> {
         self.record.clone()
