Readability of the account: one result of opening, names; small corrections

A request that found no memory was counted twice and its reply could keep the descriptor for limits.answer; a head up to 4 KiB over the limit was accepted if it arrived at once. Both by reading.

--- a/src/sched/journal.rs
+++ b/src/sched/journal.rs
@@ -412,7 +412,8 @@
             return CommitResolution::Retry;
         };
         self.failed = matches!(outcome, CommitOutcome::NotDone | CommitOutcome::Unknown);
-        match outcome.clone() {
+        let refused = outcome == CommitOutcome::Refused;
+        match outcome {
             CommitOutcome::Done(version) => {
                 self.version = version;
                 self.confirmed = commit.sent;
@@ -445,7 +446,7 @@
                 self.next_commit = now.max(commit.sent + RETRY_PAUSE);
             }
         }
-        if outcome == CommitOutcome::Refused {
+        if refused {
             let jobs = commit.jobs.iter().map(|(job, _)| *job);
             if let Some(job) = self.refused.record(jobs.collect(), now) {
                 self.hold_back(commit.jobs);
--- a/src/web/account.rs
+++ b/src/web/account.rs
@@ -36,6 +36,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Exhausted;
 
+/// A connection that was added.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Opened {
+    /// Its id.
+    pub id: ConnectionId,
+    /// The connection that is evicted for it.
+    pub evicted: Option<ConnectionId>,
+    /// True if another connection was retired for it.
+    pub retires: bool,
+}
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -98,15 +109,15 @@
         self.pooled
     }
 
-    /// Adds a connection; returns its id, and the connection that is evicted for it, if any. A
-    /// connection may be retired for it instead.
-    pub fn open(&mut self, now: Millis) -> Result<(ConnectionId, Option<ConnectionId>), Exhausted> {
-        let mut evicted = None;
+    /// Adds a connection, for which another one may be evicted or retired.
+    pub fn open(&mut self, now: Millis) -> Result<Opened, Exhausted> {
+        let (mut evicted, mut retires) = (None, false);
         if self.connections.len() >= self.capacity.connections {
             let victim = self.longest(Phase::Idle, |_| true);
             evicted = victim.or_else(|| self.longest(Phase::Reading, |_| true));
             if evicted.is_none() {
                 self.retire_first()?;
+                retires = true;
             }
         }
         evicted.into_iter().for_each(|id| self.close(id));
@@ -119,7 +130,11 @@
         let id = self.next;
         self.next += 1;
         self.connections.insert(id, connection);
-        Ok((id, evicted))
+        Ok(Opened {
+            id,
+            evicted,
+            retires,
+        })
     }
 
     /// Retires the connection that was opened first, if there is room for another one until it ends.
--- a/src/web/account/tests.rs
+++ b/src/web/account/tests.rs
@@ -4,7 +4,7 @@
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
 
-use super::{Account, Capacity, ConnectionId, Exhausted};
+use super::{Account, Capacity, ConnectionId, Exhausted, Opened};
 
 /// Limits of the tests: small, so that random schedules reach them.
 const CAPACITY: Capacity = Capacity {
@@ -118,13 +118,13 @@
         let full = self.known.len() >= CAPACITY.connections;
         let retired = self.retired();
         match self.account.open(self.now) {
-            Ok((id, evicted)) => {
-                assert!(full || evicted.is_none(), "only a full account evicts");
-                let retires = full && evicted.is_none();
-                assert!(!retires || all_handling, "only the last resort");
-                assert_eq!(self.retired(), retired + usize::from(retires));
-                self.forget(evicted.as_slice());
-                self.known.insert(id, Known::default());
+            Ok(opened) => {
+                let makes_room = opened.evicted.is_some() || opened.retires;
+                assert_eq!(makes_room, full, "only a full account makes room");
+                assert!(!opened.retires || all_handling, "only the last resort");
+                assert_eq!(self.retired(), retired + usize::from(opened.retires));
+                self.forget(opened.evicted.as_slice());
+                self.known.insert(opened.id, Known::default());
             }
             Err(Exhausted) => {
                 let most = CAPACITY.connections + CAPACITY.overflow;
@@ -226,7 +226,7 @@
         }
         let handling = model.known.values().filter(|k| k.handling).count();
         let opened = model.account.open(model.now);
-        let Ok((id, _)) = opened else {
+        let Ok(Opened { id, .. }) = opened else {
             return handling == CAPACITY.connections + CAPACITY.overflow;
         };
         model.account.begin_request(id, model.now);
@@ -239,7 +239,7 @@
     let mut account = Account::new(CAPACITY);
     let ids: Vec<ConnectionId> = (0..3)
         .map(|now| {
-            let (id, _) = account.open(now).expect("room");
+            let id = account.open(now).expect("room").id;
             account.begin_request(id, now);
             account.resize(id, 30).expect("room");
             id
@@ -254,15 +254,19 @@
 fn an_idle_connection_makes_way_before_one_that_reads() {
     let mut account = Account::new(CAPACITY);
     let ids: Vec<ConnectionId> = (0..CAPACITY.connections as u64)
-        .map(|now| account.open(now).expect("room").0)
+        .map(|now| account.open(now).expect("room").id)
         .collect();
     account.begin_request(ids[0], 10);
-    assert_eq!(account.open(11).expect("room").1, Some(ids[1]));
+    assert_eq!(account.open(11).expect("room").evicted, Some(ids[1]));
     for id in &ids[2..] {
         account.begin_request(*id, 12);
     }
-    let (newest, evicted) = account.open(13).expect("room");
-    assert_eq!(evicted, Some(5), "the idle one of the first eviction");
-    account.begin_request(newest, 14);
-    assert_eq!(account.open(15).expect("room").1, Some(ids[0]));
+    let newest = account.open(13).expect("room");
+    assert_eq!(
+        newest.evicted,
+        Some(5),
+        "the idle one of the first eviction"
+    );
+    account.begin_request(newest.id, 14);
+    assert_eq!(account.open(15).expect("room").evicted, Some(ids[0]));
 }
--- a/src/web/callers.rs
+++ b/src/web/callers.rs
@@ -89,22 +89,18 @@
     /// Adds a connection, for which another one may be closed; `None` if there is no room.
     pub(super) fn open(self: &Rc<Self>) -> Option<(Slot, Eviction)> {
         let opened = self.account.borrow_mut().open(clock::now());
-        let Ok((id, evicted)) = opened else {
+        let Ok(opened) = opened else {
             self.report(Cause::Connections);
             return None;
         };
-        self.evict(evicted.as_slice(), Cause::Connections);
-        let retires = {
-            let account = self.account.borrow();
-            account.connections() > account.capacity().connections
-        };
-        if retires {
+        self.evict(opened.evicted.as_slice(), Cause::Connections);
+        if opened.retires {
             self.report(Cause::Connections);
         }
         let (keep, eviction) = oneshot::channel();
-        self.kept.borrow_mut().insert(id, keep);
-        let account = self.clone();
-        Some((Slot { account, id }, eviction))
+        self.kept.borrow_mut().insert(opened.id, keep);
+        let (callers, id) = (self.clone(), opened.id);
+        Some((Slot { callers, id }, eviction))
     }
 
     /// Takes memory for the decoded form of a request, beyond that of its connection, until the
@@ -127,8 +123,8 @@
 
     /// Returns the charge for bytes that are in use.
     fn hold(self: &Rc<Self>, bytes: usize) -> Charge {
-        let account = self.clone();
-        Charge { account, bytes }
+        let callers = self.clone();
+        Charge { callers, bytes }
     }
 
     /// Notifies the connections that the account has evicted.
@@ -167,56 +163,62 @@
 
 /// A connection's place in the account, until it is dropped.
 pub(super) struct Slot {
-    account: Rc<Callers>,
+    callers: Rc<Callers>,
     id: ConnectionId,
 }
 
 impl Slot {
     /// Records that the first bytes of a request have arrived.
     pub fn begin_request(&self) {
-        let mut account = self.account.account.borrow_mut();
+        let mut account = self.callers.account.borrow_mut();
         account.begin_request(self.id, clock::now());
     }
 
     /// Makes room for an incomplete request whose buffers have `bytes` in all.
     pub fn resize(&self, bytes: usize) -> Result<(), Exhausted> {
         let pooled = bytes.saturating_sub(SMALL_REQUEST);
-        let resized = self.account.account.borrow_mut().resize(self.id, pooled);
-        let evicted = resized.inspect_err(|_| self.account.report(Cause::Memory))?;
-        self.account.evict(&evicted, Cause::Memory);
+        let resized = self.callers.account.borrow_mut().resize(self.id, pooled);
+        let evicted = resized.inspect_err(|_| self.callers.report(Cause::Memory))?;
+        self.callers.evict(&evicted, Cause::Memory);
         Ok(())
     }
 
+    /// Gives the memory of an incomplete request back.
+    pub fn clear(&self) {
+        // An evicted connection holds none.
+        let _ = self.callers.account.borrow_mut().resize(self.id, 0);
+    }
+
     /// Records that the request was read completely; returns the charge for its bytes.
     pub fn end_reading(&self) -> Charge {
-        let mut account = self.account.account.borrow_mut();
+        let mut account = self.callers.account.borrow_mut();
         let bytes = account.end_reading(self.id, clock::now());
         drop(account);
-        self.account.hold(bytes)
+        self.callers.hold(bytes)
     }
 
     /// Returns true if the connection is to end after its answer.
     pub fn is_retired(&self) -> bool {
-        self.account.account.borrow().is_retired(self.id)
+        self.callers.account.borrow().is_retired(self.id)
     }
 
     /// Records that the request was answered.
     pub fn end_request(&self) {
-        let mut account = self.account.account.borrow_mut();
+        let mut account = self.callers.account.borrow_mut();
         account.end_request(self.id, clock::now());
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.account.account.borrow_mut().close(self.id);
-        self.account.kept.borrow_mut().remove(&self.id);
+        self.callers.account.borrow_mut().close(self.id);
+        self.callers.kept.borrow_mut().remove(&self.id);
     }
 }
 
 /// Memory of a request in its callers' account, until it is dropped.
 pub struct Charge {
-    account: Rc<Callers>,
+    callers: Rc<Callers>,
     bytes: usize,
 }
 
@@ -228,6 +230,6 @@
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        self.account.account.borrow_mut().release(self.bytes);
+        self.callers.account.borrow_mut().release(self.bytes);
     }
 }
--- a/src/web/reader.rs
+++ b/src/web/reader.rs
@@ -75,8 +75,7 @@
     pub fn discard_buffers(&mut self) {
         self.buffer = BytesMut::new();
         self.body_capacity = 0;
-        // Giving memory back never fails; an evicted connection holds none.
-        let _ = self.slot.resize(0);
+        self.slot.clear();
     }
 
     /// Waits until the next request begins; returns false if the caller closes the connection, and
@@ -120,18 +119,23 @@
     }
 
     async fn read_head(&mut self) -> Result<Option<Parts>, WebError> {
+        let limit = self.limits.head;
         loop {
+            let buffered = self.buffer.len();
             match RequestHeadDecoder.decode(&mut self.buffer) {
-                Ok(Decoded::Some(head)) => return Ok(Some(head)),
-                Ok(_) if self.buffer.len() >= self.limits.head => return Err(WebError::TooLarge),
+                Ok(Decoded::Some(head)) => {
+                    let size = buffered - self.buffer.len();
+                    let fits = (size <= limit).then_some(head);
+                    return fits.ok_or(WebError::TooLarge).map(Some);
+                }
+                Ok(_) if buffered >= limit => return Err(WebError::TooLarge),
                 Ok(_) => {}
                 Err(e) => return Err(WebError::Malformed(e.to_string())),
             }
-            let read_before = !self.buffer.is_empty();
             if self.fill(READ_SIZE).await? == 0 {
-                return match read_before {
-                    true => Err(WebError::Malformed("unexpected end".into())),
-                    false => Ok(None),
+                return match buffered {
+                    0 => Ok(None),
+                    _ => Err(WebError::Malformed("unexpected end".into())),
                 };
             }
         }
--- a/src/web/server.rs
+++ b/src/web/server.rs
@@ -226,15 +226,15 @@
     async fn refuse(&mut self, e: WebError, eviction: Eviction) -> Result<(), WebError> {
         match e {
             WebError::Lost(_) => return Err(e),
+            // The account has closed the connection, as when it evicts one for another.
+            WebError::NoRoom => return self.end_evicted().await,
             WebError::Slow => self.callers.report(Cause::Slow),
             WebError::TooLarge => self.callers.report(Cause::Size),
             _ => {}
         }
         self.reader.discard_buffers();
         self.send(error_reply(&e), false).await?;
-        if !matches!(e, WebError::NoRoom) {
-            select(pin!(self.linger()), eviction).await;
-        }
+        select(pin!(self.linger()), eviction).await;
         Err(e)
     }
 
