A body in small chunks is not copied at each chunk

Cause: the buffer of a chunked body grew to the end of the chunk that was being read, so each chunk copied all before it: some 15 GB a body.

Change: the buffer doubles up to the largest body.

A unit test bounds the bytes copied (it copied half a TB before).

--- a/src/web/reader.rs
+++ b/src/web/reader.rs
@@ -1,5 +1,8 @@
 //! Reads callers' requests within the limits on their size, their time and their memory.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
@@ -148,7 +151,7 @@
         }
         let size = size as usize;
         let mut body = BytesMut::new();
-        self.append(&mut body, size).await?;
+        self.append(&mut body, size, size).await?;
         Ok(body)
     }
 
@@ -165,7 +168,8 @@
             if size > left as u64 || framing > left + self.limits.head {
                 return Err(WebError::TooLarge);
             }
-            self.append(&mut body, size as usize).await?;
+            self.append(&mut body, size as usize, self.limits.body)
+                .await?;
             self.skip_line_end().await?;
             if size == 0 {
                 return Ok(body);
@@ -199,18 +203,23 @@
         Ok(())
     }
 
-    /// Appends the next `count` bytes to a body.
-    async fn append(&mut self, body: &mut BytesMut, count: usize) -> Result<(), WebError> {
+    /// Appends the next `count` bytes to a body that may have `most` bytes in the end.
+    async fn append(
+        &mut self,
+        body: &mut BytesMut,
+        count: usize,
+        most: usize,
+    ) -> Result<(), WebError> {
         let end = body.len() + count;
         loop {
             let buffered = self.buffer.len().min(end - body.len());
-            self.grow(body, buffered, end)?;
+            self.grow(body, buffered, most)?;
             body.extend_from_slice(&self.buffer.split_to(buffered));
             let missing = end - body.len();
             if missing == 0 {
                 return Ok(());
             }
-            self.grow(body, missing.min(READ_SIZE), end)?;
+            self.grow(body, missing.min(READ_SIZE), most)?;
             let room = (body.capacity() - body.len())
                 .min(missing)
                 .min(MAX_READ_SIZE);
@@ -221,13 +230,12 @@
         }
     }
 
-    /// Makes room for `count` more bytes in a body that has `end` bytes at its end at least.
-    fn grow(&mut self, body: &mut BytesMut, count: usize, end: usize) -> Result<(), WebError> {
+    /// Makes room for `count` more bytes in a body that may have `most` bytes in the end.
+    fn grow(&mut self, body: &mut BytesMut, count: usize, most: usize) -> Result<(), WebError> {
         if body.capacity() - body.len() >= count {
             return Ok(());
         }
-        let doubled = (body.capacity() * 2).clamp(READ_SIZE, end.max(READ_SIZE));
-        let capacity = doubled.max(body.len() + count);
+        let capacity = grown_capacity(body.capacity(), body.len() + count, most);
         self.body_capacity = capacity;
         self.slot.resize(self.buffer.capacity() + capacity)?;
         let mut grown = BytesMut::with_capacity(capacity);
@@ -253,6 +261,13 @@
     }
 }
 
+/// Returns the capacity of a buffer that has to hold `needed` of at most `most` bytes. It doubles,
+/// as each growth copies what was read so far.
+fn grown_capacity(capacity: usize, needed: usize, most: usize) -> usize {
+    let doubled = (capacity * 2).clamp(READ_SIZE, most.max(READ_SIZE));
+    doubled.max(needed)
+}
+
 /// Appends up to `room` bytes from a connection to a buffer that has capacity for them. Fails if
 /// the caller sends nothing for [`Limits::stall`] milliseconds.
 async fn read_into(
